--- /dev/null
+++ b/crates/control/src/config.rs
@@ -0,0 +1,95 @@
+//! Limits and timing of a control member.
+
+use crate::errors::{ControlError, InvalidConfigSnafu};
+use luglink_program::RefundRule;
+use luglink_raft::RaftConfig;
+use luglink_storage::WalConfig;
+use luglink_types::MemberId;
+use snafu::ensure;
+use std::time::Duration;
+
+/// How a control member runs.
+#[derive(Clone, Debug)]
+pub struct ControlConfig {
+    /// This member.
+    pub member: MemberId,
+    /// All members, this one included.
+    pub members: Vec<MemberId>,
+    /// Number of program groups. Never changes after the first start.
+    pub program_groups: u32,
+    /// Voters of a program group.
+    pub replication: usize,
+    /// Voters of the configuration group.
+    pub configuration_voters: usize,
+    /// Whether an empty data folder may start a new cluster. Otherwise this member waits until
+    /// the others have added it.
+    pub bootstrap: bool,
+    /// Consensus timing.
+    pub raft: RaftConfig,
+    /// Log limits.
+    pub wal: WalConfig,
+    /// Entries after which a group's state is written as a snapshot.
+    pub snapshot_entries: usize,
+    /// What happens to unused reservations.
+    pub refund: RefundRule,
+    /// Longest time that a configuration watch is held open.
+    pub watch_hold: Duration,
+    /// Silence of the configuration leader after which this member serves no configuration.
+    pub configuration_freshness: Duration,
+    /// Time between checks for expired programs, and between repeats of release orders.
+    pub housekeeping_interval: Duration,
+}
+
+impl ControlConfig {
+    /// Defaults for a member of a cluster.
+    #[must_use]
+    pub fn new(member: MemberId, members: Vec<MemberId>) -> Self {
+        Self {
+            member,
+            members,
+            program_groups: 16,
+            replication: 3,
+            configuration_voters: 5,
+            bootstrap: false,
+            raft: RaftConfig::default(),
+            wal: WalConfig::default(),
+            snapshot_entries: 20_000,
+            refund: RefundRule::UnusedPart,
+            watch_hold: Duration::from_secs(5),
+            configuration_freshness: Duration::from_secs(3),
+            housekeeping_interval: Duration::from_secs(1),
+        }
+    }
+
+    /// Checks that the values can work together.
+    ///
+    /// # Errors
+    /// Names the first rule that is broken.
+    pub fn validate(&self) -> Result<(), ControlError> {
+        ensure!(
+            self.members.contains(&self.member),
+            InvalidConfigSnafu {
+                rule: "members must contain this member"
+            }
+        );
+        ensure!(
+            self.program_groups > 0,
+            InvalidConfigSnafu {
+                rule: "program_groups must be above zero"
+            }
+        );
+        ensure!(
+            self.replication > 0 && self.configuration_voters > 0 && self.snapshot_entries > 0,
+            InvalidConfigSnafu {
+                rule: "replication, configuration_voters and snapshot_entries must be above zero"
+            }
+        );
+        if self.raft.validate().is_err() {
+            return InvalidConfigSnafu {
+                rule: "the election timeout must be at least three heartbeat intervals",
+            }
+            .fail();
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,631 @@
+//! The member itself: takes inputs, drives its groups, gives out work.
+
+use crate::config::ControlConfig;
+use crate::errors::ControlError;
+use crate::group::Group;
+use crate::identity::Identity;
+use crate::machine::{CONFIGURATION_GROUP, LoggedCommand, Machine, decode, encode};
+use crate::placement::initial_membership;
+use crate::protocol::{Fence, MemberStatus, ReleaseOrder, Request, RequestToken, Response};
+use crate::store::{MemberStore, Record};
+use luglink_program::Command;
+use luglink_raft::{
+    Envelope, LogIndex, Message, Peer, RaftNode, Ready, RestoredState, Snapshot,
+};
+use luglink_resources::{CatchUp, Resource};
+use luglink_storage::Disk;
+use luglink_types::{EngineId, GroupId, ProgramId, Revision, Timestamp};
+use std::collections::BTreeMap;
+
+/// Gives each group of a member its own seed.
+const SEED_MIX: u64 = 0x9E37_79B9_7F4A_7C15;
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A message of another member.
+    Peer {
+        /// The group it is about.
+        group: GroupId,
+        /// The message.
+        envelope: Box<Envelope>,
+    },
+    /// A request of a client.
+    Request {
+        /// To be given back with the response.
+        token: RequestToken,
+        /// The request.
+        request: Box<Request>,
+    },
+    /// A client is gone; what it waits for need not be answered.
+    ClientGone {
+        /// The client.
+        client: u64,
+    },
+}
+
+/// Something to do.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Send a message to another member.
+    Peer {
+        /// The group it is about.
+        group: GroupId,
+        /// The message; its receiver is in it.
+        envelope: Box<Envelope>,
+    },
+    /// Answer a request.
+    Reply {
+        /// The request.
+        token: RequestToken,
+        /// The response.
+        response: Box<Response>,
+    },
+    /// Order an engine to give up memory, until it confirms.
+    Release(ReleaseOrder),
+}
+
+/// A configuration watch that waits for news.
+#[derive(Clone, Copy, Debug)]
+struct Watch {
+    token: RequestToken,
+    known: Revision,
+    until: Timestamp,
+}
+
+/// A control member.
+#[derive(Debug)]
+pub struct ControlNode<D> {
+    config: ControlConfig,
+    identity: Identity,
+    groups: BTreeMap<GroupId, Group>,
+    store: MemberStore<D>,
+    watches: Vec<Watch>,
+    outputs: Vec<Output>,
+    now: Timestamp,
+    housekeeping_due: Timestamp,
+    configuration_heard_at: Timestamp,
+}
+
+impl<D: Disk> ControlNode<D> {
+    /// Starts a member from its disk. `seed` drives election timeouts and, for a storage that
+    /// joins a running cluster, its incarnation: it must not repeat between starts.
+    ///
+    /// # Errors
+    /// The settings cannot work, or the disk is damaged, full, read-only or another member's.
+    pub fn start(
+        config: ControlConfig,
+        mut disk: D,
+        seed: u64,
+        now: Timestamp,
+    ) -> Result<Self, ControlError> {
+        config.validate()?;
+        let identity =
+            Identity::load_or_create(&mut disk, config.member, config.bootstrap, seed)?;
+        let (store, mut restored) = MemberStore::open(disk, config.wal)?;
+        let mut groups = BTreeMap::new();
+        for number in 0..=config.program_groups {
+            let id = GroupId(number);
+            let state = restored.remove(&id).unwrap_or_default();
+            let group = restore_group(&config, identity, id, state, seed, now)?;
+            groups.insert(id, group);
+        }
+        Ok(Self {
+            config,
+            identity,
+            groups,
+            store,
+            watches: Vec::new(),
+            outputs: Vec::new(),
+            now,
+            housekeeping_due: now,
+            configuration_heard_at: now,
+        })
+    }
+
+    /// Who this member is.
+    #[must_use]
+    pub fn peer(&self) -> Peer {
+        self.identity.peer
+    }
+
+    /// The group that holds a program.
+    #[must_use]
+    pub fn group_of(&self, program: ProgramId) -> GroupId {
+        program.group(self.config.program_groups)
+    }
+
+    /// Takes an input. Its consequences come out of the next [`ControlNode::flush`], together
+    /// with those of other inputs and under one sync.
+    ///
+    /// # Errors
+    /// A command cannot be encoded.
+    pub fn handle(&mut self, input: Input, now: Timestamp) -> Result<(), ControlError> {
+        self.now = self.now.max(now);
+        match input {
+            Input::Peer { group, envelope } => {
+                self.on_peer_message(group, *envelope);
+                Ok(())
+            }
+            Input::Request { token, request } => self.on_request(token, *request),
+            Input::ClientGone { client } => {
+                self.watches.retain(|watch| watch.token.client != client);
+                Ok(())
+            }
+        }
+    }
+
+    /// Lets time pass.
+    ///
+    /// # Errors
+    /// A command cannot be encoded.
+    pub fn tick(&mut self, now: Timestamp) -> Result<(), ControlError> {
+        self.now = self.now.max(now);
+        for group in self.groups.values_mut() {
+            if now >= group.raft.next_deadline() {
+                group.raft.tick(now);
+            }
+        }
+        self.expire_watches();
+        if self.now >= self.housekeeping_due {
+            self.housekeeping_due = self.now.plus(self.config.housekeeping_interval);
+            self.keep_house()?;
+        }
+        Ok(())
+    }
+
+    /// When [`ControlNode::tick`] next has something to do.
+    #[must_use]
+    pub fn next_deadline(&self) -> Timestamp {
+        let groups = self.groups.values().map(|group| group.raft.next_deadline());
+        let watches = self.watches.iter().map(|watch| watch.until);
+        groups
+            .chain(watches)
+            .chain([self.housekeeping_due])
+            .min()
+            .unwrap_or(self.now)
+    }
+
+    /// Makes everything durable that must be, and gives out the work.
+    ///
+    /// # Errors
+    /// The disk failed: the member must stop, because nobody can tell what is durable.
+    pub fn flush(&mut self) -> Result<Vec<Output>, ControlError> {
+        // Persisting may commit entries of a group with a single voter, which gives more work.
+        while self.flush_once()? {}
+        self.answer_watches();
+        Ok(std::mem::take(&mut self.outputs))
+    }
+
+    /// How this member is.
+    #[must_use]
+    pub fn status(&self) -> MemberStatus {
+        let stores = || self.groups.values().filter_map(|group| group.machine.programs());
+        let led = self.groups.values().filter(|group| group.raft.is_leader());
+        MemberStatus {
+            member: self.identity.peer.member,
+            incarnation: self.identity.peer.incarnation,
+            revision: self.revision(),
+            programs: stores().map(|store| store.programs().count() as u64).sum(),
+            pending_releases: led.map(|group| group.releases().len() as u64).sum(),
+            groups: self.groups.values().map(Group::status).collect(),
+        }
+    }
+
+    /// Revision of the configuration that this member has applied.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.configuration()
+            .and_then(|group| group.machine.configuration())
+            .map_or_else(Revision::default, luglink_resources::ResourceStore::revision)
+    }
+
+    /// The programs of one group, for checks.
+    #[must_use]
+    pub fn programs(&self, group: GroupId) -> Option<&luglink_program::ProgramStore> {
+        self.groups.get(&group)?.machine.programs()
+    }
+
+    /// Whether this member leads a group.
+    #[must_use]
+    pub fn leads(&self, group: GroupId) -> bool {
+        self.groups
+            .get(&group)
+            .is_some_and(|group| group.raft.is_leader())
+    }
+
+    /// Syncs of the log so far.
+    #[must_use]
+    pub fn syncs(&self) -> u64 {
+        self.store.syncs()
+    }
+
+    /// Gives the disk back, as a crash leaves it.
+    pub fn into_disk(self) -> D {
+        self.store.into_disk()
+    }
+
+    fn configuration(&self) -> Option<&Group> {
+        self.groups.get(&CONFIGURATION_GROUP)
+    }
+
+    fn on_peer_message(&mut self, group: GroupId, envelope: Envelope) {
+        if group == CONFIGURATION_GROUP && matches!(envelope.message, Message::Append { .. }) {
+            self.configuration_heard_at = self.now;
+        }
+        let now = self.now;
+        if let Some(group) = self.groups.get_mut(&group) {
+            group.raft.step(envelope, now);
+        }
+    }
+
+    fn on_request(&mut self, token: RequestToken, request: Request) -> Result<(), ControlError> {
+        let response = match request {
+            Request::Program(command) => self.propose_program(token, command)?,
+            Request::View(program) => {
+                let group = self.group_of(program);
+                self.read(group, Request::View(program), token)
+            }
+            Request::ReadConfiguration { known } => self.read(
+                CONFIGURATION_GROUP,
+                Request::ReadConfiguration { known },
+                token,
+            ),
+            Request::WatchConfiguration { known } => self.watch(token, known),
+            Request::Change(change) => {
+                let command = encode("a change", &LoggedCommand::Change(change))?;
+                self.propose(CONFIGURATION_GROUP, command, Some(token))
+            }
+            Request::Status => Some(Response::Status(self.status())),
+            Request::ChangeMembership { group, change } => {
+                Some(self.change_membership(group, change))
+            }
+            Request::HandOver => {
+                self.hand_over();
+                Some(Response::Done)
+            }
+        };
+        if let Some(response) = response {
+            self.reply(token, response);
+        }
+        Ok(())
+    }
+
+    fn propose_program(
+        &mut self,
+        token: RequestToken,
+        command: Command,
+    ) -> Result<Option<Response>, ControlError> {
+        let Some(program) = command.program() else {
+            return Ok(Some(Response::Unavailable {
+                reason: "the command names no program".to_owned(),
+            }));
+        };
+        let group = self.group_of(program);
+        let command = encode("a command", &LoggedCommand::Program(command))?;
+        Ok(self.propose(group, command, Some(token)))
+    }
+
+    fn propose(
+        &mut self,
+        group: GroupId,
+        command: Vec<u8>,
+        token: Option<RequestToken>,
+    ) -> Option<Response> {
+        let now = self.now;
+        let group = self.groups.get_mut(&group)?;
+        group.propose(command, token, now)
+    }
+
+    fn read(&mut self, group: GroupId, request: Request, token: RequestToken) -> Option<Response> {
+        let now = self.now;
+        let group = self.groups.get_mut(&group)?;
+        group.read(request, token, now)
+    }
+
+    fn change_membership(
+        &mut self,
+        group: GroupId,
+        change: luglink_raft::MembershipChange,
+    ) -> Response {
+        let now = self.now;
+        let Some(group) = self.groups.get_mut(&group) else {
+            return Response::Unavailable {
+                reason: format!("there is no group {group}"),
+            };
+        };
+        if !group.raft.is_leader() {
+            return group.not_leader();
+        }
+        match group.raft.propose_membership(change, now) {
+            Ok(_) => Response::Done,
+            Err(error) => Response::Unavailable {
+                reason: error.to_string(),
+            },
+        }
+    }
+
+    /// Hands leadership of every group to the voter that was heard from last.
+    fn hand_over(&mut self) {
+        let now = self.now;
+        for group in self.groups.values_mut().filter(|group| group.raft.is_leader()) {
+            let me = group.raft.me();
+            let voters = group.raft.membership().voters.iter().copied();
+            let successor = voters
+                .filter(|peer| *peer != me)
+                .min_by_key(|peer| group.raft.silence_of(*peer));
+            if let Some(successor) = successor {
+                // A refusal means that leadership is already being handed over.
+                let _ = group.raft.transfer_leadership(successor, now);
+            }
+        }
+    }
+
+    fn watch(&mut self, token: RequestToken, known: Revision) -> Option<Response> {
+        if !self.configuration_is_fresh() {
+            return Some(Response::Unavailable {
+                reason: "this member does not hear the configuration leader".to_owned(),
+            });
+        }
+        if self.revision() > known {
+            return Some(Response::Configuration(self.catch_up(known)));
+        }
+        self.watches.push(Watch {
+            token,
+            known,
+            until: self.now.plus(self.config.watch_hold),
+        });
+        None
+    }
+
+    fn configuration_is_fresh(&self) -> bool {
+        let leads = self.leads(CONFIGURATION_GROUP);
+        let silence = self.now.since(self.configuration_heard_at);
+        leads || silence < self.config.configuration_freshness
+    }
+
+    fn catch_up(&self, known: Revision) -> CatchUp {
+        self.configuration()
+            .and_then(|group| group.machine.configuration())
+            .map_or(CatchUp::Current, |store| store.catch_up(known))
+    }
+
+    fn answer_watches(&mut self) {
+        let revision = self.revision();
+        let (news, waiting): (Vec<Watch>, Vec<Watch>) =
+            self.watches.drain(..).partition(|watch| watch.known < revision);
+        self.watches = waiting;
+        for watch in news {
+            let catch_up = self.catch_up(watch.known);
+            self.reply(watch.token, Response::Configuration(catch_up));
+        }
+    }
+
+    fn expire_watches(&mut self) {
+        let now = self.now;
+        let fresh = self.configuration_is_fresh();
+        let (over, waiting): (Vec<Watch>, Vec<Watch>) = self
+            .watches
+            .drain(..)
+            .partition(|watch| !fresh || now >= watch.until);
+        self.watches = waiting;
+        for watch in over {
+            let response = if fresh {
+                Response::Configuration(CatchUp::Current)
+            } else {
+                Response::Unavailable {
+                    reason: "this member does not hear the configuration leader".to_owned(),
+                }
+            };
+            self.reply(watch.token, response);
+        }
+    }
+
+    fn keep_house(&mut self) -> Result<(), ControlError> {
+        let now = self.now;
+        let overdue: Vec<GroupId> = self
+            .groups
+            .values()
+            .filter(|group| group.raft.is_leader())
+            .filter(|group| {
+                let programs = group.machine.programs();
+                programs.is_some_and(|store| store.has_overdue(now))
+            })
+            .map(|group| group.id)
+            .collect();
+        for group in overdue {
+            let command = encode("a command", &LoggedCommand::Program(Command::Expire))?;
+            let _ = self.propose(group, command, None);
+        }
+        self.order_releases();
+        Ok(())
+    }
+
+    /// Repeats every release order that no engine has confirmed yet.
+    fn order_releases(&mut self) {
+        let mut orders = Vec::new();
+        let addresses = self.engine_addresses();
+        for group in self.groups.values_mut().filter(|group| group.raft.is_leader()) {
+            if group.order_term != group.raft.term() {
+                group.order_term = group.raft.term();
+                group.order_sequence = 0;
+            }
+            for release in group.releases() {
+                group.order_sequence += 1;
+                orders.push(ReleaseOrder {
+                    program: release.program,
+                    engine: release.engine,
+                    address: addresses.get(&release.engine).cloned(),
+                    fence: Fence {
+                        epoch: group.order_term,
+                        sequence: group.order_sequence,
+                    },
+                });
+            }
+        }
+        self.outputs.extend(orders.into_iter().map(Output::Release));
+    }
+
+    fn engine_addresses(&self) -> BTreeMap<EngineId, String> {
+        let resources = self
+            .configuration()
+            .and_then(|group| group.machine.configuration())
+            .map(|store| store.resources().values());
+        let pools = resources.into_iter().flatten().filter_map(|resource| match resource {
+            Resource::ModelPool(pool) => Some(pool),
+            _ => None,
+        });
+        pools
+            .flat_map(|pool| pool.replicas.iter())
+            .map(|replica| (replica.engine, replica.address.clone()))
+            .collect()
+    }
+
+    fn flush_once(&mut self) -> Result<bool, ControlError> {
+        let mut work: Vec<(GroupId, Ready)> = Vec::new();
+        for (id, group) in &mut self.groups {
+            let ready = group.raft.take_ready();
+            if !ready.is_empty() {
+                work.push((*id, ready));
+            }
+        }
+        if work.is_empty() {
+            self.abandon_pending();
+            return Ok(false);
+        }
+        for (id, ready) in &mut work {
+            let messages = std::mem::take(&mut ready.messages);
+            self.send_all(*id, messages)?;
+        }
+        self.persist(&work)?;
+        for (id, ready) in work {
+            self.finish_ready(id, ready)?;
+        }
+        self.abandon_pending();
+        Ok(true)
+    }
+
+    /// Makes the work of all groups durable with one sync.
+    fn persist(&mut self, work: &[(GroupId, Ready)]) -> Result<(), ControlError> {
+        let mut records = Vec::new();
+        for (group, ready) in work {
+            let group = *group;
+            if let Some(state) = ready.hard_state {
+                records.push(Record::HardState { group, state });
+            }
+            if let Some(snapshot) = &ready.snapshot {
+                self.store.reset_to_snapshot(group, snapshot)?;
+            }
+            if !ready.entries.is_empty() {
+                records.push(Record::Entries {
+                    group,
+                    entries: ready.entries.clone(),
+                });
+            }
+        }
+        self.store.append(&records)
+    }
+
+    fn finish_ready(&mut self, id: GroupId, ready: Ready) -> Result<(), ControlError> {
+        self.send_all(id, ready.messages_after_sync)?;
+        let Some(group) = self.groups.get_mut(&id) else {
+            return Ok(());
+        };
+        if let Some(snapshot) = &ready.snapshot {
+            group.install(snapshot)?;
+        }
+        let answers = group.apply(&ready.committed)?;
+        let reads = group.answer_reads(&ready.reads);
+        if let Some(last) = ready.entries.last() {
+            group.raft.on_persisted(last.index);
+        }
+        for (token, response) in answers.into_iter().chain(reads) {
+            self.reply(token, response);
+        }
+        self.snapshot_if_due(id, ready.committed.last().map(|entry| entry.index))
+    }
+
+    /// Writes the group's state as a snapshot once the log has grown long.
+    fn snapshot_if_due(
+        &mut self,
+        id: GroupId,
+        applied: Option<LogIndex>,
+    ) -> Result<(), ControlError> {
+        let Some(group) = self.groups.get_mut(&id) else {
+            return Ok(());
+        };
+        let Some(index) = applied else {
+            return Ok(());
+        };
+        if group.raft.log().len() < self.config.snapshot_entries {
+            return Ok(());
+        }
+        let snapshot = Snapshot {
+            index,
+            term: group.raft.log().term_at(index).unwrap_or(0),
+            membership: group.raft.log().membership_at(index).clone(),
+            state: encode("a group's state", &group.machine)?,
+        };
+        self.store.save_snapshot(id, &snapshot)?;
+        group.raft.compact(index);
+        Ok(())
+    }
+
+    fn send_all(&mut self, group: GroupId, messages: Vec<Envelope>) -> Result<(), ControlError> {
+        for mut envelope in messages {
+            if let Message::InstallSnapshot { snapshot } = &mut envelope.message {
+                match self.store.read_snapshot(group)? {
+                    Some(stored) => *snapshot = stored,
+                    // Nothing to send yet: the follower is offered the entries instead.
+                    None if snapshot.index > 0 => continue,
+                    None => {}
+                }
+            }
+            self.outputs.push(Output::Peer {
+                group,
+                envelope: Box::new(envelope),
+            });
+        }
+        Ok(())
+    }
+
+    fn abandon_pending(&mut self) {
+        let answers: Vec<(RequestToken, Response)> = self
+            .groups
+            .values_mut()
+            .flat_map(Group::abandon_pending)
+            .collect();
+        for (token, response) in answers {
+            self.reply(token, response);
+        }
+    }
+
+    fn reply(&mut self, token: RequestToken, response: Response) {
+        self.outputs.push(Output::Reply {
+            token,
+            response: Box::new(response),
+        });
+    }
+}
+
+fn restore_group(
+    config: &ControlConfig,
+    identity: Identity,
+    id: GroupId,
+    mut state: RestoredState,
+    seed: u64,
+    now: Timestamp,
+) -> Result<Group, ControlError> {
+    let untouched = state.snapshot.index == 0;
+    if untouched && identity.bootstrapped {
+        state.snapshot.membership = initial_membership(config, id);
+    }
+    let machine = if state.snapshot.state.is_empty() {
+        Machine::new(id, config.refund)
+    } else {
+        decode("a snapshot's state", &state.snapshot.state)?
+    };
+    let group_seed = seed ^ u64::from(id.0 + 1).wrapping_mul(SEED_MIX);
+    let raft = RaftNode::new(identity.peer, config.raft.clone(), state, group_seed, now);
+    Ok(Group::new(id, raft, machine))
+}
--- /dev/null
+++ b/crates/control/src/placement.rs
@@ -0,0 +1,39 @@
+//! Which members hold which group at the start.
+
+use luglink_raft::{Membership, Peer};
+use luglink_types::{GroupId, MemberId};
+
+use crate::config::ControlConfig;
+use crate::machine::CONFIGURATION_GROUP;
+
+/// Incarnation of a member's first storage.
+pub(crate) const FIRST_INCARNATION: u64 = 1;
+
+/// The membership that a group starts with. Every member computes the same one.
+///
+/// All members follow the configuration group, so that each can feed daemons; only a few of
+/// them vote in it. Program groups are spread evenly: group `g` starts at the `g`-th member.
+#[must_use]
+pub fn initial_membership(config: &ControlConfig, group: GroupId) -> Membership {
+    let mut members = config.members.clone();
+    members.sort_unstable();
+    members.dedup();
+    if group == CONFIGURATION_GROUP {
+        let (voters, learners) = members.split_at(config.configuration_voters.min(members.len()));
+        return Membership {
+            voters: first_peers(voters).collect(),
+            learners: first_peers(learners).collect(),
+        };
+    }
+    let count = config.replication.min(members.len());
+    let start = (group.0 as usize).saturating_sub(1) % members.len();
+    let chosen: Vec<MemberId> = members.iter().copied().cycle().skip(start).take(count).collect();
+    Membership::of_voters(first_peers(&chosen))
+}
+
+fn first_peers(members: &[MemberId]) -> impl Iterator<Item = Peer> + '_ {
+    members.iter().map(|member| Peer {
+        member: *member,
+        incarnation: FIRST_INCARNATION,
+    })
+}
--- /dev/null
+++ b/crates/program/src/store.rs
@@ -0,0 +1,682 @@
+//! All programs of one replication group, and the commands that change them.
+
+use crate::account::RefundRule;
+use crate::call::{CallRecord, CallState, request_fingerprint};
+use crate::command::{
+    BeginCall, Command, ConfirmRelease, CreateProgram, EndProgram, EndReason, FinishCall,
+    RenewLease, RetryCall, TakeOver,
+};
+use crate::program::{Program, ProgramStatus, call_ceiling};
+use crate::reply::{Begun, Reply};
+use luglink_types::{
+    AttemptNumber, Budget, Charge, EngineId, Executed, OutcomeClass, ProgramId, Refusal,
+    RefusalCode, Timestamp,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// How long an ended program's answers can still be asked for.
+const RETENTION: Duration = Duration::from_secs(900);
+
+/// How long an owner may be silent before its call in flight counts as lost.
+const OWNER_LEASE: Duration = Duration::from_secs(15);
+
+/// Levels of parents above a program that are followed at the most.
+const PARENT_DEPTH_LIMIT: usize = 32;
+
+/// An engine that must give up what it holds of an ended program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Release {
+    /// The program.
+    pub program: ProgramId,
+    /// The engine.
+    pub engine: EngineId,
+}
+
+/// The state machine of one program group.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProgramStore {
+    programs: BTreeMap<ProgramId, Program>,
+    releases: BTreeSet<Release>,
+    refund: RefundRule,
+    /// Latest time seen; a new leader's slower clock must not turn time back.
+    now: Timestamp,
+}
+
+impl ProgramStore {
+    /// An empty store with the given refund rule.
+    #[must_use]
+    pub fn new(refund: RefundRule) -> Self {
+        Self {
+            refund,
+            ..Self::default()
+        }
+    }
+
+    /// A program by its identifier.
+    #[must_use]
+    pub fn program(&self, id: ProgramId) -> Option<&Program> {
+        self.programs.get(&id)
+    }
+
+    /// All programs, ended ones within their retention included.
+    pub fn programs(&self) -> impl Iterator<Item = &Program> {
+        self.programs.values()
+    }
+
+    /// Engine memory that is still to be released.
+    pub fn releases(&self) -> impl Iterator<Item = Release> + '_ {
+        self.releases.iter().copied()
+    }
+
+    /// Whether [`Command::Expire`] at `at` would change anything.
+    #[must_use]
+    pub fn has_overdue(&self, at: Timestamp) -> bool {
+        self.programs
+            .values()
+            .any(|program| expiry(program, at) != Expiry::Nothing)
+    }
+
+    /// Applies one command at the time its leader gave it.
+    pub fn apply(&mut self, at: Timestamp, command: &Command) -> Reply {
+        self.now = self.now.max(at);
+        let outcome = match command {
+            Command::Create(create) => self.create(create),
+            Command::TakeOver(take_over) => self.take_over(take_over),
+            Command::Begin(begin) => self.begin(begin),
+            Command::Retry(retry) => self.retry(retry),
+            Command::Finish(finish) => self.finish(finish),
+            Command::Renew(renew) => Ok(self.renew(renew)),
+            Command::End(end) => self.end(end),
+            Command::ConfirmRelease(confirm) => Ok(self.confirm_release(confirm)),
+            Command::Expire => Ok(self.expire()),
+        };
+        outcome.unwrap_or_else(Reply::Refused)
+    }
+
+    fn create(&mut self, create: &CreateProgram) -> Result<Reply, Refusal> {
+        if let Some(existing) = self.programs.get(&create.program) {
+            return recreate(existing, create);
+        }
+        if let Some(parent) = create.spec.parent {
+            self.attach_child(parent, create.program)?;
+        }
+        let program = Program::new(
+            create.program,
+            create.spec.clone(),
+            create.owner,
+            self.now,
+        );
+        let reply = Reply::Owned(Box::new(program.owned()));
+        self.programs.insert(create.program, program);
+        Ok(reply)
+    }
+
+    fn attach_child(&mut self, parent: ProgramId, child: ProgramId) -> Result<(), Refusal> {
+        if parent.family != child.family {
+            return Err(Refusal::not_run(
+                RefusalCode::InvalidRequest,
+                "a sub-program must share its parent's family",
+            ));
+        }
+        if self.lineage(parent).len() >= PARENT_DEPTH_LIMIT {
+            return Err(Refusal::not_run(
+                RefusalCode::InvalidRequest,
+                format!("parent: programs nest at most {PARENT_DEPTH_LIMIT} deep"),
+            ));
+        }
+        let parent = self.active_mut(parent)?;
+        parent.children.insert(child);
+        Ok(())
+    }
+
+    fn take_over(&mut self, take_over: &TakeOver) -> Result<Reply, Refusal> {
+        let now = self.now;
+        let program = self.active_mut(take_over.program)?;
+        let already_owner = program.owner.daemon == take_over.daemon
+            && take_over.known_epoch == Some(program.owner.epoch);
+        if !already_owner {
+            program.owner.daemon = take_over.daemon;
+            program.owner.epoch = program.owner.epoch.next();
+            let lost = program.abandon_call_in_flight();
+            self.spend_lost(take_over.program, lost);
+        }
+        let program = self.active_mut(take_over.program)?;
+        program.owner.renewed_at = now;
+        program.active_at = now;
+        Ok(Reply::Owned(Box::new(program.owned())))
+    }
+
+    fn begin(&mut self, begin: &BeginCall) -> Result<Reply, Refusal> {
+        let fingerprint = request_fingerprint(&begin.messages, begin.max_output_tokens);
+        let program = self.existing(begin.program)?;
+        if let Some(call) = begin.key.as_ref().and_then(|key| program.call_by_key(key)) {
+            return self.begin_repeated(begin, call.clone(), fingerprint);
+        }
+        check_active(program)?;
+        program.check_epoch(begin.epoch)?;
+        check_order(program, begin)?;
+        self.check_deadlines(begin.program, &begin.ceiling)?;
+        let reservation = call_ceiling(
+            begin.input_tokens,
+            begin.max_output_tokens,
+            begin.cost_per_token_micros,
+        );
+        self.reserve(begin.program, &begin.ceiling, &reservation)?;
+        let now = self.now;
+        let program = self.active_mut(begin.program)?;
+        program.absorb_uncertain_messages();
+        let sequence = program.next_sequence;
+        program.calls.push(CallRecord {
+            sequence,
+            key: begin.key.clone(),
+            fingerprint,
+            repeatable: begin.repeatable,
+            reservation,
+            cost_per_token_micros: begin.cost_per_token_micros,
+            input_tokens: begin.input_tokens,
+            pending: begin.messages.clone(),
+            state: CallState::InFlight {
+                epoch: begin.epoch,
+                attempt: AttemptNumber(0),
+                engine: begin.engine,
+            },
+        });
+        program.engines.insert(begin.engine);
+        program.active_at = now;
+        program.owner.renewed_at = now;
+        Ok(Reply::Begun(Begun {
+            sequence,
+            attempt: AttemptNumber(0),
+            history: begin.want_history.then(|| program.history.clone()),
+        }))
+    }
+
+    /// A key that was used before: never a second run unless the caller allowed one.
+    fn begin_repeated(
+        &mut self,
+        begin: &BeginCall,
+        call: CallRecord,
+        fingerprint: u64,
+    ) -> Result<Reply, Refusal> {
+        if call.fingerprint != fingerprint {
+            return Err(Refusal::not_run(
+                RefusalCode::KeyReused,
+                "the idempotency key was used for a different request of this program",
+            ));
+        }
+        let program = self.existing(begin.program)?;
+        match call.state {
+            CallState::Completed { .. } => match program.stored_answer(&call) {
+                Some(answer) => Ok(Reply::AlreadyAnswered(answer)),
+                None => Err(unknown_outcome()),
+            },
+            CallState::InFlight {
+                epoch,
+                attempt,
+                engine,
+            } => {
+                program.check_epoch(begin.epoch)?;
+                // The same owner asks again because it lost the reply: same intent, same reply.
+                if epoch == begin.epoch && engine == begin.engine {
+                    return Ok(Reply::Begun(Begun {
+                        sequence: call.sequence,
+                        attempt,
+                        history: begin.want_history.then(|| program.history.clone()),
+                    }));
+                }
+                Err(Refusal::uncertain(
+                    RefusalCode::CallInProgress,
+                    "the same request is still running",
+                ))
+            }
+            CallState::Uncertain { attempt } => self.begin_again(begin, &call, attempt),
+        }
+    }
+
+    /// Runs an uncertain call again. Only its caller's permission (`repeatable`) allows that,
+    /// and only while no later call has been made.
+    fn begin_again(
+        &mut self,
+        begin: &BeginCall,
+        call: &CallRecord,
+        attempt: AttemptNumber,
+    ) -> Result<Reply, Refusal> {
+        let program = self.existing(begin.program)?;
+        let is_last = call.sequence.next() == program.next_sequence;
+        if !call.repeatable || !begin.repeatable || !is_last {
+            return Err(unknown_outcome());
+        }
+        check_active(program)?;
+        program.check_epoch(begin.epoch)?;
+        self.check_deadlines(begin.program, &begin.ceiling)?;
+        let mut reservation = call_ceiling(
+            begin.input_tokens,
+            begin.max_output_tokens,
+            begin.cost_per_token_micros,
+        );
+        reservation.calls = 0;
+        reservation.retries = 1;
+        self.reserve(begin.program, &begin.ceiling, &reservation)?;
+        let now = self.now;
+        let program = self.active_mut(begin.program)?;
+        program.next_sequence = call.sequence;
+        program.engines.insert(begin.engine);
+        program.active_at = now;
+        let attempt = attempt.next();
+        if let Some(record) = program.calls.last_mut() {
+            record.reservation = reservation;
+            record.state = CallState::InFlight {
+                epoch: begin.epoch,
+                attempt,
+                engine: begin.engine,
+            };
+        }
+        Ok(Reply::Begun(Begun {
+            sequence: call.sequence,
+            attempt,
+            history: begin.want_history.then(|| program.history.clone()),
+        }))
+    }
+
+    fn retry(&mut self, retry: &RetryCall) -> Result<Reply, Refusal> {
+        let program = self.existing(retry.program)?;
+        program.check_epoch(retry.epoch)?;
+        let in_flight = matching_call(program, retry.sequence)?;
+        let CallState::InFlight { attempt, .. } = in_flight.state else {
+            return Err(unknown_outcome());
+        };
+        if attempt == retry.failed.next() {
+            // The reply to this very command was lost.
+            return Ok(Reply::Begun(Begun {
+                sequence: retry.sequence,
+                attempt,
+                history: None,
+            }));
+        }
+        if attempt != retry.failed || !retry.class.retry_is_safe() {
+            return Err(unknown_outcome());
+        }
+        if let Err(refusal) = self.admit_retry(retry) {
+            self.close(&FinishCall {
+                program: retry.program,
+                epoch: retry.epoch,
+                sequence: retry.sequence,
+                attempt: retry.failed,
+                class: retry.class,
+                answer: String::new(),
+                usage: luglink_types::TokenUsage::default(),
+            });
+            return Err(refusal);
+        }
+        let attempt = retry.failed.next();
+        let program = self.active_mut(retry.program)?;
+        program.engines.insert(retry.engine);
+        if let Some(call) = program.calls.last_mut() {
+            call.reservation.retries = call.reservation.retries.saturating_add(1);
+            call.state = CallState::InFlight {
+                epoch: retry.epoch,
+                attempt,
+                engine: retry.engine,
+            };
+        }
+        Ok(Reply::Begun(Begun {
+            sequence: retry.sequence,
+            attempt,
+            history: None,
+        }))
+    }
+
+    fn admit_retry(&mut self, retry: &RetryCall) -> Result<(), Refusal> {
+        check_active(self.existing(retry.program)?)?;
+        self.check_deadlines(retry.program, &retry.ceiling)?;
+        let one_retry = Charge {
+            retries: 1,
+            ..Charge::default()
+        };
+        self.reserve(retry.program, &retry.ceiling, &one_retry)
+            .map_err(|refusal| Refusal {
+                executed: executed_after(retry.class),
+                ..refusal
+            })
+    }
+
+    fn finish(&mut self, finish: &FinishCall) -> Result<Reply, Refusal> {
+        let program = self.existing(finish.program)?;
+        program.check_epoch(finish.epoch)?;
+        let repeated = program
+            .calls
+            .iter()
+            .any(|call| call.sequence == finish.sequence && already_finished(call, finish));
+        if repeated {
+            // The reply to this very command was lost.
+            return Ok(Reply::Finished {
+                next_sequence: program.next_sequence,
+            });
+        }
+        let call = matching_call(program, finish.sequence)?;
+        let current = matches!(call.state, CallState::InFlight { attempt, .. } if attempt == finish.attempt);
+        if !current {
+            return Err(unknown_outcome());
+        }
+        self.close(finish);
+        let now = self.now;
+        let program = self.existing_mut(finish.program)?;
+        program.active_at = now;
+        program.owner.renewed_at = now;
+        Ok(Reply::Finished {
+            next_sequence: program.next_sequence,
+        })
+    }
+
+    /// Applies an outcome to the call and settles it in every account that paid for it.
+    fn close(&mut self, finish: &FinishCall) {
+        let refund = self.refund;
+        let Some(program) = self.programs.get_mut(&finish.program) else {
+            return;
+        };
+        let (reservation, used) = program.close_call(finish, refund);
+        for payer in self.lineage(finish.program) {
+            if let Some(program) = self.programs.get_mut(&payer) {
+                program.account.settle(&reservation, &used);
+            }
+        }
+    }
+
+    fn renew(&mut self, renew: &RenewLease) -> Reply {
+        let now = self.now;
+        for (id, epoch) in &renew.programs {
+            if let Some(program) = self.programs.get_mut(id) {
+                if program.owner.epoch == *epoch {
+                    program.owner.renewed_at = now;
+                }
+            }
+        }
+        Reply::Done
+    }
+
+    fn end(&mut self, end: &EndProgram) -> Result<Reply, Refusal> {
+        self.existing(end.program)?;
+        self.end_tree(end.program, end.reason);
+        Ok(Reply::Done)
+    }
+
+    fn end_tree(&mut self, root: ProgramId, reason: EndReason) {
+        let mut waiting = vec![(root, reason)];
+        while let Some((id, reason)) = waiting.pop() {
+            let now = self.now;
+            let Some(program) = self.programs.get_mut(&id) else {
+                continue;
+            };
+            if !program.is_active() {
+                continue;
+            }
+            program.status = ProgramStatus::Ended { reason, at: now };
+            let lost = program.abandon_call_in_flight();
+            let engines: Vec<EngineId> = program.engines.iter().copied().collect();
+            let children = program.children.iter().copied();
+            waiting.extend(children.map(|child| (child, EndReason::ParentEnded)));
+            let releases = engines.into_iter().map(|engine| Release {
+                program: id,
+                engine,
+            });
+            self.releases.extend(releases);
+            self.spend_lost(id, lost);
+        }
+    }
+
+    fn confirm_release(&mut self, confirm: &ConfirmRelease) -> Reply {
+        self.releases.remove(&Release {
+            program: confirm.program,
+            engine: confirm.engine,
+        });
+        Reply::Done
+    }
+
+    fn expire(&mut self) -> Reply {
+        let now = self.now;
+        let due: Vec<(ProgramId, Expiry)> = self
+            .programs
+            .values()
+            .map(|program| (program.id, expiry(program, now)))
+            .filter(|(_, expiry)| *expiry != Expiry::Nothing)
+            .collect();
+        for (id, expiry) in due {
+            match expiry {
+                Expiry::Nothing => {}
+                Expiry::End(reason) => self.end_tree(id, reason),
+                Expiry::Forget => self.forget(id),
+                Expiry::LoseCall => {
+                    let lost = self
+                        .programs
+                        .get_mut(&id)
+                        .and_then(Program::abandon_call_in_flight);
+                    self.spend_lost(id, lost);
+                }
+            }
+        }
+        Reply::Done
+    }
+
+    fn forget(&mut self, id: ProgramId) {
+        let Some(program) = self.programs.remove(&id) else {
+            return;
+        };
+        let parent = program.spec.parent;
+        if let Some(parent) = parent.and_then(|parent| self.programs.get_mut(&parent)) {
+            parent.children.remove(&id);
+        }
+    }
+
+    /// Counts a lost call's reservation as spent in every account that paid for it.
+    fn spend_lost(&mut self, id: ProgramId, lost: Option<Charge>) {
+        let Some(reservation) = lost else {
+            return;
+        };
+        for payer in self.lineage(id) {
+            if let Some(program) = self.programs.get_mut(&payer) {
+                program.account.settle(&reservation, &reservation);
+            }
+        }
+    }
+
+    /// Reserves `amount` with the program and all its parents, or with none of them.
+    fn reserve(
+        &mut self,
+        id: ProgramId,
+        ceiling: &Budget,
+        amount: &Charge,
+    ) -> Result<(), Refusal> {
+        let payers = self.lineage(id);
+        for payer in &payers {
+            let program = self.existing(*payer)?;
+            let budget = effective_budget(program, id, ceiling);
+            if let Some(dimension) = program.account.lacks_room(&budget, amount) {
+                return Err(Refusal::not_run(
+                    RefusalCode::BudgetExhausted,
+                    format!("{} of program {payer} has no room", dimension.field()),
+                ));
+            }
+        }
+        for payer in payers {
+            if let Some(program) = self.programs.get_mut(&payer) {
+                program.account.reserve(amount);
+            }
+        }
+        Ok(())
+    }
+
+    fn check_deadlines(&self, id: ProgramId, ceiling: &Budget) -> Result<(), Refusal> {
+        for payer in self.lineage(id) {
+            let program = self.existing(payer)?;
+            let budget = effective_budget(program, id, ceiling);
+            if program.deadline_passed(&budget, self.now) {
+                return Err(Refusal::not_run(
+                    RefusalCode::DeadlineExceeded,
+                    format!("the deadline of program {payer} has passed"),
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// The program and its parents, the program first.
+    fn lineage(&self, id: ProgramId) -> Vec<ProgramId> {
+        let mut lineage = Vec::new();
+        let mut next = Some(id);
+        while let Some(current) = next {
+            if lineage.len() > PARENT_DEPTH_LIMIT {
+                break;
+            }
+            lineage.push(current);
+            next = self
+                .programs
+                .get(&current)
+                .and_then(|program| program.spec.parent);
+        }
+        lineage
+    }
+
+    fn existing(&self, id: ProgramId) -> Result<&Program, Refusal> {
+        self.programs.get(&id).ok_or_else(|| unknown_program(id))
+    }
+
+    fn existing_mut(&mut self, id: ProgramId) -> Result<&mut Program, Refusal> {
+        self.programs
+            .get_mut(&id)
+            .ok_or_else(|| unknown_program(id))
+    }
+
+    fn active_mut(&mut self, id: ProgramId) -> Result<&mut Program, Refusal> {
+        let program = self.existing_mut(id)?;
+        check_active(program)?;
+        Ok(program)
+    }
+}
+
+/// What time alone does to a program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Expiry {
+    Nothing,
+    End(EndReason),
+    LoseCall,
+    Forget,
+}
+
+fn expiry(program: &Program, at: Timestamp) -> Expiry {
+    if let ProgramStatus::Ended { at: ended_at, .. } = program.status {
+        let forgotten = at.since(ended_at) > RETENTION;
+        return if forgotten {
+            Expiry::Forget
+        } else {
+            Expiry::Nothing
+        };
+    }
+    if let Some(reason) = program.overdue(at, OWNER_LEASE) {
+        return Expiry::End(reason);
+    }
+    let owner_silent = at.since(program.owner.renewed_at) > OWNER_LEASE;
+    if owner_silent && program.call_in_flight().is_some() {
+        return Expiry::LoseCall;
+    }
+    Expiry::Nothing
+}
+
+fn recreate(existing: &Program, create: &CreateProgram) -> Result<Reply, Refusal> {
+    if existing.spec != create.spec {
+        return Err(Refusal::not_run(
+            RefusalCode::KeyReused,
+            format!("program {} exists with another specification", create.program),
+        ));
+    }
+    if existing.owner.daemon == create.owner {
+        return Ok(Reply::Owned(Box::new(existing.owned())));
+    }
+    Err(Refusal::not_run(
+        RefusalCode::StaleOwner,
+        format!("program {} exists at another daemon", create.program),
+    ))
+}
+
+/// The class ceiling binds the program that makes the call; its parents answer for their own.
+fn effective_budget(payer: &Program, caller: ProgramId, ceiling: &Budget) -> Budget {
+    if payer.id == caller {
+        payer.spec.budget.intersect(ceiling)
+    } else {
+        payer.spec.budget.clone()
+    }
+}
+
+fn check_active(program: &Program) -> Result<(), Refusal> {
+    if program.is_active() {
+        return Ok(());
+    }
+    Err(Refusal::not_run(
+        RefusalCode::ProgramEnded,
+        format!("program {} has ended", program.id),
+    ))
+}
+
+fn check_order(program: &Program, begin: &BeginCall) -> Result<(), Refusal> {
+    if program.call_in_flight().is_some() {
+        return Err(Refusal::not_run(
+            RefusalCode::CallInProgress,
+            "the program's previous call is still running",
+        ));
+    }
+    match begin.sequence {
+        Some(sequence) if sequence != program.next_sequence => Err(Refusal::not_run(
+            RefusalCode::OutOfOrder,
+            format!(
+                "sequence {sequence} is not the program's next, {}",
+                program.next_sequence
+            ),
+        )),
+        _ => Ok(()),
+    }
+}
+
+fn matching_call(
+    program: &Program,
+    sequence: luglink_types::Sequence,
+) -> Result<&CallRecord, Refusal> {
+    program
+        .call_in_flight()
+        .filter(|call| call.sequence == sequence)
+        .ok_or_else(unknown_outcome)
+}
+
+fn already_finished(call: &CallRecord, finish: &FinishCall) -> bool {
+    match call.state {
+        CallState::Completed { attempts, .. } => {
+            finish.class == OutcomeClass::Completed && attempts == finish.attempt.0.saturating_add(1)
+        }
+        CallState::Uncertain { attempt } => {
+            finish.class == OutcomeClass::Uncertain && attempt == finish.attempt
+        }
+        CallState::InFlight { .. } => false,
+    }
+}
+
+fn executed_after(class: OutcomeClass) -> Executed {
+    if class.spent_nothing() {
+        Executed::No
+    } else {
+        Executed::Unknown
+    }
+}
+
+fn unknown_program(id: ProgramId) -> Refusal {
+    Refusal::not_run(
+        RefusalCode::UnknownProgram,
+        format!("no program {id}, or it is past its retention"),
+    )
+}
+
+fn unknown_outcome() -> Refusal {
+    Refusal::uncertain(
+        RefusalCode::OutcomeUnknown,
+        "nobody can tell whether the request ran, and it must not run twice",
+    )
+}
--- /dev/null
+++ b/crates/storage/src/file_disk.rs
@@ -0,0 +1,168 @@
+//! A folder of the file system.
+
+use crate::disk::Disk;
+use crate::errors::{IoSnafu, StorageError};
+use snafu::ResultExt;
+use std::collections::HashMap;
+use std::fs::{File, OpenOptions};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+const TEMPORARY_SUFFIX: &str = ".tmp";
+
+/// The data folder of a control member.
+#[derive(Debug)]
+pub struct FileDisk {
+    folder: PathBuf,
+    /// Files that are being appended to, kept open.
+    open: HashMap<String, File>,
+}
+
+impl FileDisk {
+    /// Opens the folder and creates it when it is missing. Checks that it can be written.
+    ///
+    /// # Errors
+    /// The folder cannot be created, read or written.
+    pub fn open(folder: impl Into<PathBuf>) -> Result<Self, StorageError> {
+        let folder = folder.into();
+        let shown = folder.display().to_string();
+        std::fs::create_dir_all(&folder).context(IoSnafu {
+            action: "create the data folder",
+            file: &shown,
+        })?;
+        let mut disk = Self {
+            folder,
+            open: HashMap::new(),
+        };
+        disk.remove_leftovers()?;
+        disk.replace("write-check", b"")?;
+        disk.remove("write-check")?;
+        Ok(disk)
+    }
+
+    fn path(&self, file: &str) -> PathBuf {
+        self.folder.join(file)
+    }
+
+    /// A crash in [`Disk::replace`] can leave a half-written file under its temporary name.
+    fn remove_leftovers(&mut self) -> Result<(), StorageError> {
+        for file in self.all_names()? {
+            if file.ends_with(TEMPORARY_SUFFIX) {
+                self.remove(&file)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn all_names(&self) -> Result<Vec<String>, StorageError> {
+        let folder_error = || IoSnafu {
+            action: "list",
+            file: self.folder.display().to_string(),
+        };
+        let mut names = Vec::new();
+        for entry in std::fs::read_dir(&self.folder).with_context(|_| folder_error())? {
+            let entry = entry.with_context(|_| folder_error())?;
+            if let Ok(name) = entry.file_name().into_string() {
+                names.push(name);
+            }
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn sync_folder(&self) -> Result<(), StorageError> {
+        let sync = |folder: &Path| File::open(folder)?.sync_all();
+        sync(&self.folder).context(IoSnafu {
+            action: "sync",
+            file: self.folder.display().to_string(),
+        })
+    }
+}
+
+impl Disk for FileDisk {
+    fn list(&self) -> Result<Vec<String>, StorageError> {
+        let mut names = self.all_names()?;
+        names.retain(|name| !name.ends_with(TEMPORARY_SUFFIX));
+        Ok(names)
+    }
+
+    fn read(&self, file: &str) -> Result<Vec<u8>, StorageError> {
+        std::fs::read(self.path(file)).context(IoSnafu {
+            action: "read",
+            file,
+        })
+    }
+
+    fn append(&mut self, file: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        if !self.open.contains_key(file) {
+            let created = !self.path(file).exists();
+            let handle = OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(self.path(file))
+                .context(IoSnafu {
+                    action: "open",
+                    file,
+                })?;
+            self.open.insert(file.to_owned(), handle);
+            if created {
+                self.sync_folder()?;
+            }
+        }
+        let Some(handle) = self.open.get_mut(file) else {
+            return Ok(());
+        };
+        handle.write_all(bytes).context(IoSnafu {
+            action: "append to",
+            file,
+        })
+    }
+
+    fn sync(&mut self, file: &str) -> Result<(), StorageError> {
+        let Some(handle) = self.open.get(file) else {
+            return Ok(());
+        };
+        handle.sync_data().context(IoSnafu {
+            action: "sync",
+            file,
+        })
+    }
+
+    fn replace(&mut self, file: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        self.open.remove(file);
+        let temporary = self.path(&format!("{file}{TEMPORARY_SUFFIX}"));
+        let write = || -> std::io::Result<()> {
+            let mut handle = File::create(&temporary)?;
+            handle.write_all(bytes)?;
+            handle.sync_all()?;
+            std::fs::rename(&temporary, self.path(file))
+        };
+        write().context(IoSnafu {
+            action: "write",
+            file,
+        })?;
+        self.sync_folder()
+    }
+
+    fn truncate(&mut self, file: &str, length: u64) -> Result<(), StorageError> {
+        self.open.remove(file);
+        let cut = || -> std::io::Result<()> {
+            let handle = OpenOptions::new().write(true).open(self.path(file))?;
+            handle.set_len(length)?;
+            handle.sync_all()
+        };
+        cut().context(IoSnafu {
+            action: "truncate",
+            file,
+        })
+    }
+
+    fn remove(&mut self, file: &str) -> Result<(), StorageError> {
+        self.open.remove(file);
+        std::fs::remove_file(self.path(file)).context(IoSnafu {
+            action: "remove",
+            file,
+        })?;
+        self.sync_folder()
+    }
+}
--- /dev/null
+++ b/crates/storage/src/frame.rs
@@ -0,0 +1,87 @@
+//! One batch on disk: `magic, length, sequence, checksum, payload`, integers little-endian.
+
+const MAGIC: [u8; 4] = *b"LLW1";
+const MAGIC_END: usize = 4;
+const LENGTH_END: usize = 8;
+const SEQUENCE_END: usize = 16;
+
+/// Bytes before the payload.
+pub(crate) const HEADER_BYTES: usize = 20;
+
+/// Largest payload of one frame.
+pub(crate) const MAX_PAYLOAD_BYTES: usize = 256 << 20;
+
+/// A frame that was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Frame<'a> {
+    pub(crate) sequence: u64,
+    pub(crate) payload: &'a [u8],
+}
+
+impl Frame<'_> {
+    pub(crate) fn encoded_len(&self) -> usize {
+        HEADER_BYTES + self.payload.len()
+    }
+
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(self.encoded_len());
+        let length = u32::try_from(self.payload.len()).unwrap_or(u32::MAX);
+        bytes.extend_from_slice(&MAGIC);
+        bytes.extend_from_slice(&length.to_le_bytes());
+        bytes.extend_from_slice(&self.sequence.to_le_bytes());
+        bytes.extend_from_slice(&checksum(self.sequence, self.payload).to_le_bytes());
+        bytes.extend_from_slice(self.payload);
+        bytes
+    }
+}
+
+/// Reads the frame at the start of `bytes`.
+pub(crate) fn decode(bytes: &[u8]) -> Result<Frame<'_>, &'static str> {
+    if bytes.len() < HEADER_BYTES {
+        return Err("the header is cut short");
+    }
+    if bytes[..MAGIC_END] != MAGIC {
+        return Err("the header is not a record's");
+    }
+    let length = read_u32(&bytes[MAGIC_END..LENGTH_END]) as usize;
+    let sequence = read_u64(&bytes[LENGTH_END..SEQUENCE_END]);
+    let expected = read_u32(&bytes[SEQUENCE_END..HEADER_BYTES]);
+    if length > MAX_PAYLOAD_BYTES {
+        return Err("the length is impossible");
+    }
+    let Some(payload) = bytes.get(HEADER_BYTES..HEADER_BYTES + length) else {
+        return Err("the record is cut short");
+    };
+    if checksum(sequence, payload) != expected {
+        return Err("the checksum is wrong");
+    }
+    Ok(Frame { sequence, payload })
+}
+
+/// Whether an intact frame later than `sequence` starts anywhere in `bytes`.
+pub(crate) fn intact_frame_follows(bytes: &[u8], sequence: u64) -> bool {
+    let starts = bytes.windows(MAGIC_END).enumerate();
+    let candidates = starts.filter(|(_, window)| *window == MAGIC);
+    candidates
+        .map(|(offset, _)| decode(&bytes[offset..]))
+        .any(|frame| frame.is_ok_and(|frame| frame.sequence > sequence))
+}
+
+fn checksum(sequence: u64, payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&sequence.to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+fn read_u32(bytes: &[u8]) -> u32 {
+    let mut array = [0; 4];
+    array.copy_from_slice(bytes);
+    u32::from_le_bytes(array)
+}
+
+fn read_u64(bytes: &[u8]) -> u64 {
+    let mut array = [0; 8];
+    array.copy_from_slice(bytes);
+    u64::from_le_bytes(array)
+}
--- /dev/null
+++ b/crates/storage/tests/wal.rs
@@ -0,0 +1,120 @@
+//! The log keeps what it synced, forgets what it did not, and refuses to start when damaged.
+
+use luglink_storage::{CrashDamage, Disk, FileDisk, MemoryDisk, StorageError, Wal, WalConfig};
+use proptest::prelude::*;
+
+const SMALL: WalConfig = WalConfig { segment_bytes: 200 };
+
+fn append_all(disk: &mut MemoryDisk, batches: &[Vec<u8>]) {
+    let (mut wal, _) = Wal::open(disk, SMALL).expect("open");
+    for batch in batches {
+        if wal.segment_is_full() {
+            wal.start_segment();
+        }
+        wal.append(disk, batch).expect("append");
+    }
+}
+
+fn payloads(disk: &mut MemoryDisk) -> Vec<Vec<u8>> {
+    let (_, recovered) = Wal::open(disk, SMALL).expect("open");
+    let batches = recovered.batches.into_iter();
+    batches.map(|batch| batch.payload).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    #[test]
+    fn synced_batches_survive_and_a_torn_batch_is_cut_off(
+        batches in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..80), 1..20),
+        torn in prop::collection::vec(any::<u8>(), 1..80),
+        kept_per_mille in 0_u16..1_000,
+    ) {
+        let mut disk = MemoryDisk::new();
+        append_all(&mut disk, &batches);
+        let last = disk.list().expect("list").pop().expect("a segment");
+        // An unsynced frame, as a crash in the middle of an append leaves it.
+        let mut other = MemoryDisk::new();
+        append_all(&mut other, std::slice::from_ref(&torn));
+        let frame = other.read("wal-0000000000000000.log").expect("read");
+        disk.append(&last, &frame).expect("append");
+        disk.crash(CrashDamage::TearUnsynced { kept_per_mille });
+        prop_assert_eq!(payloads(&mut disk), batches.clone());
+        // The cut is durable and the log goes on behind it.
+        append_all(&mut disk, std::slice::from_ref(&torn));
+        let mut expected = batches;
+        expected.push(torn);
+        prop_assert_eq!(payloads(&mut disk), expected);
+    }
+
+    #[test]
+    fn a_flipped_bit_never_goes_unnoticed(
+        batches in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..40), 2..10),
+        position in any::<prop::sample::Index>(),
+    ) {
+        let mut disk = MemoryDisk::new();
+        append_all(&mut disk, &batches);
+        let first = "wal-0000000000000000.log";
+        let length = disk.read(first).expect("read").len();
+        disk.flip_bit(first, position.index(length));
+        match Wal::open(&mut disk, SMALL) {
+            Err(StorageError::Corrupt { .. } | StorageError::Gap { .. }) => {}
+            Err(other) => prop_assert!(false, "unexpected error {other}"),
+            // Damage in the very last batch looks like a torn tail: one batch less.
+            Ok((_, recovered)) => prop_assert_eq!(recovered.batches.len(), batches.len() - 1),
+        }
+    }
+}
+
+#[test]
+fn damage_in_the_middle_is_refused_with_file_and_offset() {
+    let mut disk = MemoryDisk::new();
+    append_all(&mut disk, &[vec![1; 30], vec![2; 30]]);
+    disk.flip_bit("wal-0000000000000000.log", 25);
+    let error = Wal::open(&mut disk, SMALL).expect_err("damaged");
+    let text = error.to_string();
+    assert!(text.contains("wal-0000000000000000.log"), "{text}");
+    assert!(text.contains("byte 0"), "{text}");
+}
+
+#[test]
+fn a_missing_segment_is_refused() {
+    let mut disk = MemoryDisk::new();
+    let batches: Vec<Vec<u8>> = (0..30).map(|byte| vec![byte; 50]).collect();
+    append_all(&mut disk, &batches);
+    disk.remove("wal-0000000000000001.log").expect("remove");
+    let error = Wal::open(&mut disk, SMALL).expect_err("gap");
+    assert!(matches!(error, StorageError::Gap { .. }), "{error}");
+}
+
+#[test]
+fn a_full_disk_is_an_error_and_not_an_acknowledgement() {
+    let mut disk = MemoryDisk::new();
+    let (mut wal, _) = Wal::open(&mut disk, SMALL).expect("open");
+    disk.set_full(true);
+    assert!(wal.append(&mut disk, b"lost").is_err());
+    disk.set_full(false);
+    assert!(payloads(&mut disk).is_empty());
+}
+
+#[test]
+fn a_folder_of_the_file_system_keeps_the_log() {
+    let folder = tempfile::tempdir().expect("folder");
+    let mut disk = FileDisk::open(folder.path()).expect("open");
+    let (mut wal, _) = Wal::open(&mut disk, SMALL).expect("open");
+    wal.append(&mut disk, b"first").expect("append");
+    wal.start_segment();
+    wal.append(&mut disk, b"second").expect("append");
+    wal.remove_segments_before(&mut disk, 1).expect("remove");
+    let mut disk = FileDisk::open(folder.path()).expect("open again");
+    let (_, recovered) = Wal::open(&mut disk, SMALL).expect("recover");
+    let found: Vec<&[u8]> = recovered.batches.iter().map(|batch| &*batch.payload).collect();
+    assert_eq!(found, [b"second"]);
+}
+
+#[test]
+fn a_data_folder_that_is_a_file_is_refused_with_its_name() {
+    let file = tempfile::NamedTempFile::new().expect("file");
+    let error = FileDisk::open(file.path()).expect_err("not a folder");
+    assert!(error.to_string().contains("data folder"), "{error}");
+}
