--- /dev/null
+++ b/app/luglink/src/check_config.rs
@@ -0,0 +1,12 @@
+//! `luglink check-config`.
+
+use crate::exit::{Exit, Failure};
+use luglink_settings::{Role, load};
+use std::path::Path;
+
+pub(crate) fn run(file: &Path) -> Result<Exit, Failure> {
+    load(Some(file), Vec::new(), Role::Any)
+        .map_err(|error| Failure::new(Exit::Unusable, format!("settings\n{error}")))?;
+    println!("{}: no faults", file.display());
+    Ok(Exit::Success)
+}
--- /dev/null
+++ b/app/luglink/src/daemon.rs
@@ -0,0 +1,33 @@
+//! `luglink daemon`.
+
+use crate::exit::{Exit, Failure};
+use crate::options::ServerOptions;
+use crate::shutdown::stop_requested;
+use luglink_settings::{DaemonSettings, Role, load};
+
+pub(crate) fn run(options: ServerOptions) -> Result<Exit, Failure> {
+    let unusable = |error: String| Failure::new(Exit::Unusable, error);
+    let overrides = options.overrides().map_err(unusable)?;
+    let settings = load(options.config.as_deref(), overrides, Role::Daemon)
+        .map_err(|error| unusable(error.to_string()))?;
+    luglink_telemetry::init_logs(&settings.log_filter)
+        .map_err(|error| unusable(error.to_string()))?;
+    let daemon = settings
+        .daemon
+        .ok_or_else(|| unusable("the settings have no section [daemon]".to_owned()))?;
+    actix_rt::System::new().block_on(serve(daemon))
+}
+
+async fn serve(settings: DaemonSettings) -> Result<Exit, Failure> {
+    let unavailable = |error: String| Failure::new(Exit::Unavailable, error);
+    let server =
+        luglink_daemon_server::start(&settings).map_err(|error| unavailable(error.to_string()))?;
+    println!("listening on {}", server.address);
+    stop_requested()
+        .await
+        .map_err(|error| unavailable(error.to_string()))?;
+    if server.stop().await {
+        return Ok(Exit::Success);
+    }
+    Ok(Exit::DrainTimeout)
+}
--- a/app/luglink/src/main.rs
+++ b/app/luglink/src/main.rs
@@ -1,1 +1,25 @@
-fn main() {}
+//! `luglink`: daemon, control member and operator client in one binary. It only composes the
+//! crates that do the work.
+#![forbid(unsafe_code)]
+
+mod check_config;
+mod control;
+mod ctl;
+mod daemon;
+mod exit;
+mod options;
+mod shutdown;
+
+use exit::Exit;
+use options::Command;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let outcome = match options::command().run() {
+        Command::Daemon(options) => daemon::run(options),
+        Command::Control(options) => control::run(options),
+        Command::Ctl(options) => ctl::run(options),
+        Command::CheckConfig { file } => check_config::run(&file),
+    };
+    outcome.unwrap_or_else(Exit::from).into()
+}
--- a/crates/control-server/src/lib.rs
+++ b/crates/control-server/src/lib.rs
@@ -1,1 +1,16 @@
+//! The shell of a control member: sockets, disk and clock around [`luglink_control::ControlNode`].
+//!
+//! One actor owns the node. Everything that arrives while it works is taken together and made
+//! durable with one sync: that is the group commit.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
 
+mod actor;
+mod admin;
+mod errors;
+mod peers;
+mod releases;
+mod server;
+
+pub use errors::ControlServerError;
+pub use server::{ControlServer, start};
--- /dev/null
+++ b/crates/control-server/src/releases.rs
@@ -0,0 +1,43 @@
+//! Release orders to engines.
+
+use luglink_control::{ReleaseOrder, Request};
+use luglink_engine_api::{EngineOrder, OrderAnswer, OrderFence, OrderKind};
+use luglink_program::{Command, ConfirmRelease};
+use std::time::Duration;
+
+/// Time an engine has to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Gives an engine the order. Returns the request that records its confirmation, if it gave one.
+pub(crate) async fn order(client: awc::Client, release: ReleaseOrder) -> Option<Request> {
+    let confirmed = Request::Program(Command::ConfirmRelease(ConfirmRelease {
+        program: release.program,
+        engine: release.engine,
+    }));
+    let Some(address) = &release.address else {
+        // The engine is no longer configured: it serves nobody and holds nothing for us.
+        return Some(confirmed);
+    };
+    let order = EngineOrder {
+        fence: OrderFence {
+            epoch: release.fence.epoch,
+            sequence: release.fence.sequence,
+        },
+        source: format!("program/{}", release.program),
+        order: OrderKind::ReleaseProgram {
+            program: release.program.to_string(),
+        },
+    };
+    let request = client
+        .post(format!("http://{address}/orders"))
+        .timeout(ORDER_TIMEOUT)
+        .send_json(&order);
+    let answer = match request.await {
+        Ok(mut response) => response.json::<OrderAnswer>().await.ok(),
+        Err(error) => {
+            tracing::debug!(%error, program = %release.program, "release order not delivered");
+            None
+        }
+    };
+    matches!(answer, Some(OrderAnswer::Done)).then_some(confirmed)
+}
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -4,9 +4,7 @@
 use crate::machine::{Applied, LoggedCommand, Machine, decode};
 use crate::protocol::{GroupStatus, Request, RequestToken, Response};
 use luglink_program::Release;
-use luglink_raft::{
-    Entry, LogIndex, Payload, RaftNode, ReadId, ReadOutcome, Snapshot, Term,
-};
+use luglink_raft::{Entry, LogIndex, Payload, RaftNode, ReadId, ReadOutcome, Snapshot, Term};
 use luglink_types::{GroupId, MemberId, Timestamp};
 use std::collections::BTreeMap;
 
@@ -141,7 +139,9 @@
     fn answer_read(&self, request: &Request) -> Response {
         match (request, &self.machine) {
             (Request::View(program), Machine::Programs(store)) => {
-                let view = store.program(*program).map(|program| Box::new(program.view()));
+                let view = store
+                    .program(*program)
+                    .map(|program| Box::new(program.view()));
                 Response::View(view)
             }
             (Request::ReadConfiguration { known }, Machine::Configuration(store)) => {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -9,9 +9,7 @@
 use crate::protocol::{Fence, MemberStatus, ReleaseOrder, Request, RequestToken, Response};
 use crate::store::{MemberStore, Record};
 use luglink_program::Command;
-use luglink_raft::{
-    Envelope, LogIndex, Message, Peer, RaftNode, Ready, RestoredState, Snapshot,
-};
+use luglink_raft::{Envelope, LogIndex, Message, Peer, RaftNode, Ready, RestoredState, Snapshot};
 use luglink_resources::{CatchUp, Resource};
 use luglink_storage::Disk;
 use luglink_types::{EngineId, GroupId, ProgramId, Revision, Timestamp};
@@ -100,8 +98,7 @@
         now: Timestamp,
     ) -> Result<Self, ControlError> {
         config.validate()?;
-        let identity =
-            Identity::load_or_create(&mut disk, config.member, config.bootstrap, seed)?;
+        let identity = Identity::load_or_create(&mut disk, config.member, config.bootstrap, seed)?;
         let (store, mut restored) = MemberStore::open(disk, config.wal)?;
         let mut groups = BTreeMap::new();
         for number in 0..=config.program_groups {
@@ -200,7 +197,11 @@
     /// How this member is.
     #[must_use]
     pub fn status(&self) -> MemberStatus {
-        let stores = || self.groups.values().filter_map(|group| group.machine.programs());
+        let stores = || {
+            self.groups
+                .values()
+                .filter_map(|group| group.machine.programs())
+        };
         let led = self.groups.values().filter(|group| group.raft.is_leader());
         MemberStatus {
             member: self.identity.peer.member,
@@ -217,7 +218,10 @@
     pub fn revision(&self) -> Revision {
         self.configuration()
             .and_then(|group| group.machine.configuration())
-            .map_or_else(Revision::default, luglink_resources::ResourceStore::revision)
+            .map_or_else(
+                Revision::default,
+                luglink_resources::ResourceStore::revision,
+            )
     }
 
     /// The programs of one group, for checks.
@@ -348,7 +352,11 @@
     /// Hands leadership of every group to the voter that was heard from last.
     fn hand_over(&mut self) {
         let now = self.now;
-        for group in self.groups.values_mut().filter(|group| group.raft.is_leader()) {
+        for group in self
+            .groups
+            .values_mut()
+            .filter(|group| group.raft.is_leader())
+        {
             let me = group.raft.me();
             let voters = group.raft.membership().voters.iter().copied();
             let successor = voters
@@ -392,8 +400,10 @@
 
     fn answer_watches(&mut self) {
         let revision = self.revision();
-        let (news, waiting): (Vec<Watch>, Vec<Watch>) =
-            self.watches.drain(..).partition(|watch| watch.known < revision);
+        let (news, waiting): (Vec<Watch>, Vec<Watch>) = self
+            .watches
+            .drain(..)
+            .partition(|watch| watch.known < revision);
         self.watches = waiting;
         for watch in news {
             let catch_up = self.catch_up(watch.known);
@@ -445,7 +455,11 @@
     fn order_releases(&mut self) {
         let mut orders = Vec::new();
         let addresses = self.engine_addresses();
-        for group in self.groups.values_mut().filter(|group| group.raft.is_leader()) {
+        for group in self
+            .groups
+            .values_mut()
+            .filter(|group| group.raft.is_leader())
+        {
             if group.order_term != group.raft.term() {
                 group.order_term = group.raft.term();
                 group.order_sequence = 0;
@@ -471,10 +485,13 @@
             .configuration()
             .and_then(|group| group.machine.configuration())
             .map(|store| store.resources().values());
-        let pools = resources.into_iter().flatten().filter_map(|resource| match resource {
-            Resource::ModelPool(pool) => Some(pool),
-            _ => None,
-        });
+        let pools = resources
+            .into_iter()
+            .flatten()
+            .filter_map(|resource| match resource {
+                Resource::ModelPool(pool) => Some(pool),
+                _ => None,
+            });
         pools
             .flat_map(|pool| pool.replicas.iter())
             .map(|replica| (replica.engine, replica.address.clone()))
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -27,7 +27,13 @@
     }
     let count = config.replication.min(members.len());
     let start = (group.0 as usize).saturating_sub(1) % members.len();
-    let chosen: Vec<MemberId> = members.iter().copied().cycle().skip(start).take(count).collect();
+    let chosen: Vec<MemberId> = members
+        .iter()
+        .copied()
+        .cycle()
+        .skip(start)
+        .take(count)
+        .collect();
     Membership::of_voters(first_peers(&chosen))
 }
 
--- /dev/null
+++ b/crates/daemon-server/src/engines.rs
@@ -0,0 +1,257 @@
+//! Requests to replicas, and what they publish of themselves.
+
+use crate::actor::{DaemonActor, Happened};
+use crate::stream::read_chat_stream;
+use actix::Addr;
+use awc::Client;
+use awc::error::SendRequestError;
+use luglink_daemon::{ChatDispatch, Dispatch, DispatchBody, EngineEvent, Event, LookupDispatch};
+use luglink_engine_api::{
+    ChatRequest, EngineErrorBody, EngineErrorCode, EngineEvents, HEADER_ATTEMPT, HEADER_EPOCH,
+    HEADER_MODEL_ADAPTER, HEADER_PRIORITY, HEADER_PROGRAM, HEADER_SEQUENCE, StreamOptions,
+};
+use luglink_routing::{AttemptId, BlockHash, LoadReport, ReplicaInfo};
+use luglink_types::EngineId;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time within which a replica must answer a request's head. Streams may take longer.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(300);
+
+/// Time within which a connection must be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest response of a plain service, in bytes.
+const MAX_LOOKUP_BYTES: usize = 8 << 20;
+
+/// Talks to replicas on behalf of the actor.
+pub(crate) struct EngineClient {
+    daemon: Addr<DaemonActor>,
+    http: Client,
+    running: BTreeMap<AttemptId, actix_rt::task::JoinHandle<()>>,
+    watched: BTreeMap<EngineId, Watched>,
+    poll_interval: Duration,
+}
+
+struct Watched {
+    info: ReplicaInfo,
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+impl EngineClient {
+    pub(crate) fn new(daemon: Addr<DaemonActor>, poll_interval: Duration) -> Self {
+        let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT);
+        let http = Client::builder()
+            .connector(connector)
+            .timeout(HEAD_TIMEOUT)
+            .finish();
+        Self {
+            daemon,
+            http,
+            running: BTreeMap::new(),
+            watched: BTreeMap::new(),
+            poll_interval,
+        }
+    }
+
+    /// Sends a request; its events go to the actor.
+    pub(crate) fn dispatch(&mut self, dispatch: Dispatch) {
+        let attempt = dispatch.attempt;
+        let http = self.http.clone();
+        let daemon = self.daemon.clone();
+        let task = actix_rt::spawn(async move {
+            let tell =
+                |event: EngineEvent| daemon.do_send(Happened(Event::Engine { attempt, event }));
+            let end = match &dispatch.body {
+                DispatchBody::Chat(chat) => send_chat(&http, &dispatch.address, chat, &tell).await,
+                DispatchBody::Lookup(lookup) => send_lookup(&http, &dispatch.address, lookup).await,
+            };
+            tell(end);
+        });
+        self.running.insert(attempt, task);
+    }
+
+    /// Stops a request by closing its connection, which cancels it at the replica.
+    pub(crate) fn cancel(&mut self, attempt: AttemptId) {
+        if let Some(task) = self.running.remove(&attempt) {
+            task.abort();
+        }
+    }
+
+    /// A request has ended.
+    pub(crate) fn forget(&mut self, attempt: AttemptId) {
+        self.running.remove(&attempt);
+    }
+
+    /// Follows the events of exactly these replicas.
+    pub(crate) fn watch(&mut self, replicas: Vec<ReplicaInfo>) {
+        self.watched.retain(|_, watched| {
+            let keep = replicas.contains(&watched.info);
+            if !keep {
+                watched.task.abort();
+            }
+            keep
+        });
+        for info in replicas {
+            if self.watched.contains_key(&info.engine) {
+                continue;
+            }
+            let task = actix_rt::spawn(follow_events(
+                self.http.clone(),
+                self.daemon.clone(),
+                info.clone(),
+                self.poll_interval,
+            ));
+            self.watched.insert(info.engine, Watched { info, task });
+        }
+    }
+}
+
+impl Drop for EngineClient {
+    fn drop(&mut self) {
+        let watching = self.watched.values().map(|watched| &watched.task);
+        for task in self.running.values().chain(watching) {
+            task.abort();
+        }
+    }
+}
+
+async fn send_chat(
+    http: &Client,
+    address: &str,
+    chat: &ChatDispatch,
+    tell: &impl Fn(EngineEvent),
+) -> EngineEvent {
+    let body = ChatRequest {
+        model: chat.model.0.clone(),
+        messages: chat.messages.clone(),
+        max_tokens: Some(chat.max_output_tokens),
+        stream: true,
+        stream_options: Some(StreamOptions {
+            include_usage: true,
+        }),
+    };
+    let mut request = http
+        .post(format!("http://{address}/v1/chat/completions"))
+        .insert_header((HEADER_PROGRAM, chat.program.to_string()))
+        .insert_header((HEADER_EPOCH, chat.epoch.to_string()))
+        .insert_header((HEADER_SEQUENCE, chat.sequence.to_string()))
+        .insert_header((HEADER_ATTEMPT, chat.attempt_number.to_string()))
+        .insert_header((HEADER_PRIORITY, chat.priority.rank().to_string()));
+    if let Some(adapter) = &chat.adapter {
+        request = request.insert_header((HEADER_MODEL_ADAPTER, adapter.as_str()));
+    }
+    match request.send_json(&body).await {
+        Err(error) => not_answered(&error),
+        Ok(mut response) if response.status().is_success() => {
+            read_chat_stream(&mut response, tell).await
+        }
+        Ok(mut response) => match response.json::<EngineErrorBody>().await {
+            Ok(body) => engine_error(body.error.code),
+            Err(_) => EngineEvent::Broken,
+        },
+    }
+}
+
+/// What an engine's own error means.
+pub(crate) fn engine_error(code: EngineErrorCode) -> EngineEvent {
+    match code {
+        EngineErrorCode::Rejected | EngineErrorCode::Invalid => EngineEvent::Rejected,
+        EngineErrorCode::Retryable => EngineEvent::Retryable,
+    }
+}
+
+/// Only a connection that was never made proves that the request was not sent.
+fn not_answered(error: &SendRequestError) -> EngineEvent {
+    tracing::debug!(%error, "replica did not answer");
+    match error {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => EngineEvent::NotSent,
+        _ => EngineEvent::Broken,
+    }
+}
+
+async fn send_lookup(http: &Client, address: &str, lookup: &LookupDispatch) -> EngineEvent {
+    let Ok(method) = lookup.method.parse() else {
+        return EngineEvent::NotSent;
+    };
+    let mut request = http.request(method, format!("http://{address}{}", lookup.path));
+    if let Some(content_type) = &lookup.content_type {
+        request = request.insert_header(("content-type", content_type.as_str()));
+    }
+    let mut response = match request.send_body(lookup.body.clone()).await {
+        Err(error) => return not_answered(&error),
+        Ok(response) => response,
+    };
+    let status = response.status().as_u16();
+    if status == actix_web::http::StatusCode::SERVICE_UNAVAILABLE.as_u16() {
+        return EngineEvent::Rejected;
+    }
+    let content_type = response
+        .headers()
+        .get("content-type")
+        .and_then(|value| value.to_str().ok())
+        .map(str::to_owned);
+    match response.body().limit(MAX_LOOKUP_BYTES).await {
+        Ok(body) => EngineEvent::LookupDone {
+            status,
+            content_type,
+            body: body.to_vec(),
+        },
+        Err(_) => EngineEvent::Broken,
+    }
+}
+
+/// Asks one replica for its events again and again.
+async fn follow_events(
+    http: Client,
+    daemon: Addr<DaemonActor>,
+    replica: ReplicaInfo,
+    interval: Duration,
+) {
+    let engine = replica.engine;
+    let mut incarnation = 0;
+    let mut last = 0;
+    loop {
+        let url = format!("http://{}/events?after={last}", replica.address);
+        let answered = http
+            .get(url)
+            .timeout(interval.max(CONNECT_TIMEOUT))
+            .send()
+            .await;
+        let events = match answered {
+            Ok(mut response) if response.status().is_success() => response
+                .json::<EngineEvents>()
+                .limit(MAX_LOOKUP_BYTES)
+                .await
+                .ok(),
+            _ => None,
+        };
+        if let Some(events) = events {
+            let restarted = events.incarnation != incarnation;
+            let gap = restarted || events.first > last + 1;
+            incarnation = events.incarnation;
+            last = events.last;
+            daemon.do_send(Happened(Event::Load {
+                engine,
+                report: load_report(&events),
+            }));
+            daemon.do_send(Happened(Event::Cache {
+                engine,
+                stored: events.stored.into_iter().map(BlockHash).collect(),
+                removed: events.removed.into_iter().map(BlockHash).collect(),
+                gap,
+            }));
+        }
+        actix_rt::time::sleep(interval).await;
+    }
+}
+
+fn load_report(events: &EngineEvents) -> LoadReport {
+    LoadReport {
+        running: events.load.running,
+        waiting: events.load.waiting,
+        prefill_tokens: events.load.prefill_tokens,
+        free_blocks: events.load.free_blocks,
+        draining: events.load.draining,
+    }
+}
--- /dev/null
+++ b/crates/daemon-server/src/http.rs
@@ -0,0 +1,431 @@
+//! HTTP for callers.
+
+use crate::actor::{DaemonActor, FromCaller, Happened, IsReady, RenderMetrics};
+use crate::api::{CallAnswer, CallBody, CreateBody, ProgramBody, ProgramCreated};
+use crate::parse;
+use actix::Addr;
+use actix_web::http::StatusCode;
+use actix_web::http::header::{ACCEPT, CONTENT_TYPE, RETRY_AFTER};
+use actix_web::web::{Bytes, Data, Path, Query, ServiceConfig};
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, web};
+use futures_util::Stream;
+use luglink_daemon::{Answer, CallRequest, Event, TicketId};
+use luglink_engine_api::{ChatChunk, ChatCompletion, ChatRequest, HEADER_PROGRAM, Problem};
+use luglink_types::{ProgramId, Refusal, RefusalCode};
+use serde::Deserialize;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use tokio::sync::mpsc;
+
+const PROBLEM_JSON: &str = "application/problem+json";
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// What every handler needs.
+pub(crate) struct Shared {
+    pub(crate) daemon: Addr<DaemonActor>,
+    pub(crate) last_ticket: AtomicU64,
+}
+
+/// Answers to one request. Dropping it tells the daemon that the caller is gone.
+struct Answers {
+    ticket: TicketId,
+    receiver: mpsc::UnboundedReceiver<Answer>,
+    daemon: Addr<DaemonActor>,
+    finished: bool,
+}
+
+impl Answers {
+    /// The next answer; a refusal when the daemon stopped without one.
+    async fn next(&mut self) -> Answer {
+        let answer = self.receiver.recv().await.unwrap_or_else(stopped);
+        self.note(&answer);
+        answer
+    }
+
+    fn note(&mut self, answer: &Answer) {
+        self.finished |= !matches!(answer, Answer::Part(_));
+    }
+
+    /// The final answer, parts left out.
+    async fn last(mut self) -> Answer {
+        loop {
+            let answer = self.next().await;
+            if self.finished {
+                return answer;
+            }
+        }
+    }
+}
+
+fn stopped() -> Answer {
+    Answer::Refused(Refusal::uncertain(
+        RefusalCode::OutcomeUnknown,
+        "the daemon stopped before it could answer",
+    ))
+}
+
+impl Drop for Answers {
+    fn drop(&mut self) {
+        if !self.finished {
+            let ticket = self.ticket;
+            self.daemon.do_send(Happened(Event::CallerGone { ticket }));
+        }
+    }
+}
+
+fn ask(shared: &Shared, event: impl FnOnce(TicketId) -> Event) -> Answers {
+    let ticket = TicketId(shared.last_ticket.fetch_add(1, Ordering::Relaxed) + 1);
+    let (sender, receiver) = mpsc::unbounded_channel();
+    shared.daemon.do_send(FromCaller {
+        ticket,
+        event: event(ticket),
+        answers: sender,
+    });
+    Answers {
+        ticket,
+        receiver,
+        daemon: shared.daemon.clone(),
+        finished: false,
+    }
+}
+
+/// The routes.
+pub(crate) fn routes(config: &mut ServiceConfig) {
+    config
+        .route("/v1/programs", web::post().to(create_program))
+        .route("/v1/programs/{program}", web::get().to(view_program))
+        .route("/v1/programs/{program}", web::delete().to(end_program))
+        .route("/v1/programs/{program}/calls", web::post().to(call_program))
+        .route("/v1/chat/completions", web::post().to(chat_completions))
+        .route("/v1/services/{service}/{path:.*}", web::route().to(lookup))
+        .route("/healthz", web::get().to(health))
+        .route("/readyz", web::get().to(ready))
+        .route("/metrics", web::get().to(metrics))
+        .default_service(web::route().to(not_found));
+}
+
+async fn create_program(request: HttpRequest, shared: Data<Shared>, body: Bytes) -> HttpResponse {
+    let parsed = parse::json::<CreateBody>(&body).and_then(|body| parse::create(&request, body));
+    let create = match parsed {
+        Ok(create) => create,
+        Err(refusal) => return problem(&refusal),
+    };
+    let answers = ask(&shared, |ticket| Event::Create {
+        ticket,
+        request: create,
+    });
+    match answers.last().await {
+        Answer::Created(owned) => {
+            HttpResponse::Created().json(ProgramCreated::from(owned.as_ref()))
+        }
+        answer => unexpected_or_refused(&answer),
+    }
+}
+
+async fn view_program(shared: Data<Shared>, path: Path<String>) -> HttpResponse {
+    let program = match parse::program_id(&path) {
+        Ok(program) => program,
+        Err(refusal) => return problem(&refusal),
+    };
+    let answers = ask(&shared, |ticket| Event::View { ticket, program });
+    match answers.last().await {
+        Answer::View(view) => HttpResponse::Ok().json(ProgramBody::from(*view)),
+        answer => unexpected_or_refused(&answer),
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct EndQuery {
+    #[serde(default)]
+    abandoned: bool,
+}
+
+async fn end_program(
+    shared: Data<Shared>,
+    path: Path<String>,
+    query: Query<EndQuery>,
+) -> HttpResponse {
+    let program = match parse::program_id(&path) {
+        Ok(program) => program,
+        Err(refusal) => return problem(&refusal),
+    };
+    let answers = ask(&shared, |ticket| Event::End {
+        ticket,
+        program,
+        abandoned: query.abandoned,
+    });
+    match answers.last().await {
+        Answer::Ended => HttpResponse::NoContent().finish(),
+        answer => unexpected_or_refused(&answer),
+    }
+}
+
+async fn call_program(
+    request: HttpRequest,
+    shared: Data<Shared>,
+    path: Path<String>,
+    body: Bytes,
+) -> HttpResponse {
+    let stream = accepts_stream(&request);
+    let parsed = parse::program_id(&path).and_then(|program| {
+        let body = parse::json::<CallBody>(&body)?;
+        parse::call(&request, program, body, stream)
+    });
+    let call = match parsed {
+        Ok(call) => call,
+        Err(refusal) => return problem(&refusal),
+    };
+    run_call(&shared, call, Format::Own).await
+}
+
+async fn chat_completions(request: HttpRequest, shared: Data<Shared>, body: Bytes) -> HttpResponse {
+    let parsed = parse::json::<ChatRequest>(&body).and_then(|body| {
+        let format = Format::OpenAi {
+            model: body.model.clone(),
+            include_usage: body
+                .stream_options
+                .is_some_and(|options| options.include_usage),
+        };
+        Ok((parse::chat(&request, body)?, format))
+    });
+    match parsed {
+        Ok((call, format)) => run_call(&shared, call, format).await,
+        Err(refusal) => problem(&refusal),
+    }
+}
+
+/// How a call's answer is written.
+#[derive(Clone, Debug)]
+enum Format {
+    /// luglink's own.
+    Own,
+    /// As OpenAI publishes it.
+    OpenAi { model: String, include_usage: bool },
+}
+
+impl Format {
+    fn part(&self, text: String) -> String {
+        match self {
+            Self::Own => event("part", &serde_json::json!({ "content": text })),
+            Self::OpenAi { model, .. } => data(&ChatChunk::part("", model, text)),
+        }
+    }
+
+    fn end(&self, program: ProgramId, answer: luglink_program::StoredAnswer) -> String {
+        match self {
+            Self::Own => event("answer", &CallAnswer::new(program, answer)),
+            Self::OpenAi {
+                model,
+                include_usage,
+            } => {
+                let id = program.to_string();
+                let mut text = data(&ChatChunk::stop(&id, model));
+                if *include_usage {
+                    text.push_str(&data(&ChatChunk::usage(&id, model, answer.usage)));
+                }
+                text.push_str("data: [DONE]\n\n");
+                text
+            }
+        }
+    }
+
+    fn whole(&self, program: ProgramId, answer: luglink_program::StoredAnswer) -> HttpResponse {
+        let mut response = HttpResponse::Ok();
+        response.insert_header((HEADER_PROGRAM, program.to_string()));
+        match self {
+            Self::Own => response.json(CallAnswer::new(program, answer)),
+            Self::OpenAi { model, .. } => {
+                let id = format!("{program}-{}", answer.sequence);
+                let completion = ChatCompletion::new(id, model.clone(), answer.text, answer.usage);
+                response.json(completion)
+            }
+        }
+    }
+}
+
+fn event(name: &str, body: &impl serde::Serialize) -> String {
+    format!("event: {name}\n{}", data(body))
+}
+
+fn data(body: &impl serde::Serialize) -> String {
+    let json = serde_json::to_string(body).unwrap_or_default();
+    format!("data: {json}\n\n")
+}
+
+async fn run_call(shared: &Shared, call: CallRequest, format: Format) -> HttpResponse {
+    let stream = call.stream;
+    let mut answers = ask(shared, |ticket| Event::Call {
+        ticket,
+        request: call,
+    });
+    if !stream {
+        return match answers.last().await {
+            Answer::Completed { program, answer } => format.whole(program, answer),
+            answer => unexpected_or_refused(&answer),
+        };
+    }
+    // The status line waits for the first answer, so that a refusal is a problem and no stream.
+    let first = answers.next().await;
+    if let Answer::Refused(refusal) = &first {
+        return problem(refusal);
+    }
+    HttpResponse::Ok()
+        .insert_header((CONTENT_TYPE, EVENT_STREAM))
+        .streaming(CallStream {
+            answers,
+            format,
+            first: Some(first),
+            ended: false,
+        })
+}
+
+/// A call's answer as server-sent events.
+struct CallStream {
+    answers: Answers,
+    format: Format,
+    first: Option<Answer>,
+    ended: bool,
+}
+
+impl CallStream {
+    fn write(&mut self, answer: Answer) -> String {
+        match answer {
+            Answer::Part(text) => self.format.part(text),
+            Answer::Completed { program, answer } => {
+                self.ended = true;
+                self.format.end(program, answer)
+            }
+            Answer::Refused(refusal) => {
+                self.ended = true;
+                event("problem", &Problem::from(&refusal))
+            }
+            _ => {
+                self.ended = true;
+                String::new()
+            }
+        }
+    }
+}
+
+impl Stream for CallStream {
+    type Item = Result<Bytes, std::convert::Infallible>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let answer = match self.first.take() {
+            Some(answer) => answer,
+            None => match self.answers.receiver.poll_recv(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(answer) => answer.unwrap_or_else(stopped),
+            },
+        };
+        self.answers.note(&answer);
+        let text = self.write(answer);
+        Poll::Ready(Some(Ok(Bytes::from(text))))
+    }
+}
+
+async fn lookup(
+    request: HttpRequest,
+    shared: Data<Shared>,
+    path: Path<(String, String)>,
+    body: Bytes,
+) -> HttpResponse {
+    let (service, rest) = path.into_inner();
+    let lookup = match parse::lookup(&request, &service, &rest, &body) {
+        Ok(lookup) => lookup,
+        Err(refusal) => return problem(&refusal),
+    };
+    let answers = ask(&shared, |ticket| Event::Lookup {
+        ticket,
+        request: lookup,
+    });
+    match answers.last().await {
+        Answer::Lookup {
+            status,
+            content_type,
+            body,
+        } => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+            let mut response = HttpResponseBuilder::new(status);
+            if let Some(content_type) = content_type {
+                response.insert_header((CONTENT_TYPE, content_type));
+            }
+            response.body(body)
+        }
+        answer => unexpected_or_refused(&answer),
+    }
+}
+
+async fn health() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+async fn ready(shared: Data<Shared>) -> HttpResponse {
+    if shared.daemon.send(IsReady).await.unwrap_or(false) {
+        return HttpResponse::Ok().body("ready\n");
+    }
+    HttpResponse::ServiceUnavailable().body("not ready\n")
+}
+
+async fn metrics(shared: Data<Shared>) -> HttpResponse {
+    match shared.daemon.send(RenderMetrics).await {
+        Ok(Some(text)) => HttpResponse::Ok()
+            .insert_header((CONTENT_TYPE, "text/plain; version=0.0.4"))
+            .body(text),
+        _ => HttpResponse::InternalServerError().finish(),
+    }
+}
+
+async fn not_found(request: HttpRequest) -> HttpResponse {
+    let mut refusal = Refusal::not_run(
+        RefusalCode::InvalidRequest,
+        format!(
+            "nothing is served at {} {}",
+            request.method(),
+            request.path()
+        ),
+    );
+    refusal.detail.truncate(MAX_DETAIL_BYTES);
+    problem_with_status(&refusal, StatusCode::NOT_FOUND)
+}
+
+/// Longest detail that repeats a caller's input, in bytes.
+const MAX_DETAIL_BYTES: usize = 200;
+
+fn accepts_stream(request: &HttpRequest) -> bool {
+    request
+        .headers()
+        .get(ACCEPT)
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|accept| accept.contains(EVENT_STREAM))
+}
+
+fn unexpected_or_refused(answer: &Answer) -> HttpResponse {
+    match answer {
+        Answer::Refused(refusal) => problem(refusal),
+        _ => HttpResponse::InternalServerError().finish(),
+    }
+}
+
+/// A refusal as problem JSON.
+pub(crate) fn problem(refusal: &Refusal) -> HttpResponse {
+    let status = StatusCode::from_u16(refusal.code.http_status())
+        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    problem_with_status(refusal, status)
+}
+
+fn problem_with_status(refusal: &Refusal, status: StatusCode) -> HttpResponse {
+    let mut response = HttpResponseBuilder::new(status);
+    response.insert_header((CONTENT_TYPE, PROBLEM_JSON));
+    if let Some(wait) = refusal.retry_after {
+        let seconds = wait.as_millis().div_ceil(1_000).max(1);
+        response.insert_header((RETRY_AFTER, seconds.to_string()));
+    }
+    let mut body = Problem::from(refusal);
+    body.status = status.as_u16();
+    response.body(serde_json::to_string(&body).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/daemon-server/src/platform.rs
@@ -0,0 +1,39 @@
+//! The platform's list of live and leaving machines. It lags, so it only ever takes replicas
+//! out of choice; what works and what does not is seen from the replicas themselves.
+
+use crate::actor::{DaemonActor, Happened};
+use actix::Addr;
+use luglink_daemon::Event;
+use luglink_types::EngineId;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// `GET /machines` of the platform.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineList {
+    /// Engines that are leaving.
+    pub leaving: Vec<u32>,
+    /// Engines that are alive.
+    pub live: Vec<u32>,
+}
+
+/// Time between two looks. A leaving replica must get no new work after three seconds.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Asks the platform again and again.
+pub(crate) async fn follow(daemon: Addr<DaemonActor>, platform: SocketAddr) {
+    let http = awc::Client::builder().timeout(POLL_INTERVAL * 2).finish();
+    loop {
+        let answered = http.get(format!("http://{platform}/machines")).send().await;
+        let list = match answered {
+            Ok(mut response) => response.json::<MachineList>().await.ok(),
+            Err(_) => None,
+        };
+        if let Some(list) = list {
+            let engines = list.leaving.into_iter().map(EngineId).collect();
+            daemon.do_send(Happened(Event::Leaving { engines }));
+        }
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon-server/src/stream.rs
@@ -0,0 +1,48 @@
+//! An engine's streamed answer.
+
+use crate::engines::engine_error;
+use actix_web::web::Bytes;
+use awc::error::PayloadError;
+use eventsource_stream::Eventsource;
+use futures_util::{Stream, StreamExt};
+use luglink_daemon::EngineEvent;
+use luglink_engine_api::{ChatChunk, EngineErrorBody};
+
+/// Last event of a stream.
+const DONE: &str = "[DONE]";
+
+/// Reads the stream to its end. The answer counts as whole only when the usage and the last
+/// event have come.
+pub(crate) async fn read_chat_stream(
+    response: &mut (impl Stream<Item = Result<Bytes, PayloadError>> + Unpin),
+    tell: &impl Fn(EngineEvent),
+) -> EngineEvent {
+    let mut events = response.eventsource();
+    let mut usage = None;
+    while let Some(event) = events.next().await {
+        let Ok(event) = event else {
+            return EngineEvent::Broken;
+        };
+        if event.data == DONE {
+            return match usage {
+                Some(usage) => EngineEvent::Completed { usage },
+                None => EngineEvent::Broken,
+            };
+        }
+        if let Ok(error) = serde_json::from_str::<EngineErrorBody>(&event.data) {
+            return engine_error(error.error.code);
+        }
+        let Ok(chunk) = serde_json::from_str::<ChatChunk>(&event.data) else {
+            return EngineEvent::Broken;
+        };
+        if let Some(reported) = chunk.usage {
+            usage = Some(reported.into());
+        }
+        let parts = chunk.choices.into_iter();
+        let text: String = parts.filter_map(|choice| choice.delta.content).collect();
+        if !text.is_empty() {
+            tell(EngineEvent::Part(text));
+        }
+    }
+    EngineEvent::Broken
+}
--- /dev/null
+++ b/crates/daemon/src/attempts.rs
@@ -0,0 +1,238 @@
+//! Attempts of calls: routing, dispatch, and what engines do.
+
+use crate::action::{Action, Answer, ChatDispatch, Dispatch, DispatchBody};
+use crate::call::{CallId, CurrentAttempt, Phase};
+use crate::daemon::{AttemptOwner, Daemon};
+use crate::event::EngineEvent;
+use crate::pools::PoolName;
+use luglink_routing::{AttemptId, PrefixHasher, RouteRequest};
+use luglink_types::{EngineId, ModelName, OutcomeClass, Refusal, RefusalCode};
+
+/// A call and the engine chosen for it.
+pub(crate) struct RoutedCall {
+    pub(crate) engine: EngineId,
+}
+
+impl Daemon {
+    pub(crate) fn pool_of(&self, id: CallId) -> Option<ModelName> {
+        let program = self.calls.get(&id)?.program;
+        let held = self.programs.get(&program)?.held()?;
+        Some(held.spec.model.clone())
+    }
+
+    /// The prompt's blocks: history, then the call's messages.
+    fn prompt_prefix(&self, id: CallId) -> Option<PrefixHasher> {
+        let call = self.calls.get(&id)?;
+        let held = self.programs.get(&call.program)?.held()?;
+        let mut prefix = held.prefix.clone();
+        for message in &call.request.messages {
+            prefix.push(message);
+        }
+        Some(prefix)
+    }
+
+    /// Chooses an engine with room.
+    pub(crate) fn route_call(&mut self, id: CallId) -> Option<RoutedCall> {
+        let pool = PoolName::Model(self.pool_of(id)?);
+        let prefix = self.prompt_prefix(id)?;
+        let random = self.random_number();
+        let now = self.now;
+        let call = self.calls.get(&id)?;
+        let previous = self.programs.get(&call.program)?.held()?.previous_engine;
+        let request = RouteRequest {
+            blocks: prefix.blocks(),
+            prompt_tokens: prefix.tokens(),
+            previous,
+            excluded: &call.excluded,
+        };
+        let router = self.pools.router(&pool)?;
+        let choice = router.choose(&request, random, now)?;
+        Some(RoutedCall {
+            engine: choice.engine,
+        })
+    }
+
+    /// Notes the chosen engine, so that its load counts from now on.
+    pub(crate) fn reserve_attempt(&mut self, id: CallId, attempt: CurrentAttempt) {
+        let Some(prefix) = self.prompt_prefix(id) else {
+            return;
+        };
+        let now = self.now;
+        if let Some(router) = self.pools.router_of(attempt.engine) {
+            let request = RouteRequest {
+                blocks: prefix.blocks(),
+                prompt_tokens: prefix.tokens(),
+                previous: None,
+                excluded: &[],
+            };
+            router.on_dispatch(attempt.engine, attempt.id, &request, now);
+        }
+        self.attempts.insert(attempt.id, AttemptOwner::Call(id));
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.attempt = Some(attempt);
+        }
+    }
+
+    /// Sends the call to its engine. Its intent is durable.
+    pub(crate) fn dispatch_call(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let Some(attempt) = call.attempt else {
+            return;
+        };
+        let address = self
+            .pools
+            .router_of(attempt.engine)
+            .and_then(|router| router.address(attempt.engine).map(str::to_owned));
+        let Some(address) = address else {
+            // The configuration dropped the engine while the intent was on its way.
+            return self.on_attempt_failed(id, OutcomeClass::NotDispatched);
+        };
+        let Some(body) = self.chat_dispatch(id) else {
+            return;
+        };
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.phase = Phase::Running;
+            call.attempts += 1;
+            call.reset_output();
+        }
+        self.counters.dispatched += 1;
+        self.actions.push(Action::Dispatch(Box::new(Dispatch {
+            attempt: attempt.id,
+            engine: attempt.engine,
+            address,
+            body: DispatchBody::Chat(body),
+        })));
+    }
+
+    fn chat_dispatch(&self, id: CallId) -> Option<ChatDispatch> {
+        let call = self.calls.get(&id)?;
+        let held = self.programs.get(&call.program)?.held()?;
+        let mut messages = held.history.clone();
+        messages.extend(call.request.messages.iter().cloned());
+        Some(ChatDispatch {
+            program: call.program,
+            epoch: held.epoch,
+            sequence: call.sequence.unwrap_or_default(),
+            attempt_number: call.attempt?.number,
+            model: held.spec.model.clone(),
+            adapter: held.spec.adapter.clone(),
+            priority: held.spec.priority,
+            messages,
+            max_output_tokens: call.max_output_tokens,
+        })
+    }
+
+    pub(crate) fn on_call_event(&mut self, id: CallId, attempt: AttemptId, event: EngineEvent) {
+        let current = self.calls.get(&id).and_then(|call| call.attempt);
+        let Some(current) = current.filter(|current| current.id == attempt) else {
+            return;
+        };
+        match event {
+            EngineEvent::Part(text) => self.on_part(id, current, text),
+            EngineEvent::Completed { usage } => {
+                self.attempts.remove(&attempt);
+                if let Some(router) = self.pools.router_of(current.engine) {
+                    router.on_success(current.engine, attempt);
+                }
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.usage = usage;
+                }
+                self.record_outcome(id, OutcomeClass::Completed);
+            }
+            EngineEvent::NotSent => self.fail_attempt(id, current, OutcomeClass::NotDispatched),
+            EngineEvent::Rejected => {
+                self.fail_attempt(id, current, OutcomeClass::RejectedBeforeProcessing);
+            }
+            EngineEvent::Retryable => {
+                self.fail_attempt(id, current, OutcomeClass::EngineRetryable);
+            }
+            EngineEvent::Broken => self.fail_attempt(id, current, OutcomeClass::Uncertain),
+            // A model engine does not answer lookups.
+            EngineEvent::LookupDone { .. } => {
+                self.fail_attempt(id, current, OutcomeClass::Uncertain);
+            }
+        }
+    }
+
+    fn on_part(&mut self, id: CallId, current: CurrentAttempt, text: String) {
+        if let Some(router) = self.pools.router_of(current.engine) {
+            router.on_first_token(current.engine, current.id);
+        }
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.text.push_str(&text);
+        if call.request.stream {
+            call.part_sent = true;
+            if let Some(ticket) = call.ticket {
+                self.answer(ticket, Answer::Part(text));
+            }
+        }
+    }
+
+    fn fail_attempt(&mut self, id: CallId, current: CurrentAttempt, class: OutcomeClass) {
+        self.attempts.remove(&current.id);
+        let now = self.now;
+        if let Some(router) = self.pools.router_of(current.engine) {
+            router.on_failure(current.engine, current.id, now);
+        }
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.excluded.push(current.engine);
+        }
+        self.on_attempt_failed(id, class);
+    }
+
+    /// Takes the call's attempt back, wherever it is.
+    pub(crate) fn cancel_attempt(&mut self, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(attempt) = call.attempt.take() else {
+            return;
+        };
+        let running = call.phase == Phase::Running;
+        if let Some(router) = self.pools.router_of(attempt.engine) {
+            router.on_cancel(attempt.engine, attempt.id);
+        }
+        let known = self.attempts.remove(&attempt.id).is_some();
+        if running && known {
+            self.actions.push(Action::Cancel {
+                attempt: attempt.id,
+            });
+        }
+    }
+
+    /// The program's deadline has passed: the caller is told at once, an engine that works on
+    /// the call is stopped, and the outcome is recorded as uncertain.
+    pub(crate) fn give_up_at_deadline(&mut self, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let dispatched = matches!(call.phase, Phase::Running | Phase::Retrying);
+        let detail = "the program's deadline has passed";
+        if !dispatched {
+            if call.phase == Phase::Beginning {
+                // The intent is on its way: its reply decides what to record.
+                return;
+            }
+            let refusal = Refusal::not_run(RefusalCode::DeadlineExceeded, detail);
+            return self.close_refused(id, refusal);
+        }
+        let ticket = call.ticket.take();
+        if let Some(ticket) = ticket {
+            self.refuse(
+                ticket,
+                Refusal::uncertain(RefusalCode::DeadlineExceeded, detail),
+            );
+        }
+        let attempt = self.calls.get(&id).and_then(|call| call.attempt);
+        self.cancel_attempt(id);
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.attempt = attempt;
+            call.deadline = luglink_types::Timestamp::MAX;
+        }
+        self.record_outcome(id, OutcomeClass::Uncertain);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,482 @@
+//! The daemon: its state, its one entrance, and what is due with time.
+
+use crate::action::{Action, Answer};
+use crate::call::{ActiveCall, CallId};
+use crate::caller::TicketId;
+use crate::config::{DaemonConfig, DaemonConfigError};
+use crate::control_client::{Conclusion, ControlClient, OperationId};
+use crate::event::{EngineEvent, Event};
+use crate::lookup::{ActiveLookup, LookupId};
+use crate::pools::Pools;
+use crate::program::ServedProgram;
+use crate::queue::CallQueue;
+use crate::retry_budget::RetryBudget;
+use luglink_control::{Request, Response};
+use luglink_program::Command;
+use luglink_resources::ConfigurationView;
+use luglink_routing::AttemptId;
+use luglink_types::{GroupId, MemberId, ProgramId, Refusal, RefusalCode, Revision, Timestamp};
+use rand::{RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// What an operation at the control members is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// A caller's program is being created.
+    Create { ticket: TicketId },
+    /// A program of one call is being created.
+    CreateOneShot { program: ProgramId },
+    /// Ownership is being taken.
+    Acquire { program: ProgramId },
+    /// A caller looks at a program.
+    View { ticket: TicketId },
+    /// A program is being ended; nobody waits when there is no ticket.
+    End {
+        ticket: Option<TicketId>,
+        program: ProgramId,
+    },
+    /// An intent is being recorded.
+    Begin { call: CallId },
+    /// Another attempt is being recorded.
+    Retry { call: CallId },
+    /// An outcome is being recorded.
+    Finish { call: CallId },
+    /// Nobody waits for the result.
+    Background,
+    /// News of the configuration.
+    Watch,
+}
+
+/// Work that an attempt belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptOwner {
+    Call(CallId),
+    Lookup(LookupId),
+}
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DaemonCounters {
+    /// Calls accepted.
+    pub calls: u64,
+    /// Calls answered in full.
+    pub completed: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Attempts dispatched.
+    pub dispatched: u64,
+    /// Attempts beyond the first.
+    pub retries: u64,
+    /// Ownerships taken.
+    pub acquired: u64,
+    /// Plain lookups accepted.
+    pub lookups: u64,
+    /// Prompt tokens that engines had cached.
+    pub cached_tokens: u64,
+    /// Prompt tokens in all.
+    pub prompt_tokens: u64,
+}
+
+/// A daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    pub(crate) config: DaemonConfig,
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) now: Timestamp,
+    pub(crate) configuration: ConfigurationView,
+    pub(crate) control: ControlClient,
+    pub(crate) operations: BTreeMap<OperationId, Purpose>,
+    pub(crate) pools: Pools,
+    pub(crate) programs: BTreeMap<ProgramId, ServedProgram>,
+    pub(crate) calls: BTreeMap<CallId, ActiveCall>,
+    pub(crate) lookups: BTreeMap<LookupId, ActiveLookup>,
+    pub(crate) attempts: BTreeMap<AttemptId, AttemptOwner>,
+    pub(crate) queue: CallQueue,
+    pub(crate) retry_budget: RetryBudget,
+    pub(crate) counters: DaemonCounters,
+    pub(crate) actions: Vec<Action>,
+    last_call: CallId,
+    last_attempt: AttemptId,
+    last_lookup: LookupId,
+    watch_member: usize,
+    watch_due: Option<Timestamp>,
+    renew_due: Timestamp,
+    draining: bool,
+    drained: bool,
+}
+
+/// Time a control member may hold a watch, and a margin for the way.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Pause before a failed watch goes to another member.
+const WATCH_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest time between two looks at queues and deadlines.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+
+impl Daemon {
+    /// A daemon that knows nothing yet; it asks the control members for the configuration.
+    ///
+    /// # Errors
+    /// The configuration cannot work.
+    pub fn new(config: DaemonConfig, seed: u64, now: Timestamp) -> Result<Self, DaemonConfigError> {
+        config.validate()?;
+        let control = ControlClient::new(config.members.clone(), config.control_attempt_timeout);
+        Ok(Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now,
+            configuration: ConfigurationView::default(),
+            control,
+            operations: BTreeMap::new(),
+            pools: Pools::new(
+                config.router.clone(),
+                config.daemon,
+                config.zone.clone(),
+                config.subset_size,
+            ),
+            programs: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            lookups: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            queue: CallQueue::default(),
+            retry_budget: RetryBudget::new(config.retry_ratio, config.retry_reserve),
+            counters: DaemonCounters::default(),
+            actions: Vec::new(),
+            last_call: CallId::default(),
+            last_attempt: AttemptId::default(),
+            last_lookup: LookupId::default(),
+            // Daemons spread over the members, so that none of them feeds the whole fleet.
+            watch_member: config.daemon.0 as usize % config.members.len(),
+            watch_due: Some(now),
+            renew_due: now.plus(config.renew_interval),
+            draining: false,
+            drained: false,
+            config,
+        })
+    }
+
+    /// Takes an event and gives out what follows from it.
+    pub fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
+        self.now = self.now.max(now);
+        self.dispatch_event(event);
+        self.run_queue();
+        self.report_drained();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// When [`Event::Tick`] next has something to do.
+    #[must_use]
+    pub fn next_deadline(&self) -> Timestamp {
+        let mut due = self.renew_due;
+        if let Some(watch) = self.watch_due {
+            due = due.min(watch);
+        }
+        if let Some(control) = self.control.next_deadline() {
+            due = due.min(control);
+        }
+        if !self.calls.is_empty() || !self.lookups.is_empty() || self.draining {
+            due = due.min(self.now.plus(TICK_INTERVAL));
+        }
+        due
+    }
+
+    /// Whether the daemon can serve: it has a configuration and is not stopping.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.draining && self.configuration.revision() > Revision(0)
+    }
+
+    /// The configuration that is in force here.
+    #[must_use]
+    pub fn configuration(&self) -> &ConfigurationView {
+        &self.configuration
+    }
+
+    /// Counts since the start.
+    #[must_use]
+    pub fn counters(&self) -> DaemonCounters {
+        self.counters
+    }
+
+    /// Calls that wait for an engine.
+    #[must_use]
+    pub fn queued_calls(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Calls that are accepted and not answered.
+    #[must_use]
+    pub fn active_calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Programs that are held here.
+    #[must_use]
+    pub fn held_programs(&self) -> usize {
+        self.programs.len()
+    }
+
+    /// The engines whose events this daemon should follow.
+    #[must_use]
+    pub fn engine_replicas(&self) -> Vec<luglink_routing::ReplicaInfo> {
+        self.pools.engine_replicas()
+    }
+
+    fn dispatch_event(&mut self, event: Event) {
+        match event {
+            Event::Create { ticket, request } => self.on_create(ticket, request),
+            Event::Call { ticket, request } => self.on_call(ticket, request),
+            Event::View { ticket, program } => self.on_view(ticket, program),
+            Event::End {
+                ticket,
+                program,
+                abandoned,
+            } => self.on_end(ticket, program, abandoned),
+            Event::Lookup { ticket, request } => self.on_lookup(ticket, request),
+            Event::CallerGone { ticket } => self.on_caller_gone(ticket),
+            Event::Control {
+                operation,
+                response,
+            } => self.on_control(operation, *response),
+            Event::MemberUnreachable { member } => self.control.on_unreachable(member, self.now),
+            Event::Engine { attempt, event } => self.on_engine(attempt, event),
+            Event::Load { engine, report } => self.pools.on_report(engine, report, self.now),
+            Event::Cache {
+                engine,
+                stored,
+                removed,
+                gap,
+            } => self.pools.on_cache(engine, &stored, &removed, gap),
+            Event::Leaving { engines } => self.pools.set_leaving(&engines),
+            Event::Drain => self.draining = true,
+            Event::Tick => self.on_tick(),
+        }
+    }
+
+    fn on_tick(&mut self) {
+        let expired = self.control.tick(self.now, &mut self.actions);
+        for operation in expired {
+            if let Some(purpose) = self.operations.remove(&operation) {
+                self.conclude(purpose, Conclusion::GaveUp);
+            }
+        }
+        if self.watch_due.is_some_and(|due| self.now >= due) {
+            self.watch_configuration();
+        }
+        if self.now >= self.renew_due {
+            self.renew_due = self.now.plus(self.config.renew_interval);
+            self.renew_leases();
+            self.trim_history_cache();
+        }
+        self.expire_calls();
+        self.expire_lookups();
+    }
+
+    fn on_control(&mut self, operation: OperationId, response: Response) {
+        let conclusion = self
+            .control
+            .on_response(operation, response, self.now, &mut self.actions);
+        if let Some(conclusion) = conclusion
+            && let Some(purpose) = self.operations.remove(&operation)
+        {
+            self.conclude(purpose, conclusion);
+        }
+    }
+
+    fn conclude(&mut self, purpose: Purpose, conclusion: Conclusion) {
+        match purpose {
+            Purpose::Create { ticket } => self.on_created(ticket, conclusion),
+            Purpose::CreateOneShot { program } | Purpose::Acquire { program } => {
+                self.on_acquired(program, conclusion);
+            }
+            Purpose::View { ticket } => self.on_viewed(ticket, conclusion),
+            Purpose::End { ticket, program } => self.on_ended(ticket, program, conclusion),
+            Purpose::Begin { call } => self.on_begun(call, conclusion),
+            Purpose::Retry { call } => self.on_retry_recorded(call, conclusion),
+            Purpose::Finish { call } => self.on_finished(call, conclusion),
+            Purpose::Background => {}
+            Purpose::Watch => self.on_watch(conclusion),
+        }
+    }
+
+    fn on_engine(&mut self, attempt: AttemptId, event: EngineEvent) {
+        match self.attempts.get(&attempt) {
+            Some(AttemptOwner::Call(call)) => self.on_call_event(*call, attempt, event),
+            Some(AttemptOwner::Lookup(lookup)) => self.on_lookup_event(*lookup, attempt, event),
+            // Late news of an attempt that was given up: it must reach nobody else.
+            None => {}
+        }
+    }
+
+    fn on_caller_gone(&mut self, ticket: TicketId) {
+        for call in self.calls.values_mut() {
+            if call.ticket == Some(ticket) {
+                call.ticket = None;
+            }
+        }
+    }
+
+    /// Sends a program command to the group that holds the program.
+    pub(crate) fn submit_command(
+        &mut self,
+        program: ProgramId,
+        command: Command,
+        purpose: Purpose,
+    ) {
+        let timeout = self.config.control_timeout;
+        self.submit(
+            program.group(self.config.program_groups),
+            Request::Program(command),
+            timeout,
+            purpose,
+        );
+    }
+
+    pub(crate) fn submit(
+        &mut self,
+        group: GroupId,
+        request: Request,
+        timeout: Duration,
+        purpose: Purpose,
+    ) {
+        let operation = self
+            .control
+            .submit(group, request, timeout, self.now, &mut self.actions);
+        self.operations.insert(operation, purpose);
+    }
+
+    /// Asks one member for news; see [`Daemon::on_watch`].
+    fn watch_configuration(&mut self) {
+        self.watch_due = None;
+        let member = self.config.members[self.watch_member];
+        let known = self.configuration.revision();
+        let operation = self.control.submit_to(
+            luglink_control::CONFIGURATION_GROUP,
+            member,
+            Request::WatchConfiguration { known },
+            WATCH_TIMEOUT,
+            WATCH_TIMEOUT,
+            self.now,
+            &mut self.actions,
+        );
+        self.operations.insert(operation, Purpose::Watch);
+    }
+
+    fn on_watch(&mut self, conclusion: Conclusion) {
+        let Conclusion::Answered(response) = conclusion else {
+            self.watch_member = (self.watch_member + 1) % self.config.members.len();
+            self.watch_due = Some(self.now.plus(WATCH_PAUSE));
+            return;
+        };
+        if let Response::Configuration(catch_up) = *response
+            && self.configuration.advance(catch_up)
+        {
+            self.pools.configure(&self.configuration);
+        }
+        self.watch_due = Some(self.now);
+        self.watch_configuration();
+    }
+
+    /// Keeps the control members from taking calls in flight for lost.
+    fn renew_leases(&mut self) {
+        let mut by_group: BTreeMap<GroupId, Vec<(ProgramId, luglink_types::Epoch)>> =
+            BTreeMap::new();
+        let busy: BTreeSet<ProgramId> = self.calls.values().map(|call| call.program).collect();
+        for program in busy {
+            let held = self.programs.get(&program).and_then(ServedProgram::held);
+            if let Some(held) = held {
+                let group = program.group(self.config.program_groups);
+                by_group
+                    .entry(group)
+                    .or_default()
+                    .push((program, held.epoch));
+            }
+        }
+        for (group, programs) in by_group {
+            let command = Command::Renew(luglink_program::RenewLease { programs });
+            let timeout = self.config.renew_interval;
+            self.submit(
+                group,
+                Request::Program(command),
+                timeout,
+                Purpose::Background,
+            );
+        }
+    }
+
+    fn report_drained(&mut self) {
+        let busy = !self.calls.is_empty() || !self.lookups.is_empty() || self.has_waiting_callers();
+        if self.draining && !self.drained && !busy {
+            self.drained = true;
+            self.actions.push(Action::Drained);
+        }
+    }
+
+    fn has_waiting_callers(&self) -> bool {
+        self.operations.values().any(|purpose| {
+            matches!(
+                purpose,
+                Purpose::Create { .. }
+                    | Purpose::View { .. }
+                    | Purpose::End {
+                        ticket: Some(_),
+                        ..
+                    }
+            )
+        })
+    }
+
+    pub(crate) fn refuse_when_draining(&mut self, ticket: TicketId) -> bool {
+        if self.draining {
+            let refusal = Refusal::not_run(RefusalCode::Draining, "this daemon is stopping")
+                .retry_after(Duration::from_secs(1));
+            self.refuse(ticket, refusal);
+        }
+        self.draining
+    }
+
+    pub(crate) fn answer(&mut self, ticket: TicketId, answer: Answer) {
+        self.actions.push(Action::Answer { ticket, answer });
+    }
+
+    pub(crate) fn refuse(&mut self, ticket: TicketId, refusal: Refusal) {
+        self.counters.refused += 1;
+        self.answer(ticket, Answer::Refused(refusal));
+    }
+
+    pub(crate) fn next_call_id(&mut self) -> CallId {
+        self.last_call.0 += 1;
+        self.last_call
+    }
+
+    pub(crate) fn next_attempt_id(&mut self) -> AttemptId {
+        self.last_attempt.0 += 1;
+        self.last_attempt
+    }
+
+    pub(crate) fn next_lookup_id(&mut self) -> LookupId {
+        self.last_lookup.0 += 1;
+        self.last_lookup
+    }
+
+    pub(crate) fn random_number(&mut self) -> u64 {
+        self.random.next_u64()
+    }
+
+    /// The members this daemon may ask.
+    #[must_use]
+    pub fn members(&self) -> &[MemberId] {
+        &self.config.members
+    }
+}
+
+/// The refusal when the control members cannot be reached before anything was dispatched.
+pub(crate) fn control_unavailable() -> Refusal {
+    Refusal::not_run(
+        RefusalCode::ControlUnavailable,
+        "no control member answered in time",
+    )
+    .retry_after(Duration::from_secs(1))
+}
--- /dev/null
+++ b/crates/daemon/src/programs.rs
@@ -0,0 +1,246 @@
+//! Programs: creation, ownership, views and ends.
+
+use crate::action::Answer;
+use crate::call::{CallId, Phase};
+use crate::caller::{CreateRequest, TicketId};
+use crate::control_client::Conclusion;
+use crate::daemon::{Daemon, Purpose, control_unavailable};
+use crate::program::{HeldProgram, Ownership, ServedProgram};
+use luglink_control::{Request, Response};
+use luglink_program::{Command, CreateProgram, EndProgram, EndReason, Reply, TakeOver};
+use luglink_types::{Epoch, ProgramId, Refusal, RefusalCode, Timestamp};
+
+impl Daemon {
+    pub(crate) fn on_create(&mut self, ticket: TicketId, request: CreateRequest) {
+        if self.refuse_when_draining(ticket) {
+            return;
+        }
+        let spec = match self.resolve_spec(&request.program, request.parent) {
+            Ok(spec) => spec,
+            Err(refusal) => return self.refuse(ticket, refusal),
+        };
+        let program = self.new_program_id(&request);
+        let command = Command::Create(CreateProgram {
+            program,
+            spec,
+            owner: self.config.daemon,
+        });
+        self.submit_command(program, command, Purpose::Create { ticket });
+    }
+
+    /// A key gives the same program at every daemon; a sub-program shares its root's family.
+    fn new_program_id(&mut self, request: &CreateRequest) -> ProgramId {
+        let tenant = request.program.tenant.as_str();
+        let mut program = match &request.key {
+            Some(key) => ProgramId::derived(tenant, key.as_str()),
+            None => ProgramId {
+                family: self.random_number(),
+                member: self.random_number(),
+            },
+        };
+        if let Some(parent) = request.parent {
+            program.family = parent.family;
+        }
+        program
+    }
+
+    pub(crate) fn on_created(&mut self, ticket: TicketId, conclusion: Conclusion) {
+        match program_reply(conclusion) {
+            Ok(Reply::Owned(owned)) => {
+                let program = owned.program;
+                let served = self
+                    .programs
+                    .entry(program)
+                    .or_insert_with(|| ServedProgram::acquiring(self.now));
+                if served.held().is_none_or(|held| held.epoch != owned.epoch) {
+                    served.ownership =
+                        Ownership::Held(Box::new(HeldProgram::new((*owned).clone())));
+                }
+                self.answer(ticket, Answer::Created(owned));
+                self.start_next_call(program);
+            }
+            Ok(_) => self.refuse(ticket, control_unavailable()),
+            Err(refusal) => self.refuse(ticket, refusal),
+        }
+    }
+
+    /// Starts to take ownership of a program. `known_epoch` is the epoch under which this
+    /// daemon believes to own it already.
+    pub(crate) fn acquire(&mut self, program: ProgramId, known_epoch: Option<Epoch>) {
+        let served = self
+            .programs
+            .entry(program)
+            .or_insert_with(|| ServedProgram::acquiring(self.now));
+        served.ownership = Ownership::Acquiring;
+        let command = Command::TakeOver(TakeOver {
+            program,
+            daemon: self.config.daemon,
+            known_epoch,
+        });
+        self.counters.acquired += 1;
+        self.submit_command(program, command, Purpose::Acquire { program });
+    }
+
+    pub(crate) fn on_acquired(&mut self, program: ProgramId, conclusion: Conclusion) {
+        match program_reply(conclusion) {
+            Ok(Reply::Owned(owned)) => {
+                if let Some(served) = self.programs.get_mut(&program) {
+                    served.ownership = Ownership::Held(Box::new(HeldProgram::new(*owned)));
+                    served.used_at = self.now;
+                }
+                self.start_next_call(program);
+            }
+            Ok(_) => self.drop_program(program, &control_unavailable()),
+            Err(refusal) => {
+                // An ended program may still have answers to give for repeated keys: the
+                // state machine decides that call by call.
+                let ended = refusal.code == RefusalCode::ProgramEnded;
+                if ended {
+                    self.answer_calls_of_ended(program, &refusal);
+                } else {
+                    self.drop_program(program, &refusal);
+                }
+            }
+        }
+    }
+
+    /// Forgets a program and refuses every call that waits for it.
+    pub(crate) fn drop_program(&mut self, program: ProgramId, refusal: &Refusal) {
+        let Some(served) = self.programs.remove(&program) else {
+            return;
+        };
+        let calls: Vec<CallId> = served.current.into_iter().chain(served.waiting).collect();
+        for call in calls {
+            self.cancel_call(call, refusal);
+        }
+    }
+
+    /// Ends a call without an outcome. What an engine may still do for it reaches nobody.
+    fn cancel_call(&mut self, id: CallId, refusal: &Refusal) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let dispatched = matches!(
+            call.phase,
+            Phase::Running | Phase::Retrying | Phase::Finishing
+        );
+        let refusal = if dispatched {
+            Refusal::uncertain(refusal.code, refusal.detail.clone())
+        } else {
+            refusal.clone()
+        };
+        self.cancel_attempt(id);
+        self.close_refused(id, refusal);
+    }
+
+    pub(crate) fn on_view(&mut self, ticket: TicketId, program: ProgramId) {
+        let group = program.group(self.config.program_groups);
+        let timeout = self.config.control_timeout;
+        let purpose = Purpose::View { ticket };
+        self.submit(group, Request::View(program), timeout, purpose);
+    }
+
+    pub(crate) fn on_viewed(&mut self, ticket: TicketId, conclusion: Conclusion) {
+        let Conclusion::Answered(response) = conclusion else {
+            return self.refuse(ticket, control_unavailable());
+        };
+        match *response {
+            Response::View(Some(view)) => self.answer(ticket, Answer::View(view)),
+            Response::View(None) => {
+                let refusal = Refusal::not_run(
+                    RefusalCode::UnknownProgram,
+                    "no such program, or it is past its retention",
+                );
+                self.refuse(ticket, refusal);
+            }
+            _ => self.refuse(ticket, control_unavailable()),
+        }
+    }
+
+    pub(crate) fn on_end(&mut self, ticket: TicketId, program: ProgramId, abandoned: bool) {
+        let reason = if abandoned {
+            EndReason::Abandoned
+        } else {
+            EndReason::Finished
+        };
+        self.submit_end(program, reason, Some(ticket));
+    }
+
+    pub(crate) fn submit_end(
+        &mut self,
+        program: ProgramId,
+        reason: EndReason,
+        ticket: Option<TicketId>,
+    ) {
+        let command = Command::End(EndProgram { program, reason });
+        self.submit_command(program, command, Purpose::End { ticket, program });
+    }
+
+    pub(crate) fn on_ended(
+        &mut self,
+        ticket: Option<TicketId>,
+        program: ProgramId,
+        conclusion: Conclusion,
+    ) {
+        match program_reply(conclusion) {
+            Ok(Reply::Done) => {
+                let refusal =
+                    Refusal::not_run(RefusalCode::ProgramEnded, "the program has been ended");
+                self.drop_program(program, &refusal);
+                if let Some(ticket) = ticket {
+                    self.answer(ticket, Answer::Ended);
+                }
+            }
+            Ok(_) => {
+                if let Some(ticket) = ticket {
+                    self.refuse(ticket, control_unavailable());
+                }
+            }
+            Err(refusal) => {
+                if let Some(ticket) = ticket {
+                    self.refuse(ticket, refusal);
+                }
+            }
+        }
+    }
+
+    /// Gives up the history of programs that were not used for longest, until the cache is
+    /// within its bound. Their next call fetches it again under the same epoch.
+    pub(crate) fn trim_history_cache(&mut self) {
+        let mut idle: Vec<(Timestamp, ProgramId, usize)> = self
+            .programs
+            .iter()
+            .filter(|(_, served)| served.is_idle())
+            .filter_map(|(id, served)| {
+                let held = served.held()?;
+                Some((served.used_at, *id, held.history_bytes))
+            })
+            .collect();
+        let mut bytes: usize = idle.iter().map(|(_, _, size)| size).sum();
+        let mut excess = idle.len().saturating_sub(MAX_IDLE_PROGRAMS);
+        idle.sort_unstable();
+        for (_, program, size) in idle {
+            if bytes <= self.config.history_cache_bytes && excess == 0 {
+                break;
+            }
+            bytes -= size;
+            excess = excess.saturating_sub(1);
+            self.programs.remove(&program);
+        }
+    }
+}
+
+/// Idle programs that are kept at the most, whatever their history's size.
+const MAX_IDLE_PROGRAMS: usize = 20_000;
+
+/// The reply of a program group, or the refusal for the caller.
+pub(crate) fn program_reply(conclusion: Conclusion) -> Result<Reply, Refusal> {
+    let Conclusion::Answered(response) = conclusion else {
+        return Err(control_unavailable());
+    };
+    match *response {
+        Response::Program(Reply::Refused(refusal)) => Err(refusal),
+        Response::Program(reply) => Ok(reply),
+        _ => Err(control_unavailable()),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/queue.rs
@@ -0,0 +1,80 @@
+//! Calls that wait for an engine, and their order.
+
+use crate::call::CallId;
+use luglink_types::{ModelName, Priority, Timestamp};
+use std::time::Duration;
+
+/// A call that waits for an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct QueuedCall {
+    pub(crate) call: CallId,
+    pub(crate) pool: ModelName,
+    pub(crate) priority: Priority,
+    /// Tokens that the program has been served so far.
+    pub(crate) attained_tokens: u64,
+    pub(crate) queued_at: Timestamp,
+    /// After waiting this long the call counts as one priority higher.
+    pub(crate) aging: Duration,
+}
+
+/// The calls that wait at one daemon.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CallQueue {
+    calls: Vec<QueuedCall>,
+}
+
+/// Tokens of attained service that make a program wait one class of its peers longer.
+const SERVICE_STEP_TOKENS: u64 = 20_000;
+
+impl CallQueue {
+    pub(crate) fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    pub(crate) fn push(&mut self, call: QueuedCall) {
+        self.calls.push(call);
+    }
+
+    pub(crate) fn remove(&mut self, call: CallId) {
+        self.calls.retain(|queued| queued.call != call);
+    }
+
+    /// Calls in the order in which they should go: by priority with aging, then programs that
+    /// have been served less, then by arrival.
+    pub(crate) fn in_order(&self, now: Timestamp) -> Vec<QueuedCall> {
+        let mut ordered = self.calls.clone();
+        ordered.sort_by_key(|queued| {
+            (
+                std::cmp::Reverse(effective_rank(queued, now)),
+                queued.attained_tokens / SERVICE_STEP_TOKENS,
+                queued.queued_at,
+                queued.call,
+            )
+        });
+        ordered
+    }
+
+    /// Calls that have waited since `since` or longer.
+    pub(crate) fn waiting_since(&self, since: Timestamp) -> Vec<CallId> {
+        let old = self.calls.iter().filter(|queued| queued.queued_at <= since);
+        old.map(|queued| queued.call).collect()
+    }
+
+    pub(crate) fn pools(&self) -> Vec<ModelName> {
+        let mut pools: Vec<ModelName> = self
+            .calls
+            .iter()
+            .map(|queued| queued.pool.clone())
+            .collect();
+        pools.sort();
+        pools.dedup();
+        pools
+    }
+}
+
+/// Priority plus one for each aging period waited, so that nothing waits for ever.
+fn effective_rank(queued: &QueuedCall, now: Timestamp) -> u64 {
+    let waited = now.since(queued.queued_at).as_micros();
+    let periods = waited / queued.aging.as_micros().max(1);
+    u64::from(queued.priority.rank()) + u64::try_from(periods).unwrap_or(u64::MAX / 2)
+}
--- /dev/null
+++ b/crates/daemon/src/retry_budget.rs
@@ -0,0 +1,31 @@
+//! A bound on retries: a share of the requests, so that failures cannot multiply the load.
+
+/// Each request deposits a share of a retry; each retry withdraws a whole one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RetryBudget {
+    ratio: f64,
+    reserve: f64,
+    balance: f64,
+}
+
+impl RetryBudget {
+    pub(crate) fn new(ratio: f64, reserve: f64) -> Self {
+        Self {
+            ratio,
+            reserve,
+            balance: reserve,
+        }
+    }
+
+    pub(crate) fn on_request(&mut self) {
+        self.balance = (self.balance + self.ratio).min(self.reserve);
+    }
+
+    pub(crate) fn try_withdraw(&mut self) -> bool {
+        if self.balance < 1.0 {
+            return false;
+        }
+        self.balance -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/engine-api/src/headers.rs
@@ -0,0 +1,22 @@
+//! Header names.
+
+/// Program of a call.
+pub const HEADER_PROGRAM: &str = "x-luglink-program";
+/// Place of a call in its program.
+pub const HEADER_SEQUENCE: &str = "x-luglink-sequence";
+/// Owner epoch of the daemon that sends a call to an engine.
+pub const HEADER_EPOCH: &str = "x-luglink-owner-epoch";
+/// Place of an attempt in its call.
+pub const HEADER_ATTEMPT: &str = "x-luglink-attempt";
+/// Tenant of a call without a program.
+pub const HEADER_TENANT: &str = "x-luglink-tenant";
+/// Class of a call without a program.
+pub const HEADER_CLASS: &str = "x-luglink-class";
+/// Priority of a call.
+pub const HEADER_PRIORITY: &str = "x-luglink-priority";
+/// Whether a call may run twice after a failure.
+pub const HEADER_REPEATABLE: &str = "x-luglink-repeatable";
+/// Adapter of a call.
+pub const HEADER_MODEL_ADAPTER: &str = "x-luglink-adapter";
+/// A caller's own name for a request.
+pub const HEADER_IDEMPOTENCY_KEY: &str = "idempotency-key";
--- /dev/null
+++ b/crates/lab/src/cli/mod.rs
@@ -0,0 +1,47 @@
+//! The command line of `luglink-lab`.
+
+mod demo;
+mod generate;
+mod replay;
+
+use bpaf::Bpaf;
+use std::process::ExitCode;
+
+/// Stand-ins, fleets, replay and experiments of luglink.
+///
+/// Exit codes: 0 everything held; 1 a promise was broken or an expectation not met;
+/// 2 the input cannot be used or the run could not be made.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Run a whole deployment in one process, replay a trace, print a table
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo::demo_options))] demo::DemoOptions),
+    /// Replay a trace file
+    #[bpaf(command)]
+    Replay(#[bpaf(external(replay::replay_options))] replay::ReplayOptions),
+    /// Write a seeded trace to standard output
+    #[bpaf(command)]
+    Generate(#[bpaf(external(generate::generate_options))] generate::GenerateOptions),
+}
+
+/// A run that could not be made.
+const UNUSABLE: u8 = 2;
+
+/// Runs the command that the arguments name.
+#[must_use]
+pub fn run() -> ExitCode {
+    let outcome = match command().run() {
+        Command::Demo(options) => demo::run(&options),
+        Command::Replay(options) => replay::run(&options),
+        Command::Generate(options) => generate::run(&options),
+    };
+    match outcome {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(message) => {
+            eprintln!("luglink-lab: {message}");
+            ExitCode::from(UNUSABLE)
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,15 @@
+//! luglink's lab: stand-ins for outside systems, whole fleets in one process, replay of traces,
+//! and the checks and measures of what happened. The product never depends on it.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
 
+pub mod check;
+pub mod cli;
+pub mod engine;
+pub mod fleet;
+pub mod observe;
+pub mod replay;
+pub mod report;
+pub mod standins;
+pub mod table;
+pub mod trace;
--- /dev/null
+++ b/crates/lab/src/observe.rs
@@ -0,0 +1,214 @@
+//! What really happened during a run, seen from outside luglink: by callers and by engines.
+
+use luglink_program::ProgramView;
+use luglink_types::{
+    Budget, ChatMessage, EngineId, Epoch, ProgramId, RefusalCode, Revision, Timestamp, TokenUsage,
+};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// A request that an engine began to work on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Execution {
+    /// The engine.
+    pub engine: EngineId,
+    /// When it took the request.
+    pub at: Timestamp,
+    /// Program of the request.
+    pub program: Option<ProgramId>,
+    /// Owner epoch of the sender.
+    pub epoch: Epoch,
+    /// Place of the call.
+    pub sequence: u64,
+    /// Place of the attempt.
+    pub attempt: u64,
+    /// First word of the answer; names the caller's request.
+    pub marker: String,
+    /// The whole prompt.
+    pub prompt: Vec<ChatMessage>,
+    /// Tokens it will generate.
+    pub output_tokens: u64,
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// With the whole answer.
+    Completed {
+        /// The text.
+        text: String,
+        /// What the engine reported.
+        usage: TokenUsage,
+    },
+    /// With a refusal that promises that nothing ran.
+    Refused {
+        /// Why.
+        code: RefusalCode,
+    },
+    /// With a refusal that promises nothing, or without any answer.
+    Unknown {
+        /// Why, when there was an answer.
+        code: Option<RefusalCode>,
+    },
+}
+
+/// One call of a caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallRecord {
+    /// The trace's name of the request.
+    pub request: String,
+    /// The trace's name of the program.
+    pub program: String,
+    /// Tokens the caller sent.
+    pub input_tokens: u64,
+    /// Tokens the caller asked for.
+    pub output_tokens: u64,
+    /// Whether it may run twice.
+    pub repeatable: bool,
+    /// When the caller sent it.
+    pub sent_at: Timestamp,
+    /// When the first token came.
+    pub first_token_at: Option<Timestamp>,
+    /// Longest and other pauses between tokens.
+    pub token_gaps: Vec<Duration>,
+    /// When the final answer came.
+    pub ended_at: Timestamp,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Whether the daemon that had it was stopping as planned when it ended.
+    pub during_planned_stop: bool,
+}
+
+/// One plain lookup of a caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LookupRecord {
+    /// The trace's name of the request.
+    pub request: String,
+    /// Whether it may run twice.
+    pub repeatable: bool,
+    /// When the caller sent it.
+    pub sent_at: Timestamp,
+    /// When the answer came.
+    pub ended_at: Timestamp,
+    /// Whether the answer was whole and its own.
+    pub outcome: Outcome,
+}
+
+/// How the caller left its program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// It ended it.
+    Ended,
+    /// It went away.
+    Abandoned,
+}
+
+/// One program of a caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProgramRecord {
+    /// The trace's name.
+    pub name: String,
+    /// The trace's name of the parent.
+    pub parent: Option<String>,
+    /// Class.
+    pub class: String,
+    /// Tenant.
+    pub tenant: String,
+    /// luglink's identifier, once created.
+    pub id: Option<ProgramId>,
+    /// Budget.
+    pub budget: Budget,
+    /// When the caller asked for it.
+    pub created_at: Timestamp,
+    /// Time in which the caller was busy with tools.
+    pub tool_time: Duration,
+    /// When the caller left it.
+    pub left_at: Option<(Timestamp, Departure)>,
+    /// Why it could not be created.
+    pub refused: Option<RefusalCode>,
+    /// What luglink says of it at the end of the run.
+    pub final_view: Option<ProgramView>,
+}
+
+/// A change of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChangeRecord {
+    /// The operator's name for it.
+    pub change_id: String,
+    /// When it was accepted, and as what.
+    pub accepted: Option<(Timestamp, Revision)>,
+}
+
+/// A revision seen in force at a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RevisionSeen {
+    /// The daemon.
+    pub daemon: u32,
+    /// Number of the daemon's process: a restart begins a new one.
+    pub process: u32,
+    /// When.
+    pub at: Timestamp,
+    /// The revision.
+    pub revision: Revision,
+}
+
+/// Blocks found at an engine for a program that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldMemory {
+    /// The engine.
+    pub engine: EngineId,
+    /// The program.
+    pub program: ProgramId,
+    /// Blocks that only this program owns.
+    pub blocks: usize,
+    /// Time since the program ended or counts as abandoned.
+    pub since_end: Duration,
+}
+
+/// Everything seen during a run.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// Programs.
+    pub programs: Vec<ProgramRecord>,
+    /// Calls.
+    pub calls: Vec<CallRecord>,
+    /// Lookups.
+    pub lookups: Vec<LookupRecord>,
+    /// Work of engines and services.
+    pub executions: Vec<Execution>,
+    /// Runs of plain requests at services, by the trace's name.
+    pub service_runs: Vec<String>,
+    /// Changes.
+    pub changes: Vec<ChangeRecord>,
+    /// Revisions at daemons.
+    pub revisions: Vec<RevisionSeen>,
+    /// Engines that began to leave.
+    pub leaving: Vec<(EngineId, Timestamp)>,
+    /// Memory held for ended programs.
+    pub held: Vec<HeldMemory>,
+}
+
+/// Collects a history from many places.
+#[derive(Clone, Debug, Default)]
+pub struct Observer(Arc<Mutex<History>>);
+
+impl Observer {
+    /// Adds to the history.
+    pub fn note(&self, add: impl FnOnce(&mut History)) {
+        add(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
+    /// An engine began to work on a request.
+    pub fn executed(&self, execution: Execution) {
+        self.note(|history| history.executions.push(execution));
+    }
+
+    /// The history so far.
+    #[must_use]
+    pub fn history(&self) -> History {
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
--- /dev/null
+++ b/crates/net/src/link.rs
@@ -0,0 +1,105 @@
+//! The connecting end.
+
+use crate::connection::{FrameReader, FrameSender, frame_channel, write_frames};
+use crate::errors::{IoSnafu, NetError};
+use luglink_wire::{Frame, Hello};
+use snafu::ResultExt;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Pause before a broken connection is tried again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time after which an attempt to connect is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What a link tells its owner.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// A frame arrived.
+    Frame(Frame),
+    /// The connection is lost or could not be made; it is tried again.
+    Lost,
+}
+
+/// A connection that is made again whenever it breaks. Frames sent while it is broken are
+/// dropped. Dropping the link closes it.
+#[derive(Debug)]
+pub struct Link {
+    current: Rc<RefCell<Option<FrameSender>>>,
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+impl Link {
+    /// Starts to connect to `address`. `on_event` is called on the current actix thread.
+    pub fn open(address: SocketAddr, hello: Hello, on_event: impl Fn(LinkEvent) + 'static) -> Self {
+        let current = Rc::new(RefCell::new(None));
+        let task = actix_rt::spawn(run(address, hello, Rc::clone(&current), on_event));
+        Self { current, task }
+    }
+
+    /// Sends a frame. Returns false when the link is broken or its queue is full.
+    pub fn send(&self, frame: Frame) -> bool {
+        self.current
+            .borrow()
+            .as_ref()
+            .is_some_and(|sender| sender.send(frame))
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn run(
+    address: SocketAddr,
+    hello: Hello,
+    current: Rc<RefCell<Option<FrameSender>>>,
+    on_event: impl Fn(LinkEvent),
+) {
+    loop {
+        let ended = connect_once(address, hello, &current, &on_event).await;
+        *current.borrow_mut() = None;
+        if let Err(error) = ended {
+            tracing::debug!(%address, %error, "link lost");
+        }
+        on_event(LinkEvent::Lost);
+        actix_rt::time::sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+async fn connect_once(
+    address: SocketAddr,
+    hello: Hello,
+    current: &RefCell<Option<FrameSender>>,
+    on_event: &impl Fn(LinkEvent),
+) -> Result<(), NetError> {
+    let connecting = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting
+        .await
+        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))
+        .and_then(|connected| connected)
+        .context(IoSnafu { action: "connect" })?;
+    stream.set_nodelay(true).context(IoSnafu {
+        action: "configure",
+    })?;
+    let (read_half, write_half) = stream.into_split();
+    let (sender, frames) = frame_channel();
+    sender.send(Frame::Hello(hello));
+    *current.borrow_mut() = Some(sender);
+    let mut reader = FrameReader::new(read_half);
+    let reading = async {
+        loop {
+            on_event(LinkEvent::Frame(reader.next().await?));
+        }
+    };
+    tokio::select! {
+        result = reading => result,
+        result = write_frames(write_half, frames) => result,
+    }
+}
--- a/crates/program/src/call.rs
+++ b/crates/program/src/call.rs
@@ -58,7 +58,9 @@
     pub fingerprint: u64,
     /// Whether the caller allows it to run twice after a failure.
     pub repeatable: bool,
-    /// What is reserved for it while it is in flight.
+    /// The most that one attempt can spend.
+    pub ceiling: Charge,
+    /// What is reserved for all its attempts while it is in flight.
     pub reservation: Charge,
     /// Price of one token in millionths of the currency unit.
     pub cost_per_token_micros: u64,
--- a/crates/program/src/command.rs
+++ b/crates/program/src/command.rs
@@ -77,8 +77,6 @@
     pub ceiling: Budget,
     /// The engine of the first attempt.
     pub engine: EngineId,
-    /// Whether the reply should carry the history.
-    pub want_history: bool,
 }
 
 /// Another attempt of a call after a safe failure.
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -118,7 +118,9 @@
     }
 
     pub(crate) fn call_by_key(&self, key: &IdempotencyKey) -> Option<&CallRecord> {
-        self.calls.iter().find(|call| call.key.as_ref() == Some(key))
+        self.calls
+            .iter()
+            .find(|call| call.key.as_ref() == Some(key))
     }
 
     /// Ends of the program's life that time alone brings about.
@@ -167,18 +169,26 @@
     }
 
     /// Moves the new messages of a closed, uncertain call into the history: the caller's words
-    /// are kept even when the answer is not known.
-    pub(crate) fn absorb_uncertain_messages(&mut self) {
-        if let Some(call) = self.calls.last_mut() {
-            if matches!(call.state, CallState::Uncertain { .. }) {
-                self.history.append(&mut call.pending);
-            }
+    /// are kept even when the answer is not known. Returns whether there were any.
+    pub(crate) fn absorb_uncertain_messages(&mut self) -> bool {
+        let Some(call) = self.calls.last_mut() else {
+            return false;
+        };
+        let uncertain = matches!(call.state, CallState::Uncertain { .. });
+        if !uncertain || call.pending.is_empty() {
+            return false;
         }
+        self.history.append(&mut call.pending);
+        true
     }
 
     /// Applies the outcome of the call in flight. Returns the reservation and what of it was
     /// used.
-    pub(crate) fn close_call(&mut self, finish: &FinishCall, refund: RefundRule) -> (Charge, Charge) {
+    pub(crate) fn close_call(
+        &mut self,
+        finish: &FinishCall,
+        refund: RefundRule,
+    ) -> (Charge, Charge) {
         let Some(mut call) = self.calls.pop() else {
             return (Charge::default(), Charge::default());
         };
@@ -271,32 +281,30 @@
     }
 }
 
+/// What the call has used of its reservation. Only the last attempt can have left a part
+/// unused for certain; earlier ones that an engine worked on stay charged in full.
 fn used_of_reservation(call: &CallRecord, finish: &FinishCall, refund: RefundRule) -> Charge {
-    let reservation = call.reservation;
     if refund == RefundRule::Never {
-        return reservation;
+        return call.reservation;
     }
     if finish.class.spent_nothing() {
         // Retries stay charged, so that a flapping engine cannot be tried for ever.
-        return Charge {
-            retries: reservation.retries,
-            ..Charge::default()
-        };
+        return call.reservation.minus(&call.ceiling);
     }
     if finish.class != OutcomeClass::Completed {
-        return reservation;
+        return call.reservation;
     }
     let used_tokens = call
         .input_tokens
         .saturating_add(finish.usage.completion_tokens)
-        .min(reservation.tokens);
-    Charge {
-        tokens: used_tokens,
-        cost_micros: used_tokens
-            .saturating_mul(call.cost_per_token_micros)
-            .min(reservation.cost_micros),
-        ..reservation
-    }
+        .min(call.ceiling.tokens);
+    let unused_tokens = call.ceiling.tokens - used_tokens;
+    let unused = Charge {
+        tokens: unused_tokens,
+        cost_micros: unused_tokens.saturating_mul(call.cost_per_token_micros),
+        ..Charge::default()
+    };
+    call.reservation.minus(&unused)
 }
 
 /// The ceiling of one call: what it can spend at the most.
--- a/crates/program/src/reply.rs
+++ b/crates/program/src/reply.rs
@@ -34,7 +34,9 @@
     pub sequence: Sequence,
     /// The attempt to dispatch.
     pub attempt: AttemptNumber,
-    /// The history before the call's new messages, when it was asked for.
+    /// The history before the call's new messages, when the owner's copy may lack some of it:
+    /// the messages of an earlier, uncertain call have just become part of it, or the reply to
+    /// an earlier send of the same intent was lost.
     pub history: Option<Vec<ChatMessage>>,
 }
 
--- a/crates/program/src/store.rs
+++ b/crates/program/src/store.rs
@@ -4,7 +4,7 @@
 use crate::call::{CallRecord, CallState, request_fingerprint};
 use crate::command::{
     BeginCall, Command, ConfirmRelease, CreateProgram, EndProgram, EndReason, FinishCall,
-    RenewLease, RetryCall, TakeOver,
+    ProgramSpec, RenewLease, RetryCall, TakeOver,
 };
 use crate::program::{Program, ProgramStatus, call_ceiling};
 use crate::reply::{Begun, Reply};
@@ -97,17 +97,19 @@
 
     fn create(&mut self, create: &CreateProgram) -> Result<Reply, Refusal> {
         if let Some(existing) = self.programs.get(&create.program) {
-            return recreate(existing, create);
+            check_same_spec(existing, create)?;
+            // The same request again, perhaps at another daemon because the first one died.
+            let known_epoch = Some(existing.owner.epoch);
+            return self.take_over(&TakeOver {
+                program: create.program,
+                daemon: create.owner,
+                known_epoch,
+            });
         }
         if let Some(parent) = create.spec.parent {
             self.attach_child(parent, create.program)?;
         }
-        let program = Program::new(
-            create.program,
-            create.spec.clone(),
-            create.owner,
-            self.now,
-        );
+        let program = Program::new(create.program, create.spec.clone(), create.owner, self.now);
         let reply = Reply::Owned(Box::new(program.owned()));
         self.programs.insert(create.program, program);
         Ok(reply)
@@ -166,13 +168,14 @@
         self.reserve(begin.program, &begin.ceiling, &reservation)?;
         let now = self.now;
         let program = self.active_mut(begin.program)?;
-        program.absorb_uncertain_messages();
+        let absorbed = program.absorb_uncertain_messages();
         let sequence = program.next_sequence;
         program.calls.push(CallRecord {
             sequence,
             key: begin.key.clone(),
             fingerprint,
             repeatable: begin.repeatable,
+            ceiling: reservation,
             reservation,
             cost_per_token_micros: begin.cost_per_token_micros,
             input_tokens: begin.input_tokens,
@@ -189,7 +192,7 @@
         Ok(Reply::Begun(Begun {
             sequence,
             attempt: AttemptNumber(0),
-            history: begin.want_history.then(|| program.history.clone()),
+            history: absorbed.then(|| program.history.clone()),
         }))
     }
 
@@ -223,7 +226,7 @@
                     return Ok(Reply::Begun(Begun {
                         sequence: call.sequence,
                         attempt,
-                        history: begin.want_history.then(|| program.history.clone()),
+                        history: Some(program.history.clone()),
                     }));
                 }
                 Err(Refusal::uncertain(
@@ -266,6 +269,7 @@
         program.active_at = now;
         let attempt = attempt.next();
         if let Some(record) = program.calls.last_mut() {
+            record.ceiling = reservation.minus(&ONE_RETRY);
             record.reservation = reservation;
             record.state = CallState::InFlight {
                 epoch: begin.epoch,
@@ -276,7 +280,7 @@
         Ok(Reply::Begun(Begun {
             sequence: call.sequence,
             attempt,
-            history: begin.want_history.then(|| program.history.clone()),
+            history: None,
         }))
     }
 
@@ -298,7 +302,8 @@
         if attempt != retry.failed || !retry.class.retry_is_safe() {
             return Err(unknown_outcome());
         }
-        if let Err(refusal) = self.admit_retry(retry) {
+        let amount = retry_charge(in_flight, retry.class);
+        if let Err(refusal) = self.admit_retry(retry, &amount) {
             self.close(&FinishCall {
                 program: retry.program,
                 epoch: retry.epoch,
@@ -314,7 +319,7 @@
         let program = self.active_mut(retry.program)?;
         program.engines.insert(retry.engine);
         if let Some(call) = program.calls.last_mut() {
-            call.reservation.retries = call.reservation.retries.saturating_add(1);
+            call.reservation = call.reservation.plus(&amount);
             call.state = CallState::InFlight {
                 epoch: retry.epoch,
                 attempt,
@@ -328,14 +333,10 @@
         }))
     }
 
-    fn admit_retry(&mut self, retry: &RetryCall) -> Result<(), Refusal> {
-        check_active(self.existing(retry.program)?)?;
-        self.check_deadlines(retry.program, &retry.ceiling)?;
-        let one_retry = Charge {
-            retries: 1,
-            ..Charge::default()
-        };
-        self.reserve(retry.program, &retry.ceiling, &one_retry)
+    fn admit_retry(&mut self, retry: &RetryCall, amount: &Charge) -> Result<(), Refusal> {
+        check_active(self.existing(retry.program)?)
+            .and_then(|()| self.check_deadlines(retry.program, &retry.ceiling))
+            .and_then(|()| self.reserve(retry.program, &retry.ceiling, amount))
             .map_err(|refusal| Refusal {
                 executed: executed_after(retry.class),
                 ..refusal
@@ -356,7 +357,8 @@
             });
         }
         let call = matching_call(program, finish.sequence)?;
-        let current = matches!(call.state, CallState::InFlight { attempt, .. } if attempt == finish.attempt);
+        let current =
+            matches!(call.state, CallState::InFlight { attempt, .. } if attempt == finish.attempt);
         if !current {
             return Err(unknown_outcome());
         }
@@ -387,10 +389,10 @@
     fn renew(&mut self, renew: &RenewLease) -> Reply {
         let now = self.now;
         for (id, epoch) in &renew.programs {
-            if let Some(program) = self.programs.get_mut(id) {
-                if program.owner.epoch == *epoch {
-                    program.owner.renewed_at = now;
-                }
+            if let Some(program) = self.programs.get_mut(id)
+                && program.owner.epoch == *epoch
+            {
+                program.owner.renewed_at = now;
             }
         }
         Reply::Done
@@ -482,12 +484,7 @@
     }
 
     /// Reserves `amount` with the program and all its parents, or with none of them.
-    fn reserve(
-        &mut self,
-        id: ProgramId,
-        ceiling: &Budget,
-        amount: &Charge,
-    ) -> Result<(), Refusal> {
+    fn reserve(&mut self, id: ProgramId, ceiling: &Budget, amount: &Charge) -> Result<(), Refusal> {
         let payers = self.lineage(id);
         for payer in &payers {
             let program = self.existing(*payer)?;
@@ -583,19 +580,21 @@
     Expiry::Nothing
 }
 
-fn recreate(existing: &Program, create: &CreateProgram) -> Result<Reply, Refusal> {
-    if existing.spec != create.spec {
-        return Err(Refusal::not_run(
-            RefusalCode::KeyReused,
-            format!("program {} exists with another specification", create.program),
-        ));
-    }
-    if existing.owner.daemon == create.owner {
-        return Ok(Reply::Owned(Box::new(existing.owned())));
+/// A repeated creation must ask for the same program; the zone is the asking daemon's.
+fn check_same_spec(existing: &Program, create: &CreateProgram) -> Result<(), Refusal> {
+    let asked = ProgramSpec {
+        zone: existing.spec.zone.clone(),
+        ..create.spec.clone()
+    };
+    if existing.spec == asked {
+        return Ok(());
     }
     Err(Refusal::not_run(
-        RefusalCode::StaleOwner,
-        format!("program {} exists at another daemon", create.program),
+        RefusalCode::KeyReused,
+        format!(
+            "program {} exists with another specification",
+            create.program
+        ),
     ))
 }
 
@@ -650,7 +649,8 @@
 fn already_finished(call: &CallRecord, finish: &FinishCall) -> bool {
     match call.state {
         CallState::Completed { attempts, .. } => {
-            finish.class == OutcomeClass::Completed && attempts == finish.attempt.0.saturating_add(1)
+            finish.class == OutcomeClass::Completed
+                && attempts == finish.attempt.0.saturating_add(1)
         }
         CallState::Uncertain { attempt } => {
             finish.class == OutcomeClass::Uncertain && attempt == finish.attempt
@@ -659,6 +659,27 @@
     }
 }
 
+/// What another attempt reserves. An attempt that an engine may have worked on is paid for
+/// beside the next one.
+fn retry_charge(call: &CallRecord, failed_as: OutcomeClass) -> Charge {
+    if failed_as.spent_nothing() {
+        return ONE_RETRY;
+    }
+    let attempt = Charge {
+        calls: 0,
+        ..call.ceiling
+    };
+    attempt.plus(&ONE_RETRY)
+}
+
+/// The charge of an attempt beyond the first, besides its tokens.
+const ONE_RETRY: Charge = Charge {
+    calls: 0,
+    tokens: 0,
+    cost_micros: 0,
+    retries: 1,
+};
+
 fn executed_after(class: OutcomeClass) -> Executed {
     if class.spent_nothing() {
         Executed::No
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -19,12 +19,13 @@
             Message::PreVote { .. } => return true,
             // A refusal from a later term shows that this node is behind.
             Message::PreVoteReply { granted } if *granted => return true,
-            Message::Vote { transfer, .. } if term > self.hard_state.term => {
+            Message::Vote { transfer, .. }
+                if term > self.hard_state.term
                 // A follower that hears its leader ignores elections, so that a node with a bad
                 // link cannot depose a leader that the majority can reach.
-                if !transfer && self.leader_is_fresh() {
-                    return false;
-                }
+                && !transfer && self.leader_is_fresh() =>
+            {
+                return false;
             }
             _ => {}
         }
@@ -230,7 +231,10 @@
     }
 
     fn has_quorum_of_votes(&self) -> bool {
-        let counted = self.votes.iter().filter(|peer| self.membership.is_voter(**peer));
+        let counted = self
+            .votes
+            .iter()
+            .filter(|peer| self.membership.is_voter(**peer));
         counted.count() >= self.membership.quorum()
     }
 
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -137,7 +137,11 @@
             return;
         };
         self.snapshot_membership = self.membership_at(index).clone();
-        while self.entries.front().is_some_and(|entry| entry.index <= index) {
+        while self
+            .entries
+            .front()
+            .is_some_and(|entry| entry.index <= index)
+        {
             self.entries.pop_front();
         }
         self.snapshot_index = index;
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -353,13 +353,12 @@
     /// Followers heard from within one election timeout, this node included when it leads.
     #[must_use]
     pub fn live_peers(&self) -> Vec<Peer> {
-        let recent = |progress: &&Progress| {
-            self.now.since(progress.heard_at) < self.config.election_timeout
-        };
+        let recent =
+            |progress: &&Progress| self.now.since(progress.heard_at) < self.config.election_timeout;
         let followers = self
             .progress
             .iter()
-            .filter(|(_, progress)| recent(&progress))
+            .filter(|(_, progress)| recent(progress))
             .map(|(peer, _)| *peer);
         followers.chain([self.me]).collect()
     }
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -17,7 +17,10 @@
         if !self.is_leader() {
             return;
         }
-        if self.transfer.is_some_and(|transfer| self.now >= transfer.until) {
+        if self
+            .transfer
+            .is_some_and(|transfer| self.now >= transfer.until)
+        {
             self.transfer = None;
         }
         if self.now >= self.heartbeat_due {
--- a/crates/resources/src/resource.rs
+++ b/crates/resources/src/resource.rs
@@ -8,34 +8,44 @@
 
 /// Who pays for programs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Tenant {
     /// Name.
     pub name: TenantName,
     /// Share of the engines under contention, relative to other tenants.
+    #[serde(default = "default_weight")]
     pub weight: u32,
     /// Calls in flight in the whole fleet; 0 for no limit.
+    #[serde(default)]
     pub max_concurrent_calls: u32,
     /// Tokens per second in the whole fleet; 0 for no limit.
+    #[serde(default)]
     pub tokens_per_second: u64,
 }
 
 /// Defaults and limits of programs of one kind.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct ProgramClass {
     /// Name.
     pub name: ClassName,
     /// Priority of programs that state none.
+    #[serde(default)]
     pub priority: Priority,
     /// Name of the budget that caps each program of the class; empty for none.
+    #[serde(default)]
     pub budget: String,
     /// Longest pause between two calls before a program counts as abandoned, in milliseconds.
+    #[serde(default = "default_idle_timeout_ms")]
     pub idle_timeout_ms: u64,
     /// Calls that may wait at one daemon; more are refused as overloaded.
+    #[serde(default = "default_max_queued_calls")]
     pub max_queued_calls: u32,
 }
 
 /// One replica of a pool or service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Replica {
     /// Identifier, unique in the whole configuration.
     pub engine: EngineId,
@@ -47,16 +57,20 @@
 
 /// The engines that serve one model.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct ModelPool {
     /// Name of the model.
     pub name: ModelName,
     /// Version to serve.
     pub version: String,
     /// Price of one token in millionths of the currency unit.
+    #[serde(default)]
     pub cost_per_token_micros: u64,
     /// Ceiling of generated tokens of calls that state none.
+    #[serde(default = "default_max_output_tokens")]
     pub max_output_tokens: u64,
     /// Replicas that a rollout must leave serving.
+    #[serde(default)]
     pub minimum_serving: u32,
     /// The replicas.
     pub replicas: Vec<Replica>,
@@ -64,6 +78,7 @@
 
 /// A fine-tuned adapter of a model.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Adapter {
     /// Name.
     pub name: String,
@@ -75,6 +90,7 @@
 
 /// What a priority means for queues.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct PriorityLevel {
     /// The priority.
     pub name: Priority,
@@ -84,6 +100,7 @@
 
 /// A named budget that caps programs of the classes that refer to it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct BudgetPolicy {
     /// Name.
     pub name: String,
@@ -93,6 +110,7 @@
 
 /// A plain service, reached by HTTP lookups.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Service {
     /// Name.
     pub name: ServiceName,
@@ -100,6 +118,34 @@
     pub replicas: Vec<Replica>,
 }
 
+/// Weight of tenants that state none.
+const DEFAULT_WEIGHT: u32 = 1;
+
+/// Longest pause of programs whose class states none: fifteen minutes.
+const DEFAULT_IDLE_TIMEOUT_MS: u64 = 900_000;
+
+/// Calls that may wait at one daemon when the class states nothing.
+const DEFAULT_MAX_QUEUED_CALLS: u32 = 512;
+
+/// Ceiling of generated tokens when the pool states none.
+const DEFAULT_MAX_OUTPUT_TOKENS: u64 = 4_096;
+
+const fn default_weight() -> u32 {
+    DEFAULT_WEIGHT
+}
+
+const fn default_idle_timeout_ms() -> u64 {
+    DEFAULT_IDLE_TIMEOUT_MS
+}
+
+const fn default_max_queued_calls() -> u32 {
+    DEFAULT_MAX_QUEUED_CALLS
+}
+
+const fn default_max_output_tokens() -> u64 {
+    DEFAULT_MAX_OUTPUT_TOKENS
+}
+
 macro_rules! resource_kinds {
     ($($(#[$doc:meta])* $kind:ident($type:ty) => $text:literal, |$resource:ident| $name:expr;)*) => {
         /// The kind of a resource.
--- a/crates/resources/src/store.rs
+++ b/crates/resources/src/store.rs
@@ -95,13 +95,13 @@
     }
 
     fn decide(&self, change: &Change) -> ChangeAnswer {
-        if let Expected::Exactly(expected) = change.expected {
-            if expected != self.revision {
-                return ChangeAnswer::Stale {
-                    expected,
-                    current: self.revision,
-                };
-            }
+        if let Expected::Exactly(expected) = change.expected
+            && expected != self.revision
+        {
+            return ChangeAnswer::Stale {
+                expected,
+                current: self.revision,
+            };
         }
         let violations = validate_change(&self.resources, change);
         if !violations.is_empty() {
@@ -135,10 +135,10 @@
             },
         );
         self.answer_order.push_back(change.change_id.clone());
-        if self.answer_order.len() > RETAINED_ANSWERS {
-            if let Some(oldest) = self.answer_order.pop_front() {
-                self.answers.remove(&oldest);
-            }
+        if self.answer_order.len() > RETAINED_ANSWERS
+            && let Some(oldest) = self.answer_order.pop_front()
+        {
+            self.answers.remove(&oldest);
         }
     }
 }
--- a/crates/resources/src/validate.rs
+++ b/crates/resources/src/validate.rs
@@ -118,8 +118,7 @@
     fn check_name(&mut self, key: &ResourceKey) {
         let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
         let name = &key.name;
-        let valid =
-            !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.bytes().all(allowed);
+        let valid = !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.bytes().all(allowed);
         self.require(
             valid,
             format!("{}.name", key.kind),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,18 @@
+//! Settings of a luglink process: a TOML file, overridden by environment variables, overridden
+//! by flags. Every fault is reported at once, each with its place.
+//!
+//! Environment variables are `LUGLINK_` and the key, with `__` between its parts, as in
+//! `LUGLINK_DAEMON__LISTEN`.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
 
+mod control;
+mod daemon;
+mod errors;
+mod reader;
+mod source;
+
+pub use control::ControlSettings;
+pub use daemon::DaemonSettings;
+pub use errors::{Fault, SettingsError};
+pub use source::{MemberAddress, Role, Settings, load};
--- a/crates/storage/src/wal.rs
+++ b/crates/storage/src/wal.rs
@@ -136,7 +136,10 @@
         segment: u64,
     ) -> Result<(), StorageError> {
         let limit = segment.min(self.segment);
-        for old in segment_numbers(disk)?.into_iter().filter(|old| *old < limit) {
+        for old in segment_numbers(disk)?
+            .into_iter()
+            .filter(|old| *old < limit)
+        {
             disk.remove(&segment_file(old))?;
         }
         self.oldest_segment = self.oldest_segment.max(limit);
--- a/crates/storage/tests/wal.rs
+++ b/crates/storage/tests/wal.rs
@@ -108,7 +108,11 @@
     wal.remove_segments_before(&mut disk, 1).expect("remove");
     let mut disk = FileDisk::open(folder.path()).expect("open again");
     let (_, recovered) = Wal::open(&mut disk, SMALL).expect("recover");
-    let found: Vec<&[u8]> = recovered.batches.iter().map(|batch| &*batch.payload).collect();
+    let found: Vec<&[u8]> = recovered
+        .batches
+        .iter()
+        .map(|batch| &*batch.payload)
+        .collect();
     assert_eq!(found, [b"second"]);
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -16,11 +16,7 @@
 
 /// Who opens a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
-#[deku(
-    id_type = "u8",
-    endian = "endian",
-    ctx = "endian: deku::ctx::Endian"
-)]
+#[deku(id_type = "u8", endian = "endian", ctx = "endian: deku::ctx::Endian")]
 pub enum ClientRole {
     /// Another control member.
     #[deku(id = "1")]
