Run whole fleets on a virtual clock; time out silent engines

Cause: faults could only be brought about on real sockets, where a run takes as long as it lasts and never repeats. Reading the daemon for its use in virtual time showed two faults: a call at an engine that accepts and then says nothing waited for ever, and every event put the next tick off by 50 ms, so that under a steady stream deadlines were looked at only every 4 s.

Change: crates/lab/src/sim runs control nodes on a disk in memory, daemons, engine cores, callers and operators between a simulated network, disks and clocks; nexosim is the event engine. Callers share their rules between sockets and simulator (caller_policy), and a "not run" no longer hides an earlier sending without an answer. Calls have a silence limit; ticks count from the last tick.

Before, a run took its own length.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -230,6 +230,12 @@
         self.groups.get(&group)?.machine.programs()
     }
 
+    /// The configuration after `known` as this member has applied it, for checks.
+    #[must_use]
+    pub fn configuration_after(&self, known: Revision) -> CatchUp {
+        self.catch_up(known)
+    }
+
     /// Whether this member leads a group.
     #[must_use]
     pub fn leads(&self, group: GroupId) -> bool {
@@ -244,6 +250,11 @@
         self.store.syncs()
     }
 
+    /// The disk, for bringing faults about.
+    pub fn disk_mut(&mut self) -> &mut D {
+        self.store.disk_mut()
+    }
+
     /// Gives the disk back, as a crash leaves it.
     pub fn into_disk(self) -> D {
         self.store.into_disk()
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -141,6 +141,11 @@
         self.syncs
     }
 
+    /// The disk, for bringing faults about.
+    pub(crate) fn disk_mut(&mut self) -> &mut D {
+        &mut self.disk
+    }
+
     /// The disk, for a simulated crash.
     pub(crate) fn into_disk(self) -> D {
         self.disk
--- a/crates/daemon/src/attempts.rs
+++ b/crates/daemon/src/attempts.rs
@@ -7,6 +7,13 @@
 use crate::pools::PoolName;
 use luglink_routing::{AttemptId, PrefixHasher, RouteRequest};
 use luglink_types::{EngineId, ModelName, OutcomeClass, Refusal, RefusalCode};
+use std::time::Duration;
+
+/// An engine may take this many times longer than predicted before its silence counts.
+const PREDICTION_SLACK: u32 = 3;
+
+/// Longest predicted time that is believed, in seconds.
+const MAX_PREDICTED: f64 = 600.0;
 
 /// A call and the engine chosen for it.
 pub(crate) struct RoutedCall {
@@ -47,6 +54,10 @@
         };
         let router = self.pools.router(&pool)?;
         let choice = router.choose(&request, random, now)?;
+        let predicted = Duration::from_secs_f64(choice.predicted_seconds.clamp(0.0, MAX_PREDICTED));
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.predicted = predicted;
+        }
         Some(RoutedCall {
             engine: choice.engine,
         })
@@ -92,9 +103,12 @@
         let Some(body) = self.chat_dispatch(id) else {
             return;
         };
+        let silence = self.config.engine_silence;
+        let now = self.now;
         if let Some(call) = self.calls.get_mut(&id) {
             call.phase = Phase::Running;
             call.attempts += 1;
+            call.silent_after = now.plus(silence).plus(call.predicted * PREDICTION_SLACK);
             call.reset_output();
         }
         self.counters.dispatched += 1;
@@ -160,9 +174,12 @@
         if let Some(router) = self.pools.router_of(current.engine) {
             router.on_first_token(current.engine, current.id);
         }
+        let silence = self.config.engine_silence;
+        let now = self.now;
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        call.silent_after = now.plus(silence);
         call.text.push_str(&text);
         if call.request.stream {
             call.part_sent = true;
@@ -184,6 +201,17 @@
         self.on_attempt_failed(id, class);
     }
 
+    /// The engine has said nothing for too long. It may still work, so the outcome is uncertain.
+    pub(crate) fn on_engine_silent(&mut self, id: CallId) {
+        let Some(current) = self.calls.get(&id).and_then(|call| call.attempt) else {
+            return;
+        };
+        self.actions.push(Action::Cancel {
+            attempt: current.id,
+        });
+        self.fail_attempt(id, current, OutcomeClass::Uncertain);
+    }
+
     /// Takes the call's attempt back, wherever it is.
     pub(crate) fn cancel_attempt(&mut self, id: CallId) {
         let Some(call) = self.calls.get_mut(&id) else {
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -6,6 +6,7 @@
     AttemptNumber, EngineId, IdempotencyKey, OutcomeClass, ProgramId, Sequence, Timestamp,
     TokenUsage,
 };
+use std::time::Duration;
 
 /// A call, numbered by its daemon.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -50,6 +51,10 @@
     /// The program's deadline.
     pub(crate) deadline: Timestamp,
     pub(crate) phase: Phase,
+    /// Predicted time to the last token at the chosen engine.
+    pub(crate) predicted: Duration,
+    /// When the engine counts as hung if nothing more is heard of it.
+    pub(crate) silent_after: Timestamp,
     pub(crate) sequence: Option<Sequence>,
     pub(crate) attempt: Option<CurrentAttempt>,
     pub(crate) attempts: u32,
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -89,6 +89,8 @@
             arrived_at: self.now,
             deadline: Timestamp::MAX,
             phase: Phase::Waiting,
+            predicted: Duration::ZERO,
+            silent_after: Timestamp::MAX,
             sequence: request.sequence,
             attempt: None,
             attempts: 0,
@@ -471,6 +473,7 @@
         for id in overdue {
             self.give_up_at_deadline(id);
         }
+        self.expire_silent_engines();
         self.refuse_without_engines();
         let waiting: Vec<ProgramId> = self
             .calls
@@ -483,6 +486,21 @@
         }
     }
 
+    /// An engine that accepted a call and says nothing may hang for ever: the call is taken back
+    /// and counts as broken there.
+    fn expire_silent_engines(&mut self) {
+        let now = self.now;
+        let silent: Vec<CallId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.phase == Phase::Running && now > call.silent_after)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in silent {
+            self.on_engine_silent(id);
+        }
+    }
+
     fn refuse_without_engines(&mut self) {
         let now = self.now;
         let patience = self.config.no_engine_patience;
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -28,6 +28,9 @@
     pub no_engine_patience: Duration,
     /// Longest time a call waits for the calls that its sequence says come first.
     pub reorder_patience: Duration,
+    /// Silence of an engine, beyond the predicted time to its first token and between any two
+    /// tokens, after which a call counts as broken there.
+    pub engine_silence: Duration,
     /// Time after which a control request is sent to another member.
     pub control_attempt_timeout: Duration,
     /// Time after which a control request is given up.
@@ -67,6 +70,7 @@
             max_waiting_per_program: 16,
             no_engine_patience: Duration::from_secs(5),
             reorder_patience: Duration::from_secs(2),
+            engine_silence: Duration::from_secs(20),
             control_attempt_timeout: Duration::from_secs(1),
             control_timeout: Duration::from_secs(10),
             renew_interval: Duration::from_secs(4),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -79,6 +79,24 @@
     pub prompt_tokens: u64,
 }
 
+impl DaemonCounters {
+    /// The counts of two processes together.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            calls: self.calls + other.calls,
+            completed: self.completed + other.completed,
+            refused: self.refused + other.refused,
+            dispatched: self.dispatched + other.dispatched,
+            retries: self.retries + other.retries,
+            acquired: self.acquired + other.acquired,
+            lookups: self.lookups + other.lookups,
+            cached_tokens: self.cached_tokens + other.cached_tokens,
+            prompt_tokens: self.prompt_tokens + other.prompt_tokens,
+        }
+    }
+}
+
 /// A daemon.
 #[derive(Debug)]
 pub struct Daemon {
@@ -103,6 +121,7 @@
     watch_member: usize,
     watch_due: Option<Timestamp>,
     renew_due: Timestamp,
+    ticked_at: Timestamp,
     draining: bool,
     drained: bool,
 }
@@ -151,6 +170,7 @@
             watch_member: config.daemon.0 as usize % config.members.len(),
             watch_due: Some(now),
             renew_due: now.plus(config.renew_interval),
+            ticked_at: now,
             draining: false,
             drained: false,
             config,
@@ -177,7 +197,8 @@
             due = due.min(control);
         }
         if !self.calls.is_empty() || !self.lookups.is_empty() || self.draining {
-            due = due.min(self.now.plus(TICK_INTERVAL));
+            // Counted from the last tick: a steady stream of other events must not put it off.
+            due = due.min(self.ticked_at.plus(TICK_INTERVAL));
         }
         due
     }
@@ -256,6 +277,7 @@
     }
 
     fn on_tick(&mut self) {
+        self.ticked_at = self.now;
         let expired = self.control.tick(self.now, &mut self.actions);
         for operation in expired {
             if let Some(purpose) = self.operations.remove(&operation) {
--- a/crates/lab/src/check/budget.rs
+++ b/crates/lab/src/check/budget.rs
@@ -31,7 +31,7 @@
                 program.name, spent.tokens, budget.tokens
             ));
         }
-        broken.extend(check_account(program));
+        broken.extend(check_account(program, spent));
     }
     broken
 }
@@ -69,9 +69,17 @@
 }
 
 /// What luglink itself says was spent and reserved.
-fn check_account(program: &ProgramRecord) -> Option<String> {
+fn check_account(program: &ProgramRecord, really: Spent) -> Option<String> {
     let view = program.final_view.as_ref()?;
     let total = view.spent.plus(&view.reserved);
     let over = total.tokens > program.budget.tokens || total.calls > program.budget.calls;
-    over.then(|| format!("the account of {} stands at {total:?}", program.name))
+    // An account that shows less than was spent would let the program overspend later.
+    let runs = total.calls.saturating_add(total.retries);
+    let under = total.tokens < really.tokens || runs < really.runs;
+    (over || under).then(|| {
+        format!(
+            "the account of {} stands at {total:?}, engines ran {} times for {} tokens",
+            program.name, really.runs, really.tokens
+        )
+    })
 }
--- a/crates/lab/src/check/callers.rs
+++ b/crates/lab/src/check/callers.rs
@@ -101,11 +101,16 @@
 
 /// A request at a daemon that stops as planned must not lose its answer.
 pub(super) fn check_planned_stop(history: &History) -> Vec<String> {
-    history
+    let unknown = history
         .calls
         .iter()
         .filter(|call| call.during_planned_stop)
         .filter(|call| matches!(call.outcome, Outcome::Unknown { .. }))
-        .map(|call| format!("{} was cut off by a planned stop", call.request))
+        .map(|call| &call.request);
+    history
+        .cut_by_stop
+        .iter()
+        .chain(unknown)
+        .map(|request| format!("{request} was cut off by a planned stop"))
         .collect()
 }
--- a/crates/lab/src/check/engines.rs
+++ b/crates/lab/src/check/engines.rs
@@ -25,17 +25,18 @@
 
 pub(super) fn check_leaving(history: &History) -> Vec<String> {
     let mut broken = Vec::new();
-    for (engine, since) in &history.leaving {
-        let late = history
-            .executions
-            .iter()
-            .filter(|execution| execution.engine == *engine)
-            .filter(|execution| execution.at.since(*since) > LEAVE_LIMIT);
+    for leaving in &history.leaving {
+        let late = history.executions.iter().filter(|execution| {
+            let gone = leaving.until.is_none_or(|until| execution.at < until);
+            let late = execution.at.since(leaving.from) > LEAVE_LIMIT;
+            execution.engine == leaving.engine && gone && late
+        });
         for execution in late {
             broken.push(format!(
-                "engine {engine} got {} {:?} after it began to leave",
+                "engine {} got {} {:?} after it began to leave",
+                leaving.engine,
                 execution.marker,
-                execution.at.since(*since)
+                execution.at.since(leaving.from)
             ));
         }
     }
--- a/crates/lab/src/cli/replay.rs
+++ b/crates/lab/src/cli/replay.rs
@@ -1,12 +1,14 @@
 //! `luglink-lab replay`.
 
 use crate::fleet::FleetConfig;
-use crate::replay::{ReplayResult, replay_on_fleet};
+use crate::replay::{ReplayPlan, ReplayResult, replay_on_fleet};
 use crate::report::Report;
+use crate::sim::{SimConfig, SimFault, SimPlan, simulate};
 use crate::table::table;
 use crate::trace::{Deployment, Expectation, TraceEvent, parse_expectations, parse_trace};
 use bpaf::Bpaf;
 use std::path::PathBuf;
+use std::time::Duration;
 
 /// Options of `replay`.
 #[derive(Clone, Debug, Bpaf)]
@@ -14,6 +16,11 @@
     /// Expectations of the run
     #[bpaf(argument("FILE"), optional)]
     expect: Option<PathBuf>,
+    /// Run on the virtual clock of the simulator in place of real sockets
+    simulated: bool,
+    /// Seed of the simulator
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seed: u64,
     /// Print one line of JSON in place of the table
     json: bool,
     /// kopano or hub; found in the trace when not given
@@ -37,6 +44,12 @@
         None => Vec::new(),
     };
     let deployment = options.deployment.unwrap_or_else(|| deployment_of(&events));
+    if options.simulated {
+        let mut config = SimConfig::today(deployment, options.seed);
+        config.idle_timeout = Duration::from_millis(options.idle_timeout);
+        let result = run_simulated(config, &events)?;
+        return finish(&result, &expectations, options.json);
+    }
     let mut config = FleetConfig::today(deployment);
     config.idle_timeout_ms = options.idle_timeout;
     let result = run_on_sockets(config, &events, &options.log, options.json)?;
@@ -73,6 +86,15 @@
     }
 }
 
+/// Replays against a simulated fleet.
+fn run_simulated(config: SimConfig, events: &[TraceEvent]) -> Result<ReplayResult, String> {
+    let replay = ReplayPlan::new(events);
+    let faults = replay.faults.iter().map(SimFault::from).collect();
+    simulate(config, SimPlan { replay, faults })
+        .map(ReplayResult::from)
+        .map_err(|error| error.to_string())
+}
+
 /// Replays against a fleet on real sockets, with progress on standard error.
 pub(super) fn run_on_sockets(
     config: FleetConfig,
@@ -101,7 +123,7 @@
     report.expect(&result.history, expectations);
     report.unmet.extend(result.problems.iter().cloned());
     for (kind, count) in &result.faults {
-        let name = format!("faults_{kind:?}").to_lowercase();
+        let name = format!("faults_{kind}");
         report.measures.insert(name, *count as f64);
     }
     if json {
--- a/crates/lab/src/engine/core.rs
+++ b/crates/lab/src/engine/core.rs
@@ -412,8 +412,10 @@
         let full = usize::try_from(sequence.prefilled / BLOCK_TOKENS).unwrap_or(usize::MAX);
         let blocks = sequence.prefix.blocks();
         let full = full.min(blocks.len());
-        for position in sequence.held.len()..full {
-            let block = blocks[position];
+        for (position, block) in blocks[..full].iter().copied().enumerate() {
+            if position < sequence.held.len() {
+                continue;
+            }
             if !self
                 .cache
                 .add(block, position as u64, sequence.program, end)
--- a/crates/lab/src/engine/http.rs
+++ b/crates/lab/src/engine/http.rs
@@ -350,9 +350,12 @@
     }
 }
 
+/// Looks at the engine's inside.
+type Look = Box<dyn FnOnce(&EngineCore, Timestamp) + Send>;
+
 #[derive(Message)]
 #[rtype(result = "()")]
-struct Inspect(Box<dyn FnOnce(&EngineCore, Timestamp) + Send>);
+struct Inspect(Look);
 
 impl Handler<Inspect> for EngineActor {
     type Result = ();
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -9,5 +9,5 @@
 pub use config::FleetConfig;
 pub use errors::FleetError;
 pub use place::reserve_address;
-pub use resources::{budget_from_change, deployment_resources};
+pub use resources::{DeploymentLayout, budget_from_change, deployment_resources};
 pub use start::Fleet;
--- a/crates/lab/src/fleet/start.rs
+++ b/crates/lab/src/fleet/start.rs
@@ -6,13 +6,14 @@
     ConfigurationRefusedSnafu, FleetError, NoSuchTargetSnafu, NotReadySnafu, ThreadGoneSnafu,
 };
 use crate::fleet::place::{any_port, reserve_address};
-use crate::fleet::resources::deployment_resources;
+use crate::fleet::resources::{DeploymentLayout, deployment_resources};
 use crate::observe::Observer;
 use crate::standins::{PlatformServer, ServiceServer, StandinServer, ToolServer};
 use actix_rt::Arbiter;
-use luglink_admin_api::{AdminClient, v1};
+use luglink_admin_api::{AdminClient, operation_to_proto, v1};
 use luglink_control_server::ControlServer;
 use luglink_daemon_server::DaemonServer;
+use luglink_resources::Replica;
 use luglink_settings::{ControlSettings, DaemonSettings, MemberAddress};
 use luglink_types::{EngineId, Revision};
 use snafu::OptionExt;
@@ -379,11 +380,17 @@
     async fn configure(&self) -> Result<(), FleetError> {
         let engines = self.engines.iter().map(|node| node.settings);
         let services = self.services.iter().map(|server| server.address);
-        let operations = deployment_resources(
-            &self.config,
-            &engines.collect::<Vec<_>>(),
-            &services.collect::<Vec<_>>(),
-        );
+        let layout = DeploymentLayout {
+            deployment: self.config.deployment,
+            engines: self.replicas(engines, 0),
+            services: self.replicas(services, self.engines.len()),
+            idle_timeout_ms: self.config.idle_timeout_ms,
+            max_queued_calls: self.config.max_queued_calls,
+        };
+        let operations = deployment_resources(&layout)
+            .iter()
+            .map(operation_to_proto)
+            .collect();
         let answer = self
             .admin
             .apply(v1::ApplyRequest {
@@ -406,6 +413,16 @@
         self.wait_until_ready().await
     }
 
+    fn replicas(&self, addresses: impl Iterator<Item = SocketAddr>, first: usize) -> Vec<Replica> {
+        let zones = self.config.deployment.zones();
+        let replica = |(index, address): (usize, SocketAddr)| Replica {
+            engine: EngineId(u32::try_from(first + index).unwrap_or(u32::MAX)),
+            address: address.to_string(),
+            zone: zones[index % zones.len()].into(),
+        };
+        addresses.enumerate().map(replica).collect()
+    }
+
     async fn wait_until_ready(&self) -> Result<(), FleetError> {
         let since = Instant::now();
         while since.elapsed() < READY_LIMIT {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod caller_policy;
 pub mod check;
 pub mod cli;
 pub mod engine;
@@ -10,6 +11,7 @@
 pub mod observe;
 pub mod replay;
 pub mod report;
+pub mod sim;
 pub mod standins;
 pub mod table;
 pub mod trace;
--- a/crates/lab/src/observe.rs
+++ b/crates/lab/src/observe.rs
@@ -1,6 +1,7 @@
 //! What really happened during a run, seen from outside luglink: by callers and by engines.
 
 use luglink_program::ProgramView;
+use luglink_resources::BudgetPolicy;
 use luglink_types::{
     Budget, ChatMessage, EngineId, Epoch, ProgramId, RefusalCode, Revision, Timestamp, TokenUsage,
 };
@@ -135,8 +136,38 @@
 pub struct ChangeRecord {
     /// The operator's name for it.
     pub change_id: String,
+    /// When the operator first sent it.
+    pub sent_at: Timestamp,
+    /// The revision that it was made against; `None` for whatever was current.
+    pub expected: Option<Revision>,
+    /// The budget that it sets.
+    pub budget: Option<BudgetPolicy>,
     /// When it was accepted, and as what.
     pub accepted: Option<(Timestamp, Revision)>,
+    /// Whether the operator got an answer at all.
+    pub answered: bool,
+}
+
+/// A time in which an engine was leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Leaving {
+    /// The engine.
+    pub engine: EngineId,
+    /// From when.
+    pub from: Timestamp,
+    /// Until when, if it came back.
+    pub until: Option<Timestamp>,
+}
+
+/// A time in which a daemon could not be reached, or was not running, by a fault of the run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Isolation {
+    /// The daemon.
+    pub daemon: u32,
+    /// From when.
+    pub from: Timestamp,
+    /// Until when.
+    pub until: Timestamp,
 }
 
 /// A revision seen in force at a daemon.
@@ -183,9 +214,35 @@
     /// Revisions at daemons.
     pub revisions: Vec<RevisionSeen>,
     /// Engines that began to leave.
-    pub leaving: Vec<(EngineId, Timestamp)>,
+    pub leaving: Vec<Leaving>,
     /// Memory held for ended programs.
     pub held: Vec<HeldMemory>,
+    /// Times in which daemons were cut off.
+    pub isolations: Vec<Isolation>,
+    /// Requests whose connection a planned stop broke.
+    pub cut_by_stop: Vec<String>,
+    /// Budgets in force at the end.
+    pub final_budgets: Vec<BudgetPolicy>,
+}
+
+impl History {
+    /// An engine begins to leave, or is back.
+    pub fn note_leaving(&mut self, engine: EngineId, leaves: bool, now: Timestamp) {
+        if leaves {
+            return self.leaving.push(Leaving {
+                engine,
+                from: now,
+                until: None,
+            });
+        }
+        let open = self
+            .leaving
+            .iter_mut()
+            .filter(|leaving| leaving.engine == engine && leaving.until.is_none());
+        for leaving in open {
+            leaving.until = Some(now);
+        }
+    }
 }
 
 /// Collects a history from many places.
@@ -203,6 +260,11 @@
         self.note(|history| history.executions.push(execution));
     }
 
+    /// An engine begins to leave, or is back.
+    pub fn leaving(&self, engine: EngineId, leaves: bool, now: Timestamp) {
+        self.note(|history| history.note_leaving(engine, leaves, now));
+    }
+
     /// The history so far.
     #[must_use]
     pub fn history(&self) -> History {
--- a/crates/lab/src/replay/caller.rs
+++ b/crates/lab/src/replay/caller.rs
@@ -1,14 +1,15 @@
 //! Callers: each program's caller does its steps one after the other, and asks again at another
 //! daemon when its own is gone.
 
+use crate::caller_policy::{MAX_SENDS, RESEND_PAUSE, ReadRefusal};
 use crate::engine::prompt_text;
 use crate::observe::{CallRecord, Departure, LookupRecord, Observer, Outcome, ProgramRecord};
-use crate::replay::http_client::{self, CallToSend, Sent, StreamedAnswer, code_of, is_not_run};
+use crate::replay::http_client::{self, CallToSend, Sent, StreamedAnswer, code_of};
 use crate::replay::plan::{ProgramPlan, ProgramStep};
 use crate::trace::{CallEvent, LookupEvent};
 use awc::Client;
 use luglink_engine_api::Problem;
-use luglink_types::{ProgramId, RefusalCode, Timestamp, TokenUsage};
+use luglink_types::{Executed, ProgramId, RefusalCode, Timestamp, TokenUsage};
 use serde_json::json;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,15 +17,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Times that a caller sends one request at the most.
-const MAX_SENDS: usize = 8;
-
-/// Pause before a request is sent again after a broken connection.
-const RESEND_PAUSE: Duration = Duration::from_millis(150);
-
-/// Longest wait that a caller accepts when it is told when to come back.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
-
 /// Time in which a parent must have been created.
 const PARENT_LIMIT: Duration = Duration::from_secs(60);
 
@@ -63,37 +55,12 @@
     }
 }
 
-/// Whether asking again, here or elsewhere, may help.
-fn worth_asking_again(problem: &Problem) -> bool {
-    let code = code_of(problem);
-    is_not_run(problem)
-        && matches!(
-            code,
-            Some(
-                RefusalCode::Draining
-                    | RefusalCode::ControlUnavailable
-                    | RefusalCode::StaleOwner
-                    | RefusalCode::NoEngine
-                    | RefusalCode::EngineFailed
-                    | RefusalCode::Overloaded
-            )
-        )
-}
-
-/// How long to wait before asking again.
-async fn wait_as_told(problem: &Problem) {
-    let wait = problem
-        .retry_after_ms
-        .map_or(RESEND_PAUSE, Duration::from_millis);
-    actix_rt::time::sleep(wait.min(MAX_RETRY_AFTER)).await;
-}
-
-/// The outcome that a refusal means for the caller.
-fn outcome_of(problem: &Problem) -> Outcome {
-    let code = code_of(problem);
-    match code {
-        Some(code) if is_not_run(problem) => Outcome::Refused { code },
-        code => Outcome::Unknown { code },
+/// A problem as the caller's rules read it.
+fn read(problem: &Problem) -> ReadRefusal {
+    ReadRefusal {
+        code: code_of(problem),
+        executed: problem.executed,
+        retry_after: problem.retry_after_ms.map(Duration::from_millis),
     }
 }
 
@@ -195,10 +162,11 @@
             Sent::Answered(id) => return Ok(id),
             Sent::Refused(problem) => {
                 last = code_of(&problem);
-                if !worth_asking_again(&problem) {
+                let read = read(&problem);
+                if !read.is_worth_asking_again(true) {
                     return Err(last);
                 }
-                wait_as_told(&problem).await;
+                actix_rt::time::sleep(read.wait()).await;
             }
             Sent::Broken => actix_rt::time::sleep(RESEND_PAUSE).await,
         }
@@ -272,6 +240,7 @@
     let mut last = Outcome::Unknown { code: None };
     let mut answer: Option<StreamedAnswer> = None;
     let mut during_planned_stop = false;
+    let mut doubt = false;
     let daemons = context.daemons_of(&plan.program.zone);
     for daemon in daemons.iter().cycle().take(MAX_SENDS) {
         let sent = http_client::call(&context.client, *daemon, &to_send).await;
@@ -286,14 +255,16 @@
                 break;
             }
             Sent::Refused(problem) => {
-                last = outcome_of(&problem);
-                let running = code_of(&problem) == Some(RefusalCode::CallInProgress);
-                if !running && !worth_asking_again(&problem) {
+                let read = read(&problem);
+                last = read.outcome(doubt);
+                if !read.is_worth_asking_again(call.repeatable) {
                     break;
                 }
-                wait_as_told(&problem).await;
+                doubt |= read.executed != Executed::No;
+                actix_rt::time::sleep(read.wait()).await;
             }
             Sent::Broken => {
+                doubt = true;
                 last = Outcome::Unknown { code: None };
                 actix_rt::time::sleep(RESEND_PAUSE).await;
             }
@@ -313,8 +284,13 @@
     for daemon in daemons.iter().cycle().take(MAX_SENDS) {
         match http_client::end_program(&context.client, *daemon, id).await {
             Sent::Answered(()) => return,
-            Sent::Refused(problem) if !worth_asking_again(&problem) => return,
-            Sent::Refused(problem) => wait_as_told(&problem).await,
+            Sent::Refused(problem) => {
+                let read = read(&problem);
+                if !read.is_worth_asking_again(true) {
+                    return;
+                }
+                actix_rt::time::sleep(read.wait()).await;
+            }
             Sent::Broken => actix_rt::time::sleep(RESEND_PAUSE).await,
         }
     }
@@ -325,6 +301,7 @@
     context.wait_until(event.at_ms).await;
     let sent_at = context.now();
     let mut outcome = Outcome::Unknown { code: None };
+    let mut doubt = false;
     for daemon in context.daemons_of(&event.zone) {
         let sent = http_client::lookup(
             &context.client,
@@ -342,14 +319,16 @@
                 break;
             }
             Sent::Refused(problem) => {
-                outcome = outcome_of(&problem);
-                if !worth_asking_again(&problem) {
+                let read = read(&problem);
+                outcome = read.outcome(doubt);
+                if !read.is_worth_asking_again(event.repeatable) {
                     break;
                 }
+                doubt |= read.executed != Executed::No;
             }
             // Only what may run twice can be asked elsewhere: the lookup may have run.
             Sent::Broken if !event.repeatable => break,
-            Sent::Broken => {}
+            Sent::Broken => doubt = true,
         }
     }
     let record = LookupRecord {
--- a/crates/lab/src/replay/faults.rs
+++ b/crates/lab/src/replay/faults.rs
@@ -140,11 +140,9 @@
             fleet.engine_fault(index, Fault::Slow(factor))
         }
         (FaultKind::Leave, begins) => {
-            if begins {
-                let engine = EngineId(u32::try_from(index).unwrap_or(u32::MAX));
-                let at = Timestamp::ZERO.plus(fleet.started().elapsed());
-                observer.note(|history| history.leaving.push((engine, at)));
-            }
+            let engine = EngineId(u32::try_from(index).unwrap_or(u32::MAX));
+            let at = Timestamp::ZERO.plus(fleet.started().elapsed());
+            observer.leaving(engine, begins, at);
             fleet.engine_fault(index, Fault::Leave(begins))
         }
         (FaultKind::DropEvents, begins) => fleet.engine_fault(index, Fault::DropEvents(begins)),
--- a/crates/lab/src/replay/http_client.rs
+++ b/crates/lab/src/replay/http_client.rs
@@ -6,7 +6,7 @@
 use eventsource_stream::Eventsource;
 use futures_util::{Stream, StreamExt};
 use luglink_engine_api::{HEADER_IDEMPOTENCY_KEY, HEADER_REPEATABLE, Problem, Usage};
-use luglink_types::{Executed, RefusalCode, TokenUsage};
+use luglink_types::{RefusalCode, TokenUsage};
 use serde::Deserialize;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -60,11 +60,6 @@
     codes.into_iter().find(|code| code.as_str() == problem.code)
 }
 
-/// Whether a refusal promises that nothing ran.
-pub(crate) fn is_not_run(problem: &Problem) -> bool {
-    problem.executed == Executed::No
-}
-
 pub(crate) async fn create_program(
     client: &Client,
     daemon: SocketAddr,
--- a/crates/lab/src/replay/run.rs
+++ b/crates/lab/src/replay/run.rs
@@ -7,6 +7,7 @@
 use crate::replay::http_client::new_client;
 use crate::replay::plan::ReplayPlan;
 use crate::replay::{faults, operator, settle};
+use crate::sim::{SimFaultKind, SimResult};
 use crate::trace::{FaultKind, TraceEvent};
 use luglink_types::Timestamp;
 use std::cell::RefCell;
@@ -24,14 +25,29 @@
     pub history: History,
     /// What the engines say of their caches.
     pub caches: Vec<CacheUse>,
-    /// Faults that happened.
-    pub faults: BTreeMap<FaultKind, u64>,
+    /// Faults that happened, by kind.
+    pub faults: BTreeMap<&'static str, u64>,
     /// How long it took.
     pub elapsed: Duration,
     /// Changes that could not even be sent.
     pub problems: Vec<String>,
 }
 
+impl From<SimResult> for ReplayResult {
+    fn from(result: SimResult) -> Self {
+        let faults = result.faults.by_kind.iter();
+        Self {
+            faults: faults
+                .map(|(kind, count)| (kind.as_str(), *count))
+                .collect(),
+            history: result.history,
+            caches: result.caches,
+            elapsed: result.elapsed,
+            problems: result.problems,
+        }
+    }
+}
+
 /// Starts a fleet, replays a trace against it, and stops it. `progress` is told now and then
 /// how many of all requests have ended.
 ///
@@ -72,10 +88,14 @@
     reporting.abort();
     let elapsed = fleet.started().elapsed();
     fleet.stop().await;
+    let faults = counts
+        .into_iter()
+        .map(|(kind, count)| (SimFaultKind::from(kind).as_str(), count))
+        .collect();
     Ok(ReplayResult {
         history: observer.history(),
         caches,
-        faults: counts,
+        faults,
         elapsed,
         problems,
     })
--- a/crates/storage/src/memory_disk.rs
+++ b/crates/storage/src/memory_disk.rs
@@ -31,6 +31,7 @@
 pub struct MemoryDisk {
     files: BTreeMap<String, MemoryFile>,
     full: bool,
+    sync_fails: bool,
     syncs: u64,
 }
 
@@ -55,6 +56,7 @@
             file.content.truncate(file.synced + kept);
             file.synced = file.content.len();
         }
+        self.sync_fails = false;
         self.files.retain(|_, file| !file.content.is_empty());
     }
 
@@ -63,6 +65,11 @@
         self.full = full;
     }
 
+    /// Makes every later sync fail with the writes before it not durable, or work again.
+    pub fn set_sync_fails(&mut self, fails: bool) {
+        self.sync_fails = fails;
+    }
+
     /// Flips one bit, as failing hardware does.
     pub fn flip_bit(&mut self, file: &str, offset: usize) {
         let byte = self
@@ -129,6 +136,14 @@
 
     fn sync(&mut self, file: &str) -> Result<(), StorageError> {
         self.check_space(file)?;
+        if self.sync_fails {
+            let source = Error::other("the machine stopped before the sync ended");
+            return Err(IoSnafu {
+                action: "sync",
+                file,
+            }
+            .into_error(source));
+        }
         self.syncs += 1;
         if let Some(file) = self.files.get_mut(file) {
             file.synced = file.content.len();
@@ -138,6 +153,15 @@
 
     fn replace(&mut self, file: &str, bytes: &[u8]) -> Result<(), StorageError> {
         self.check_space(file)?;
+        if self.sync_fails {
+            // The old content stays, as a rename that never happened leaves it.
+            let source = Error::other("the machine stopped before the sync ended");
+            return Err(IoSnafu {
+                action: "replace",
+                file,
+            }
+            .into_error(source));
+        }
         self.syncs += 1;
         let content = MemoryFile {
             content: bytes.to_vec(),
