Add eighteen failure scenarios and run them over many seeds

Cause: the promises had checkers but nothing that provoked the failures they speak of, and so no promise had been seen to hold or to break under one.

Change: `luglink-lab sim` runs scenarios (fleet, load, faults from a seed) on all cores and checks every promise after each; `--list` names scenarios and checkers, `--explain` tells the story of a seed. Configuration is checked for linearizability and lost updates, accounts against what engines really did.

--- a/crates/lab/src/check/mod.rs
+++ b/crates/lab/src/check/mod.rs
@@ -72,6 +72,27 @@
     }
 }
 
+impl Promise {
+    /// The promise in the brief's sense, in a sentence.
+    #[must_use]
+    pub const fn description(self) -> &'static str {
+        match self {
+            Self::ProgramOrder => "Calls of one program run in the order they were issued.",
+            Self::HistoryIntact => "A program's history is never lost and never mixed up.",
+            Self::BudgetKept => "A program never spends beyond its budget.",
+            Self::MemoryReleased => "Engines hold nothing of programs that have ended.",
+            Self::WholeAnswers => "Every caller gets the whole answer to its own request.",
+            Self::NotRunIsNotRun => "What is refused as not run did not run.",
+            Self::AtMostOnce => "What must not be repeated runs at most once.",
+            Self::LeavingGetsNoWork => "A leaving engine gets no new work after 3 s.",
+            Self::PlannedStopCutsNothing => "A planned stop cuts off no request in flight.",
+            Self::ConfigurationInForce => {
+                "An accepted change is in force everywhere within 19 s and is never lost."
+            }
+        }
+    }
+}
+
 impl fmt::Display for Promise {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(self.as_str())
--- a/crates/lab/src/cli/mod.rs
+++ b/crates/lab/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod generate;
 mod replay;
+mod sim;
 
 use bpaf::Bpaf;
 use std::process::ExitCode;
@@ -20,6 +21,9 @@
     /// Replay a trace file
     #[bpaf(command)]
     Replay(#[bpaf(external(replay::replay_options))] replay::ReplayOptions),
+    /// Run scenarios on the simulator's virtual clock, over many seeds, and check every promise
+    #[bpaf(command)]
+    Sim(#[bpaf(external(sim::sim_options))] sim::SimOptions),
     /// Write a seeded trace to standard output
     #[bpaf(command)]
     Generate(#[bpaf(external(generate::generate_options))] generate::GenerateOptions),
@@ -34,6 +38,7 @@
     let outcome = match command().run() {
         Command::Demo(options) => demo::run(&options),
         Command::Replay(options) => replay::run(&options),
+        Command::Sim(options) => sim::run(&options),
         Command::Generate(options) => generate::run(&options),
     };
     match outcome {
--- a/crates/lab/src/sim/control.rs
+++ b/crates/lab/src/sim/control.rs
@@ -16,9 +16,6 @@
 use rand::Rng;
 use std::time::Duration;
 
-/// The client number that control processes use for requests of their own.
-const OWN_CLIENT: u64 = u64::MAX - 1;
-
 /// A slow disk is slower by this factor.
 const SLOW_DISK_FACTOR: u32 = 60;
 
@@ -298,9 +295,6 @@
                 self.send(from, to, Message::Peer { group, envelope });
             }
             Output::Reply { token, response } => {
-                if token == own_token() {
-                    return;
-                }
                 let client = ControlClientId(token.client);
                 let delivery = Message::ControlResponse {
                     request: token.request,
@@ -314,7 +308,9 @@
 
     /// A response belongs to the connection of one process of the client.
     fn send_to_client(&mut self, from: Node, client: ControlClientId, message: Message) {
-        let to = client.node();
+        let Some(to) = client.node() else {
+            return;
+        };
         if let Node::Daemon(daemon) = to
             && self.daemons[daemon].process != client.process()
         {
@@ -365,7 +361,7 @@
 
 fn own_token() -> RequestToken {
     RequestToken {
-        client: OWN_CLIENT,
+        client: ControlClientId::OWN.0,
         request: 0,
     }
 }
--- a/crates/lab/src/sim/faults.rs
+++ b/crates/lab/src/sim/faults.rs
@@ -71,6 +71,21 @@
     }
 }
 
+/// Whom a fault hits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SimTarget {
+    /// A process or zone by its name.
+    Named(FaultTarget),
+    /// The control member that leads this group when the fault begins.
+    Leader(u32),
+}
+
+impl From<FaultTarget> for SimTarget {
+    fn from(target: FaultTarget) -> Self {
+        Self::Named(target)
+    }
+}
+
 /// One fault of a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SimFault {
@@ -79,7 +94,7 @@
     /// What.
     pub kind: SimFaultKind,
     /// To whom.
-    pub target: FaultTarget,
+    pub target: SimTarget,
     /// For how long; to the end of the trace when absent.
     pub length: Option<Duration>,
 }
@@ -89,7 +104,7 @@
         Self {
             at: Duration::from_millis(event.at_ms),
             kind: event.kind.into(),
-            target: event.target.clone(),
+            target: event.target.clone().into(),
             length: event.for_ms.map(Duration::from_millis),
         }
     }
--- a/crates/lab/src/sim/injection.rs
+++ b/crates/lab/src/sim/injection.rs
@@ -1,11 +1,12 @@
 //! Bringing faults about, and ending them.
 
-use crate::sim::faults::{SimFault, SimFaultKind};
+use crate::sim::faults::{SimFault, SimFaultKind, SimTarget};
 use crate::sim::message::SimEvent;
 use crate::sim::network::{CutDirection, Side};
 use crate::sim::node::Node;
 use crate::sim::world::World;
 use crate::trace::FaultTarget;
+use luglink_types::GroupId;
 use std::time::Duration;
 
 /// A slow engine is slower by this factor.
@@ -19,7 +20,23 @@
 
 impl World {
     /// The processes that a target names.
-    fn targets(&self, target: &FaultTarget) -> Vec<Node> {
+    fn targets(&self, target: &SimTarget) -> Vec<Node> {
+        match target {
+            SimTarget::Named(target) => self.named(target),
+            SimTarget::Leader(group) => self.leading_member(*group).into_iter().collect(),
+        }
+    }
+
+    fn leading_member(&self, group: u32) -> Option<Node> {
+        let group = GroupId(group);
+        let leads = |member: &usize| {
+            let node = self.control[*member].node.as_ref();
+            node.is_some_and(|node| node.leads(group))
+        };
+        (0..self.control.len()).find(leads).map(Node::Control)
+    }
+
+    fn named(&self, target: &FaultTarget) -> Vec<Node> {
         match target {
             FaultTarget::Daemon(index) if *index < self.daemons.len() => vec![Node::Daemon(*index)],
             FaultTarget::Control(index) if *index < self.control.len() => {
@@ -46,16 +63,23 @@
     }
 
     pub(crate) fn fault(&mut self, number: usize, begins: bool) {
-        let fault = self.plan.faults[number].clone();
+        let mut fault = self.plan.faults[number].clone();
         if begins {
-            self.fault_begins(number, &fault);
+            self.fault_begins(number, &mut fault);
+            // Whoever led when the fault began is the one it ends for.
+            self.plan.faults[number].target = fault.target;
         } else {
             self.fault_ends(number, &fault);
         }
         self.note_isolations();
     }
 
-    fn fault_begins(&mut self, number: usize, fault: &SimFault) {
+    fn fault_begins(&mut self, number: usize, fault: &mut SimFault) {
+        if matches!(fault.target, SimTarget::Leader(_))
+            && let Some(Node::Control(member)) = self.targets(&fault.target).first()
+        {
+            fault.target = FaultTarget::Control(*member).into();
+        }
         match fault.kind {
             SimFaultKind::Partition | SimFaultKind::OneWayPartition | SimFaultKind::RegionCut => {
                 self.cut(number, fault);
@@ -66,7 +90,7 @@
                 self.faults.note(fault.kind);
             }
             _ => {
-                let silent = matches!(fault.target, FaultTarget::Zone(_));
+                let silent = matches!(fault.target, SimTarget::Named(FaultTarget::Zone(_)));
                 for node in self.targets(&fault.target) {
                     if self.hit(node, fault, silent) {
                         self.faults.note(fault.kind);
@@ -78,13 +102,15 @@
 
     fn cut(&mut self, number: usize, fault: &SimFault) {
         let side = match &fault.target {
-            FaultTarget::Zone(name) => self.config.topology.zone_named(name).map(|zone| {
-                if fault.kind == SimFaultKind::RegionCut {
-                    Side::Region(self.config.topology.zones[zone].region)
-                } else {
-                    Side::Zone(zone)
-                }
-            }),
+            SimTarget::Named(FaultTarget::Zone(name)) => {
+                self.config.topology.zone_named(name).map(|zone| {
+                    if fault.kind == SimFaultKind::RegionCut {
+                        Side::Region(self.config.topology.zones[zone].region)
+                    } else {
+                        Side::Zone(zone)
+                    }
+                })
+            }
             target => self.targets(target).first().copied().map(Side::Node),
         };
         let direction = if fault.kind == SimFaultKind::OneWayPartition {
--- a/crates/lab/src/sim/look.rs
+++ b/crates/lab/src/sim/look.rs
@@ -2,7 +2,7 @@
 //! it is over.
 
 use crate::observe::{Departure, HeldMemory, RevisionSeen};
-use crate::sim::message::{Message, SimEvent};
+use crate::sim::message::{ControlClientId, Message, SimEvent};
 use crate::sim::node::Node;
 use crate::sim::world::{Stage, World};
 use luglink_control::{ControlNode, Input, Request, RequestToken};
@@ -31,9 +31,6 @@
 /// Time that a settled fleet is watched at least, so that late messages have arrived.
 const SETTLE_MINIMUM: Duration = Duration::from_secs(2);
 
-/// The client number of the operators who repair members.
-const REPAIR_CLIENT: u64 = u64::MAX - 2;
-
 impl World {
     pub(crate) fn look(&mut self) {
         self.note_isolations();
@@ -288,7 +285,7 @@
             };
             let request = Request::ChangeMembership { group, change };
             let token = RequestToken {
-                client: REPAIR_CLIENT,
+                client: ControlClientId::REPAIR.0,
                 request: 0,
             };
             self.control_input(
--- a/crates/lab/src/sim/message.rs
+++ b/crates/lab/src/sim/message.rs
@@ -17,6 +17,15 @@
     /// The client number that stands for all operators.
     const OPERATORS: u64 = u64::MAX;
 
+    /// Clients from here on are no daemons: operators and the members themselves.
+    const FIRST_OTHER: u64 = u64::MAX - 15;
+
+    /// The operators who repair members; they look at the outcome, not at the answer.
+    pub(crate) const REPAIR: Self = Self(u64::MAX - 2);
+
+    /// A member's requests to itself.
+    pub(crate) const OWN: Self = Self(u64::MAX - 1);
+
     pub(crate) fn daemon(index: usize, process: u32) -> Self {
         Self(((index as u64) << 32) | u64::from(process))
     }
@@ -25,12 +34,13 @@
         Self(Self::OPERATORS)
     }
 
-    pub(crate) fn node(self) -> Node {
+    /// Where responses go; `None` when nobody reads them.
+    pub(crate) fn node(self) -> Option<Node> {
         if self.0 == Self::OPERATORS {
-            Node::Operators
-        } else {
-            Node::Daemon(usize::try_from(self.0 >> 32).unwrap_or(usize::MAX))
+            return Some(Node::Operators);
         }
+        let daemon = usize::try_from(self.0 >> 32).ok()?;
+        (self.0 < Self::FIRST_OTHER).then_some(Node::Daemon(daemon))
     }
 
     pub(crate) fn process(self) -> u32 {
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -21,13 +21,14 @@
 mod network;
 mod node;
 mod operators;
+pub mod scenario;
 mod services;
 mod topology;
 mod world;
 
 pub use clock::ClockError;
 pub use config::{ClockSkew, SimConfig};
-pub use faults::{FaultCounts, SimFault, SimFaultKind};
+pub use faults::{FaultCounts, SimFault, SimFaultKind, SimTarget};
 pub use network::NetworkConfig;
 pub use node::Node;
 pub use topology::{SimZone, Topology};
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -43,6 +43,8 @@
     pub caches: Vec<CacheUse>,
     /// Faults that really happened.
     pub faults: FaultCounts,
+    /// When the trace began.
+    pub base: Timestamp,
     /// Virtual time that the run took.
     pub elapsed: Duration,
     /// Digest of the event trace.
@@ -387,6 +389,7 @@
             history: std::mem::take(&mut self.history),
             caches,
             faults: self.faults.clone(),
+            base: self.base,
             elapsed: self.now.since(self.base),
             digest: self.digest.finish(),
             events: self.digest.events(),
