Never refuse a call as not run after an attempt that may have run

Cause: a repeatable call whose first attempt ended uncertain is sent again as a new intent. When that intent was refused (the program had ended while the engine hung), the refusal of the intent went to the caller as it was, with executed "no", although the first attempt had run. Excluded: a wrong outcome class (the outcome was recorded as uncertain) and the engine (it ran once).

Change: a call remembers that an attempt may have run; every later refusal of it says "unknown".

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -65,6 +65,8 @@
     pub(crate) outcome: Option<OutcomeClass>,
     /// Part of the answer has gone to the caller, so the call cannot start over unnoticed.
     pub(crate) part_sent: bool,
+    /// An engine may have run an earlier attempt: no refusal may say that nothing ran.
+    pub(crate) may_have_run: bool,
     /// Ownership was taken again because another daemon had it.
     pub(crate) reacquired: bool,
     /// The program consists of this call only and ends with it.
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -11,7 +11,7 @@
 use crate::queue::QueuedCall;
 use luglink_program::{BeginCall, Begun, Command, CreateProgram, EndReason, Reply};
 use luglink_types::{
-    AttemptNumber, Epoch, IdempotencyKey, ProgramId, Refusal, RefusalCode, Sequence, Timestamp,
+    AttemptNumber, Epoch, Executed, IdempotencyKey, ProgramId, Refusal, RefusalCode, Sequence, Timestamp,
     TokenUsage, count_tokens,
 };
 use std::time::Duration;
@@ -99,6 +99,7 @@
             usage: TokenUsage::default(),
             outcome: None,
             part_sent: false,
+            may_have_run: false,
             reacquired: false,
             one_shot,
             request,
@@ -426,10 +427,13 @@
     }
 
     /// Refuses a call and lets the program's next one start.
-    pub(crate) fn close_refused(&mut self, id: CallId, refusal: Refusal) {
+    pub(crate) fn close_refused(&mut self, id: CallId, mut refusal: Refusal) {
         let Some(call) = self.remove_call(id) else {
             return;
         };
+        if call.may_have_run {
+            refusal.executed = Executed::Unknown;
+        }
         match call.ticket {
             Some(ticket) => self.refuse(ticket, refusal),
             None => self.counters.refused += 1,
--- a/crates/daemon/src/outcomes.rs
+++ b/crates/daemon/src/outcomes.rs
@@ -14,9 +14,10 @@
     /// Decides what follows a failed attempt. Only classes that are safe to retry lead to
     /// another attempt, within the call's, the program's and the daemon's retry bounds.
     pub(crate) fn on_attempt_failed(&mut self, id: CallId, class: OutcomeClass) {
-        let Some(call) = self.calls.get(&id) else {
+        let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        call.may_have_run |= !class.spent_nothing();
         let may_retry =
             class.retry_is_safe() && !call.part_sent && call.attempts < self.config.max_attempts;
         if may_retry
--- /dev/null
+++ b/crates/lab/tests/found_seeds.rs
@@ -0,0 +1,23 @@
+//! Seeds in which the simulator once found a fault. Each must stay clean.
+
+use luglink_lab::sim::scenario::{Scenario, run_scenario};
+
+fn assert_clean(scenario: Scenario, seeds: &[u64]) {
+    for seed in seeds {
+        let report = run_scenario(scenario, *seed..*seed + 1, 1);
+        assert!(
+            report.failures.is_empty(),
+            "{} seed {seed}: {:#?}",
+            scenario.as_str(),
+            report.failures
+        );
+    }
+}
+
+/// A call ran at an engine that broke; its second intent was refused because the program had
+/// ended meanwhile, and the caller was told that nothing had run.
+#[test]
+fn a_call_that_ran_is_not_refused_as_not_run() {
+    assert_clean(Scenario::LeavingEngine, &[376]);
+    assert_clean(Scenario::CrossedLateAnswers, &[0]);
+}
