Make claims to a program idempotent, refuse late intents and early daemons

Cause: three faults of the same kind, a request that arrives at the wrong time. (1) Each copy of a take-over raised the epoch, so that a copy which the network kept back took the program from its own sender and lost its call in flight. (2) A copy of an intent that arrived after its call was closed as not dispatched opened a call that no daemon knew of. (3) A daemon that had not read any configuration yet refused calls with unknown_resource, as if the operators had removed the model.

Change: take-overs and creations carry a claim, drawn at random; the holder's claim changes nothing, one of the last eight old claims is refused. Intents are numbered within an epoch. A daemon without configuration refuses with control_unavailable and Retry-After. A caller whose connection was never made no longer counts that as a doubt.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -11,8 +11,8 @@
 use crate::queue::QueuedCall;
 use luglink_program::{BeginCall, Begun, Command, CreateProgram, EndReason, Reply};
 use luglink_types::{
-    AttemptNumber, Epoch, Executed, IdempotencyKey, ProgramId, Refusal, RefusalCode, Sequence, Timestamp,
-    TokenUsage, count_tokens,
+    AttemptNumber, Epoch, Executed, IdempotencyKey, ProgramId, Refusal, RefusalCode, Sequence,
+    Timestamp, TokenUsage, count_tokens,
 };
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
 
 impl Daemon {
     pub(crate) fn on_call(&mut self, ticket: TicketId, request: CallRequest) {
-        if self.refuse_when_draining(ticket) {
+        if self.refuse_when_not_ready(ticket) {
             return;
         }
         if request.messages.is_empty() {
@@ -130,7 +130,7 @@
                 | Purpose::CreateOneShot { program: asked } if *asked == program)
         });
         if !already_asked {
-            self.acquire(program, None);
+            self.acquire(program);
         }
     }
 
@@ -143,6 +143,7 @@
             program,
             spec,
             owner: self.config.daemon,
+            claim: self.new_claim(),
         });
         self.submit_command(program, command, Purpose::CreateOneShot { program });
     }
@@ -268,6 +269,8 @@
             return;
         };
         call.phase = Phase::Beginning;
+        self.last_intent += 1;
+        let intent = self.last_intent;
         let program = call.program;
         let Some(held) = self.programs.get(&program).and_then(ServedProgram::held) else {
             return;
@@ -279,6 +282,7 @@
         let command = Command::Begin(BeginCall {
             program,
             epoch: held.epoch,
+            intent,
             sequence: call.request.sequence,
             key: Some(call.key.clone()),
             messages: call.request.messages.clone(),
@@ -364,7 +368,7 @@
             served.current = None;
             served.waiting.push_front(id);
         }
-        self.acquire(program, None);
+        self.acquire(program);
     }
 
     /// The program has ended: repeated keys still get their stored answers.
@@ -394,6 +398,7 @@
         let command = Command::Begin(BeginCall {
             program: call.program,
             epoch: Epoch(0),
+            intent: 0,
             sequence: call.request.sequence,
             key: Some(call.key.clone()),
             messages: call.request.messages.clone(),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -118,6 +118,7 @@
     last_call: CallId,
     last_attempt: AttemptId,
     last_lookup: LookupId,
+    pub(crate) last_intent: u64,
     watch_member: usize,
     watch_due: Option<Timestamp>,
     renew_due: Timestamp,
@@ -132,6 +133,9 @@
 /// Pause before a failed watch goes to another member.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
 
+/// Wait that is suggested to callers of a daemon that is starting or stopping.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Longest time between two looks at queues and deadlines.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -166,6 +170,7 @@
             last_call: CallId::default(),
             last_attempt: AttemptId::default(),
             last_lookup: LookupId::default(),
+            last_intent: 0,
             // Daemons spread over the members, so that none of them feeds the whole fleet.
             watch_member: config.daemon.0 as usize % config.members.len(),
             watch_due: Some(now),
@@ -450,13 +455,22 @@
         })
     }
 
-    pub(crate) fn refuse_when_draining(&mut self, ticket: TicketId) -> bool {
-        if self.draining {
-            let refusal = Refusal::not_run(RefusalCode::Draining, "this daemon is stopping")
-                .retry_after(Duration::from_secs(1));
-            self.refuse(ticket, refusal);
+    /// Refuses a request when the daemon is stopping, or has no configuration yet and so cannot
+    /// tell what exists from what does not.
+    pub(crate) fn refuse_when_not_ready(&mut self, ticket: TicketId) -> bool {
+        if self.is_ready() {
+            return false;
         }
-        self.draining
+        let refusal = if self.draining {
+            Refusal::not_run(RefusalCode::Draining, "this daemon is stopping")
+        } else {
+            Refusal::not_run(
+                RefusalCode::ControlUnavailable,
+                "this daemon has no configuration yet",
+            )
+        };
+        self.refuse(ticket, refusal.retry_after(NOT_READY_RETRY_AFTER));
+        true
     }
 
     pub(crate) fn answer(&mut self, ticket: TicketId, answer: Answer) {
--- a/crates/daemon/src/lookup.rs
+++ b/crates/daemon/src/lookup.rs
@@ -34,7 +34,7 @@
 
 impl Daemon {
     pub(crate) fn on_lookup(&mut self, ticket: TicketId, request: LookupRequest) {
-        if self.refuse_when_draining(ticket) {
+        if self.refuse_when_not_ready(ticket) {
             return;
         }
         if self.lookups.len() >= MAX_LOOKUPS {
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -81,6 +81,8 @@
     /// Calls that wait for it.
     pub(crate) waiting: VecDeque<CallId>,
     pub(crate) used_at: Timestamp,
+    /// Claims that were refused since the program was last held.
+    pub(crate) refused_claims: u32,
 }
 
 impl ServedProgram {
@@ -90,6 +92,7 @@
             current: None,
             waiting: VecDeque::new(),
             used_at: now,
+            refused_claims: 0,
         }
     }
 
--- a/crates/daemon/src/programs.rs
+++ b/crates/daemon/src/programs.rs
@@ -7,12 +7,12 @@
 use crate::daemon::{Daemon, Purpose, control_unavailable};
 use crate::program::{HeldProgram, Ownership, ServedProgram};
 use luglink_control::{Request, Response};
-use luglink_program::{Command, CreateProgram, EndProgram, EndReason, Reply, TakeOver};
-use luglink_types::{Epoch, ProgramId, Refusal, RefusalCode, Timestamp};
+use luglink_program::{Claim, Command, CreateProgram, EndProgram, EndReason, Reply, TakeOver};
+use luglink_types::{ProgramId, Refusal, RefusalCode, Timestamp};
 
 impl Daemon {
     pub(crate) fn on_create(&mut self, ticket: TicketId, request: CreateRequest) {
-        if self.refuse_when_draining(ticket) {
+        if self.refuse_when_not_ready(ticket) {
             return;
         }
         let spec = match self.resolve_spec(&request.program, request.parent) {
@@ -24,6 +24,7 @@
             program,
             spec,
             owner: self.config.daemon,
+            claim: self.new_claim(),
         });
         self.submit_command(program, command, Purpose::Create { ticket });
     }
@@ -64,9 +65,12 @@
         }
     }
 
-    /// Starts to take ownership of a program. `known_epoch` is the epoch under which this
-    /// daemon believes to own it already.
-    pub(crate) fn acquire(&mut self, program: ProgramId, known_epoch: Option<Epoch>) {
+    pub(crate) fn new_claim(&mut self) -> Claim {
+        Claim(self.random_number())
+    }
+
+    /// Starts to take ownership of a program.
+    pub(crate) fn acquire(&mut self, program: ProgramId) {
         let served = self
             .programs
             .entry(program)
@@ -75,7 +79,7 @@
         let command = Command::TakeOver(TakeOver {
             program,
             daemon: self.config.daemon,
-            known_epoch,
+            claim: self.new_claim(),
         });
         self.counters.acquired += 1;
         self.submit_command(program, command, Purpose::Acquire { program });
@@ -87,6 +91,7 @@
                 if let Some(served) = self.programs.get_mut(&program) {
                     served.ownership = Ownership::Held(Box::new(HeldProgram::new(*owned)));
                     served.used_at = self.now;
+                    served.refused_claims = 0;
                 }
                 self.start_next_call(program);
             }
@@ -94,16 +99,27 @@
             Err(refusal) => {
                 // An ended program may still have answers to give for repeated keys: the
                 // state machine decides that call by call.
-                let ended = refusal.code == RefusalCode::ProgramEnded;
-                if ended {
-                    self.answer_calls_of_ended(program, &refusal);
-                } else {
-                    self.drop_program(program, &refusal);
+                match refusal.code {
+                    RefusalCode::ProgramEnded => self.answer_calls_of_ended(program, &refusal),
+                    RefusalCode::StaleOwner if self.may_claim_again(program) => {
+                        self.acquire(program);
+                    }
+                    _ => self.drop_program(program, &refusal),
                 }
             }
         }
     }
 
+    /// Another daemon's claim came between the sending of a claim and its reply. The calls that
+    /// wait here are newer than that, so this daemon claims once more, a few times at the most.
+    fn may_claim_again(&mut self, program: ProgramId) -> bool {
+        let Some(served) = self.programs.get_mut(&program) else {
+            return false;
+        };
+        served.refused_claims += 1;
+        !served.waiting.is_empty() && served.refused_claims <= MAX_REFUSED_CLAIMS
+    }
+
     /// Forgets a program and refuses every call that waits for it.
     pub(crate) fn drop_program(&mut self, program: ProgramId, refusal: &Refusal) {
         let Some(served) = self.programs.remove(&program) else {
@@ -230,6 +246,9 @@
     }
 }
 
+/// Claims to one program that may be refused before its calls are.
+const MAX_REFUSED_CLAIMS: u32 = 3;
+
 /// Idle programs that are kept at the most, whatever their history's size.
 const MAX_IDLE_PROGRAMS: usize = 20_000;
 
--- a/crates/lab/src/check/callers.rs
+++ b/crates/lab/src/check/callers.rs
@@ -99,6 +99,20 @@
     calls.chain(lookups).collect()
 }
 
+/// Whether the call's program ended while it ran, because a program above it was left: then the
+/// end cut it off and not the stop.
+fn ended_under_it(history: &History, call: &CallRecord) -> bool {
+    let named = |name: &str| history.programs.iter().find(|it| it.name == name);
+    let mut next = named(&call.program);
+    while let Some(program) = next {
+        if program.left_at.is_some_and(|(at, _)| at <= call.ended_at) {
+            return true;
+        }
+        next = program.parent.as_deref().and_then(named);
+    }
+    false
+}
+
 /// A request at a daemon that stops as planned must not lose its answer.
 pub(super) fn check_planned_stop(history: &History) -> Vec<String> {
     let unknown = history
@@ -106,6 +120,7 @@
         .iter()
         .filter(|call| call.during_planned_stop)
         .filter(|call| matches!(call.outcome, Outcome::Unknown { .. }))
+        .filter(|call| !ended_under_it(history, call))
         .map(|call| &call.request);
     history
         .cut_by_stop
--- a/crates/lab/src/cli/sim.rs
+++ b/crates/lab/src/cli/sim.rs
@@ -21,6 +21,8 @@
     /// Failing seeds that are shown of each scenario
     #[bpaf(argument("N"), fallback(5), display_fallback)]
     show: usize,
+    /// Print refusals and unknown outcomes by code, and faults by kind
+    details: bool,
     /// Print one line of JSON for each scenario
     json: bool,
     /// Tell the story of the first seed of one scenario in place of a table
@@ -91,6 +93,9 @@
             println!("{line}");
         } else {
             print_report(&report, options.show);
+            if options.details {
+                print_details(&report);
+            }
         }
     }
     Ok(holds)
@@ -144,6 +149,15 @@
     );
 }
 
+fn print_details(report: &ScenarioReport) {
+    for (code, count) in &report.codes {
+        println!("  {code}: {count}");
+    }
+    for (kind, count) in &report.faults.by_kind {
+        println!("  fault {}: {count}", kind.as_str());
+    }
+}
+
 fn print_report(report: &ScenarioReport, show: usize) {
     let faults: u64 = report.faults.by_kind.values().sum();
     println!(
--- a/crates/lab/src/sim/daemons.rs
+++ b/crates/lab/src/sim/daemons.rs
@@ -127,7 +127,8 @@
         }
         let from = Node::Daemon(daemon);
         for (ticket, to) in tickets {
-            self.send(from, to, Message::CallerBroken { ticket });
+            let connected = true;
+            self.send(from, to, Message::CallerBroken { ticket, connected });
         }
         for (attempt, to) in attempts {
             let message = Message::Cancel {
@@ -197,7 +198,8 @@
             return;
         };
         if let Some(ticket) = ticket_of(event) {
-            let message = Message::CallerBroken { ticket };
+            let connected = self.daemons[daemon].process != delivery.process;
+            let message = Message::CallerBroken { ticket, connected };
             self.send(Node::Daemon(daemon), delivery.from, message);
         }
     }
--- a/crates/lab/src/sim/message.rs
+++ b/crates/lab/src/sim/message.rs
@@ -105,8 +105,8 @@
     CallerRequest { event: Box<Event> },
     /// A daemon's answer to a caller.
     CallerAnswer { ticket: TicketId, answer: Answer },
-    /// A caller's connection broke.
-    CallerBroken { ticket: TicketId },
+    /// A caller's connection broke, or was never made.
+    CallerBroken { ticket: TicketId, connected: bool },
     /// The platform's list of leaving engines.
     Leaving { engines: Vec<EngineId> },
 }
--- a/crates/lab/src/sim/scenario/run.rs
+++ b/crates/lab/src/sim/scenario/run.rs
@@ -8,6 +8,7 @@
 use luglink_types::RefusalCode;
 use serde::Serialize;
 use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -45,6 +46,8 @@
     pub rightly_refused: u64,
     /// Calls with an unknown outcome.
     pub unknown: u64,
+    /// Refusals and unknown outcomes by code.
+    pub codes: BTreeMap<String, u64>,
     /// Attempts that daemons dispatched beyond one for each call they accepted.
     pub retries: u64,
     /// Faults that really happened.
@@ -82,6 +85,7 @@
     refused: u64,
     rightly_refused: u64,
     unknown: u64,
+    codes: BTreeMap<String, u64>,
     retries: u64,
     faults: FaultCounts,
     leaderless: Vec<Duration>,
@@ -130,6 +134,7 @@
                 refused: 0,
                 rightly_refused: 0,
                 unknown: 0,
+                codes: BTreeMap::new(),
                 retries: 0,
                 faults: FaultCounts::default(),
                 leaderless: Vec::new(),
@@ -147,6 +152,7 @@
         refused: count(|outcome| matches!(outcome, Outcome::Refused { .. })),
         rightly_refused: count(is_rightly_refused),
         unknown: count(|outcome| matches!(outcome, Outcome::Unknown { .. })),
+        codes: codes(&result.history),
         retries: result.counters.retries,
         events: result.events,
         what: result.problems,
@@ -157,6 +163,20 @@
     }
 }
 
+fn codes(history: &History) -> BTreeMap<String, u64> {
+    let mut codes = BTreeMap::new();
+    for call in &history.calls {
+        let name = match &call.outcome {
+            Outcome::Completed { .. } => continue,
+            Outcome::Refused { code } => format!("refused {code}"),
+            Outcome::Unknown { code: Some(code) } => format!("unknown {code}"),
+            Outcome::Unknown { code: None } => "no answer".to_owned(),
+        };
+        *codes.entry(name).or_default() += 1;
+    }
+    codes
+}
+
 fn is_rightly_refused(outcome: &Outcome) -> bool {
     let Outcome::Refused { code } = outcome else {
         return false;
@@ -192,6 +212,9 @@
         report.refused += result.refused;
         report.rightly_refused += result.rightly_refused;
         report.unknown += result.unknown;
+        for (code, count) in result.codes {
+            *report.codes.entry(code).or_default() += count;
+        }
         report.retries += result.retries;
         report.faults.add(&result.faults);
         report.virtual_seconds += result.elapsed.as_secs_f64();
--- a/crates/lab/tests/found_seeds.rs
+++ b/crates/lab/tests/found_seeds.rs
@@ -21,3 +21,9 @@
     assert_clean(Scenario::LeavingEngine, &[376]);
     assert_clean(Scenario::CrossedLateAnswers, &[0]);
 }
+
+/// A daemon that had just started refused calls of models it did not know of yet.
+#[test]
+fn a_daemon_without_configuration_is_not_believed_about_it() {
+    assert_clean(Scenario::PlannedStop, &[106, 118, 255]);
+}
--- a/crates/program/src/command.rs
+++ b/crates/program/src/command.rs
@@ -38,8 +38,16 @@
     pub spec: ProgramSpec,
     /// The daemon that serves the program.
     pub owner: DaemonId,
+    /// Its name for this claim to ownership.
+    pub claim: Claim,
 }
 
+/// A daemon's name for one claim to a program, drawn at random. A request that was sent twice
+/// claims once: without it, a take-over that the network repeats would take the program away
+/// from its own sender, and the call that runs by then would be lost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Claim(pub u64);
+
 /// Moves a program to another daemon under a higher epoch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TakeOver {
@@ -47,9 +55,9 @@
     pub program: ProgramId,
     /// The new owner.
     pub daemon: DaemonId,
-    /// The epoch that the new owner believes to be current, if it knows one. A repeated
-    /// take-over by the current owner under its own epoch changes nothing.
-    pub known_epoch: Option<Epoch>,
+    /// Its name for this claim. The claim that holds the program already changes nothing; one
+    /// that another claim has followed is refused.
+    pub claim: Claim,
 }
 
 /// The intent of a call: checks order, owner and budget, and reserves the call's ceiling.
@@ -59,6 +67,9 @@
     pub program: ProgramId,
     /// Epoch of the daemon that asks.
     pub epoch: Epoch,
+    /// The owner's number for the intent, rising within its epoch. An intent that arrives after
+    /// a later one is a late copy that nobody waits for.
+    pub intent: u64,
     /// Place of the call, when the caller states it.
     pub sequence: Option<Sequence>,
     /// The caller's name for the call.
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -20,7 +20,7 @@
 pub use account::{Account, RefundRule};
 pub use call::{CallRecord, CallState, StoredAnswer, request_fingerprint};
 pub use command::{
-    BeginCall, Command, ConfirmRelease, CreateProgram, EndProgram, EndReason, FinishCall,
+    BeginCall, Claim, Command, ConfirmRelease, CreateProgram, EndProgram, EndReason, FinishCall,
     ProgramSpec, RenewLease, RetryCall, TakeOver,
 };
 pub use program::{OwnerLease, Program, ProgramStatus};
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -2,14 +2,14 @@
 
 use crate::account::{Account, RefundRule};
 use crate::call::{CallRecord, CallState, StoredAnswer};
-use crate::command::{EndReason, FinishCall, ProgramSpec};
+use crate::command::{Claim, CreateProgram, EndReason, FinishCall, ProgramSpec};
 use crate::reply::{Owned, ProgramView};
 use luglink_types::{
     Budget, Charge, ChatMessage, DaemonId, EngineId, Epoch, IdempotencyKey, OutcomeClass,
     ProgramId, Refusal, RefusalCode, Role, Sequence, Timestamp, UNLIMITED,
 };
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Whether a program runs.
@@ -34,6 +34,10 @@
     pub daemon: DaemonId,
     /// Its epoch; every take-over raises it.
     pub epoch: Epoch,
+    /// The claim by which it holds the program.
+    pub claim: Claim,
+    /// Its latest intent.
+    pub last_intent: u64,
     /// Last time the owner was heard of.
     pub renewed_at: Timestamp,
 }
@@ -53,17 +57,25 @@
     pub(crate) engines: BTreeSet<EngineId>,
     pub(crate) created_at: Timestamp,
     pub(crate) active_at: Timestamp,
+    /// Claims that another one has followed, the latest last.
+    pub(crate) old_claims: VecDeque<Claim>,
 }
 
+/// Old claims that are remembered. A copy of a request that is older than this many take-overs
+/// has outlived every timeout of its sender.
+const OLD_CLAIMS: usize = 8;
+
 impl Program {
-    pub(crate) fn new(id: ProgramId, spec: ProgramSpec, owner: DaemonId, at: Timestamp) -> Self {
+    pub(crate) fn new(create: &CreateProgram, at: Timestamp) -> Self {
         Self {
-            id,
-            spec,
+            id: create.program,
+            spec: create.spec.clone(),
             status: ProgramStatus::Active,
             owner: OwnerLease {
-                daemon: owner,
+                daemon: create.owner,
                 epoch: Epoch(1),
+                claim: create.claim,
+                last_intent: 0,
                 renewed_at: at,
             },
             next_sequence: Sequence(0),
@@ -74,7 +86,20 @@
             engines: BTreeSet::new(),
             created_at: at,
             active_at: at,
+            old_claims: VecDeque::new(),
+        }
+    }
+
+    /// Gives the program to the daemon of a new claim.
+    pub(crate) fn change_owner(&mut self, daemon: DaemonId, claim: Claim) {
+        self.old_claims.push_back(self.owner.claim);
+        if self.old_claims.len() > OLD_CLAIMS {
+            self.old_claims.pop_front();
         }
+        self.owner.daemon = daemon;
+        self.owner.claim = claim;
+        self.owner.last_intent = 0;
+        self.owner.epoch = self.owner.epoch.next();
     }
 
     /// Whether the program may make calls.
--- a/crates/program/src/store.rs
+++ b/crates/program/src/store.rs
@@ -99,17 +99,16 @@
         if let Some(existing) = self.programs.get(&create.program) {
             check_same_spec(existing, create)?;
             // The same request again, perhaps at another daemon because the first one died.
-            let known_epoch = Some(existing.owner.epoch);
             return self.take_over(&TakeOver {
                 program: create.program,
                 daemon: create.owner,
-                known_epoch,
+                claim: create.claim,
             });
         }
         if let Some(parent) = create.spec.parent {
             self.attach_child(parent, create.program)?;
         }
-        let program = Program::new(create.program, create.spec.clone(), create.owner, self.now);
+        let program = Program::new(create, self.now);
         let reply = Reply::Owned(Box::new(program.owned()));
         self.programs.insert(create.program, program);
         Ok(reply)
@@ -136,11 +135,14 @@
     fn take_over(&mut self, take_over: &TakeOver) -> Result<Reply, Refusal> {
         let now = self.now;
         let program = self.active_mut(take_over.program)?;
-        let already_owner = program.owner.daemon == take_over.daemon
-            && take_over.known_epoch == Some(program.owner.epoch);
-        if !already_owner {
-            program.owner.daemon = take_over.daemon;
-            program.owner.epoch = program.owner.epoch.next();
+        if program.old_claims.contains(&take_over.claim) {
+            return Err(Refusal::not_run(
+                RefusalCode::StaleOwner,
+                "another daemon has taken the program over since",
+            ));
+        }
+        if program.owner.claim != take_over.claim {
+            program.change_owner(take_over.daemon, take_over.claim);
             let lost = program.abandon_call_in_flight();
             self.spend_lost(take_over.program, lost);
         }
@@ -158,6 +160,7 @@
         }
         check_active(program)?;
         program.check_epoch(begin.epoch)?;
+        check_intent(program, begin)?;
         check_order(program, begin)?;
         self.check_deadlines(begin.program, &begin.ceiling)?;
         let reservation = call_ceiling(
@@ -168,6 +171,7 @@
         self.reserve(begin.program, &begin.ceiling, &reservation)?;
         let now = self.now;
         let program = self.active_mut(begin.program)?;
+        program.owner.last_intent = begin.intent;
         let absorbed = program.absorb_uncertain_messages();
         let sequence = program.next_sequence;
         program.calls.push(CallRecord {
@@ -617,6 +621,21 @@
     ))
 }
 
+/// An intent that was overtaken by a later one is a copy that the network kept back: its sender
+/// has long had an answer to it and will not look at another.
+fn check_intent(program: &Program, begin: &BeginCall) -> Result<(), Refusal> {
+    if begin.intent > program.owner.last_intent {
+        return Ok(());
+    }
+    Err(Refusal::not_run(
+        RefusalCode::StaleOwner,
+        format!(
+            "intent {} comes after intent {}",
+            begin.intent, program.owner.last_intent
+        ),
+    ))
+}
+
 fn check_order(program: &Program, begin: &BeginCall) -> Result<(), Refusal> {
     if program.call_in_flight().is_some() {
         return Err(Refusal::not_run(
