Give each attempt a start window, so that a lost call cannot run late

Cause: a dispatch can lie in a hung engine or a cut network. The daemon took it for lost after the engine's silence, the program went on, and then the engine thawed and ran the old call after the next one, with a prompt that lacked the answers since. Excluded: the owner's epoch (it had not changed) and the group (intents were in order).

Change: an intent's reply carries a window. Engines refuse an attempt after start_by (1.5 s after the intent); after a lost or uncertain attempt, the program's next one is not dispatched before that moment has passed on every clock, which may be 0.5 s apart.

The price is a wait of at most 2 s after a lost call.

--- a/crates/daemon-server/src/engines.rs
+++ b/crates/daemon-server/src/engines.rs
@@ -8,7 +8,8 @@
 use luglink_daemon::{ChatDispatch, Dispatch, DispatchBody, EngineEvent, Event, LookupDispatch};
 use luglink_engine_api::{
     ChatRequest, EngineErrorBody, EngineErrorCode, EngineEvents, HEADER_ATTEMPT, HEADER_EPOCH,
-    HEADER_MODEL_ADAPTER, HEADER_PRIORITY, HEADER_PROGRAM, HEADER_SEQUENCE, StreamOptions,
+    HEADER_MODEL_ADAPTER, HEADER_PRIORITY, HEADER_PROGRAM, HEADER_SEQUENCE, HEADER_START_BY,
+    StreamOptions,
 };
 use luglink_routing::{AttemptId, BlockHash, LoadReport, ReplicaInfo};
 use luglink_types::EngineId;
@@ -136,6 +137,7 @@
         .insert_header((HEADER_PROGRAM, chat.program.to_string()))
         .insert_header((HEADER_EPOCH, chat.epoch.to_string()))
         .insert_header((HEADER_SEQUENCE, chat.sequence.to_string()))
+        .insert_header((HEADER_START_BY, chat.start_by.as_micros().to_string()))
         .insert_header((HEADER_ATTEMPT, chat.attempt_number.to_string()))
         .insert_header((HEADER_PRIORITY, chat.priority.rank().to_string()));
     if let Some(adapter) = &chat.adapter {
--- a/crates/daemon/src/action.rs
+++ b/crates/daemon/src/action.rs
@@ -7,7 +7,7 @@
 use luglink_routing::AttemptId;
 use luglink_types::{
     AttemptNumber, ChatMessage, EngineId, Epoch, MemberId, ModelName, Priority, ProgramId, Refusal,
-    Sequence,
+    Sequence, Timestamp,
 };
 
 /// Something to do.
@@ -114,6 +114,8 @@
     pub messages: Vec<ChatMessage>,
     /// Ceiling of generated tokens.
     pub max_output_tokens: u64,
+    /// The engine must refuse to start it later; see [`luglink_program::StartWindow`].
+    pub start_by: Timestamp,
 }
 
 /// A plain request for a service.
--- a/crates/daemon/src/attempts.rs
+++ b/crates/daemon/src/attempts.rs
@@ -84,8 +84,35 @@
         }
     }
 
+    /// Sends the call to its engine once its window has begun, unless it is over already.
+    pub(crate) fn dispatch_in_window(&mut self, id: CallId) {
+        let now = self.now;
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if now < call.window.not_before {
+            call.phase = Phase::Delayed;
+            return;
+        }
+        if now > call.window.start_by {
+            return self.fail_undispatched(id);
+        }
+        self.dispatch_call(id);
+    }
+
+    /// The attempt's intent is durable, but it will not be sent.
+    fn fail_undispatched(&mut self, id: CallId) {
+        if let Some(attempt) = self.calls.get(&id).and_then(|call| call.attempt) {
+            self.attempts.remove(&attempt.id);
+            if let Some(router) = self.pools.router_of(attempt.engine) {
+                router.on_cancel(attempt.engine, attempt.id);
+            }
+        }
+        self.on_attempt_failed(id, OutcomeClass::NotDispatched);
+    }
+
     /// Sends the call to its engine. Its intent is durable.
-    pub(crate) fn dispatch_call(&mut self, id: CallId) {
+    fn dispatch_call(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
@@ -98,7 +125,7 @@
             .and_then(|router| router.address(attempt.engine).map(str::to_owned));
         let Some(address) = address else {
             // The configuration dropped the engine while the intent was on its way.
-            return self.on_attempt_failed(id, OutcomeClass::NotDispatched);
+            return self.fail_undispatched(id);
         };
         let Some(body) = self.chat_dispatch(id) else {
             return;
@@ -135,6 +162,7 @@
             priority: held.spec.priority,
             messages,
             max_output_tokens: call.max_output_tokens,
+            start_by: call.window.start_by,
         })
     }
 
@@ -238,22 +266,31 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        let dispatched = matches!(call.phase, Phase::Running | Phase::Retrying);
         let detail = "the program's deadline has passed";
-        if !dispatched {
-            if call.phase == Phase::Beginning {
-                // The intent is on its way: its reply decides what to record.
-                return;
+        let not_run = Refusal::not_run(RefusalCode::DeadlineExceeded, detail);
+        let uncertain = Refusal::uncertain(RefusalCode::DeadlineExceeded, detail);
+        match call.phase {
+            // The intent is on its way: its reply decides what to record.
+            Phase::Beginning | Phase::Finishing => return,
+            Phase::Waiting | Phase::Queued => return self.close_refused(id, not_run),
+            Phase::Delayed => {
+                let refusal = if call.may_have_run {
+                    uncertain
+                } else {
+                    not_run
+                };
+                call.deadline = luglink_types::Timestamp::MAX;
+                let ticket = call.ticket.take();
+                if let Some(ticket) = ticket {
+                    self.refuse(ticket, refusal);
+                }
+                return self.fail_undispatched(id);
             }
-            let refusal = Refusal::not_run(RefusalCode::DeadlineExceeded, detail);
-            return self.close_refused(id, refusal);
+            Phase::Running | Phase::Retrying => {}
         }
         let ticket = call.ticket.take();
         if let Some(ticket) = ticket {
-            self.refuse(
-                ticket,
-                Refusal::uncertain(RefusalCode::DeadlineExceeded, detail),
-            );
+            self.refuse(ticket, uncertain);
         }
         let attempt = self.calls.get(&id).and_then(|call| call.attempt);
         self.cancel_attempt(id);
--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -1,6 +1,7 @@
 //! A call that a daemon has accepted and not answered yet.
 
 use crate::caller::{CallRequest, TicketId};
+use luglink_program::StartWindow;
 use luglink_routing::AttemptId;
 use luglink_types::{
     AttemptNumber, EngineId, IdempotencyKey, OutcomeClass, ProgramId, Sequence, Timestamp,
@@ -21,6 +22,8 @@
     Queued,
     /// Its intent is on the way to the control members.
     Beginning,
+    /// Waits until no lost attempt of the program can start any more.
+    Delayed,
     /// An engine works on it.
     Running,
     /// Its next attempt is on the way to the control members.
@@ -51,6 +54,8 @@
     /// The program's deadline.
     pub(crate) deadline: Timestamp,
     pub(crate) phase: Phase,
+    /// When the attempt may start.
+    pub(crate) window: StartWindow,
     /// Predicted time to the last token at the chosen engine.
     pub(crate) predicted: Duration,
     /// When the engine counts as hung if nothing more is heard of it.
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -9,7 +9,7 @@
 use crate::program::ServedProgram;
 use crate::programs::program_reply;
 use crate::queue::QueuedCall;
-use luglink_program::{BeginCall, Begun, Command, CreateProgram, EndReason, Reply};
+use luglink_program::{BeginCall, Begun, Command, CreateProgram, EndReason, Reply, StartWindow};
 use luglink_types::{
     AttemptNumber, Epoch, Executed, IdempotencyKey, ProgramId, Refusal, RefusalCode, Sequence,
     Timestamp, TokenUsage, count_tokens,
@@ -89,6 +89,7 @@
             arrived_at: self.now,
             deadline: Timestamp::MAX,
             phase: Phase::Waiting,
+            window: StartWindow::default(),
             predicted: Duration::ZERO,
             silent_after: Timestamp::MAX,
             sequence: request.sequence,
@@ -303,7 +304,7 @@
         match program_reply(conclusion) {
             Ok(Reply::Begun(begun)) => {
                 self.take_intent(id, begun);
-                self.dispatch_call(id);
+                self.dispatch_in_window(id);
             }
             Ok(Reply::AlreadyAnswered(answer)) => {
                 self.cancel_attempt(id);
@@ -319,6 +320,7 @@
             return;
         };
         call.sequence = Some(begun.sequence);
+        call.window = begun.window;
         if let Some(attempt) = &mut call.attempt {
             attempt.number = begun.attempt;
         }
@@ -482,6 +484,7 @@
         for id in overdue {
             self.give_up_at_deadline(id);
         }
+        self.dispatch_delayed();
         self.expire_silent_engines();
         self.refuse_without_engines();
         let waiting: Vec<ProgramId> = self
@@ -495,6 +498,19 @@
         }
     }
 
+    /// Dispatches calls that no lost attempt can overtake any more.
+    fn dispatch_delayed(&mut self) {
+        let delayed: Vec<CallId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.phase == Phase::Delayed)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in delayed {
+            self.dispatch_in_window(id);
+        }
+    }
+
     /// An engine that accepted a call and says nothing may hang for ever: the call is taken back
     /// and counts as broken there.
     fn expire_silent_engines(&mut self) {
--- a/crates/daemon/src/outcomes.rs
+++ b/crates/daemon/src/outcomes.rs
@@ -83,7 +83,12 @@
             return;
         }
         match program_reply(conclusion) {
-            Ok(Reply::Begun(_)) => self.dispatch_call(id),
+            Ok(Reply::Begun(begun)) => {
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.window = begun.window;
+                }
+                self.dispatch_in_window(id);
+            }
             Ok(_) => {}
             Err(refusal) => {
                 self.cancel_attempt(id);
--- a/crates/engine-api/src/headers.rs
+++ b/crates/engine-api/src/headers.rs
@@ -6,6 +6,9 @@
 pub const HEADER_SEQUENCE: &str = "x-luglink-sequence";
 /// Owner epoch of the daemon that sends a call to an engine.
 pub const HEADER_EPOCH: &str = "x-luglink-owner-epoch";
+/// Latest time at which the engine may start a request, in microseconds since the Unix epoch.
+/// An engine refuses it later: whoever sent it has given it up by then.
+pub const HEADER_START_BY: &str = "x-luglink-start-by";
 /// Place of an attempt in its call.
 pub const HEADER_ATTEMPT: &str = "x-luglink-attempt";
 /// Tenant of a call without a program.
--- a/crates/engine-api/src/lib.rs
+++ b/crates/engine-api/src/lib.rs
@@ -18,7 +18,8 @@
 pub use events::{EngineEvents, EngineLoad};
 pub use headers::{
     HEADER_ATTEMPT, HEADER_CLASS, HEADER_EPOCH, HEADER_IDEMPOTENCY_KEY, HEADER_MODEL_ADAPTER,
-    HEADER_PRIORITY, HEADER_PROGRAM, HEADER_REPEATABLE, HEADER_SEQUENCE, HEADER_TENANT,
+    HEADER_PRIORITY, HEADER_PROGRAM, HEADER_REPEATABLE, HEADER_SEQUENCE, HEADER_START_BY,
+    HEADER_TENANT,
 };
 pub use orders::{EngineOrder, OrderAnswer, OrderFence, OrderKind};
 pub use problem::{EngineError, EngineErrorBody, EngineErrorCode, Problem};
--- a/crates/lab/src/engine/core.rs
+++ b/crates/lab/src/engine/core.rs
@@ -45,6 +45,8 @@
     Fenced,
     /// The prompt can never fit into the cache.
     TooLong,
+    /// It arrived after the latest time at which it may start.
+    Expired,
 }
 
 /// An engine.
--- a/crates/lab/src/engine/http.rs
+++ b/crates/lab/src/engine/http.rs
@@ -15,7 +15,7 @@
 use luglink_engine_api::{
     ChatChunk, ChatRequest, EngineError, EngineErrorBody, EngineErrorCode, EngineEvents,
     EngineOrder, HEADER_ATTEMPT, HEADER_EPOCH, HEADER_MODEL_ADAPTER, HEADER_PRIORITY,
-    HEADER_PROGRAM, HEADER_SEQUENCE, OrderAnswer,
+    HEADER_PROGRAM, HEADER_SEQUENCE, HEADER_START_BY, OrderAnswer,
 };
 use luglink_routing::BlockHash;
 use luglink_types::{EngineId, Epoch, ProgramId, Timestamp, TokenUsage};
@@ -24,7 +24,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
 use std::task::{Context as TaskContext, Poll};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc;
 
 /// Longest request body, in bytes.
@@ -446,6 +446,14 @@
         .unwrap_or_default()
 }
 
+/// Whether the time at which a request may start has passed; 0 for a request that names none.
+fn is_expired(start_by_micros: u64) -> bool {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    start_by_micros > 0 && now.as_micros() > u128::from(start_by_micros)
+}
+
 async fn chat(
     http: HttpRequest,
     actor: Data<Addr<EngineActor>>,
@@ -463,6 +471,12 @@
             .map(|program: ProgramId| program.to_string())
             .unwrap_or_default()
     );
+    if is_expired(number(&http, HEADER_START_BY)) {
+        return refuse(
+            EngineErrorCode::Rejected,
+            &format!("{:?}", Rejection::Expired),
+        );
+    }
     let request = EngineRequest {
         id: 0,
         program,
--- a/crates/lab/src/sim/engines.rs
+++ b/crates/lab/src/sim/engines.rs
@@ -2,6 +2,8 @@
 
 use crate::engine::{EngineCore, EngineOutput, EngineRequest};
 use crate::observe::Execution;
+use crate::sim::config::SimConfig;
+use crate::sim::local_clock::LocalClock;
 use crate::sim::message::{Delivery, Message, SimEvent};
 use crate::sim::node::Node;
 use crate::sim::world::{World, derive_seed};
@@ -10,6 +12,7 @@
 use luglink_program::ConfirmRelease;
 use luglink_routing::AttemptId;
 use luglink_types::{EngineId, Timestamp};
+use rand::Rng;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -22,9 +25,10 @@
 }
 
 /// One engine.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct EngineProcess {
     pub(crate) core: Option<EngineCore>,
+    clock: LocalClock,
     pub(crate) process: u32,
     connections: BTreeMap<u64, Connection>,
     last_request: u64,
@@ -34,6 +38,22 @@
     pub(crate) silent: bool,
 }
 
+impl EngineProcess {
+    pub(crate) fn new(config: &SimConfig, random: &mut impl Rng) -> Self {
+        Self {
+            core: None,
+            clock: LocalClock::new(config.clocks, random),
+            process: 0,
+            connections: BTreeMap::new(),
+            last_request: 0,
+            wake_at: None,
+            hung: None,
+            drop_events: false,
+            silent: false,
+        }
+    }
+}
+
 impl World {
     pub(crate) fn start_engine(&mut self, engine: usize) {
         if self.engines[engine].core.is_some() {
@@ -180,10 +200,11 @@
         state.last_request += 1;
         let id = state.last_request;
         let request = engine_request(id, chat.clone());
+        let expired = state.clock.at(now) > chat.start_by;
         let Some(core) = &mut state.core else {
             return;
         };
-        if core.submit(&request, now).is_err() {
+        if expired || core.submit(&request, now).is_err() {
             return self.tell_daemon(Node::Engine(engine), connection, EngineEvent::Rejected);
         }
         state.connections.insert(id, connection);
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -172,7 +172,7 @@
             .map(|_| DaemonProcess::new(&self.config, &mut self.random))
             .collect();
         self.engines = (0..self.config.all_engines())
-            .map(|_| EngineProcess::default())
+            .map(|_| EngineProcess::new(&self.config, &mut self.random))
             .collect();
         self.services = (0..self.config.all_services())
             .map(|_| ServiceProcess::default())
--- a/crates/lab/tests/found_seeds.rs
+++ b/crates/lab/tests/found_seeds.rs
@@ -27,3 +27,11 @@
 fn a_daemon_without_configuration_is_not_believed_about_it() {
     assert_clean(Scenario::PlannedStop, &[106, 118, 255]);
 }
+
+/// A request lay in a hung engine or a cut network, was taken for lost, and started after the
+/// program's next call.
+#[test]
+fn a_lost_call_does_not_start_after_the_next_one() {
+    assert_clean(Scenario::CrossedLateAnswers, &[12, 16, 26]);
+    assert_clean(Scenario::Chaos, &[22, 268]);
+}
--- a/crates/program/src/call.rs
+++ b/crates/program/src/call.rs
@@ -1,5 +1,6 @@
 //! One call of a program, as the replicated state keeps it.
 
+use crate::window::StartWindow;
 use luglink_types::{
     AttemptNumber, Charge, ChatMessage, EngineId, Epoch, IdempotencyKey, Role, Sequence, TokenUsage,
 };
@@ -30,6 +31,8 @@
         attempt: AttemptNumber,
         /// The engine of that attempt.
         engine: EngineId,
+        /// When it may start.
+        window: StartWindow,
     },
     /// Answered.
     Completed {
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -16,6 +16,7 @@
 mod program;
 mod reply;
 mod store;
+mod window;
 
 pub use account::{Account, RefundRule};
 pub use call::{CallRecord, CallState, StoredAnswer, request_fingerprint};
@@ -26,3 +27,4 @@
 pub use program::{OwnerLease, Program, ProgramStatus};
 pub use reply::{Begun, Owned, ProgramView, Reply};
 pub use store::{ProgramStore, Release};
+pub use window::{CLOCK_SKEW_BOUND, StartWindow};
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -57,6 +57,8 @@
     pub(crate) engines: BTreeSet<EngineId>,
     pub(crate) created_at: Timestamp,
     pub(crate) active_at: Timestamp,
+    /// Until when an attempt that was taken for lost may still start at an engine.
+    pub(crate) quiet_until: Timestamp,
     /// Claims that another one has followed, the latest last.
     pub(crate) old_claims: VecDeque<Claim>,
 }
@@ -86,6 +88,7 @@
             engines: BTreeSet::new(),
             created_at: at,
             active_at: at,
+            quiet_until: Timestamp::ZERO,
             old_claims: VecDeque::new(),
         }
     }
@@ -184,9 +187,13 @@
     /// counts as spent, because the engine may have spent it.
     pub(crate) fn abandon_call_in_flight(&mut self) -> Option<Charge> {
         let call = self.calls.last_mut().filter(|call| call.in_flight())?;
-        let CallState::InFlight { attempt, .. } = call.state else {
+        let CallState::InFlight {
+            attempt, window, ..
+        } = call.state
+        else {
             return None;
         };
+        self.quiet_until = self.quiet_until.max(window.surely_over());
         call.state = CallState::Uncertain { attempt };
         let reservation = std::mem::take(&mut call.reservation);
         self.next_sequence = call.sequence.next();
@@ -236,6 +243,9 @@
                 self.calls.push(call);
             }
             OutcomeClass::Uncertain => {
+                if let CallState::InFlight { window, .. } = call.state {
+                    self.quiet_until = self.quiet_until.max(window.surely_over());
+                }
                 call.state = CallState::Uncertain {
                     attempt: finish.attempt,
                 };
--- a/crates/program/src/reply.rs
+++ b/crates/program/src/reply.rs
@@ -3,6 +3,7 @@
 use crate::call::StoredAnswer;
 use crate::command::ProgramSpec;
 use crate::program::ProgramStatus;
+use crate::window::StartWindow;
 use luglink_types::{
     AttemptNumber, Charge, ChatMessage, DaemonId, EngineId, Epoch, ProgramId, Refusal, Sequence,
 };
@@ -38,6 +39,8 @@
     /// the messages of an earlier, uncertain call have just become part of it, or the reply to
     /// an earlier send of the same intent was lost.
     pub history: Option<Vec<ChatMessage>>,
+    /// When the attempt may be dispatched and until when an engine may start it.
+    pub window: StartWindow,
 }
 
 /// What anyone may see of a program.
--- a/crates/program/src/store.rs
+++ b/crates/program/src/store.rs
@@ -8,6 +8,7 @@
 };
 use crate::program::{Program, ProgramStatus, call_ceiling};
 use crate::reply::{Begun, Reply};
+use crate::window::StartWindow;
 use luglink_types::{
     AttemptNumber, Budget, Charge, EngineId, Executed, OutcomeClass, ProgramId, Refusal,
     RefusalCode, Timestamp,
@@ -173,6 +174,7 @@
         let program = self.active_mut(begin.program)?;
         program.owner.last_intent = begin.intent;
         let absorbed = program.absorb_uncertain_messages();
+        let window = StartWindow::after(program.quiet_until, now);
         let sequence = program.next_sequence;
         program.calls.push(CallRecord {
             sequence,
@@ -188,6 +190,7 @@
                 epoch: begin.epoch,
                 attempt: AttemptNumber(0),
                 engine: begin.engine,
+                window,
             },
         });
         program.engines.insert(begin.engine);
@@ -197,6 +200,7 @@
             sequence,
             attempt: AttemptNumber(0),
             history: absorbed.then(|| program.history.clone()),
+            window,
         }))
     }
 
@@ -223,6 +227,7 @@
                 epoch,
                 attempt,
                 engine,
+                window,
             } => {
                 program.check_epoch(begin.epoch)?;
                 // The same owner asks again because it lost the reply: same intent, same reply.
@@ -231,6 +236,7 @@
                         sequence: call.sequence,
                         attempt,
                         history: Some(program.history.clone()),
+                        window,
                     }));
                 }
                 Err(Refusal::uncertain(
@@ -272,6 +278,7 @@
         program.engines.insert(begin.engine);
         program.active_at = now;
         let attempt = attempt.next();
+        let window = StartWindow::after(program.quiet_until, now);
         if let Some(record) = program.calls.last_mut() {
             record.ceiling = reservation.minus(&ONE_RETRY);
             record.reservation = reservation;
@@ -279,12 +286,14 @@
                 epoch: begin.epoch,
                 attempt,
                 engine: begin.engine,
+                window,
             };
         }
         Ok(Reply::Begun(Begun {
             sequence: call.sequence,
             attempt,
             history: None,
+            window,
         }))
     }
 
@@ -292,7 +301,10 @@
         let program = self.existing(retry.program)?;
         program.check_epoch(retry.epoch)?;
         let in_flight = matching_call(program, retry.sequence)?;
-        let CallState::InFlight { attempt, .. } = in_flight.state else {
+        let CallState::InFlight {
+            attempt, window, ..
+        } = in_flight.state
+        else {
             return Err(unknown_outcome());
         };
         if attempt == retry.failed.next() {
@@ -301,6 +313,7 @@
                 sequence: retry.sequence,
                 attempt,
                 history: None,
+                window,
             }));
         }
         if attempt != retry.failed || !retry.class.retry_is_safe() {
@@ -320,7 +333,9 @@
             return Err(refusal);
         }
         let attempt = retry.failed.next();
+        let now = self.now;
         let program = self.active_mut(retry.program)?;
+        let window = StartWindow::after(program.quiet_until, now);
         program.engines.insert(retry.engine);
         if let Some(call) = program.calls.last_mut() {
             call.reservation = call.reservation.plus(&amount);
@@ -328,12 +343,14 @@
                 epoch: retry.epoch,
                 attempt,
                 engine: retry.engine,
+                window,
             };
         }
         Ok(Reply::Begun(Begun {
             sequence: retry.sequence,
             attempt,
             history: None,
+            window,
         }))
     }
 
