Let daemons that lost touch probe members instead of holding watches

Cause: a configuration watch is held for 5 s and its answer was awaited for 8 s. Two lost answers or silent members in a row, and a change came to a daemon later than 19 s. A member also counted as current as soon as it heard its leader, even if its log lagged.

Change: watches are held for 2.5 s and awaited for 3.5 s; after one that got no answer the next member must answer at once, within 0.6 s, until one does. A member serves configuration only while it has applied what its leader has committed.

A daemon now asks at most once in 2.5 s when nothing happens, which was once in 5 s.

--- a/crates/control-server/src/admin.rs
+++ b/crates/control-server/src/admin.rs
@@ -187,7 +187,8 @@
     sender: mpsc::Sender<Result<v1::WatchResponse, Status>>,
 ) {
     loop {
-        let asked = ask(&control, ControlRequest::WatchConfiguration { known }).await;
+        let watch = ControlRequest::WatchConfiguration { known, hold: true };
+        let asked = ask(&control, watch).await;
         let messages = match asked {
             Ok(ControlResponse::Configuration(catch_up)) => watch_messages(catch_up),
             Ok(_) => vec![Err(unexpected())],
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -55,7 +55,7 @@
             wal: WalConfig::default(),
             snapshot_entries: 20_000,
             refund: RefundRule::UnusedPart,
-            watch_hold: Duration::from_secs(5),
+            watch_hold: Duration::from_millis(2_500),
             configuration_freshness: Duration::from_secs(3),
             housekeeping_interval: Duration::from_secs(1),
         }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -265,12 +265,20 @@
     }
 
     fn on_peer_message(&mut self, group: GroupId, envelope: Envelope) {
-        if group == CONFIGURATION_GROUP && matches!(envelope.message, Message::Append { .. }) {
-            self.configuration_heard_at = self.now;
-        }
         let now = self.now;
-        if let Some(group) = self.groups.get_mut(&group) {
-            group.raft.step(envelope, now);
+        let leader_commit = match &envelope.message {
+            Message::Append { commit, .. } => Some(*commit),
+            _ => None,
+        };
+        let Some(member_group) = self.groups.get_mut(&group) else {
+            return;
+        };
+        member_group.raft.step(envelope, now);
+        // Hearing the leader is not enough: a member whose log lags has old news to give.
+        let is_current =
+            leader_commit.is_some_and(|commit| member_group.raft.commit_index() >= commit);
+        if group == CONFIGURATION_GROUP && is_current {
+            self.configuration_heard_at = now;
         }
     }
 
@@ -286,7 +294,7 @@
                 Request::ReadConfiguration { known },
                 token,
             ),
-            Request::WatchConfiguration { known } => self.watch(token, known),
+            Request::WatchConfiguration { known, hold } => self.watch(token, known, hold),
             Request::Change(change) => {
                 let command = encode("a change", &LoggedCommand::Change(change))?;
                 self.propose(CONFIGURATION_GROUP, command, Some(token))
@@ -380,7 +388,7 @@
         }
     }
 
-    fn watch(&mut self, token: RequestToken, known: Revision) -> Option<Response> {
+    fn watch(&mut self, token: RequestToken, known: Revision, hold: bool) -> Option<Response> {
         if !self.configuration_is_fresh() {
             return Some(Response::Unavailable {
                 reason: "this member does not hear the configuration leader".to_owned(),
@@ -389,6 +397,9 @@
         if self.revision() > known {
             return Some(Response::Configuration(self.catch_up(known)));
         }
+        if !hold {
+            return Some(Response::Configuration(CatchUp::Current));
+        }
         self.watches.push(Watch {
             token,
             known,
--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -22,10 +22,12 @@
     Program(Command),
     /// A linearizable look at a program.
     View(ProgramId),
-    /// The configuration after `known`; held open for a while when there is none.
+    /// The configuration after `known`.
     WatchConfiguration {
         /// The revision that the client has.
         known: Revision,
+        /// Whether to hold the request open for a while when there are no news.
+        hold: bool,
     },
     /// A linearizable read of the configuration after `known`.
     ReadConfiguration {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -121,6 +121,7 @@
     pub(crate) last_intent: u64,
     watch_member: usize,
     watch_due: Option<Timestamp>,
+    watch_failed: bool,
     renew_due: Timestamp,
     ticked_at: Timestamp,
     draining: bool,
@@ -128,10 +129,13 @@
 }
 
 /// Time a control member may hold a watch, and a margin for the way.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(8);
+const WATCH_TIMEOUT: Duration = Duration::from_millis(3_500);
+
+/// Time a control member has to say at once whether there are news.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Pause before a failed watch goes to another member.
-const WATCH_PAUSE: Duration = Duration::from_millis(200);
+const WATCH_PAUSE: Duration = Duration::from_millis(150);
 
 /// Wait that is suggested to callers of a daemon that is starting or stopping.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -174,6 +178,7 @@
             // Daemons spread over the members, so that none of them feeds the whole fleet.
             watch_member: config.daemon.0 as usize % config.members.len(),
             watch_due: Some(now),
+            watch_failed: false,
             renew_due: now.plus(config.renew_interval),
             ticked_at: now,
             draining: false,
@@ -374,17 +379,21 @@
         self.operations.insert(operation, purpose);
     }
 
-    /// Asks one member for news; see [`Daemon::on_watch`].
+    /// Asks one member for news; see [`Daemon::on_watch`]. After a watch that got no answer the
+    /// next member must answer at once: a daemon that has lost touch must not spend the time in
+    /// which a change has to be in force on waiting for silent members.
     fn watch_configuration(&mut self) {
         self.watch_due = None;
         let member = self.config.members[self.watch_member];
         let known = self.configuration.revision();
+        let hold = !self.watch_failed;
+        let timeout = if hold { WATCH_TIMEOUT } else { PROBE_TIMEOUT };
         let operation = self.control.submit_to(
             luglink_control::CONFIGURATION_GROUP,
             member,
-            Request::WatchConfiguration { known },
-            WATCH_TIMEOUT,
-            WATCH_TIMEOUT,
+            Request::WatchConfiguration { known, hold },
+            timeout,
+            timeout,
             self.now,
             &mut self.actions,
         );
@@ -393,10 +402,12 @@
 
     fn on_watch(&mut self, conclusion: Conclusion) {
         let Conclusion::Answered(response) = conclusion else {
+            self.watch_failed = true;
             self.watch_member = (self.watch_member + 1) % self.config.members.len();
             self.watch_due = Some(self.now.plus(WATCH_PAUSE));
             return;
         };
+        self.watch_failed = false;
         if let Response::Configuration(catch_up) = *response
             && self.configuration.advance(catch_up)
         {
--- a/crates/lab/tests/found_seeds.rs
+++ b/crates/lab/tests/found_seeds.rs
@@ -35,3 +35,12 @@
     assert_clean(Scenario::CrossedLateAnswers, &[12, 16, 26]);
     assert_clean(Scenario::Chaos, &[22, 268]);
 }
+
+/// A daemon spent the time in which a change must be in force on members that said nothing.
+#[test]
+fn a_daemon_that_lost_touch_finds_a_member_with_news() {
+    assert_clean(Scenario::ControlCutOffLeader, &[26]);
+    assert_clean(Scenario::LostAnswerResend, &[6, 9, 11, 22]);
+    assert_clean(Scenario::SecondFailureAfterRepair, &[22, 229]);
+    assert_clean(Scenario::Chaos, &[81, 318, 359]);
+}
