--- a/crates/daemon/src/control_client.rs
+++ b/crates/daemon/src/control_client.rs
@@ -186,6 +186,14 @@
         expired
     }
 
+    /// Gives every request more time.
+    pub(crate) fn postpone(&mut self, wait: Duration) {
+        for operation in self.operations.values_mut() {
+            operation.attempt_deadline = operation.attempt_deadline.plus(wait);
+            operation.deadline = operation.deadline.plus(wait);
+        }
+    }
+
     pub(crate) fn next_deadline(&self) -> Option<Timestamp> {
         let deadline = |operation: &Operation| operation.attempt_deadline.min(operation.deadline);
         self.operations.values().map(deadline).min()
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -140,6 +140,9 @@
 /// Wait that is suggested to callers of a daemon that is starting or stopping.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// A running process is never this late for its next timer: one that is was stopped meanwhile.
+const OWN_PAUSE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Longest time between two looks at queues and deadlines.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -189,7 +192,11 @@
 
     /// Takes an event and gives out what follows from it.
     pub fn handle(&mut self, event: Event, now: Timestamp) -> Vec<Action> {
+        let lateness = now.since(self.next_deadline());
         self.now = self.now.max(now);
+        if lateness > OWN_PAUSE_LIMIT {
+            self.forgive_own_pause(lateness);
+        }
         self.dispatch_event(event);
         self.run_queue();
         self.report_drained();
@@ -286,6 +293,18 @@
         }
     }
 
+    /// This process itself stood still. What others said meanwhile waits to be read, so their
+    /// silence proves nothing yet: every limit on it is put off by the pause.
+    fn forgive_own_pause(&mut self, pause: Duration) {
+        for call in self.calls.values_mut() {
+            call.silent_after = call.silent_after.plus(pause);
+        }
+        for lookup in self.lookups.values_mut() {
+            lookup.postpone(pause);
+        }
+        self.control.postpone(pause);
+    }
+
     fn on_tick(&mut self) {
         self.ticked_at = self.now;
         let expired = self.control.tick(self.now, &mut self.actions);
--- a/crates/daemon/src/lookup.rs
+++ b/crates/daemon/src/lookup.rs
@@ -26,6 +26,13 @@
     deadline: Timestamp,
 }
 
+impl ActiveLookup {
+    /// Gives the service more time.
+    pub(crate) fn postpone(&mut self, wait: Duration) {
+        self.deadline = self.deadline.plus(wait);
+    }
+}
+
 /// Longest time a service may take.
 const LOOKUP_TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/crates/lab/src/check/callers.rs
+++ b/crates/lab/src/check/callers.rs
@@ -113,12 +113,14 @@
     false
 }
 
-/// A request at a daemon that stops as planned must not lose its answer.
+/// A request at a daemon that stops as planned must not lose its answer. Its connection must not
+/// break, and where nothing else went wrong its outcome must not be unknown either: a daemon that
+/// gave its calls up in order to stop would keep every connection and still cut them off.
 pub(super) fn check_planned_stop(history: &History) -> Vec<String> {
     let unknown = history
         .calls
         .iter()
-        .filter(|call| call.during_planned_stop)
+        .filter(|call| call.during_planned_stop && !history.unplanned_faults)
         .filter(|call| matches!(call.outcome, Outcome::Unknown { .. }))
         .filter(|call| !ended_under_it(history, call))
         .map(|call| &call.request);
--- a/crates/lab/src/observe.rs
+++ b/crates/lab/src/observe.rs
@@ -221,6 +221,8 @@
     pub isolations: Vec<Isolation>,
     /// Requests whose connection a planned stop broke.
     pub cut_by_stop: Vec<String>,
+    /// Whether anything went wrong besides planned stops.
+    pub unplanned_faults: bool,
     /// Budgets in force at the end.
     pub final_budgets: Vec<BudgetPolicy>,
 }
--- a/crates/lab/src/replay/caller.rs
+++ b/crates/lab/src/replay/caller.rs
@@ -3,7 +3,9 @@
 
 use crate::caller_policy::{MAX_SENDS, RESEND_PAUSE, ReadRefusal};
 use crate::engine::prompt_text;
-use crate::observe::{CallRecord, Departure, LookupRecord, Observer, Outcome, ProgramRecord};
+use crate::observe::{
+    CallRecord, Departure, History, LookupRecord, Observer, Outcome, ProgramRecord,
+};
 use crate::replay::http_client::{self, CallToSend, Sent, StreamedAnswer, code_of};
 use crate::replay::plan::{ProgramPlan, ProgramStep};
 use crate::trace::{CallEvent, LookupEvent};
@@ -168,7 +170,7 @@
                 }
                 actix_rt::time::sleep(read.wait()).await;
             }
-            Sent::Broken => actix_rt::time::sleep(RESEND_PAUSE).await,
+            Sent::Broken | Sent::NotConnected => actix_rt::time::sleep(RESEND_PAUSE).await,
         }
     }
     Err(last)
@@ -263,7 +265,16 @@
                 doubt |= read.executed != Executed::No;
                 actix_rt::time::sleep(read.wait()).await;
             }
+            Sent::NotConnected => {
+                last = Outcome::Unknown { code: None };
+                actix_rt::time::sleep(RESEND_PAUSE).await;
+            }
             Sent::Broken => {
+                if context.stopping.borrow().contains(daemon) {
+                    let request = call.request.clone();
+                    let note = |history: &mut History| history.cut_by_stop.push(request);
+                    context.observer.note(note);
+                }
                 doubt = true;
                 last = Outcome::Unknown { code: None };
                 actix_rt::time::sleep(RESEND_PAUSE).await;
@@ -291,7 +302,7 @@
                 }
                 actix_rt::time::sleep(read.wait()).await;
             }
-            Sent::Broken => actix_rt::time::sleep(RESEND_PAUSE).await,
+            Sent::Broken | Sent::NotConnected => actix_rt::time::sleep(RESEND_PAUSE).await,
         }
     }
 }
@@ -329,6 +340,7 @@
             // Only what may run twice can be asked elsewhere: the lookup may have run.
             Sent::Broken if !event.repeatable => break,
             Sent::Broken => doubt = true,
+            Sent::NotConnected => {}
         }
     }
     let record = LookupRecord {
--- a/crates/lab/src/replay/faults.rs
+++ b/crates/lab/src/replay/faults.rs
@@ -4,6 +4,7 @@
 use crate::fleet::{Fleet, FleetError};
 use crate::observe::Observer;
 use crate::replay::caller::CallerContext;
+use crate::sim::SimFaultKind;
 use crate::trace::{FaultEvent, FaultKind, FaultTarget};
 use luglink_types::{EngineId, Timestamp};
 use std::collections::BTreeMap;
@@ -43,6 +44,8 @@
         let due = fleet.started() + step.at;
         actix_rt::time::sleep_until(due.into()).await;
         if step.begins {
+            let planned = SimFaultKind::from(step.kind).is_planned();
+            observer.note(|history| history.unplanned_faults |= !planned);
             *counts.entry(step.kind).or_default() += 1;
         }
         carry_out(fleet, context, observer, &step).await?;
--- a/crates/lab/src/replay/http_client.rs
+++ b/crates/lab/src/replay/http_client.rs
@@ -2,7 +2,7 @@
 
 use actix_web::web::Bytes;
 use awc::Client;
-use awc::error::PayloadError;
+use awc::error::{PayloadError, SendRequestError};
 use eventsource_stream::Eventsource;
 use futures_util::{Stream, StreamExt};
 use luglink_engine_api::{HEADER_IDEMPOTENCY_KEY, HEADER_REPEATABLE, Problem, Usage};
@@ -25,8 +25,10 @@
     Answered(T),
     /// A refusal.
     Refused(Problem),
-    /// No answer: the connection could not be made or broke.
+    /// No answer: the connection broke.
     Broken,
+    /// No answer: the connection was never made.
+    NotConnected,
 }
 
 /// A streamed answer and when its parts came.
@@ -69,8 +71,9 @@
     let request = client
         .post(format!("http://{daemon}/v1/programs"))
         .insert_header((HEADER_IDEMPOTENCY_KEY, key));
-    let Ok(mut response) = request.send_json(body).await else {
-        return Sent::Broken;
+    let mut response = match request.send_json(body).await {
+        Ok(response) => response,
+        Err(error) => return unanswered(&error),
     };
     if !response.status().is_success() {
         return refused(response.json::<Problem>().await.ok());
@@ -84,8 +87,9 @@
 /// Whether the program is known to have ended.
 pub(crate) async fn end_program(client: &Client, daemon: SocketAddr, program: &str) -> Sent<()> {
     let request = client.delete(format!("http://{daemon}/v1/programs/{program}"));
-    let Ok(mut response) = request.send().await else {
-        return Sent::Broken;
+    let mut response = match request.send().await {
+        Ok(response) => response,
+        Err(error) => return unanswered(&error),
     };
     if response.status().is_success() {
         return Sent::Answered(());
@@ -119,8 +123,9 @@
         ))
         .insert_header((HEADER_IDEMPOTENCY_KEY, call.key))
         .insert_header(("accept", "text/event-stream"));
-    let Ok(mut response) = request.send_json(&body).await else {
-        return Sent::Broken;
+    let mut response = match request.send_json(&body).await {
+        Ok(response) => response,
+        Err(error) => return unanswered(&error),
     };
     if !response.status().is_success() {
         return refused(response.json::<Problem>().await.ok());
@@ -175,8 +180,9 @@
         .insert_header((HEADER_REPEATABLE, repeatable.to_string()))
         .send()
         .await;
-    let Ok(mut response) = sent else {
-        return Sent::Broken;
+    let mut response = match sent {
+        Ok(response) => response,
+        Err(error) => return unanswered(&error),
     };
     if !response.status().is_success() {
         return refused(response.json::<Problem>().await.ok());
@@ -193,6 +199,13 @@
     let _ = request.send().await;
 }
 
+fn unanswered<T>(error: &SendRequestError) -> Sent<T> {
+    match error {
+        SendRequestError::Connect(_) => Sent::NotConnected,
+        _ => Sent::Broken,
+    }
+}
+
 fn refused<T>(problem: Option<Problem>) -> Sent<T> {
     match problem {
         Some(problem) => Sent::Refused(problem),
--- a/crates/lab/src/sim/control.rs
+++ b/crates/lab/src/sim/control.rs
@@ -35,6 +35,7 @@
     wake_at: Option<Timestamp>,
     clock: LocalClock,
     pub(crate) slow: bool,
+    tear_next_write: bool,
     /// What arrives while the process hangs.
     pub(crate) hung: Option<Vec<Delivery>>,
 }
@@ -50,6 +51,7 @@
             wake_at: None,
             clock: LocalClock::new(config.clocks, random),
             slow: false,
+            tear_next_write: false,
             hung: None,
         }
     }
@@ -96,33 +98,47 @@
     }
 
     /// Ends the process at once. What the node was told and has not synced is gone.
-    pub(crate) fn crash_control(&mut self, member: usize, torn: bool) {
-        let Some(mut node) = self.control[member].node.take() else {
+    pub(crate) fn crash_control(&mut self, member: usize) {
+        self.end_control(member, CrashDamage::LoseUnsynced);
+    }
+
+    fn end_control(&mut self, member: usize, damage: CrashDamage) {
+        let control = &mut self.control[member];
+        let Some(node) = control.node.take() else {
             return;
         };
-        let mut damage = CrashDamage::LoseUnsynced;
-        if torn {
-            // Power fails in the middle of a write: some of it reaches the disk.
-            let before = node.syncs();
-            node.disk_mut().set_sync_fails(true);
-            if node.flush().is_err() {
-                self.faults.torn_writes += 1;
-            }
-            debug_assert_eq!(node.syncs(), before);
-            damage = CrashDamage::TearUnsynced {
-                kept_per_mille: self.random.random_range(0..=1_000),
-            };
-        }
         let mut disk = node.into_disk();
         disk.crash(damage);
-        let control = &mut self.control[member];
         control.disk = Some(disk);
         control.hung = None;
+        control.tear_next_write = false;
+    }
+
+    /// Power fails in the middle of the next write: some of it reaches the disk.
+    pub(crate) fn tear_next_write(&mut self, member: usize) {
+        self.control[member].tear_next_write = true;
+        if let Some(node) = &mut self.control[member].node {
+            node.disk_mut().set_sync_fails(true);
+        }
+    }
+
+    /// The write that was to be torn did not come.
+    pub(crate) fn forget_tear(&mut self, member: usize) {
+        self.control[member].tear_next_write = false;
+        if let Some(node) = &mut self.control[member].node {
+            node.disk_mut().set_sync_fails(false);
+        }
+    }
+
+    fn write_torn(&mut self, member: usize) {
+        self.faults.torn_writes += 1;
+        let kept_per_mille = self.random.random_range(0..=1_000);
+        self.end_control(member, CrashDamage::TearUnsynced { kept_per_mille });
     }
 
     /// The machine and its disk are lost: it comes back with an empty one.
     pub(crate) fn lose_control_disk(&mut self, member: usize) {
-        self.crash_control(member, false);
+        self.crash_control(member);
         self.control[member].disk = Some(MemoryDisk::new());
     }
 
@@ -142,7 +158,7 @@
 
     pub(crate) fn stop_control(&mut self, member: usize, process: u32) {
         if self.control[member].process == process && self.control[member].node.is_some() {
-            self.crash_control(member, false);
+            self.crash_control(member);
             let node = Node::Control(member);
             self.schedule_in(RESTART_TIME, SimEvent::Start { node, process });
         }
@@ -208,7 +224,7 @@
     fn control_failed(&mut self, member: usize, result: Result<(), ControlError>) {
         if let Err(error) = result {
             self.problems.push(format!("control/{member}: {error}"));
-            self.crash_control(member, false);
+            self.crash_control(member);
         }
     }
 
@@ -267,6 +283,7 @@
                 }
                 self.rearm_control(member);
             }
+            Err(_) if control.tear_next_write => self.write_torn(member),
             Err(error) => self.control_failed(member, Err(error)),
         }
     }
--- a/crates/lab/src/sim/faults.rs
+++ b/crates/lab/src/sim/faults.rs
@@ -56,6 +56,14 @@
     }
 }
 
+impl SimFaultKind {
+    /// Whether the platform or the operators bring it about on purpose.
+    #[must_use]
+    pub const fn is_planned(self) -> bool {
+        matches!(self, Self::Restart | Self::Leave | Self::Heal)
+    }
+}
+
 impl From<FaultKind> for SimFaultKind {
     fn from(kind: FaultKind) -> Self {
         match kind {
--- a/crates/lab/src/sim/injection.rs
+++ b/crates/lab/src/sim/injection.rs
@@ -75,6 +75,7 @@
     }
 
     fn fault_begins(&mut self, number: usize, fault: &mut SimFault) {
+        self.history.unplanned_faults |= !fault.kind.is_planned();
         if matches!(fault.target, SimTarget::Leader(_))
             && let Some(Node::Control(member)) = self.targets(&fault.target).first()
         {
@@ -139,6 +140,8 @@
             return false;
         }
         match kind {
+            // A stopped process takes no signal.
+            SimFaultKind::Restart if self.daemons[daemon].hung.is_some() => return false,
             SimFaultKind::Restart => self.begin_daemon_stop(daemon),
             SimFaultKind::Hang => {
                 self.daemons[daemon].hung.get_or_insert_default();
@@ -156,13 +159,14 @@
             return false;
         }
         match fault.kind {
+            SimFaultKind::Restart if self.control[member].hung.is_some() => return false,
             SimFaultKind::Restart => self.begin_control_stop(member),
             SimFaultKind::Hang => {
                 self.control[member].hung.get_or_insert_default();
             }
             SimFaultKind::Slow => self.control[member].slow = true,
-            SimFaultKind::Crash => self.crash_control(member, false),
-            SimFaultKind::TornCrash => self.crash_control(member, true),
+            SimFaultKind::Crash => self.crash_control(member),
+            SimFaultKind::TornCrash => self.tear_next_write(member),
             SimFaultKind::DiskLoss => {
                 self.lose_control_disk(member);
                 let process = self.control[member].process;
@@ -231,6 +235,10 @@
             (Node::Control(member), SimFaultKind::Hang) => self.thaw_control(member),
             (Node::Engine(engine), SimFaultKind::Hang) => self.thaw_engine(engine),
             (Node::Control(member), SimFaultKind::Slow) => self.control[member].slow = false,
+            (Node::Control(member), SimFaultKind::TornCrash) => {
+                self.forget_tear(member);
+                self.start_if_down(node);
+            }
             (Node::Engine(engine), SimFaultKind::Slow) => self.slow_engine(engine, 1),
             (Node::Engine(engine), SimFaultKind::Leave) => self.engine_leaves(engine, false),
             (Node::Engine(engine), SimFaultKind::DropEvents) => {
@@ -269,6 +277,7 @@
         }
         for member in 0..self.control.len() {
             self.control[member].slow = false;
+            self.forget_tear(member);
             self.thaw_control(member);
             self.start_if_down(Node::Control(member));
         }
--- a/crates/lab/tests/found_seeds.rs
+++ b/crates/lab/tests/found_seeds.rs
@@ -44,3 +44,9 @@
     assert_clean(Scenario::SecondFailureAfterRepair, &[22, 229]);
     assert_clean(Scenario::Chaos, &[81, 318, 359]);
 }
+
+/// A daemon that had been stopped took its engines for silent before it read what they had said.
+#[test]
+fn a_daemon_that_stood_still_reads_before_it_judges() {
+    assert_clean(Scenario::Chaos, &[29, 889]);
+}
