--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -62,6 +62,15 @@
         }
     }
 
+    /// Learns the keys of a section that this process does not use. The file may be shared with
+    /// processes that do, and they give the rest of it by flags.
+    pub(crate) fn note_keys<T>(&mut self, read: impl FnOnce(&mut Self) -> Option<T>) -> Option<T> {
+        let faults = self.faults.len();
+        let value = read(self);
+        self.faults.truncate(faults);
+        value
+    }
+
     /// Reports every key that nothing has asked for.
     pub(crate) fn refuse_unknown(&mut self) {
         let everything = self.figment.extract::<Dict>().unwrap_or_default();
--- a/crates/settings/src/source.rs
+++ b/crates/settings/src/source.rs
@@ -114,13 +114,16 @@
             "a section [daemon] or [control] must be there",
         );
     }
-    // The other role's section may be in the same file; its keys are known all the same.
-    let daemon = (with_daemon || figment.find_value("daemon").is_ok())
-        .then(|| DaemonSettings::read(reader))
-        .flatten();
-    let control = (with_control || figment.find_value("control").is_ok())
-        .then(|| ControlSettings::read(reader))
-        .flatten();
+    let daemon = if with_daemon {
+        DaemonSettings::read(reader)
+    } else {
+        reader.note_keys(DaemonSettings::read)
+    };
+    let control = if with_control {
+        ControlSettings::read(reader)
+    } else {
+        reader.note_keys(ControlSettings::read)
+    };
     let complete = (!with_daemon || daemon.is_some()) && (!with_control || control.is_some());
     complete.then_some(Settings {
         log_filter,
