Document the system; property tests for logs, programs, settings and schema

Cause: the design was in heads and comments only, and the state machines were tested through the simulator alone.

The raft property runs 150 sequences of 50 to 500 steps.

--- a/crates/daemon-server/src/http.rs
+++ b/crates/daemon-server/src/http.rs
@@ -389,7 +389,8 @@
             request.path()
         ),
     );
-    refusal.detail.truncate(MAX_DETAIL_BYTES);
+    let end = refusal.detail.floor_char_boundary(MAX_DETAIL_BYTES);
+    refusal.detail.truncate(end);
     problem_with_status(&refusal, StatusCode::NOT_FOUND)
 }
 
--- /dev/null
+++ b/crates/raft/tests/cluster.rs
@@ -0,0 +1,418 @@
+//! Whole groups under lost, doubled and reordered messages, crashes and membership changes.
+
+use luglink_raft::{
+    Entry, Envelope, HardState, Membership, MembershipChange, Message, Payload, Peer, RaftConfig,
+    RaftNode, Ready, RestoredState, Snapshot,
+};
+use luglink_types::{MemberId, Timestamp};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Members that there are; the first three begin as voters.
+const MEMBERS: u32 = 5;
+
+const VOTERS: u32 = 3;
+
+/// Rounds within which a healed group must commit something.
+const HEALING_ROUNDS: usize = 600;
+
+fn peer(member: u32) -> Peer {
+    Peer {
+        member: MemberId(member),
+        incarnation: 1,
+    }
+}
+
+/// What a node's disk holds.
+#[derive(Clone, Default)]
+struct Stored {
+    hard_state: HardState,
+    snapshot: Snapshot,
+    entries: Vec<Entry>,
+}
+
+struct Node {
+    raft: RaftNode,
+    stored: Stored,
+    applied: Vec<Entry>,
+    restarts: u64,
+}
+
+struct Cluster {
+    nodes: BTreeMap<u32, Node>,
+    network: Vec<Envelope>,
+    now: Timestamp,
+    leaders: BTreeMap<u64, Peer>,
+    committed: BTreeMap<u64, Entry>,
+    proposals: u64,
+}
+
+impl Cluster {
+    fn new() -> Self {
+        let membership = Membership::of_voters((1..=VOTERS).map(peer));
+        let stored = |member: u32| Stored {
+            snapshot: Snapshot {
+                membership: if member <= VOTERS {
+                    membership.clone()
+                } else {
+                    Membership::default()
+                },
+                ..Snapshot::default()
+            },
+            ..Stored::default()
+        };
+        let nodes = (1..=MEMBERS).map(|member| {
+            let stored = stored(member);
+            let node = Node {
+                raft: start(member, &stored, 0, Timestamp::ZERO),
+                stored,
+                applied: Vec::new(),
+                restarts: 0,
+            };
+            (member, node)
+        });
+        Self {
+            nodes: nodes.collect(),
+            network: Vec::new(),
+            now: Timestamp::ZERO,
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            proposals: 0,
+        }
+    }
+
+    /// Does a node's work: makes it durable and sends what follows.
+    fn work(&mut self, member: u32) {
+        loop {
+            let node = self.nodes.get_mut(&member).unwrap();
+            let mut ready = node.raft.take_ready();
+            if ready.is_empty() {
+                break;
+            }
+            let before = std::mem::take(&mut ready.messages);
+            self.send(member, before);
+            self.persist(member, &ready);
+            let after = std::mem::take(&mut ready.messages_after_sync);
+            self.send(member, after);
+            self.apply(member, &ready);
+        }
+        self.check_leader(member);
+    }
+
+    fn send(&mut self, member: u32, messages: Vec<Envelope>) {
+        for mut envelope in messages {
+            if let Message::InstallSnapshot { snapshot } = &mut envelope.message {
+                *snapshot = self.nodes[&member].stored.snapshot.clone();
+            }
+            self.network.push(envelope);
+        }
+    }
+
+    fn persist(&mut self, member: u32, ready: &Ready) {
+        let node = self.nodes.get_mut(&member).unwrap();
+        if let Some(state) = ready.hard_state {
+            node.stored.hard_state = state;
+        }
+        if let Some(snapshot) = &ready.snapshot {
+            node.stored.snapshot = snapshot.clone();
+            node.stored.entries.clear();
+        }
+        if let Some(first) = ready.entries.first() {
+            node.stored
+                .entries
+                .retain(|entry| entry.index < first.index);
+            node.stored.entries.extend(ready.entries.iter().cloned());
+        }
+        if let Some(last) = ready.entries.last() {
+            node.raft.on_persisted(last.index);
+        }
+    }
+
+    /// No two nodes ever apply different entries at one place.
+    fn apply(&mut self, member: u32, ready: &Ready) {
+        let node = self.nodes.get_mut(&member).unwrap();
+        if let Some(snapshot) = &ready.snapshot {
+            node.applied = postcard::from_bytes(&snapshot.state).unwrap_or_default();
+        }
+        for entry in &ready.committed {
+            node.applied.push(entry.clone());
+            let known = self.committed.entry(entry.index).or_insert(entry.clone());
+            assert_eq!(known, entry, "two entries were committed at one place");
+        }
+    }
+
+    /// A term has one leader, and the latest leader has every committed entry.
+    fn check_leader(&mut self, member: u32) {
+        let node = &self.nodes[&member];
+        if !node.raft.is_leader() {
+            return;
+        }
+        let term = node.raft.term();
+        let known = self.leaders.entry(term).or_insert(peer(member));
+        assert_eq!(*known, peer(member), "term {term} has two leaders");
+        let latest = self.leaders.keys().next_back().copied();
+        if latest != Some(term) {
+            return;
+        }
+        let log = node.raft.log();
+        for (index, entry) in self.committed.range(log.snapshot_index() + 1..) {
+            let own = log.get(*index).map(|entry| entry.term);
+            assert_eq!(own, Some(entry.term), "the leader lacks entry {index}");
+        }
+    }
+
+    fn tick(&mut self, millis: u64) {
+        self.now = self.now.plus(Duration::from_millis(millis));
+        for member in 1..=MEMBERS {
+            let now = self.now;
+            let node = self.nodes.get_mut(&member).unwrap();
+            if now >= node.raft.next_deadline() {
+                node.raft.tick(now);
+            }
+            self.work(member);
+        }
+    }
+
+    fn deliver(&mut self, place: usize, keep: bool) {
+        if self.network.is_empty() {
+            return;
+        }
+        let place = place % self.network.len();
+        let envelope = if keep {
+            self.network[place].clone()
+        } else {
+            self.network.remove(place)
+        };
+        let member = envelope.to.member.0;
+        let now = self.now;
+        self.nodes
+            .get_mut(&member)
+            .unwrap()
+            .raft
+            .step(envelope, now);
+        self.work(member);
+    }
+
+    fn propose(&mut self, member: u32) {
+        self.proposals += 1;
+        let command = self.proposals.to_be_bytes().to_vec();
+        let now = self.now;
+        // Only a leader takes it.
+        let _ = self
+            .nodes
+            .get_mut(&member)
+            .unwrap()
+            .raft
+            .propose(command, now);
+        self.work(member);
+    }
+
+    fn change_membership(&mut self, member: u32, change: MembershipChange) {
+        let now = self.now;
+        let raft = &mut self.nodes.get_mut(&member).unwrap().raft;
+        // The leader refuses what the rules do not allow now.
+        let _ = raft.propose_membership(change, now);
+        self.work(member);
+    }
+
+    /// The node stops; work that it had not made durable is lost, and sent by nobody.
+    fn crash(&mut self, member: u32) {
+        let now = self.now;
+        let node = self.nodes.get_mut(&member).unwrap();
+        let _ = node.raft.take_ready();
+        node.restarts += 1;
+        node.raft = start(member, &node.stored, node.restarts, now);
+        node.applied = postcard::from_bytes(&node.stored.snapshot.state).unwrap_or_default();
+    }
+
+    /// Writes what a node has applied as a snapshot and forgets the log before it.
+    fn compact(&mut self, member: u32) {
+        let node = self.nodes.get_mut(&member).unwrap();
+        let Some(last) = node.applied.last().map(|entry| entry.index) else {
+            return;
+        };
+        let log = node.raft.log();
+        let Some(term) = log.term_at(last) else {
+            return;
+        };
+        node.stored.snapshot = Snapshot {
+            index: last,
+            term,
+            membership: log.membership_at(last).clone(),
+            state: postcard::to_stdvec(&node.applied).unwrap(),
+        };
+        node.stored.entries.retain(|entry| entry.index > last);
+        node.raft.compact(last);
+    }
+
+    /// Once nothing is lost any more, something must be committed soon.
+    fn heal(&mut self) {
+        let before = self.committed.len();
+        for _ in 0..HEALING_ROUNDS {
+            self.tick(40);
+            for _ in 0..self.network.len() {
+                self.deliver(0, false);
+            }
+            for member in 1..=MEMBERS {
+                self.propose(member);
+            }
+            if self.committed.len() > before + 1 {
+                return;
+            }
+        }
+        panic!("nothing was committed after healing");
+    }
+}
+
+fn start(member: u32, stored: &Stored, restarts: u64, now: Timestamp) -> RaftNode {
+    let restored = RestoredState {
+        hard_state: stored.hard_state,
+        snapshot: stored.snapshot.clone(),
+        entries: stored.entries.clone(),
+    };
+    let seed = u64::from(member) * 1_000 + restarts;
+    RaftNode::new(peer(member), RaftConfig::default(), restored, seed, now)
+}
+
+#[derive(Clone, Debug)]
+enum Action {
+    Tick(u64),
+    Deliver(usize),
+    Double(usize),
+    Lose(usize),
+    Propose(u32),
+    Crash(u32),
+    Compact(u32),
+    Change(u32, MembershipChange),
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    let member = 1..=MEMBERS;
+    let change = (0..3, 1..=MEMBERS).prop_map(|(kind, member)| match kind {
+        0 => MembershipChange::AddLearner(peer(member)),
+        1 => MembershipChange::Promote(peer(member)),
+        _ => MembershipChange::Remove(peer(member)),
+    });
+    prop_oneof![
+        12 => (1..400_u64).prop_map(Action::Tick),
+        40 => any::<usize>().prop_map(Action::Deliver),
+        4 => any::<usize>().prop_map(Action::Double),
+        4 => any::<usize>().prop_map(Action::Lose),
+        8 => member.clone().prop_map(Action::Propose),
+        2 => member.clone().prop_map(Action::Crash),
+        2 => member.clone().prop_map(Action::Compact),
+        3 => (member, change).prop_map(|(member, change)| Action::Change(member, change)),
+    ]
+}
+
+fn carry_out(cluster: &mut Cluster, action: Action) {
+    match action {
+        Action::Tick(millis) => cluster.tick(millis),
+        Action::Deliver(place) => cluster.deliver(place, false),
+        Action::Double(place) => cluster.deliver(place, true),
+        Action::Lose(place) => {
+            if !cluster.network.is_empty() {
+                let place = place % cluster.network.len();
+                cluster.network.remove(place);
+            }
+        }
+        Action::Propose(member) => cluster.propose(member),
+        Action::Crash(member) => cluster.crash(member),
+        Action::Compact(member) => cluster.compact(member),
+        Action::Change(member, change) => cluster.change_membership(member, change),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn nothing_committed_is_lost_and_the_group_recovers(
+        actions in proptest::collection::vec(action(), 50..500),
+    ) {
+        let mut cluster = Cluster::new();
+        cluster.heal();
+        for action in actions {
+            carry_out(&mut cluster, action);
+        }
+        cluster.heal();
+    }
+}
+
+#[test]
+fn entries_carry_commands_in_order_of_proposal() {
+    let mut cluster = Cluster::new();
+    cluster.heal();
+    let leader = *cluster
+        .nodes
+        .iter()
+        .find(|(_, node)| node.raft.is_leader())
+        .map(|(member, _)| member)
+        .unwrap();
+    let first = cluster.proposals + 1;
+    for _ in 0..5 {
+        cluster.propose(leader);
+    }
+    for _ in 0..50 {
+        cluster.tick(20);
+        for _ in 0..cluster.network.len() {
+            cluster.deliver(0, false);
+        }
+    }
+    let commands: Vec<u64> = cluster.nodes[&leader]
+        .applied
+        .iter()
+        .filter_map(|entry| match &entry.payload {
+            Payload::Command(bytes) => Some(u64::from_be_bytes(bytes[..].try_into().unwrap())),
+            _ => None,
+        })
+        .filter(|command| *command >= first)
+        .collect();
+    assert_eq!(commands, (first..first + 5).collect::<Vec<_>>());
+}
+
+/// The situation of a second failure right after a repair: a storage that came back empty has a
+/// new incarnation, and its vote counts for nobody until it has been promoted.
+#[test]
+fn an_empty_storage_has_no_vote() {
+    let now = Timestamp::from_millis(10_000);
+    let fresh = Peer {
+        member: MemberId(1),
+        incarnation: 2,
+    };
+    let mut node = RaftNode::new(
+        fresh,
+        RaftConfig::default(),
+        RestoredState::default(),
+        1,
+        now,
+    );
+    let ask = Envelope {
+        from: peer(2),
+        to: fresh,
+        term: 9,
+        message: Message::Vote {
+            last_index: 0,
+            last_term: 0,
+            transfer: true,
+        },
+    };
+    node.step(ask, now);
+    let ready = node.take_ready();
+    let refused = ready
+        .messages_after_sync
+        .iter()
+        .all(|envelope| !matches!(envelope.message, Message::VoteReply { granted: true }));
+    assert!(refused);
+    node.tick(now.plus(Duration::from_secs(60)));
+    assert!(
+        node.take_ready().messages.is_empty(),
+        "it must not stand for election"
+    );
+}
--- /dev/null
+++ b/crates/settings/tests/files.rs
@@ -0,0 +1,148 @@
+//! Settings files: the template, the layers, and the faults.
+
+use luglink_settings::{Role, Settings, SettingsError, load};
+use std::path::{Path, PathBuf};
+
+fn template() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../etc/luglink.toml")
+}
+
+fn write(folder: &tempfile::TempDir, text: &str) -> PathBuf {
+    let file = folder.path().join("settings.toml");
+    std::fs::write(&file, text).unwrap();
+    file
+}
+
+fn faults_of(text: &str) -> Vec<String> {
+    let folder = tempfile::tempdir().unwrap();
+    let file = write(&folder, text);
+    match load(Some(&file), Vec::new(), Role::Any) {
+        Err(SettingsError::Faults { faults }) => faults
+            .iter()
+            .map(|fault| format!("{}: {}", fault.key, fault.problem))
+            .collect(),
+        other => panic!("expected faults, got {other:?}"),
+    }
+}
+
+fn loaded(file: &Path) -> Settings {
+    load(Some(file), Vec::new(), Role::Any).unwrap()
+}
+
+#[test]
+fn the_template_is_valid_and_its_comments_are_the_defaults() {
+    let as_shipped = loaded(&template());
+    let text = std::fs::read_to_string(template()).unwrap();
+    // A commented setting is `# key = value`; prose has no `=` after its first word.
+    let uncommented: Vec<String> = text
+        .lines()
+        .map(|line| {
+            let setting = line.strip_prefix("# ").filter(|rest| {
+                let mut words = rest.split_whitespace();
+                words.next();
+                words.next() == Some("=")
+            });
+            setting.unwrap_or(line).to_owned()
+        })
+        .collect();
+    let folder = tempfile::tempdir().unwrap();
+    let mut all = loaded(&write(&folder, &uncommented.join("\n")));
+    let daemon = all.daemon.as_mut().unwrap();
+    assert!(
+        daemon.platform.is_some(),
+        "the platform is shown by an example"
+    );
+    daemon.platform = None;
+    assert_eq!(all, as_shipped);
+}
+
+#[test]
+fn every_setting_is_in_the_template() {
+    let text = std::fs::read_to_string(template()).unwrap();
+    let settings = format!("{:?}", loaded(&template()));
+    let fields = settings
+        .split([' ', '{', ','])
+        .filter_map(|word| word.strip_suffix(':'));
+    for field in fields.filter(|field| !matches!(*field, "daemon" | "control" | "log_filter")) {
+        assert!(text.contains(&format!("{field} =")), "{field} is not shown");
+    }
+}
+
+#[test]
+fn every_fault_is_reported_at_once() {
+    let faults = faults_of(
+        "[daemon]\nid = 1\nzone = \"\"\nmembers = []\nsubset_size = 0\ntypo = 3\n\
+         [control]\nid = \"x\"\n",
+    );
+    for expected in [
+        "daemon.zone: must not be empty",
+        "daemon.listen: is missing",
+        "daemon.members: must name at least one member",
+        "daemon.subset_size: must be above 0",
+        "daemon.typo: is not a known setting",
+        "control.data_folder: is missing",
+    ] {
+        assert!(
+            faults.iter().any(|it| it == expected),
+            "{expected}: {faults:#?}"
+        );
+    }
+    assert!(faults.iter().any(|it| it.starts_with("control.id: ")));
+}
+
+#[test]
+fn flags_go_before_the_file() {
+    let flags = vec![
+        ("daemon.zone".to_owned(), "isando-b".to_owned()),
+        ("daemon.subset_size".to_owned(), "7".to_owned()),
+    ];
+    let settings = load(Some(&template()), flags, Role::Daemon).unwrap();
+    let daemon = settings.daemon.unwrap();
+    assert_eq!(daemon.zone, "isando-b");
+    assert_eq!(daemon.subset_size, 7);
+    assert_eq!(daemon.id, 1);
+}
+
+/// A file that is shared by all roles leaves some settings to flags; a process judges its own.
+#[test]
+fn the_other_roles_section_may_be_incomplete_but_not_misspelt() {
+    let folder = tempfile::tempdir().unwrap();
+    let shared = std::fs::read_to_string(template())
+        .unwrap()
+        .replace("data_folder = \"/var/lib/luglink\"", "");
+    let file = write(&folder, &shared);
+    assert!(load(Some(&file), Vec::new(), Role::Daemon).is_ok());
+    assert!(load(Some(&file), Vec::new(), Role::Control).is_err());
+    let file = write(&folder, &format!("{shared}\nmisspelt = 1\n"));
+    assert!(load(Some(&file), Vec::new(), Role::Daemon).is_err());
+}
+
+#[test]
+fn broken_files_name_the_file() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = write(&folder, "[daemon\n");
+    let error = load(Some(&file), Vec::new(), Role::Any).unwrap_err();
+    assert!(error.to_string().contains("settings.toml"), "{error}");
+    let missing = folder.path().join("missing.toml");
+    let error = load(Some(&missing), Vec::new(), Role::Any).unwrap_err();
+    assert!(error.to_string().contains("missing.toml"), "{error}");
+}
+
+proptest::proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig {
+        cases: 200,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..proptest::prelude::ProptestConfig::default()
+    })]
+
+    /// Whatever is in the file, the answer is settings or an error, never a panic.
+    #[test]
+    fn no_file_makes_it_panic(text in "(\\[(daemon|control|log)\\]\n)?([a-z_.]{1,9} = ([0-9]{1,20}|\"[a-z]*\"|\\[\\]|true)\n){0,6}") {
+        let folder = tempfile::tempdir().unwrap();
+        let file = write(&folder, &text);
+        for role in [Role::Daemon, Role::Control, Role::Any] {
+            let _ = load(Some(&file), Vec::new(), role);
+        }
+    }
+}
