Fix three faults of a daemon that its first own tests showed

Cause, each by a test that failed first: (1) an engine that began to leave while a call's intent was on its way still got the call; when the control members are slow that can be later than 3 s. (2) A repeatable call that every engine of its pool had failed kept all of them excluded and waited until its deadline. (3) A one-call program that was asked for again under its key without a token ceiling was refused with key_reused: the fingerprint of the request held the ceiling that the daemon had filled in, not what the caller had asked for.

--- a/crates/daemon/src/attempts.rs
+++ b/crates/daemon/src/attempts.rs
@@ -44,6 +44,7 @@
         let prefix = self.prompt_prefix(id)?;
         let random = self.random_number();
         let now = self.now;
+        self.forgive_if_all_failed(id, &pool);
         let call = self.calls.get(&id)?;
         let previous = self.programs.get(&call.program)?.held()?.previous_engine;
         let request = RouteRequest {
@@ -63,6 +64,21 @@
         })
     }
 
+    /// A call keeps away from engines that failed it, as long as there are others at all.
+    fn forgive_if_all_failed(&mut self, id: CallId, pool: &PoolName) {
+        let now = self.now;
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let others = self
+            .pools
+            .router(pool)
+            .is_some_and(|router| router.has_usable_replica_besides(&call.excluded, now));
+        if !others {
+            call.excluded.clear();
+        }
+    }
+
     /// Notes the chosen engine, so that its load counts from now on.
     pub(crate) fn reserve_attempt(&mut self, id: CallId, attempt: CurrentAttempt) {
         let Some(prefix) = self.prompt_prefix(id) else {
@@ -94,12 +110,21 @@
             call.phase = Phase::Delayed;
             return;
         }
-        if now > call.window.start_by {
+        if now > call.window.start_by || self.chosen_engine_leaves(id) {
             return self.fail_undispatched(id);
         }
         self.dispatch_call(id);
     }
 
+    /// While the intent became durable, the engine may have begun to leave: it gets nothing new.
+    fn chosen_engine_leaves(&mut self, id: CallId) -> bool {
+        let Some(attempt) = self.calls.get(&id).and_then(|call| call.attempt) else {
+            return false;
+        };
+        let router = self.pools.router_of(attempt.engine);
+        router.is_some_and(|router| router.is_draining(attempt.engine))
+    }
+
     /// The attempt's intent is durable, but it will not be sent.
     fn fail_undispatched(&mut self, id: CallId) {
         if let Some(attempt) = self.calls.get(&id).and_then(|call| call.attempt) {
--- a/crates/daemon/src/outcomes.rs
+++ b/crates/daemon/src/outcomes.rs
@@ -22,24 +22,13 @@
             class.retry_is_safe() && !call.part_sent && call.attempts < self.config.max_attempts;
         if may_retry
             && self.retry_budget.try_withdraw()
-            && let Some(routed) = self.route_retry(id)
+            && let Some(routed) = self.route_call(id)
         {
-            return self.record_retry(id, class, routed);
+            return self.record_retry(id, class, routed.engine);
         }
         self.record_outcome(id, class);
     }
 
-    /// Another engine if there is one, else any, the failed one included.
-    fn route_retry(&mut self, id: CallId) -> Option<luglink_types::EngineId> {
-        if let Some(routed) = self.route_call(id) {
-            return Some(routed.engine);
-        }
-        if let Some(call) = self.calls.get_mut(&id) {
-            call.excluded.clear();
-        }
-        self.route_call(id).map(|routed| routed.engine)
-    }
-
     fn record_retry(&mut self, id: CallId, class: OutcomeClass, engine: luglink_types::EngineId) {
         let Some(call) = self.calls.get(&id) else {
             return;
--- a/crates/program/src/call.rs
+++ b/crates/program/src/call.rs
@@ -85,9 +85,10 @@
 
 /// A digest of what a caller asked for, equal for equal requests on every replica.
 #[must_use]
-pub fn request_fingerprint(messages: &[ChatMessage], max_output_tokens: u64) -> u64 {
+pub fn request_fingerprint(messages: &[ChatMessage], output_tokens: Option<u64>) -> u64 {
     let mut hasher = Sha256::new();
-    hasher.update(max_output_tokens.to_be_bytes());
+    hasher.update([u8::from(output_tokens.is_some())]);
+    hasher.update(output_tokens.unwrap_or_default().to_be_bytes());
     for message in messages {
         let role = match message.role {
             Role::System => 0_u8,
--- a/crates/program/src/command.rs
+++ b/crates/program/src/command.rs
@@ -80,6 +80,9 @@
     pub input_tokens: u64,
     /// Ceiling of generated tokens, enforced by the engine.
     pub max_output_tokens: u64,
+    /// The ceiling that the caller asked for. What it leaves open may be filled in differently
+    /// when it asks again, which does not make it another request.
+    pub requested_output_tokens: Option<u64>,
     /// Price of one token in millionths of the currency unit.
     pub cost_per_token_micros: u64,
     /// Whether the caller allows the call to run twice after a failure.
--- a/crates/program/src/store.rs
+++ b/crates/program/src/store.rs
@@ -154,7 +154,7 @@
     }
 
     fn begin(&mut self, begin: &BeginCall) -> Result<Reply, Refusal> {
-        let fingerprint = request_fingerprint(&begin.messages, begin.max_output_tokens);
+        let fingerprint = request_fingerprint(&begin.messages, begin.requested_output_tokens);
         let program = self.existing(begin.program)?;
         if let Some(call) = begin.key.as_ref().and_then(|key| program.call_by_key(key)) {
             return self.begin_repeated(begin, call.clone(), fingerprint);
--- a/crates/program/tests/common/mod.rs
+++ b/crates/program/tests/common/mod.rs
@@ -77,6 +77,7 @@
         }],
         input_tokens: INPUT_TOKENS,
         max_output_tokens: MAX_OUTPUT_TOKENS,
+        requested_output_tokens: Some(MAX_OUTPUT_TOKENS),
         cost_per_token_micros: 0,
         repeatable: false,
         ceiling: Budget::default(),
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -140,6 +140,20 @@
         self.engines.values().any(|view| is_usable(view, now))
     }
 
+    /// Whether any replica outside `excluded` may get requests, busy or not.
+    #[must_use]
+    pub fn has_usable_replica_besides(&self, excluded: &[EngineId], now: Timestamp) -> bool {
+        self.engines
+            .values()
+            .any(|view| is_usable(view, now) && !excluded.contains(&view.info.engine))
+    }
+
+    /// Whether a replica takes no new requests.
+    #[must_use]
+    pub fn is_draining(&self, engine: EngineId) -> bool {
+        self.engines.get(&engine).is_some_and(|view| view.draining)
+    }
+
     /// Chooses a replica with room, or `None` when the request must wait. `random` decides
     /// between equals.
     pub fn choose(
