--- a/crates/daemon-server/src/engines.rs
+++ b/crates/daemon-server/src/engines.rs
@@ -15,6 +15,7 @@
 use luglink_types::EngineId;
 use std::collections::BTreeMap;
 use std::time::Duration;
+use tracing::{Instrument, Span};
 
 /// Time within which a replica must answer a request's head. Streams may take longer.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(300);
@@ -60,15 +61,18 @@
         let attempt = dispatch.attempt;
         let http = self.http.clone();
         let daemon = self.daemon.clone();
-        let task = actix_rt::spawn(async move {
+        let span = attempt_span(&dispatch);
+        let task = async move {
             let tell =
                 |event: EngineEvent| daemon.do_send(Happened(Event::Engine { attempt, event }));
             let end = match &dispatch.body {
                 DispatchBody::Chat(chat) => send_chat(&http, &dispatch.address, chat, &tell).await,
                 DispatchBody::Lookup(lookup) => send_lookup(&http, &dispatch.address, lookup).await,
             };
+            tracing::debug!(end = end_name(&end), "attempt ended");
             tell(end);
-        });
+        };
+        let task = actix_rt::spawn(task.instrument(span));
         self.running.insert(attempt, task);
     }
 
@@ -117,6 +121,37 @@
     }
 }
 
+/// Names the program, call and attempt in every log line about a dispatch.
+fn attempt_span(dispatch: &Dispatch) -> Span {
+    let (program, sequence, number) = match &dispatch.body {
+        DispatchBody::Chat(chat) => (
+            chat.program.to_string(),
+            chat.sequence.0,
+            u64::from(chat.attempt_number.0),
+        ),
+        DispatchBody::Lookup(lookup) => (lookup.path.clone(), 0, 0),
+    };
+    tracing::info_span!(
+        "attempt",
+        program,
+        call = sequence,
+        attempt = number,
+        engine = dispatch.engine.0,
+    )
+}
+
+fn end_name(event: &EngineEvent) -> &'static str {
+    match event {
+        EngineEvent::Part(_) => "part",
+        EngineEvent::Completed { .. } => "completed",
+        EngineEvent::LookupDone { .. } => "lookup_done",
+        EngineEvent::NotSent => "not_sent",
+        EngineEvent::Rejected => "rejected",
+        EngineEvent::Retryable => "retryable",
+        EngineEvent::Broken => "broken",
+    }
+}
+
 async fn send_chat(
     http: &Client,
     address: &str,
--- a/crates/daemon-server/src/http.rs
+++ b/crates/daemon-server/src/http.rs
@@ -9,7 +9,7 @@
 use actix_web::web::{Bytes, Data, Path, Query, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, web};
 use futures_util::Stream;
-use luglink_daemon::{Answer, CallRequest, Event, TicketId};
+use luglink_daemon::{Answer, CallRequest, CallTarget, Event, TicketId};
 use luglink_engine_api::{ChatChunk, ChatCompletion, ChatRequest, HEADER_PROGRAM, Problem};
 use luglink_types::{ProgramId, Refusal, RefusalCode};
 use serde::Deserialize;
@@ -17,10 +17,21 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use tokio::sync::mpsc;
+use tracing::{Instrument, Span};
 
 const PROBLEM_JSON: &str = "application/problem+json";
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// A request's body, or why it could not be read.
+type Body = Result<Bytes, actix_web::Error>;
+
+/// The body is too long, or the caller broke off in the middle.
+fn unreadable(error: &actix_web::Error) -> HttpResponse {
+    let refusal = Refusal::not_run(RefusalCode::InvalidRequest, format!("body: {error}"));
+    let status = error.as_response_error().status_code();
+    problem_with_status(&refusal, status)
+}
+
 /// What every handler needs.
 pub(crate) struct Shared {
     pub(crate) daemon: Addr<DaemonActor>,
@@ -105,7 +116,11 @@
         .default_service(web::route().to(not_found));
 }
 
-async fn create_program(request: HttpRequest, shared: Data<Shared>, body: Bytes) -> HttpResponse {
+async fn create_program(request: HttpRequest, shared: Data<Shared>, body: Body) -> HttpResponse {
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => return unreadable(&error),
+    };
     let parsed = parse::json::<CreateBody>(&body).and_then(|body| parse::create(&request, body));
     let create = match parsed {
         Ok(create) => create,
@@ -165,8 +180,12 @@
     request: HttpRequest,
     shared: Data<Shared>,
     path: Path<String>,
-    body: Bytes,
+    body: Body,
 ) -> HttpResponse {
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => return unreadable(&error),
+    };
     let stream = accepts_stream(&request);
     let parsed = parse::program_id(&path).and_then(|program| {
         let body = parse::json::<CallBody>(&body)?;
@@ -176,10 +195,25 @@
         Ok(call) => call,
         Err(refusal) => return problem(&refusal),
     };
-    run_call(&shared, call, Format::Own).await
+    let span = call_span(&call);
+    run_call(&shared, call, Format::Own).instrument(span).await
+}
+
+/// Names the program and the caller's key in every log line about a call.
+fn call_span(call: &CallRequest) -> Span {
+    let program = match &call.target {
+        CallTarget::Existing(program) => program.to_string(),
+        CallTarget::OneShot(_) => String::new(),
+    };
+    let key = call.key.as_ref().map_or("", |key| key.as_str());
+    tracing::info_span!("call", program, key)
 }
 
-async fn chat_completions(request: HttpRequest, shared: Data<Shared>, body: Bytes) -> HttpResponse {
+async fn chat_completions(request: HttpRequest, shared: Data<Shared>, body: Body) -> HttpResponse {
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => return unreadable(&error),
+    };
     let parsed = parse::json::<ChatRequest>(&body).and_then(|body| {
         let format = Format::OpenAi {
             model: body.model.clone(),
@@ -190,7 +224,10 @@
         Ok((parse::chat(&request, body)?, format))
     });
     match parsed {
-        Ok((call, format)) => run_call(&shared, call, format).await,
+        Ok((call, format)) => {
+            let span = call_span(&call);
+            run_call(&shared, call, format).instrument(span).await
+        }
         Err(refusal) => problem(&refusal),
     }
 }
@@ -262,12 +299,18 @@
     if !stream {
         return match answers.last().await {
             Answer::Completed { program, answer } => format.whole(program, answer),
-            answer => unexpected_or_refused(&answer),
+            answer => {
+                if let Answer::Refused(refusal) = &answer {
+                    log_refusal(refusal);
+                }
+                unexpected_or_refused(&answer)
+            }
         };
     }
     // The status line waits for the first answer, so that a refusal is a problem and no stream.
     let first = answers.next().await;
     if let Answer::Refused(refusal) = &first {
+        log_refusal(refusal);
         return problem(refusal);
     }
     HttpResponse::Ok()
@@ -280,6 +323,11 @@
         })
 }
 
+fn log_refusal(refusal: &Refusal) {
+    let code = refusal.code.as_str();
+    tracing::info!(code, executed = ?refusal.executed, detail = refusal.detail, "call refused");
+}
+
 /// A call's answer as server-sent events.
 struct CallStream {
     answers: Answers,
@@ -332,8 +380,12 @@
     request: HttpRequest,
     shared: Data<Shared>,
     path: Path<(String, String)>,
-    body: Bytes,
+    body: Body,
 ) -> HttpResponse {
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => return unreadable(&error),
+    };
     let (service, rest) = path.into_inner();
     let lookup = match parse::lookup(&request, &service, &rest, &body) {
         Ok(lookup) => lookup,
