--- a/crates/lab/src/cli/mod.rs
+++ b/crates/lab/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line of `luglink-lab`.
 
+mod capacity;
 mod demo;
 mod generate;
 mod replay;
@@ -24,6 +25,9 @@
     /// Run scenarios on the simulator's virtual clock, over many seeds, and check every promise
     #[bpaf(command)]
     Sim(#[bpaf(external(sim::sim_options))] sim::SimOptions),
+    /// Measure what things cost and work out what that comes to at the size designed for
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity::capacity_options))] capacity::CapacityOptions),
     /// Write a seeded trace to standard output
     #[bpaf(command)]
     Generate(#[bpaf(external(generate::generate_options))] generate::GenerateOptions),
@@ -39,6 +43,7 @@
         Command::Demo(options) => demo::run(&options),
         Command::Replay(options) => replay::run(&options),
         Command::Sim(options) => sim::run(&options),
+        Command::Capacity(options) => capacity::run(&options),
         Command::Generate(options) => generate::run(&options),
     };
     match outcome {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(missing_docs)]
 
 mod caller_policy;
+pub mod capacity;
 pub mod check;
 pub mod cli;
 pub mod engine;
