Keep what is known of a cache when its events have a gap; count others' delay

Each engine loses 2% of its cache events; a daemon that saw a gap forgot everything it knew of that engine, about once a second. Excluded: the block hashes (session affinity hit as often as the trace allows) and evictions (the working set fits).

Change: only an engine that began anew is forgotten. A completed turn's blocks count as cached at once, without waiting for the engine's event. The cost of a replica now has the delay that a request makes for all others there: computing a prompt holds up the whole batch. `luglink-lab compare` runs policies on the same traces, with a bound that no policy can pass.

--- a/crates/daemon-server/src/engines.rs
+++ b/crates/daemon-server/src/engines.rs
@@ -265,7 +265,6 @@
         };
         if let Some(events) = events {
             let restarted = events.incarnation != incarnation;
-            let gap = restarted || events.first > last + 1;
             incarnation = events.incarnation;
             last = events.last;
             daemon.do_send(Happened(Event::Load {
@@ -276,7 +275,7 @@
                 engine,
                 stored: events.stored.into_iter().map(BlockHash).collect(),
                 removed: events.removed.into_iter().map(BlockHash).collect(),
-                gap,
+                restarted,
             }));
         }
         actix_rt::time::sleep(interval).await;
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -85,8 +85,10 @@
         stored: Vec<BlockHash>,
         /// Blocks that are gone.
         removed: Vec<BlockHash>,
-        /// Events were missed before these: what is known of the cache may be wrong.
-        gap: bool,
+        /// The replica began anew: nothing that was known of its cache holds. Events that were
+        /// merely missed change nothing: forgetting everything for them costs more than the few
+        /// blocks that are believed wrongly.
+        restarted: bool,
     },
     /// The platform says that replicas are leaving.
     Leaving {
--- a/crates/daemon/src/outcomes.rs
+++ b/crates/daemon/src/outcomes.rs
@@ -7,7 +7,8 @@
 use crate::programs::program_reply;
 use luglink_program::{Command, FinishCall, Reply, RetryCall, StoredAnswer};
 use luglink_types::{
-    AttemptNumber, ChatMessage, OutcomeClass, Refusal, RefusalCode, Role, Sequence, TokenUsage,
+    AttemptNumber, ChatMessage, EngineId, OutcomeClass, ProgramId, Refusal, RefusalCode, Role,
+    Sequence, TokenUsage,
 };
 
 impl Daemon {
@@ -212,6 +213,7 @@
                 - usage.cached_tokens.min(usage.prompt_tokens)
                 + usage.completion_tokens;
         }
+        self.note_cached_turn(program, engine);
         self.close_answered(
             id,
             StoredAnswer {
@@ -223,6 +225,17 @@
         );
     }
 
+    /// The engine keeps the turn's blocks; its own event comes late or never.
+    fn note_cached_turn(&mut self, program: ProgramId, engine: Option<EngineId>) {
+        let held = self.programs.get(&program).and_then(ServedProgram::held);
+        let (Some(held), Some(engine)) = (held, engine) else {
+            return;
+        };
+        if let Some(router) = self.pools.router_of(engine) {
+            router.on_blocks_stored(engine, held.prefix.blocks());
+        }
+    }
+
     /// The caller allowed the call to run twice, and the first run is on record as uncertain:
     /// the intent is sent again under the same key.
     fn run_again(&mut self, id: CallId, next_sequence: Sequence) {
--- a/crates/daemon/src/pools.rs
+++ b/crates/daemon/src/pools.rs
@@ -110,10 +110,10 @@
         engine: EngineId,
         stored: &[BlockHash],
         removed: &[BlockHash],
-        gap: bool,
+        restarted: bool,
     ) {
         if let Some(router) = self.router_of(engine) {
-            if gap {
+            if restarted {
                 router.forget_cache(engine);
             }
             router.on_blocks_stored(engine, stored);
--- a/crates/lab/src/cli/mod.rs
+++ b/crates/lab/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line of `luglink-lab`.
 
 mod capacity;
+mod compare;
 mod demo;
 mod generate;
 mod replay;
@@ -25,6 +26,9 @@
     /// Run scenarios on the simulator's virtual clock, over many seeds, and check every promise
     #[bpaf(command)]
     Sim(#[bpaf(external(sim::sim_options))] sim::SimOptions),
+    /// Run the same traces under each policy on the virtual clock and compare
+    #[bpaf(command)]
+    Compare(#[bpaf(external(compare::compare_options))] compare::CompareOptions),
     /// Measure what things cost and work out what that comes to at the size designed for
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity::capacity_options))] capacity::CapacityOptions),
@@ -43,6 +47,7 @@
         Command::Demo(options) => demo::run(&options),
         Command::Replay(options) => replay::run(&options),
         Command::Sim(options) => sim::run(&options),
+        Command::Compare(options) => compare::run(&options),
         Command::Capacity(options) => capacity::run(&options),
         Command::Generate(options) => generate::run(&options),
     };
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod capacity;
 pub mod check;
 pub mod cli;
+pub mod compare;
 pub mod engine;
 pub mod fleet;
 pub mod observe;
--- a/crates/lab/src/sim/daemons.rs
+++ b/crates/lab/src/sim/daemons.rs
@@ -369,7 +369,6 @@
         let engine = EngineId(u32::try_from(engine).unwrap_or(u32::MAX));
         let cursor = self.daemons[daemon].cursors.entry(engine).or_default();
         let restarted = events.incarnation != cursor.incarnation;
-        let gap = restarted || events.first > cursor.last + 1;
         *cursor = EventCursor {
             incarnation: events.incarnation,
             last: events.last,
@@ -386,7 +385,7 @@
             engine,
             stored: events.stored.into_iter().map(BlockHash).collect(),
             removed: events.removed.into_iter().map(BlockHash).collect(),
-            gap,
+            restarted,
         };
         self.daemon_event(daemon, event);
     }
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -120,6 +120,20 @@
         queue + prefill + decode
     }
 
+    /// Predicted time that a request takes from all others at the replica together, in seconds:
+    /// computing its prompt holds up the whole batch, and each of its steps is a little longer.
+    pub(crate) fn delay_of_others_seconds(
+        &self,
+        cost: &CostModel,
+        uncached_tokens: u64,
+        now: Timestamp,
+    ) -> f64 {
+        let others = self.requests(now);
+        let prefill = cost.prefill(uncached_tokens as f64);
+        let decode = cost.expected_output_tokens * cost.step_seconds_per_sequence;
+        others * (prefill + decode)
+    }
+
     pub(crate) fn on_dispatch(
         &mut self,
         attempt: AttemptId,
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -226,7 +226,8 @@
         } else {
             cost.cross_zone_seconds
         };
-        view.predicted_seconds(cost, uncached, now) + zone
+        let own = view.predicted_seconds(cost, uncached, now);
+        own + view.delay_of_others_seconds(cost, uncached, now) + zone
     }
 
     /// A request goes to a replica.
