Admit no more programs while calls wait; blame no stop for a parent's end

Cause: (1) past saturation every policy collapsed: programs went on to be admitted, all of them became late, and callers gave up on calls that engines were still working on.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -42,6 +42,9 @@
                     Ok(spec) => spec,
                     Err(refusal) => return self.refuse(ticket, refusal),
                 };
+                if let Some(refusal) = self.refuses_admission(&spec.model) {
+                    return self.refuse(ticket, refusal);
+                }
                 let program = match &request.key {
                     Some(key) => ProgramId::derived(defaults.tenant.as_str(), key.as_str()),
                     None => ProgramId {
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -24,6 +24,8 @@
     pub max_queued_calls: usize,
     /// Calls of one program that may wait for each other.
     pub max_waiting_per_program: usize,
+    /// Wait of the longest waiting call from which on no new programs are admitted to its pool.
+    pub admission_wait: Duration,
     /// Longest time a call waits for an engine when none is usable.
     pub no_engine_patience: Duration,
     /// Longest time a call waits for the calls that its sequence says come first.
@@ -68,6 +70,7 @@
             subset_size: 64,
             max_queued_calls: 1_024,
             max_waiting_per_program: 16,
+            admission_wait: Duration::from_millis(250),
             no_engine_patience: Duration::from_secs(5),
             reorder_patience: Duration::from_secs(2),
             engine_silence: Duration::from_secs(20),
--- a/crates/daemon/src/programs.rs
+++ b/crates/daemon/src/programs.rs
@@ -8,7 +8,8 @@
 use crate::program::{HeldProgram, Ownership, ServedProgram};
 use luglink_control::{Request, Response};
 use luglink_program::{Claim, Command, CreateProgram, EndProgram, EndReason, Reply, TakeOver};
-use luglink_types::{ProgramId, Refusal, RefusalCode, Timestamp};
+use luglink_types::{ModelName, ProgramId, Refusal, RefusalCode, Timestamp};
+use std::time::Duration;
 
 impl Daemon {
     pub(crate) fn on_create(&mut self, ticket: TicketId, request: CreateRequest) {
@@ -19,6 +20,12 @@
             Ok(spec) => spec,
             Err(refusal) => return self.refuse(ticket, refusal),
         };
+        // A helper belongs to a program that was admitted already.
+        if request.parent.is_none()
+            && let Some(refusal) = self.refuses_admission(&spec.model)
+        {
+            return self.refuse(ticket, refusal);
+        }
         let program = self.new_program_id(&request);
         let command = Command::Create(CreateProgram {
             program,
@@ -29,6 +36,17 @@
         self.submit_command(program, command, Purpose::Create { ticket });
     }
 
+    /// When calls wait long for engines already, one more program would only make all of them
+    /// late: it is refused at once, before anything ran, and told when to come back. Programs
+    /// under way go on.
+    pub(crate) fn refuses_admission(&self, pool: &ModelName) -> Option<Refusal> {
+        let since = self.queue.waiting_longest(pool)?;
+        (self.now.since(since) > self.config.admission_wait).then(|| {
+            let detail = format!("calls of `{pool}` wait too long to take more programs");
+            Refusal::not_run(RefusalCode::Overloaded, detail).retry_after(ADMISSION_RETRY_AFTER)
+        })
+    }
+
     /// A key gives the same program at every daemon; a sub-program shares its root's family.
     fn new_program_id(&mut self, request: &CreateRequest) -> ProgramId {
         let tenant = request.program.tenant.as_str();
@@ -246,6 +264,9 @@
     }
 }
 
+/// Wait that is suggested to callers whose program is not admitted.
+const ADMISSION_RETRY_AFTER: Duration = Duration::from_secs(3);
+
 /// Claims to one program that may be refused before its calls are.
 const MAX_REFUSED_CLAIMS: u32 = 3;
 
--- a/crates/daemon/src/queue.rs
+++ b/crates/daemon/src/queue.rs
@@ -60,6 +60,12 @@
         old.map(|queued| queued.call).collect()
     }
 
+    /// Since when the longest waiting call of a pool has waited.
+    pub(crate) fn waiting_longest(&self, pool: &ModelName) -> Option<Timestamp> {
+        let own = self.calls.iter().filter(|queued| queued.pool == *pool);
+        own.map(|queued| queued.queued_at).min()
+    }
+
     pub(crate) fn pools(&self) -> Vec<ModelName> {
         let mut pools: Vec<ModelName> = self
             .calls
--- a/crates/daemon/tests/daemon.rs
+++ b/crates/daemon/tests/daemon.rs
@@ -112,6 +112,42 @@
     assert_eq!(harness.daemon.active_calls(), 0);
 }
 
+/// While calls wait long for engines, new programs are refused at once; those under way go on.
+#[test]
+fn a_saturated_daemon_admits_no_more_programs() {
+    let mut small = config();
+    small.router.max_requests_per_replica = 1;
+    small.engine_silence = Duration::from_secs(60);
+    let mut harness = Harness::start(small);
+    let programs: Vec<_> = (0..4).map(|_| harness.create()).collect();
+    for (number, program) in programs.iter().enumerate() {
+        harness.call(*program, &format!("k{number}"), false);
+    }
+    assert_eq!(harness.daemon.queued_calls(), 2);
+    harness.pass(Duration::from_secs(1));
+    let ticket = harness.ticket();
+    let create = |parent| CreateRequest {
+        program: defaults(),
+        parent,
+        key: None,
+    };
+    let request = create(None);
+    harness.event(Event::Create { ticket, request });
+    let refusal = harness.refusal_of(ticket);
+    assert_eq!(refusal.code, RefusalCode::Overloaded);
+    assert_eq!(refusal.executed, Executed::No);
+    assert!(refusal.retry_after.is_some());
+    let helper = harness.ticket();
+    let request = create(Some(programs[0]));
+    let event = Event::Create {
+        ticket: helper,
+        request,
+    };
+    harness.event(event);
+    let admitted = harness.answer_of(helper);
+    assert!(matches!(admitted, Some(luglink_daemon::Answer::Created(_))));
+}
+
 /// What an engine says after the call was taken from it reaches nobody.
 #[test]
 fn late_answers_reach_nobody() {
--- a/crates/lab/src/observe.rs
+++ b/crates/lab/src/observe.rs
@@ -123,6 +123,8 @@
     pub created_at: Timestamp,
     /// Time in which the caller was busy with tools.
     pub tool_time: Duration,
+    /// When the caller first asked for its end.
+    pub end_sent_at: Option<Timestamp>,
     /// When the caller left it.
     pub left_at: Option<(Timestamp, Departure)>,
     /// Why it could not be created.
--- a/crates/lab/src/replay/caller.rs
+++ b/crates/lab/src/replay/caller.rs
@@ -79,6 +79,7 @@
         budget: event.budget.clone(),
         created_at: context.now(),
         tool_time: Duration::ZERO,
+        end_sent_at: None,
         left_at: None,
         refused: None,
         final_view: None,
@@ -112,6 +113,7 @@
             }
             ProgramStep::End(after_ms) => {
                 pause(&context, &mut record, *after_ms).await;
+                record.end_sent_at = Some(context.now());
                 end(&context, &plan, &id).await;
                 record.left_at = Some((context.now(), Departure::Ended));
             }
--- a/crates/lab/src/sim/callers.rs
+++ b/crates/lab/src/sim/callers.rs
@@ -52,6 +52,7 @@
     id: Option<ProgramId>,
     created_at: Timestamp,
     tool_time: Duration,
+    end_sent_at: Option<Timestamp>,
     left_at: Option<(Timestamp, Departure)>,
     refused: Option<RefusalCode>,
     next_step: usize,
@@ -72,6 +73,7 @@
             id: None,
             created_at: Timestamp::ZERO,
             tool_time: Duration::ZERO,
+            end_sent_at: None,
             left_at: None,
             refused: None,
             next_step: 0,
@@ -415,6 +417,7 @@
             }
             ProgramStep::End(_) => {
                 state.doing = Doing::Ending;
+                state.end_sent_at = Some(self.now);
                 self.send_end(caller);
             }
             ProgramStep::Abandon(_) => self.leave(caller, Departure::Abandoned),
@@ -500,6 +503,7 @@
             budget: event.budget.clone(),
             created_at: state.created_at,
             tool_time: state.tool_time,
+            end_sent_at: state.end_sent_at,
             left_at: state.left_at,
             refused: state.refused,
             final_view: None,
--- a/crates/lab/tests/checkers.rs
+++ b/crates/lab/tests/checkers.rs
@@ -88,6 +88,7 @@
         },
         created_at: at(0),
         tool_time: Duration::ZERO,
+        end_sent_at: Some(at(890)),
         left_at: Some((at(900), Departure::Ended)),
         refused: None,
         final_view: None,
