--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -206,9 +206,17 @@
         random: u64,
         now: Timestamp,
     ) -> &'a EngineView {
+        let left_behind = candidates
+            .iter()
+            .find(|view| Some(view.info.engine) == request.previous)
+            .map_or(0, |view| cached_tokens(view, request));
         let costs: Vec<f64> = candidates
             .iter()
-            .map(|view| self.cost(view, request, now))
+            .map(|view| {
+                let moves = Some(view.info.engine) != request.previous;
+                let wasted = if moves { left_behind } else { 0 };
+                self.cost(view, request, now) + self.config.cost.waste(wasted as f64)
+            })
             .collect();
         let lowest = costs.iter().copied().fold(f64::INFINITY, f64::min);
         let limit = lowest * self.config.equal_cost_factor;
