--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -13,8 +13,10 @@
 mod account;
 mod call;
 mod command;
+mod expiry;
 mod program;
 mod reply;
+mod rules;
 mod store;
 mod window;
 
--- a/crates/program/src/store.rs
+++ b/crates/program/src/store.rs
@@ -4,24 +4,22 @@
 use crate::call::{CallRecord, CallState, request_fingerprint};
 use crate::command::{
     BeginCall, Command, ConfirmRelease, CreateProgram, EndProgram, EndReason, FinishCall,
-    ProgramSpec, RenewLease, RetryCall, TakeOver,
+    RenewLease, RetryCall, TakeOver,
 };
+use crate::expiry::{Expiry, expiry};
 use crate::program::{Program, ProgramStatus, call_ceiling};
 use crate::reply::{Begun, Reply};
+use crate::rules::{
+    ONE_RETRY, already_finished, check_active, check_intent, check_order, check_same_spec,
+    effective_budget, executed_after, matching_call, retry_charge, unknown_outcome,
+    unknown_program,
+};
 use crate::window::StartWindow;
 use luglink_types::{
-    AttemptNumber, Budget, Charge, EngineId, Executed, OutcomeClass, ProgramId, Refusal,
-    RefusalCode, Timestamp,
+    AttemptNumber, Budget, Charge, EngineId, ProgramId, Refusal, RefusalCode, Timestamp,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
-
-/// How long an ended program's answers can still be asked for.
-const RETENTION: Duration = Duration::from_secs(900);
-
-/// How long an owner may be silent before its call in flight counts as lost.
-const OWNER_LEASE: Duration = Duration::from_secs(15);
 
 /// Levels of parents above a program that are followed at the most.
 const PARENT_DEPTH_LIMIT: usize = 32;
@@ -572,168 +570,3 @@
         Ok(program)
     }
 }
-
-/// What time alone does to a program.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Expiry {
-    Nothing,
-    End(EndReason),
-    LoseCall,
-    Forget,
-}
-
-fn expiry(program: &Program, at: Timestamp) -> Expiry {
-    if let ProgramStatus::Ended { at: ended_at, .. } = program.status {
-        let forgotten = at.since(ended_at) > RETENTION;
-        return if forgotten {
-            Expiry::Forget
-        } else {
-            Expiry::Nothing
-        };
-    }
-    if let Some(reason) = program.overdue(at, OWNER_LEASE) {
-        return Expiry::End(reason);
-    }
-    let owner_silent = at.since(program.owner.renewed_at) > OWNER_LEASE;
-    if owner_silent && program.call_in_flight().is_some() {
-        return Expiry::LoseCall;
-    }
-    Expiry::Nothing
-}
-
-/// A repeated creation must ask for the same program; the zone is the asking daemon's.
-fn check_same_spec(existing: &Program, create: &CreateProgram) -> Result<(), Refusal> {
-    let asked = ProgramSpec {
-        zone: existing.spec.zone.clone(),
-        ..create.spec.clone()
-    };
-    if existing.spec == asked {
-        return Ok(());
-    }
-    Err(Refusal::not_run(
-        RefusalCode::KeyReused,
-        format!(
-            "program {} exists with another specification",
-            create.program
-        ),
-    ))
-}
-
-/// The class ceiling binds the program that makes the call; its parents answer for their own.
-fn effective_budget(payer: &Program, caller: ProgramId, ceiling: &Budget) -> Budget {
-    if payer.id == caller {
-        payer.spec.budget.intersect(ceiling)
-    } else {
-        payer.spec.budget.clone()
-    }
-}
-
-fn check_active(program: &Program) -> Result<(), Refusal> {
-    if program.is_active() {
-        return Ok(());
-    }
-    Err(Refusal::not_run(
-        RefusalCode::ProgramEnded,
-        format!("program {} has ended", program.id),
-    ))
-}
-
-/// An intent that was overtaken by a later one is a copy that the network kept back: its sender
-/// has long had an answer to it and will not look at another.
-fn check_intent(program: &Program, begin: &BeginCall) -> Result<(), Refusal> {
-    if begin.intent > program.owner.last_intent {
-        return Ok(());
-    }
-    Err(Refusal::not_run(
-        RefusalCode::StaleOwner,
-        format!(
-            "intent {} comes after intent {}",
-            begin.intent, program.owner.last_intent
-        ),
-    ))
-}
-
-fn check_order(program: &Program, begin: &BeginCall) -> Result<(), Refusal> {
-    if program.call_in_flight().is_some() {
-        return Err(Refusal::not_run(
-            RefusalCode::CallInProgress,
-            "the program's previous call is still running",
-        ));
-    }
-    match begin.sequence {
-        Some(sequence) if sequence != program.next_sequence => Err(Refusal::not_run(
-            RefusalCode::OutOfOrder,
-            format!(
-                "sequence {sequence} is not the program's next, {}",
-                program.next_sequence
-            ),
-        )),
-        _ => Ok(()),
-    }
-}
-
-fn matching_call(
-    program: &Program,
-    sequence: luglink_types::Sequence,
-) -> Result<&CallRecord, Refusal> {
-    program
-        .call_in_flight()
-        .filter(|call| call.sequence == sequence)
-        .ok_or_else(unknown_outcome)
-}
-
-fn already_finished(call: &CallRecord, finish: &FinishCall) -> bool {
-    match call.state {
-        CallState::Completed { attempts, .. } => {
-            finish.class == OutcomeClass::Completed
-                && attempts == finish.attempt.0.saturating_add(1)
-        }
-        CallState::Uncertain { attempt } => {
-            finish.class == OutcomeClass::Uncertain && attempt == finish.attempt
-        }
-        CallState::InFlight { .. } => false,
-    }
-}
-
-/// What another attempt reserves. An attempt that an engine may have worked on is paid for
-/// beside the next one.
-fn retry_charge(call: &CallRecord, failed_as: OutcomeClass) -> Charge {
-    if failed_as.spent_nothing() {
-        return ONE_RETRY;
-    }
-    let attempt = Charge {
-        calls: 0,
-        ..call.ceiling
-    };
-    attempt.plus(&ONE_RETRY)
-}
-
-/// The charge of an attempt beyond the first, besides its tokens.
-const ONE_RETRY: Charge = Charge {
-    calls: 0,
-    tokens: 0,
-    cost_micros: 0,
-    retries: 1,
-};
-
-fn executed_after(class: OutcomeClass) -> Executed {
-    if class.spent_nothing() {
-        Executed::No
-    } else {
-        Executed::Unknown
-    }
-}
-
-fn unknown_program(id: ProgramId) -> Refusal {
-    Refusal::not_run(
-        RefusalCode::UnknownProgram,
-        format!("no program {id}, or it is past its retention"),
-    )
-}
-
-fn unknown_outcome() -> Refusal {
-    Refusal::uncertain(
-        RefusalCode::OutcomeUnknown,
-        "nobody can tell whether the request ran, and it must not run twice",
-    )
-}
