Measure refunds and the time that a take-over costs callers

Cause: the refund rule was chosen and not measured, and nothing said how long a caller waits when its daemon dies.

--- a/crates/lab/src/cli/mod.rs
+++ b/crates/lab/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod compare;
 mod demo;
 mod generate;
+mod refund;
 mod replay;
 mod sim;
 
@@ -29,6 +30,9 @@
     /// Run the same traces under each policy on the virtual clock and compare
     #[bpaf(command)]
     Compare(#[bpaf(external(compare::compare_options))] compare::CompareOptions),
+    /// Compare refund of unused reservations with no refund, under the same budgets
+    #[bpaf(command)]
+    Refund(#[bpaf(external(refund::refund_options))] refund::RefundOptions),
     /// Measure what things cost and work out what that comes to at the size designed for
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity::capacity_options))] capacity::CapacityOptions),
@@ -48,6 +52,7 @@
         Command::Replay(options) => replay::run(&options),
         Command::Sim(options) => sim::run(&options),
         Command::Compare(options) => compare::run(&options),
+        Command::Refund(options) => refund::run(&options),
         Command::Capacity(options) => capacity::run(&options),
         Command::Generate(options) => generate::run(&options),
     };
--- a/crates/lab/src/cli/sim.rs
+++ b/crates/lab/src/cli/sim.rs
@@ -150,6 +150,13 @@
 }
 
 fn print_details(report: &ScenarioReport) {
+    println!(
+        "  first token of calls sent once: p50 {} ms, p95 {} ms; sent again: p50 {} ms, p95 {} ms",
+        report.first_token_once_ms.p50,
+        report.first_token_once_ms.p95,
+        report.first_token_resent_ms.p50,
+        report.first_token_resent_ms.p95
+    );
     for (code, count) in &report.codes {
         println!("  {code}: {count}");
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod observe;
+pub mod refund;
 pub mod replay;
 pub mod report;
 pub mod sim;
--- a/crates/lab/src/observe.rs
+++ b/crates/lab/src/observe.rs
@@ -68,6 +68,8 @@
     pub repeatable: bool,
     /// When the caller sent it.
     pub sent_at: Timestamp,
+    /// How often the caller sent it.
+    pub sends: usize,
     /// When the first token came.
     pub first_token_at: Option<Timestamp>,
     /// Longest and other pauses between tokens.
--- a/crates/lab/src/replay/caller.rs
+++ b/crates/lab/src/replay/caller.rs
@@ -223,6 +223,7 @@
         output_tokens: call.output_tokens,
         repeatable: call.repeatable,
         sent_at,
+        sends: 1,
         first_token_at: None,
         token_gaps: Vec::new(),
         ended_at,
@@ -246,7 +247,9 @@
     let mut during_planned_stop = false;
     let mut doubt = false;
     let daemons = context.daemons_of(&plan.program.zone);
+    let mut sends = 0;
     for daemon in daemons.iter().cycle().take(MAX_SENDS) {
+        sends += 1;
         let sent = http_client::call(&context.client, *daemon, &to_send).await;
         during_planned_stop |= context.stopping.borrow().contains(daemon);
         match sent {
@@ -284,6 +287,7 @@
         }
     }
     let mut record = call_record(call, sent_at, context.now(), last);
+    record.sends = sends;
     record.during_planned_stop = during_planned_stop;
     if let Some(answer) = answer {
         record.first_token_at = answer.first_part_at.map(|at| context.at(at));
--- a/crates/lab/src/sim/config.rs
+++ b/crates/lab/src/sim/config.rs
@@ -69,6 +69,8 @@
     pub max_requests_per_replica: usize,
     /// Pause after which a program counts as abandoned.
     pub idle_timeout: Duration,
+    /// Ceiling of generated tokens that callers ask for, as a multiple of what they will get.
+    pub ceiling_factor: u64,
     /// The network.
     pub network: NetworkConfig,
     /// The clocks.
@@ -104,6 +106,7 @@
             max_queued_calls: 512,
             max_requests_per_replica: 32,
             idle_timeout: Duration::from_secs(30),
+            ceiling_factor: 1,
             network: NetworkConfig::calm(),
             clocks: ClockSkew::NONE,
             keep_prompts: true,
--- a/crates/lab/src/sim/scenario/mod.rs
+++ b/crates/lab/src/sim/scenario/mod.rs
@@ -7,7 +7,7 @@
 
 pub use catalogue::Scenario;
 pub use explain::{StoryLine, explain};
-pub use run::{ScenarioReport, SeedFailure, run_scenario};
+pub use run::{ScenarioReport, SeedFailure, Spread, run_scenario};
 
 use crate::engine::EngineConfig;
 use crate::sim::config::{ClockSkew, SimConfig};
--- a/crates/lab/src/sim/scenario/run.rs
+++ b/crates/lab/src/sim/scenario/run.rs
@@ -56,6 +56,10 @@
     pub longest_without_leader_ms: u64,
     /// Middle of those times.
     pub median_without_leader_ms: u64,
+    /// Middle and 95th percentile of the time to the first token of calls that were sent once.
+    pub first_token_once_ms: Spread,
+    /// The same of calls that had to be sent again: failures that callers felt.
+    pub first_token_resent_ms: Spread,
     /// Virtual time, in seconds.
     pub virtual_seconds: f64,
     /// Wall time, in seconds.
@@ -76,6 +80,51 @@
     }
 }
 
+/// Two percentiles of a time, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Spread {
+    /// Middle.
+    pub p50: u64,
+    /// 95th percentile.
+    pub p95: u64,
+}
+
+impl Spread {
+    fn of(mut times: Vec<Duration>) -> Self {
+        times.sort_unstable();
+        let at = |percent: usize| millis(times.get(times.len() * percent / 100));
+        Self {
+            p50: at(50),
+            p95: at(95),
+        }
+    }
+}
+
+/// Times to the first token of answered calls, by how often they were sent.
+#[derive(Default)]
+struct FirstTokens {
+    once: Vec<Duration>,
+    resent: Vec<Duration>,
+}
+
+impl FirstTokens {
+    fn of(history: &History) -> Self {
+        let mut times = Self::default();
+        for call in &history.calls {
+            let Some(first) = call.first_token_at else {
+                continue;
+            };
+            let time = first.since(call.sent_at);
+            if call.sends > 1 {
+                times.resent.push(time);
+            } else {
+                times.once.push(time);
+            }
+        }
+        times
+    }
+}
+
 /// What one seed gave.
 struct SeedResult {
     seed: u64,
@@ -89,6 +138,7 @@
     retries: u64,
     faults: FaultCounts,
     leaderless: Vec<Duration>,
+    first_tokens: FirstTokens,
     elapsed: Duration,
     digest: String,
 }
@@ -138,6 +188,7 @@
                 retries: 0,
                 faults: FaultCounts::default(),
                 leaderless: Vec::new(),
+                first_tokens: FirstTokens::default(),
                 elapsed: Duration::ZERO,
                 digest: String::new(),
             };
@@ -153,6 +204,7 @@
         rightly_refused: count(is_rightly_refused),
         unknown: count(|outcome| matches!(outcome, Outcome::Unknown { .. })),
         codes: codes(&result.history),
+        first_tokens: FirstTokens::of(&result.history),
         retries: result.counters.retries,
         events: result.events,
         what: result.problems,
@@ -205,6 +257,7 @@
     };
     let mut digest = Sha256::new();
     let mut leaderless = Vec::new();
+    let mut first_tokens = FirstTokens::default();
     for result in results {
         digest.update(result.digest.as_bytes());
         report.events += result.events;
@@ -219,6 +272,8 @@
         report.faults.add(&result.faults);
         report.virtual_seconds += result.elapsed.as_secs_f64();
         leaderless.extend(result.leaderless);
+        first_tokens.once.extend(result.first_tokens.once);
+        first_tokens.resent.extend(result.first_tokens.resent);
         if !result.what.is_empty() {
             report.failures.push(SeedFailure {
                 seed: result.seed,
@@ -234,6 +289,8 @@
     leaderless.sort_unstable();
     report.longest_without_leader_ms = millis(leaderless.last());
     report.median_without_leader_ms = millis(leaderless.get(leaderless.len() / 2));
+    report.first_token_once_ms = Spread::of(first_tokens.once);
+    report.first_token_resent_ms = Spread::of(first_tokens.resent);
     report.digest = hexadecimal(&digest.finalize());
     report
 }
--- a/crates/lab/tests/checkers.rs
+++ b/crates/lab/tests/checkers.rs
@@ -41,6 +41,7 @@
         output_tokens: 2,
         repeatable: false,
         sent_at: at(sent),
+        sends: 1,
         first_token_at: Some(at(ended)),
         token_gaps: Vec::new(),
         ended_at: at(ended),
