--- a/crates/lab/src/sim/config.rs
+++ b/crates/lab/src/sim/config.rs
@@ -75,6 +75,8 @@
     pub network: NetworkConfig,
     /// The clocks.
     pub clocks: ClockSkew,
+    /// Whether bytes between daemons and control members are counted.
+    pub count_traffic: bool,
     /// Whether prompts are kept for the checkers. Benches have no use for them.
     pub keep_prompts: bool,
     /// Virtual time after which a run ends, whatever is still under way.
@@ -109,6 +111,7 @@
             ceiling_factor: 1,
             network: NetworkConfig::calm(),
             clocks: ClockSkew::NONE,
+            count_traffic: false,
             keep_prompts: true,
             limit: Duration::from_secs(7_200),
         }
--- a/crates/lab/src/sim/daemons.rs
+++ b/crates/lab/src/sim/daemons.rs
@@ -13,7 +13,8 @@
 };
 use luglink_engine_api::EngineEvents;
 use luglink_routing::{AttemptId, BlockHash, LoadReport};
-use luglink_types::{DaemonId, EngineId, MemberId, Timestamp, ZoneName};
+use luglink_types::{DaemonId, EngineId, MemberId, Revision, Timestamp, ZoneName};
+use luglink_wire::encode_body;
 use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -44,8 +45,33 @@
     pub(crate) draining: bool,
     /// Since when it cannot be reached or does not run.
     pub(crate) isolated_since: Option<Timestamp>,
+    /// The process and revision that were noted last.
+    pub(crate) noted: Option<(u32, Revision)>,
+    /// Bytes and messages between it and the control members.
+    pub(crate) control_traffic: ControlTraffic,
 }
 
+/// Traffic between a daemon and the control members, as frames on the wire.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ControlTraffic {
+    /// Messages, both ways.
+    pub messages: u64,
+    /// Bytes, both ways.
+    pub bytes: u64,
+}
+
+impl ControlTraffic {
+    /// Counts a message. The frame around a body is a few bytes of the same size for all.
+    fn count<T: serde::Serialize>(&mut self, body: &T) {
+        self.messages += 1;
+        let length = encode_body(body).map_or(0, |bytes| bytes.len());
+        self.bytes += length as u64 + FRAME_BYTES;
+    }
+}
+
+/// Length, kind, correlation and body length of a frame.
+const FRAME_BYTES: u64 = 17;
+
 impl DaemonProcess {
     pub(crate) fn new(config: &SimConfig, random: &mut impl Rng) -> Self {
         Self {
@@ -59,6 +85,8 @@
             hung: None,
             draining: false,
             isolated_since: None,
+            noted: None,
+            control_traffic: ControlTraffic::default(),
         }
     }
 }
@@ -160,6 +188,9 @@
         }
         match delivery.message {
             Message::ControlResponse { request, body } => {
+                if self.config.count_traffic {
+                    state.control_traffic.count(body.as_ref());
+                }
                 let event = Event::Control {
                     operation: operation(request),
                     response: body,
@@ -261,6 +292,10 @@
                 operation,
                 request,
             } => {
+                if self.config.count_traffic {
+                    let traffic = &mut self.daemons[daemon].control_traffic;
+                    traffic.count(request.as_ref());
+                }
                 let message = Message::ControlRequest {
                     client: ControlClientId::daemon(daemon, process),
                     request: operation.0,
--- a/crates/lab/src/sim/look.rs
+++ b/crates/lab/src/sim/look.rs
@@ -157,17 +157,13 @@
             };
             let id = u32::try_from(daemon).unwrap_or(u32::MAX);
             let revision = logic.configuration().revision();
-            let last = self
-                .history
-                .revisions
-                .iter()
-                .rev()
-                .find(|seen| seen.daemon == id && seen.process == state.process);
-            let changed = last.is_none_or(|seen| seen.revision != revision);
+            let changed = state.noted != Some((state.process, revision));
+            let process = state.process;
+            self.daemons[daemon].noted = Some((process, revision));
             if changed || round.is_multiple_of(LOOKS_PER_NOTE) {
                 self.history.revisions.push(RevisionSeen {
                     daemon: id,
-                    process: state.process,
+                    process,
                     at: self.now,
                     revision,
                 });
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -28,6 +28,7 @@
 
 pub use clock::ClockError;
 pub use config::{ClockSkew, SimConfig};
+pub use daemons::ControlTraffic;
 pub use faults::{FaultCounts, SimFault, SimFaultKind, SimTarget};
 pub use network::NetworkConfig;
 pub use node::Node;
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -7,7 +7,7 @@
 use crate::sim::clock::EventNumber;
 use crate::sim::config::SimConfig;
 use crate::sim::control::ControlProcess;
-use crate::sim::daemons::DaemonProcess;
+use crate::sim::daemons::{ControlTraffic, DaemonProcess};
 use crate::sim::digest::TraceDigest;
 use crate::sim::engines::EngineProcess;
 use crate::sim::faults::{FaultCounts, SimFault};
@@ -55,6 +55,8 @@
     pub counters: DaemonCounters,
     /// Times without a leader of some group that the run brought about, longest first.
     pub leaderless: Vec<Duration>,
+    /// Traffic between each daemon and the control members, if it was counted.
+    pub control_traffic: Vec<ControlTraffic>,
     /// Trouble of the run itself, such as a data folder that could not be opened again.
     pub problems: Vec<String>,
 }
@@ -395,6 +397,7 @@
             events: self.digest.events(),
             counters,
             leaderless: std::mem::take(&mut self.leaderless),
+            control_traffic: self.daemons.iter().map(|it| it.control_traffic).collect(),
             problems: std::mem::take(&mut self.problems),
         }
     }
