Share what stood twice: release orders, cached blocks

Cause: the release order that a member gives an engine was put together in the server and again in the simulator, so that one could have changed without the other; the emulator had the loop that caches a sequence's blocks twice.

Change: one function for each.

--- a/crates/control-server/src/lib.rs
+++ b/crates/control-server/src/lib.rs
@@ -13,4 +13,5 @@
 mod server;
 
 pub use errors::ControlServerError;
+pub use releases::engine_order;
 pub use server::{ControlServer, start};
--- a/crates/control-server/src/releases.rs
+++ b/crates/control-server/src/releases.rs
@@ -8,6 +8,21 @@
 /// Time an engine has to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The order as engines take it. Fences of one program's orders are compared with each other.
+#[must_use]
+pub fn engine_order(release: &ReleaseOrder) -> EngineOrder {
+    EngineOrder {
+        fence: OrderFence {
+            epoch: release.fence.epoch,
+            sequence: release.fence.sequence,
+        },
+        source: format!("program/{}", release.program),
+        order: OrderKind::ReleaseProgram {
+            program: release.program.to_string(),
+        },
+    }
+}
+
 /// Gives an engine the order. Returns the request that records its confirmation, if it gave one.
 pub(crate) async fn order(client: awc::Client, release: ReleaseOrder) -> Option<Request> {
     let confirmed = Request::Program(Command::ConfirmRelease(ConfirmRelease {
@@ -18,16 +33,7 @@
         // The engine is no longer configured: it serves nobody and holds nothing for us.
         return Some(confirmed);
     };
-    let order = EngineOrder {
-        fence: OrderFence {
-            epoch: release.fence.epoch,
-            sequence: release.fence.sequence,
-        },
-        source: format!("program/{}", release.program),
-        order: OrderKind::ReleaseProgram {
-            program: release.program.to_string(),
-        },
-    };
+    let order = engine_order(&release);
     let request = client
         .post(format!("http://{address}/orders"))
         .timeout(ORDER_TIMEOUT)
--- a/crates/lab/src/engine/core.rs
+++ b/crates/lab/src/engine/core.rs
@@ -412,22 +412,28 @@
     ) -> bool {
         sequence.prefilled += tokens;
         let full = usize::try_from(sequence.prefilled / BLOCK_TOKENS).unwrap_or(usize::MAX);
-        let blocks = sequence.prefix.blocks();
+        let blocks = sequence.prefix.blocks().to_vec();
         let full = full.min(blocks.len());
-        for (position, block) in blocks[..full].iter().copied().enumerate() {
-            if position < sequence.held.len() {
-                continue;
-            }
-            if !self
-                .cache
-                .add(block, position as u64, sequence.program, end)
-            {
-                break;
+        self.cache_blocks(sequence, &blocks[..full], end);
+        sequence.is_decoding()
+    }
+
+    /// Puts the leading blocks of a sequence into the cache, as far as memory goes.
+    fn cache_blocks(
+        &mut self,
+        sequence: &mut RunningSequence,
+        blocks: &[BlockHash],
+        end: Timestamp,
+    ) {
+        let held = sequence.held.len();
+        for (position, block) in blocks.iter().copied().enumerate().skip(held) {
+            let position = position as u64;
+            if !self.cache.add(block, position, sequence.program, end) {
+                return;
             }
             sequence.held.push(block);
             self.stored.push(block);
         }
-        sequence.is_decoding()
     }
 
     /// Takes memory for the next generated token. Returns false when there is none.
@@ -447,19 +453,8 @@
         self.cache.release_private(sequence.private);
         sequence.private = 0;
         // The answer's blocks stay, for the program's next call.
-        for (position, block) in sequence.final_blocks().into_iter().enumerate() {
-            if position < sequence.held.len() {
-                continue;
-            }
-            if !self
-                .cache
-                .add(block, position as u64, sequence.program, end)
-            {
-                break;
-            }
-            sequence.held.push(block);
-            self.stored.push(block);
-        }
+        let blocks = sequence.final_blocks();
+        self.cache_blocks(&mut sequence, &blocks, end);
         let usage = TokenUsage {
             prompt_tokens: sequence.prompt_tokens,
             completion_tokens: sequence.generated,
--- a/crates/lab/src/sim/control.rs
+++ b/crates/lab/src/sim/control.rs
@@ -9,7 +9,7 @@
 use luglink_control::{
     ControlConfig, ControlError, ControlNode, Input, Output, ReleaseOrder, Request, RequestToken,
 };
-use luglink_engine_api::{EngineOrder, OrderFence, OrderKind};
+use luglink_control_server::engine_order;
 use luglink_program::{Command, ConfirmRelease};
 use luglink_storage::{CrashDamage, MemoryDisk};
 use luglink_types::{MemberId, Timestamp};
@@ -345,18 +345,8 @@
             return self.confirm_release(member, confirm);
         }
         let engine = order.engine.0 as usize;
-        let engine_order = EngineOrder {
-            fence: OrderFence {
-                epoch: order.fence.epoch,
-                sequence: order.fence.sequence,
-            },
-            source: format!("program/{}", order.program),
-            order: OrderKind::ReleaseProgram {
-                program: order.program.to_string(),
-            },
-        };
         let message = Message::Order {
-            order: Box::new(engine_order),
+            order: Box::new(engine_order(&order)),
             confirm,
         };
         self.send(Node::Control(member), Node::Engine(engine), message);
