--- a/crates/lab/src/capacity/size.rs
+++ b/crates/lab/src/capacity/size.rs
@@ -18,7 +18,7 @@
     pub tokens_per_second: f64,
     /// Programs under way.
     pub programs: f64,
-    /// Tokens of history of a program on average. Not part of the letter: an assumption.
+    /// Tokens of history of a program on average. Nobody has stated it: an assumption.
     pub history_tokens: f64,
     /// Changes a day.
     pub changes_per_day: f64,
