Share the reader of engine events and other pieces that stood twice

What a daemon makes of an engine's events was written in the server and again in the simulator, so the simulator did not test the server's. Bytes in hexadecimal, a caller's record of a call, a refusal as callers read it, a random zone and a departure in a trace each stood twice or more. Every tenth of a virtual second the simulator built the whole status of every member to look for storages to repair.

Change: EngineEventReader, CallRecord::of, hexadecimal, any_zone and TraceEvent::departure serve all their places; a struct of one field and a function that wrapped a constructor are gone; repairs are looked for only when a member has a new storage; `hollow` sorts its looks by daemon once.

--- a/crates/daemon-server/src/engines.rs
+++ b/crates/daemon-server/src/engines.rs
@@ -1,6 +1,7 @@
 //! Requests to replicas, and what they publish of themselves.
 
 use crate::actor::{DaemonActor, Happened};
+use crate::engine_events::EngineEventReader;
 use crate::stream::read_chat_stream;
 use actix::Addr;
 use awc::Client;
@@ -11,7 +12,7 @@
     HEADER_MODEL_ADAPTER, HEADER_PRIORITY, HEADER_PROGRAM, HEADER_SEQUENCE, HEADER_START_BY,
     StreamOptions,
 };
-use luglink_routing::{AttemptId, BlockHash, LoadReport, ReplicaInfo};
+use luglink_routing::{AttemptId, ReplicaInfo};
 use luglink_types::EngineId;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -246,9 +247,9 @@
     interval: Duration,
 ) {
     let engine = replica.engine;
-    let mut incarnation = 0;
-    let mut last = 0;
+    let mut reader = EngineEventReader::default();
     loop {
+        let last = reader.last();
         let url = format!("http://{}/events?after={last}", replica.address);
         let answered = http
             .get(url)
@@ -264,30 +265,10 @@
             _ => None,
         };
         if let Some(events) = events {
-            let restarted = events.incarnation != incarnation;
-            incarnation = events.incarnation;
-            last = events.last;
-            daemon.do_send(Happened(Event::Load {
-                engine,
-                report: load_report(&events),
-            }));
-            daemon.do_send(Happened(Event::Cache {
-                engine,
-                stored: events.stored.into_iter().map(BlockHash).collect(),
-                removed: events.removed.into_iter().map(BlockHash).collect(),
-                restarted,
-            }));
+            for event in reader.take(engine, events) {
+                daemon.do_send(Happened(event));
+            }
         }
         actix_rt::time::sleep(interval).await;
     }
 }
-
-fn load_report(events: &EngineEvents) -> LoadReport {
-    LoadReport {
-        running: events.load.running,
-        waiting: events.load.waiting,
-        prefill_tokens: events.load.prefill_tokens,
-        free_blocks: events.load.free_blocks,
-        draining: events.load.draining,
-    }
-}
--- a/crates/daemon-server/src/lib.rs
+++ b/crates/daemon-server/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod actor;
 mod api;
+mod engine_events;
 mod engines;
 mod errors;
 mod http;
@@ -14,6 +15,7 @@
 mod server;
 mod stream;
 
+pub use engine_events::EngineEventReader;
 pub use errors::DaemonServerError;
 pub use platform::MachineList;
 pub use server::{DaemonServer, start};
--- a/crates/daemon/src/attempts.rs
+++ b/crates/daemon/src/attempts.rs
@@ -15,11 +15,6 @@
 /// Longest predicted time that is believed, in seconds.
 const MAX_PREDICTED: f64 = 600.0;
 
-/// A call and the engine chosen for it.
-pub(crate) struct RoutedCall {
-    pub(crate) engine: EngineId,
-}
-
 impl Daemon {
     pub(crate) fn pool_of(&self, id: CallId) -> Option<ModelName> {
         let program = self.calls.get(&id)?.program;
@@ -39,7 +34,7 @@
     }
 
     /// Chooses an engine with room.
-    pub(crate) fn route_call(&mut self, id: CallId) -> Option<RoutedCall> {
+    pub(crate) fn route_call(&mut self, id: CallId) -> Option<EngineId> {
         let pool = PoolName::Model(self.pool_of(id)?);
         let prefix = self.prompt_prefix(id)?;
         let random = self.random_number();
@@ -59,9 +54,7 @@
         if let Some(call) = self.calls.get_mut(&id) {
             call.predicted = predicted;
         }
-        Some(RoutedCall {
-            engine: choice.engine,
-        })
+        Some(choice.engine)
     }
 
     /// A call keeps away from engines that failed it, as long as there are others at all.
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -1,7 +1,6 @@
 //! Calls before they run: acceptance, order within the program, the queue, the intent.
 
 use crate::action::Answer;
-use crate::attempts::RoutedCall;
 use crate::call::{ActiveCall, CallId, CurrentAttempt, Phase};
 use crate::caller::{CallRequest, CallTarget, TicketId};
 use crate::control_client::Conclusion;
@@ -251,7 +250,7 @@
 
     /// Chooses an engine and sends the intent. Returns whether there was room.
     fn begin(&mut self, id: CallId) -> bool {
-        let Some(RoutedCall { engine, .. }) = self.route_call(id) else {
+        let Some(engine) = self.route_call(id) else {
             return false;
         };
         self.queue.remove(id);
--- a/crates/daemon/src/outcomes.rs
+++ b/crates/daemon/src/outcomes.rs
@@ -23,9 +23,9 @@
             class.retry_is_safe() && !call.part_sent && call.attempts < self.config.max_attempts;
         if may_retry
             && self.retry_budget.try_withdraw()
-            && let Some(routed) = self.route_call(id)
+            && let Some(engine) = self.route_call(id)
         {
-            return self.record_retry(id, class, routed.engine);
+            return self.record_retry(id, class, engine);
         }
         self.record_outcome(id, class);
     }
--- a/crates/lab/src/caller_policy.rs
+++ b/crates/lab/src/caller_policy.rs
@@ -1,7 +1,7 @@
 //! What callers do with the answers they get; the same on sockets and in the simulator.
 
 use crate::observe::Outcome;
-use luglink_types::{Executed, RefusalCode};
+use luglink_types::{Executed, Refusal, RefusalCode};
 use std::time::Duration;
 
 /// Times that a caller sends one request at the most.
@@ -21,6 +21,16 @@
     pub(crate) retry_after: Option<Duration>,
 }
 
+impl From<&Refusal> for ReadRefusal {
+    fn from(refusal: &Refusal) -> Self {
+        Self {
+            code: Some(refusal.code),
+            executed: refusal.executed,
+            retry_after: refusal.retry_after,
+        }
+    }
+}
+
 impl ReadRefusal {
     /// Whether asking again, here or elsewhere, may help. The key that goes with a call makes
     /// that safe even when the first sending may have run.
--- a/crates/lab/src/hollow.rs
+++ b/crates/lab/src/hollow.rs
@@ -2,6 +2,7 @@
 //! with the real logic, while operators change things and a zone and a region are lost.
 
 use crate::check::{Promise, check};
+use crate::observe::RevisionSeen;
 use crate::replay::ReplayPlan;
 use crate::sim::{
     NetworkConfig, SimConfig, SimFault, SimFaultKind, SimPlan, SimResult, Topology, simulate,
@@ -9,6 +10,7 @@
 use crate::trace::{ChangeEvent, ChangeSet, Deployment, ExpectedRevision, FaultTarget, TraceEvent};
 use luglink_types::Timestamp;
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Time in which the changes are made.
@@ -173,17 +175,18 @@
 /// was in force there, to a tenth of a second.
 fn waits(result: &SimResult) -> Vec<Duration> {
     let history = &result.history;
+    let mut looks: BTreeMap<u32, Vec<&RevisionSeen>> = BTreeMap::new();
+    for seen in &history.revisions {
+        looks.entry(seen.daemon).or_default().push(seen);
+    }
     let mut waits = Vec::new();
     for (at, revision) in history.changes.iter().filter_map(|change| change.accepted) {
-        for daemon in 0..result.control_traffic.len() {
-            let id = u32::try_from(daemon).unwrap_or(u32::MAX);
-            let own = || history.revisions.iter().filter(|seen| seen.daemon == id);
-            let seen = own().find(|seen| seen.revision >= revision);
-            let Some(seen) = seen else {
+        for (daemon, own) in &looks {
+            let Some(seen) = own.iter().find(|seen| seen.revision >= revision) else {
                 continue;
             };
             let cut_off = history.isolations.iter().any(|isolation| {
-                isolation.daemon == id && isolation.from <= seen.at && isolation.until >= at
+                isolation.daemon == *daemon && isolation.from <= seen.at && isolation.until >= at
             });
             if !cut_off {
                 waits.push(seen.at.since(at));
--- a/crates/lab/src/observe.rs
+++ b/crates/lab/src/observe.rs
@@ -1,5 +1,6 @@
 //! What really happened during a run, seen from outside luglink: by callers and by engines.
 
+use crate::trace::CallEvent;
 use luglink_program::ProgramView;
 use luglink_resources::BudgetPolicy;
 use luglink_types::{
@@ -82,6 +83,27 @@
     pub during_planned_stop: bool,
 }
 
+impl CallRecord {
+    /// A call of a trace that was sent once and of whose answer no part was seen.
+    #[must_use]
+    pub fn of(call: &CallEvent, sent_at: Timestamp, ended_at: Timestamp, outcome: Outcome) -> Self {
+        Self {
+            request: call.request.clone(),
+            program: call.program.clone(),
+            input_tokens: call.input_tokens,
+            output_tokens: call.output_tokens,
+            repeatable: call.repeatable,
+            sent_at,
+            sends: 1,
+            first_token_at: None,
+            token_gaps: Vec::new(),
+            ended_at,
+            outcome,
+            during_planned_stop: false,
+        }
+    }
+}
+
 /// One plain lookup of a caller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LookupRecord {
--- a/crates/lab/src/replay/caller.rs
+++ b/crates/lab/src/replay/caller.rs
@@ -206,29 +206,7 @@
         });
         context
             .observer
-            .note(|history| history.calls.push(call_record(call, now, now, outcome)));
-    }
-}
-
-fn call_record(
-    call: &CallEvent,
-    sent_at: Timestamp,
-    ended_at: Timestamp,
-    outcome: Outcome,
-) -> CallRecord {
-    CallRecord {
-        request: call.request.clone(),
-        program: call.program.clone(),
-        input_tokens: call.input_tokens,
-        output_tokens: call.output_tokens,
-        repeatable: call.repeatable,
-        sent_at,
-        sends: 1,
-        first_token_at: None,
-        token_gaps: Vec::new(),
-        ended_at,
-        outcome,
-        during_planned_stop: false,
+            .note(|history| history.calls.push(CallRecord::of(call, now, now, outcome)));
     }
 }
 
@@ -286,7 +264,7 @@
             }
         }
     }
-    let mut record = call_record(call, sent_at, context.now(), last);
+    let mut record = CallRecord::of(call, sent_at, context.now(), last);
     record.sends = sends;
     record.during_planned_stop = during_planned_stop;
     if let Some(answer) = answer {
--- a/crates/lab/src/sim/callers.rs
+++ b/crates/lab/src/sim/callers.rs
@@ -361,11 +361,7 @@
     }
 
     fn caller_refused(&mut self, caller: usize, refusal: &Refusal) {
-        let read = ReadRefusal {
-            code: Some(refusal.code),
-            executed: refusal.executed,
-            retry_after: refusal.retry_after,
-        };
+        let read = ReadRefusal::from(refusal);
         let state = &mut self.callers[caller];
         let repeatable = match state.doing {
             Doing::Calling => state.current_call().is_some_and(|call| call.repeatable),
@@ -431,18 +427,11 @@
             return;
         };
         let record = CallRecord {
-            request: call.request.clone(),
-            program: call.program.clone(),
-            input_tokens: call.input_tokens,
-            output_tokens: call.output_tokens,
-            repeatable: call.repeatable,
-            sent_at: progress.sent_at,
             sends: state.sends,
             first_token_at: progress.first_token_at,
             token_gaps: progress.gaps,
-            ended_at: self.now,
-            outcome,
             during_planned_stop: progress.during_planned_stop,
+            ..CallRecord::of(call, progress.sent_at, self.now, outcome)
         };
         state.next_step += 1;
         self.history.calls.push(record);
@@ -468,20 +457,11 @@
                 Some(code) => Outcome::Refused { code },
                 None => Outcome::Unknown { code: None },
             };
-            self.history.calls.push(CallRecord {
-                request: call.request,
-                program: call.program,
-                input_tokens: call.input_tokens,
-                output_tokens: call.output_tokens,
-                repeatable: call.repeatable,
-                sent_at: now,
+            let record = CallRecord {
                 sends: 0,
-                first_token_at: None,
-                token_gaps: Vec::new(),
-                ended_at: now,
-                outcome,
-                during_planned_stop: false,
-            });
+                ..CallRecord::of(&call, now, now, outcome)
+            };
+            self.history.calls.push(record);
         }
         self.finish_caller(caller);
     }
--- a/crates/lab/src/sim/daemons.rs
+++ b/crates/lab/src/sim/daemons.rs
@@ -5,14 +5,16 @@
 use crate::sim::control::{member_id, member_index};
 use crate::sim::injection::RESTART_TIME;
 use crate::sim::local_clock::LocalClock;
-use crate::sim::message::{ControlClientId, Delivery, Message, SimEvent, operation};
+use crate::sim::message::{ControlClientId, Delivery, Message, SimEvent};
 use crate::sim::node::Node;
 use crate::sim::world::{World, derive_seed};
 use luglink_daemon::{
-    Action, Answer, Daemon, DaemonConfig, Dispatch, DispatchBody, EngineEvent, Event, TicketId,
+    Action, Answer, Daemon, DaemonConfig, Dispatch, DispatchBody, EngineEvent, Event, OperationId,
+    TicketId,
 };
+use luglink_daemon_server::EngineEventReader;
 use luglink_engine_api::EngineEvents;
-use luglink_routing::{AttemptId, BlockHash, LoadReport};
+use luglink_routing::AttemptId;
 use luglink_types::{DaemonId, EngineId, MemberId, Revision, Timestamp, ZoneName};
 use luglink_wire::encode_body;
 use rand::Rng;
@@ -22,13 +24,6 @@
 /// Time within which a connection must be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// What a daemon has read of one engine's events.
-#[derive(Clone, Copy, Debug, Default)]
-struct EventCursor {
-    incarnation: u64,
-    last: u64,
-}
-
 /// One daemon.
 #[derive(Debug)]
 pub(crate) struct DaemonProcess {
@@ -38,7 +33,7 @@
     pub(crate) tickets: BTreeMap<TicketId, Node>,
     /// Requests at engines and services.
     attempts: BTreeMap<AttemptId, Node>,
-    cursors: BTreeMap<EngineId, EventCursor>,
+    readers: BTreeMap<EngineId, EngineEventReader>,
     wake_at: Option<Timestamp>,
     clock: LocalClock,
     pub(crate) hung: Option<Vec<Delivery>>,
@@ -79,7 +74,7 @@
             process: 0,
             tickets: BTreeMap::new(),
             attempts: BTreeMap::new(),
-            cursors: BTreeMap::new(),
+            readers: BTreeMap::new(),
             wake_at: None,
             clock: LocalClock::new(config.clocks, random),
             hung: None,
@@ -120,7 +115,7 @@
                 state.logic = Some(logic);
                 state.draining = false;
                 state.wake_at = None;
-                state.cursors.clear();
+                state.readers.clear();
                 self.daemon_event(daemon, Event::Tick);
                 self.schedule_in(
                     self.config.poll_interval,
@@ -192,7 +187,7 @@
                     state.control_traffic.count(body.as_ref());
                 }
                 let event = Event::Control {
-                    operation: operation(request),
+                    operation: OperationId(request),
                     response: body,
                 };
                 self.daemon_event(daemon, event);
@@ -384,8 +379,8 @@
             if hung {
                 break;
             }
-            let cursor = self.daemons[daemon].cursors.get(&engine);
-            let after = cursor.copied().unwrap_or_default().last;
+            let reader = self.daemons[daemon].readers.get(&engine);
+            let after = reader.copied().unwrap_or_default().last();
             let message = Message::Poll {
                 daemon,
                 process,
@@ -402,27 +397,10 @@
 
     fn take_events(&mut self, daemon: usize, engine: usize, events: EngineEvents) {
         let engine = EngineId(u32::try_from(engine).unwrap_or(u32::MAX));
-        let cursor = self.daemons[daemon].cursors.entry(engine).or_default();
-        let restarted = events.incarnation != cursor.incarnation;
-        *cursor = EventCursor {
-            incarnation: events.incarnation,
-            last: events.last,
-        };
-        let report = LoadReport {
-            running: events.load.running,
-            waiting: events.load.waiting,
-            prefill_tokens: events.load.prefill_tokens,
-            free_blocks: events.load.free_blocks,
-            draining: events.load.draining,
-        };
-        self.daemon_event(daemon, Event::Load { engine, report });
-        let event = Event::Cache {
-            engine,
-            stored: events.stored.into_iter().map(BlockHash).collect(),
-            removed: events.removed.into_iter().map(BlockHash).collect(),
-            restarted,
-        };
-        self.daemon_event(daemon, event);
+        let reader = self.daemons[daemon].readers.entry(engine).or_default();
+        for event in reader.take(engine, events) {
+            self.daemon_event(daemon, event);
+        }
     }
 
     /// The process goes on after a hang: everything that waited comes at once.
--- a/crates/lab/src/sim/digest.rs
+++ b/crates/lab/src/sim/digest.rs
@@ -32,11 +32,16 @@
 
     /// The digest in hexadecimal.
     pub(crate) fn finish(&self) -> String {
-        let mut text = String::new();
-        for byte in self.hasher.clone().finalize() {
-            // Writing to a string cannot fail.
-            let _ = write!(text, "{byte:02x}");
-        }
-        text
+        hexadecimal(&self.hasher.clone().finalize())
+    }
+}
+
+/// Bytes in hexadecimal.
+pub(crate) fn hexadecimal(bytes: &[u8]) -> String {
+    let mut text = String::new();
+    for byte in bytes {
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{byte:02x}");
     }
+    text
 }
--- a/crates/lab/src/sim/look.rs
+++ b/crates/lab/src/sim/look.rs
@@ -18,6 +18,9 @@
 /// Looks between two notes of every daemon's revision.
 const LOOKS_PER_NOTE: u64 = 10;
 
+/// Incarnation of the storages that a cluster begins with.
+const FIRST_INCARNATION: u64 = 1;
+
 /// Age of what the platform's list says.
 const PLATFORM_LAG: Duration = Duration::from_millis(900);
 
@@ -269,6 +272,9 @@
 
     /// Does what an operator does with `luglink ctl member`: replaces the storages that are gone.
     fn repair_members(&mut self) {
+        if !self.has_new_storage() {
+            return;
+        }
         for group in self.groups() {
             let Some(leader) = self.leader_of(group) else {
                 continue;
@@ -294,6 +300,13 @@
         }
     }
 
+    /// Whether a member has come back with an empty disk. Status is costly to look at.
+    fn has_new_storage(&self) -> bool {
+        let running = self.control.iter().filter_map(|it| it.node.as_ref());
+        let mut incarnations = running.map(|node| node.peer().incarnation);
+        incarnations.any(|incarnation| incarnation > FIRST_INCARNATION)
+    }
+
     /// The next step that replaces a lost storage in a group, if there is one.
     fn repair_of(&self, membership: &Membership) -> Option<MembershipChange> {
         let running: BTreeMap<_, Peer> = self
--- a/crates/lab/src/sim/lookups.rs
+++ b/crates/lab/src/sim/lookups.rs
@@ -121,11 +121,7 @@
                 self.end_lookup(lookup, outcome);
             }
             Reply::Answer(Answer::Refused(refusal)) => {
-                let read = ReadRefusal {
-                    code: Some(refusal.code),
-                    executed: refusal.executed,
-                    retry_after: refusal.retry_after,
-                };
+                let read = ReadRefusal::from(&refusal);
                 let daemons = self.daemons.len();
                 let state = &mut self.lookups[lookup];
                 let again = read.is_worth_asking_again(state.event.repeatable);
--- a/crates/lab/src/sim/message.rs
+++ b/crates/lab/src/sim/message.rs
@@ -2,7 +2,7 @@
 
 use crate::sim::node::Node;
 use luglink_control::{Request, Response};
-use luglink_daemon::{Answer, Dispatch, EngineEvent, Event, OperationId, TicketId};
+use luglink_daemon::{Answer, Dispatch, EngineEvent, Event, TicketId};
 use luglink_engine_api::{EngineEvents, EngineOrder, OrderAnswer};
 use luglink_program::ConfirmRelease;
 use luglink_raft::Envelope;
@@ -212,8 +212,3 @@
         }
     }
 }
-
-/// The operation of a daemon that a response belongs to.
-pub(crate) fn operation(request: u64) -> OperationId {
-    OperationId(request)
-}
--- a/crates/lab/src/sim/scenario/load.rs
+++ b/crates/lab/src/sim/scenario/load.rs
@@ -1,8 +1,8 @@
 //! Small loads for scenarios: a few short programs, plain lookups, and changes.
 
 use crate::trace::{
-    AbandonEvent, CallEvent, ChangeEvent, ChangeSet, Deployment, EndEvent, ExpectedRevision,
-    LookupEvent, ProgramEvent, TraceEvent,
+    CallEvent, ChangeEvent, ChangeSet, Deployment, ExpectedRevision, LookupEvent, ProgramEvent,
+    TraceEvent,
 };
 use luglink_types::Budget;
 use rand::Rng;
@@ -116,7 +116,7 @@
         let program = format!("{}-p{}", self.prefix, self.programs);
         let classes = self.deployment.classes();
         let (class, priority) = classes[self.random.random_range(0..classes.len())];
-        let zone = self.zone();
+        let zone = self.deployment.any_zone(self.random);
         self.events.push(TraceEvent::Program(ProgramEvent {
             program: program.clone(),
             at_ms,
@@ -139,17 +139,8 @@
             self.call(shape, &program);
         }
         let after_ms = self.random.random_range(0..400);
-        let event = if self.percent(shape.abandoned_percent) {
-            TraceEvent::Abandon(AbandonEvent {
-                program: program.clone(),
-                after_ms,
-            })
-        } else {
-            TraceEvent::End(EndEvent {
-                program: program.clone(),
-                after_ms,
-            })
-        };
+        let abandoned = self.percent(shape.abandoned_percent);
+        let event = TraceEvent::departure(&program, abandoned, after_ms);
         self.events.push(event);
         program
     }
@@ -173,17 +164,12 @@
             request: format!("{}-l{}", self.prefix, self.requests),
             at_ms: self.random.random_range(0..shape.span_ms.max(1)),
             service: self.deployment.service().to_owned(),
-            zone: self.zone(),
+            zone: self.deployment.any_zone(self.random),
             repeatable: self.percent(shape.repeatable_percent),
         };
         self.events.push(TraceEvent::Lookup(lookup));
     }
 
-    fn zone(&mut self) -> String {
-        let zones = self.deployment.zones();
-        zones[self.random.random_range(0..zones.len())].to_owned()
-    }
-
     fn percent(&mut self, percent: u32) -> bool {
         self.random.random_range(0..100) < percent
     }
--- a/crates/lab/src/sim/scenario/run.rs
+++ b/crates/lab/src/sim/scenario/run.rs
@@ -2,6 +2,7 @@
 
 use crate::check::{BrokenPromise, check_all};
 use crate::observe::{History, Outcome};
+use crate::sim::digest::hexadecimal;
 use crate::sim::faults::FaultCounts;
 use crate::sim::scenario::catalogue::Scenario;
 use crate::sim::simulate;
@@ -9,7 +10,6 @@
 use serde::Serialize;
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
@@ -298,12 +298,3 @@
 fn millis(duration: Option<&Duration>) -> u64 {
     duration.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX))
 }
-
-fn hexadecimal(bytes: &[u8]) -> String {
-    let mut text = String::new();
-    for byte in bytes {
-        // Writing to a string cannot fail.
-        let _ = write!(text, "{byte:02x}");
-    }
-    text
-}
--- a/crates/lab/src/trace/event.rs
+++ b/crates/lab/src/trace/event.rs
@@ -263,3 +263,16 @@
     /// See [`ChangeEvent`].
     Change(ChangeEvent),
 }
+
+impl TraceEvent {
+    /// The caller ends its program, or goes away without a word.
+    #[must_use]
+    pub fn departure(program: &str, abandoned: bool, after_ms: u64) -> Self {
+        let program = program.to_owned();
+        if abandoned {
+            Self::Abandon(AbandonEvent { program, after_ms })
+        } else {
+            Self::End(EndEvent { program, after_ms })
+        }
+    }
+}
--- a/crates/lab/src/trace/generate.rs
+++ b/crates/lab/src/trace/generate.rs
@@ -1,8 +1,6 @@
 //! Seeded generators of traces with the shape of the two deployments.
 
-use crate::trace::event::{
-    AbandonEvent, CallEvent, EndEvent, LookupEvent, ProgramEvent, TraceEvent,
-};
+use crate::trace::event::{CallEvent, LookupEvent, ProgramEvent, TraceEvent};
 use luglink_types::{Budget, Priority};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -27,6 +25,12 @@
         }
     }
 
+    /// A zone drawn at random.
+    pub(crate) fn any_zone(self, random: &mut impl Rng) -> String {
+        let zones = self.zones();
+        zones[random.random_range(0..zones.len())].to_owned()
+    }
+
     /// Model pool.
     #[must_use]
     pub const fn model(self) -> &'static str {
@@ -120,6 +124,9 @@
     generator.events
 }
 
+/// Pause of a caller between its last answer and its departure.
+const DEPARTURE_MS: u64 = 100;
+
 struct Generator {
     config: GeneratorConfig,
     random: ChaCha8Rng,
@@ -240,7 +247,7 @@
             Deployment::Hub if draw < 65 => COUNTER,
             Deployment::Hub => ARCHIVE,
         };
-        let zone = self.zone();
+        let zone = self.config.deployment.any_zone(&mut self.random);
         let parent = self.program(&shape, at_ms, &zone, None);
         if shape.class == OVERBOOKING.class {
             let helpers = self.random.random_range(1..=3);
@@ -285,18 +292,8 @@
             self.call(shape, &program, index == 0);
         }
         let abandoned = self.random.random_range(0..1_000) < shape.abandoned_per_mille;
-        let after_ms = 100;
-        self.events.push(if abandoned {
-            TraceEvent::Abandon(AbandonEvent {
-                program: program.clone(),
-                after_ms,
-            })
-        } else {
-            TraceEvent::End(EndEvent {
-                program: program.clone(),
-                after_ms,
-            })
-        });
+        self.events
+            .push(TraceEvent::departure(&program, abandoned, DEPARTURE_MS));
         program
     }
 
@@ -328,7 +325,7 @@
 
     fn lookup(&mut self, at_ms: u64) {
         self.requests += 1;
-        let zone = self.zone();
+        let zone = self.config.deployment.any_zone(&mut self.random);
         self.events.push(TraceEvent::Lookup(LookupEvent {
             request: format!("l{}", self.requests),
             at_ms,
@@ -338,11 +335,6 @@
         }));
     }
 
-    fn zone(&mut self) -> String {
-        let zones = self.config.deployment.zones();
-        zones[self.random.random_range(0..zones.len())].to_owned()
-    }
-
     fn between(&mut self, (low, high): (u64, u64)) -> u64 {
         self.random.random_range(low..=high)
     }
