Be back sooner after everything was killed; test the new logic

Ruled out: slow starts (processes listen 0.04 s after they are started), disks (no write was slow), the list of replicas (read 0.25 s after the start).

Change, three parts measured together: a node that has heard no leader since its start asks for one after two to five heartbeats (pre-votes only); members answer observers at once when they become current; a refusal for want of control members or stores says to come back after 0.8 s.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -140,7 +140,8 @@
                     .backends
                     .is_some_and(|held| held != list.fingerprint())
         });
-        state.document.version() > known.document_version
+        (!known.is_current && self.is_fresh())
+            || state.document.version() > known.document_version
             || state.stores.view().epoch > known.store_epoch
             || newer_backends
     }
--- /dev/null
+++ b/crates/edge/tests/pool.rs
@@ -0,0 +1,151 @@
+//! Which replica gets a request.
+
+use luglink_edge::{Pool, Wish};
+use luglink_fleet::{Backend, BackendId, BackendList};
+use luglink_types::Timestamp;
+use std::time::Duration;
+
+const SERVICE: &str = "llm";
+
+fn id(text: &str) -> BackendId {
+    BackendId(text.to_owned())
+}
+
+fn backend(text: &str, zone: &str) -> Backend {
+    Backend {
+        id: id(text),
+        service: SERVICE.to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: zone.to_owned(),
+        slots: 10,
+        draining: false,
+    }
+}
+
+fn pool(backends: Vec<Backend>) -> Pool {
+    let mut pool = Pool::new("here");
+    pool.update(&BackendList::new(backends));
+    pool
+}
+
+fn chosen(pool: &Pool, wish: &Wish<'_>, now: Timestamp) -> Option<String> {
+    pool.choose(wish, now).map(|choice| choice.backend.id.0)
+}
+
+fn wish() -> Wish<'static> {
+    Wish {
+        service: SERVICE,
+        ..Wish::default()
+    }
+}
+
+#[test]
+fn leaving_replicas_and_other_services_get_nothing() {
+    let mut leaving = backend("a", "here");
+    leaving.draining = true;
+    let mut other = backend("b", "here");
+    other.service = "tools".to_owned();
+    let pool = pool(vec![leaving, other]);
+    assert_eq!(chosen(&pool, &wish(), Timestamp::ZERO), None);
+    assert!(pool.usable(&id("a")).is_none());
+    assert!(pool.lists(&id("a")));
+}
+
+#[test]
+fn a_replica_that_was_tried_is_not_taken_again() {
+    let pool = pool(vec![backend("a", "here"), backend("b", "there")]);
+    let tried = [id("a")];
+    let wish = Wish {
+        tried: &tried,
+        ..wish()
+    };
+    assert_eq!(chosen(&pool, &wish, Timestamp::ZERO).unwrap(), "b");
+}
+
+#[test]
+fn near_ones_are_preferred_until_they_are_busier() {
+    let mut pool = pool(vec![backend("near", "here"), backend("far", "there")]);
+    assert_eq!(chosen(&pool, &wish(), Timestamp::ZERO).unwrap(), "near");
+    for _ in 0..3 {
+        pool.begin(&id("near"));
+    }
+    assert_eq!(chosen(&pool, &wish(), Timestamp::ZERO).unwrap(), "far");
+    for _ in 0..3 {
+        pool.end(&id("near"));
+    }
+    assert_eq!(chosen(&pool, &wish(), Timestamp::ZERO).unwrap(), "near");
+}
+
+#[test]
+fn the_cache_draws_a_request_unless_its_replica_is_much_busier() {
+    let mut pool = pool(vec![backend("cold", "here"), backend("warm", "there")]);
+    let warm = id("warm");
+    let wish = Wish {
+        cached_at: Some(&warm),
+        ..wish()
+    };
+    pool.begin(&warm);
+    assert_eq!(chosen(&pool, &wish, Timestamp::ZERO).unwrap(), "warm");
+    for _ in 0..8 {
+        pool.begin(&warm);
+    }
+    assert_eq!(chosen(&pool, &wish, Timestamp::ZERO).unwrap(), "cold");
+}
+
+#[test]
+fn a_replica_that_failed_pauses_longer_each_time_and_an_answer_ends_that() {
+    let mut pool = pool(vec![backend("a", "here"), backend("b", "there")]);
+    let now = Timestamp::from_millis(1_000);
+    let first = pool.failed(&id("a"), now).unwrap().since(now);
+    let second = pool.failed(&id("a"), now).unwrap().since(now);
+    assert!(second > first);
+    assert_eq!(chosen(&pool, &wish(), now).unwrap(), "b");
+    let later = now.plus(second);
+    assert_eq!(chosen(&pool, &wish(), later).unwrap(), "a");
+    pool.succeeded(&id("a"), Duration::from_millis(10));
+    let again = pool.failed(&id("a"), later).unwrap().since(later);
+    assert_eq!(again, first);
+}
+
+#[test]
+fn when_all_failed_the_one_that_pauses_least_is_taken() {
+    let mut pool = pool(vec![backend("a", "here"), backend("b", "there")]);
+    let now = Timestamp::from_millis(1_000);
+    pool.failed(&id("a"), now);
+    pool.failed(&id("a"), now);
+    pool.failed(&id("b"), now);
+    assert_eq!(chosen(&pool, &wish(), now).unwrap(), "b");
+}
+
+#[test]
+fn a_new_list_keeps_what_is_known_of_those_that_stay() {
+    let mut pool = pool(vec![backend("a", "here"), backend("b", "here")]);
+    for _ in 0..4 {
+        pool.begin(&id("a"));
+    }
+    pool.update(&BackendList::new(vec![
+        backend("a", "here"),
+        backend("c", "here"),
+    ]));
+    assert_eq!(chosen(&pool, &wish(), Timestamp::ZERO).unwrap(), "c");
+    assert!(!pool.lists(&id("b")));
+    // Requests of replicas that have left end without harm.
+    pool.end(&id("b"));
+}
+
+#[test]
+fn gateways_with_the_same_list_agree_on_a_program_s_home() {
+    let backends: Vec<Backend> = (0..5).map(|n| backend(&n.to_string(), "here")).collect();
+    let mut elsewhere = Pool::new("there");
+    elsewhere.update(&BackendList::new(backends.clone()));
+    let here = pool(backends);
+    let homes: Vec<_> = (0..100)
+        .map(|program| here.home(SERVICE, program))
+        .collect();
+    let others: Vec<_> = (0..100)
+        .map(|program| elsewhere.home(SERVICE, program))
+        .collect();
+    assert_eq!(homes, others);
+    let used: std::collections::BTreeSet<_> = homes.into_iter().collect();
+    assert_eq!(used.len(), 5, "programs spread over all replicas");
+}
--- /dev/null
+++ b/crates/edge/tests/routing.rs
@@ -0,0 +1,160 @@
+//! Routes, rules of configurations, splits, and when a request may be sent again.
+
+use luglink_edge::{
+    Configuration, Limits, Retryable, Route, RouteKind, RoutingTable, SendOutcome, Service, Target,
+};
+use proptest::prelude::*;
+
+fn target(service: &str, weight: u32) -> Target {
+    Target {
+        service: service.to_owned(),
+        weight,
+    }
+}
+
+fn route(host: &str, path_prefix: &str) -> Route {
+    Route {
+        name: format!("{host}{path_prefix}"),
+        host: host.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        priority: 0,
+        targets: vec![target("s", 1)],
+        max_attempts: 2,
+        keeps_history: false,
+        retention_ms: 60_000,
+        resumable: false,
+    }
+}
+
+fn configuration(routes: Vec<Route>) -> Configuration {
+    Configuration {
+        version: 1,
+        routes,
+        services: vec![Service {
+            name: "s".to_owned(),
+            health_path: "/health".to_owned(),
+            connection_limit: 10,
+            engine: None,
+        }],
+        limits: Limits::default(),
+    }
+}
+
+fn fields(configuration: &Configuration) -> Vec<String> {
+    let violations = configuration.violations();
+    violations.into_iter().map(|found| found.field).collect()
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![route("a.example", "/x/"), route("a.example", "/x/y/")];
+    let table = RoutingTable::new(&configuration(routes));
+    let name = |host: &str, path: &str| table.find(host, path).map(|route| route.name.clone());
+    assert_eq!(name("a.example", "/x/y/z").unwrap(), "a.example/x/y/");
+    assert_eq!(name("A.example:8080", "/x/z").unwrap(), "a.example/x/");
+    assert_eq!(name("a.example", "/x"), None);
+    assert_eq!(name("b.example", "/x/y/z"), None);
+}
+
+#[test]
+fn every_broken_rule_is_named_with_its_field() {
+    assert!(
+        configuration(vec![route("a", "/x/")])
+            .violations()
+            .is_empty()
+    );
+    let mut unknown = route("a", "/u/");
+    unknown.targets = vec![target("nobody", 1)];
+    let mut weightless = route("a", "/w/");
+    weightless.targets = vec![target("s", 0)];
+    let mut timeless = route("a", "/t/");
+    timeless.timeout_ms = 0;
+    let routes = vec![
+        route("a", "/x/"),
+        unknown,
+        weightless,
+        timeless,
+        route("a", "/x/"),
+        route("a", "no-slash"),
+    ];
+    assert_eq!(
+        fields(&configuration(routes)),
+        [
+            "routes[1].targets",
+            "routes[2].targets",
+            "routes[3].timeout_ms",
+            "routes[4].path_prefix",
+            "routes[5].path_prefix",
+        ]
+    );
+    let mut unversioned = configuration(Vec::new());
+    unversioned.version = 0;
+    assert_eq!(fields(&unversioned), ["version"]);
+}
+
+#[test]
+fn a_split_gives_each_service_its_share() {
+    let mut split = route("a", "/x/");
+    split.targets = vec![target("s", 90), target("t", 0), target("u", 10)];
+    let draws = 0..1_000_u64;
+    let services: Vec<&str> = draws.filter_map(|draw| split.service_for(draw)).collect();
+    assert_eq!(services.iter().filter(|name| **name == "s").count(), 900);
+    assert_eq!(services.iter().filter(|name| **name == "u").count(), 100);
+}
+
+#[test]
+fn what_may_have_run_is_sent_again_only_when_it_may_be_repeated() {
+    let mut safe = route("a", "/x/");
+    safe.max_attempts = 2;
+    let mut unsafe_route = safe.clone();
+    unsafe_route.kind = RouteKind::Unsafe;
+    let mut stream = safe.clone();
+    stream.kind = RouteKind::Streaming;
+    let uncertain = SendOutcome::Uncertain;
+    assert_eq!(uncertain.retryable(&safe, 1), Retryable::Yes);
+    assert_eq!(uncertain.retryable(&safe, 2), Retryable::NoMayHaveRun);
+    assert_eq!(
+        uncertain.retryable(&unsafe_route, 1),
+        Retryable::NoMayHaveRun
+    );
+    assert_eq!(uncertain.retryable(&stream, 1), Retryable::NoMayHaveRun);
+    stream.resumable = true;
+    assert_eq!(uncertain.retryable(&stream, 1), Retryable::Yes);
+    // A replica that declined was never given the request, whatever its kind.
+    assert_eq!(
+        SendOutcome::Declined.retryable(&unsafe_route, 0),
+        Retryable::Yes
+    );
+    assert_eq!(
+        SendOutcome::NotSent.retryable(&unsafe_route, 0),
+        Retryable::Yes
+    );
+    // But a decline after a lost answer does not take back that it may have run.
+    assert_eq!(
+        SendOutcome::Declined.retryable(&unsafe_route, 1),
+        Retryable::NoMayHaveRun
+    );
+}
+
+proptest! {
+    #[test]
+    fn equal_draws_get_equal_services(draw: u64, weights in prop::collection::vec(0_u32..100, 1..5)) {
+        let mut split = route("a", "/x/");
+        split.targets = weights
+            .iter()
+            .enumerate()
+            .map(|(position, weight)| target(&position.to_string(), *weight))
+            .collect();
+        let first = split.service_for(draw).map(str::to_owned);
+        prop_assert_eq!(split.service_for(draw).map(str::to_owned), first.clone());
+        let total: u32 = weights.iter().sum();
+        prop_assert_eq!(first.is_some(), total > 0);
+        if let Some(service) = first {
+            let position: usize = service.parse().unwrap();
+            prop_assert!(weights[position] > 0);
+        }
+    }
+}
--- a/crates/fleet/src/news.rs
+++ b/crates/fleet/src/news.rs
@@ -12,6 +12,8 @@
 pub struct Known {
     /// Version of its document; 0 for none.
     pub document_version: u64,
+    /// Whether it has heard from a member that hears its leader.
+    pub is_current: bool,
     /// Epoch of its view of the stores.
     pub store_epoch: u64,
     /// Fingerprint of its list of backends, 0 for none; `None` when it needs no list.
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -28,6 +28,8 @@
     /// Whether a control member that hears its leader has said which configuration holds. Until
     /// then one that was overtaken before this process started might be taken for it.
     pub(crate) is_current: Cell<bool>,
+    /// Whether such a member was heard at all, with or without a configuration.
+    pub(crate) heard_fresh: Cell<bool>,
     pub(crate) pool: RefCell<Pool>,
     /// When the platform showed the list that the pool shows.
     pub(crate) list_seen: Cell<Option<Instant>>,
@@ -69,6 +71,7 @@
             metrics,
             in_force: RefCell::default(),
             is_current: Cell::new(false),
+            heard_fresh: Cell::new(false),
             list_seen: Cell::new(None),
             gateways: Cell::new(1),
             is_stopping: Cell::new(false),
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -24,6 +24,7 @@
         let in_force = self.in_force.borrow();
         Known {
             document_version: in_force.as_ref().map_or(0, |in_force| in_force.version),
+            is_current: self.is_current.get() || in_force.is_none() && self.heard_fresh.get(),
             store_epoch: self.turns.epoch(),
             backends: Some(self.pool.borrow().fingerprint().unwrap_or(0)),
         }
@@ -33,6 +34,9 @@
         if let Some(document) = news.document {
             self.put_in_force(member, document);
         }
+        if news.fresh {
+            self.heard_fresh.set(true);
+        }
         if news.fresh && !self.is_current.get() && self.in_force.borrow().is_some() {
             tracing::info!(%member, "the configuration is current");
             self.is_current.set(true);
--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -138,9 +138,13 @@
         Ok(Ok(begun)) => begun,
         Ok(Err(error)) => {
             tracing::warn!(id = inbound.id, %error, "a turn could not be noted");
-            return Err(Refusal::not_run("the turn stores do not answer"));
+            return Err(Refusal::recovering("the turn stores do not answer"));
+        }
+        Err(_) => {
+            return Err(Refusal::recovering(
+                "the turn stores did not answer in time",
+            ));
         }
-        Err(_) => return Err(Refusal::not_run("the turn stores did not answer in time")),
     };
     let seconds = began.elapsed().as_secs_f64();
     gateway.metrics.reserve_seconds.observe(seconds);
@@ -151,7 +155,7 @@
     let is_calm = spent + CALM_TURNS * program.ceiling <= budget;
     if !is_calm && spent <= budget {
         let again = gateway.turns.account(&program.name).await;
-        let again = again.ok_or(Refusal::not_run("the turn stores do not answer"))?;
+        let again = again.ok_or(Refusal::recovering("the turn stores do not answer"))?;
         spent = spent.max(again.total());
     }
     if spent > budget {
@@ -190,7 +194,7 @@
         }
         ChainAnswer::Unknown => {
             tracing::warn!(id = inbound.id, "the previous turn cannot be found now");
-            Err(Refusal::not_run("the previous turn cannot be found now"))
+            Err(Refusal::recovering("the previous turn cannot be found now"))
         }
     }
 }
--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -64,7 +64,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let in_force = gateway
         .in_force()
-        .ok_or(Refusal::not_run("no configuration is known yet"))?;
+        .ok_or(Refusal::recovering("no configuration is known yet"))?;
     let inbound = inbound::read(gateway, &in_force, request).await?;
     drop(in_force);
     if inbound.route.kind == RouteKind::Streaming {
--- a/crates/gateway-server/src/refusal.rs
+++ b/crates/gateway-server/src/refusal.rs
@@ -14,8 +14,12 @@
     pub(crate) retry_after: Option<Duration>,
 }
 
-/// Pause after which a caller may come back when nothing better is known.
-pub(crate) const SHORT_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after which a caller may come back when a replica is likely to be free.
+const SHORT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause after which a process that has just started, or has lost those it depends on, is likely
+/// to serve again: about an election and the news of it.
+const RECOVERY_PAUSE: Duration = Duration::from_millis(800);
 
 impl Refusal {
     pub(crate) fn new(status: StatusCode, detail: &'static str) -> Self {
@@ -35,6 +39,15 @@
         }
     }
 
+    /// The request has not run and will not, because the gateway waits for others; the caller
+    /// may come back once they are likely to be there.
+    pub(crate) fn recovering(detail: &'static str) -> Self {
+        Self {
+            retry_after: Some(RECOVERY_PAUSE),
+            ..Self::not_run(detail)
+        }
+    }
+
     /// The request may have run, and its answer cannot be had.
     pub(crate) fn uncertain(detail: &'static str) -> Self {
         Self::new(StatusCode::BAD_GATEWAY, detail)
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -429,13 +429,29 @@
         });
     }
 
+    /// Two to five heartbeats: time for a leader that is there to be heard first.
+    fn random_first_timeout(&mut self) -> Duration {
+        let heartbeat = self.config.heartbeat_interval;
+        let limit = self.config.election_timeout;
+        let spread = self.random.random_range(2.0..5.0);
+        heartbeat.mul_f64(spread).min(limit)
+    }
+
     pub(crate) fn random_election_timeout(&mut self) -> Duration {
         let base = u64::try_from(self.config.election_timeout.as_micros()).unwrap_or(u64::MAX / 4);
         Duration::from_micros(self.random.random_range(base..base.saturating_mul(2)))
     }
 
     pub(crate) fn reset_election_deadline(&mut self) {
-        let timeout = self.random_election_timeout();
+        // A node that has heard no leader since it started asks soon whether there is one to be
+        // elected. A pre-vote disturbs nobody: those who hear a leader refuse it. Once it is a
+        // candidate it waits the full time, or candidates would split the vote again and again.
+        let is_new = self.leader_heard_at == Timestamp::ZERO;
+        let timeout = if is_new && self.role != Role::Candidate {
+            self.random_first_timeout()
+        } else {
+            self.random_election_timeout()
+        };
         self.election_deadline = self.now.plus(timeout);
     }
 
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -253,6 +253,7 @@
     fn known(&self) -> Known {
         Known {
             document_version: u64::MAX,
+            is_current: true,
             store_epoch: self.node.borrow().epoch(),
             backends: None,
         }
--- /dev/null
+++ b/crates/turns/tests/store.rs
@@ -0,0 +1,392 @@
+//! A store and its disk: what survives, what is refused, and what is handed over.
+
+use luglink_fleet::{BackendId, StoreCommand, StoreName, StoreRegistry, StoreView};
+use luglink_storage::{CrashDamage, MemoryDisk, WalConfig};
+use luglink_turns::{
+    Absence, Account, Chain, ChainWish, Output, ProgramName, Replication, RequestToken, Spend,
+    StoreConfig, StoreNode, StoreRequest, StoreResponse, TurnId, TurnRecord,
+};
+use luglink_types::Timestamp;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const RETENTION_MS: u64 = 60_000;
+
+fn name(text: &str) -> StoreName {
+    StoreName(text.to_owned())
+}
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::from_millis(seconds * 1_000)
+}
+
+fn start(text: &str, disk: MemoryDisk, fresh: u64) -> StoreNode<MemoryDisk> {
+    start_with(text, disk, fresh, 1 << 20)
+}
+
+fn start_with(
+    text: &str,
+    disk: MemoryDisk,
+    fresh: u64,
+    segment_bytes: u64,
+) -> StoreNode<MemoryDisk> {
+    let config = StoreConfig {
+        name: name(text),
+        replication: Replication::surviving(1),
+        wal: WalConfig { segment_bytes },
+    };
+    StoreNode::start(config, disk, fresh, at(1)).expect("the store starts")
+}
+
+fn record(id: &str, program: &str, ancestors: &[&str]) -> TurnRecord {
+    TurnRecord {
+        id: TurnId(id.to_owned()),
+        program: ProgramName(program.to_owned()),
+        ancestors: ancestors
+            .iter()
+            .map(|id| TurnId((*id).to_owned()))
+            .collect(),
+        input: format!("input of {id}").into_bytes(),
+        output: format!("output of {id}\n").into_bytes(),
+        served_by: Some(BackendId("replica".to_owned())),
+        retention_ms: RETENTION_MS,
+    }
+}
+
+/// Of a writer that knows the newest view.
+const CURRENT: u64 = u64::MAX;
+
+fn keep(record: TurnRecord, tokens: u64) -> StoreRequest {
+    keep_at(CURRENT, record, tokens)
+}
+
+fn keep_at(epoch: u64, record: TurnRecord, tokens: u64) -> StoreRequest {
+    StoreRequest::Keep {
+        epoch,
+        turn: Box::new(record),
+        tokens,
+        carried: Vec::new(),
+    }
+}
+
+fn reserve(program: &str, turn: &str, tokens: u64) -> StoreRequest {
+    StoreRequest::Spend {
+        epoch: CURRENT,
+        program: ProgramName(program.to_owned()),
+        turn: TurnId(turn.to_owned()),
+        spend: Spend::Reserved(tokens),
+        retention_ms: RETENTION_MS,
+        chain: None,
+    }
+}
+
+fn ask(node: &mut StoreNode<MemoryDisk>, request: StoreRequest, now: Timestamp) -> StoreResponse {
+    let token = RequestToken {
+        client: 1,
+        request: 1,
+    };
+    node.handle(token, request, now);
+    let outputs = node.flush();
+    let mut replies = outputs.into_iter().filter_map(|output| match output {
+        Output::Reply { response, .. } => Some(*response),
+        Output::HandOver { .. } => None,
+    });
+    replies.next().expect("an answer")
+}
+
+fn lookup(node: &mut StoreNode<MemoryDisk>, id: &str, now: Timestamp) -> Chain {
+    let wish = ChainWish {
+        turn: TurnId(id.to_owned()),
+    };
+    match ask(node, StoreRequest::Lookup(wish), now) {
+        StoreResponse::Chain(chain) => chain,
+        other => panic!("expected a chain, got {other:?}"),
+    }
+}
+
+fn account(node: &mut StoreNode<MemoryDisk>, program: &str) -> Account {
+    let request = StoreRequest::Account(ProgramName(program.to_owned()));
+    match ask(node, request, at(2)) {
+        StoreResponse::Account(account) => account,
+        other => panic!("expected an account, got {other:?}"),
+    }
+}
+
+fn is_found(chain: &Chain) -> bool {
+    matches!(chain, Chain::Found { .. })
+}
+
+#[test]
+fn what_was_acknowledged_survives_a_loss_of_power() {
+    let mut node = start("a", MemoryDisk::default(), 7);
+    ask(&mut node, reserve("p", "t1", 100), at(2));
+    ask(&mut node, keep(record("t1", "p", &[]), 45), at(2));
+    ask(&mut node, keep(record("t2", "p", &["t1"]), 9), at(3));
+    ask(&mut node, reserve("p", "t3", 100), at(3));
+    let mut disk = node.into_disk();
+    disk.crash(CrashDamage::LoseUnsynced);
+    let mut node = start("a", disk, 8);
+    assert_eq!(node.incarnation(), 7, "the disk keeps its name");
+    assert_eq!(account(&mut node, "p").total(), 45 + 9 + 100);
+    match lookup(&mut node, "t2", at(3)) {
+        Chain::Found { turn, ancestors } => {
+            assert_eq!(*turn, record("t2", "p", &["t1"]));
+            assert_eq!(ancestors, vec![record("t1", "p", &[])]);
+        }
+        Chain::Absent { .. } => panic!("the chain is lost"),
+    }
+}
+
+#[test]
+fn a_chain_is_kept_as_long_as_its_newest_turn() {
+    let mut node = start("a", MemoryDisk::default(), 7);
+    ask(&mut node, keep(record("t1", "p", &[]), 1), at(2));
+    ask(&mut node, keep(record("t2", "p", &["t1"]), 1), at(50));
+    node.tick(at(100));
+    assert!(is_found(&lookup(&mut node, "t1", at(100))));
+    node.tick(at(111));
+    assert!(!is_found(&lookup(&mut node, "t1", at(111))));
+    assert!(!is_found(&lookup(&mut node, "t2", at(111))));
+}
+
+#[test]
+fn a_full_disk_refuses_writes_and_loses_nothing() {
+    let mut node = start("a", MemoryDisk::default(), 7);
+    ask(&mut node, keep(record("t1", "p", &[]), 1), at(2));
+    node.disk_mut().set_full(true);
+    let refused = ask(&mut node, keep(record("t2", "p", &["t1"]), 1), at(3));
+    assert!(matches!(refused, StoreResponse::Failed { .. }));
+    assert!(is_found(&lookup(&mut node, "t1", at(3))), "reads go on");
+    assert!(!is_found(&lookup(&mut node, "t2", at(3))));
+    node.disk_mut().set_full(false);
+    let taken = ask(&mut node, keep(record("t3", "p", &["t1"]), 1), at(4));
+    assert_eq!(taken, StoreResponse::Done);
+    let mut node = start("a", node.into_disk(), 8);
+    assert!(is_found(&lookup(&mut node, "t1", at(5))));
+    assert!(is_found(&lookup(&mut node, "t3", at(5))));
+}
+
+#[test]
+fn old_segments_go_and_what_still_counts_stays() {
+    let mut node = start_with("a", MemoryDisk::default(), 7, 2_000);
+    ask(&mut node, reserve("long", "first", 33), at(2));
+    for number in 0..200 {
+        let id = format!("t{number}");
+        ask(&mut node, keep(record(&id, "p", &[]), 1), at(2 + number));
+    }
+    let disk = node.into_disk();
+    let mut node = start_with("a", disk, 8, 2_000);
+    assert!(is_found(&lookup(&mut node, "t199", at(201))));
+    assert!(is_found(&lookup(&mut node, "t150", at(201))));
+    let request = reserve("long", "second", 10);
+    let StoreResponse::Spent { account, .. } = ask(&mut node, request, at(30)) else {
+        panic!("the reservation is refused");
+    };
+    assert!(account.total() >= 10);
+}
+
+fn view_of(names: &[(&str, u64)]) -> StoreRegistry {
+    let mut registry = StoreRegistry::default();
+    for (text, incarnation) in names {
+        registry.apply(&join(text, *incarnation, true));
+    }
+    registry
+}
+
+fn join(text: &str, incarnation: u64, founding: bool) -> StoreCommand {
+    StoreCommand::Join {
+        name: name(text),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation,
+        founding,
+    }
+}
+
+/// Stores that hand over to each other until nothing is due.
+struct Stores(BTreeMap<StoreName, StoreNode<MemoryDisk>>);
+
+impl Stores {
+    fn start(names: &[(&str, u64)]) -> Self {
+        let nodes = names
+            .iter()
+            .map(|(text, fresh)| (name(text), start(text, MemoryDisk::default(), *fresh)));
+        Self(nodes.collect())
+    }
+
+    fn set_view(&mut self, view: &StoreView, now: Timestamp) {
+        for node in self.0.values_mut() {
+            node.set_view(view.clone(), now);
+        }
+        self.settle(now);
+    }
+
+    fn settle(&mut self, now: Timestamp) {
+        for _ in 0..20 {
+            let names: Vec<StoreName> = self.0.keys().cloned().collect();
+            for from in names {
+                let node = self.0.get_mut(&from).unwrap();
+                node.tick(now);
+                let outputs = node.flush();
+                for output in outputs {
+                    let Output::HandOver {
+                        to,
+                        number,
+                        request,
+                    } = output
+                    else {
+                        continue;
+                    };
+                    let Some(receiver) = self.0.get_mut(&to) else {
+                        continue;
+                    };
+                    assert_eq!(ask(receiver, *request, now), StoreResponse::Done);
+                    let sender = self.0.get_mut(&from).unwrap();
+                    sender.on_hand_over_taken(&to, number, now);
+                }
+            }
+        }
+    }
+
+    fn node(&mut self, text: &str) -> &mut StoreNode<MemoryDisk> {
+        self.0.get_mut(&name(text)).unwrap()
+    }
+}
+
+#[test]
+fn a_store_with_an_empty_disk_is_filled_by_the_others() {
+    let mut registry = view_of(&[("a", 1), ("b", 2), ("c", 3)]);
+    let mut stores = Stores::start(&[("a", 1), ("b", 2), ("c", 3)]);
+    stores.set_view(registry.view(), at(1));
+    // Only a and b have the turn; b has lost the reservation.
+    ask(stores.node("a"), keep(record("t1", "p", &[]), 45), at(2));
+    ask(stores.node("b"), keep(record("t1", "p", &[]), 45), at(2));
+    ask(stores.node("a"), reserve("p", "t2", 100), at(2));
+    ask(stores.node("c"), reserve("p", "t2", 100), at(2));
+    // c comes back with an empty disk.
+    stores
+        .0
+        .insert(name("c"), start("c", MemoryDisk::default(), 9));
+    registry.apply(&join("c", 9, false));
+    let epoch = registry.view().epoch;
+    stores.set_view(registry.view(), at(3));
+    assert!(is_found(&lookup(stores.node("c"), "t1", at(3))));
+    assert_eq!(account(stores.node("c"), "p").total(), 145);
+    for text in ["a", "b", "c"] {
+        assert_eq!(stores.node(text).handed_over_epoch(), epoch, "{text}");
+    }
+}
+
+#[test]
+fn a_store_that_leaves_hands_everything_over_first() {
+    let names = [("a", 1), ("b", 2), ("c", 3), ("d", 4)];
+    let mut registry = view_of(&names);
+    let mut stores = Stores::start(&names);
+    stores.set_view(registry.view(), at(1));
+    let replication = Replication::surviving(1);
+    for number in 0..40 {
+        let program = format!("p{number}");
+        let id = format!("t{number}");
+        let owners = replication.owners(registry.view(), &program);
+        // The fewest stores that make it count, the one that leaves among them if it owns it.
+        let mut holders: Vec<&StoreName> = owners.iter().collect();
+        holders.sort_by_key(|owner| **owner != name("a"));
+        for holder in &holders[..replication.quorum()] {
+            let node = stores.0.get_mut(holder).unwrap();
+            ask(node, keep(record(&id, &program, &[]), 1), at(2));
+        }
+    }
+    registry.apply(&StoreCommand::Retire {
+        name: name("a"),
+        minimum: 3,
+    });
+    stores.set_view(registry.view(), at(3));
+    stores.0.remove(&name("a"));
+    for number in 0..40 {
+        let id = format!("t{number}");
+        let holders = ["b", "c", "d"]
+            .into_iter()
+            .filter(|text| is_found(&lookup(stores.0.get_mut(&name(text)).unwrap(), &id, at(3))));
+        let count = holders.count();
+        assert!(count >= replication.quorum(), "{id} is on {count} disks");
+    }
+}
+
+#[test]
+fn a_hand_over_that_is_not_acknowledged_is_sent_again_and_late_words_are_passed_over() {
+    let mut registry = view_of(&[("a", 1), ("b", 2), ("c", 3)]);
+    let mut node = start("a", MemoryDisk::default(), 1);
+    node.set_view(registry.view().clone(), at(1));
+    ask(&mut node, keep(record("t1", "p", &[]), 1), at(1));
+    registry.apply(&join("b", 9, false));
+    node.set_view(registry.view().clone(), at(2));
+    let numbers = |outputs: Vec<Output>| -> Vec<u64> {
+        let numbers = outputs.into_iter().filter_map(|output| match output {
+            Output::HandOver { number, .. } => Some(number),
+            Output::Reply { .. } => None,
+        });
+        numbers.collect()
+    };
+    let first = numbers(node.flush());
+    assert_eq!(first.len(), 1);
+    node.tick(at(2).plus(Duration::from_millis(100)));
+    assert!(numbers(node.flush()).is_empty(), "it is still under way");
+    node.tick(at(4));
+    let second = numbers(node.flush());
+    assert_eq!(second.len(), 1);
+    node.on_hand_over_taken(&name("b"), first[0], at(4));
+    node.flush();
+    assert!(node.handed_over_epoch() < registry.view().epoch);
+    for _ in 0..4 {
+        node.tick(at(10));
+        let sent = numbers(node.flush());
+        let number = sent.first().copied().unwrap_or(second[0]);
+        node.on_hand_over_taken(&name("b"), number, at(10));
+    }
+    node.flush();
+    assert_eq!(node.handed_over_epoch(), registry.view().epoch);
+}
+
+#[test]
+fn a_write_under_an_older_view_is_passed_on() {
+    let mut registry = view_of(&[("a", 1), ("b", 2), ("c", 3)]);
+    let mut stores = Stores::start(&[("a", 1), ("b", 2), ("c", 3), ("d", 4)]);
+    stores.set_view(registry.view(), at(1));
+    registry.apply(&join("d", 4, false));
+    stores.set_view(registry.view(), at(2));
+    // Find a program that d owns now; a gateway that has not heard of d writes to a and b.
+    let replication = Replication::surviving(1);
+    let program = (0..)
+        .map(|number| format!("p{number}"))
+        .find(|program| {
+            let owners = replication.owners(registry.view(), program);
+            owners.contains(&name("d")) && owners.contains(&name("a"))
+        })
+        .unwrap();
+    let old_epoch = registry.view().epoch - 1;
+    let written = keep_at(old_epoch, record("t1", &program, &[]), 1);
+    ask(stores.node("a"), written, at(3));
+    // What the first answer carried besides is lost; it is sent again.
+    stores.settle(at(5));
+    assert!(is_found(&lookup(stores.node("d"), "t1", at(5))));
+}
+
+#[test]
+fn a_turn_is_denied_only_when_no_disk_that_counts_can_hold_it() {
+    let replication = Replication::surviving(1);
+    let registry = view_of(&[("a", 1), ("b", 2), ("c", 3)]);
+    let view = registry.view();
+    let absent = |incarnation| Chain::Absent { incarnation };
+    let mut absence = Absence::default();
+    absence.note(view, &name("a"), &absent(1));
+    assert!(!absence.is_certain(view, replication), "one may lack it");
+    absence.note(view, &name("b"), &absent(77));
+    assert!(
+        !absence.is_certain(view, replication),
+        "an empty disk's word"
+    );
+    absence.note(view, &name("b"), &absent(2));
+    assert!(absence.is_certain(view, replication));
+    let nobody = StoreView::default();
+    assert!(!Absence::default().is_certain(&nobody, replication));
+}
