--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -18,8 +18,9 @@
 use std::time::Duration;
 
 /// Silence after which a process counts as gone for those who ask where to go, in presence
-/// intervals. Two lost words in a row must not take a process out.
-const MISSED_WORDS: u32 = 3;
+/// intervals. One lost word must not take a process out; a frozen one should be out soon, because
+/// callers go on to wait for it for as long as they are told of it.
+const MISSED_WORDS: u32 = 2;
 
 /// An observer that waits for news.
 #[derive(Clone, Copy, Debug)]
