Wait for disks and links instead of failing; test gateways against replicas that misbehave

Change: a managed member whose disk fails forgets its memory and reads the disk anew until it works, and answers that it is not available meanwhile; a store waits for its disk; a turn waits up to 0.7 s for enough stores; a gateway is ready once enough stores are known.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -153,19 +153,10 @@
                 .clone()
                 .ok_or_else(|| unusable("the settings have no section [member]"))?,
         };
-        let mut server = start_managed(&config, Rc::clone(&process.dialect))
+        let server = start_managed(&config, Rc::clone(&process.dialect))
             .await
             .map_err(unavailable)?;
-        tokio::select! {
-            failure = server.failed() => {
-                let reason = failure.map_or_else(
-                    || "the control member stopped".to_owned(),
-                    |failure| failure.to_string(),
-                );
-                return Err(unavailable(reason));
-            }
-            stop = until_stopped() => stop?,
-        }
+        until_stopped().await?;
         server.stop().await;
         Ok(Exit::Success)
     })
--- a/crates/control-server/src/actor.rs
+++ b/crates/control-server/src/actor.rs
@@ -44,9 +44,18 @@
     Timestamp::from_micros(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
 }
 
+/// Reads the member from its disk.
+pub(crate) type Reopen = Box<dyn Fn() -> Result<ControlNode<FileDisk>, ControlError>>;
+
+/// Time between tries to read the member from a disk that fails.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Owns the node and the queues of its clients.
 pub(crate) struct ControlActor {
-    node: ControlNode<FileDisk>,
+    /// The member; `None` while its disk cannot be used.
+    node: Option<ControlNode<FileDisk>>,
+    reopen: Option<Reopen>,
+    reopen_due: Timestamp,
     peers: Peers,
     clients: BTreeMap<u64, FrameSender>,
     own_requests: BTreeMap<u64, oneshot::Sender<Response>>,
@@ -58,13 +67,31 @@
 }
 
 impl ControlActor {
+    /// An actor that stops when its disk fails.
     pub(crate) fn new(
         node: ControlNode<FileDisk>,
         peers: Peers,
         failed: oneshot::Sender<ControlError>,
+    ) -> Self {
+        Self::with(Some(node), peers, Some(failed), None)
+    }
+
+    /// An actor that reads its member anew from its disk when that fails, and until then answers
+    /// that it is not available. It may start without one.
+    pub(crate) fn reopening(peers: Peers, reopen: Reopen) -> Self {
+        Self::with(None, peers, None, Some(reopen))
+    }
+
+    fn with(
+        node: Option<ControlNode<FileDisk>>,
+        peers: Peers,
+        failed: Option<oneshot::Sender<ControlError>>,
+        reopen: Option<Reopen>,
     ) -> Self {
         Self {
             node,
+            reopen,
+            reopen_due: now(),
             peers,
             clients: BTreeMap::new(),
             own_requests: BTreeMap::new(),
@@ -72,18 +99,48 @@
             http: awc::Client::default(),
             orders_under_way: BTreeSet::new(),
             flush_queued: false,
-            failed: Some(failed),
+            failed,
         }
     }
 
     /// Gives the node an input. What it leads to comes out of the flush that is queued behind
     /// everything that waits in the mailbox now.
     fn take(&mut self, input: Input, context: &mut Context<Self>) {
-        let result = self.node.handle(input, now());
+        let Some(node) = self.node.as_mut() else {
+            self.refuse(input);
+            return;
+        };
+        let result = node.handle(input, now());
         self.check(result, context);
         self.queue_flush(context);
     }
 
+    /// Without its disk the member knows nothing for certain.
+    fn refuse(&mut self, input: Input) {
+        if let Input::Request { token, .. } = input {
+            let reason = "this member's disk cannot be used".to_owned();
+            self.reply(token, Response::Unavailable { reason });
+        }
+    }
+
+    /// Reads the member anew, after a pause that leaves a failing disk alone.
+    fn try_reopen(&mut self) {
+        let Some(reopen) = self.reopen.as_ref() else {
+            return;
+        };
+        if self.node.is_some() || now() < self.reopen_due {
+            return;
+        }
+        self.reopen_due = now().plus(REOPEN_INTERVAL);
+        match reopen() {
+            Ok(node) => {
+                tracing::info!(peer = %node.peer(), "the control member has read its disk");
+                self.node = Some(node);
+            }
+            Err(error) => tracing::warn!(%error, "the control member cannot use its disk"),
+        }
+    }
+
     fn queue_flush(&mut self, context: &mut Context<Self>) {
         if !self.flush_queued {
             self.flush_queued = true;
@@ -91,7 +148,8 @@
         }
     }
 
-    /// After a disk failure nobody can tell what is durable: the member stops.
+    /// After a disk failure nobody can tell what is durable: the member stops, or forgets what
+    /// it holds in memory and goes on with what its disk gives back.
     fn check<T>(
         &mut self,
         result: Result<T, ControlError>,
@@ -99,6 +157,14 @@
     ) -> Option<T> {
         match result {
             Ok(value) => Some(value),
+            Err(error) if self.reopen.is_some() => {
+                tracing::error!(%error, "the control member lost its disk");
+                self.node = None;
+                self.reopen_due = now().plus(REOPEN_INTERVAL);
+                // Those who wait for an answer of the lost state must not wait for ever.
+                self.own_requests.clear();
+                None
+            }
             Err(error) => {
                 tracing::error!(%error, "the control member stops");
                 if let Some(failed) = self.failed.take() {
@@ -199,8 +265,12 @@
         context.run_interval(TICK_INTERVAL, |actor, context| {
             let time = now();
             actor.peers.close_unused();
-            if time >= actor.node.next_deadline() {
-                let result = actor.node.tick(time);
+            actor.try_reopen();
+            let due = actor
+                .node
+                .as_mut()
+                .filter(|node| time >= node.next_deadline());
+            if let Some(result) = due.map(|node| node.tick(time)) {
                 actor.check(result, context);
                 actor.queue_flush(context);
             }
@@ -218,7 +288,9 @@
 
     fn handle(&mut self, _: Flush, context: &mut Self::Context) {
         self.flush_queued = false;
-        let result = self.node.flush();
+        let Some(result) = self.node.as_mut().map(ControlNode::flush) else {
+            return;
+        };
         let Some(outputs) = self.check(result, context) else {
             return;
         };
@@ -294,7 +366,7 @@
 pub(crate) struct LookAtFleet;
 
 /// How this member sees the fleet.
-#[derive(Clone, Debug, actix::MessageResponse)]
+#[derive(Clone, Debug, Default, actix::MessageResponse)]
 pub(crate) struct FleetLook {
     /// Gateways that take callers, with their zones.
     pub(crate) gateways: Vec<(String, SocketAddr)>,
@@ -312,12 +384,15 @@
     type Result = FleetLook;
 
     fn handle(&mut self, _: LookAtFleet, _: &mut Self::Context) -> FleetLook {
+        let Some(node) = &self.node else {
+            return FleetLook::default();
+        };
         FleetLook {
-            gateways: self.node.ready_gateways(),
-            polls: self.node.polls(),
-            wants_to_join: self.node.wants_to_join(),
-            document_version: self.node.document_version(),
-            leads: self.node.polls() && self.node.is_fresh(),
+            gateways: node.ready_gateways(),
+            polls: node.polls(),
+            wants_to_join: node.wants_to_join(),
+            document_version: node.document_version(),
+            leads: node.polls() && node.is_fresh(),
         }
     }
 }
--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -4,7 +4,7 @@
 //! it. At the fleet's first start the seeds form the configuration group; everyone else, and
 //! every empty disk later, asks to be let in.
 
-use crate::actor::{ControlActor, Halt, OwnRequest, SocketEvent, now};
+use crate::actor::{ControlActor, Halt, OwnRequest, Reopen, SocketEvent, now};
 use crate::errors::{ControlServerError, ListenSnafu};
 use crate::joining::{JoinConfig, ask_when_alone};
 use crate::operator::OperatorService;
@@ -13,7 +13,7 @@
 use actix::{Actor, Addr};
 use http::Request;
 use hyper::body::Incoming;
-use luglink_control::{ControlConfig, ControlError, ControlNode, ManagedConfig, Request as Ask};
+use luglink_control::{ControlConfig, ControlNode, ManagedConfig, Request as Ask};
 use luglink_edge::Dialect;
 use luglink_http::{ServeOptions, serve, stopper};
 use luglink_settings::{FleetSettings, ManagedSettings};
@@ -54,13 +54,12 @@
     /// Internal address.
     pub address: SocketAddr,
     actor: Addr<ControlActor>,
-    failed: Option<oneshot::Receiver<ControlError>>,
 }
 
 /// Starts a member on the current actix thread.
 ///
 /// # Errors
-/// The data folder is damaged, full, read-only or another member's, or an address is taken.
+/// An address is taken.
 pub async fn start_managed(
     config: &ManagedServerConfig,
     dialect: Rc<dyn Dialect>,
@@ -70,14 +69,10 @@
     let listener = bind(address).await?;
     let operators = bind(config.member.operator_listen).await?;
     let resolutions = bind(config.member.resolution_listen).await?;
-    let disk = FileDisk::open(&config.member.data_folder)?;
     let member = MemberId(u32::from(fleet.ip));
-    let seed = rand::rng().next_u64();
-    let node = ControlNode::start(control_config(config, member), disk, seed, now())?;
-    tracing::info!(name = fleet.name, peer = %node.peer(), %address, "control member started");
+    tracing::info!(name = fleet.name, %address, "control member started");
     let peers = Peers::by_address(member, fleet.member_port());
-    let (failed_sender, failed) = oneshot::channel();
-    let actor = ControlActor::new(node, peers, failed_sender).start();
+    let actor = ControlActor::reopening(peers, reopen(config.clone(), member)).start();
     actix_rt::spawn(luglink_net::serve(listener, {
         let actor = actor.clone();
         move |event| actor.do_send(SocketEvent(event))
@@ -92,10 +87,16 @@
         seeds: fleet.member_seeds(),
     };
     actix_rt::spawn(ask_when_alone(actor.clone(), join));
-    Ok(ManagedServer {
-        address,
-        actor,
-        failed: Some(failed),
+    Ok(ManagedServer { address, actor })
+}
+
+/// Reads the member from its data folder. A disk that is full or fails is tried again: a member
+/// that ends instead would only be started again, and meanwhile tell nobody where to go.
+fn reopen(config: ManagedServerConfig, member: MemberId) -> Reopen {
+    Box::new(move || {
+        let disk = FileDisk::open(&config.member.data_folder)?;
+        let seed = rand::rng().next_u64();
+        ControlNode::start(control_config(&config, member), disk, seed, now())
     })
 }
 
@@ -174,14 +175,6 @@
 }
 
 impl ManagedServer {
-    /// Waits until the member stops by itself, which it does when its disk fails.
-    pub async fn failed(&mut self) -> Option<ControlError> {
-        match self.failed.take() {
-            Some(failed) => failed.await.ok(),
-            None => std::future::pending().await,
-        }
-    }
-
     /// Hands over leadership, lets that settle, and stops.
     pub async fn stop(self) {
         let (answer, waiting) = oneshot::channel();
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -100,7 +100,7 @@
         !self.is_stopping.get()
             && self.in_force().is_some()
             && self.list_seen.get().is_some()
-            && self.turns.has_view()
+            && self.turns.has_quorum()
     }
 
     /// Age of the list of replicas.
--- a/crates/gateway-server/src/turn_client.rs
+++ b/crates/gateway-server/src/turn_client.rs
@@ -22,6 +22,12 @@
 /// Pause before a write that too few stores took is sent again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Longest time that a turn waits for enough stores before its caller is told to come back.
+const BEGIN_LIMIT: Duration = Duration::from_millis(700);
+
+/// Pause between two tries to reserve.
+const BEGIN_PAUSE: Duration = Duration::from_millis(30);
+
 /// Times that the end of a turn is told to the stores before it is left at its reservation.
 const SETTLE_TRIES: u32 = 8;
 
@@ -86,8 +92,9 @@
         self.view.borrow().epoch
     }
 
-    pub(crate) fn has_view(&self) -> bool {
-        !self.view.borrow().is_empty()
+    /// Whether enough stores are known to take a write.
+    pub(crate) fn has_quorum(&self) -> bool {
+        self.view.borrow().writable().count() >= self.replication.quorum()
     }
 
     pub(crate) fn set_view(&self, view: StoreView) {
@@ -143,9 +150,31 @@
         }
     }
 
+    /// Reserves tokens for a turn and looks its chain up, again while too few stores answer: a
+    /// link that is just coming up, or a store that is just back, costs a moment and not the turn.
+    pub(crate) async fn begin(
+        &self,
+        program: &ProgramName,
+        turn: &TurnId,
+        ceiling: u64,
+        retention_ms: u64,
+        previous: Option<&TurnId>,
+    ) -> Result<Begun, StoresUnavailable> {
+        let deadline = Instant::now() + BEGIN_LIMIT;
+        loop {
+            let begun = self
+                .begin_once(program, turn, ceiling, retention_ms, previous)
+                .await;
+            if begun.is_ok() || Instant::now() + BEGIN_PAUSE >= deadline {
+                return begun;
+            }
+            actix_rt::time::sleep(BEGIN_PAUSE).await;
+        }
+    }
+
     /// Reserves tokens for a turn and looks its chain up. The chain is asked of the store that
     /// answers fastest; of the others only when it is not there.
-    pub(crate) async fn begin(
+    async fn begin_once(
         &self,
         program: &ProgramName,
         turn: &TurnId,
--- /dev/null
+++ b/crates/gateway-server/tests/gateway/support/caller.rs
@@ -0,0 +1,145 @@
+//! A caller that says what it got.
+
+use super::HOST;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::BodyExt;
+use luglink_http::{Body, connect, empty_body, full_body};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What a caller got.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Got {
+    /// 0 when the connection gave no answer.
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: String,
+    /// Whether the body came to its proper end.
+    pub is_whole: bool,
+}
+
+impl Got {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+}
+
+/// A request with its headers.
+pub struct Ask {
+    pub method: &'static str,
+    pub path: String,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Ask {
+    pub fn get(path: &str, id: &str) -> Self {
+        Self {
+            method: "GET",
+            path: path.to_owned(),
+            headers: vec![
+                ("luglink-request-id", id.to_owned()),
+                ("luglink-deadline-ms", "3000".to_owned()),
+            ],
+            body: Vec::new(),
+        }
+    }
+
+    pub fn post(path: &str, id: &str, body: impl Into<Vec<u8>>) -> Self {
+        Self {
+            method: "POST",
+            body: body.into(),
+            ..Self::get(path, id)
+        }
+    }
+
+    pub fn with(mut self, name: &'static str, value: impl ToString) -> Self {
+        self.headers.push((name, value.to_string()));
+        self
+    }
+
+    fn request(self) -> Request<Body> {
+        let mut request = Request::builder()
+            .method(self.method)
+            .uri(self.path)
+            .header("host", HOST);
+        for (name, value) in self.headers {
+            request = request.header(name, value);
+        }
+        let body = if self.body.is_empty() {
+            empty_body()
+        } else {
+            full_body(self.body)
+        };
+        request.body(body).unwrap()
+    }
+
+    /// Sends it over a connection of its own.
+    pub async fn send(self, to: SocketAddr) -> Got {
+        let Ok(mut connection) = connect(to, Duration::from_secs(2)).await else {
+            return Got::default();
+        };
+        let Ok(response) = connection.send(self.request()).await else {
+            return Got::default();
+        };
+        let (head, mut incoming) = response.into_parts();
+        let mut body: Vec<u8> = Vec::new();
+        let is_whole = loop {
+            match incoming.frame().await {
+                Some(Ok(frame)) => body.extend(frame.into_data().unwrap_or_default()),
+                Some(Err(_)) => break false,
+                None => break true,
+            }
+        };
+        Got {
+            status: head.status.as_u16(),
+            headers: head
+                .headers
+                .iter()
+                .map(|(name, value)| (name.to_string(), value.to_str().unwrap().to_owned()))
+                .collect(),
+            body: String::from_utf8(body).unwrap(),
+            is_whole,
+        }
+    }
+
+    /// Sends it, waits for the first bytes of the answer's body, and leaves.
+    pub async fn send_and_leave(self, to: SocketAddr) -> Bytes {
+        let mut connection = connect(to, Duration::from_secs(2)).await.unwrap();
+        let response = connection.send(self.request()).await.unwrap();
+        let mut incoming = response.into_body();
+        let first = incoming.frame().await.unwrap().unwrap();
+        first.into_data().unwrap_or_default()
+    }
+
+    /// Sends it and leaves before any answer.
+    pub async fn send_and_leave_unanswered(self, to: SocketAddr, after: Duration) {
+        let mut connection = connect(to, Duration::from_secs(2)).await.unwrap();
+        let sending = connection.send(self.request());
+        let answered = actix_rt::time::timeout(after, sending).await;
+        assert!(answered.is_err(), "there was an answer");
+    }
+}
+
+pub async fn get(to: SocketAddr, path: &str) -> Got {
+    Ask::get(path, "check").send(to).await
+}
+
+/// Follows a redirect, as operators do.
+pub async fn put(to: SocketAddr, path: &str, body: Vec<u8>) -> Got {
+    let got = Ask::post(path, "operator", body.clone()).send(to).await;
+    let Some(location) = got.header("location").filter(|_| got.status == 307) else {
+        return got;
+    };
+    let address = location
+        .trim_start_matches("http://")
+        .split('/')
+        .next()
+        .and_then(|address| address.parse().ok());
+    match address {
+        Some(address) => Ask::post(path, "operator", body).send(address).await,
+        None => got,
+    }
+}
--- /dev/null
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -0,0 +1,243 @@
+//! A whole fleet in one process, on loopback addresses of its own, before scripted replicas.
+
+pub mod caller;
+pub mod replica;
+
+use luglink_control_server::{ManagedServer, ManagedServerConfig, start_managed};
+use luglink_edge::{
+    Configuration, Dialect, Engine, Limits, LuglinkDialect, Route, RouteKind, Service, Target,
+};
+use luglink_fleet_client::ObserverConfig;
+use luglink_gateway_server::{GatewayConfig, GatewayServer, start};
+use luglink_settings::{FleetSettings, ManagedSettings};
+use luglink_store_server::{StoreServer, StoreServerConfig};
+use luglink_turns::Replication;
+use replica::Replica;
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+use tempfile::TempDir;
+
+pub const HOST: &str = "desk.example";
+
+/// Each fleet has a block of loopback addresses, so that all its members can use the same ports.
+static NEXT_BLOCK: AtomicU8 = AtomicU8::new(1);
+
+fn free_ports() -> Vec<u16> {
+    // A test fleet needs three ports in a row that are the same on all its addresses.
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let port = listener.local_addr().unwrap().port().min(65_000);
+    vec![port, port + 15]
+}
+
+/// A fleet: three members that also have stores, one gateway, scripted replicas and their list.
+pub struct Fleet {
+    pub gateway: Rc<GatewayServer>,
+    pub gateway_address: SocketAddr,
+    pub ready_address: SocketAddr,
+    pub operator_address: SocketAddr,
+    pub resolution_address: SocketAddr,
+    _folder: TempDir,
+    _members: Vec<ManagedServer>,
+    _stores: Vec<StoreServer>,
+}
+
+fn ip(block: u8, host: u8) -> Ipv4Addr {
+    let process = std::process::id() % 200;
+    Ipv4Addr::new(127, 20 + u8::try_from(process).unwrap_or(1), block, host)
+}
+
+fn fleet_settings(block: u8, host: u8, ports: &[u16], list: SocketAddr) -> FleetSettings {
+    FleetSettings {
+        name: format!("machine-{host}"),
+        zone: "here".to_owned(),
+        ip: ip(block, host),
+        ports: ports.to_vec(),
+        seeds: (1..=3).map(|seed| (ip(block, seed), 1).into()).collect(),
+        first_start: true,
+        tolerated_losses: 1,
+        list_address: list,
+        list_calls_per_s: 40.0,
+        drain_ms: 3_000,
+        change_ms: 2_000,
+        stop_s: 8.0,
+        resolution_s: 5.0,
+        memory_mb: 256,
+    }
+}
+
+impl Fleet {
+    pub async fn start(replicas: Vec<Replica>) -> Self {
+        Self::start_in(tempfile::tempdir().unwrap(), replicas).await
+    }
+
+    pub async fn start_in(folder: TempDir, replicas: Vec<Replica>) -> Self {
+        let block = NEXT_BLOCK.fetch_add(1, Ordering::Relaxed);
+        let ports = free_ports();
+        let replicas = Rc::new(RefCell::new(replicas));
+        let list = replica::serve_list(replicas).await;
+        let dialect: Rc<dyn Dialect> = Rc::new(LuglinkDialect::default());
+        let (operator_port, resolution_port) = (ports[0] + 4, ports[0] + 5);
+        let mut members = Vec::new();
+        let mut stores = Vec::new();
+        for host in 1..=3 {
+            let fleet = fleet_settings(block, host, &ports, list);
+            let config = ManagedServerConfig {
+                member: ManagedSettings {
+                    operator_listen: (fleet.ip, operator_port).into(),
+                    resolution_listen: (fleet.ip, resolution_port).into(),
+                    data_folder: folder.path().join(format!("member-{host}")),
+                    list_interval_ms: 100,
+                    heartbeat_ms: 50,
+                    election_timeout_ms: 300,
+                    snapshot_entries: 50,
+                },
+                fleet: fleet.clone(),
+            };
+            members.push(start_managed(&config, Rc::clone(&dialect)).await.unwrap());
+            let store = store_config(&fleet, folder.path().join(format!("store-{host}")));
+            stores.push(luglink_store_server::start(store).await.unwrap());
+        }
+        let fleet = fleet_settings(block, 9, &ports, list);
+        let gateway_address: SocketAddr = (fleet.ip, ports[0] + 6).into();
+        let ready_address: SocketAddr = (fleet.ip, ports[0] + 7).into();
+        let gateway = start(
+            gateway_config(&fleet, gateway_address, ready_address),
+            dialect,
+        );
+        Self {
+            gateway: Rc::new(gateway.await.unwrap()),
+            gateway_address,
+            ready_address,
+            operator_address: (ip(block, 1), operator_port).into(),
+            resolution_address: (ip(block, 1), resolution_port).into(),
+            _folder: folder,
+            _members: members,
+            _stores: stores,
+        }
+    }
+
+    /// Puts a configuration in force and waits until the gateway serves it.
+    pub async fn configure(&self, configuration: &Configuration) {
+        let body = serde_json::to_vec(configuration).unwrap();
+        let put = || caller::put(self.operator_address, "/v1/configuration", body.clone());
+        until("the configuration is taken", || async {
+            put().await.status == 200
+        })
+        .await;
+        let ready = || caller::get(self.ready_address, "/v1/ready");
+        until("the gateway is ready", || async {
+            ready().await.status == 200
+        })
+        .await;
+    }
+}
+
+fn observer(fleet: &FleetSettings) -> ObserverConfig {
+    ObserverConfig {
+        seeds: fleet.member_seeds(),
+        member_port: fleet.member_port(),
+    }
+}
+
+fn store_config(fleet: &FleetSettings, data_folder: PathBuf) -> StoreServerConfig {
+    StoreServerConfig {
+        name: fleet.name.clone(),
+        zone: fleet.zone.clone(),
+        listen: (fleet.ip, fleet.store_port()).into(),
+        data_folder,
+        first_start: true,
+        replication: Replication::surviving(1),
+        segment_bytes: 1 << 20,
+        observer: observer(fleet),
+    }
+}
+
+fn gateway_config(
+    fleet: &FleetSettings,
+    listen: SocketAddr,
+    ready_listen: SocketAddr,
+) -> GatewayConfig {
+    GatewayConfig {
+        name: fleet.name.clone(),
+        zone: fleet.zone.clone(),
+        listen,
+        ready_listen,
+        metrics_listen: None,
+        observer: observer(fleet),
+        list_address: fleet.list_address,
+        list_stale_after: Duration::from_millis(500),
+        replication: Replication::surviving(1),
+        stop_limit: Duration::from_secs(5),
+        turn_cache_bytes: 1 << 20,
+    }
+}
+
+/// Waits until something holds. The limit only ends a test that would hang.
+pub async fn until<Check>(what: &str, mut holds: impl FnMut() -> Check)
+where
+    Check: Future<Output = bool>,
+{
+    for _ in 0..600 {
+        if holds().await {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("{what}: not within 30 s");
+}
+
+pub fn route(prefix: &str, kind: RouteKind) -> Route {
+    Route {
+        name: prefix.trim_matches('/').to_owned(),
+        host: HOST.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind,
+        timeout_ms: 4_000,
+        target_latency_ms: 200,
+        priority: 1,
+        targets: vec![Target {
+            service: "service".to_owned(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        keeps_history: false,
+        retention_ms: 60_000,
+        resumable: false,
+    }
+}
+
+pub fn configuration(version: u64) -> Configuration {
+    let mut resumable = route("/resumable/", RouteKind::Streaming);
+    resumable.resumable = true;
+    resumable.max_attempts = 1;
+    let mut kept = route("/kept/", RouteKind::Streaming);
+    kept.keeps_history = true;
+    kept.max_attempts = 1;
+    Configuration {
+        version,
+        routes: vec![
+            route("/safe/", RouteKind::Safe),
+            route("/unsafe/", RouteKind::Unsafe),
+            resumable,
+            kept,
+        ],
+        services: vec![Service {
+            name: "service".to_owned(),
+            health_path: "/health".to_owned(),
+            connection_limit: 100,
+            engine: Some(Engine {
+                slots: 4,
+                cache_tokens: 1_000,
+                tokens_per_event: 10,
+            }),
+        }],
+        limits: Limits {
+            max_body_bytes: 1 << 20,
+            ..Limits::default()
+        },
+    }
+}
--- /dev/null
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -0,0 +1,348 @@
+//! Replicas that follow a script, byte by byte.
+
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What a replica does with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Script {
+    /// Answers it whole.
+    Answer,
+    /// Says that it did not run it.
+    Decline,
+    /// Says that another replica has its address.
+    Misdirected,
+    /// Announces more than it sends, and closes.
+    Cut,
+    /// Answers it, and sends a second answer behind.
+    Extra,
+    /// Answers with another request's identifier.
+    Foreign,
+    /// Answers without a signature.
+    Unsigned,
+    /// Says that the body is encoded.
+    Encoded,
+    /// Sends no length and closes.
+    Unframed,
+    /// Answers before it has read the body, and reads on.
+    Early,
+    /// Sends bytes that are no answer.
+    Noise,
+    /// Closes without a word.
+    Close,
+    /// Says nothing at all.
+    Mute,
+    /// Sends so many events of five and breaks off in the next one.
+    StreamBroken(usize),
+    /// Sends five events, from after the one that the request names.
+    Stream,
+    /// Sends events without end.
+    StreamEndless,
+}
+
+/// A request that a replica has read.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub target: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Seen {
+    pub fn id(&self) -> &str {
+        self.headers
+            .get("luglink-request-id")
+            .map_or("", String::as_str)
+    }
+}
+
+/// A scripted replica.
+#[derive(Clone)]
+pub struct Replica {
+    pub id: String,
+    pub address: SocketAddr,
+    pub is_draining: Rc<Cell<bool>>,
+    pub script: Rc<RefCell<Script>>,
+    pub seen: Rc<RefCell<Vec<Seen>>>,
+    /// Connections that the other end has closed.
+    pub closed: Rc<Cell<u32>>,
+    pub accepted: Rc<Cell<u32>>,
+}
+
+impl Replica {
+    pub async fn start(id: &str, script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let replica = Self {
+            id: id.to_owned(),
+            address: listener.local_addr().unwrap(),
+            is_draining: Rc::default(),
+            script: Rc::new(RefCell::new(script)),
+            seen: Rc::default(),
+            closed: Rc::default(),
+            accepted: Rc::default(),
+        };
+        let serving = replica.clone();
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                serving.accepted.set(serving.accepted.get() + 1);
+                actix_rt::spawn(serving.clone().serve(stream));
+            }
+        });
+        replica
+    }
+
+    pub fn set(&self, script: Script) {
+        *self.script.borrow_mut() = script;
+    }
+
+    pub fn requests(&self) -> usize {
+        self.seen.borrow().len()
+    }
+
+    pub fn last(&self) -> Seen {
+        self.seen.borrow().last().cloned().expect("a request")
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let mut buffer = Vec::new();
+        loop {
+            let is_early = *self.script.borrow() == Script::Early;
+            let Some(seen) = read_request(&mut stream, &mut buffer, is_early).await else {
+                self.closed.set(self.closed.get() + 1);
+                return;
+            };
+            self.seen.borrow_mut().push(seen.clone());
+            let script = self.script.borrow().clone();
+            if !self.act(&script, &seen, &mut stream, &mut buffer).await {
+                return;
+            }
+        }
+    }
+
+    fn head(&self, status: &str, id: &str, rest: &str) -> String {
+        format!("HTTP/1.1 {status}\r\nLuglink-Request-Id: {id}\r\n{rest}\r\n")
+    }
+
+    fn whole(&self, id: &str, body: &str) -> String {
+        let signature = format!("Luglink-Signature: of-{id}\r\nX-Kept: as it is\r\n");
+        let length = format!("Content-Length: {}\r\n", body.len());
+        self.head("200 OK", id, &format!("{signature}{length}")) + body
+    }
+
+    /// Returns whether the connection goes on.
+    async fn act(
+        &self,
+        script: &Script,
+        seen: &Seen,
+        stream: &mut TcpStream,
+        buffer: &mut Vec<u8>,
+    ) -> bool {
+        let id = seen.id().to_owned();
+        let body = format!("answer of {} to {id}", self.id);
+        let signed = format!("Luglink-Signature: of-{id}\r\n");
+        let (text, goes_on) = match script {
+            Script::Answer => (self.whole(&id, &body), true),
+            Script::Decline => {
+                let rest = "Luglink-Not-Executed: 1\r\nContent-Length: 0\r\n";
+                (self.head("503 Service Unavailable", &id, rest), true)
+            }
+            Script::Misdirected => {
+                let rest = "Content-Length: 0\r\n";
+                (self.head("421 Misdirected Request", &id, rest), true)
+            }
+            Script::Cut => {
+                let rest = format!("{signed}Content-Length: 100\r\n");
+                (self.head("200 OK", &id, &rest) + "short", false)
+            }
+            Script::Extra => (self.whole(&id, &body) + &self.whole(&id, "surplus"), true),
+            Script::Foreign => (self.whole("somebody-else", &body), true),
+            Script::Unsigned => {
+                let rest = format!("Content-Length: {}\r\n", body.len());
+                (self.head("200 OK", &id, &rest) + &body, true)
+            }
+            Script::Encoded => {
+                let rest = format!("{signed}Content-Encoding: gzip\r\nContent-Length: 2\r\n");
+                (self.head("200 OK", &id, &rest) + "xx", true)
+            }
+            Script::Unframed => (self.head("200 OK", &id, &signed) + &body, false),
+            Script::Early => {
+                let sent = stream.write_all(self.whole(&id, &body).as_bytes()).await;
+                let length = content_length(seen);
+                return sent.is_ok() && read_exactly(stream, buffer, length).await;
+            }
+            Script::Noise => ("this is no answer\r\n\r\n".to_owned(), false),
+            Script::Close => (String::new(), false),
+            Script::Mute => {
+                let mut rest = [0];
+                let _ = stream.read(&mut rest).await;
+                self.closed.set(self.closed.get() + 1);
+                return false;
+            }
+            Script::StreamBroken(events) => return self.stream(seen, stream, Some(*events)).await,
+            Script::Stream => return self.stream(seen, stream, None).await,
+            Script::StreamEndless => return self.stream_endless(seen, stream).await,
+        };
+        stream.write_all(text.as_bytes()).await.is_ok() && goes_on
+    }
+
+    fn stream_head(&self, seen: &Seen) -> String {
+        let rest = format!(
+            "Luglink-Signature: of-{}-by-{}\r\nContent-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n",
+            seen.id(),
+            self.id
+        );
+        self.head("200 OK", seen.id(), &rest)
+    }
+
+    async fn stream(&self, seen: &Seen, stream: &mut TcpStream, breaks: Option<usize>) -> bool {
+        let from = seen
+            .headers
+            .get("last-event-id")
+            .map_or(0, |last| last.parse::<usize>().unwrap() + 1);
+        let mut text = self.stream_head(seen);
+        for number in from..5 {
+            if breaks == Some(number) {
+                text += &chunk(&format!("id: {number}\nda"));
+                let _ = stream.write_all(text.as_bytes()).await;
+                return false;
+            }
+            text += &chunk(&event(number));
+        }
+        text += "0\r\n\r\n";
+        stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
+    async fn stream_endless(&self, seen: &Seen, stream: &mut TcpStream) -> bool {
+        let mut text = self.stream_head(seen);
+        for number in 0.. {
+            text += &chunk(&event(number));
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                break;
+            }
+            text.clear();
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.closed.set(self.closed.get() + 1);
+        false
+    }
+}
+
+pub fn event(number: usize) -> String {
+    format!("id: {number}\ndata: word{number}\n\n")
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn content_length(seen: &Seen) -> usize {
+    seen.headers
+        .get("content-length")
+        .map_or(0, |length| length.parse().unwrap())
+}
+
+async fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
+    let mut part = [0; 4_096];
+    match stream.read(&mut part).await {
+        Ok(count) if count > 0 => {
+            buffer.extend_from_slice(&part[..count]);
+            true
+        }
+        _ => false,
+    }
+}
+
+async fn read_exactly(stream: &mut TcpStream, buffer: &mut Vec<u8>, length: usize) -> bool {
+    while buffer.len() < length {
+        if !fill(stream, buffer).await {
+            return false;
+        }
+    }
+    buffer.drain(..length);
+    true
+}
+
+async fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    is_early: bool,
+) -> Option<Seen> {
+    let end = loop {
+        if let Some(end) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            break end;
+        }
+        if !fill(stream, buffer).await {
+            return None;
+        }
+    };
+    let head = String::from_utf8(buffer.drain(..end + 4).collect()).unwrap();
+    let mut lines = head.lines();
+    let target = lines.next().unwrap().to_owned();
+    let headers = lines
+        .filter_map(|line| line.split_once(": "))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
+        .collect();
+    let mut seen = Seen {
+        target,
+        headers,
+        body: Vec::new(),
+    };
+    if !is_early {
+        let length = content_length(&seen);
+        while buffer.len() < length {
+            if !fill(stream, buffer).await {
+                return None;
+            }
+        }
+        seen.body = buffer.drain(..length).collect();
+    }
+    Some(seen)
+}
+
+/// The platform's list, in luglink's own spelling.
+pub async fn serve_list(replicas: Rc<RefCell<Vec<Replica>>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let replicas = Rc::clone(&replicas);
+            actix_rt::spawn(async move {
+                let mut buffer = Vec::new();
+                while read_request(&mut stream, &mut buffer, false)
+                    .await
+                    .is_some()
+                {
+                    let body = list(&replicas.borrow());
+                    let text = format!(
+                        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+                        body.len()
+                    );
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+fn list(replicas: &[Replica]) -> String {
+    let entries: Vec<_> = replicas
+        .iter()
+        .map(|replica| {
+            json!({
+                "id": replica.id, "service": "service", "address": replica.address,
+                "zone": "here", "slots": 4, "draining": replica.is_draining.get(),
+            })
+        })
+        .collect();
+    json!({"replicas": entries, "next": null}).to_string()
+}
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -25,6 +25,9 @@
 /// Time between looks at timers.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time between tries to read a disk that fails.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Requests that are taken together before the disk is asked to sync.
 const BATCH_REQUESTS: u32 = 256;
 
@@ -70,7 +73,7 @@
 /// Starts a store on the current actix thread.
 ///
 /// # Errors
-/// The data folder is damaged, full or read-only, or the address is taken.
+/// The address is taken.
 pub async fn start(config: StoreServerConfig) -> Result<StoreServer, StoreServerError> {
     let listener = TcpListener::bind(config.listen)
         .await
@@ -80,15 +83,7 @@
     let address = listener.local_addr().context(ListenSnafu {
         address: config.listen,
     })?;
-    let disk = FileDisk::open(&config.data_folder)?;
-    let node_config = StoreConfig {
-        name: StoreName(config.name.clone()),
-        replication: config.replication,
-        wal: WalConfig {
-            segment_bytes: config.segment_bytes,
-        },
-    };
-    let node = StoreNode::start(node_config, disk, rand::rng().next_u64(), now())?;
+    let node = open_node(&config).await;
     let (turns, accounts) = node.counts();
     tracing::info!(
         name = config.name,
@@ -120,6 +115,31 @@
     })
 }
 
+/// Reads the store from its data folder. While the disk takes nothing it is tried again: a store
+/// that ended would only be started again.
+async fn open_node(config: &StoreServerConfig) -> StoreNode<FileDisk> {
+    loop {
+        match try_open_node(config) {
+            Ok(node) => return node,
+            Err(error) => tracing::warn!(%error, "the turn store cannot use its disk"),
+        }
+        actix_rt::time::sleep(REOPEN_INTERVAL).await;
+    }
+}
+
+fn try_open_node(config: &StoreServerConfig) -> Result<StoreNode<FileDisk>, StoreServerError> {
+    let disk = FileDisk::open(&config.data_folder)?;
+    let node_config = StoreConfig {
+        name: StoreName(config.name.clone()),
+        replication: config.replication,
+        wal: WalConfig {
+            segment_bytes: config.segment_bytes,
+        },
+    };
+    let fresh = rand::rng().next_u64();
+    Ok(StoreNode::start(node_config, disk, fresh, now())?)
+}
+
 impl StoreServer {
     /// Turns and accounts that the store holds.
     #[must_use]
