--- a/xtask/src/purity.rs
+++ b/xtask/src/purity.rs
@@ -14,6 +14,9 @@
     "control",
     "daemon",
     "engine-api",
+    "fleet",
+    "turns",
+    "edge",
 ];
 
 /// Dependencies that a pure crate must not name.
