Send what may be repeated to a second replica when the first one is stuck

Ruled out: full replicas (nothing waited there), the network (other requests to the same replicas were answered).

Change: after 1.5 times the latency that the route aims at, a safe request goes to another replica too, within max-attempts; the first whole answer counts.

Test: a_silent_replica_does_not_hold_up_what_may_be_repeated, 504 before.

--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -5,13 +5,18 @@
 use crate::inbound::{Inbound, strip_hop_by_hop};
 use crate::refusal::Refusal;
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http::{Response, header};
 use http_body_util::BodyExt;
-use luglink_edge::{Retryable, SendOutcome, Wish};
+use luglink_edge::{Retryable, RouteKind, SendOutcome, Wish};
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::{Body, full_body};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Times the latency that a route aims at after which a replica counts as stuck.
+const HEDGE_FACTOR: f64 = 1.5;
 
 /// How often a request is sent at the most, declined sends included.
 const MAX_SENDS: usize = 12;
@@ -22,7 +27,8 @@
     pub(crate) tried: Vec<BackendId>,
     /// Replicas that may have run the request.
     pub(crate) runs: u32,
-    pub(crate) last_reason: &'static str,
+    /// Whether the request was sent to a second replica while a first one had it.
+    pub(crate) has_hedged: bool,
 }
 
 impl Attempts {
@@ -33,8 +39,9 @@
         backend: &Backend,
         failure: &Failure,
     ) -> Result<(), Refusal> {
-        self.tried.push(backend.id.clone());
-        self.last_reason = failure.reason;
+        if !self.tried.contains(&backend.id) {
+            self.tried.push(backend.id.clone());
+        }
         if failure.outcome.may_have_run() {
             self.runs += 1;
         }
@@ -58,6 +65,14 @@
         }
     }
 
+    /// Whether a second replica may get the request while `under_way` have it.
+    fn may_hedge(&self, inbound: &Inbound, under_way: usize) -> bool {
+        let replicas = self.runs as usize + under_way;
+        inbound.route.kind == RouteKind::Safe
+            && !self.has_hedged
+            && replicas < inbound.route.max_attempts as usize
+    }
+
     fn out_of_time(&self) -> Refusal {
         if self.runs == 0 {
             return Refusal::not_run("no replica took the request in time");
@@ -95,30 +110,71 @@
         .ok_or_else(|| attempts.nowhere("no replica can take the request"))
 }
 
-/// Serves a request with one whole answer.
+/// One send to one replica, from the choice to the whole answer.
+async fn attempt(
+    gateway: &Rc<Gateway>,
+    inbound: &Inbound,
+    backend: Backend,
+) -> (Backend, Result<Response<Body>, Failure>) {
+    let began = Instant::now();
+    let result = match send(gateway, inbound, &backend, &Extra::default()).await {
+        Ok(answer) => whole(gateway, inbound, answer).await,
+        Err(failure) => Err(failure),
+    };
+    if result.is_ok() {
+        let mut pool = gateway.pool.borrow_mut();
+        pool.succeeded(&backend.id, began.elapsed());
+    }
+    (backend, result)
+}
+
+/// Serves a request with one whole answer. A replica that keeps a request which may be repeated
+/// for much longer than it should take does not hold it up: another one gets it too, within the
+/// number of replicas that the route allows, and the first whole answer counts.
 pub(crate) async fn serve(
     gateway: &Rc<Gateway>,
     inbound: &Inbound,
 ) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::default();
+    let mut under_way = FuturesUnordered::new();
     loop {
-        let backend = choose(gateway, inbound, &attempts, None)?;
-        let began = Instant::now();
-        let failure = match send(gateway, inbound, &backend, &Extra::default()).await {
-            Ok(answer) => match whole(gateway, inbound, answer).await {
-                Ok(response) => {
-                    let mut pool = gateway.pool.borrow_mut();
-                    pool.succeeded(&backend.id, began.elapsed());
-                    return Ok(response);
-                }
-                Err(failure) => failure,
-            },
-            Err(failure) => failure,
+        if under_way.is_empty() {
+            let backend = choose(gateway, inbound, &attempts, None)?;
+            attempts.tried.push(backend.id.clone());
+            under_way.push(attempt(gateway, inbound, backend));
+        }
+        let may_hedge = attempts.may_hedge(inbound, under_way.len());
+        let ended = tokio::select! {
+            ended = under_way.next() => ended,
+            () = actix_rt::time::sleep(hedge_after(inbound)), if may_hedge => None,
         };
-        attempts.note(inbound, &backend, &failure)?;
+        match ended {
+            Some((_, Ok(response))) => return Ok(response),
+            Some((backend, Err(failure))) => {
+                let verdict = attempts.note(inbound, &backend, &failure);
+                // As long as another replica has it, that one's answer decides.
+                if under_way.is_empty() {
+                    verdict?;
+                }
+            }
+            None => {
+                if let Ok(backend) = choose(gateway, inbound, &attempts, None) {
+                    tracing::info!(id = inbound.id, replica = %backend.id, "a request is hedged");
+                    attempts.tried.push(backend.id.clone());
+                    under_way.push(attempt(gateway, inbound, backend));
+                }
+                attempts.has_hedged = true;
+            }
+        }
     }
 }
 
+/// Time after which a request that may be repeated goes to another replica too.
+fn hedge_after(inbound: &Inbound) -> Duration {
+    let expected = inbound.route.target_latency().mul_f64(HEDGE_FACTOR);
+    expected.min(inbound.remaining() / 3)
+}
+
 /// Reads an answer to its end before anything of it is given on: one that is cut short must
 /// not reach the caller as a success.
 pub(crate) async fn whole(
--- a/crates/gateway-server/tests/gateway/replicas.rs
+++ b/crates/gateway-server/tests/gateway/replicas.rs
@@ -205,6 +205,34 @@
     assert!(replicas[0].requests() <= 1);
 }
 
+#[actix_rt::test]
+async fn a_silent_replica_does_not_hold_up_what_may_be_repeated() {
+    let (fleet, replicas) = fleet(&[Script::Mute, Script::Answer]).await;
+    for number in 0..6 {
+        let id = format!("s{number}");
+        let got = ask_safe(&fleet, &id).await;
+        assert_eq!(got.status, 200, "{id}");
+        assert_eq!(got.body, format!("answer of r1 to {id}"));
+    }
+    // What may not be repeated waits for the replica that has it, and runs nowhere else.
+    replicas[1].set(Script::Mute);
+    let before = runs(&replicas);
+    let got = Ask::post("/unsafe/x", "u", "body")
+        .with("luglink-deadline-ms", "900")
+        .send(fleet.gateway_address)
+        .await;
+    assert_eq!(got.status, 504);
+    assert_eq!(runs(&replicas), before + 1);
+    // At most as many replicas as the route allows, though all are silent.
+    let before = runs(&replicas);
+    let got = Ask::get("/safe/x", "both")
+        .with("luglink-deadline-ms", "1500")
+        .send(fleet.gateway_address)
+        .await;
+    assert_eq!(got.status, 504);
+    assert_eq!(runs(&replicas), before + 2);
+}
+
 #[actix_rt::test]
 async fn what_is_not_allowed_is_refused_at_the_door() {
     let (fleet, replicas) = fleet(&[Script::Answer]).await;
--- a/crates/gateway-server/tests/gateway/support/caller.rs
+++ b/crates/gateway-server/tests/gateway/support/caller.rs
@@ -56,6 +56,7 @@
     }
 
     pub fn with(mut self, name: &'static str, value: impl ToString) -> Self {
+        self.headers.retain(|(known, _)| *known != name);
         self.headers.push((name, value.to_string()));
         self
     }
