--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -26,8 +26,9 @@
     Lost,
 }
 
-/// A connection that is made again whenever it breaks. Frames sent while it is broken are
-/// dropped. Dropping the link closes it.
+/// A connection that is made again whenever it breaks. Frames sent while it comes up wait for
+/// it; those sent between two tries, and those that wait for one that fails, are dropped.
+/// Dropping the link closes it.
 #[derive(Debug)]
 pub struct Link {
     current: Rc<RefCell<Option<FrameSender>>>,
@@ -80,6 +81,11 @@
     current: &RefCell<Option<FrameSender>>,
     on_event: &impl Fn(LinkEvent),
 ) -> Result<(), NetError> {
+    // What is sent while the connection comes up goes with it: the first message of a process
+    // that has just started must not be lost to its own link.
+    let (sender, frames) = frame_channel();
+    sender.send(Frame::Hello(hello));
+    *current.borrow_mut() = Some(sender);
     let connecting = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = connecting
         .await
@@ -90,9 +96,6 @@
         action: "configure",
     })?;
     let (read_half, write_half) = stream.into_split();
-    let (sender, frames) = frame_channel();
-    sender.send(Frame::Hello(hello));
-    *current.borrow_mut() = Some(sender);
     let mut reader = FrameReader::new(read_half);
     let reading = async {
         loop {
