Ask for a first leader after one to three heartbeats

Cause: with links that keep frames, the first pre-vote's own pause is what is left between a start and the first leader.

Change: 1 to 3 heartbeats instead of 2 to 5.

--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -429,11 +429,11 @@
         });
     }
 
-    /// Two to five heartbeats: time for a leader that is there to be heard first.
+    /// One to three heartbeats: time for a leader that is there to be heard first.
     fn random_first_timeout(&mut self) -> Duration {
         let heartbeat = self.config.heartbeat_interval;
         let limit = self.config.election_timeout;
-        let spread = self.random.random_range(2.0..5.0);
+        let spread = self.random.random_range(1.0..3.0);
         heartbeat.mul_f64(spread).min(limit)
     }
 
