Let a request wait a moment for a gateway that has just started

Ruled out: a longer Retry-After alone (it saves tries but adds 0.8 s to programs whose aim is near).

Change: such a request waits up to 0.4 s for the configuration and for enough stores, then is refused at once and told when to come back.

--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -1,6 +1,6 @@
 //! The way of a request through the gateway.
 
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, InForce};
 use crate::inbound;
 use crate::refusal::Refusal;
 use crate::{stream, unary};
@@ -9,7 +9,13 @@
 use luglink_edge::RouteKind;
 use luglink_http::{Abort, Body};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Longest time that a request waits for a gateway that has just started.
+const START_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Time between looks whether it knows its configuration.
+const START_CHECK: Duration = Duration::from_millis(10);
 
 /// Answers a caller's request.
 pub(crate) async fn handle(
@@ -57,13 +63,28 @@
     Ok(response)
 }
 
+/// The configuration in force. A gateway that has just started is told it within moments; a
+/// request that comes meanwhile waits for that rather than spend one of its caller's tries.
+async fn current(gateway: &Gateway) -> Option<Rc<InForce>> {
+    let deadline = Instant::now() + START_PATIENCE;
+    loop {
+        if let Some(in_force) = gateway.in_force().filter(|_| gateway.turns.has_quorum()) {
+            return Some(in_force);
+        }
+        if Instant::now() >= deadline {
+            return gateway.in_force();
+        }
+        actix_rt::time::sleep(START_CHECK).await;
+    }
+}
+
 async fn answer(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
     in_flight: crate::gateway::InFlight,
 ) -> Result<Response<Body>, Refusal> {
-    let in_force = gateway
-        .in_force()
+    let in_force = current(gateway)
+        .await
         .ok_or(Refusal::recovering("no configuration is known yet"))?;
     let inbound = inbound::read(gateway, &in_force, request).await?;
     drop(in_force);
