Let the wait for news grow with the fleet, and notice frozen gateways sooner

The wait of 0.4 s for news, which sets how soon silence shows, was the same for 8 and for 350 processes.

Ruled out: replicas and stores (their sends succeeded meanwhile).

Change: a member holds a question 0.25 s, or 5 ms for each process that asks if that is longer, so it is asked at most 200 times a second in any fleet; silence of 2.5 such waits takes a gateway out; an answer where to go holds 0.6 s; an observer's patience follows the wait it is used to.

--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -28,7 +28,7 @@
 use tokio::sync::oneshot;
 
 /// Longest answer to a caller that may be relied on.
-const LONGEST_RESOLUTION: Duration = Duration::from_secs(1);
+const LONGEST_RESOLUTION: Duration = Duration::from_millis(600);
 
 /// Longest rest of a connection of an operator or of a caller that asks where to go.
 const CONNECTION_IDLE: Duration = Duration::from_secs(30);
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -23,10 +23,12 @@
     pub store_silence: Duration,
     /// Silence after which what is known of a process is forgotten.
     pub forget_after: Duration,
-    /// Time between a process's words of itself.
-    pub presence_interval: Duration,
-    /// Longest time that an observer waits.
+    /// Longest time that an observer waits for news, in a small fleet. It says its word again
+    /// with its next question.
     pub observe_hold: Duration,
+    /// What each process that observes adds to that time: so a member is asked about as often
+    /// however large the fleet is.
+    pub observe_hold_per_process: Duration,
     /// Silence of the leader after which this member's word may be out of date.
     pub freshness: Duration,
 }
@@ -40,8 +42,8 @@
             store_copies: 3,
             store_silence: Duration::from_millis(2_000),
             forget_after: Duration::from_secs(10),
-            presence_interval: Duration::from_millis(500),
-            observe_hold: Duration::from_millis(400),
+            observe_hold: Duration::from_millis(250),
+            observe_hold_per_process: Duration::from_millis(5),
             freshness: Duration::from_millis(800),
         }
     }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -17,10 +17,10 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-/// Silence after which a process counts as gone for those who ask where to go, in presence
-/// intervals. One lost word must not take a process out; a frozen one should be out soon, because
-/// callers go on to wait for it for as long as they are told of it.
-const MISSED_WORDS: u32 = 2;
+/// Silence after which a process counts as gone for those who ask where to go, in times that an
+/// observer waits. One late word must not take a process out; a frozen one should be out soon,
+/// because callers go on to wait for it for as long as they are told of it.
+const SILENT_HOLDS: f64 = 2.5;
 
 /// An observer that waits for news.
 #[derive(Clone, Copy, Debug)]
@@ -58,7 +58,7 @@
     /// The gateways that take callers, with their zones.
     #[must_use]
     pub fn ready_gateways(&self) -> Vec<(String, SocketAddr)> {
-        let limit = self.config.managed_or_default().presence_interval * MISSED_WORDS;
+        let limit = self.observe_hold().mul_f64(SILENT_HOLDS);
         self.desk
             .presence
             .ready_gateways(self.now, limit)
@@ -82,7 +82,7 @@
     }
 
     pub(crate) fn on_observe(&mut self, token: RequestToken, observation: Observation) {
-        let hold = self.config.managed_or_default().observe_hold;
+        let hold = self.observe_hold();
         self.desk.presence.note(observation.presence, self.now);
         self.desk.observers.push(Observer {
             token,
@@ -91,6 +91,14 @@
         });
     }
 
+    /// Longest time that an observer waits for news.
+    fn observe_hold(&self) -> Duration {
+        let managed = self.config.managed_or_default();
+        let processes = u32::try_from(self.desk.presence.len()).unwrap_or(u32::MAX);
+        let shared = managed.observe_hold_per_process.saturating_mul(processes);
+        managed.observe_hold.max(shared)
+    }
+
     pub(crate) fn on_join(&mut self, peer: Peer) -> Response {
         let leads = self.leads(CONFIGURATION_GROUP);
         if leads {
--- a/crates/fleet-client/src/observer.rs
+++ b/crates/fleet-client/src/observer.rs
@@ -8,10 +8,10 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// Longest time to wait for an answer, beyond which the member counts as silent.
-const ANSWER_LIMIT: Duration = Duration::from_millis(1_200);
+/// Time beyond the usual wait for news after which a member counts as silent.
+const ANSWER_LIMIT: Duration = Duration::from_millis(900);
 
 /// Pause after a question that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
@@ -83,9 +83,12 @@
         let client = RequestClient::open(member, hello);
         let mut failures = 0;
         let mut heard = false;
+        let mut usual = Duration::ZERO;
         while failures < FORGET_ROUNDS || self.config.seeds.contains(&member) {
-            match self.ask(&client).await {
+            let asked = Instant::now();
+            match self.ask(&client, ANSWER_LIMIT + usual * 2).await {
                 Some(news) => {
+                    usual = asked.elapsed();
                     if !heard {
                         tracing::info!(%member, fresh = news.fresh, "control member regained");
                     }
@@ -109,13 +112,13 @@
         self.members.borrow_mut().remove(&member);
     }
 
-    async fn ask(&self, client: &RequestClient) -> Option<News> {
+    async fn ask(&self, client: &RequestClient, limit: Duration) -> Option<News> {
         let request = Request::Observe(Box::new(Observation {
             presence: self.subject.presence(),
             known: self.subject.known(),
         }));
         let body = encode_body(&request).ok()?;
-        let answer = client.request(body, ANSWER_LIMIT).await.ok()?;
+        let answer = client.request(body, limit).await.ok()?;
         match decode_body(&answer).ok()? {
             Response::News(news) => Some(*news),
             _ => None,
--- a/crates/fleet/src/presence.rs
+++ b/crates/fleet/src/presence.rs
@@ -62,6 +62,18 @@
             .insert((is_store, presence.name.clone()), (now, presence));
     }
 
+    /// Number of processes that are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.heard.len()
+    }
+
+    /// Whether no process is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.heard.is_empty()
+    }
+
     /// Forgets processes that were silent for `limit`.
     pub fn expire(&mut self, now: Timestamp, limit: Duration) {
         self.heard.retain(|_, (heard, _)| now.since(*heard) < limit);
