--- a/crates/lab/tests/checkers.rs
+++ b/crates/lab/tests/checkers.rs
@@ -389,3 +389,22 @@
     lost.final_budgets = vec![policy(9)];
     assert_breaks(Promise::ConfigurationInForce, &lost);
 }
+
+/// Names of sub-agents' requests in a replayed trace are longer than a token and differ only at
+/// their ends.
+#[test]
+fn markers_of_long_names_differ_and_are_one_token() {
+    use luglink_lab::engine::answer_marker;
+    let names = ["h101-34-sub-r", "h101-34-sub-r1", "h101-34-sub-r2", "h7-1"];
+    let markers: std::collections::BTreeSet<String> =
+        names.iter().map(|name| answer_marker(name)).collect();
+    assert_eq!(markers.len(), names.len());
+    for marker in &markers {
+        assert_eq!(
+            luglink_types::count_tokens(&format!("{marker} ")),
+            1,
+            "{marker}"
+        );
+    }
+    assert_eq!(answer_marker("h7-1"), "re:h7-1");
+}
