Notice replicas that fail some of their requests or keep them

One that kept requests was only noticed when their time was over.

Ruled out: pauses that are longer (a success ends them all the same).

Change: the pool keeps a share of failures per replica that fades with time and counts as load; a replica's own 5xx, broken sends, and waits beyond 0.5 s feed it; a safe request that a replica failed goes to another one within max-attempts.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -22,6 +22,18 @@
 /// Weight of a new sample in the average time to an answer.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
+/// Weight of a new failure in a replica's trouble.
+const TROUBLE_WEIGHT: f64 = 0.3;
+
+/// What is left of a replica's trouble after a success.
+const TROUBLE_AFTER_SUCCESS: f64 = 0.85;
+
+/// Time in which half of a replica's trouble is forgotten, so that it is tried again.
+const TROUBLE_HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// Load, in shares of slots, that a replica which always fails counts as having more.
+const TROUBLE_COST: f64 = 3.0;
+
 /// A replica as this gateway sees it.
 #[derive(Clone, Debug)]
 struct Member {
@@ -29,6 +41,10 @@
     in_flight: u32,
     failures: u32,
     ejected_until: Timestamp,
+    /// Share of failures lately, as of `troubled_at`. Unlike a pause it also tells a replica
+    /// that fails now and then from one that does not.
+    trouble: f64,
+    troubled_at: Timestamp,
     /// Average time to the first sign of an answer, in milliseconds; 0 before the first sample.
     answer_ms: f64,
 }
@@ -95,6 +111,8 @@
                     in_flight: 0,
                     failures: 0,
                     ejected_until: Timestamp::ZERO,
+                    trouble: 0.0,
+                    troubled_at: Timestamp::ZERO,
                     answer_ms: 0.0,
                 },
             };
@@ -140,8 +158,8 @@
         let fastest = self.fastest(wish.service);
         let best = sound
             .min_by(|left, right| {
-                let left = self.cost(left, wish, fastest);
-                let right = self.cost(right, wish, fastest);
+                let left = self.cost(left, wish, fastest, now);
+                let right = self.cost(right, wish, fastest, now);
                 left.total_cmp(&right)
             })
             .or_else(|| {
@@ -163,7 +181,7 @@
             .unwrap_or(0.0)
     }
 
-    fn cost(&self, member: &Member, wish: &Wish<'_>, fastest: f64) -> f64 {
+    fn cost(&self, member: &Member, wish: &Wish<'_>, fastest: f64, now: Timestamp) -> f64 {
         let slots = f64::from(member.backend.slots.max(1));
         let load = f64::from(member.in_flight) / slots;
         let slowness = if fastest > 0.0 && member.answer_ms > 2.0 * fastest {
@@ -181,7 +199,8 @@
         } else {
             0.0
         };
-        load + slowness + zone + cached + tie_breaker(&member.backend.id, wish.draw)
+        let trouble = TROUBLE_COST * member.trouble_at(now);
+        load + slowness + zone + cached + trouble + tie_breaker(&member.backend.id, wish.draw)
     }
 
     /// The replica that all gateways with the same list agree on for a program, so that its
@@ -217,6 +236,7 @@
         if let Some(member) = self.members.get_mut(id) {
             member.failures = 0;
             member.ejected_until = Timestamp::ZERO;
+            member.trouble *= TROUBLE_AFTER_SUCCESS;
             let sample = time.as_secs_f64() * 1_000.0;
             member.answer_ms = if member.answer_ms > 0.0 {
                 member.answer_ms + SAMPLE_WEIGHT * (sample - member.answer_ms)
@@ -226,9 +246,19 @@
         }
     }
 
+    /// Notes that a replica failed a request that it answered, or keeps one for much too long.
+    pub fn troubled(&mut self, id: &BackendId, now: Timestamp) {
+        if let Some(member) = self.members.get_mut(id) {
+            let before = member.trouble_at(now);
+            member.trouble = before + TROUBLE_WEIGHT * (1.0 - before);
+            member.troubled_at = now;
+        }
+    }
+
     /// Notes that a replica could not be reached or broke a request off. It pauses, longer with
     /// each failure in a row. Returns until when.
     pub fn failed(&mut self, id: &BackendId, now: Timestamp) -> Option<Timestamp> {
+        self.troubled(id, now);
         let member = self.members.get_mut(id)?;
         let doublings = member.failures.min(8);
         member.failures += 1;
@@ -252,6 +282,15 @@
     }
 }
 
+impl Member {
+    /// Share of failures lately, fading with time.
+    fn trouble_at(&self, now: Timestamp) -> f64 {
+        let half_lives =
+            now.since(self.troubled_at).as_secs_f64() / TROUBLE_HALF_LIFE.as_secs_f64();
+        self.trouble * 0.5_f64.powf(half_lives)
+    }
+}
+
 /// Less than any other difference in cost, and different for each request.
 fn tie_breaker(id: &BackendId, draw: u64) -> f64 {
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(id.0.as_bytes(), draw);
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -25,6 +25,13 @@
 /// Times that a request is sent anew because a kept connection was closed before it.
 const MAX_REUSES: u32 = 4;
 
+/// Wait for the head of an answer after which, and between which, a replica is suspected. Heads
+/// come at the first token at the latest, within tens of milliseconds on a replica that is well.
+const SUSPICION_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Times that one request makes its replica suspected at the most.
+const MAX_SUSPICIONS: u32 = 4;
+
 /// Counts a request at a replica while it is there.
 pub(crate) struct AtReplica {
     gateway: Rc<Gateway>,
@@ -143,7 +150,9 @@
         let mut lease = acquired.map_err(|error| unreachable(&error))?;
         let request = outgoing(gateway, inbound, backend, extra)?;
         let was_reused = lease.is_reused;
-        match send_on(&mut lease, inbound, request).await {
+        let suspecting = suspect(gateway, backend);
+        let sending = send_on(&mut lease, inbound, request);
+        match unless_stuck(sending, suspecting).await {
             Ok(response) => return judge_head(gateway, inbound, response, lease),
             Err(failure) if failure.outcome == SendOutcome::NotSent && was_reused => {}
             Err(failure) => return Err(failure),
@@ -152,6 +161,29 @@
     Err(Failure::new(SendOutcome::NotSent, "connections_closed"))
 }
 
+/// Waits for an answer. Once that takes much too long, `suspecting` runs beside it.
+async fn unless_stuck<Answered>(
+    sending: impl Future<Output = Answered>,
+    suspecting: impl Future<Output = ()>,
+) -> Answered {
+    tokio::pin!(sending, suspecting);
+    tokio::select! {
+        biased;
+        answered = &mut sending => answered,
+        () = &mut suspecting => sending.await,
+    }
+}
+
+/// Notes again and again that a replica keeps a request, so that others go elsewhere long before
+/// this one's time is over.
+async fn suspect(gateway: &Gateway, backend: &Backend) {
+    for _ in 0..MAX_SUSPICIONS {
+        actix_rt::time::sleep(SUSPICION_INTERVAL).await;
+        let now = gateway.now();
+        gateway.pool.borrow_mut().troubled(&backend.id, now);
+    }
+}
+
 fn unreachable(error: &AcquireError) -> Failure {
     match error {
         AcquireError::Unreachable { source } => {
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -65,6 +65,14 @@
         }
     }
 
+    /// Whether a replica's own failure need not be the last word.
+    fn may_do_better(&self, inbound: &Inbound, response: &Response<Body>) -> bool {
+        inbound.route.kind == RouteKind::Safe
+            && response.status().is_server_error()
+            && self.runs + 1 < inbound.route.max_attempts
+            && !inbound.remaining().is_zero()
+    }
+
     /// Whether a second replica may get the request while `under_way` have it.
     fn may_hedge(&self, inbound: &Inbound, under_way: usize) -> bool {
         let replicas = self.runs as usize + under_way;
@@ -121,9 +129,13 @@
         Ok(answer) => whole(gateway, inbound, answer).await,
         Err(failure) => Err(failure),
     };
-    if result.is_ok() {
+    if let Ok(response) = &result {
         let mut pool = gateway.pool.borrow_mut();
-        pool.succeeded(&backend.id, began.elapsed());
+        if response.status().is_server_error() {
+            pool.troubled(&backend.id, gateway.now());
+        } else {
+            pool.succeeded(&backend.id, began.elapsed());
+        }
     }
     (backend, result)
 }
@@ -149,6 +161,16 @@
             () = actix_rt::time::sleep(hedge_after(inbound)), if may_hedge => None,
         };
         match ended {
+            Some((_, Ok(response))) if attempts.may_do_better(inbound, &response) => {
+                attempts.runs += 1;
+                if under_way.is_empty() {
+                    let Ok(other) = choose(gateway, inbound, &attempts, None) else {
+                        return Ok(response);
+                    };
+                    attempts.tried.push(other.id.clone());
+                    under_way.push(attempt(gateway, inbound, other));
+                }
+            }
             Some((_, Ok(response))) => return Ok(response),
             Some((backend, Err(failure))) => {
                 let verdict = attempts.note(inbound, &backend, &failure);
--- a/crates/gateway-server/tests/gateway/replicas.rs
+++ b/crates/gateway-server/tests/gateway/replicas.rs
@@ -233,6 +233,23 @@
     assert_eq!(runs(&replicas), before + 2);
 }
 
+#[actix_rt::test]
+async fn a_failure_is_given_on_as_it_is_unless_another_replica_may_do_better() {
+    let (fleet, replicas) = fleet(&[Script::Fail, Script::Answer]).await;
+    for number in 0..6 {
+        assert_eq!(ask_safe(&fleet, &format!("s{number}")).await.status, 200);
+    }
+    replicas[1].set(Script::Fail);
+    let got = ask_safe(&fleet, "all").await;
+    assert_eq!((got.status, got.body.as_str()), (500, "oops"));
+    assert_eq!(got.header("luglink-signature"), Some("of-all"));
+    let before = runs(&replicas);
+    let got = ask_unsafe(&fleet, "once").await;
+    assert_eq!((got.status, got.body.as_str()), (500, "oops"));
+    assert_eq!(got.header("luglink-signature"), Some("of-once"));
+    assert_eq!(runs(&replicas), before + 1);
+}
+
 #[actix_rt::test]
 async fn what_is_not_allowed_is_refused_at_the_door() {
     let (fleet, replicas) = fleet(&[Script::Answer]).await;
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -14,6 +14,8 @@
 pub enum Script {
     /// Answers it whole.
     Answer,
+    /// Answers that it failed.
+    Fail,
     /// Says that it did not run it.
     Decline,
     /// Says that another replica has its address.
@@ -148,6 +150,13 @@
         let signed = format!("Luglink-Signature: of-{id}\r\n");
         let (text, goes_on) = match script {
             Script::Answer => (self.whole(&id, &body), true),
+            Script::Fail => {
+                let rest = format!("{signed}Content-Length: 4\r\n");
+                (
+                    self.head("500 Internal Server Error", &id, &rest) + "oops",
+                    true,
+                )
+            }
             Script::Decline => {
                 let rest = "Luglink-Not-Executed: 1\r\nContent-Length: 0\r\n";
                 (self.head("503 Service Unavailable", &id, rest), true)
