--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -6,15 +6,11 @@
 use crate::turn_client::ChainAnswer;
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
-use luglink_turns::{ProgramName, TurnId, TurnRecord};
+use luglink_turns::{Admission, ProgramName, TurnId, TurnRecord};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Turns' worth of tokens that must be left of a budget for one look at it to do. With less,
-/// reservations that other gateways make at the same moment are looked for a second time.
-const CALM_TURNS: u64 = 4;
-
 /// A turn that may be sent.
 #[derive(Debug)]
 pub(crate) struct TurnStart {
@@ -152,13 +148,14 @@
         return Ok((Some(reservation), begun.chain));
     };
     let mut spent = begun.account.total();
-    let is_calm = spent + CALM_TURNS * program.ceiling <= budget;
-    if !is_calm && spent <= budget {
+    let mut admission = Admission::at_first_look(spent, program.ceiling, budget);
+    if admission == Admission::LookAgain {
         let again = gateway.turns.account(&program.name).await;
         let again = again.ok_or(Refusal::recovering("the turn stores do not answer"))?;
         spent = spent.max(again.total());
+        admission = Admission::at_second_look(spent, budget);
     }
-    if spent > budget {
+    if admission == Admission::Refuse {
         tracing::info!(
             id = inbound.id,
             program = program.name.0,
--- a/crates/gateway-server/tests/gateway/programs.rs
+++ b/crates/gateway-server/tests/gateway/programs.rs
@@ -59,12 +59,23 @@
 #[actix_rt::test]
 async fn a_turn_that_broke_off_is_not_kept_and_does_not_look_whole() {
     let (fleet, replica) = fleet(Script::StreamBroken(2)).await;
-    let broken = send(&fleet, turn("/kept/x", "t1", "x")).await;
-    assert!(!broken.is_whole);
-    assert_eq!(broken.body, events(0..2));
-    assert_eq!(replica.requests(), 1, "it may have run");
-    let next = turn("/kept/x", "t2", "x").with("luglink-previous-turn", "t1");
-    assert_eq!(send(&fleet, next).await.status, 404);
+    // In the middle of an event, between two events, and with a proper end inside an event.
+    let scripts = [
+        Script::StreamBroken(2),
+        Script::StreamCut(2),
+        Script::StreamEndsInside(2),
+    ];
+    for (number, script) in scripts.into_iter().enumerate() {
+        replica.set(script.clone());
+        let before = replica.requests();
+        let id = format!("t{number}");
+        let broken = send(&fleet, turn("/kept/x", &id, "x")).await;
+        assert!(!broken.is_whole, "{script:?}");
+        assert_eq!(broken.body, events(0..2), "{script:?}");
+        assert_eq!(replica.requests(), before + 1, "it may have run");
+        let next = turn("/kept/x", &format!("n{number}"), "x").with("luglink-previous-turn", id);
+        assert_eq!(send(&fleet, next).await.status, 404, "{script:?}");
+    }
 }
 
 #[actix_rt::test]
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -42,6 +42,10 @@
     Mute,
     /// Sends so many events of five and breaks off in the next one.
     StreamBroken(usize),
+    /// Sends so many whole events and closes without the end of the body.
+    StreamCut(usize),
+    /// Sends so many events, a part of the next one, and the proper end of the body.
+    StreamEndsInside(usize),
     /// Sends five events, from after the one that the request names.
     Stream,
     /// Sends events without end.
@@ -193,7 +197,16 @@
                 self.closed.set(self.closed.get() + 1);
                 return false;
             }
-            Script::StreamBroken(events) => return self.stream(seen, stream, Some(*events)).await,
+            Script::StreamBroken(events) => {
+                return self.stream(seen, stream, Some((*events, "da", ""))).await;
+            }
+            Script::StreamCut(events) => {
+                return self.stream(seen, stream, Some((*events, "", ""))).await;
+            }
+            Script::StreamEndsInside(events) => {
+                let end = Some((*events, "da", "0\r\n\r\n"));
+                return self.stream(seen, stream, end).await;
+            }
             Script::Stream => return self.stream(seen, stream, None).await,
             Script::StreamEndless => return self.stream_endless(seen, stream).await,
         };
@@ -210,15 +223,26 @@
         self.head("200 OK", seen.id(), &rest)
     }
 
-    async fn stream(&self, seen: &Seen, stream: &mut TcpStream, breaks: Option<usize>) -> bool {
+    /// Streams five events, or as many as `end` says, followed by its part of an event and its
+    /// end of the body.
+    async fn stream(
+        &self,
+        seen: &Seen,
+        stream: &mut TcpStream,
+        end: Option<(usize, &str, &str)>,
+    ) -> bool {
         let from = seen
             .headers
             .get("last-event-id")
             .map_or(0, |last| last.parse::<usize>().unwrap() + 1);
         let mut text = self.stream_head(seen);
         for number in from..5 {
-            if breaks == Some(number) {
-                text += &chunk(&format!("id: {number}\nda"));
+            if let Some((_, part, body_end)) = end.filter(|(events, _, _)| *events == number) {
+                if !part.is_empty() {
+                    text += &chunk(&format!("id: {number}\n{part}"));
+                }
+                text += body_end;
+                // The other end may have left; then there is nothing to break off.
                 let _ = stream.write_all(text.as_bytes()).await;
                 return false;
             }
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -13,6 +13,7 @@
 #![deny(missing_docs)]
 
 mod account;
+mod admission;
 mod errors;
 mod hand_over;
 mod journal;
@@ -23,6 +24,7 @@
 mod state;
 
 pub use account::{Account, Spend};
+pub use admission::Admission;
 pub use errors::TurnsError;
 pub use node::{Output, RequestToken, StoreConfig, StoreNode};
 pub use protocol::{Chain, ChainWish, StoreRequest, StoreResponse};
