Tell gateways what changed in the list of replicas, and pace questions by the fleet

Members sent the whole list for each change to every gateway (3.9 MB a second each, up to 239 of 256 MB), read 60 pages faster than the platform gives them, and answered questions where to go every 0.6 s of every caller.

Ruled out: gateways (1.7 % of their processor).

Change: lists go as changes from the list that the asker has, whole ones at most four at once, one question a process; readings are paced from beginning to beginning by their pages; gateways that read the list themselves take turns; an answer where to go holds as long as silence goes unnoticed in a fleet of that size; a store that is passed over, silent and handed over for leaves the view. Found by the test of the last: a founding store that came back after that counted as filled at once; it no longer does.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -98,6 +98,7 @@
             metrics_listen: gateway.metrics_listen,
             observer: observer(fleet),
             list_address: fleet.list_address,
+            list_calls_per_s: fleet.list_calls_per_s,
             list_stale_after: Duration::from_millis(fleet.drain_ms / 2),
             replication: replication(fleet),
             stop_limit: stop_limit.saturating_sub(STOP_RESERVE),
--- a/crates/control-server/src/actor.rs
+++ b/crates/control-server/src/actor.rs
@@ -4,7 +4,8 @@
 use crate::releases;
 use actix::prelude::*;
 use luglink_control::{
-    ControlError, ControlNode, Input, Output, ReleaseOrder, Request, RequestToken, Response,
+    CONFIGURATION_GROUP, ControlError, ControlNode, Input, Output, ReleaseOrder, Request,
+    RequestToken, Response,
 };
 use luglink_fleet::BackendList;
 use luglink_net::{Accepted, FrameSender};
@@ -370,6 +371,8 @@
 pub(crate) struct FleetLook {
     /// Gateways that take callers, with their zones.
     pub(crate) gateways: Vec<(String, SocketAddr)>,
+    /// Time for which callers may rely on where they are told to go.
+    pub(crate) resolution_time: Duration,
     /// Whether this member polls the platform's list.
     pub(crate) polls: bool,
     /// Set when this member should ask others to be let in.
@@ -389,10 +392,11 @@
         };
         FleetLook {
             gateways: node.ready_gateways(),
+            resolution_time: node.resolution_time(),
             polls: node.polls(),
             wants_to_join: node.wants_to_join(),
             document_version: node.document_version(),
-            leads: node.polls() && node.is_fresh(),
+            leads: node.leads(CONFIGURATION_GROUP) && node.is_fresh(),
         }
     }
 }
--- a/crates/control-server/src/list.rs
+++ b/crates/control-server/src/list.rs
@@ -6,28 +6,52 @@
 use luglink_list_client::ListClient;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// Longest time for one reading.
-const READ_LIMIT: Duration = Duration::from_millis(1_000);
+/// Longest time for one reading of a page; a list may have many.
+const READ_LIMIT: Duration = Duration::from_secs(5);
+
+/// Share of the platform's calls that the leading member uses. The rest is for gateways that do
+/// not hear it.
+const CALLS_SHARE: f64 = 0.8;
+
+/// How the list is read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PollConfig {
+    /// Where the platform serves it.
+    pub(crate) address: SocketAddr,
+    /// Shortest time between two readings.
+    pub(crate) interval: Duration,
+    /// Calls that the platform takes from everyone together, per second.
+    pub(crate) calls_per_s: f64,
+}
 
 /// Reads the list again and again while this member leads.
 pub(crate) async fn poll(
     control: Addr<ControlActor>,
     dialect: Rc<dyn Dialect>,
-    address: SocketAddr,
-    interval: Duration,
+    config: PollConfig,
 ) {
-    let mut client = ListClient::new(address);
+    let mut client = ListClient::new(config.address);
     let mut is_lost = false;
+    let mut interval = config.interval;
+    let mut began = Instant::now();
     loop {
-        actix_rt::time::sleep(interval).await;
-        let polls = control.send(LookAtFleet).await.is_ok_and(|look| look.polls);
-        if !polls {
+        // From beginning to beginning: a long list takes a part of the interval to read.
+        actix_rt::time::sleep(interval.saturating_sub(began.elapsed())).await;
+        interval = config.interval;
+        began = Instant::now();
+        let Ok(look) = control.send(LookAtFleet).await else {
+            return;
+        };
+        if !look.polls {
             continue;
         }
         match client.fetch(&*dialect, READ_LIMIT).await {
-            Ok(list) => {
+            Ok(fetched) => {
+                let own_share = config.calls_per_s * CALLS_SHARE;
+                interval = fetched.interval(own_share, config.interval);
+                let list = fetched.list;
                 if is_lost {
                     tracing::info!(
                         replicas = list.backends().len(),
--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -7,8 +7,10 @@
 use crate::actor::{ControlActor, Halt, OwnRequest, Reopen, SocketEvent, now};
 use crate::errors::{ControlServerError, ListenSnafu};
 use crate::joining::{JoinConfig, ask_when_alone};
+use crate::list::PollConfig;
 use crate::operator::OperatorService;
 use crate::peers::Peers;
+use crate::resolution::ResolutionConfig;
 use crate::{list, resolution};
 use actix::{Actor, Addr};
 use http::Request;
@@ -27,9 +29,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
-/// Longest answer to a caller that may be relied on.
-const LONGEST_RESOLUTION: Duration = Duration::from_millis(600);
-
 /// Longest rest of a connection of an operator or of a caller that asks where to go.
 const CONNECTION_IDLE: Duration = Duration::from_secs(30);
 
@@ -80,7 +79,12 @@
     serve_operators(config, &actor, &dialect, operators);
     serve_resolutions(config, &actor, &dialect, resolutions);
     let interval = Duration::from_millis(config.member.list_interval_ms);
-    let polling = list::poll(actor.clone(), dialect, fleet.list_address, interval);
+    let poll = PollConfig {
+        address: fleet.list_address,
+        interval,
+        calls_per_s: fleet.list_calls_per_s,
+    };
+    let polling = list::poll(actor.clone(), dialect, poll);
     actix_rt::spawn(polling);
     let join = JoinConfig {
         own: address,
@@ -165,10 +169,13 @@
     listener: TcpListener,
 ) {
     let longest = Duration::from_secs_f64(config.fleet.resolution_s);
-    let valid_for = LONGEST_RESOLUTION.min(longest);
     let (actor, dialect) = (actor.clone(), Rc::clone(dialect));
+    let config = ResolutionConfig {
+        longest,
+        salt: u64::from(u32::from(config.fleet.ip)),
+    };
     let handler = Rc::new(move |request: Request<Incoming>| {
-        resolution::handle(actor.clone(), Rc::clone(&dialect), valid_for, request)
+        resolution::handle(actor.clone(), Rc::clone(&dialect), config, request)
     });
     let (_, signal) = stopper();
     actix_rt::spawn(serve(listener, serve_options, signal, handler));
--- a/crates/control-server/src/resolution.rs
+++ b/crates/control-server/src/resolution.rs
@@ -9,36 +9,54 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Gateways that an answer names at the most.
 const MAX_GATEWAYS: usize = 64;
 
+/// How questions where to go are answered.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ResolutionConfig {
+    /// Longest time for which callers rely on an answer.
+    pub(crate) longest: Duration,
+    /// Differs between members, so that together they name more gateways than one answer holds.
+    pub(crate) salt: u64,
+}
+
 /// Answers a caller's question where to go.
 pub(crate) async fn handle(
     control: Addr<ControlActor>,
     dialect: Rc<dyn Dialect>,
-    valid_for: Duration,
+    config: ResolutionConfig,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Abort> {
     let uri = request.uri();
     let Some(query) = dialect.resolution(uri.path(), uri.query().unwrap_or_default()) else {
         return Ok(json(StatusCode::NOT_FOUND, dialect.problem("no such call")));
     };
-    let gateways = match control.send(LookAtFleet).await {
-        Ok(look) => select(look.gateways, query.zone.as_deref()),
-        Err(_) => Vec::new(),
-    };
+    let look = control.send(LookAtFleet).await.unwrap_or_default();
+    let gateways = select(look.gateways, query.zone.as_deref(), config.salt);
     if gateways.is_empty() {
         let detail = dialect.problem("no gateway is known yet");
         return Ok(json(StatusCode::SERVICE_UNAVAILABLE, detail));
     }
+    let valid_for = look.resolution_time.min(config.longest);
     let answer = dialect.resolution_answer(&gateways, valid_for);
     Ok(json(StatusCode::OK, answer))
 }
 
-/// As many gateways as fit, those of the caller's zone first.
-fn select(mut gateways: Vec<(String, SocketAddr)>, zone: Option<&str>) -> Vec<SocketAddr> {
-    gateways.sort_by_key(|(gateway_zone, address)| (Some(gateway_zone.as_str()) != zone, *address));
+/// As many gateways as fit, those of the caller's zone first. Of more than fit, a member always
+/// names the same ones: callers leave a gateway that is not named any more.
+fn select(
+    mut gateways: Vec<(String, SocketAddr)>,
+    zone: Option<&str>,
+    salt: u64,
+) -> Vec<SocketAddr> {
+    gateways.sort_by_cached_key(|(gateway_zone, address)| {
+        let is_far = Some(gateway_zone.as_str()) != zone;
+        let rank = xxh3_64_with_seed(address.to_string().as_bytes(), salt);
+        (is_far, rank)
+    });
     let addresses = gateways.into_iter().map(|(_, address)| address);
     addresses.take(MAX_GATEWAYS).collect()
 }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -7,8 +7,8 @@
 use crate::node::ControlNode;
 use crate::protocol::{RequestToken, Response};
 use luglink_fleet::{
-    BackendList, BackendReport, Known, News, Observation, PresenceTable, RetireState, StoreCommand,
-    StoreName, StoreState, StoreView,
+    BackendHistory, BackendList, BackendReport, Known, News, Observation, PresenceTable,
+    RetireState, StoreCommand, StoreName, StoreState, StoreView,
 };
 use luglink_raft::{Membership, MembershipChange, Peer, RaftNode};
 use luglink_storage::Disk;
@@ -22,9 +22,15 @@
 /// because callers go on to wait for it for as long as they are told of it.
 const SILENT_HOLDS: f64 = 2.5;
 
+/// Whole lists of backends that are sent at once. Each may be as large as the deployment, and
+/// after a start every gateway wants one: sent together they would fill this process's memory.
+const WHOLE_LISTS_AT_ONCE: usize = 4;
+
 /// An observer that waits for news.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Observer {
+    /// Name of its process, which asks one question at a time.
+    name: String,
     token: RequestToken,
     known: Known,
     until: Timestamp,
@@ -35,7 +41,8 @@
 pub(crate) struct FleetDesk {
     presence: PresenceTable,
     observers: Vec<Observer>,
-    backends: Option<(BackendList, Timestamp)>,
+    backends: BackendHistory,
+    backends_seen: Timestamp,
     candidates: BTreeMap<Peer, Timestamp>,
 }
 
@@ -50,7 +57,8 @@
     }
 
     pub(crate) fn set_backends(&mut self, list: BackendList, now: Timestamp) {
-        self.backends = Some((list, now));
+        self.backends.push(list);
+        self.backends_seen = now;
     }
 }
 
@@ -83,14 +91,27 @@
 
     pub(crate) fn on_observe(&mut self, token: RequestToken, observation: Observation) {
         let hold = self.observe_hold();
+        let name = observation.presence.name.clone();
+        // Who asks again has given its earlier question up.
+        let asks_again =
+            |other: &Observer| other.name == name && other.token.client == token.client;
+        self.desk.observers.retain(|other| !asks_again(other));
         self.desk.presence.note(observation.presence, self.now);
         self.desk.observers.push(Observer {
+            name,
             token,
             known: observation.known,
             until: self.now.plus(hold),
         });
     }
 
+    /// Time for which callers may rely on an answer where to go: about as long as the silence of
+    /// a gateway goes unnoticed anyway, so that questions do not grow with the fleet either.
+    #[must_use]
+    pub fn resolution_time(&self) -> Duration {
+        self.observe_hold().mul_f64(SILENT_HOLDS)
+    }
+
     /// Longest time that an observer waits for news.
     fn observe_hold(&self) -> Duration {
         let managed = self.config.managed_or_default();
@@ -112,17 +133,26 @@
     /// Answers observers that have news or have waited long enough.
     pub(crate) fn answer_observers(&mut self) {
         let now = self.now;
+        let mut whole_lists = 0;
         let observers = std::mem::take(&mut self.desk.observers);
         for observer in observers {
-            if now >= observer.until || self.has_news(&observer.known) {
-                let news = self.news_after(&observer.known);
-                self.reply(observer.token, Response::News(Box::new(news)));
-            } else {
+            let is_due = now >= observer.until || self.has_news(&observer.known);
+            let wants_list = is_due && self.wants_whole_list(&observer.known);
+            if !is_due || (wants_list && whole_lists >= WHOLE_LISTS_AT_ONCE) {
                 self.desk.observers.push(observer);
+                continue;
             }
+            whole_lists += usize::from(wants_list);
+            let news = self.news_after(&observer.known);
+            self.reply(observer.token, Response::News(Box::new(news)));
         }
     }
 
+    fn wants_whole_list(&self, known: &Known) -> bool {
+        let known = known.backends.filter(|_| self.polls());
+        known.is_some_and(|known| self.desk.backends.lacks(known))
+    }
+
     /// Whether this member hears a leader that a quorum follows, and has applied what that
     /// leader had committed.
     #[must_use]
@@ -143,7 +173,7 @@
         let Some(state) = self.configuration().and_then(|group| group.machine.state()) else {
             return false;
         };
-        let newer_backends = self.desk.backends.as_ref().is_some_and(|(list, _)| {
+        let newer_backends = self.desk.backends.latest().is_some_and(|list| {
             self.polls()
                 && known
                     .backends
@@ -183,16 +213,17 @@
     }
 
     fn backend_report(&self, known: &Known) -> Option<BackendReport> {
-        let (list, seen) = self.desk.backends.as_ref().filter(|_| self.polls())?;
-        let has_it = known.backends? == list.fingerprint();
+        let known = known.backends?;
+        let latest = self.desk.backends.latest().filter(|_| self.polls())?;
         Some(BackendReport {
-            fingerprint: list.fingerprint(),
-            age: self.now.since(*seen),
-            list: (!has_it).then(|| list.clone()),
+            fingerprint: latest.fingerprint(),
+            age: self.now.since(self.desk.backends_seen),
+            update: self.desk.backends.update_from(known),
         })
     }
 
-    /// Whether this member is the one that polls the platform's list.
+    /// Whether this member is the one that polls the platform's list. Several would have lists
+    /// that differ by moments, and observers would be sent whole ones back and forth.
     #[must_use]
     pub fn polls(&self) -> bool {
         self.leads(CONFIGURATION_GROUP)
@@ -264,6 +295,7 @@
             .or_else(|| self.filled_store(view, managed))
             .or_else(|| self.emptied_store(view, managed))
             .or_else(|| self.silent_store(view, managed))
+            .or_else(|| self.forgotten_store(view))
     }
 
     /// Silence of a store, and the newest view for which it has handed over. A store that this
@@ -288,6 +320,22 @@
             })
     }
 
+    /// A store that was passed over, that nobody has heard since, and whose share the others have
+    /// taken over: as long as it stays in the view, nobody can be sure that a turn is nowhere.
+    /// Should it come back, it joins anew.
+    fn forgotten_store(&self, view: &StoreView) -> Option<StoreCommand> {
+        let filling = |member: &luglink_fleet::StoreMember| member.state == StoreState::Joining;
+        if view.members.values().any(filling) {
+            return None;
+        }
+        view.members
+            .iter()
+            .filter(|(_, member)| member.state == StoreState::Lost)
+            .filter(|(name, _)| self.store_word(name).is_none())
+            .find(|(name, member)| self.all_handed_over(view, member.since_epoch, name))
+            .map(|(name, _)| StoreCommand::Remove { name: name.clone() })
+    }
+
     fn filled_store(&self, view: &StoreView, _: &ManagedConfig) -> Option<StoreCommand> {
         let joining = |member: &luglink_fleet::StoreMember| member.state == StoreState::Joining;
         view.members
--- a/crates/control/tests/managed.rs
+++ b/crates/control/tests/managed.rs
@@ -133,7 +133,7 @@
     fn flush(&mut self, member: u32) {
         let node = self.nodes.get_mut(&member).unwrap();
         let outputs = node.flush().unwrap();
-        self.saw_uncommitted_leader |= node.polls() && !node.is_fresh();
+        self.saw_uncommitted_leader |= node.leads(GROUP) && !node.is_fresh();
         for output in outputs {
             match output {
                 Output::Peer { envelope, .. } => {
@@ -170,7 +170,8 @@
 
     fn leader(&self) -> Option<u32> {
         let leads = |(member, node): (&u32, &ControlNode<MemoryDisk>)| {
-            (node.is_fresh() && node.polls() && !self.cut_off.contains(member)).then_some(*member)
+            (node.is_fresh() && node.leads(GROUP) && !self.cut_off.contains(member))
+                .then_some(*member)
         };
         self.nodes.iter().find_map(leads)
     }
@@ -508,6 +509,91 @@
     assert_eq!(fleet.store_states()["d"], StoreState::Active);
 }
 
+#[test]
+fn a_store_that_is_gone_for_good_leaves_the_view_once_others_have_its_share() {
+    let mut fleet = Fleet::founded();
+    for name in ["a", "b", "c", "d"] {
+        fleet.stores.insert(name.to_owned(), store(1, true));
+    }
+    fleet.run(3.0);
+    fleet.stores.remove("a");
+    for store in fleet.stores.values_mut() {
+        store.handed_over_epoch = 0;
+    }
+    fleet.run(20.0);
+    assert_eq!(fleet.store_states()["a"], StoreState::Lost);
+    for store in fleet.stores.values_mut() {
+        store.handed_over_epoch = u64::MAX;
+    }
+    fleet.run(2.0);
+    assert!(!fleet.store_states().contains_key("a"));
+    // It was only away for long: it joins anew and is filled with what it missed.
+    fleet.stores.insert("a".to_owned(), store(1, true));
+    for store in fleet.stores.values_mut() {
+        store.handed_over_epoch = 0;
+    }
+    fleet.run(2.0);
+    assert_eq!(fleet.store_states()["a"], StoreState::Joining);
+}
+
+#[test]
+fn questions_do_not_grow_with_the_fleet() {
+    let mut fleet = Fleet::founded();
+    fleet.run(1.0);
+    let small = fleet.nodes[&1].resolution_time();
+    for number in 0..400 {
+        fleet.input(
+            1,
+            observe(&format!("g{number}"), gateway(), Known::default()),
+        );
+    }
+    let large = fleet.nodes[&1].resolution_time();
+    assert!(small < Duration::from_secs(1) && large > Duration::from_secs(4));
+}
+
+/// After a start all gateways want the whole list at once.
+#[test]
+fn whole_lists_are_sent_a_few_at_a_time_and_to_everybody_once() {
+    let mut fleet = Fleet::founded();
+    fleet.run(1.0);
+    let leader = fleet.leader().unwrap();
+    let backend = luglink_fleet::Backend {
+        id: luglink_fleet::BackendId("i-1".to_owned()),
+        service: "s".to_owned(),
+        address: address(1),
+        zone: "z".to_owned(),
+        slots: 1,
+        draining: false,
+    };
+    let list = luglink_fleet::BackendList::new(vec![backend]);
+    let now = fleet.now;
+    let node = fleet.nodes.get_mut(&leader).unwrap();
+    node.handle(Input::Backends(list), now).unwrap();
+    let without_list = Known {
+        is_current: true,
+        store_epoch: u64::MAX,
+        backends: Some(0),
+        ..Known::default()
+    };
+    let mut asked = Vec::new();
+    for number in 0..40 {
+        let name = format!("g{number}");
+        // A question that is asked again takes the place of the first one.
+        fleet.input(leader, observe(&name, gateway(), without_list));
+        asked.push(fleet.input(leader, observe(&name, gateway(), without_list)));
+    }
+    fleet.replies.clear();
+    fleet.step();
+    let first = fleet.replies.len();
+    assert!(first > 0 && first < 20, "{first} at once");
+    fleet.run(1.0);
+    assert_eq!(fleet.replies.len(), asked.len());
+    for number in asked {
+        let answer = &fleet.replies[&(leader, number)];
+        assert!(matches!(answer, Response::News(news) if news.backends.is_some()));
+    }
+}
+
 #[test]
 fn snapshots_carry_documents_and_the_registry() {
     let mut fleet = Fleet::founded();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,7 +14,9 @@
 mod registry;
 mod view;
 
-pub use backend::{Backend, BackendId, BackendList, BackendReport};
+pub use backend::{
+    Backend, BackendChanges, BackendHistory, BackendId, BackendList, BackendReport, BackendUpdate,
+};
 pub use document::{DocumentStore, VersionedDocument};
 pub use news::{Known, News, Observation};
 pub use placement::owners;
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -70,6 +70,9 @@
 pub struct StoreRegistry {
     view: StoreView,
     retirements: BTreeMap<StoreName, RetireState>,
+    /// Whether any store has come back, gone or been passed over. From then on a store that was
+    /// there at the first start may have missed something.
+    is_past_founding: bool,
 }
 
 impl StoreRegistry {
@@ -104,6 +107,7 @@
 
     fn join(&mut self, name: &StoreName, address: SocketAddr, incarnation: u64, founding: bool) {
         let known = self.view.members.get(name);
+        let is_new_disk = known.is_some_and(|member| member.incarnation != incarnation);
         let state = match known {
             Some(member) if member.incarnation != incarnation => match member.state {
                 StoreState::Leaving => StoreState::Leaving,
@@ -113,9 +117,12 @@
             Some(member) if member.address == address => return,
             Some(member) => member.state,
             // Nothing was written before the founding stores came.
-            None if founding || self.view.is_empty() => StoreState::Active,
+            None if founding && !self.is_past_founding || self.view.is_empty() => {
+                StoreState::Active
+            }
             None => StoreState::Joining,
         };
+        self.is_past_founding |= is_new_disk;
         self.view.epoch += 1;
         let member = StoreMember {
             address,
@@ -143,6 +150,7 @@
             member.state = state;
             member.since_epoch = epoch;
             self.view.epoch = epoch;
+            self.is_past_founding = true;
         }
     }
 
@@ -167,6 +175,7 @@
             return;
         }
         self.view.epoch += 1;
+        self.is_past_founding = true;
         if let Some(state) = self.retirements.get_mut(name) {
             *state = RetireState::Completed;
         }
--- a/crates/gateway-server/src/config.rs
+++ b/crates/gateway-server/src/config.rs
@@ -22,6 +22,8 @@
     pub observer: ObserverConfig,
     /// The platform's list of replicas.
     pub list_address: SocketAddr,
+    /// Calls that the list takes from all processes together, per second.
+    pub list_calls_per_s: f64,
     /// Age of the list beyond which this gateway reads it itself.
     pub list_stale_after: Duration,
     /// Copies of turns and accounts.
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -6,6 +6,7 @@
 use crate::turn_client::TurnClient;
 use crate::upstream::Upstream;
 use luglink_edge::{Configuration, Dialect, Pool, RoutingTable};
+use luglink_fleet::BackendList;
 use luglink_types::Timestamp;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -31,6 +32,8 @@
     /// Whether such a member was heard at all, with or without a configuration.
     pub(crate) heard_fresh: Cell<bool>,
     pub(crate) pool: RefCell<Pool>,
+    /// The list that the pool shows.
+    pub(crate) list: RefCell<BackendList>,
     /// When the platform showed the list that the pool shows.
     pub(crate) list_seen: Cell<Option<Instant>>,
     /// Gateways that share the replicas' connections.
@@ -66,6 +69,7 @@
             turns: TurnClient::new(config.replication),
             turn_cache: RefCell::new(TurnCache::new(config.turn_cache_bytes)),
             upstream: Upstream::new(metrics.connects.clone()),
+            list: RefCell::default(),
             config,
             dialect,
             metrics,
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -2,7 +2,10 @@
 
 use crate::gateway::{Gateway, InForce};
 use luglink_edge::RoutingTable;
-use luglink_fleet::{BackendList, GatewayPresence, Known, News, Presence, Role, VersionedDocument};
+use luglink_fleet::{
+    BackendList, BackendReport, BackendUpdate, GatewayPresence, Known, News, Presence, Role,
+    VersionedDocument,
+};
 use luglink_fleet_client::Subject;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -49,13 +52,7 @@
             self.turns.set_view(view);
         }
         if let Some(report) = news.backends {
-            let known = self.pool.borrow().fingerprint();
-            let list = report.list;
-            let has_it = list.is_some() || known == Some(report.fingerprint);
-            let seen = Instant::now().checked_sub(report.age + TRANSFER_TIME);
-            if let (true, Some(seen)) = (has_it, seen) {
-                self.take_list(list, seen);
-            }
+            self.take_report(report);
         }
     }
 }
@@ -98,6 +95,23 @@
         }
     }
 
+    fn take_report(&self, report: BackendReport) {
+        let Some(seen) = Instant::now().checked_sub(report.age + TRANSFER_TIME) else {
+            return;
+        };
+        let list = match report.update {
+            BackendUpdate::Whole(list) => Some(list),
+            // Changes to a list that was replaced meanwhile are passed over; the next question
+            // says which list is here.
+            BackendUpdate::Changes(changes) => self.list.borrow().changed(&changes),
+            BackendUpdate::None => None,
+        };
+        let held = self.list.borrow().fingerprint();
+        if list.is_some() || held == report.fingerprint {
+            self.take_list(list, seen);
+        }
+    }
+
     /// Takes a list, or the word that the list is still the same, unless a later look is known.
     pub(crate) fn take_list(&self, list: Option<BackendList>, seen: Instant) {
         if self.list_seen.get().is_some_and(|known| known >= seen) {
@@ -115,6 +129,7 @@
             "new list of replicas"
         );
         self.pool.borrow_mut().update(&list);
+        *self.list.borrow_mut() = list;
         self.upstream.keep_only(&self.pool.borrow());
     }
 }
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -169,6 +169,7 @@
         metrics_listen: None,
         observer: observer(fleet),
         list_address: fleet.list_address,
+        list_calls_per_s: fleet.list_calls_per_s,
         list_stale_after: Duration::from_millis(500),
         replication: Replication::surviving(1),
         stop_limit: Duration::from_secs(5),
--- a/crates/list-client/src/lib.rs
+++ b/crates/list-client/src/lib.rs
@@ -16,7 +16,7 @@
 const MAX_PAGE_BYTES: usize = 4 << 20;
 
 /// Most pages of one list; more would mean that the list never ends.
-const MAX_PAGES: usize = 1_000;
+const MAX_PAGES: u32 = 1_000;
 
 /// The list cannot be had.
 #[derive(Debug, Snafu)]
@@ -65,6 +65,31 @@
     Endless,
 }
 
+/// Pause after the platform said that it is asked too often.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(60);
+
+/// A list and what it cost.
+#[derive(Clone, Debug)]
+pub struct Fetched {
+    /// The list.
+    pub list: BackendList,
+    /// Calls that it took.
+    pub pages: u32,
+}
+
+impl Fetched {
+    /// Time between two readings that keeps a reader within `calls_per_s` calls a second, and
+    /// at least `shortest`.
+    #[must_use]
+    pub fn interval(&self, calls_per_s: f64, shortest: Duration) -> Duration {
+        let paced = f64::from(self.pages) / calls_per_s.max(0.01);
+        shortest.max(Duration::from_secs_f64(paced.min(MAX_INTERVAL_S)))
+    }
+}
+
+/// Longest time between two readings, in seconds, whatever they cost.
+const MAX_INTERVAL_S: f64 = 60.0;
+
 /// Reads the whole list. The connection is kept from one look to the next.
 #[derive(Debug)]
 pub struct ListClient {
@@ -90,7 +115,7 @@
         &mut self,
         dialect: &dyn Dialect,
         limit: Duration,
-    ) -> Result<BackendList, ListError> {
+    ) -> Result<Fetched, ListError> {
         let fetched = actix_rt::time::timeout(limit, self.fetch_pages(dialect, limit)).await;
         let result = fetched.ok().context(SilentSnafu { limit })?;
         if result.is_err() {
@@ -103,23 +128,39 @@
         &mut self,
         dialect: &dyn Dialect,
         limit: Duration,
-    ) -> Result<BackendList, ListError> {
+    ) -> Result<Fetched, ListError> {
         let mut backends = Vec::new();
         let mut next = None;
-        for _ in 0..MAX_PAGES {
+        for pages in 1..=MAX_PAGES {
             let content = self
-                .fetch_page(&dialect.list_path(next.as_deref()), limit)
+                .fetch_patiently(&dialect.list_path(next.as_deref()), limit)
                 .await?;
             let page = dialect.backend_page(&content)?;
             backends.extend(page.backends);
             match page.next {
                 Some(token) => next = Some(token),
-                None => return Ok(BackendList::new(backends)),
+                None => {
+                    let list = BackendList::new(backends);
+                    return Ok(Fetched { list, pages });
+                }
             }
         }
         EndlessSnafu.fail()
     }
 
+    /// Reads a page; a platform that is asked too often is asked again a little later, since
+    /// to begin anew would only ask it more.
+    async fn fetch_patiently(&mut self, path: &str, limit: Duration) -> Result<Bytes, ListError> {
+        loop {
+            match self.fetch_page(path, limit).await {
+                Err(ListError::Refused {
+                    status: StatusCode::TOO_MANY_REQUESTS,
+                }) => actix_rt::time::sleep(REFUSAL_PAUSE).await,
+                result => return result,
+            }
+        }
+    }
+
     async fn fetch_page(&mut self, path: &str, limit: Duration) -> Result<Bytes, ListError> {
         let mut connection = match self.connection.take() {
             Some(connection) if connection.is_ready() => connection,
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -11,7 +11,7 @@
 const QUEUE_FRAMES: usize = 8_192;
 
 /// Bytes that are read at once.
-const READ_BYTES: usize = 64 << 10;
+const READ_BYTES: usize = 16 << 10;
 
 /// Bytes of waiting frames that are written at once.
 const WRITE_BYTES: usize = 256 << 10;
