Read settings anew when they change

Cause: SIGHUP and a changed settings file were only logged, so that a process that was cut off while every member it knew was replaced found the new ones at its next start only.

Ruled out: forgetting fewer members (those that are gone do not come back).

Change: on SIGHUP, or when the file is another one (looked at each second), a process reads its settings anew; gateways and stores observe the members that they name too, members that hear no leader ask those. Faulty settings are logged and change nothing.

Test: a_gateway_finds_members_that_its_settings_name_later. Not tested on a real process: the watch of the file and the signal.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -2,16 +2,19 @@
 
 use crate::exit::{Exit, Failure};
 use crate::options::{FleetOptions, Spelling};
-use crate::shutdown::{reload_requested, stop_requested};
+use crate::reload::ReloadWatch;
+use crate::shutdown::stop_requested;
 use luglink_control_server::{ManagedServerConfig, start_managed};
 use luglink_edge::{Dialect, LuglinkDialect};
 use luglink_fleet_client::ObserverConfig;
 use luglink_gateway_server::GatewayConfig;
 use luglink_platform::PlatformDialect;
-use luglink_settings::{FleetSettings, Role, Settings, load};
+use luglink_settings::{FleetSettings, Role, Settings, load, settings_file};
 use luglink_store_server::StoreServerConfig;
 use luglink_telemetry::LogGuard;
 use luglink_turns::Replication;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +25,9 @@
 const STOP_RESERVE: Duration = Duration::from_millis(500);
 
 struct Process {
+    file: Option<PathBuf>,
+    overrides: Vec<(String, String)>,
+    role: Role,
     settings: Settings,
     fleet: FleetSettings,
     dialect: Rc<dyn Dialect>,
@@ -38,7 +44,8 @@
 
 fn prepare(options: &FleetOptions, role: Role) -> Result<Process, Failure> {
     let overrides = options.server.overrides().map_err(unusable)?;
-    let settings = load(options.server.config.as_deref(), overrides, role).map_err(unusable)?;
+    let settings =
+        load(options.server.config.as_deref(), overrides.clone(), role).map_err(unusable)?;
     let logs = luglink_telemetry::init_bounded_logs(&settings.log_filter).map_err(unusable)?;
     let fleet = settings
         .fleet
@@ -49,6 +56,9 @@
         Spelling::Platform => Rc::new(PlatformDialect::default()),
     };
     Ok(Process {
+        file: settings_file(options.server.config.clone()),
+        overrides,
+        role,
         settings,
         fleet,
         dialect,
@@ -67,19 +77,40 @@
     Replication::surviving(fleet.tolerated_losses)
 }
 
-/// Waits for a planned stop. Settings take effect at the next start; a reload says so.
-async fn until_stopped() -> Result<(), Failure> {
+/// Waits for a planned stop. Whenever the settings change meanwhile, hands the members that they
+/// name now to `on_members`; everything else in them holds from the next start.
+async fn until_stopped(
+    process: &Process,
+    on_members: impl Fn(Vec<SocketAddr>),
+) -> Result<(), Failure> {
+    let stop = stop_requested();
+    tokio::pin!(stop);
+    let mut reload = ReloadWatch::new(process.file.clone()).map_err(unavailable)?;
     loop {
         tokio::select! {
-            stop = stop_requested() => return stop.map_err(unavailable),
-            reload = reload_requested() => {
-                reload.map_err(unavailable)?;
-                tracing::info!("settings changed; addresses of control members are learned as they come");
-            }
+            stopped = &mut stop => return stopped.map_err(unavailable),
+            () = reload.wait() => reload_members(process, &on_members),
         }
     }
 }
 
+fn reload_members(process: &Process, on_members: &impl Fn(Vec<SocketAddr>)) {
+    let loaded = load(
+        process.file.as_deref(),
+        process.overrides.clone(),
+        process.role,
+    );
+    match loaded.map(|settings| settings.fleet) {
+        Ok(Some(fleet)) => {
+            let members = fleet.member_seeds();
+            tracing::info!(?members, "settings read anew");
+            on_members(members);
+        }
+        Ok(None) => {}
+        Err(error) => tracing::error!(%error, "changed settings cannot be used; those before hold"),
+    }
+}
+
 pub(crate) fn gateway(options: FleetOptions) -> Result<Exit, Failure> {
     let process = prepare(&options, Role::Gateway)?;
     actix_rt::System::new().block_on(async {
@@ -108,7 +139,7 @@
         let server = luglink_gateway_server::start(config, Rc::clone(&process.dialect))
             .await
             .map_err(unavailable)?;
-        until_stopped().await?;
+        until_stopped(&process, |members| server.add_members(&members)).await?;
         Ok(match server.stop().await {
             true => Exit::Success,
             false => Exit::DrainTimeout,
@@ -135,10 +166,10 @@
             segment_bytes: store.segment_bytes,
             observer: observer(fleet),
         };
-        let _server = luglink_store_server::start(config)
+        let server = luglink_store_server::start(config)
             .await
             .map_err(unavailable)?;
-        until_stopped().await?;
+        until_stopped(&process, |members| server.add_members(&members)).await?;
         Ok(Exit::Success)
     })
 }
@@ -157,7 +188,7 @@
         let server = start_managed(&config, Rc::clone(&process.dialect))
             .await
             .map_err(unavailable)?;
-        until_stopped().await?;
+        until_stopped(&process, |members| server.set_seeds(members)).await?;
         server.stop().await;
         Ok(Exit::Success)
     })
--- a/app/luglink/src/main.rs
+++ b/app/luglink/src/main.rs
@@ -10,6 +10,7 @@
 mod exit;
 mod fleet;
 mod options;
+mod reload;
 mod shutdown;
 
 use exit::Exit;
--- a/app/luglink/src/shutdown.rs
+++ b/app/luglink/src/shutdown.rs
@@ -13,9 +13,3 @@
     tracing::info!("a planned stop begins");
     Ok(())
 }
-
-/// Waits for SIGHUP.
-pub(crate) async fn reload_requested() -> std::io::Result<()> {
-    signal(SignalKind::hangup())?.recv().await;
-    Ok(())
-}
--- a/crates/control-server/src/joining.rs
+++ b/crates/control-server/src/joining.rs
@@ -6,8 +6,10 @@
 use luglink_net::RequestClient;
 use luglink_raft::Peer;
 use luglink_wire::{ClientRole, Hello, PROTOCOL_VERSION, decode_body, encode_body};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Time between rounds of questions.
@@ -21,8 +23,8 @@
 pub(crate) struct JoinConfig {
     /// This member's own address, which is not asked.
     pub(crate) own: SocketAddr,
-    /// Members that the settings name.
-    pub(crate) seeds: Vec<SocketAddr>,
+    /// Members that the settings name, now.
+    pub(crate) seeds: Rc<RefCell<Vec<SocketAddr>>>,
 }
 
 /// Asks whenever this member hears no leader. Members that are asked in vain name the one that
@@ -37,7 +39,8 @@
             links.clear();
             continue;
         };
-        let targets = config.seeds.iter().copied().chain(leader);
+        let seeds = config.seeds.borrow().clone();
+        let targets = seeds.into_iter().chain(leader);
         for target in targets.filter(|target| *target != config.own) {
             let link = links
                 .entry(target)
--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -23,6 +23,7 @@
 use luglink_types::MemberId;
 use rand::RngCore;
 use snafu::ResultExt;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,6 +54,7 @@
     /// Internal address.
     pub address: SocketAddr,
     actor: Addr<ControlActor>,
+    seeds: Rc<RefCell<Vec<SocketAddr>>>,
 }
 
 /// Starts a member on the current actix thread.
@@ -86,12 +88,17 @@
     };
     let polling = list::poll(actor.clone(), dialect, poll);
     actix_rt::spawn(polling);
+    let seeds = Rc::new(RefCell::new(fleet.member_seeds()));
     let join = JoinConfig {
         own: address,
-        seeds: fleet.member_seeds(),
+        seeds: Rc::clone(&seeds),
     };
     actix_rt::spawn(ask_when_alone(actor.clone(), join));
-    Ok(ManagedServer { address, actor })
+    Ok(ManagedServer {
+        address,
+        actor,
+        seeds,
+    })
 }
 
 /// Reads the member from its data folder. A disk that is full or fails is tried again: a member
@@ -182,6 +189,11 @@
 }
 
 impl ManagedServer {
+    /// Asks these members to be let in, when it must ask, instead of those named before.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.borrow_mut() = seeds;
+    }
+
     /// Hands over leadership, lets that settle, and stops.
     pub async fn stop(self) {
         let (answer, waiting) = oneshot::channel();
--- a/crates/gateway-server/src/server.rs
+++ b/crates/gateway-server/src/server.rs
@@ -37,7 +37,7 @@
     gateway: Rc<Gateway>,
     stopper: Stopper,
     signal: StopSignal,
-    _observer: Rc<Observer<Gateway>>,
+    observer: Rc<Observer<Gateway>>,
 }
 
 /// Starts a gateway on the current actix thread.
@@ -74,7 +74,7 @@
         gateway,
         stopper,
         signal,
-        _observer: observer,
+        observer,
     })
 }
 
@@ -145,6 +145,11 @@
 }
 
 impl GatewayServer {
+    /// Observes these control members too, as when the settings have come to name others.
+    pub fn add_members(&self, members: &[SocketAddr]) {
+        self.observer.add(members);
+    }
+
     /// Takes no new callers and finishes what is under way. Returns whether all of it ended in
     /// time.
     pub async fn stop(&self) -> bool {
--- a/crates/gateway-server/tests/gateway/programs.rs
+++ b/crates/gateway-server/tests/gateway/programs.rs
@@ -212,3 +212,14 @@
     fleet.configure(&configuration(1)).await;
     assert_eq!(send(&fleet, Ask::get("/safe/x", "one")).await.status, 200);
 }
+
+#[actix_rt::test]
+async fn a_gateway_finds_members_that_its_settings_name_later() {
+    let replica = Replica::start("r0", Script::Answer).await;
+    let fleet = Fleet::start_misled(vec![replica]).await;
+    let ready = get(fleet.ready_address, "/v1/ready").await;
+    assert_eq!(ready.status, 503);
+    fleet.gateway.add_members(&fleet.member_addresses[..1]);
+    fleet.configure(&configuration(1)).await;
+    assert_eq!(send(&fleet, Ask::get("/safe/x", "one")).await.status, 200);
+}
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -40,6 +40,8 @@
     pub ready_address: SocketAddr,
     pub operator_address: SocketAddr,
     pub resolution_address: SocketAddr,
+    /// Internal addresses of the members.
+    pub member_addresses: Vec<SocketAddr>,
     _folder: TempDir,
     _members: Vec<ManagedServer>,
     _stores: Vec<StoreServer>,
@@ -74,7 +76,16 @@
         Self::start_in(tempfile::tempdir().unwrap(), replicas).await
     }
 
+    /// A fleet whose gateway is told of members that are not there.
+    pub async fn start_misled(replicas: Vec<Replica>) -> Self {
+        Self::start_with(tempfile::tempdir().unwrap(), replicas, true).await
+    }
+
     pub async fn start_in(folder: TempDir, replicas: Vec<Replica>) -> Self {
+        Self::start_with(folder, replicas, false).await
+    }
+
+    async fn start_with(folder: TempDir, replicas: Vec<Replica>, is_misled: bool) -> Self {
         let block = NEXT_BLOCK.fetch_add(1, Ordering::Relaxed);
         let ports = free_ports();
         let replicas = Rc::new(RefCell::new(replicas));
@@ -101,7 +112,11 @@
             let store = store_config(&fleet, folder.path().join(format!("store-{host}")));
             stores.push(luglink_store_server::start(store).await.unwrap());
         }
-        let fleet = fleet_settings(block, 9, &ports, list);
+        let mut fleet = fleet_settings(block, 9, &ports, list);
+        let member_addresses = fleet.member_seeds();
+        if is_misled {
+            fleet.seeds = vec![(ip(block, 200), 1).into()];
+        }
         let gateway_address: SocketAddr = (fleet.ip, ports[0] + 6).into();
         let ready_address: SocketAddr = (fleet.ip, ports[0] + 7).into();
         let gateway = start(
@@ -114,6 +129,7 @@
             ready_address,
             operator_address: (ip(block, 1), operator_port).into(),
             resolution_address: (ip(block, 1), resolution_port).into(),
+            member_addresses,
             _folder: folder,
             _members: members,
             _stores: stores,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,4 +18,4 @@
 pub use daemon::DaemonSettings;
 pub use errors::{Fault, SettingsError};
 pub use fleet::{FleetSettings, GatewaySettings, ManagedSettings, StoreSettings};
-pub use source::{MemberAddress, Role, SETTINGS_VARIABLE, Settings, load};
+pub use source::{MemberAddress, Role, SETTINGS_VARIABLE, Settings, load, settings_file};
--- a/crates/settings/src/source.rs
+++ b/crates/settings/src/source.rs
@@ -84,6 +84,12 @@
     }
 }
 
+/// The settings file of a process that was told of `file` or of none.
+#[must_use]
+pub fn settings_file(file: Option<PathBuf>) -> Option<PathBuf> {
+    file.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from))
+}
+
 /// Reads settings for `role` from a file, the environment and flags, in this order of rising
 /// precedence. `flags` are pairs of a key, as in `daemon.listen`, and its value.
 ///
@@ -95,8 +101,8 @@
     flags: Vec<(String, String)>,
     role: Role,
 ) -> Result<Settings, SettingsError> {
-    let from_environment = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
-    let file = file.or(from_environment.as_deref());
+    let file = settings_file(file.map(Path::to_path_buf));
+    let file = file.as_deref();
     let path = file.map(|path| path.display().to_string());
     let text = match file {
         Some(path) => std::fs::read_to_string(path).context(UnreadableSnafu {
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -67,7 +67,7 @@
     /// Internal address.
     pub address: SocketAddr,
     shared: Rc<Shared>,
-    _observer: Rc<Observer<Shared>>,
+    observer: Rc<Observer<Shared>>,
 }
 
 /// Starts a store on the current actix thread.
@@ -111,7 +111,7 @@
     Ok(StoreServer {
         address,
         shared,
-        _observer: observer,
+        observer,
     })
 }
 
@@ -141,6 +141,11 @@
 }
 
 impl StoreServer {
+    /// Observes these control members too, as when the settings have come to name others.
+    pub fn add_members(&self, members: &[SocketAddr]) {
+        self.observer.add(members);
+    }
+
     /// Turns and accounts that the store holds.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
