Split routes evenly though each gateway sees few of their requests

Cause: a route's requests went to its services by random draws.

Ruled out: a counter of requests for each target at each gateway (all gateways would begin with the same target, which few requests never make up for).

Change: each route's draws are multiples of 2^64 over the golden ratio, begun at a place that differs between gateways; the weights are laid over the whole range of draws. Turns of a program still go to one service.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod routing_table;
 mod sending;
+mod split;
 mod violation;
 
 pub use configuration::{Configuration, Engine, Limits, Route, RouteKind, Service, Target};
@@ -24,4 +25,5 @@
 pub use pool::{Choice, Pool, Wish};
 pub use routing_table::RoutingTable;
 pub use sending::{Retryable, SendOutcome};
+pub use split::SplitDraws;
 pub use violation::Violation;
--- a/crates/edge/src/routing_table.rs
+++ b/crates/edge/src/routing_table.rs
@@ -1,6 +1,6 @@
 //! Which route a request takes.
 
-use crate::configuration::{Configuration, Route, Target};
+use crate::configuration::{Configuration, Route};
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -39,23 +39,3 @@
             .cloned()
     }
 }
-
-/// The target at `position` of the weights laid end to end; `position` is taken modulo their sum.
-pub(crate) fn target_at(targets: &[Target], position: u64) -> Option<&Target> {
-    let total: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
-    let mut rest = position.checked_rem(total)?;
-    targets.iter().find(|target| {
-        let weight = u64::from(target.weight);
-        let here = rest < weight;
-        rest = rest.saturating_sub(weight);
-        here
-    })
-}
-
-impl Route {
-    /// The service that gets a request whose draw is `draw`. Equal draws get equal services.
-    #[must_use]
-    pub fn service_for(&self, draw: u64) -> Option<&str> {
-        target_at(&self.targets, draw).map(|target| target.service.as_str())
-    }
-}
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -5,7 +5,7 @@
 use crate::turn_cache::TurnCache;
 use crate::turn_client::TurnClient;
 use crate::upstream::Upstream;
-use luglink_edge::{Configuration, Dialect, Pool, RoutingTable};
+use luglink_edge::{Configuration, Dialect, Pool, RoutingTable, SplitDraws};
 use luglink_fleet::BackendList;
 use luglink_types::Timestamp;
 use std::cell::{Cell, RefCell};
@@ -31,6 +31,8 @@
     pub(crate) is_current: Cell<bool>,
     /// Whether such a member was heard at all, with or without a configuration.
     pub(crate) heard_fresh: Cell<bool>,
+    /// Splits the routes that have several services.
+    pub(crate) splits: RefCell<SplitDraws>,
     pub(crate) pool: RefCell<Pool>,
     /// The list that the pool shows.
     pub(crate) list: RefCell<BackendList>,
@@ -70,6 +72,7 @@
             turn_cache: RefCell::new(TurnCache::new(config.turn_cache_bytes)),
             upstream: Upstream::new(metrics.connects.clone()),
             list: RefCell::default(),
+            splits: RefCell::default(),
             config,
             dialect,
             metrics,
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, HeaderName, Request, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use luglink_edge::Route;
+use luglink_edge::{Route, RouteKind};
 use luglink_turns::{ProgramName, TurnId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -112,15 +112,15 @@
     let deadline = arrived + patience;
     let body = read_body(gateway, in_force, incoming, deadline).await?;
     let program = program_fields(gateway, &head);
-    let draw = program.as_ref().map_or_else(
-        || gateway.draw(),
-        |program| xxhash_rust::xxh3::xxh3_64(program.name.0.as_bytes()),
-    );
+    let program_hash = program
+        .as_ref()
+        .map(|program| xxhash_rust::xxh3::xxh3_64(program.name.0.as_bytes()));
+    let draw = program_hash.unwrap_or_else(|| gateway.draw());
     // A program's turns go to one service, so that its prompts meet their caches; everything
     // else is spread request by request.
-    let share = match route.kind {
-        luglink_edge::RouteKind::Streaming => draw,
-        _ => gateway.draw(),
+    let share = match (route.kind, program_hash) {
+        (RouteKind::Streaming, Some(hash)) => hash,
+        _ => gateway.splits.borrow_mut().next(&route, gateway.draw()),
     };
     let service = route.service_for(share).unwrap_or_default().to_owned();
     Ok(Inbound {
