Serve metrics of gateways, stores and members

Cause: only gateways had metrics, and no deployment file named where: whoever looks at an incident on the users' platform saw none.

Test: gateways_stores_and_members_tell_what_they_did over a whole fleet on sockets.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -165,6 +165,7 @@
             replication: replication(fleet),
             segment_bytes: store.segment_bytes,
             observer: observer(fleet),
+            metrics_listen: store.metrics_listen,
         };
         let server = luglink_store_server::start(config)
             .await
--- a/crates/control-server/src/errors.rs
+++ b/crates/control-server/src/errors.rs
@@ -28,6 +28,12 @@
         /// Why not.
         source: std::io::Error,
     },
+    /// The metrics cannot be set up.
+    #[snafu(display("metrics: {source}"), context(false))]
+    Metrics {
+        /// Why not.
+        source: luglink_telemetry::TelemetryError,
+    },
     /// The member's actor is gone.
     #[snafu(display("the control member has stopped"))]
     Stopped,
--- a/crates/control-server/src/lib.rs
+++ b/crates/control-server/src/lib.rs
@@ -11,6 +11,7 @@
 mod joining;
 mod list;
 mod managed;
+mod metrics;
 mod operator;
 mod peers;
 mod releases;
--- a/crates/control-server/src/list.rs
+++ b/crates/control-server/src/list.rs
@@ -1,6 +1,7 @@
 //! Reads the platform's list of replicas, at the member that leads.
 
-use crate::actor::{ControlActor, LookAtFleet, TakeBackends};
+use crate::actor::{ControlActor, FleetLook, LookAtFleet, TakeBackends};
+use crate::metrics::MemberMetrics;
 use actix::Addr;
 use luglink_edge::Dialect;
 use luglink_list_client::ListClient;
@@ -26,12 +27,20 @@
     pub(crate) calls_per_s: f64,
 }
 
+/// Reads the list for one member.
+#[derive(Debug)]
+pub(crate) struct Poller {
+    pub(crate) control: Addr<ControlActor>,
+    pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) metrics: MemberMetrics,
+    pub(crate) config: PollConfig,
+}
+
 /// Reads the list again and again while this member leads.
-pub(crate) async fn poll(
-    control: Addr<ControlActor>,
-    dialect: Rc<dyn Dialect>,
-    config: PollConfig,
-) {
+pub(crate) async fn poll(poller: Poller) {
+    let Poller {
+        control, config, ..
+    } = &poller;
     let mut client = ListClient::new(config.address);
     let mut is_lost = false;
     let mut interval = config.interval;
@@ -44,10 +53,13 @@
         let Ok(look) = control.send(LookAtFleet).await else {
             return;
         };
+        poller.show_state(&look);
         if !look.polls {
             continue;
         }
-        match client.fetch(&*dialect, READ_LIMIT).await {
+        let fetched = client.fetch(&*poller.dialect, READ_LIMIT).await;
+        poller.count(fetched.is_ok());
+        match fetched {
             Ok(fetched) => {
                 let own_share = config.calls_per_s * CALLS_SHARE;
                 interval = fetched.interval(own_share, config.interval);
@@ -70,3 +82,16 @@
         }
     }
 }
+
+impl Poller {
+    fn count(&self, was_read: bool) {
+        let end = if was_read { "read" } else { "failed" };
+        self.metrics.list_reads.with_label_values(&[end]).inc();
+    }
+
+    fn show_state(&self, look: &FleetLook) {
+        self.metrics.leads.set(f64::from(u8::from(look.leads)));
+        self.metrics.version.set(look.document_version as f64);
+        self.metrics.gateways.set(look.gateways.len() as f64);
+    }
+}
--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -7,11 +7,12 @@
 use crate::actor::{ControlActor, Halt, OwnRequest, Reopen, SocketEvent, now};
 use crate::errors::{ControlServerError, ListenSnafu};
 use crate::joining::{JoinConfig, ask_when_alone};
-use crate::list::PollConfig;
+use crate::list;
+use crate::list::{PollConfig, Poller};
+use crate::metrics::MemberMetrics;
 use crate::operator::OperatorService;
 use crate::peers::Peers;
-use crate::resolution::ResolutionConfig;
-use crate::{list, resolution};
+use crate::resolution::ResolutionService;
 use actix::{Actor, Addr};
 use http::Request;
 use hyper::body::Incoming;
@@ -53,6 +54,8 @@
 pub struct ManagedServer {
     /// Internal address.
     pub address: SocketAddr,
+    /// Address of the metrics, when they are served.
+    pub metrics_address: Option<SocketAddr>,
     actor: Addr<ControlActor>,
     seeds: Rc<RefCell<Vec<SocketAddr>>>,
 }
@@ -71,6 +74,11 @@
     let operators = bind(config.member.operator_listen).await?;
     let resolutions = bind(config.member.resolution_listen).await?;
     let member = MemberId(u32::from(fleet.ip));
+    let metrics = MemberMetrics::new()?;
+    let metrics_address = match config.member.metrics_listen {
+        Some(address) => luglink_metrics_server::start(address, metrics.registry.clone()).await,
+        None => None,
+    };
     tracing::info!(name = fleet.name, %address, "control member started");
     let peers = Peers::by_address(member, fleet.member_port());
     let actor = ControlActor::reopening(peers, reopen(config.clone(), member)).start();
@@ -78,16 +86,21 @@
         let actor = actor.clone();
         move |event| actor.do_send(SocketEvent(event))
     }));
-    serve_operators(config, &actor, &dialect, operators);
-    serve_resolutions(config, &actor, &dialect, resolutions);
+    serve_operators(config, &actor, &dialect, &metrics, operators);
+    serve_resolutions(config, &actor, &dialect, &metrics, resolutions);
     let interval = Duration::from_millis(config.member.list_interval_ms);
     let poll = PollConfig {
         address: fleet.list_address,
         interval,
         calls_per_s: fleet.list_calls_per_s,
     };
-    let polling = list::poll(actor.clone(), dialect, poll);
-    actix_rt::spawn(polling);
+    let poller = Poller {
+        control: actor.clone(),
+        dialect,
+        metrics,
+        config: poll,
+    };
+    actix_rt::spawn(list::poll(poller));
     let seeds = Rc::new(RefCell::new(fleet.member_seeds()));
     let join = JoinConfig {
         own: address,
@@ -96,6 +109,7 @@
     actix_rt::spawn(ask_when_alone(actor.clone(), join));
     Ok(ManagedServer {
         address,
+        metrics_address,
         actor,
         seeds,
     })
@@ -157,12 +171,14 @@
     config: &ManagedServerConfig,
     actor: &Addr<ControlActor>,
     dialect: &Rc<dyn Dialect>,
+    metrics: &MemberMetrics,
     listener: TcpListener,
 ) {
     let service = OperatorService {
         control: actor.clone(),
         dialect: Rc::clone(dialect),
         port: config.member.operator_listen.port(),
+        metrics: metrics.clone(),
     };
     let handler = Rc::new(move |request: Request<Incoming>| service.clone().handle(request));
     let (_, signal) = stopper();
@@ -173,17 +189,18 @@
     config: &ManagedServerConfig,
     actor: &Addr<ControlActor>,
     dialect: &Rc<dyn Dialect>,
+    metrics: &MemberMetrics,
     listener: TcpListener,
 ) {
     let longest = Duration::from_secs_f64(config.fleet.resolution_s);
-    let (actor, dialect) = (actor.clone(), Rc::clone(dialect));
-    let config = ResolutionConfig {
+    let service = ResolutionService {
+        control: actor.clone(),
+        dialect: Rc::clone(dialect),
         longest,
         salt: u64::from(u32::from(config.fleet.ip)),
+        metrics: metrics.clone(),
     };
-    let handler = Rc::new(move |request: Request<Incoming>| {
-        resolution::handle(actor.clone(), Rc::clone(&dialect), config, request)
-    });
+    let handler = Rc::new(move |request: Request<Incoming>| service.clone().handle(request));
     let (_, signal) = stopper();
     actix_rt::spawn(serve(listener, serve_options, signal, handler));
 }
--- a/crates/control-server/src/operator.rs
+++ b/crates/control-server/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operator's calls: the configuration as one document, and turn stores that are to go.
 
 use crate::actor::{ControlActor, LookAtFleet, OwnRequest};
+use crate::metrics::MemberMetrics;
 use crate::resolution::json;
 use actix::Addr;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -29,6 +30,7 @@
     pub(crate) dialect: Rc<dyn Dialect>,
     /// Port of the operators' calls at every member.
     pub(crate) port: u16,
+    pub(crate) metrics: MemberMetrics,
 }
 
 /// Why a call has no result here.
@@ -47,6 +49,11 @@
             Some(call) => self.answer(call, incoming, &path).await,
             None => self.problem(StatusCode::NOT_FOUND, "no such call"),
         };
+        let calls = &self.metrics.operator_calls;
+        let status = response.status();
+        calls.with_label_values(&[status.as_str()]).inc();
+        let seconds = began.elapsed().as_secs_f64();
+        self.metrics.operator_seconds.observe(seconds);
         tracing::info!(
             method = %head.method,
             path,
--- a/crates/control-server/src/resolution.rs
+++ b/crates/control-server/src/resolution.rs
@@ -1,8 +1,9 @@
 //! Tells callers which gateways to go to.
 
 use crate::actor::{ControlActor, LookAtFleet};
+use crate::metrics::MemberMetrics;
 use actix::Addr;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 use luglink_edge::Dialect;
 use luglink_http::{Abort, Body, full_body};
@@ -14,35 +15,43 @@
 /// Gateways that an answer names at the most.
 const MAX_GATEWAYS: usize = 64;
 
-/// How questions where to go are answered.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ResolutionConfig {
+/// Answers callers that ask where to go.
+#[derive(Clone, Debug)]
+pub(crate) struct ResolutionService {
+    pub(crate) control: Addr<ControlActor>,
+    pub(crate) dialect: Rc<dyn Dialect>,
     /// Longest time for which callers rely on an answer.
     pub(crate) longest: Duration,
     /// Differs between members, so that together they name more gateways than one answer holds.
     pub(crate) salt: u64,
+    pub(crate) metrics: MemberMetrics,
 }
 
-/// Answers a caller's question where to go.
-pub(crate) async fn handle(
-    control: Addr<ControlActor>,
-    dialect: Rc<dyn Dialect>,
-    config: ResolutionConfig,
-    request: Request<Incoming>,
-) -> Result<Response<Body>, Abort> {
-    let uri = request.uri();
-    let Some(query) = dialect.resolution(uri.path(), uri.query().unwrap_or_default()) else {
-        return Ok(json(StatusCode::NOT_FOUND, dialect.problem("no such call")));
-    };
-    let look = control.send(LookAtFleet).await.unwrap_or_default();
-    let gateways = select(look.gateways, query.zone.as_deref(), config.salt);
-    if gateways.is_empty() {
-        let detail = dialect.problem("no gateway is known yet");
-        return Ok(json(StatusCode::SERVICE_UNAVAILABLE, detail));
+impl ResolutionService {
+    /// Answers a question where to go.
+    pub(crate) async fn handle(self, request: Request<Incoming>) -> Result<Response<Body>, Abort> {
+        let response = self.answer(request.uri()).await;
+        let status = response.status();
+        let resolutions = &self.metrics.resolutions;
+        resolutions.with_label_values(&[status.as_str()]).inc();
+        Ok(response)
+    }
+
+    async fn answer(&self, uri: &Uri) -> Response<Body> {
+        let query = uri.query().unwrap_or_default();
+        let Some(query) = self.dialect.resolution(uri.path(), query) else {
+            return json(StatusCode::NOT_FOUND, self.dialect.problem("no such call"));
+        };
+        let look = self.control.send(LookAtFleet).await.unwrap_or_default();
+        let gateways = select(look.gateways, query.zone.as_deref(), self.salt);
+        if gateways.is_empty() {
+            let detail = self.dialect.problem("no gateway is known yet");
+            return json(StatusCode::SERVICE_UNAVAILABLE, detail);
+        }
+        let valid_for = look.resolution_time.min(self.longest);
+        let answer = self.dialect.resolution_answer(&gateways, valid_for);
+        json(StatusCode::OK, answer)
     }
-    let valid_for = look.resolution_time.min(config.longest);
-    let answer = dialect.resolution_answer(&gateways, valid_for);
-    Ok(json(StatusCode::OK, answer))
 }
 
 /// As many gateways as fit, those of the caller's zone first. Of more than fit, a member always
--- a/crates/gateway-server/src/server.rs
+++ b/crates/gateway-server/src/server.rs
@@ -10,9 +10,7 @@
 use hyper::body::Incoming;
 use luglink_edge::{Dialect, Limits};
 use luglink_fleet_client::Observer;
-use luglink_http::{
-    Abort, Body, ServeOptions, StopSignal, Stopper, empty_body, full_body, serve, stopper,
-};
+use luglink_http::{Abort, Body, ServeOptions, StopSignal, Stopper, empty_body, serve, stopper};
 use rand::RngCore;
 use snafu::ResultExt;
 use std::net::SocketAddr;
@@ -34,6 +32,8 @@
 pub struct GatewayServer {
     /// Address for callers.
     pub address: SocketAddr,
+    /// Address of the metrics, when they are served.
+    pub metrics_address: Option<SocketAddr>,
     gateway: Rc<Gateway>,
     stopper: Stopper,
     signal: StopSignal,
@@ -53,24 +53,22 @@
     let address = callers.local_addr().context(ListenSnafu {
         address: config.listen,
     })?;
-    let metrics_listener = match config.metrics_listen {
-        Some(address) => Some(bind(address).await?),
+    let metrics = GatewayMetrics::new()?;
+    let metrics_address = match config.metrics_listen {
+        Some(address) => luglink_metrics_server::start(address, metrics.registry.clone()).await,
         None => None,
     };
-    let metrics = GatewayMetrics::new()?;
     let seed = rand::rng().next_u64();
     tracing::info!(name = config.name, zone = config.zone, %address, "gateway started");
     let gateway = Rc::new(Gateway::new(config, dialect, metrics, seed));
     let (stopper, signal) = stopper();
     serve_callers(&gateway, callers, signal.clone());
     serve_checks(&gateway, checks);
-    if let Some(listener) = metrics_listener {
-        serve_metrics(&gateway, listener);
-    }
     actix_rt::spawn(list::keep_current(Rc::clone(&gateway)));
     let observer = Observer::start(Rc::clone(&gateway), gateway.config.observer.clone());
     Ok(GatewayServer {
         address,
+        metrics_address,
         gateway,
         stopper,
         signal,
@@ -134,16 +132,6 @@
     response
 }
 
-fn serve_metrics(gateway: &Rc<Gateway>, listener: TcpListener) {
-    let gateway = Rc::clone(gateway);
-    let handler = Rc::new(move |_: Request<Incoming>| {
-        let text = gateway.metrics.registry.render().unwrap_or_default();
-        async move { Ok::<_, Abort>(Response::new(full_body(text))) }
-    });
-    let (_, signal) = stopper();
-    actix_rt::spawn(serve(listener, check_options, signal, handler));
-}
-
 impl GatewayServer {
     /// Observes these control members too, as when the settings have come to name others.
     pub fn add_members(&self, members: &[SocketAddr]) {
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! A gateway in a whole fleet, before scripted replicas.
 
+mod metrics;
 mod programs;
 mod replicas;
 mod support;
--- /dev/null
+++ b/crates/gateway-server/tests/gateway/metrics.rs
@@ -0,0 +1,91 @@
+//! The figures that each program of a fleet tells of itself.
+
+use crate::support::caller::{Ask, Got, get};
+use crate::support::replica::{Replica, Script};
+use crate::support::{Fleet, configuration, until};
+use std::net::SocketAddr;
+
+/// The value of a metric; `series` is its name with its labels. 0 when it is not there.
+fn value(text: &str, series: &str) -> f64 {
+    let line = text.lines().find_map(|line| line.strip_prefix(series));
+    let number = line.and_then(|rest| rest.trim().parse().ok());
+    number.unwrap_or(0.0)
+}
+
+async fn metrics(address: Option<SocketAddr>) -> Got {
+    get(address.unwrap(), "/metrics").await
+}
+
+async fn sum(addresses: impl Iterator<Item = Option<SocketAddr>>, series: &str) -> f64 {
+    let mut sum = 0.0;
+    for address in addresses {
+        sum += value(&metrics(address).await.body, series);
+    }
+    sum
+}
+
+#[actix_rt::test]
+async fn gateways_stores_and_members_tell_what_they_did() {
+    let replica = Replica::start("r0", Script::Stream).await;
+    let fleet = Fleet::start(vec![replica.clone()]).await;
+    fleet.configure(&configuration(7)).await;
+    let turn = Ask::post("/kept/x", "t1", "input")
+        .with("luglink-program", "program")
+        .with("luglink-token-usage", "100,50")
+        .with("luglink-token-budget", "500");
+    assert_eq!(turn.send(fleet.gateway_address).await.status, 200);
+    let resolution = || get(fleet.resolution_address, "/v1/gateways");
+    until("callers are told of the gateway", || async {
+        resolution().await.status == 200
+    })
+    .await;
+
+    let gateway = metrics(fleet.gateway.metrics_address).await;
+    assert_eq!(gateway.status, 200);
+    assert!(
+        gateway
+            .header("content-type")
+            .unwrap()
+            .starts_with("text/plain")
+    );
+    let of_gateway = |series: &str| value(&gateway.body, series);
+    assert_eq!(of_gateway("luglink_answers_total{status=\"200\"}"), 1.0);
+    assert_eq!(of_gateway("luglink_streams_total{end=\"complete\"}"), 1.0);
+    assert_eq!(of_gateway("luglink_keep_seconds_count"), 1.0);
+    assert_eq!(of_gateway("luglink_configuration_version"), 7.0);
+
+    let stores = || fleet.stores.iter().map(|store| store.metrics_address);
+    let spends = sum(stores(), "luglink_store_requests_total{kind=\"spend\"}").await;
+    assert!(spends >= 2.0, "{spends}");
+    until("the stores show the turn that they hold", || async {
+        sum(stores(), "luglink_store_turns").await >= 2.0
+    })
+    .await;
+
+    let members = || fleet.members.iter().map(|member| member.metrics_address);
+    let taken = "luglink_operator_calls_total{status=\"200\"}";
+    assert!(sum(members(), taken).await >= 1.0);
+    let answered = "luglink_resolutions_total{status=\"200\"}";
+    assert!(sum(members(), answered).await >= 1.0);
+    until("one member shows that it leads", || async {
+        sum(members(), "luglink_member_leads").await == 1.0
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_taken_metrics_port_keeps_nobody_from_serving() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap();
+    let registry = luglink_telemetry::Metrics::new();
+    assert_eq!(luglink_metrics_server::start(address, registry).await, None);
+}
+
+#[actix_rt::test]
+async fn metrics_have_one_path() {
+    let registry = luglink_telemetry::Metrics::new();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let address = luglink_metrics_server::start(any, registry).await;
+    assert_eq!(metrics(address).await.status, 200);
+    assert_eq!(get(address.unwrap(), "/").await.status, 404);
+}
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -43,8 +43,8 @@
     /// Internal addresses of the members.
     pub member_addresses: Vec<SocketAddr>,
     _folder: TempDir,
-    _members: Vec<ManagedServer>,
-    _stores: Vec<StoreServer>,
+    pub members: Vec<ManagedServer>,
+    pub stores: Vec<StoreServer>,
 }
 
 fn ip(block: u8, host: u8) -> Ipv4Addr {
@@ -105,6 +105,7 @@
                     heartbeat_ms: 50,
                     election_timeout_ms: 300,
                     snapshot_entries: 50,
+                    metrics_listen: Some((fleet.ip, 0).into()),
                 },
                 fleet: fleet.clone(),
             };
@@ -131,8 +132,8 @@
             resolution_address: (ip(block, 1), resolution_port).into(),
             member_addresses,
             _folder: folder,
-            _members: members,
-            _stores: stores,
+            members,
+            stores,
         }
     }
 
@@ -169,6 +170,7 @@
         replication: Replication::surviving(1),
         segment_bytes: 1 << 20,
         observer: observer(fleet),
+        metrics_listen: Some((fleet.ip, 0).into()),
     }
 }
 
@@ -182,7 +184,7 @@
         zone: fleet.zone.clone(),
         listen,
         ready_listen,
-        metrics_listen: None,
+        metrics_listen: Some((fleet.ip, 0).into()),
         observer: observer(fleet),
         list_address: fleet.list_address,
         list_calls_per_s: fleet.list_calls_per_s,
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -155,6 +155,8 @@
     pub data_folder: PathBuf,
     /// Longest segment of the journal, in bytes.
     pub segment_bytes: u64,
+    /// Address of the metrics, when they are wanted.
+    pub metrics_listen: Option<SocketAddr>,
 }
 
 impl StoreSettings {
@@ -162,7 +164,9 @@
         let data_folder = reader.required("store.data_folder");
         let segment_bytes = reader.optional("store.segment_bytes", 16 << 20);
         reader.check("store.segment_bytes", segment_bytes > 0, "must be above 0");
+        let metrics_listen = reader.optional("store.metrics_listen", None);
         Some(Self {
+            metrics_listen,
             data_folder: data_folder?,
             segment_bytes,
         })
@@ -186,6 +190,8 @@
     pub election_timeout_ms: u64,
     /// Entries after which a snapshot is written.
     pub snapshot_entries: usize,
+    /// Address of the metrics, when they are wanted.
+    pub metrics_listen: Option<SocketAddr>,
 }
 
 impl ManagedSettings {
@@ -201,6 +207,7 @@
             heartbeat_ms: reader.optional("member.heartbeat_ms", 100),
             election_timeout_ms: reader.optional("member.election_timeout_ms", 600),
             snapshot_entries: reader.optional("member.snapshot_entries", 500),
+            metrics_listen: reader.optional("member.metrics_listen", None),
         };
         reader.check(
             "member.list_interval_ms",
--- a/crates/store-server/src/errors.rs
+++ b/crates/store-server/src/errors.rs
@@ -29,4 +29,10 @@
         /// How.
         source: TurnsError,
     },
+    /// The metrics cannot be set up.
+    #[snafu(display("metrics: {source}"), context(false))]
+    Metrics {
+        /// Why not.
+        source: luglink_telemetry::TelemetryError,
+    },
 }
--- a/crates/store-server/src/lib.rs
+++ b/crates/store-server/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod clock;
 mod errors;
+mod metrics;
 mod peers;
 mod server;
 
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::now;
 use crate::errors::{ListenSnafu, StoreServerError};
+use crate::metrics::{StoreMetrics, kind};
 use crate::peers::Peers;
 use luglink_fleet::{Known, News, Presence, Role, StoreName, StorePresence};
 use luglink_fleet_client::{Observer, ObserverConfig, Subject};
@@ -18,7 +19,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
@@ -50,6 +51,8 @@
     pub segment_bytes: u64,
     /// Control members.
     pub observer: ObserverConfig,
+    /// Address of the metrics, when they are wanted.
+    pub metrics_listen: Option<SocketAddr>,
 }
 
 /// The store and what hangs on it.
@@ -60,12 +63,15 @@
     peers: Peers,
     taken: Cell<u32>,
     wake: Notify,
+    metrics: StoreMetrics,
 }
 
 /// A running store. Dropping it does not stop it; the process ends it.
 pub struct StoreServer {
     /// Internal address.
     pub address: SocketAddr,
+    /// Address of the metrics, when they are served.
+    pub metrics_address: Option<SocketAddr>,
     shared: Rc<Shared>,
     observer: Rc<Observer<Shared>>,
 }
@@ -83,6 +89,11 @@
     let address = listener.local_addr().context(ListenSnafu {
         address: config.listen,
     })?;
+    let metrics = StoreMetrics::new()?;
+    let metrics_address = match config.metrics_listen {
+        Some(address) => luglink_metrics_server::start(address, metrics.registry.clone()).await,
+        None => None,
+    };
     let node = open_node(&config).await;
     let (turns, accounts) = node.counts();
     tracing::info!(
@@ -99,6 +110,7 @@
         peers: Peers::default(),
         taken: Cell::new(0),
         wake: Notify::new(),
+        metrics,
         config,
     });
     actix_rt::spawn(luglink_net::serve(listener, {
@@ -110,6 +122,7 @@
     let observer = Observer::start(Rc::clone(&shared), shared.config.observer.clone());
     Ok(StoreServer {
         address,
+        metrics_address,
         shared,
         observer,
     })
@@ -166,11 +179,20 @@
     loop {
         actix_rt::time::sleep(TICK_INTERVAL).await;
         shared.node.borrow_mut().tick(now());
+        shared.show_state();
         shared.wake.notify_one();
     }
 }
 
 impl Shared {
+    fn show_state(&self) {
+        let node = self.node.borrow();
+        let (turns, accounts) = node.counts();
+        self.metrics.turns.set(turns as f64);
+        self.metrics.accounts.set(accounts as f64);
+        self.metrics.epoch.set(node.epoch() as f64);
+    }
+
     fn on_socket(self: &Rc<Self>, event: Accepted) {
         match event {
             Accepted::Opened {
@@ -197,6 +219,8 @@
         let token = RequestToken { client, request };
         match decode_body::<StoreRequest>(body) {
             Ok(request) => {
+                let requests = &self.metrics.requests;
+                requests.with_label_values(&[kind(&request)]).inc();
                 self.node.borrow_mut().handle(token, request, now());
                 self.taken.set(self.taken.get() + 1);
                 if self.taken.get() >= BATCH_REQUESTS {
@@ -207,6 +231,7 @@
             }
             Err(error) => {
                 tracing::warn!(%error, "malformed request");
+                self.metrics.failures.inc();
                 let reason = error.to_string();
                 self.reply(token, &StoreResponse::Failed { reason });
             }
@@ -214,13 +239,18 @@
     }
 
     fn flush(self: &Rc<Self>) {
-        self.taken.set(0);
+        let began = Instant::now();
         let outputs = self.node.borrow_mut().flush();
+        if self.taken.replace(0) > 0 {
+            let seconds = began.elapsed().as_secs_f64();
+            self.metrics.flush_seconds.observe(seconds);
+        }
         for output in outputs {
             match output {
                 Output::Reply { token, response } => {
                     if let StoreResponse::Failed { reason } = &*response {
                         tracing::error!(reason, "a write failed");
+                        self.metrics.failures.inc();
                     }
                     self.reply(token, &response);
                 }
