Refuse new programs while half of a route's first events come late

Change: a gateway refuses new programs of a route, drawn by name so that trying again does not help, while half of the first events there miss the aim; waits that end in vain count. Programs that have begun are always served. A replica's average time to an answer now begins with the send and not with the request.

Tests: edge/tests/load_shedding.rs; a fleet on sockets before a replica that says nothing; is_begun_by.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 mod dialect;
 mod errors;
 mod events;
+mod load_shedding;
 mod own_dialect;
 mod pool;
 mod routing_table;
@@ -21,6 +22,7 @@
 pub use dialect::{BackendPage, Dialect, HeaderNames, OperatorCall, ResolutionQuery};
 pub use errors::DialectError;
 pub use events::{EventSplitter, StreamEvent};
+pub use load_shedding::{Intake, LoadShedder};
 pub use own_dialect::LuglinkDialect;
 pub use pool::{Choice, Pool, Wish};
 pub use routing_table::RoutingTable;
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -5,7 +5,7 @@
 use crate::turn_cache::TurnCache;
 use crate::turn_client::TurnClient;
 use crate::upstream::Upstream;
-use luglink_edge::{Configuration, Dialect, Pool, RoutingTable, SplitDraws};
+use luglink_edge::{Configuration, Dialect, LoadShedder, Pool, RoutingTable, SplitDraws};
 use luglink_fleet::BackendList;
 use luglink_types::Timestamp;
 use std::cell::{Cell, RefCell};
@@ -33,6 +33,8 @@
     pub(crate) heard_fresh: Cell<bool>,
     /// Splits the routes that have several services.
     pub(crate) splits: RefCell<SplitDraws>,
+    /// Lets new programs in.
+    pub(crate) shedder: RefCell<LoadShedder>,
     pub(crate) pool: RefCell<Pool>,
     /// The list that the pool shows.
     pub(crate) list: RefCell<BackendList>,
@@ -73,6 +75,7 @@
             upstream: Upstream::new(metrics.connects.clone()),
             list: RefCell::default(),
             splits: RefCell::default(),
+            shedder: RefCell::default(),
             config,
             dialect,
             metrics,
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -6,6 +6,7 @@
 mod config;
 mod errors;
 mod exchange;
+mod first_event;
 mod gateway;
 mod inbound;
 mod list;
--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -6,10 +6,16 @@
 use crate::turn_client::ChainAnswer;
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
+use luglink_edge::Intake;
 use luglink_turns::{Admission, ProgramName, TurnId, TurnRecord};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Keeps a program's place among those that are let in apart from the service and the replica
+/// that its name chooses: otherwise some of these would lose all their programs first.
+const INTAKE_SEED: u64 = 1;
 
 /// A turn that may be sent.
 #[derive(Debug)]
@@ -144,6 +150,9 @@
     };
     let seconds = began.elapsed().as_secs_f64();
     gateway.metrics.reserve_seconds.observe(seconds);
+    if program.previous.is_none() && begun.account.is_begun_by(&turn) {
+        let_in(gateway, inbound, program)?;
+    }
     let Some(budget) = program.budget else {
         return Ok((Some(reservation), begun.chain));
     };
@@ -172,6 +181,34 @@
     Ok((Some(reservation), begun.chain))
 }
 
+/// Refuses a program that has not begun when the engines have too much to do already.
+fn let_in(gateway: &Gateway, inbound: &Inbound, program: &ProgramFields) -> Result<(), Refusal> {
+    let mut shedder = gateway.shedder.borrow_mut();
+    let place = xxh3_64_with_seed(program.name.0.as_bytes(), INTAKE_SEED);
+    let intake = shedder.admit(&inbound.route, place, gateway.now());
+    let Intake::Refuse {
+        come_back,
+        share,
+        late,
+    } = intake
+    else {
+        return Ok(());
+    };
+    tracing::info!(
+        id = inbound.id,
+        program = program.name.0,
+        route = inbound.route.name,
+        share,
+        late,
+        aim_ms = inbound.route.target_latency_ms,
+        "a program is not let in"
+    );
+    Err(Refusal::not_run_until(
+        "the engines have too much to do",
+        come_back,
+    ))
+}
+
 fn take_chain(
     gateway: &Gateway,
     inbound: &Inbound,
--- a/crates/gateway-server/src/refusal.rs
+++ b/crates/gateway-server/src/refusal.rs
@@ -39,6 +39,14 @@
         }
     }
 
+    /// The request has not run and will not; the caller may come back after `pause`.
+    pub(crate) fn not_run_until(detail: &'static str, pause: Duration) -> Self {
+        Self {
+            retry_after: Some(pause),
+            ..Self::not_run(detail)
+        }
+    }
+
     /// The request has not run and will not, because the gateway waits for others; the caller
     /// may come back once they are likely to be there.
     pub(crate) fn recovering(detail: &'static str) -> Self {
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -1,6 +1,7 @@
 //! Requests answered by a series of events.
 
 use crate::exchange::{Answer, AtReplica, Extra, Failure, send};
+use crate::first_event::FirstEventWait;
 use crate::gateway::{Gateway, InFlight};
 use crate::inbound::{Inbound, strip_hop_by_hop};
 use crate::program::{self, TurnStart};
@@ -35,6 +36,7 @@
         body: start.prompt.clone(),
         last_event_id: None,
     };
+    let wait = FirstEventWait::begin(gateway, &inbound);
     let mut attempts = Attempts::default();
     let cached_at = cached_at(gateway, &inbound, &start);
     let answer = loop {
@@ -48,7 +50,8 @@
             Err(failure) => attempts.note(&inbound, &backend, &failure)?,
         }
     };
-    Ok(relay(gateway, inbound, in_flight, start, extra, answer))
+    let waited = Waited { start, extra, wait };
+    Ok(relay(gateway, inbound, in_flight, waited, answer))
 }
 
 /// The replica that holds the prompt's beginning: the one that served the turn before, or the
@@ -61,12 +64,18 @@
         .or_else(|| pool.home(&inbound.service, inbound.draw))
 }
 
+/// A turn whose answer's head has arrived.
+struct Waited {
+    start: TurnStart,
+    extra: Extra,
+    wait: FirstEventWait,
+}
+
 fn relay(
     gateway: &Rc<Gateway>,
     inbound: Inbound,
     in_flight: InFlight,
-    start: TurnStart,
-    extra: Extra,
+    waited: Waited,
     answer: Answer,
 ) -> Response<Body> {
     let (sender, body) = stream_body();
@@ -78,13 +87,13 @@
     let relay = Relay {
         gateway: Rc::clone(gateway),
         inbound,
-        start,
-        extra,
+        start: waited.start,
+        extra: waited.extra,
+        wait: waited.wait,
         tokens_per_event,
         splitter: EventSplitter::default(),
         output: Vec::new(),
         events: 0,
-        first_event: None,
         last_event_id: None,
         resumptions: 0,
         _in_flight: in_flight,
@@ -133,12 +142,12 @@
     inbound: Inbound,
     start: TurnStart,
     extra: Extra,
+    wait: FirstEventWait,
     tokens_per_event: u64,
     splitter: EventSplitter,
     /// The answer as later prompts repeat it.
     output: Vec<u8>,
     events: u64,
-    first_event: Option<Duration>,
     last_event_id: Option<String>,
     resumptions: u32,
     _in_flight: InFlight,
@@ -224,9 +233,7 @@
             self.output.extend_from_slice(data);
             self.output.push(b'\n');
         }
-        if self.first_event.is_none() {
-            let time = self.inbound.arrived.elapsed();
-            self.first_event = Some(time);
+        if let Some(time) = self.wait.over() {
             let mut pool = self.gateway.pool.borrow_mut();
             pool.succeeded(&source.backend.id, time);
         }
@@ -345,7 +352,7 @@
 
     fn finish_log(&self, end: &'static str) -> &'static str {
         self.gateway.metrics.streams.with_label_values(&[end]).inc();
-        if let Some(first) = self.first_event {
+        if let Some(first) = self.wait.delay() {
             let seconds = first.as_secs_f64();
             self.gateway.metrics.answer_seconds.observe(seconds);
         }
@@ -364,7 +371,7 @@
             events = self.events,
             given = reservation.map(|reservation| reservation.given()),
             resumptions = self.resumptions,
-            first_ms = self.first_event.map(|first| first.as_millis()),
+            first_ms = self.wait.delay().map(|first| first.as_millis()),
             ms = self.inbound.arrived.elapsed().as_millis(),
             "stream"
         );
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! A gateway in a whole fleet, before scripted replicas.
 
 mod metrics;
+mod overload;
 mod programs;
 mod replicas;
 mod support;
--- a/crates/turns/src/account.rs
+++ b/crates/turns/src/account.rs
@@ -78,6 +78,13 @@
         self.spends.get(turn).copied()
     }
 
+    /// Whether no turn but `turn` has taken or holds anything, as when `turn` begins the program.
+    #[must_use]
+    pub fn is_begun_by(&self, turn: &TurnId) -> bool {
+        let mut others = self.spends().filter(|(other, _)| *other != turn);
+        others.all(|(_, spend)| spend == Spend::Settled(0))
+    }
+
     /// Whether nothing was noted.
     #[must_use]
     pub fn is_empty(&self) -> bool {
