Notice settings that change while a process starts; test reloading on real processes

Cause: the watch took the file's time after the settings had been read and the process had started: a file that changed between the two was not read until it changed again, and a SIGHUP in that time ended the process.

Change: the time is taken before the settings are read, and the signal is expected before anything else is done.

Also read anew: turn_client.rs held the link to a store, the search for a chain and two loops twice over; each has a module or a function now. A header name that nobody read is gone, and two rules of stores no longer take settings that they do not use.

Tests: a changed file, a hang-up, and a faulty file on a running gateway (app/luglink/tests/reload.rs).

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::exit::{Exit, Failure};
 use crate::options::{FleetOptions, Spelling};
-use crate::reload::ReloadWatch;
+use crate::reload::{ReloadWatch, last_written};
 use crate::shutdown::stop_requested;
 use luglink_control_server::{ManagedServerConfig, start_managed};
 use luglink_edge::{Dialect, LuglinkDialect};
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 /// Part of the memory limit that a gateway gives to turns it has seen.
 const TURN_CACHE_SHARE: u64 = 8;
@@ -26,6 +26,8 @@
 
 struct Process {
     file: Option<PathBuf>,
+    /// When the file was written that `settings` were read from.
+    file_written: Option<SystemTime>,
     overrides: Vec<(String, String)>,
     role: Role,
     settings: Settings,
@@ -34,6 +36,14 @@
     _logs: LogGuard,
 }
 
+impl Process {
+    /// Watches the settings, before anything else is done: a signal that nobody expects would end
+    /// the process.
+    fn watch(&self) -> Result<ReloadWatch, Failure> {
+        ReloadWatch::new(self.file.clone(), self.file_written).map_err(unavailable)
+    }
+}
+
 fn unusable(error: impl ToString) -> Failure {
     Failure::new(Exit::Unusable, error.to_string())
 }
@@ -44,6 +54,8 @@
 
 fn prepare(options: &FleetOptions, role: Role) -> Result<Process, Failure> {
     let overrides = options.server.overrides().map_err(unusable)?;
+    let file = settings_file(options.server.config.clone());
+    let file_written = last_written(file.as_ref());
     let settings =
         load(options.server.config.as_deref(), overrides.clone(), role).map_err(unusable)?;
     let logs = luglink_telemetry::init_bounded_logs(&settings.log_filter).map_err(unusable)?;
@@ -56,7 +68,8 @@
         Spelling::Platform => Rc::new(PlatformDialect::default()),
     };
     Ok(Process {
-        file: settings_file(options.server.config.clone()),
+        file,
+        file_written,
         overrides,
         role,
         settings,
@@ -81,11 +94,11 @@
 /// name now to `on_members`; everything else in them holds from the next start.
 async fn until_stopped(
     process: &Process,
+    mut reload: ReloadWatch,
     on_members: impl Fn(Vec<SocketAddr>),
 ) -> Result<(), Failure> {
     let stop = stop_requested();
     tokio::pin!(stop);
-    let mut reload = ReloadWatch::new(process.file.clone()).map_err(unavailable)?;
     loop {
         tokio::select! {
             stopped = &mut stop => return stopped.map_err(unavailable),
@@ -114,6 +127,7 @@
 pub(crate) fn gateway(options: FleetOptions) -> Result<Exit, Failure> {
     let process = prepare(&options, Role::Gateway)?;
     actix_rt::System::new().block_on(async {
+        let reload = process.watch()?;
         let gateway = process
             .settings
             .gateway
@@ -139,7 +153,7 @@
         let server = luglink_gateway_server::start(config, Rc::clone(&process.dialect))
             .await
             .map_err(unavailable)?;
-        until_stopped(&process, |members| server.add_members(&members)).await?;
+        until_stopped(&process, reload, |members| server.add_members(&members)).await?;
         Ok(match server.stop().await {
             true => Exit::Success,
             false => Exit::DrainTimeout,
@@ -150,6 +164,7 @@
 pub(crate) fn store(options: FleetOptions) -> Result<Exit, Failure> {
     let process = prepare(&options, Role::Store)?;
     actix_rt::System::new().block_on(async {
+        let reload = process.watch()?;
         let store = process
             .settings
             .store
@@ -170,7 +185,7 @@
         let server = luglink_store_server::start(config)
             .await
             .map_err(unavailable)?;
-        until_stopped(&process, |members| server.add_members(&members)).await?;
+        until_stopped(&process, reload, |members| server.add_members(&members)).await?;
         Ok(Exit::Success)
     })
 }
@@ -178,6 +193,7 @@
 pub(crate) fn member(options: FleetOptions) -> Result<Exit, Failure> {
     let process = prepare(&options, Role::Member)?;
     actix_rt::System::new().block_on(async {
+        let reload = process.watch()?;
         let config = ManagedServerConfig {
             fleet: process.fleet.clone(),
             member: process
@@ -189,7 +205,7 @@
         let server = start_managed(&config, Rc::clone(&process.dialect))
             .await
             .map_err(unavailable)?;
-        until_stopped(&process, |members| server.set_seeds(members)).await?;
+        until_stopped(&process, reload, |members| server.set_seeds(members)).await?;
         server.stop().await;
         Ok(Exit::Success)
     })
--- a/app/luglink/src/reload.rs
+++ b/app/luglink/src/reload.rs
@@ -7,6 +7,12 @@
 /// Time between looks at the file.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// When a file was written last; `None` when that cannot be told.
+pub(crate) fn last_written(file: Option<&PathBuf>) -> Option<SystemTime> {
+    let data = std::fs::metadata(file?).ok()?;
+    data.modified().ok()
+}
+
 /// Watches the settings.
 pub(crate) struct ReloadWatch {
     hang_up: Signal,
@@ -15,22 +21,17 @@
 }
 
 impl ReloadWatch {
-    /// Watches `file` from its present state on.
-    pub(crate) fn new(file: Option<PathBuf>) -> std::io::Result<Self> {
-        let mut watch = Self {
+    /// Watches `file`, which had been written last at `modified` when it was read. It may have
+    /// changed since; that must not go unnoticed.
+    pub(crate) fn new(
+        file: Option<PathBuf>,
+        modified: Option<SystemTime>,
+    ) -> std::io::Result<Self> {
+        Ok(Self {
             hang_up: signal(SignalKind::hangup())?,
             file,
-            modified: None,
-        };
-        watch.modified = watch.look();
-        Ok(watch)
-    }
-
-    fn look(&self) -> Option<SystemTime> {
-        let file = self.file.as_ref()?;
-        std::fs::metadata(file)
-            .and_then(|data| data.modified())
-            .ok()
+            modified,
+        })
     }
 
     /// Waits until the settings may have changed.
@@ -40,7 +41,7 @@
                 _ = self.hang_up.recv() => true,
                 () = actix_rt::time::sleep(LOOK_INTERVAL) => false,
             };
-            let modified = self.look();
+            let modified = last_written(self.file.as_ref());
             let is_other = modified.is_some() && modified != self.modified;
             if is_other {
                 self.modified = modified;
--- /dev/null
+++ b/app/luglink/tests/reload.rs
@@ -0,0 +1,105 @@
+//! Settings that change under a running process of a managed fleet.
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+/// Time in which anything that is waited for must have happened; far beyond what it takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A gateway, with its settings and its logs in a folder.
+struct RunningGateway {
+    child: Child,
+    folder: TempDir,
+}
+
+impl RunningGateway {
+    fn start(seed: &str) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        write_settings(folder.path(), seed);
+        let log = File::create(folder.path().join("log")).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_luglink"))
+            .arg("gateway")
+            .arg("--config")
+            .arg(settings_path(folder.path()))
+            .stdout(log)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let gateway = Self { child, folder };
+        gateway.wait_for("gateway started", 1);
+        gateway
+    }
+
+    /// Waits until the log has `count` lines with `text`.
+    fn wait_for(&self, text: &str, count: usize) {
+        let since = Instant::now();
+        loop {
+            let log = std::fs::read_to_string(self.folder.path().join("log")).unwrap();
+            if log.lines().filter(|line| line.contains(text)).count() >= count {
+                return;
+            }
+            assert!(since.elapsed() < PATIENCE, "no `{text}` in:\n{log}");
+            std::thread::sleep(PAUSE);
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+}
+
+impl Drop for RunningGateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn settings_path(folder: &Path) -> PathBuf {
+    folder.join("settings.toml")
+}
+
+/// Settings that name `seed` as the one control member. Nobody answers there.
+fn write_settings(folder: &Path, seed: &str) {
+    let text = format!(
+        "[fleet]\nname = \"g\"\nzone = \"z\"\nip = \"127.0.0.1\"\nports = [7100, 7115]\n\
+         seeds = [\"{seed}\"]\nlist_address = \"127.0.0.1:1\"\nstop_s = 1.6\n\
+         [gateway]\nlisten = \"127.0.0.1:0\"\nready_listen = \"127.0.0.1:0\"\n"
+    );
+    std::fs::write(settings_path(folder), text).unwrap();
+}
+
+#[test]
+fn a_changed_file_is_read_without_a_signal_and_its_members_are_asked() {
+    let gateway = RunningGateway::start("127.0.0.2:1");
+    write_settings(gateway.folder.path(), "127.0.0.3:1");
+    gateway.wait_for("settings read anew", 1);
+    gateway.wait_for("127.0.0.3:7100", 1);
+}
+
+#[test]
+fn a_hang_up_reads_the_settings_and_ends_nothing() {
+    let mut gateway = RunningGateway::start("127.0.0.2:1");
+    gateway.signal(Signal::HUP);
+    gateway.wait_for("settings read anew", 1);
+    gateway.signal(Signal::HUP);
+    gateway.wait_for("settings read anew", 2);
+    assert!(gateway.child.try_wait().unwrap().is_none(), "it has ended");
+}
+
+#[test]
+fn faulty_settings_change_nothing_and_a_planned_stop_still_ends_it_cleanly() {
+    let mut gateway = RunningGateway::start("127.0.0.2:1");
+    std::fs::write(settings_path(gateway.folder.path()), "[fleet\n").unwrap();
+    gateway.signal(Signal::HUP);
+    gateway.wait_for("changed settings cannot be used", 1);
+    gateway.signal(Signal::TERM);
+    let status = gateway.child.wait().unwrap();
+    assert_eq!(status.code(), Some(0));
+}
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -8,7 +8,7 @@
 use crate::protocol::{RequestToken, Response};
 use luglink_fleet::{
     BackendHistory, BackendList, BackendReport, Known, News, Observation, PresenceTable,
-    RetireState, StoreCommand, StoreName, StoreState, StoreView,
+    RetireState, StoreCommand, StoreMember, StoreName, StoreState, StoreView,
 };
 use luglink_raft::{Membership, MembershipChange, Peer, RaftNode};
 use luglink_storage::Disk;
@@ -292,8 +292,8 @@
             })
         });
         joins
-            .or_else(|| self.filled_store(view, managed))
-            .or_else(|| self.emptied_store(view, managed))
+            .or_else(|| self.filled_store(view))
+            .or_else(|| self.emptied_store(view))
             .or_else(|| self.silent_store(view, managed))
             .or_else(|| self.forgotten_store(view))
     }
@@ -324,8 +324,7 @@
     /// taken over: as long as it stays in the view, nobody can be sure that a turn is nowhere.
     /// Should it come back, it joins anew.
     fn forgotten_store(&self, view: &StoreView) -> Option<StoreCommand> {
-        let filling = |member: &luglink_fleet::StoreMember| member.state == StoreState::Joining;
-        if view.members.values().any(filling) {
+        if view.members.values().any(is_joining) {
             return None;
         }
         view.members
@@ -336,11 +335,10 @@
             .map(|(name, _)| StoreCommand::Remove { name: name.clone() })
     }
 
-    fn filled_store(&self, view: &StoreView, _: &ManagedConfig) -> Option<StoreCommand> {
-        let joining = |member: &luglink_fleet::StoreMember| member.state == StoreState::Joining;
+    fn filled_store(&self, view: &StoreView) -> Option<StoreCommand> {
         view.members
             .iter()
-            .filter(|(_, member)| joining(member))
+            .filter(|(_, member)| is_joining(member))
             .find(|(name, member)| self.all_handed_over(view, member.since_epoch, name))
             .map(|(name, member)| StoreCommand::Activate {
                 name: name.clone(),
@@ -348,9 +346,8 @@
             })
     }
 
-    fn emptied_store(&self, view: &StoreView, _: &ManagedConfig) -> Option<StoreCommand> {
-        let filling = |member: &luglink_fleet::StoreMember| member.state == StoreState::Joining;
-        if view.members.values().any(filling) {
+    fn emptied_store(&self, view: &StoreView) -> Option<StoreCommand> {
+        if view.members.values().any(is_joining) {
             return None;
         }
         let nobody = StoreName::default();
@@ -378,6 +375,11 @@
     }
 }
 
+/// Whether a store is still being filled.
+fn is_joining(member: &StoreMember) -> bool {
+    member.state == StoreState::Joining
+}
+
 /// The next step towards as many live voters as are wanted. One step at a time, each safe by
 /// itself: an earlier incarnation of a peer never comes back, so it goes first.
 fn next_member_change(
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -22,8 +22,6 @@
     pub signature: HeaderName,
     /// Program that a request belongs to.
     pub program: HeaderName,
-    /// Line of turns within the program.
-    pub session: HeaderName,
     /// Turn that a turn goes on from.
     pub previous_turn: HeaderName,
     /// Tokens that all turns of the program may generate together.
--- a/crates/edge/src/own_dialect.rs
+++ b/crates/edge/src/own_dialect.rs
@@ -31,7 +31,6 @@
                 not_executed: name("luglink-not-executed"),
                 signature: name("luglink-signature"),
                 program: name("luglink-program"),
-                session: name("luglink-session"),
                 previous_turn: name("luglink-previous-turn"),
                 token_budget: name("luglink-token-budget"),
                 token_usage: name("luglink-token-usage"),
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod chain_search;
 mod config;
 mod errors;
 mod exchange;
@@ -16,6 +17,7 @@
 mod proxy;
 mod refusal;
 mod server;
+mod store_link;
 mod stream;
 mod turn_cache;
 mod turn_client;
--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -1,9 +1,9 @@
 //! The program side of a turn: its budget and the turns that it goes on from.
 
+use crate::chain_search::ChainAnswer;
 use crate::gateway::Gateway;
 use crate::inbound::{Inbound, ProgramFields};
 use crate::refusal::Refusal;
-use crate::turn_client::ChainAnswer;
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
 use luglink_edge::Intake;
--- a/crates/gateway-server/src/turn_client.rs
+++ b/crates/gateway-server/src/turn_client.rs
@@ -1,24 +1,21 @@
 //! Reads from and writes to the turn stores.
 
+use crate::chain_search::{ChainAnswer, ChainSearch};
+use crate::store_link::StoreLink;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use luglink_fleet::{StoreName, StoreState, StoreView};
-use luglink_net::RequestClient;
 use luglink_turns::{
-    Absence, Account, Chain, ChainWish, ProgramName, Replication, Spend, StoreRequest,
-    StoreResponse, TurnId, TurnRecord,
+    Account, ChainWish, ProgramName, Replication, Spend, StoreRequest, StoreResponse, TurnId,
+    TurnRecord,
 };
-use luglink_wire::{ClientRole, Hello, PROTOCOL_VERSION, decode_body, encode_body};
 use snafu::Snafu;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Longest wait for one store.
-const ANSWER_LIMIT: Duration = Duration::from_millis(600);
-
 /// Pause before a write that too few stores took is sent again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -31,9 +28,6 @@
 /// Times that the end of a turn is told to the stores before it is left at its reservation.
 const SETTLE_TRIES: u32 = 8;
 
-/// Weight of a new sample in a store's average answer time.
-const SAMPLE_WEIGHT: f64 = 0.2;
-
 /// Too few stores answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("{acknowledged} of {needed} turn stores answered"))]
@@ -42,26 +36,6 @@
     needed: usize,
 }
 
-/// A link to one store.
-#[derive(Debug)]
-struct StoreLink {
-    client: RequestClient,
-    /// Average time to an answer, in milliseconds.
-    answer_ms: Cell<f64>,
-    is_lost: Cell<bool>,
-}
-
-/// Where a chain is.
-#[derive(Clone, Debug)]
-pub(crate) enum ChainAnswer {
-    /// The turn, last, and its ancestors, oldest first.
-    Found(Vec<Rc<TurnRecord>>),
-    /// There is no such turn.
-    Absent,
-    /// Nobody can tell now.
-    Unknown,
-}
-
 /// What the stores say at the beginning of a turn.
 #[derive(Clone, Debug)]
 pub(crate) struct Begun {
@@ -105,21 +79,12 @@
         links.retain(|name, link| {
             view.members
                 .get(name)
-                .is_some_and(|member| member.address == link.client.address())
+                .is_some_and(|member| member.address == link.address())
         });
         for (name, member) in &view.members {
-            links.entry(name.clone()).or_insert_with(|| {
-                let hello = Hello {
-                    version: PROTOCOL_VERSION,
-                    role: ClientRole::Writer,
-                    id: 0,
-                };
-                Rc::new(StoreLink {
-                    client: RequestClient::open(member.address, hello),
-                    answer_ms: Cell::new(0.0),
-                    is_lost: Cell::new(false),
-                })
-            });
+            links
+                .entry(name.clone())
+                .or_insert_with(|| Rc::new(StoreLink::open(name.clone(), member.address)));
         }
         *self.view.borrow_mut() = view;
     }
@@ -128,28 +93,53 @@
         self.replication.owners(&self.view.borrow(), &program.0)
     }
 
-    /// Asks one store. The request is on its way once the future is polled first, and stays so
-    /// when the future is dropped.
+    /// Asks one store.
     fn ask(
         &self,
         name: &StoreName,
         request: &StoreRequest,
     ) -> impl Future<Output = Answered> + use<> {
         let link = self.links.borrow().get(name).cloned();
-        let body = encode_body(request).ok();
+        let asking = link.map(|link| link.ask(request));
         let name = name.clone();
         async move {
-            let (Some(link), Some(body)) = (link, body) else {
-                return (name, None);
+            let response = match asking {
+                Some(asking) => asking.await,
+                None => None,
             };
-            let began = Instant::now();
-            let answer = link.client.request(body, ANSWER_LIMIT).await.ok();
-            let response = answer.and_then(|answer| decode_body(&answer).ok());
-            link.note(&name, began.elapsed(), response.is_some());
             (name, response)
         }
     }
 
+    /// Asks the owners of a program until a quorum of them has given an answer that `accept`
+    /// takes.
+    async fn ask_quorum(
+        &self,
+        program: &ProgramName,
+        request: &StoreRequest,
+        mut accept: impl FnMut(StoreResponse) -> bool,
+    ) -> Result<(), StoresUnavailable> {
+        let owners = self.owners(program);
+        let mut asking: FuturesUnordered<_> = owners
+            .iter()
+            .map(|owner| self.ask(owner, request))
+            .collect();
+        let needed = self.replication.quorum();
+        let mut acknowledged = 0;
+        while let Some((_, response)) = asking.next().await {
+            if response.is_some_and(&mut accept) {
+                acknowledged += 1;
+            }
+            if acknowledged >= needed {
+                return Ok(());
+            }
+        }
+        Err(StoresUnavailable {
+            acknowledged,
+            needed,
+        })
+    }
+
     /// Reserves tokens for a turn and looks its chain up, again while too few stores answer: a
     /// link that is just coming up, or a store that is just back, costs a moment and not the turn.
     pub(crate) async fn begin(
@@ -161,15 +151,8 @@
         previous: Option<&TurnId>,
     ) -> Result<Begun, StoresUnavailable> {
         let deadline = Instant::now() + BEGIN_LIMIT;
-        loop {
-            let begun = self
-                .begin_once(program, turn, ceiling, retention_ms, previous)
-                .await;
-            if begun.is_ok() || Instant::now() + BEGIN_PAUSE >= deadline {
-                return begun;
-            }
-            actix_rt::time::sleep(BEGIN_PAUSE).await;
-        }
+        let try_once = || self.begin_once(program, turn, ceiling, retention_ms, previous);
+        again_until(deadline, BEGIN_PAUSE, try_once).await
     }
 
     /// Reserves tokens for a turn and looks its chain up. The chain is asked of the store that
@@ -254,7 +237,7 @@
                 () = &mut grace => break,
             }
         }
-        if let Some(found) = search.take_complete() {
+        if let Some(found) = search.complete() {
             return ChainAnswer::Found(found);
         }
         let mut asking = FuturesUnordered::new();
@@ -270,10 +253,10 @@
             if let Some(StoreResponse::Chain(chain)) = response {
                 search.note(&view, &name, chain);
             }
-            if let Some(found) = search.take_complete() {
+            if let Some(found) = search.complete() {
                 return ChainAnswer::Found(found);
             }
-            if search.head.is_none() && search.absence.is_certain(&view, self.replication) {
+            if search.is_absent(&view, self.replication) {
                 return ChainAnswer::Absent;
             }
         }
@@ -283,23 +266,16 @@
     /// Reads a program's account from enough stores to see every reservation that counts.
     pub(crate) async fn account(&self, program: &ProgramName) -> Option<Account> {
         let request = StoreRequest::Account(program.clone());
-        let owners = self.owners(program);
-        let mut asking: FuturesUnordered<_> = owners
-            .iter()
-            .map(|owner| self.ask(owner, &request))
-            .collect();
         let mut account = Account::default();
-        let mut answers = 0;
-        while let Some((_, response)) = asking.next().await {
-            if let Some(StoreResponse::Account(copy)) = response {
+        let merge = |response| match response {
+            StoreResponse::Account(copy) => {
                 account.merge(&copy);
-                answers += 1;
-            }
-            if answers >= self.replication.quorum() {
-                return Some(account);
+                true
             }
-        }
-        None
+            _ => false,
+        };
+        let asked = self.ask_quorum(program, &request, merge).await;
+        asked.ok().map(|()| account)
     }
 
     /// Tells the stores what a turn took; again and again while too few take it.
@@ -335,19 +311,16 @@
         carried: &[Rc<TurnRecord>],
         deadline: Instant,
     ) -> Result<(), StoresUnavailable> {
-        loop {
+        let try_once = || async {
             let request = StoreRequest::Keep {
                 epoch: self.epoch(),
                 turn: Box::new(turn.clone()),
                 tokens,
                 carried: carried.iter().map(|turn| (**turn).clone()).collect(),
             };
-            let result = self.write(&turn.program, &request).await;
-            if result.is_ok() || Instant::now() + REPEAT_PAUSE >= deadline {
-                return result;
-            }
-            actix_rt::time::sleep(REPEAT_PAUSE).await;
-        }
+            self.write(&turn.program, &request).await
+        };
+        again_until(deadline, REPEAT_PAUSE, try_once).await
     }
 
     async fn write(
@@ -355,28 +328,9 @@
         program: &ProgramName,
         request: &StoreRequest,
     ) -> Result<(), StoresUnavailable> {
-        let owners = self.owners(program);
-        let mut asking: FuturesUnordered<_> = owners
-            .iter()
-            .map(|owner| self.ask(owner, request))
-            .collect();
-        let needed = self.replication.quorum();
-        let mut acknowledged = 0;
-        while let Some((_, response)) = asking.next().await {
-            if matches!(
-                response,
-                Some(StoreResponse::Done | StoreResponse::Spent { .. })
-            ) {
-                acknowledged += 1;
-            }
-            if acknowledged >= needed {
-                return Ok(());
-            }
-        }
-        Err(StoresUnavailable {
-            acknowledged,
-            needed,
-        })
+        let is_written =
+            |response| matches!(response, StoreResponse::Done | StoreResponse::Spent { .. });
+        self.ask_quorum(program, request, is_written).await
     }
 
     fn nearest(&self, owners: &[StoreName]) -> Option<StoreName> {
@@ -388,8 +342,8 @@
                 .members
                 .get(*name)
                 .is_some_and(|member| member.state == StoreState::Active);
-            let lost = link.is_none_or(|link| link.is_lost.get());
-            let micros = link.map_or(0, |link| (link.answer_ms.get() * 1_000.0) as u64);
+            let lost = link.is_none_or(|link| link.is_lost());
+            let micros = link.map_or(0, |link| link.answer_micros());
             (!filled, lost, micros)
         };
         owners.iter().min_by_key(rank).cloned()
@@ -399,65 +353,20 @@
 /// Time that the store that was asked for a chain gets beyond the quorum, before all are asked.
 const FIRST_STORE_GRACE: Duration = Duration::from_millis(15);
 
-impl StoreLink {
-    fn note(&self, name: &StoreName, time: Duration, answered: bool) {
-        if self.is_lost.replace(!answered) == answered {
-            if answered {
-                tracing::info!(store = %name, "turn store regained");
-            } else {
-                tracing::warn!(store = %name, "turn store lost");
-            }
-        }
-        let sample = time.as_secs_f64() * 1_000.0;
-        let average = self.answer_ms.get();
-        self.answer_ms.set(if average > 0.0 {
-            average + SAMPLE_WEIGHT * (sample - average)
-        } else {
-            sample
-        });
-    }
-}
-
-/// Puts a chain together from what several stores have of it.
-#[derive(Default)]
-struct ChainSearch {
-    head: Option<Rc<TurnRecord>>,
-    ancestors: BTreeMap<TurnId, Rc<TurnRecord>>,
-    absence: Absence,
-    /// Whether any store has answered.
-    has_answer: bool,
-}
-
-impl ChainSearch {
-    fn note(&mut self, view: &StoreView, store: &StoreName, chain: Chain) {
-        self.has_answer = true;
-        self.absence.note(view, store, &chain);
-        if let Chain::Found { turn, ancestors } = chain {
-            self.head = Some(Rc::new(*turn));
-            for ancestor in ancestors {
-                self.ancestors
-                    .insert(ancestor.id.clone(), Rc::new(ancestor));
-            }
-        }
-    }
-
-    fn is_complete(&self) -> bool {
-        self.head.as_ref().is_some_and(|head| {
-            let mut ancestors = head.ancestors.iter();
-            ancestors.all(|ancestor| self.ancestors.contains_key(ancestor))
-        })
-    }
-
-    fn take_complete(&self) -> Option<Vec<Rc<TurnRecord>>> {
-        if !self.is_complete() {
-            return None;
+/// Tries until it succeeds, or until another try would begin after `deadline`.
+async fn again_until<Value, Trying>(
+    deadline: Instant,
+    pause: Duration,
+    try_once: impl Fn() -> Trying,
+) -> Result<Value, StoresUnavailable>
+where
+    Trying: Future<Output = Result<Value, StoresUnavailable>>,
+{
+    loop {
+        let result = try_once().await;
+        if result.is_ok() || Instant::now() + pause >= deadline {
+            return result;
         }
-        let head = self.head.as_ref()?;
-        let ancestors = head.ancestors.iter();
-        let mut chain: Vec<Rc<TurnRecord>> = ancestors
-            .filter_map(|ancestor| self.ancestors.get(ancestor).cloned())
-            .collect();
-        chain.push(Rc::clone(head));
-        Some(chain)
+        actix_rt::time::sleep(pause).await;
     }
 }
