Prefer replicas with a connection at rest

Change: among near replicas of the same load, one with a connection at rest goes first.

Test: a_replica_with_a_connection_at_rest_is_preferred_until_it_is_busier_or_farther.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -9,6 +9,11 @@
 /// of its slots.
 const OTHER_ZONE_COST: f64 = 0.08;
 
+/// Load that a replica without a connection at rest counts as having more: a new connection
+/// costs it and the request time, and far more of them are opened when each gateway spreads few
+/// requests over all replicas.
+const CONNECTION_COST: f64 = 0.04;
+
 /// Load up to which a replica that already holds the prompt is preferred, in shares of slots
 /// above the least loaded one.
 const CACHE_WORTH: f64 = 0.5;
@@ -142,9 +147,15 @@
     }
 
     /// Chooses a replica, or `None` when no replica of the service may get the request. Replicas
-    /// that failed lately are taken only when no other is left.
+    /// that failed lately are taken only when no other is left. `is_connected` says whether a
+    /// connection to a replica is at rest.
     #[must_use]
-    pub fn choose(&self, wish: &Wish<'_>, now: Timestamp) -> Option<Choice> {
+    pub fn choose(
+        &self,
+        wish: &Wish<'_>,
+        is_connected: impl Fn(&BackendId) -> bool,
+        now: Timestamp,
+    ) -> Option<Choice> {
         let fits = |member: &&Member| {
             member.backend.service == wish.service
                 && !member.backend.draining
@@ -158,9 +169,14 @@
         let fastest = self.fastest(wish.service);
         let best = sound
             .min_by(|left, right| {
-                let left = self.cost(left, wish, fastest, now);
-                let right = self.cost(right, wish, fastest, now);
-                left.total_cmp(&right)
+                let cost = |member: &Member| {
+                    let connecting = match is_connected(&member.backend.id) {
+                        true => 0.0,
+                        false => CONNECTION_COST,
+                    };
+                    connecting + self.cost(member, wish, fastest, now)
+                };
+                cost(left).total_cmp(&cost(right))
             })
             .or_else(|| {
                 let ejected = self.members.values().filter(fits);
--- a/crates/edge/tests/pool.rs
+++ b/crates/edge/tests/pool.rs
@@ -29,7 +29,8 @@
 }
 
 fn chosen(pool: &Pool, wish: &Wish<'_>, now: Timestamp) -> Option<String> {
-    pool.choose(wish, now).map(|choice| choice.backend.id.0)
+    pool.choose(wish, |_| true, now)
+        .map(|choice| choice.backend.id.0)
 }
 
 fn wish() -> Wish<'static> {
@@ -173,3 +174,30 @@
     let later = now.plus(Duration::from_secs(60));
     assert_eq!(chosen(&pool, &wish(), later).unwrap(), "grey");
 }
+
+#[test]
+fn a_replica_with_a_connection_at_rest_is_preferred_until_it_is_busier_or_farther() {
+    let mut pool = pool(vec![
+        backend("new", "here"),
+        backend("kept", "here"),
+        backend("far", "there"),
+    ]);
+    let chosen = |pool: &Pool, connected: &str, draw| {
+        let wish = Wish { draw, ..wish() };
+        pool.choose(&wish, |id| id.0 == connected, Timestamp::ZERO)
+            .map(|choice| choice.backend.id.0)
+            .unwrap()
+    };
+    for draw in 0..100 {
+        assert_eq!(chosen(&pool, "kept", draw), "kept");
+        assert_ne!(
+            chosen(&pool, "far", draw),
+            "far",
+            "a connection is not worth the way"
+        );
+    }
+    pool.begin(&id("kept"));
+    for draw in 0..100 {
+        assert_eq!(chosen(&pool, "kept", draw), "new");
+    }
+}
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -113,7 +113,11 @@
     gateway
         .pool
         .borrow()
-        .choose(&wish, gateway.now())
+        .choose(
+            &wish,
+            |replica| gateway.upstream.has_resting(replica),
+            gateway.now(),
+        )
         .map(|choice| choice.backend)
         .ok_or_else(|| attempts.nowhere("no replica can take the request"))
 }
--- a/crates/gateway-server/src/upstream.rs
+++ b/crates/gateway-server/src/upstream.rs
@@ -126,6 +126,19 @@
         self.replicas.borrow_mut().retain(|id, _| pool.lists(id));
     }
 
+    /// Whether a kept connection to a replica can be used again.
+    pub(crate) fn has_resting(&self, replica: &BackendId) -> bool {
+        let replicas = self.replicas.borrow();
+        let Some(home) = replicas.get(replica) else {
+            return false;
+        };
+        let resting = home.resting.borrow();
+        let newest = resting.last();
+        newest.is_some_and(|(connection, until)| {
+            *until > Instant::now() && connection.is_ready() && !connection.is_closed()
+        })
+    }
+
     /// A connection to a replica, a kept one before a new one. At most `limit` are open at once.
     pub(crate) async fn acquire(
         &self,
