Bound simulated runs by their events

Cause: a run in which something does the same again and again never ended: a mutation that leaves the sync out of the write-ahead log kept `chaos` busy for ever.

Change: a run ends in an error after so many events; scenarios after 5,000,000.

Nothing of the product is changed. Open: what goes round and round there.

Test: a_run_is_bounded_by_its_events.

--- a/crates/lab/src/sim/clock.rs
+++ b/crates/lab/src/sim/clock.rs
@@ -7,7 +7,7 @@
 use nexosim::simulation::{Mailbox, SimInit, SimulationError};
 use nexosim::time::MonotonicTime;
 use serde::{Deserialize, Serialize};
-use snafu::{ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -29,6 +29,14 @@
         /// Why not.
         source: nexosim::simulation::ExecutionError,
     },
+    /// The run does not end.
+    #[snafu(display("no end after {events} events, at {at}"))]
+    Endless {
+        /// Events that happened.
+        events: u64,
+        /// Virtual time that they took it to.
+        at: MonotonicTime,
+    },
 }
 
 /// The model that carries the world. The engine saves models by serde; a world is not saved.
@@ -79,8 +87,8 @@
 /// Runs a world until it says that it is finished.
 ///
 /// # Errors
-/// The event engine failed.
-pub(crate) fn run(world: World) -> Result<SimResult, ClockError> {
+/// The event engine failed, or the run does not end.
+pub(crate) fn run(world: World, most_events: u64) -> Result<SimResult, ClockError> {
     let shared = Arc::new(Mutex::new(world));
     let model = WorldModel {
         world: Some(Arc::clone(&shared)),
@@ -89,11 +97,15 @@
         .add_model(model, Mailbox::new(), "world")
         .init(MonotonicTime::EPOCH)
         .context(SetupSnafu)?;
+    let mut events = 0;
     while !shared
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
         .is_finished()
     {
+        let at = simulation.time();
+        ensure!(events < most_events, EndlessSnafu { events, at });
+        events += 1;
         simulation.step().context(StepSnafu)?;
     }
     let outcome = shared
--- a/crates/lab/src/sim/config.rs
+++ b/crates/lab/src/sim/config.rs
@@ -81,8 +81,14 @@
     pub keep_prompts: bool,
     /// Virtual time after which a run ends, whatever is still under way.
     pub limit: Duration,
+    /// Events after which a run counts as endless: something in it does the same again and again
+    /// without letting time pass.
+    pub most_events: u64,
 }
 
+/// Far more events than any run has had so far.
+const MOST_EVENTS: u64 = 1_000_000_000;
+
 impl SimConfig {
     /// The size the deployment has today, with nothing wrong.
     #[must_use]
@@ -114,6 +120,7 @@
             count_traffic: false,
             keep_prompts: true,
             limit: Duration::from_secs(7_200),
+            most_events: MOST_EVENTS,
         }
     }
 
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -40,5 +40,6 @@
 /// # Errors
 /// The event engine failed, which is a defect of the simulator.
 pub fn simulate(config: SimConfig, plan: SimPlan) -> Result<SimResult, ClockError> {
-    clock::run(world::World::new(config, plan))
+    let most_events = config.most_events;
+    clock::run(world::World::new(config, plan), most_events)
 }
--- a/crates/lab/src/sim/scenario/mod.rs
+++ b/crates/lab/src/sim/scenario/mod.rs
@@ -33,6 +33,7 @@
     config.engine_silence = Duration::from_secs(4);
     config.idle_timeout = Duration::from_secs(12);
     config.limit = Duration::from_secs(900);
+    config.most_events = 5_000_000;
     config.clocks = ClockSkew {
         offset: Duration::from_millis(150),
         drift_ppm: 200,
--- a/crates/lab/tests/simulator.rs
+++ b/crates/lab/tests/simulator.rs
@@ -37,6 +37,22 @@
     simulate(config, SimPlan { replay, faults }).expect("the event engine works")
 }
 
+/// A run that does the same for ever ends in an error that says so.
+#[test]
+fn a_run_is_bounded_by_its_events() {
+    let mut config = config();
+    config.most_events = 50;
+    let plan = SimPlan {
+        replay: load(5),
+        faults: Vec::new(),
+    };
+    let error = simulate(config, plan).expect_err("fifty events are not enough");
+    assert!(
+        error.to_string().starts_with("no end after 50 events"),
+        "{error}"
+    );
+}
+
 fn fault(kind: SimFaultKind, target: impl Into<SimTarget>) -> SimFault {
     SimFault {
         at: Duration::from_millis(700),
