Ask for connections at rest only of replicas that could be chosen

Change: one pass, one evaluation each, and the question only for those that beat the best so far; a replica without failures costs no power function. The choice is the same one.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -166,28 +166,43 @@
             .values()
             .filter(fits)
             .filter(|member| member.ejected_until <= now);
-        let fastest = self.fastest(wish.service);
-        let best = sound
-            .min_by(|left, right| {
-                let cost = |member: &Member| {
-                    let connecting = match is_connected(&member.backend.id) {
-                        true => 0.0,
-                        false => CONNECTION_COST,
-                    };
-                    connecting + self.cost(member, wish, fastest, now)
-                };
-                cost(left).total_cmp(&cost(right))
-            })
-            .or_else(|| {
-                let ejected = self.members.values().filter(fits);
-                ejected.min_by_key(|member| member.ejected_until)
-            })?;
+        let best = self.cheapest(sound, wish, is_connected, now).or_else(|| {
+            let ejected = self.members.values().filter(fits);
+            ejected.min_by_key(|member| member.ejected_until)
+        })?;
         Some(Choice {
             backend: best.backend.clone(),
             in_flight: best.in_flight,
         })
     }
 
+    /// The first of the cheapest. Whether a connection is at rest is asked only of those that
+    /// could still be it: that is dearer to find out than all the rest together.
+    fn cheapest<'pool>(
+        &self,
+        members: impl Iterator<Item = &'pool Member>,
+        wish: &Wish<'_>,
+        is_connected: impl Fn(&BackendId) -> bool,
+        now: Timestamp,
+    ) -> Option<&'pool Member> {
+        let fastest = self.fastest(wish.service);
+        let mut best: Option<(f64, &Member)> = None;
+        for member in members {
+            let mut cost = self.cost(member, wish, fastest, now);
+            let is_beaten = |cost: f64| best.is_some_and(|(least, _)| least <= cost);
+            if is_beaten(cost) {
+                continue;
+            }
+            if !is_connected(&member.backend.id) {
+                cost += CONNECTION_COST;
+            }
+            if !is_beaten(cost) {
+                best = Some((cost, member));
+            }
+        }
+        best.map(|(_, member)| member)
+    }
+
     fn fastest(&self, service: &str) -> f64 {
         self.members
             .values()
@@ -301,6 +316,9 @@
 impl Member {
     /// Share of failures lately, fading with time.
     fn trouble_at(&self, now: Timestamp) -> f64 {
+        if self.trouble == 0.0 {
+            return 0.0;
+        }
         let half_lives =
             now.since(self.troubled_at).as_secs_f64() / TROUBLE_HALF_LIFE.as_secs_f64();
         self.trouble * 0.5_f64.powf(half_lives)
