--- a/crates/edge/src/load_shedding.rs
+++ b/crates/edge/src/load_shedding.rs
@@ -42,7 +42,7 @@
 const STALE_AFTER: Duration = Duration::from_secs(1);
 
 /// Longest time after which a refused program is told to come back. Load may fall sooner than
-/// the level alone would let it in.
+/// the share alone would let it in.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Whether a new program is let in.
