Start metrics and name routes in force in one place each

Cause: reading the change again: three programs each unwrapped the optional address of their metrics in the same four lines, and two tables that forget routes each found the names in force in a way of their own, one of them by looking through all routes for each entry.

Change: the metrics server takes the optional address; a configuration gives the names of its routes. Behaviour is the same.

--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -75,10 +75,8 @@
     let resolutions = bind(config.member.resolution_listen).await?;
     let member = MemberId(u32::from(fleet.ip));
     let metrics = MemberMetrics::new()?;
-    let metrics_address = match config.member.metrics_listen {
-        Some(address) => luglink_metrics_server::start(address, metrics.registry.clone()).await,
-        None => None,
-    };
+    let metrics_address =
+        luglink_metrics_server::start(config.member.metrics_listen, &metrics.registry).await;
     tracing::info!(name = fleet.name, %address, "control member started");
     let peers = Peers::by_address(member, fleet.member_port());
     let actor = ControlActor::reopening(peers, reopen(config.clone(), member)).start();
--- a/crates/edge/src/configuration.rs
+++ b/crates/edge/src/configuration.rs
@@ -1,6 +1,7 @@
 //! The configuration that operators put in force as one document.
 
 use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
 use std::time::Duration;
 
 /// What may be repeated.
@@ -139,6 +140,15 @@
 }
 
 impl Configuration {
+    /// Names of all routes.
+    #[must_use]
+    pub fn route_names(&self) -> HashSet<&str> {
+        self.routes
+            .iter()
+            .map(|route| route.name.as_str())
+            .collect()
+    }
+
     /// The service of that name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
--- a/crates/edge/src/load_shedding.rs
+++ b/crates/edge/src/load_shedding.rs
@@ -108,8 +108,8 @@
 
     /// Forgets routes that are not in force any more.
     pub fn keep_only(&mut self, configuration: &Configuration) {
-        self.routes
-            .retain(|name, _| configuration.routes.iter().any(|route| route.name == *name));
+        let names = configuration.route_names();
+        self.routes.retain(|name, _| names.contains(name.as_str()));
     }
 
     fn load(&mut self, route: &Route, now: Timestamp) -> &mut RouteLoad {
--- a/crates/edge/src/split.rs
+++ b/crates/edge/src/split.rs
@@ -1,7 +1,7 @@
 //! Which service of a split route gets a request.
 
 use crate::configuration::{Configuration, Route, Target};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 /// 2^64 divided by the golden ratio. Multiples of it, taken modulo 2^64, fill the range more
 /// evenly than random numbers do: after any number of steps each part of the range has got its
@@ -47,8 +47,7 @@
 
     /// Forgets routes that are not in force any more.
     pub fn keep_only(&mut self, configuration: &Configuration) {
-        let routes = configuration.routes.iter();
-        let names: HashSet<&str> = routes.map(|route| route.name.as_str()).collect();
+        let names = configuration.route_names();
         self.last.retain(|name, _| names.contains(name.as_str()));
     }
 }
--- a/crates/edge/tests/load_shedding.rs
+++ b/crates/edge/tests/load_shedding.rs
@@ -1,6 +1,6 @@
 //! Which new programs are let in under load.
 
-use luglink_edge::{Intake, LoadShedder, Route, RouteKind, Target};
+use luglink_edge::{Configuration, Intake, LoadShedder, Route, RouteKind, Target};
 use luglink_types::Timestamp;
 use proptest::prelude::*;
 use std::time::Duration;
@@ -138,3 +138,17 @@
         }
     }
 }
+
+#[test]
+fn a_route_that_is_not_in_force_any_more_is_forgotten() {
+    let (mut shedder, gone, stays) = (LoadShedder::default(), route("gone"), route("stays"));
+    let now = run(&mut shedder, &gone, 3 * AIM_MS, Timestamp::ZERO, 10);
+    let now = run(&mut shedder, &stays, 3 * AIM_MS, now, 10);
+    let configuration = Configuration {
+        routes: vec![stays.clone()],
+        ..Configuration::default()
+    };
+    shedder.keep_only(&configuration);
+    assert_eq!(let_in(&mut shedder, &gone, now), 1_000);
+    assert!(let_in(&mut shedder, &stays, now) < 1_000);
+}
--- a/crates/gateway-server/src/server.rs
+++ b/crates/gateway-server/src/server.rs
@@ -54,10 +54,8 @@
         address: config.listen,
     })?;
     let metrics = GatewayMetrics::new()?;
-    let metrics_address = match config.metrics_listen {
-        Some(address) => luglink_metrics_server::start(address, metrics.registry.clone()).await,
-        None => None,
-    };
+    let metrics_address =
+        luglink_metrics_server::start(config.metrics_listen, &metrics.registry).await;
     let seed = rand::rng().next_u64();
     tracing::info!(name = config.name, zone = config.zone, %address, "gateway started");
     let gateway = Rc::new(Gateway::new(config, dialect, metrics, seed));
--- a/crates/gateway-server/tests/gateway/metrics.rs
+++ b/crates/gateway-server/tests/gateway/metrics.rs
@@ -78,14 +78,17 @@
     let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = taken.local_addr().unwrap();
     let registry = luglink_telemetry::Metrics::new();
-    assert_eq!(luglink_metrics_server::start(address, registry).await, None);
+    assert_eq!(
+        luglink_metrics_server::start(Some(address), &registry).await,
+        None
+    );
 }
 
 #[actix_rt::test]
 async fn metrics_have_one_path() {
     let registry = luglink_telemetry::Metrics::new();
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let address = luglink_metrics_server::start(any, registry).await;
+    let address = luglink_metrics_server::start(Some(any), &registry).await;
     assert_eq!(metrics(address).await.status, 200);
     assert_eq!(get(address.unwrap(), "/").await.status, 404);
 }
--- a/crates/metrics-server/src/lib.rs
+++ b/crates/metrics-server/src/lib.rs
@@ -23,10 +23,11 @@
 /// Longest rest of a connection. Collectors ask every few seconds.
 const CONNECTION_IDLE: Duration = Duration::from_secs(60);
 
-/// Serves `metrics` at `address` on the current actix thread, for ever. Returns the address that
-/// was bound, or `None` when it cannot be had: a process must serve its callers also when
-/// something else has taken the port of its metrics.
-pub async fn start(address: SocketAddr, metrics: Metrics) -> Option<SocketAddr> {
+/// Serves `metrics` at `address`, when there is one, on the current actix thread, for ever.
+/// Returns the address that was bound, or `None` when it cannot be had: a process must serve its
+/// callers also when something else has taken the port of its metrics.
+pub async fn start(address: Option<SocketAddr>, metrics: &Metrics) -> Option<SocketAddr> {
+    let address = address?;
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
         Err(error) => {
@@ -35,6 +36,7 @@
         }
     };
     let bound = listener.local_addr().ok();
+    let metrics = metrics.clone();
     let handler = Rc::new(move |request: Request<Incoming>| {
         let response = answer(&metrics, &request);
         async move { Ok::<_, Abort>(response) }
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -90,10 +90,8 @@
         address: config.listen,
     })?;
     let metrics = StoreMetrics::new()?;
-    let metrics_address = match config.metrics_listen {
-        Some(address) => luglink_metrics_server::start(address, metrics.registry.clone()).await,
-        None => None,
-    };
+    let metrics_address =
+        luglink_metrics_server::start(config.metrics_listen, &metrics.registry).await;
     let node = open_node(&config).await;
     let (turns, accounts) = node.counts();
     tracing::info!(
