Let requests wait longer for a gateway that has just started

Ruled out: gateways that start late (they start 0.1 to 0.2 s after the power is back); a longer Retry-After (the first answers came 0.1 s after the refusals).

Change: a request waits up to 1.5 s, but less than half of its caller's own time (edge::patience).

--- /dev/null
+++ b/crates/edge/tests/patience.rs
@@ -0,0 +1,29 @@
+//! How long requests wait for what their gateway depends on.
+
+use luglink_edge::start_patience;
+use proptest::prelude::*;
+use std::time::Duration;
+
+/// From the start of a member's process to its fleet's first leader and the news of that, where
+/// processors are slow: seen on days that end with a loss of all power.
+const USUAL_START: Duration = Duration::from_millis(900);
+
+#[test]
+fn a_request_with_time_enough_outlasts_a_usual_start() {
+    assert!(start_patience(Some(Duration::from_secs(4))) > USUAL_START);
+    assert!(start_patience(None) > USUAL_START);
+}
+
+proptest! {
+    #[test]
+    fn a_caller_that_is_sent_away_has_more_than_half_of_its_time_left(allowed_ms in 1_u64..60_000) {
+        let allowed = Duration::from_millis(allowed_ms);
+        prop_assert!(start_patience(Some(allowed)) < allowed / 2);
+    }
+
+    #[test]
+    fn nobody_waits_for_long(allowed_ms in proptest::option::of(0_u64..10_000_000)) {
+        let patience = start_patience(allowed_ms.map(Duration::from_millis));
+        prop_assert!(patience <= Duration::from_millis(1_500));
+    }
+}
--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -6,14 +6,11 @@
 use crate::{stream, unary};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
-use luglink_edge::RouteKind;
+use luglink_edge::{RouteKind, start_patience};
 use luglink_http::{Abort, Body};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Longest time that a request waits for a gateway that has just started.
-const START_PATIENCE: Duration = Duration::from_millis(400);
-
 /// Time between looks whether it knows its configuration.
 const START_CHECK: Duration = Duration::from_millis(10);
 
@@ -65,8 +62,8 @@
 
 /// The configuration in force. A gateway that has just started is told it within moments; a
 /// request that comes meanwhile waits for that rather than spend one of its caller's tries.
-async fn current(gateway: &Gateway) -> Option<Rc<InForce>> {
-    let deadline = Instant::now() + START_PATIENCE;
+async fn current(gateway: &Gateway, request: &Request<Incoming>) -> Option<Rc<InForce>> {
+    let deadline = Instant::now() + start_patience(allowed_time(gateway, request));
     loop {
         if let Some(in_force) = gateway.in_force().filter(|_| gateway.turns.has_quorum()) {
             return Some(in_force);
@@ -78,12 +75,19 @@
     }
 }
 
+/// Time that a request's caller gives it, as far as it says so.
+fn allowed_time(gateway: &Gateway, request: &Request<Incoming>) -> Option<Duration> {
+    let name = &gateway.dialect.headers().deadline_ms;
+    let text = request.headers().get(name)?.to_str().ok()?;
+    text.trim().parse().ok().map(Duration::from_millis)
+}
+
 async fn answer(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
     in_flight: crate::gateway::InFlight,
 ) -> Result<Response<Body>, Refusal> {
-    let in_force = current(gateway)
+    let in_force = current(gateway, &request)
         .await
         .ok_or(Refusal::recovering("no configuration is known yet"))?;
     let inbound = inbound::read(gateway, &in_force, request).await?;
