Place the members on the machines of the stores

Members use 2 in 100 of a core and 2 MB, and had a machine each. The machines for data are there anyway, as many as losses must be borne, and have more processor: after a loss of all power members started 0.2 to 0.3 s earlier on them.

Ruled out: fewer gateways (the traffic's role runs on all of its machines whatever we say); several members on the core's machines in one zone (count is for each zone).

A machine that is to be emptied holds a member now, so its retirement ends only when no member on it belongs to the group: a spare votes first, a leader hands over first, and what asks to be let in again is refused (member_plan.rs, taken out of fleet.rs).

Test: a_machine_is_retired_only_once_another_member_votes_in_its_place; without the wait it fails.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -4,17 +4,18 @@
 use crate::config::ManagedConfig;
 use crate::errors::ControlError;
 use crate::machine::{CONFIGURATION_GROUP, LoggedCommand, encode};
+use crate::member_plan::{MemberPlan, MemberStep};
 use crate::node::ControlNode;
 use crate::protocol::{RequestToken, Response};
 use luglink_fleet::{
     BackendHistory, BackendList, BackendReport, Known, News, Observation, PresenceTable,
     RetireState, StoreCommand, StoreMember, StoreName, StoreState, StoreView,
 };
-use luglink_raft::{Membership, MembershipChange, Peer, RaftNode};
+use luglink_raft::{MembershipChange, Peer};
 use luglink_storage::Disk;
-use luglink_types::Timestamp;
-use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use luglink_types::{MemberId, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 /// Silence after which a process counts as gone for those who ask where to go, in times that an
@@ -253,20 +254,72 @@
     fn keep_members(&mut self, managed: &ManagedConfig) {
         let now = self.now;
         let candidates: Vec<Peer> = self.desk.candidates.keys().copied().collect();
+        let leaving = self.leaving_members();
         let Some(group) = self.groups.get_mut(&CONFIGURATION_GROUP) else {
             return;
         };
-        let Some(change) = next_member_change(&group.raft, &candidates, managed) else {
-            return;
+        let plan = MemberPlan {
+            raft: &group.raft,
+            candidates: &candidates,
+            leaving: &leaving,
+            managed,
         };
-        // Refused while an earlier change is under way; the next round tries again.
-        if group.raft.propose_membership(change, now).is_ok()
-            && let MembershipChange::AddLearner(peer) = change
-        {
-            self.desk.candidates.remove(&peer);
+        match plan.next_step() {
+            None => {}
+            Some(MemberStep::HandOver(successor)) => {
+                // A refusal means that leadership is already being handed over.
+                let _ = group.raft.transfer_leadership(successor, now);
+            }
+            Some(MemberStep::Change(change)) => {
+                // Refused while an earlier change is under way; the next round tries again.
+                if group.raft.propose_membership(change, now).is_ok()
+                    && let MembershipChange::AddLearner(peer) = change
+                {
+                    self.desk.candidates.remove(&peer);
+                }
+            }
         }
     }
 
+    /// Members on machines whose turn store was told to go: the whole machine goes with it.
+    fn leaving_members(&self) -> BTreeSet<MemberId> {
+        let Some(state) = self.configuration().and_then(|group| group.machine.state()) else {
+            return BTreeSet::new();
+        };
+        let registry = &state.stores;
+        let in_view = registry
+            .view()
+            .members
+            .iter()
+            .filter(|(_, member)| member.state == StoreState::Leaving)
+            .map(|(_, member)| member.address);
+        // A store that has gone from the view says its word until its machine is taken away.
+        let gone = self
+            .desk
+            .presence
+            .stores(self.now)
+            .filter(|(name, _, _)| {
+                registry
+                    .retirement(&StoreName((*name).to_owned()))
+                    .is_some()
+            })
+            .map(|(_, _, store)| store.address);
+        in_view
+            .chain(gone)
+            .filter_map(|address| member_at(address.ip()))
+            .collect()
+    }
+
+    /// Whether a member on the machine of that address still belongs to the group.
+    fn has_member_at(&self, address: SocketAddr) -> bool {
+        let Some(group) = self.configuration() else {
+            return false;
+        };
+        let at_address = member_at(address.ip());
+        let mut peers = group.raft.membership().peers();
+        peers.any(|peer| Some(peer.member) == at_address)
+    }
+
     fn next_store_command(&self, managed: &ManagedConfig) -> Option<StoreCommand> {
         let state = self.configuration()?.machine.state()?;
         let view = state.stores.view();
@@ -346,6 +399,8 @@
             })
     }
 
+    /// A store that is to go, whose share the others have taken over and whose machine holds no
+    /// member any more: once it is said to be empty, the machine and its disk are taken away.
     fn emptied_store(&self, view: &StoreView) -> Option<StoreCommand> {
         if view.members.values().any(is_joining) {
             return None;
@@ -354,6 +409,7 @@
         view.members
             .iter()
             .filter(|(_, member)| member.state == StoreState::Leaving)
+            .filter(|(_, member)| !self.has_member_at(member.address))
             .find(|(_, member)| self.all_handed_over(view, member.since_epoch, &nobody))
             .map(|(name, _)| StoreCommand::Remove { name: name.clone() })
     }
@@ -380,65 +436,10 @@
     member.state == StoreState::Joining
 }
 
-/// The next step towards as many live voters as are wanted. One step at a time, each safe by
-/// itself: an earlier incarnation of a peer never comes back, so it goes first.
-fn next_member_change(
-    raft: &RaftNode,
-    candidates: &[Peer],
-    managed: &ManagedConfig,
-) -> Option<MembershipChange> {
-    let membership = raft.membership();
-    let silent = |peer: &Peer| {
-        *peer != raft.me()
-            && raft
-                .silence_of(*peer)
-                .is_none_or(|silence| silence >= managed.member_silence)
-    };
-    let replaced = candidates.iter().find_map(|candidate| {
-        membership
-            .peers()
-            .find(|peer| peer.member == candidate.member && peer != candidate)
-    });
-    if let Some(earlier) = replaced {
-        return Some(MembershipChange::Remove(earlier));
-    }
-    if let Some(new) = candidates.iter().find(|peer| !membership.contains(**peer)) {
-        return Some(MembershipChange::AddLearner(*new));
-    }
-    step_of_voters(raft, membership, managed, silent)
-}
-
-fn step_of_voters(
-    raft: &RaftNode,
-    membership: &Membership,
-    managed: &ManagedConfig,
-    silent: impl Fn(&Peer) -> bool,
-) -> Option<MembershipChange> {
-    let silent_voter = membership.voters.iter().copied().find(|peer| silent(peer));
-    let spare = membership
-        .learners
-        .iter()
-        .copied()
-        .find(|peer| !silent(peer) && raft.has_caught_up(*peer));
-    let too_few = membership.voters.len() < managed.voters;
-    let too_many = membership.voters.len() > managed.voters;
-    match (silent_voter, spare) {
-        (Some(voter), _) if too_many => Some(MembershipChange::Remove(voter)),
-        (_, Some(spare)) if too_few => Some(MembershipChange::Promote(spare)),
-        (Some(_), Some(spare)) if !too_many => Some(MembershipChange::Promote(spare)),
-        _ => gone_learner(raft, membership, managed),
+/// The member on the machine of that address. Members are named by their IP numbers.
+fn member_at(ip: IpAddr) -> Option<MemberId> {
+    match ip {
+        IpAddr::V4(ip) => Some(MemberId(u32::from(ip))),
+        IpAddr::V6(_) => None,
     }
 }
-
-fn gone_learner(
-    raft: &RaftNode,
-    membership: &Membership,
-    managed: &ManagedConfig,
-) -> Option<MembershipChange> {
-    let gone = |peer: &&Peer| {
-        raft.silence_of(**peer)
-            .is_some_and(|silence| silence >= managed.forget_after)
-    };
-    let learner = membership.learners.iter().find(gone)?;
-    Some(MembershipChange::Remove(*learner))
-}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod group;
 mod identity;
 mod machine;
+mod member_plan;
 mod node;
 mod persistence;
 mod placement;
--- a/crates/control/tests/managed.rs
+++ b/crates/control/tests/managed.rs
@@ -492,6 +492,53 @@
     assert!(!fleet.store_states().contains_key("a"));
 }
 
+/// A store on the machine of a member.
+fn store_beside(member: u32) -> StorePresence {
+    StorePresence {
+        address: SocketAddr::from((std::net::Ipv4Addr::from(member), 90)),
+        ..store(1, member <= 3)
+    }
+}
+
+#[test]
+fn a_machine_is_retired_only_once_another_member_votes_in_its_place() {
+    let mut fleet = Fleet::founded();
+    fleet.start(4, MemoryDisk::default(), false);
+    for member in [1, 2, 3, 4] {
+        let name = format!("store-{member}");
+        fleet.stores.insert(name, store_beside(member));
+    }
+    fleet.run(4.0);
+    assert_eq!(fleet.voters(), members(&[1, 2, 3]));
+    let leader = fleet.leader().unwrap();
+    let name = StoreName(format!("store-{leader}"));
+    let state = |state| Response::Retirement(RetireAnswer::State(state));
+    // The spare cannot be reached: until it can, the machine stays.
+    fleet.cut_off.insert(4);
+    fleet.run(2.0);
+    let running = state(RetireState::Running);
+    assert_eq!(fleet.ask(Request::Retire(name.clone())), running);
+    fleet.run(3.0);
+    let look = Request::ReadRetirement(name);
+    assert_eq!(fleet.ask(look.clone()), running);
+    fleet.cut_off.clear();
+    fleet.run(4.0);
+    assert_eq!(fleet.ask(look), state(RetireState::Completed));
+    assert!(!fleet.voters().contains(&leader));
+    assert_eq!(fleet.voters().len(), 3);
+    // It asks to be let in until its machine is taken away, in vain.
+    fleet.run(3.0);
+    let status = fleet.nodes[&fleet.leader().unwrap()].status();
+    let membership = &status.groups[0].membership;
+    assert!(membership.peers().all(|peer| peer.member.0 != leader));
+    // One more may be lost now.
+    fleet.crash(leader);
+    let other = *fleet.voters().first().unwrap();
+    fleet.crash(other);
+    fleet.put(1, "one");
+    assert_eq!(fleet.document().unwrap().version, 1);
+}
+
 #[test]
 fn a_silent_store_is_passed_over_only_while_enough_others_are_there() {
     let mut fleet = Fleet::founded();
--- a/crates/storage/src/file_disk.rs
+++ b/crates/storage/src/file_disk.rs
@@ -171,7 +171,9 @@
 /// forgotten after a loss of power is lost with it. The folder above is synced even when the
 /// folder is there already, since the process that made it may have been killed before it did.
 fn create_folder(folder: &Path) -> std::io::Result<()> {
-    let above = folder.parent().filter(|above| !above.as_os_str().is_empty());
+    let above = folder
+        .parent()
+        .filter(|above| !above.as_os_str().is_empty());
     let above = above.unwrap_or(Path::new("."));
     if !above.is_dir() {
         create_folder(above)?;
