Wait for room at full replicas rather than send callers away

Ruled out: slow replicas, wrong choice (both replicas were full, the third was gone); the turn's own service (no arrival was declined there).

Attempts and the choice of the next replica are a module of their own (attempts.rs).

Test: a_request_waits_for_room_rather_than_be_sent_away; before, the answer was 503.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,7 +25,7 @@
 pub use events::{EventSplitter, StreamEvent};
 pub use load_shedding::{Intake, LoadShedder};
 pub use own_dialect::LuglinkDialect;
-pub use patience::start_patience;
+pub use patience::{room_patience, room_pause, start_patience};
 pub use pool::{Choice, Pool, Wish};
 pub use routing_table::RoutingTable;
 pub use sending::{Retryable, SendOutcome};
--- a/crates/edge/src/patience.rs
+++ b/crates/edge/src/patience.rs
@@ -21,3 +21,23 @@
         LONGEST_START_PATIENCE.min(allowed.mul_f64(PATIENCE_SHARE))
     })
 }
+
+/// First pause of a request for which no replica has room.
+const FIRST_ROOM_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest such pause. Room comes when any request ends, which is a matter of tens of
+/// milliseconds where requests are short.
+const LONGEST_ROOM_PAUSE: Duration = Duration::from_millis(80);
+
+/// How long a request waits for room at the replicas, in all, counted from its arrival.
+#[must_use]
+pub fn room_patience(allowed: Duration) -> Duration {
+    allowed.mul_f64(PATIENCE_SHARE)
+}
+
+/// The pause before the replicas are tried again, after `pauses` of them.
+#[must_use]
+pub fn room_pause(pauses: u32) -> Duration {
+    let doubled = FIRST_ROOM_PAUSE.saturating_mul(2_u32.saturating_pow(pauses.min(16)));
+    doubled.min(LONGEST_ROOM_PAUSE)
+}
--- a/crates/edge/tests/patience.rs
+++ b/crates/edge/tests/patience.rs
@@ -1,6 +1,6 @@
 //! How long requests wait for what their gateway depends on.
 
-use luglink_edge::start_patience;
+use luglink_edge::{room_patience, room_pause, start_patience};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -21,6 +21,18 @@
         prop_assert!(start_patience(Some(allowed)) < allowed / 2);
     }
 
+    #[test]
+    fn waits_for_room_leave_time_for_another_gateway(allowed_ms in 1_u64..60_000) {
+        let allowed = Duration::from_millis(allowed_ms);
+        prop_assert!(room_patience(allowed) < allowed / 2);
+    }
+
+    #[test]
+    fn pauses_grow_to_a_bound(pauses in 0_u32..1_000) {
+        prop_assert!(room_pause(pauses) <= room_pause(pauses + 1));
+        prop_assert!(room_pause(pauses) <= Duration::from_millis(80));
+    }
+
     #[test]
     fn nobody_waits_for_long(allowed_ms in proptest::option::of(0_u64..10_000_000)) {
         let patience = start_patience(allowed_ms.map(Duration::from_millis));
--- /dev/null
+++ b/crates/gateway-server/src/attempts.rs
@@ -0,0 +1,172 @@
+//! What has been tried for a request, and which replica is tried next.
+
+use crate::exchange::Failure;
+use crate::gateway::Gateway;
+use crate::inbound::Inbound;
+use crate::refusal::Refusal;
+use http::Response;
+use luglink_edge::{Retryable, RouteKind, Wish, room_patience, room_pause};
+use luglink_fleet::{Backend, BackendId};
+use luglink_http::Body;
+
+/// How often a request is sent at the most, declined sends included.
+const MAX_SENDS: usize = 12;
+
+/// What has been tried for a request.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    pub(crate) tried: Vec<BackendId>,
+    /// Replicas that may have run the request.
+    pub(crate) runs: u32,
+    /// Whether the request was sent to a second replica while a first one had it.
+    pub(crate) has_hedged: bool,
+    /// Those of `tried` that had no room for it. They have not run it, and may have room later.
+    full: Vec<BackendId>,
+    /// Pauses so far in which the request waited for room.
+    pauses: u32,
+}
+
+impl Attempts {
+    /// For a request that must not go to a replica.
+    pub(crate) fn besides(replica: BackendId) -> Self {
+        Self {
+            tried: vec![replica],
+            ..Self::default()
+        }
+    }
+
+    /// Notes a failure. Returns what to answer when the request may not be sent again.
+    pub(crate) fn note(
+        &mut self,
+        inbound: &Inbound,
+        backend: &Backend,
+        failure: &Failure,
+    ) -> Result<(), Refusal> {
+        if !self.tried.contains(&backend.id) {
+            self.tried.push(backend.id.clone());
+        }
+        if failure.outcome.may_have_run() {
+            self.runs += 1;
+        }
+        if failure.is_full() && !self.full.contains(&backend.id) {
+            self.full.push(backend.id.clone());
+        }
+        tracing::info!(
+            id = inbound.id,
+            replica = %backend.id,
+            reason = failure.reason,
+            runs = self.runs,
+            sends = self.tried.len(),
+            left_ms = inbound.remaining().as_millis(),
+            "a send failed"
+        );
+        if inbound.remaining().is_zero() {
+            return Err(self.out_of_time());
+        }
+        match failure.outcome.retryable(&inbound.route, self.runs) {
+            Retryable::Yes if self.tried.len() < MAX_SENDS => Ok(()),
+            Retryable::Yes => Err(self.nowhere("every replica that was tried declined")),
+            Retryable::NoNotRun => Err(Refusal::not_run("the request was not run")),
+            Retryable::NoMayHaveRun => Err(Refusal::uncertain("the answer was lost")),
+        }
+    }
+
+    /// Whether a replica's own failure need not be the last word.
+    pub(crate) fn may_do_better(&self, inbound: &Inbound, response: &Response<Body>) -> bool {
+        inbound.route.kind == RouteKind::Safe
+            && response.status().is_server_error()
+            && self.runs + 1 < inbound.route.max_attempts
+            && !inbound.remaining().is_zero()
+    }
+
+    /// Whether a second replica may get the request while `under_way` have it.
+    pub(crate) fn may_hedge(&self, inbound: &Inbound, under_way: usize) -> bool {
+        let replicas = self.runs as usize + under_way;
+        inbound.route.kind == RouteKind::Safe
+            && !self.has_hedged
+            && replicas < inbound.route.max_attempts as usize
+    }
+
+    /// Waits a moment for room at the replicas that had none, and lets them be tried again.
+    /// Returns false, without a wait, when there are none, or when the request has waited for as
+    /// long as it may.
+    async fn wait_for_room(&mut self, inbound: &Inbound) -> bool {
+        let pause = room_pause(self.pauses);
+        let allowed = inbound.deadline.saturating_duration_since(inbound.arrived);
+        let waited = inbound.arrived.elapsed() + pause;
+        if self.full.is_empty() || waited > room_patience(allowed) {
+            return false;
+        }
+        self.pauses += 1;
+        let full = std::mem::take(&mut self.full);
+        tracing::info!(
+            id = inbound.id,
+            full = full.len(),
+            pause_ms = pause.as_millis(),
+            pauses = self.pauses,
+            "a request waits for room"
+        );
+        actix_rt::time::sleep(pause).await;
+        self.tried.retain(|tried| !full.contains(tried));
+        true
+    }
+
+    fn out_of_time(&self) -> Refusal {
+        if self.runs == 0 {
+            return Refusal::not_run("no replica took the request in time");
+        }
+        Refusal::too_late("no answer in time")
+    }
+
+    /// There is no replica left to try.
+    pub(crate) fn nowhere(&self, detail: &'static str) -> Refusal {
+        if self.runs == 0 {
+            return Refusal::not_run(detail);
+        }
+        Refusal::uncertain("the answer was lost, and no other replica is left")
+    }
+}
+
+/// Chooses a replica that has not been tried.
+pub(crate) fn choose(
+    gateway: &Gateway,
+    inbound: &Inbound,
+    attempts: &Attempts,
+    cached_at: Option<&BackendId>,
+) -> Result<Backend, Refusal> {
+    let wish = Wish {
+        service: &inbound.service,
+        cached_at,
+        tried: &attempts.tried,
+        draw: gateway.draw(),
+    };
+    gateway
+        .pool
+        .borrow()
+        .choose(
+            &wish,
+            |replica| gateway.upstream.has_resting(replica),
+            gateway.now(),
+        )
+        .map(|choice| choice.backend)
+        .ok_or_else(|| attempts.nowhere("no replica can take the request"))
+}
+
+/// Chooses a replica that has not been tried. When all that are left had no room, the request
+/// waits a moment and tries them again: a caller that is sent away spends one of its few tries.
+pub(crate) async fn next_replica(
+    gateway: &Gateway,
+    inbound: &Inbound,
+    attempts: &mut Attempts,
+    cached_at: Option<&BackendId>,
+) -> Result<Backend, Refusal> {
+    loop {
+        let refusal = match choose(gateway, inbound, attempts, cached_at) {
+            Ok(backend) => return Ok(backend),
+            Err(refusal) => refusal,
+        };
+        if !attempts.wait_for_room(inbound).await {
+            return Err(refusal);
+        }
+    }
+}
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -79,6 +79,11 @@
             is_unreachable: false,
         }
     }
+
+    /// Whether the replica only had no room for the request.
+    pub(crate) fn is_full(&self) -> bool {
+        self.reason == DECLINED || self.reason == BUSY
+    }
 }
 
 /// What is sent besides the caller's request.
@@ -130,6 +135,9 @@
 
 const BUSY: &str = "no_free_connection";
 
+/// Reason of a send that its replica declined.
+const DECLINED: &str = "declined";
+
 async fn send_on_some_connection(
     gateway: &Gateway,
     inbound: &Inbound,
@@ -249,7 +257,7 @@
     if declined {
         let reason = match response.status().as_u16() {
             421 => "misdirected",
-            _ => "declined",
+            _ => DECLINED,
         };
         lease.give_back(response.headers());
         return Err(Failure::new(SendOutcome::Declined, reason));
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -1,12 +1,13 @@
 //! Requests answered by a series of events.
 
+use crate::attempts::{Attempts, choose, next_replica};
 use crate::exchange::{Answer, AtReplica, Extra, Failure, send};
 use crate::first_event::FirstEventWait;
 use crate::gateway::{Gateway, InFlight};
 use crate::inbound::{Inbound, strip_hop_by_hop};
 use crate::program::{self, TurnStart};
 use crate::refusal::Refusal;
-use crate::unary::{Attempts, choose, whole};
+use crate::unary::whole;
 use crate::upstream::Lease;
 use bytes::Bytes;
 use http::{HeaderMap, Response, header};
@@ -40,7 +41,7 @@
     let mut attempts = Attempts::default();
     let cached_at = cached_at(gateway, &inbound, &start);
     let answer = loop {
-        let backend = choose(gateway, &inbound, &attempts, cached_at.as_ref())?;
+        let backend = next_replica(gateway, &inbound, &mut attempts, cached_at.as_ref()).await?;
         match send(gateway, &inbound, &backend, &extra).await {
             Ok(answer) if answer.response.status().is_success() => break answer,
             Ok(answer) => match whole(gateway, &inbound, answer).await {
@@ -324,10 +325,7 @@
         if !is_gone {
             return Err("not_resumed");
         }
-        let attempts = Attempts {
-            tried: vec![backend.id],
-            ..Attempts::default()
-        };
+        let attempts = Attempts::besides(backend.id);
         let other = choose(&self.gateway, &self.inbound, &attempts, None);
         let other = other.map_err(|_| "nowhere_to_resume")?;
         let resumed = self.resume_at(&other).await;
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -1,5 +1,6 @@
 //! Requests with one whole answer.
 
+use crate::attempts::{Attempts, choose, next_replica};
 use crate::exchange::{Answer, Extra, Failure, send};
 use crate::gateway::Gateway;
 use crate::inbound::{Inbound, strip_hop_by_hop};
@@ -9,8 +10,8 @@
 use futures_util::stream::FuturesUnordered;
 use http::{Response, header};
 use http_body_util::BodyExt;
-use luglink_edge::{Retryable, RouteKind, SendOutcome, Wish};
-use luglink_fleet::{Backend, BackendId};
+use luglink_edge::SendOutcome;
+use luglink_fleet::Backend;
 use luglink_http::{Body, full_body};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,110 +19,6 @@
 /// Times the latency that a route aims at after which a replica counts as stuck.
 const HEDGE_FACTOR: f64 = 1.5;
 
-/// How often a request is sent at the most, declined sends included.
-const MAX_SENDS: usize = 12;
-
-/// What has been tried for a request.
-#[derive(Debug, Default)]
-pub(crate) struct Attempts {
-    pub(crate) tried: Vec<BackendId>,
-    /// Replicas that may have run the request.
-    pub(crate) runs: u32,
-    /// Whether the request was sent to a second replica while a first one had it.
-    pub(crate) has_hedged: bool,
-}
-
-impl Attempts {
-    /// Notes a failure. Returns what to answer when the request may not be sent again.
-    pub(crate) fn note(
-        &mut self,
-        inbound: &Inbound,
-        backend: &Backend,
-        failure: &Failure,
-    ) -> Result<(), Refusal> {
-        if !self.tried.contains(&backend.id) {
-            self.tried.push(backend.id.clone());
-        }
-        if failure.outcome.may_have_run() {
-            self.runs += 1;
-        }
-        tracing::info!(
-            id = inbound.id,
-            replica = %backend.id,
-            reason = failure.reason,
-            runs = self.runs,
-            sends = self.tried.len(),
-            left_ms = inbound.remaining().as_millis(),
-            "a send failed"
-        );
-        if inbound.remaining().is_zero() {
-            return Err(self.out_of_time());
-        }
-        match failure.outcome.retryable(&inbound.route, self.runs) {
-            Retryable::Yes if self.tried.len() < MAX_SENDS => Ok(()),
-            Retryable::Yes => Err(self.nowhere("every replica that was tried declined")),
-            Retryable::NoNotRun => Err(Refusal::not_run("the request was not run")),
-            Retryable::NoMayHaveRun => Err(Refusal::uncertain("the answer was lost")),
-        }
-    }
-
-    /// Whether a replica's own failure need not be the last word.
-    fn may_do_better(&self, inbound: &Inbound, response: &Response<Body>) -> bool {
-        inbound.route.kind == RouteKind::Safe
-            && response.status().is_server_error()
-            && self.runs + 1 < inbound.route.max_attempts
-            && !inbound.remaining().is_zero()
-    }
-
-    /// Whether a second replica may get the request while `under_way` have it.
-    fn may_hedge(&self, inbound: &Inbound, under_way: usize) -> bool {
-        let replicas = self.runs as usize + under_way;
-        inbound.route.kind == RouteKind::Safe
-            && !self.has_hedged
-            && replicas < inbound.route.max_attempts as usize
-    }
-
-    fn out_of_time(&self) -> Refusal {
-        if self.runs == 0 {
-            return Refusal::not_run("no replica took the request in time");
-        }
-        Refusal::too_late("no answer in time")
-    }
-
-    /// There is no replica left to try.
-    pub(crate) fn nowhere(&self, detail: &'static str) -> Refusal {
-        if self.runs == 0 {
-            return Refusal::not_run(detail);
-        }
-        Refusal::uncertain("the answer was lost, and no other replica is left")
-    }
-}
-
-/// Chooses a replica that has not been tried.
-pub(crate) fn choose(
-    gateway: &Gateway,
-    inbound: &Inbound,
-    attempts: &Attempts,
-    cached_at: Option<&BackendId>,
-) -> Result<Backend, Refusal> {
-    let wish = Wish {
-        service: &inbound.service,
-        cached_at,
-        tried: &attempts.tried,
-        draw: gateway.draw(),
-    };
-    gateway
-        .pool
-        .borrow()
-        .choose(
-            &wish,
-            |replica| gateway.upstream.has_resting(replica),
-            gateway.now(),
-        )
-        .map(|choice| choice.backend)
-        .ok_or_else(|| attempts.nowhere("no replica can take the request"))
-}
-
 /// One send to one replica, from the choice to the whole answer.
 async fn attempt(
     gateway: &Rc<Gateway>,
@@ -155,7 +52,7 @@
     let mut under_way = FuturesUnordered::new();
     loop {
         if under_way.is_empty() {
-            let backend = choose(gateway, inbound, &attempts, None)?;
+            let backend = next_replica(gateway, inbound, &mut attempts, None).await?;
             attempts.tried.push(backend.id.clone());
             under_way.push(attempt(gateway, inbound, backend));
         }
--- a/crates/gateway-server/tests/gateway/replicas.rs
+++ b/crates/gateway-server/tests/gateway/replicas.rs
@@ -155,6 +155,22 @@
     assert!(pause > 0.0);
 }
 
+#[actix_rt::test]
+async fn a_request_waits_for_room_rather_than_be_sent_away() {
+    let (fleet, replicas) = fleet(&[Script::Decline, Script::Decline]).await;
+    let asking = ask_unsafe(&fleet, "patient");
+    let making_room = async {
+        // Both have said that they have no room.
+        crate::support::until("both were asked", || async {
+            replicas.iter().all(|replica| replica.requests() > 0)
+        })
+        .await;
+        replicas[0].set(Script::Answer);
+    };
+    let (got, ()) = futures_util::future::join(asking, making_room).await;
+    assert_eq!(got.status, 200);
+}
+
 #[actix_rt::test]
 async fn a_replica_that_leaves_gets_nothing_more() {
     let (fleet, replicas) = fleet(&[Script::Answer, Script::Answer]).await;
