Tell each observer a new document by two members first

Cause: every gateway asks every member, and every member told it of each document as soon as it had it: with eight members, eight copies of a configuration of hundreds of routes to each of 47 gateways.

Change: two members, chosen by hash for each observer, tell at once; the others after a third of the time that a change may take, in case that those two can't. An observer that has just started is told by everybody.

Test: a_new_document_is_told_by_a_few_members_and_by_the_others_when_those_do_not; before, all three told.

Conclusion: kept for the bytes.

--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -152,6 +152,8 @@
     control.managed = Some(ManagedConfig {
         voters: copies,
         store_copies: copies,
+        // A third each for the change's own way, for those who tell first, and for the others.
+        document_patience: Duration::from_millis(fleet.change_ms / 3),
         freshness: Duration::from_millis(fleet.change_ms / 3),
         ..ManagedConfig::default()
     });
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -29,6 +29,9 @@
     /// What each process that observes adds to that time: so a member is asked about as often
     /// however large the fleet is.
     pub observe_hold_per_process: Duration,
+    /// Time for which a member leaves it to others to tell an observer of a new document, when it
+    /// is not among those that do so first.
+    pub document_patience: Duration,
     /// Silence of the leader after which this member's word may be out of date.
     pub freshness: Duration,
 }
@@ -44,6 +47,7 @@
             forget_after: Duration::from_secs(10),
             observe_hold: Duration::from_millis(250),
             observe_hold_per_process: Duration::from_millis(5),
+            document_patience: Duration::from_millis(700),
             freshness: Duration::from_millis(800),
         }
     }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -27,6 +27,10 @@
 /// after a start every gateway wants one: sent together they would fill this process's memory.
 const WHOLE_LISTS_AT_ONCE: usize = 4;
 
+/// Members that tell one observer of a new document at once. Each document may be large and each
+/// observer asks every member: if all told it, most of it would be told for nothing.
+const FIRST_TELLERS: usize = 2;
+
 /// An observer that waits for news.
 #[derive(Clone, Debug)]
 struct Observer {
@@ -45,9 +49,19 @@
     backends: BackendHistory,
     backends_seen: Timestamp,
     candidates: BTreeMap<Peer, Timestamp>,
+    /// Version of the document that this member applied last, and when it did.
+    document_version: u64,
+    document_since: Timestamp,
 }
 
 impl FleetDesk {
+    fn note_document(&mut self, version: u64, now: Timestamp) {
+        if self.document_version != version {
+            self.document_version = version;
+            self.document_since = now;
+        }
+    }
+
     pub(crate) fn forget_client(&mut self, client: u64) {
         self.observers
             .retain(|observer| observer.token.client != client);
@@ -134,17 +148,18 @@
     /// Answers observers that have news or have waited long enough.
     pub(crate) fn answer_observers(&mut self) {
         let now = self.now;
+        self.desk.note_document(self.document_version(), now);
         let mut whole_lists = 0;
         let observers = std::mem::take(&mut self.desk.observers);
         for observer in observers {
-            let is_due = now >= observer.until || self.has_news(&observer.known);
+            let is_due = now >= observer.until || self.has_news(&observer);
             let wants_list = is_due && self.wants_whole_list(&observer.known);
             if !is_due || (wants_list && whole_lists >= WHOLE_LISTS_AT_ONCE) {
                 self.desk.observers.push(observer);
                 continue;
             }
             whole_lists += usize::from(wants_list);
-            let news = self.news_after(&observer.known);
+            let news = self.news_after(&observer);
             self.reply(observer.token, Response::News(Box::new(news)));
         }
     }
@@ -170,7 +185,29 @@
             && self.now.since(self.configuration_heard_at) < freshness
     }
 
-    fn has_news(&self, known: &Known) -> bool {
+    /// Whether this member tells an observer of the document in force. A few members do so at
+    /// once, different ones for different observers; the others wait until those have had time,
+    /// in case that they can't. An observer that has just started is told by all.
+    fn tells_document(&self, observer: &Observer) -> bool {
+        let has_started = observer.known.is_current && observer.known.document_version > 0;
+        let patience = self.config.managed_or_default().document_patience;
+        if !has_started || self.now.since(self.desk.document_since) >= patience {
+            return true;
+        }
+        let Some(group) = self.configuration() else {
+            return false;
+        };
+        let rank = |peer: Peer| {
+            let member = u64::from(peer.member.0);
+            xxhash_rust::xxh3::xxh3_64_with_seed(observer.name.as_bytes(), member)
+        };
+        let own = rank(self.identity.peer);
+        let peers = group.raft.membership().peers();
+        peers.filter(|peer| rank(*peer) < own).count() < FIRST_TELLERS
+    }
+
+    fn has_news(&self, observer: &Observer) -> bool {
+        let known = &observer.known;
         let Some(state) = self.configuration().and_then(|group| group.machine.state()) else {
             return false;
         };
@@ -181,12 +218,13 @@
                     .is_some_and(|held| held != list.fingerprint())
         });
         (!known.is_current && self.is_fresh())
-            || state.document.version() > known.document_version
+            || (state.document.version() > known.document_version && self.tells_document(observer))
             || state.stores.view().epoch > known.store_epoch
             || newer_backends
     }
 
-    fn news_after(&self, known: &Known) -> News {
+    fn news_after(&self, observer: &Observer) -> News {
+        let known = &observer.known;
         let mut news = News {
             fresh: self.is_fresh(),
             gateways: u32::try_from(self.ready_gateways().len()).unwrap_or(u32::MAX),
@@ -202,7 +240,7 @@
             .map(|peer| Ipv4Addr::from(peer.member.0))
             .collect();
         if let Some(state) = group.machine.state() {
-            if state.document.version() > known.document_version {
+            if state.document.version() > known.document_version && self.tells_document(observer) {
                 news.document = state.document.held().cloned();
             }
             if state.stores.view().epoch > known.store_epoch {
--- a/crates/control/tests/managed.rs
+++ b/crates/control/tests/managed.rs
@@ -425,6 +425,73 @@
     assert!(!fleet.replies.contains_key(&(1, number)), "nothing is new");
 }
 
+/// Members whose answer to a question brought a document.
+fn tellers(fleet: &mut Fleet, questions: &[(u32, u64)]) -> BTreeSet<u32> {
+    let replies = questions.iter().filter_map(|question| {
+        let Some(Response::News(news)) = fleet.replies.remove(question) else {
+            return None;
+        };
+        news.document.is_some().then_some(question.0)
+    });
+    replies.collect()
+}
+
+#[test]
+fn a_new_document_is_told_by_a_few_members_and_by_the_others_when_those_do_not() {
+    let mut fleet = Fleet::founded();
+    fleet.put(1, "one");
+    fleet.run(1.0);
+    let current = Known {
+        is_current: true,
+        document_version: 1,
+        ..Known::default()
+    };
+    let ask = |fleet: &mut Fleet, name: &str| -> Vec<(u32, u64)> {
+        let ask = |member| {
+            (
+                member,
+                fleet.input(member, observe(name, gateway(), current)),
+            )
+        };
+        FOUNDERS.map(ask).to_vec()
+    };
+    let leader = fleet.leader().unwrap();
+    fleet.input(leader, Request::PutDocument(document(2, "two")));
+    let mut told_first = BTreeMap::new();
+    let mut questions = BTreeMap::new();
+    for name in ["g1", "g2", "g3", "g4", "g5", "g6"] {
+        questions.insert(name, ask(&mut fleet, name));
+    }
+    // Followers learn what is committed with the next heartbeat.
+    fleet.run(0.2);
+    for (name, asked) in questions {
+        told_first.insert(name, tellers(&mut fleet, &asked));
+    }
+    assert!(
+        told_first.values().all(|told| told.len() == 2),
+        "{told_first:?}"
+    );
+    let distinct: BTreeSet<_> = told_first.values().collect();
+    assert!(distinct.len() > 1, "always the same members tell");
+    // Those who heard nothing hear it from the others a moment later.
+    fleet.run(1.0);
+    let asked = ask(&mut fleet, "g1");
+    fleet.run(0.1);
+    assert_eq!(tellers(&mut fleet, &asked), members(&FOUNDERS));
+    // A gateway that has just started is told by everyone at once.
+    fleet.put(3, "three");
+    let asked: Vec<(u32, u64)> = FOUNDERS
+        .map(|member| {
+            (
+                member,
+                fleet.input(member, observe("new", gateway(), Known::default())),
+            )
+        })
+        .to_vec();
+    fleet.run(0.1);
+    assert_eq!(tellers(&mut fleet, &asked), members(&FOUNDERS));
+}
+
 #[test]
 fn gateways_that_say_no_more_words_are_not_named() {
     let mut fleet = Fleet::founded();
