--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Daemon`] takes [`Event`]s (caller requests, control responses, engine streams, reports, the
 //! time) and gives out [`Action`]s (answers, control requests, dispatches). It does no I/O,
 //! reads no clock and draws random numbers from the seed it is given. The shell in
-//! `luglink-daemon-server`, the simulator and the hollow nodes drive the same daemon.
+//! `luglink-daemon-server` and the simulator drive the same daemon.
 //!
 //! The way of a call: wait in the queue, choose an engine, make the intent durable, dispatch,
 //! make the outcome durable, answer.
