Split the tests of the managed fleet by what they test

Change: support (the fleet in memory), members, stores, observers; the same 20 tests with the same assertions (names and the number of assertions compared), moved and not edited.

Ruled out, figures: nothing of the product changed; the 20 tests pass before and after.

--- /dev/null
+++ b/crates/control/tests/managed/main.rs
@@ -0,0 +1,6 @@
+//! A managed fleet: members and turn stores that come, go and lose their disks.
+
+mod members;
+mod observers;
+mod stores;
+mod support;
