Bound the time that an observer waits for news by the list's age

Cause: the hold grew by 5 ms for each process, to 1.45 s with 291 of them. News that nothing has changed carry the age of the list of replicas, so that age reached 0.7 + 1.45 s in every gateway, beyond the 2 s after which a gateway reads the list itself: 255 of them did, again and again. Change: no hold is longer than a quarter of that age.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -144,7 +144,7 @@
             observer: observer(fleet),
             list_address: fleet.list_address,
             list_calls_per_s: fleet.list_calls_per_s,
-            list_stale_after: Duration::from_millis(fleet.drain_ms / 2),
+            list_stale_after: fleet.list_stale_after(),
             replication: replication(fleet),
             stop_limit: stop_limit.saturating_sub(STOP_RESERVE),
             turn_cache_bytes: usize::try_from((fleet.memory_mb << 20) / TURN_CACHE_SHARE)
--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -155,6 +155,8 @@
         // A third each for the change's own way, for those who tell first, and for the others.
         document_patience: Duration::from_millis(fleet.change_ms / 3),
         freshness: Duration::from_millis(fleet.change_ms / 3),
+        // A list is told at the latest one reading and one hold after the platform showed it.
+        longest_observe_hold: fleet.list_stale_after() / 4,
         ..ManagedConfig::default()
     });
     control
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -29,6 +29,9 @@
     /// What each process that observes adds to that time: so a member is asked about as often
     /// however large the fleet is.
     pub observe_hold_per_process: Duration,
+    /// Longest time that an observer waits for news, in any fleet. News that nothing has changed
+    /// tell the list's age too, and gateways read a list themselves that seems too old.
+    pub longest_observe_hold: Duration,
     /// Time for which a member leaves it to others to tell an observer of a new document, when it
     /// is not among those that do so first.
     pub document_patience: Duration,
@@ -47,6 +50,7 @@
             forget_after: Duration::from_secs(10),
             observe_hold: Duration::from_millis(250),
             observe_hold_per_process: Duration::from_millis(5),
+            longest_observe_hold: Duration::from_millis(500),
             document_patience: Duration::from_millis(700),
             freshness: Duration::from_millis(800),
         }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -132,7 +132,8 @@
         let managed = self.config.managed_or_default();
         let processes = u32::try_from(self.desk.presence.len()).unwrap_or(u32::MAX);
         let shared = managed.observe_hold_per_process.saturating_mul(processes);
-        managed.observe_hold.max(shared)
+        let hold = managed.observe_hold.max(shared);
+        hold.min(managed.longest_observe_hold)
     }
 
     pub(crate) fn on_join(&mut self, peer: Peer) -> Response {
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::reader::Reader;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 /// Internal ports that a fleet needs: one for control members, one for stores, one for metrics.
 const NEEDED_PORTS: usize = 3;
@@ -98,6 +99,13 @@
         }
     }
 
+    /// Age from which a gateway reads the list of replicas itself: half of the time in which a
+    /// leaving replica must get no more work, so that the other half is left for reading.
+    #[must_use]
+    pub fn list_stale_after(&self) -> Duration {
+        Duration::from_millis(self.drain_ms / 2)
+    }
+
     fn port(&self, offset: u16) -> u16 {
         self.ports.first().copied().unwrap_or_default() + offset
     }
