Observe the leader and a few members instead of all of them

Cause: every gateway and store asked each of 36 members; questions grew with the product of both, so holds were long, and a gateway that fell dark was named to callers for two and a half of them. Change: a process asks the leader, some members of its zone and one elsewhere; others take the place of one that is silent or out of touch; all are asked while none hears a leader. The list of members, with leader and zones, is news of its own, so that a change of leader is told at once. The members that should tell of a new document first are named by who asks, near ones first.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -8,8 +8,9 @@
 use crate::node::ControlNode;
 use crate::protocol::{RequestToken, Response};
 use luglink_fleet::{
-    BackendHistory, BackendList, BackendReport, Known, News, Observation, PresenceTable,
-    RetireState, StoreCommand, StoreMember, StoreName, StoreState, StoreView,
+    BackendHistory, BackendList, BackendReport, HeardStore, Known, MemberList, MemberPlace,
+    MembersStamp, News, Observation, PresenceTable, RetireState, StoreCommand, StoreMember,
+    StoreName, StoreState, StoreView,
 };
 use luglink_raft::{MembershipChange, Peer};
 use luglink_storage::Disk;
@@ -27,10 +28,6 @@
 /// after a start every gateway wants one: sent together they would fill this process's memory.
 const WHOLE_LISTS_AT_ONCE: usize = 4;
 
-/// Members that tell one observer of a new document at once. Each document may be large and each
-/// observer asks every member: if all told it, most of it would be told for nothing.
-const FIRST_TELLERS: usize = 2;
-
 /// An observer that waits for news.
 #[derive(Clone, Debug)]
 struct Observer {
@@ -38,6 +35,8 @@
     name: String,
     token: RequestToken,
     known: Known,
+    /// Whether it counts on this member to be told of a new document at once.
+    tells_first: bool,
     until: Timestamp,
 }
 
@@ -116,6 +115,7 @@
             name,
             token,
             known: observation.known,
+            tells_first: observation.tells_first,
             until: self.now.plus(hold),
         });
     }
@@ -186,25 +186,57 @@
             && self.now.since(self.configuration_heard_at) < freshness
     }
 
-    /// Whether this member tells an observer of the document in force. A few members do so at
-    /// once, different ones for different observers; the others wait until those have had time,
-    /// in case that they can't. An observer that has just started is told by all.
+    /// Whether this member tells an observer of the document in force. The members that an
+    /// observer names for it do so at once; the others wait until those have had time, in case
+    /// that they can't. An observer that has just started is told by all.
     fn tells_document(&self, observer: &Observer) -> bool {
         let has_started = observer.known.is_current && observer.known.document_version > 0;
         let patience = self.config.managed_or_default().document_patience;
-        if !has_started || self.now.since(self.desk.document_since) >= patience {
-            return true;
-        }
+        !has_started || observer.tells_first || self.now.since(self.desk.document_since) >= patience
+    }
+
+    /// The control members, as observers are told of them. A member runs beside the turn store of
+    /// its address, which says in which zone that is.
+    fn member_list(&self) -> MemberList {
         let Some(group) = self.configuration() else {
-            return false;
+            return MemberList::default();
         };
-        let rank = |peer: Peer| {
-            let member = u64::from(peer.member.0);
-            xxhash_rust::xxh3::xxh3_64_with_seed(observer.name.as_bytes(), member)
+        let zones: BTreeMap<IpAddr, &str> = group
+            .machine
+            .state()
+            .map(|state| state.stores.view().members.values())
+            .into_iter()
+            .flatten()
+            .map(|store| (store.address.ip(), store.zone.as_str()))
+            .collect();
+        let place = |peer: Peer| {
+            let ip = Ipv4Addr::from(peer.member.0);
+            let zone = zones.get(&IpAddr::V4(ip)).copied().unwrap_or_default();
+            MemberPlace {
+                ip,
+                zone: zone.to_owned(),
+            }
+        };
+        let leader = group.raft.leader();
+        MemberList {
+            stamp: self.members_stamp(),
+            leader: leader.map(|peer| Ipv4Addr::from(peer.member.0)),
+            places: group.raft.membership().peers().map(place).collect(),
+        }
+    }
+
+    fn members_stamp(&self) -> MembersStamp {
+        let Some(group) = self.configuration() else {
+            return MembersStamp::default();
         };
-        let own = rank(self.identity.peer);
-        let peers = group.raft.membership().peers();
-        peers.filter(|peer| rank(*peer) < own).count() < FIRST_TELLERS
+        let (membership, _) = group.raft.log().membership();
+        let state = group.machine.state();
+        MembersStamp {
+            term: group.raft.term(),
+            knows_leader: group.raft.leader().is_some(),
+            membership,
+            stores: state.map_or(0, |state| state.stores.view().epoch),
+        }
     }
 
     fn has_news(&self, observer: &Observer) -> bool {
@@ -219,6 +251,7 @@
                     .is_some_and(|held| held != list.fingerprint())
         });
         (!known.is_current && self.is_fresh())
+            || self.members_stamp() > known.members
             || (state.document.version() > known.document_version && self.tells_document(observer))
             || state.stores.view().epoch > known.store_epoch
             || newer_backends
@@ -228,18 +261,15 @@
         let known = &observer.known;
         let mut news = News {
             fresh: self.is_fresh(),
-            gateways: u32::try_from(self.ready_gateways().len()).unwrap_or(u32::MAX),
+            gateways: self.counted_gateways(),
             ..News::default()
         };
         let Some(group) = self.configuration() else {
             return news;
         };
-        news.members = group
-            .raft
-            .membership()
-            .peers()
-            .map(|peer| Ipv4Addr::from(peer.member.0))
-            .collect();
+        if self.members_stamp() > known.members {
+            news.members = Some(self.member_list());
+        }
         if let Some(state) = group.machine.state() {
             if state.document.version() > known.document_version && self.tells_document(observer) {
                 news.document = state.document.held().cloned();
@@ -252,6 +282,14 @@
         news
     }
 
+    /// Number of gateways that take callers, at the one member that every gateway asks.
+    fn counted_gateways(&self) -> u32 {
+        if !self.leads(CONFIGURATION_GROUP) {
+            return 0;
+        }
+        u32::try_from(self.ready_gateways().len()).unwrap_or(u32::MAX)
+    }
+
     fn backend_report(&self, known: &Known) -> Option<BackendReport> {
         let known = known.backends?;
         let latest = self.desk.backends.latest().filter(|_| self.polls())?;
@@ -337,12 +375,12 @@
             .desk
             .presence
             .stores(self.now)
-            .filter(|(name, _, _)| {
+            .filter(|heard| {
                 registry
-                    .retirement(&StoreName((*name).to_owned()))
+                    .retirement(&StoreName(heard.name.to_owned()))
                     .is_some()
             })
-            .map(|(_, _, store)| store.address);
+            .map(|heard| heard.store.address);
         in_view
             .chain(gone)
             .filter_map(|address| member_at(address.ip()))
@@ -362,10 +400,10 @@
     fn next_store_command(&self, managed: &ManagedConfig) -> Option<StoreCommand> {
         let state = self.configuration()?.machine.state()?;
         let view = state.stores.view();
-        let heard: Vec<_> = self.desk.presence.stores(self.now).collect();
-        let joins = heard.iter().find_map(|(name, silence, store)| {
-            let name = StoreName((*name).to_owned());
-            if *silence >= managed.store_silence
+        let joins = self.desk.presence.stores(self.now).find_map(|heard| {
+            let HeardStore { zone, store, .. } = heard;
+            let name = StoreName(heard.name.to_owned());
+            if heard.silence >= managed.store_silence
                 || state.stores.retirement(&name) == Some(RetireState::Completed)
             {
                 return None;
@@ -379,6 +417,7 @@
             (!known).then_some(StoreCommand::Join {
                 name,
                 address: store.address,
+                zone: zone.to_owned(),
                 incarnation: store.incarnation,
                 founding: store.founding,
             })
@@ -396,8 +435,11 @@
         self.desk
             .presence
             .stores(self.now)
-            .find(|(heard, _, _)| *heard == name.0)
-            .map(|(_, silence, store)| (silence, store.incarnation, store.handed_over_epoch))
+            .find(|heard| heard.name == name.0)
+            .map(|heard| {
+                let store = heard.store;
+                (heard.silence, store.incarnation, store.handed_over_epoch)
+            })
     }
 
     /// Whether every store that may hold something has handed over for the view of `epoch`.
--- a/crates/fleet-client/src/observer.rs
+++ b/crates/fleet-client/src/observer.rs
@@ -1,12 +1,12 @@
 //! The observing loop.
 
 use luglink_control::{Request, Response};
-use luglink_fleet::{Known, News, Observation, Presence};
+use luglink_fleet::{FIRST_TELLERS, Known, MemberList, News, Observation, ObserverPlace, Presence};
 use luglink_net::RequestClient;
 use luglink_wire::{ClientRole, Hello, PROTOCOL_VERSION, decode_body, encode_body};
-use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::net::{IpAddr, SocketAddr};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,15 +19,23 @@
 /// Shortest time between two questions to one member.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(30);
 
-/// Time for which a member that nobody names any more is still asked.
-const FORGET_ROUNDS: u32 = 40;
+/// Time for which a member that was silent, or did not hear its leader, is passed over while
+/// others can take its place. About an election and the news of it.
+const AVOIDED_FOR: Duration = Duration::from_secs(2);
+
+/// Time without word from any member that hears its leader, after which every known member is
+/// asked: longer than most elections, and less than half of the shortest bound on a change (2 s).
+const ISOLATED_AFTER: Duration = Duration::from_millis(1_200);
+
+/// Time between looks whether other members should be asked.
+const PLAN_INTERVAL: Duration = Duration::from_millis(200);
 
 /// What the observer speaks for.
 pub trait Subject: 'static {
     /// The process's word of itself.
     fn presence(&self) -> Presence;
 
-    /// What the process knows.
+    /// What the process knows, but for the members, which the observer knows.
     fn known(&self) -> Known;
 
     /// Takes news. `member` is the control member that tells them.
@@ -43,12 +51,20 @@
     pub member_port: u16,
 }
 
-/// Asks every known control member again and again.
+/// Asks control members again and again: all that settings name until it has heard of the
+/// others, then those that [`MemberList::observed_by`] chooses, and all of them while none that
+/// it asks hears a leader.
 #[derive(Debug)]
 pub struct Observer<S> {
     subject: Rc<S>,
-    config: ObserverConfig,
-    members: RefCell<BTreeMap<SocketAddr, actix_rt::task::JoinHandle<()>>>,
+    member_port: u16,
+    seeds: RefCell<BTreeSet<SocketAddr>>,
+    members: RefCell<MemberList>,
+    /// Members that are passed over, until when.
+    avoided: RefCell<BTreeMap<SocketAddr, Instant>>,
+    /// When a member that hears its leader last answered.
+    fresh_at: Cell<Instant>,
+    tasks: RefCell<BTreeMap<SocketAddr, actix_rt::task::JoinHandle<()>>>,
 }
 
 impl<S: Subject> Observer<S> {
@@ -56,24 +72,80 @@
     pub fn start(subject: Rc<S>, config: ObserverConfig) -> Rc<Self> {
         let observer = Rc::new(Self {
             subject,
-            config: config.clone(),
+            member_port: config.member_port,
+            seeds: RefCell::new(config.seeds.into_iter().collect()),
             members: RefCell::default(),
+            avoided: RefCell::default(),
+            fresh_at: Cell::new(Instant::now()),
+            tasks: RefCell::default(),
         });
-        observer.add(&config.seeds);
+        observer.ask_planned();
+        actix_rt::spawn(Rc::clone(&observer).plan_again_and_again());
         observer
     }
 
-    /// Asks these members too.
+    /// Takes members that settings have come to name.
     pub fn add(self: &Rc<Self>, members: &[SocketAddr]) {
-        for member in members {
-            if !self.members.borrow().contains_key(member) {
+        self.seeds.borrow_mut().extend(members);
+        self.ask_planned();
+    }
+
+    async fn plan_again_and_again(self: Rc<Self>) {
+        loop {
+            actix_rt::time::sleep(PLAN_INTERVAL).await;
+            let now = Instant::now();
+            self.avoided.borrow_mut().retain(|_, until| *until > now);
+            self.ask_planned();
+        }
+    }
+
+    /// Asks the members of the plan that are not asked yet. Those that are asked and not in the
+    /// plan any more stop by themselves after their current question.
+    fn ask_planned(self: &Rc<Self>) {
+        for member in self.planned() {
+            if !self.tasks.borrow().contains_key(&member) {
                 tracing::info!(%member, "observing a control member");
-                let task = actix_rt::spawn(Rc::clone(self).ask_again_and_again(*member));
-                self.members.borrow_mut().insert(*member, task);
+                let task = actix_rt::spawn(Rc::clone(self).ask_again_and_again(member));
+                self.tasks.borrow_mut().insert(member, task);
             }
         }
     }
 
+    /// The members to ask, those that should tell of a new document first.
+    fn planned(&self) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        let at_port = |ip: Ipv4Addr| SocketAddr::from((ip, self.member_port));
+        if members.places.is_empty() || self.is_isolated() {
+            let named = self.seeds.borrow();
+            let everyone: BTreeSet<SocketAddr> = members
+                .addresses()
+                .map(at_port)
+                .chain(named.iter().copied())
+                .collect();
+            return everyone.into_iter().collect();
+        }
+        let presence = self.subject.presence();
+        let place = ObserverPlace {
+            name: presence.name,
+            zone: presence.zone,
+        };
+        let observed = members.observed_by(&place, &self.avoided_addresses());
+        observed.into_iter().map(at_port).collect()
+    }
+
+    fn avoided_addresses(&self) -> BTreeSet<Ipv4Addr> {
+        let avoided = self.avoided.borrow();
+        let addresses = avoided.keys().filter_map(|member| match member.ip() {
+            IpAddr::V4(ip) => Some(ip),
+            IpAddr::V6(_) => None,
+        });
+        addresses.collect()
+    }
+
+    fn is_isolated(&self) -> bool {
+        self.fresh_at.get().elapsed() >= ISOLATED_AFTER
+    }
+
     async fn ask_again_and_again(self: Rc<Self>, member: SocketAddr) {
         let hello = Hello {
             version: PROTOCOL_VERSION,
@@ -81,21 +153,24 @@
             id: 0,
         };
         let client = RequestClient::open(member, hello);
-        let mut failures = 0;
         let mut heard = false;
         let mut usual = Duration::ZERO;
-        while failures < FORGET_ROUNDS || self.config.seeds.contains(&member) {
+        while let Some(order) = self.planned().iter().position(|planned| *planned == member) {
+            let tells_first = order < FIRST_TELLERS || self.is_isolated();
             let asked = Instant::now();
-            match self.ask(&client, ANSWER_LIMIT + usual * 2).await {
+            match self
+                .ask(&client, tells_first, ANSWER_LIMIT + usual * 2)
+                .await
+            {
                 Some(news) => {
                     usual = asked.elapsed();
                     if !heard {
                         tracing::info!(%member, fresh = news.fresh, "control member regained");
                     }
                     heard = true;
-                    failures = 0;
-                    self.learn(&news);
+                    self.learn(member, &news);
                     self.subject.on_news(member, news);
+                    self.ask_planned();
                     actix_rt::time::sleep(QUESTION_INTERVAL).await;
                 }
                 None => {
@@ -103,19 +178,29 @@
                         tracing::warn!(%member, "control member lost");
                     }
                     heard = false;
-                    failures += 1;
+                    self.avoid(member);
+                    self.ask_planned();
                     actix_rt::time::sleep(FAILURE_PAUSE).await;
                 }
             }
         }
-        tracing::info!(%member, "control member forgotten");
-        self.members.borrow_mut().remove(&member);
+        tracing::info!(%member, "control member not observed any more");
+        self.tasks.borrow_mut().remove(&member);
     }
 
-    async fn ask(&self, client: &RequestClient, limit: Duration) -> Option<News> {
+    async fn ask(
+        &self,
+        client: &RequestClient,
+        tells_first: bool,
+        limit: Duration,
+    ) -> Option<News> {
         let request = Request::Observe(Box::new(Observation {
             presence: self.subject.presence(),
-            known: self.subject.known(),
+            known: Known {
+                members: self.members.borrow().stamp,
+                ..self.subject.known()
+            },
+            tells_first,
         }));
         let body = encode_body(&request).ok()?;
         let answer = client.request(body, limit).await.ok()?;
@@ -125,13 +210,30 @@
         }
     }
 
-    fn learn(self: &Rc<Self>, news: &News) {
-        let port = self.config.member_port;
-        let members: Vec<SocketAddr> = news
-            .members
-            .iter()
-            .map(|member| SocketAddr::new(IpAddr::V4(*member), port))
-            .collect();
-        self.add(&members);
+    /// Notes whether a member hears its leader, and the list of members that it tells.
+    fn learn(&self, member: SocketAddr, news: &News) {
+        if news.fresh {
+            self.fresh_at.set(Instant::now());
+            self.avoided.borrow_mut().remove(&member);
+        } else {
+            self.avoid(member);
+        }
+        let Some(list) = &news.members else { return };
+        let mut members = self.members.borrow_mut();
+        if list.stamp > members.stamp {
+            tracing::info!(
+                %member,
+                term = list.stamp.term,
+                leader = list.leader.map(tracing::field::display),
+                members = list.places.len(),
+                "new list of control members"
+            );
+            *members = list.clone();
+        }
+    }
+
+    fn avoid(&self, member: SocketAddr) {
+        let until = Instant::now() + AVOIDED_FOR;
+        self.avoided.borrow_mut().insert(member, until);
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod backend;
 mod document;
+mod members;
 mod news;
 mod placement;
 mod presence;
@@ -18,8 +19,9 @@
     Backend, BackendChanges, BackendHistory, BackendId, BackendList, BackendReport, BackendUpdate,
 };
 pub use document::{DocumentStore, VersionedDocument};
+pub use members::{FIRST_TELLERS, MemberList, MemberPlace, MembersStamp, ObserverPlace};
 pub use news::{Known, News, Observation};
 pub use placement::owners;
-pub use presence::{GatewayPresence, Presence, PresenceTable, Role, StorePresence};
+pub use presence::{GatewayPresence, HeardStore, Presence, PresenceTable, Role, StorePresence};
 pub use registry::{RetireAnswer, RetireState, StoreCommand, StoreRegistry};
 pub use view::{StoreMember, StoreName, StoreState, StoreView};
--- a/crates/fleet/src/news.rs
+++ b/crates/fleet/src/news.rs
@@ -2,10 +2,10 @@
 
 use crate::backend::BackendReport;
 use crate::document::VersionedDocument;
+use crate::members::{MemberList, MembersStamp};
 use crate::presence::Presence;
 use crate::view::StoreView;
 use serde::{Deserialize, Serialize};
-use std::net::Ipv4Addr;
 
 /// What a process has already.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +18,8 @@
     pub store_epoch: u64,
     /// Fingerprint of its list of backends, 0 for none; `None` when it needs no list.
     pub backends: Option<u64>,
+    /// How new its list of members is.
+    pub members: MembersStamp,
 }
 
 /// Says who asks and what it knows; answered at news, or after a while.
@@ -27,6 +29,9 @@
     pub presence: Presence,
     /// What it has already.
     pub known: Known,
+    /// Whether the member that is asked should tell it of a new document at once. Otherwise
+    /// others do so first, and this member only when they have had time for it.
+    pub tells_first: bool,
 }
 
 /// What is new for an observer.
@@ -41,8 +46,9 @@
     pub stores: Option<StoreView>,
     /// The list of backends, from the member that polls the platform.
     pub backends: Option<BackendReport>,
-    /// Number of gateways that share the backends' limits.
+    /// Number of gateways that share the backends' limits, from the member that hears them all;
+    /// 0 from the others.
     pub gateways: u32,
-    /// Addresses of all control members.
-    pub members: Vec<Ipv4Addr>,
+    /// A newer list of the control members.
+    pub members: Option<MemberList>,
 }
--- a/crates/fleet/src/presence.rs
+++ b/crates/fleet/src/presence.rs
@@ -48,6 +48,19 @@
     pub role: Role,
 }
 
+/// A store's last word.
+#[derive(Clone, Copy, Debug)]
+pub struct HeardStore<'table> {
+    /// Name of its machine.
+    pub name: &'table str,
+    /// Its zone.
+    pub zone: &'table str,
+    /// Time since it was heard from.
+    pub silence: Duration,
+    /// What it said.
+    pub store: &'table StorePresence,
+}
+
 /// Who was heard from lately.
 #[derive(Clone, Debug, Default)]
 pub struct PresenceTable {
@@ -95,12 +108,17 @@
     }
 
     /// Stores with the time since they were heard from.
-    pub fn stores(&self, now: Timestamp) -> impl Iterator<Item = (&str, Duration, &StorePresence)> {
+    pub fn stores(&self, now: Timestamp) -> impl Iterator<Item = HeardStore<'_>> {
         self.heard.values().filter_map(move |(heard, presence)| {
             let Role::Store(store) = &presence.role else {
                 return None;
             };
-            Some((presence.name.as_str(), now.since(*heard), store))
+            Some(HeardStore {
+                name: &presence.name,
+                zone: &presence.zone,
+                silence: now.since(*heard),
+                store,
+            })
         })
     }
 }
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -14,6 +14,8 @@
         name: StoreName,
         /// Where it listens.
         address: SocketAddr,
+        /// Its zone.
+        zone: String,
         /// Its disk.
         incarnation: u64,
         /// Whether nothing was written before it came.
@@ -94,9 +96,10 @@
             StoreCommand::Join {
                 name,
                 address,
+                zone,
                 incarnation,
                 founding,
-            } => self.join(name, *address, *incarnation, *founding),
+            } => self.join(name, (*address, zone), *incarnation, *founding),
             StoreCommand::Activate { name, incarnation } => self.activate(name, *incarnation),
             StoreCommand::Lose { name } => self.set_state(name, StoreState::Lost),
             StoreCommand::Retire { name, minimum } => return self.retire(name, *minimum),
@@ -105,7 +108,13 @@
         RetireAnswer::State(RetireState::Running)
     }
 
-    fn join(&mut self, name: &StoreName, address: SocketAddr, incarnation: u64, founding: bool) {
+    fn join(
+        &mut self,
+        name: &StoreName,
+        (address, zone): (SocketAddr, &str),
+        incarnation: u64,
+        founding: bool,
+    ) {
         let known = self.view.members.get(name);
         let is_new_disk = known.is_some_and(|member| member.incarnation != incarnation);
         let state = match known {
@@ -126,6 +135,7 @@
         self.view.epoch += 1;
         let member = StoreMember {
             address,
+            zone: zone.to_owned(),
             incarnation,
             state,
             since_epoch: self.view.epoch,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -32,6 +32,8 @@
 pub struct StoreMember {
     /// Where gateways and other stores reach it.
     pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
     /// Names its disk; a lost disk comes back under another number.
     pub incarnation: u64,
     /// What it may be relied on for.
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -19,6 +19,7 @@
     StoreCommand::Join {
         name: name(text),
         address: address(1),
+        zone: "z".to_owned(),
         incarnation,
         founding,
     }
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -30,6 +30,7 @@
             is_current: self.is_current.get() || in_force.is_none() && self.heard_fresh.get(),
             store_epoch: self.turns.epoch(),
             backends: Some(self.pool.borrow().fingerprint().unwrap_or(0)),
+            ..Known::default()
         }
     }
 
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -308,7 +308,7 @@
             document_version: u64::MAX,
             is_current: true,
             store_epoch: self.node.borrow().epoch(),
-            backends: None,
+            ..Known::default()
         }
     }
 
--- a/crates/turns/tests/store.rs
+++ b/crates/turns/tests/store.rs
@@ -198,6 +198,7 @@
     StoreCommand::Join {
         name: name(text),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: "z".to_owned(),
         incarnation,
         founding,
     }
