Name the gateways of the caller's zone, and give programs a home in it

Hypothesis: with 40 gateways and 17 replicas in a zone, programs that stay in it cross no zone and meet connections that are open already. The choice of gateways is pure and in the fleet crate now.

--- a/crates/control-server/src/resolution.rs
+++ b/crates/control-server/src/resolution.rs
@@ -6,14 +6,10 @@
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 use luglink_edge::Dialect;
+use luglink_fleet::named_gateways;
 use luglink_http::{Abort, Body, full_body};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
-/// Gateways that an answer names at the most.
-const MAX_GATEWAYS: usize = 64;
 
 /// Answers callers that ask where to go.
 #[derive(Clone, Debug)]
@@ -43,7 +39,7 @@
             return json(StatusCode::NOT_FOUND, self.dialect.problem("no such call"));
         };
         let look = self.control.send(LookAtFleet).await.unwrap_or_default();
-        let gateways = select(look.gateways, query.zone.as_deref(), self.salt);
+        let gateways = named_gateways(look.gateways, query.zone.as_deref(), self.salt);
         if gateways.is_empty() {
             let detail = self.dialect.problem("no gateway is known yet");
             return json(StatusCode::SERVICE_UNAVAILABLE, detail);
@@ -54,22 +50,6 @@
     }
 }
 
-/// As many gateways as fit, those of the caller's zone first. Of more than fit, a member always
-/// names the same ones: callers leave a gateway that is not named any more.
-fn select(
-    mut gateways: Vec<(String, SocketAddr)>,
-    zone: Option<&str>,
-    salt: u64,
-) -> Vec<SocketAddr> {
-    gateways.sort_by_cached_key(|(gateway_zone, address)| {
-        let is_far = Some(gateway_zone.as_str()) != zone;
-        let rank = xxh3_64_with_seed(address.to_string().as_bytes(), salt);
-        (is_far, rank)
-    });
-    let addresses = gateways.into_iter().map(|(_, address)| address);
-    addresses.take(MAX_GATEWAYS).collect()
-}
-
 pub(crate) fn json(status: StatusCode, body: Vec<u8>) -> Response<Body> {
     let mut response = Response::new(full_body(body));
     *response.status_mut() = status;
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -18,6 +18,10 @@
 /// above the least loaded one.
 const CACHE_WORTH: f64 = 0.5;
 
+/// Replicas of a service in a gateway's own zone from which on programs stay in the zone. With
+/// fewer, the loss of one would load the others of the zone by more than a fifth.
+const ENOUGH_NEAR: usize = 6;
+
 /// First pause of a replica that failed; doubles with each failure in a row.
 const FIRST_EJECTION: Duration = Duration::from_millis(200);
 
@@ -234,14 +238,19 @@
         load + slowness + zone + cached + trouble + tie_breaker(&member.backend.id, wish.draw)
     }
 
-    /// The replica that all gateways with the same list agree on for a program, so that its
-    /// prompts meet their cache without a word between gateways.
+    /// The replica that all gateways of a zone with the same list agree on for a program, so that
+    /// its prompts meet their cache without a word between gateways. It is one of the zone when
+    /// the zone has enough of them, and otherwise the same for all zones.
     #[must_use]
     pub fn home(&self, service: &str, program: u64) -> Option<BackendId> {
-        self.members
-            .values()
-            .map(|member| &member.backend)
-            .filter(|backend| backend.service == service && !backend.draining)
+        let serves = |backend: &&Backend| backend.service == service && !backend.draining;
+        let all = || self.members.values().map(|member| &member.backend);
+        let is_near = |backend: &&Backend| backend.zone == self.zone;
+        let near = all().filter(serves).filter(is_near).count();
+        let stays_near = near >= ENOUGH_NEAR;
+        all()
+            .filter(serves)
+            .filter(|backend| !stays_near || is_near(backend))
             .max_by_key(|backend| {
                 xxhash_rust::xxh3::xxh3_64_with_seed(backend.id.0.as_bytes(), program)
             })
--- a/crates/edge/tests/pool.rs
+++ b/crates/edge/tests/pool.rs
@@ -201,3 +201,42 @@
         assert_eq!(chosen(&pool, "kept", draw), "new");
     }
 }
+
+#[test]
+fn programs_stay_in_a_zone_that_has_enough_replicas() {
+    let in_zone = |zone: &str, count: usize| -> Vec<Backend> {
+        (0..count)
+            .map(|number| backend(&format!("{zone}-{number}"), zone))
+            .collect()
+    };
+    let homes = |near: usize| -> std::collections::BTreeSet<String> {
+        let mut backends = in_zone("here", near);
+        backends.extend(in_zone("there", 20));
+        let pool = pool(backends);
+        let homes = (0..300).filter_map(|program| pool.home(SERVICE, program));
+        homes.map(|home| home.0).collect()
+    };
+    let near = homes(8);
+    assert_eq!(
+        near.len(),
+        8,
+        "every replica of the zone is some program's home"
+    );
+    assert!(near.iter().all(|home| home.starts_with("here")));
+    let few = homes(3);
+    assert!(few.iter().any(|home| home.starts_with("there")), "{few:?}");
+}
+
+#[test]
+fn leaving_replicas_do_not_make_a_zone_large_enough() {
+    let mut backends: Vec<Backend> = (0..8)
+        .map(|number| Backend {
+            draining: number > 2,
+            ..backend(&format!("here-{number}"), "here")
+        })
+        .collect();
+    backends.push(backend("there-1", "there"));
+    let pool = pool(backends);
+    let there = (0..300).filter_map(|program| pool.home(SERVICE, program));
+    assert!(there.filter(|home| home.0 == "there-1").count() > 20);
+}
