Pass over no more stores at once than may be lost

Change: while as many stores are passed over as the deployment may lose, no other one is. Test: no_more_stores_are_passed_over_at_once_than_may_be_lost, failed before.

--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -39,6 +39,14 @@
     pub freshness: Duration,
 }
 
+impl ManagedConfig {
+    /// Turn stores that may be lost at once: any two majorities of the copies share one.
+    #[must_use]
+    pub fn tolerated_losses(&self) -> usize {
+        self.store_copies.saturating_sub(1) / 2
+    }
+}
+
 impl Default for ManagedConfig {
     fn default() -> Self {
         Self {
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -495,9 +495,15 @@
             .map(|(name, _)| StoreCommand::Remove { name: name.clone() })
     }
 
-    /// A store that is silent for long is passed over as long as enough others are there.
+    /// A store that is silent for long is passed over as long as enough others are there, and no
+    /// more of them at once than may be lost. Where more are silent, the leader is cut off from
+    /// them rather than they are gone: gateways may still reach them, and others could take over
+    /// nothing from them.
     fn silent_store(&self, view: &StoreView, managed: &ManagedConfig) -> Option<StoreCommand> {
-        if view.writable().count() <= managed.store_copies {
+        let members = view.members.values();
+        let lost = members.filter(|member| member.state == StoreState::Lost);
+        let may_lose = lost.count() < managed.tolerated_losses();
+        if !may_lose || view.writable().count() <= managed.store_copies {
             return None;
         }
         let leading_long = self
--- a/crates/control/tests/managed/stores.rs
+++ b/crates/control/tests/managed/stores.rs
@@ -110,6 +110,37 @@
     assert_eq!(fleet.document().unwrap().version, 1);
 }
 
+#[test]
+fn no_more_stores_are_passed_over_at_once_than_may_be_lost() {
+    let mut fleet = Fleet::founded();
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    for name in names {
+        fleet.stores.insert(name.to_owned(), store(1, true));
+    }
+    fleet.run(3.0);
+    // Half of the stores cannot be heard: a cut, since so many are not lost at once. Gateways may
+    // reach them all the same.
+    for name in &names[..4] {
+        fleet.stores.remove(*name);
+    }
+    let lost = |fleet: &mut Fleet| {
+        let states = fleet.store_states().into_values();
+        states.filter(|state| *state == StoreState::Lost).count()
+    };
+    for _ in 0..6 {
+        fleet.run(1.0);
+        assert!(lost(&mut fleet) <= 1, "one disk may be lost here");
+    }
+    assert_eq!(lost(&mut fleet), 1);
+    for name in &names[..4] {
+        fleet.stores.insert((*name).to_owned(), store(1, true));
+    }
+    fleet.run(2.0);
+    let states = fleet.store_states().into_values();
+    let active = states.filter(|state| *state == StoreState::Active);
+    assert_eq!(active.count(), names.len(), "all are back");
+}
+
 #[test]
 fn a_silent_store_is_passed_over_only_while_enough_others_are_there() {
     let mut fleet = Fleet::founded();
