Do not hand over again what a store has taken when the view changes

Cause: a view that changes before everything was handed over began the hand-over anew, with the turns that receivers had on their disks already. Change: turns that a disk has taken since the last view that was handed over for are remembered and passed over; a lost disk is forgotten with what it took. Test: turns_that_a_store_has_taken_are_not_sent_again_when_the_view_changes_meanwhile, failed before.

--- a/crates/turns/src/hand_over.rs
+++ b/crates/turns/src/hand_over.rs
@@ -1,10 +1,11 @@
 //! Handing over to stores that should hold something and may lack it.
 
 use crate::protocol::StoreRequest;
+use crate::record::TurnId;
 use crate::state::State;
 use luglink_fleet::{StoreName, StoreView, owners};
 use luglink_types::Timestamp;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Bytes of turns in one message at the most, passed by at most one turn.
@@ -21,6 +22,14 @@
     sent: Option<(u64, Timestamp)>,
 }
 
+/// Turns that a store has on its disk, by its word, since the last view that was handed over for.
+#[derive(Debug, Default)]
+struct Taken {
+    /// Names the disk.
+    incarnation: Option<u64>,
+    turns: BTreeSet<TurnId>,
+}
+
 /// A message that is due.
 pub(crate) struct Due {
     pub(crate) to: StoreName,
@@ -36,6 +45,8 @@
     /// Newest view for which everything was handed over.
     done: StoreView,
     queues: BTreeMap<StoreName, Queue>,
+    /// What need not be sent again when the view changes before everything was handed over.
+    taken: BTreeMap<StoreName, Taken>,
     last_number: u64,
 }
 
@@ -45,6 +56,7 @@
             view: done.clone(),
             done,
             queues: BTreeMap::new(),
+            taken: BTreeMap::new(),
             last_number: 0,
         }
     }
@@ -70,9 +82,14 @@
         }
         self.view = view;
         self.queues.clear();
+        self.forget_lost_disks();
         let mut parcels: BTreeMap<StoreName, Parcel> = BTreeMap::new();
         for turn in held.turns.values() {
-            for name in self.newcomers(&turn.record.program.0, me, copies) {
+            let newcomers = self.newcomers(&turn.record.program.0, me, copies);
+            for name in newcomers
+                .into_iter()
+                .filter(|name| !self.has_taken(name, &turn.record.id))
+            {
                 parcels
                     .entry(name)
                     .or_default()
@@ -94,6 +111,29 @@
         }
     }
 
+    fn forget_lost_disks(&mut self) {
+        let view = &self.view;
+        self.taken.retain(|name, taken| {
+            let member = view.members.get(name);
+            member.map(|member| member.incarnation) == taken.incarnation
+        });
+    }
+
+    fn has_taken(&self, store: &StoreName, turn: &TurnId) -> bool {
+        let taken = self.taken.get(store);
+        taken.is_some_and(|taken| taken.turns.contains(turn))
+    }
+
+    fn note_taken(&mut self, store: &StoreName, batch: &StoreRequest) {
+        let StoreRequest::HandOver { turns, .. } = batch else {
+            return;
+        };
+        let member = self.view.members.get(store);
+        let taken = self.taken.entry(store.clone()).or_default();
+        taken.incarnation = member.map(|member| member.incarnation);
+        taken.turns.extend(turns.iter().map(|turn| turn.id.clone()));
+    }
+
     /// Owners of a key that were not its owners in the last view that was handed over for.
     fn newcomers(&self, key: &str, me: &StoreName, copies: usize) -> Vec<StoreName> {
         let before = owners(&self.done, key, copies);
@@ -142,10 +182,13 @@
         };
         if queue.sent.is_some_and(|(sent, _)| sent == number) {
             queue.sent = None;
-            queue.batches.pop_front();
+            let batch = queue.batches.pop_front();
             if queue.batches.is_empty() {
                 self.queues.remove(by);
             }
+            if let Some(batch) = batch {
+                self.note_taken(by, &batch);
+            }
         }
     }
 
@@ -155,6 +198,7 @@
             return None;
         }
         self.done = self.view.clone();
+        self.taken.clear();
         Some(self.done.clone())
     }
 }
--- a/crates/turns/tests/store.rs
+++ b/crates/turns/tests/store.rs
@@ -350,6 +350,45 @@
     assert_eq!(acknowledged, 2, "the late word counted as one");
 }
 
+#[test]
+fn turns_that_a_store_has_taken_are_not_sent_again_when_the_view_changes_meanwhile() {
+    let mut registry = view_of(&[("a", 1), ("b", 2), ("c", 3)]);
+    let mut node = start("a", MemoryDisk::default(), 1);
+    node.set_view(registry.view().clone(), at(1));
+    ask(&mut node, keep(record("t1", "p", &[]), 1), at(1));
+    let sent_to_b = |node: &mut StoreNode<MemoryDisk>| -> Vec<(u64, usize)> {
+        let outputs = node.flush().into_iter();
+        let messages = outputs.filter_map(|output| match output {
+            Output::HandOver {
+                to,
+                number,
+                request,
+            } if to == name("b") => match *request {
+                StoreRequest::HandOver { turns, .. } => Some((number, turns.len())),
+                _ => None,
+            },
+            _ => None,
+        });
+        messages.collect()
+    };
+    registry.apply(&join("b", 9, false));
+    node.set_view(registry.view().clone(), at(2));
+    let first = sent_to_b(&mut node);
+    assert_eq!(first.len(), 1);
+    assert_eq!(first[0].1, 1, "the turn goes first");
+    node.on_hand_over_taken(&name("b"), first[0].0, at(2));
+    // Another store changes before everything was handed over.
+    registry.apply(&join("c", 8, false));
+    node.set_view(registry.view().clone(), at(3));
+    let turns: usize = sent_to_b(&mut node).iter().map(|(_, turns)| turns).sum();
+    assert_eq!(turns, 0, "b has it on its disk");
+    // A disk that is lost has lost what it had taken.
+    registry.apply(&join("b", 10, false));
+    node.set_view(registry.view().clone(), at(4));
+    let turns: usize = sent_to_b(&mut node).iter().map(|(_, turns)| turns).sum();
+    assert_eq!(turns, 1);
+}
+
 #[test]
 fn a_write_under_an_older_view_is_passed_on() {
     let mut registry = view_of(&[("a", 1), ("b", 2), ("c", 3)]);
