--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -1,6 +1,6 @@
 //! What has been tried for a request, and which replica is tried next.
 
-use crate::exchange::Failure;
+use crate::failure::Failure;
 use crate::gateway::Gateway;
 use crate::inbound::Inbound;
 use crate::refusal::Refusal;
@@ -40,12 +40,12 @@
         &mut self,
         inbound: &Inbound,
         backend: &Backend,
-        failure: &Failure,
+        failure: Failure,
     ) -> Result<(), Refusal> {
         if !self.tried.contains(&backend.id) {
             self.tried.push(backend.id.clone());
         }
-        if failure.outcome.may_have_run() {
+        if failure.outcome().may_have_run() {
             self.runs += 1;
         }
         if failure.is_full() && !self.full.contains(&backend.id) {
@@ -54,7 +54,7 @@
         tracing::info!(
             id = inbound.id,
             replica = %backend.id,
-            reason = failure.reason,
+            reason = failure.as_str(),
             runs = self.runs,
             sends = self.tried.len(),
             left_ms = inbound.remaining().as_millis(),
@@ -63,7 +63,7 @@
         if inbound.remaining().is_zero() {
             return Err(self.out_of_time());
         }
-        match failure.outcome.retryable(&inbound.route, self.runs) {
+        match failure.outcome().retryable(&inbound.route, self.runs) {
             Retryable::Yes if self.tried.len() < MAX_SENDS => Ok(()),
             Retryable::Yes => Err(self.nowhere("every replica that was tried declined")),
             Retryable::NoNotRun => Err(Refusal::not_run("the request was not run")),
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One request sent to one replica.
 
+use crate::failure::Failure;
 use crate::gateway::Gateway;
 use crate::inbound::{Inbound, strip_hop_by_hop};
 use crate::upstream::{AcquireError, Lease};
@@ -62,30 +63,6 @@
     pub(crate) at_replica: AtReplica,
 }
 
-/// A send without an answer that can be given on.
-#[derive(Clone, Debug)]
-pub(crate) struct Failure {
-    pub(crate) outcome: SendOutcome,
-    pub(crate) reason: &'static str,
-    /// Whether the replica could not be reached at all.
-    pub(crate) is_unreachable: bool,
-}
-
-impl Failure {
-    pub(crate) fn new(outcome: SendOutcome, reason: &'static str) -> Self {
-        Self {
-            outcome,
-            reason,
-            is_unreachable: false,
-        }
-    }
-
-    /// Whether the replica only had no room for the request.
-    pub(crate) fn is_full(&self) -> bool {
-        self.reason == DECLINED || self.reason == BUSY
-    }
-}
-
 /// What is sent besides the caller's request.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Extra {
@@ -106,11 +83,11 @@
     let result = send_on_some_connection(gateway, inbound, backend, extra).await;
     let end = match &result {
         Ok(_) => "answered",
-        Err(failure) => failure.reason,
+        Err(failure) => failure.as_str(),
     };
     gateway.metrics.sends.with_label_values(&[end]).inc();
     let (response, lease) =
-        result.inspect_err(|failure| note_failure(gateway, backend, failure))?;
+        result.inspect_err(|failure| note_failure(gateway, backend, *failure))?;
     Ok(Answer {
         response,
         lease,
@@ -119,25 +96,20 @@
     })
 }
 
-fn note_failure(gateway: &Gateway, backend: &Backend, failure: &Failure) {
+fn note_failure(gateway: &Gateway, backend: &Backend, failure: Failure) {
     // A full replica is not a broken one; it is only passed over by this request.
-    if failure.outcome == SendOutcome::Declined || failure.reason == BUSY {
+    if failure.is_full() || failure.outcome() == SendOutcome::Declined {
         return;
     }
     let until = gateway.pool.borrow_mut().failed(&backend.id, gateway.now());
     tracing::warn!(
         replica = %backend.id,
-        reason = failure.reason,
+        reason = failure.as_str(),
         paused_ms = until.map(|until| until.since(gateway.now()).as_millis()),
         "a replica failed"
     );
 }
 
-const BUSY: &str = "no_free_connection";
-
-/// Reason of a send that its replica declined.
-const DECLINED: &str = "declined";
-
 async fn send_on_some_connection(
     gateway: &Gateway,
     inbound: &Inbound,
@@ -162,11 +134,11 @@
         let sending = send_on(&mut lease, inbound, request);
         match unless_stuck(sending, suspecting).await {
             Ok(response) => return judge_head(gateway, inbound, response, lease),
-            Err(failure) if failure.outcome == SendOutcome::NotSent && was_reused => {}
+            Err(failure) if failure.outcome() == SendOutcome::NotSent && was_reused => {}
             Err(failure) => return Err(failure),
         }
     }
-    Err(Failure::new(SendOutcome::NotSent, "connections_closed"))
+    Err(Failure::ConnectionsClosed)
 }
 
 /// Waits for an answer. Once that takes much too long, `suspecting` runs beside it.
@@ -196,13 +168,9 @@
     match error {
         AcquireError::Unreachable { source } => {
             tracing::debug!(error = %source, "a replica cannot be reached");
-            Failure {
-                outcome: SendOutcome::NotSent,
-                reason: "unreachable",
-                is_unreachable: true,
-            }
+            Failure::Unreachable
         }
-        AcquireError::Busy => Failure::new(SendOutcome::NotSent, BUSY),
+        AcquireError::Busy => Failure::NoFreeConnection,
     }
 }
 
@@ -221,19 +189,18 @@
     inbound: &Inbound,
     request: Request<Body>,
 ) -> Result<Response<Incoming>, Failure> {
-    let closed = Failure::new(SendOutcome::NotSent, "connection_closed");
     let Some(connection) = lease.connection() else {
-        return Err(closed);
+        return Err(Failure::ConnectionClosed);
     };
     let sending = connection.send(request);
     match actix_rt::time::timeout(inbound.remaining(), sending).await {
         Ok(Ok(response)) => Ok(response),
-        Ok(Err(SendError::NotSent { .. })) => Err(closed),
+        Ok(Err(SendError::NotSent { .. })) => Err(Failure::ConnectionClosed),
         Ok(Err(SendError::Broken { source })) => {
             tracing::debug!(id = inbound.id, error = %source, "a send broke");
-            Err(Failure::new(SendOutcome::Uncertain, "broken"))
+            Err(Failure::Broken)
         }
-        Err(_) => Err(Failure::new(SendOutcome::Uncertain, "no_answer_in_time")),
+        Err(_) => Err(Failure::NoAnswerInTime),
     }
 }
 
@@ -252,25 +219,24 @@
     let declined = headers.contains_key(&names.not_executed)
         || response.status() == http::StatusCode::MISDIRECTED_REQUEST;
     if echoed.is_some_and(|echoed| echoed != inbound.id) {
-        return Err(Failure::new(SendOutcome::Uncertain, "foreign_answer"));
+        return Err(Failure::ForeignAnswer);
     }
     if declined {
-        let reason = match response.status().as_u16() {
-            421 => "misdirected",
-            _ => DECLINED,
-        };
         lease.give_back(response.headers());
-        return Err(Failure::new(SendOutcome::Declined, reason));
+        return Err(match response.status() {
+            http::StatusCode::MISDIRECTED_REQUEST => Failure::Misdirected,
+            _ => Failure::Declined,
+        });
     }
     if echoed.is_none() {
-        return Err(Failure::new(SendOutcome::Uncertain, "unnamed_answer"));
+        return Err(Failure::UnnamedAnswer);
     }
     let success = response.status().is_success();
     if success && !headers.contains_key(&names.signature) {
-        return Err(Failure::new(SendOutcome::Uncertain, "unsigned_answer"));
+        return Err(Failure::UnsignedAnswer);
     }
     if headers.contains_key(header::CONTENT_ENCODING) {
-        return Err(Failure::new(SendOutcome::Uncertain, "encoded_answer"));
+        return Err(Failure::EncodedAnswer);
     }
     Ok((response, lease))
 }
@@ -281,7 +247,7 @@
     backend: &Backend,
     extra: &Extra,
 ) -> Result<Request<Body>, Failure> {
-    let unsendable = || Failure::new(SendOutcome::NotSent, "unsendable");
+    let unsendable = || Failure::Unsendable;
     let body = extra.body.clone().unwrap_or_else(|| inbound.body.clone());
     let mut request = Request::new(full_body(body.clone()));
     *request.method_mut() = inbound.head.method.clone();
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -76,12 +76,17 @@
     headers.remove("proxy-connection");
 }
 
-fn text<'head>(head: &'head Parts, name: &HeaderName) -> Option<&'head str> {
-    head.headers.get(name)?.to_str().ok()
+/// The text of a header, when it has one that can be read.
+pub(crate) fn text<'headers>(
+    headers: &'headers HeaderMap,
+    name: &HeaderName,
+) -> Option<&'headers str> {
+    headers.get(name)?.to_str().ok()
 }
 
-fn number(head: &Parts, name: &HeaderName) -> Option<u64> {
-    text(head, name)?.trim().parse().ok()
+/// The number that a header holds.
+pub(crate) fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    text(headers, name)?.trim().parse().ok()
 }
 
 /// Reads a request and finds its route.
@@ -93,20 +98,20 @@
     let arrived = Instant::now();
     let (head, incoming) = request.into_parts();
     let headers = gateway.dialect.headers();
-    let id = text(&head, &headers.request_id)
+    let id = text(&head.headers, &headers.request_id)
         .ok_or(Refusal::new(
             StatusCode::BAD_REQUEST,
             "the request has no identifier",
         ))?
         .to_owned();
-    let host = text(&head, &header::HOST)
+    let host = text(&head.headers, &header::HOST)
         .or_else(|| head.uri.host())
         .unwrap_or_default();
     let route = in_force
         .table
         .find(host, head.uri.path())
         .ok_or(Refusal::new(StatusCode::NOT_FOUND, "no route"))?;
-    let patience = number(&head, &headers.deadline_ms)
+    let patience = number(&head.headers, &headers.deadline_ms)
         .map_or(route.timeout(), Duration::from_millis)
         .min(route.timeout());
     let deadline = arrived + patience;
@@ -166,16 +171,16 @@
 
 fn program_fields(gateway: &Gateway, head: &Parts) -> Option<ProgramFields> {
     let headers = gateway.dialect.headers();
-    let name = text(head, &headers.program)?;
-    let usage = text(head, &headers.token_usage);
+    let name = text(&head.headers, &headers.program)?;
+    let usage = text(&head.headers, &headers.token_usage);
     let ceiling = usage
         .and_then(|usage| usage.split(',').nth(1))
         .and_then(|most| most.trim().parse().ok())
         .unwrap_or(0);
     Some(ProgramFields {
         name: ProgramName(name.to_owned()),
-        budget: number(head, &headers.token_budget),
+        budget: number(&head.headers, &headers.token_budget),
         ceiling,
-        previous: text(head, &headers.previous_turn).map(|id| TurnId(id.to_owned())),
+        previous: text(&head.headers, &headers.previous_turn).map(|id| TurnId(id.to_owned())),
     })
 }
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod errors;
 mod exchange;
+mod failure;
 mod first_event;
 mod gateway;
 mod inbound;
--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -21,10 +21,7 @@
 ) -> Result<Response<Body>, Abort> {
     let arrived = Instant::now();
     let in_flight = gateway.track();
-    let id = request
-        .headers()
-        .get(&gateway.dialect.headers().request_id)
-        .and_then(|value| value.to_str().ok())
+    let id = inbound::text(request.headers(), &gateway.dialect.headers().request_id)
         .unwrap_or_default()
         .to_owned();
     let path = request.uri().path().to_owned();
@@ -78,8 +75,7 @@
 /// Time that a request's caller gives it, as far as it says so.
 fn allowed_time(gateway: &Gateway, request: &Request<Incoming>) -> Option<Duration> {
     let name = &gateway.dialect.headers().deadline_ms;
-    let text = request.headers().get(name)?.to_str().ok()?;
-    text.trim().parse().ok().map(Duration::from_millis)
+    inbound::number(request.headers(), name).map(Duration::from_millis)
 }
 
 async fn answer(
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -1,7 +1,8 @@
 //! Requests answered by a series of events.
 
 use crate::attempts::{Attempts, choose, next_replica};
-use crate::exchange::{Answer, AtReplica, Extra, Failure, send};
+use crate::exchange::{Answer, AtReplica, Extra, send};
+use crate::failure::Failure;
 use crate::first_event::FirstEventWait;
 use crate::gateway::{Gateway, InFlight};
 use crate::inbound::{Inbound, strip_hop_by_hop};
@@ -46,9 +47,9 @@
             Ok(answer) if answer.response.status().is_success() => break answer,
             Ok(answer) => match whole(gateway, &inbound, answer).await {
                 Ok(response) => return Ok(response),
-                Err(failure) => attempts.note(&inbound, &backend, &failure)?,
+                Err(failure) => attempts.note(&inbound, &backend, failure)?,
             },
-            Err(failure) => attempts.note(&inbound, &backend, &failure)?,
+            Err(failure) => attempts.note(&inbound, &backend, failure)?,
         }
     };
     let waited = Waited { start, extra, wait };
@@ -321,7 +322,8 @@
             Ok(source) => return Ok(source),
             Err(failure) => failure,
         };
-        let is_gone = failure.is_unreachable || !self.gateway.pool.borrow().lists(&backend.id);
+        let is_gone =
+            failure == Failure::Unreachable || !self.gateway.pool.borrow().lists(&backend.id);
         if !is_gone {
             return Err("not_resumed");
         }
@@ -335,8 +337,7 @@
     async fn resume_at(&self, backend: &Backend) -> Result<Source, Failure> {
         let answer = send(&self.gateway, &self.inbound, backend, &self.extra).await?;
         if !answer.response.status().is_success() {
-            let outcome = luglink_edge::SendOutcome::Uncertain;
-            return Err(Failure::new(outcome, "not_resumed"));
+            return Err(Failure::NotResumed);
         }
         let (head, incoming) = answer.response.into_parts();
         Ok(Source {
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -1,7 +1,8 @@
 //! Requests with one whole answer.
 
 use crate::attempts::{Attempts, choose, next_replica};
-use crate::exchange::{Answer, Extra, Failure, send};
+use crate::exchange::{Answer, Extra, send};
+use crate::failure::Failure;
 use crate::gateway::Gateway;
 use crate::inbound::{Inbound, strip_hop_by_hop};
 use crate::refusal::Refusal;
@@ -10,7 +11,6 @@
 use futures_util::stream::FuturesUnordered;
 use http::{Response, header};
 use http_body_util::BodyExt;
-use luglink_edge::SendOutcome;
 use luglink_fleet::Backend;
 use luglink_http::{Body, full_body};
 use std::rc::Rc;
@@ -74,7 +74,7 @@
             }
             Some((_, Ok(response))) => return Ok(response),
             Some((backend, Err(failure))) => {
-                let verdict = attempts.note(inbound, &backend, &failure);
+                let verdict = attempts.note(inbound, &backend, failure);
                 // As long as another replica has it, that one's answer decides.
                 if under_way.is_empty() {
                     verdict?;
@@ -118,9 +118,9 @@
         Ok(Err(error)) => {
             tracing::debug!(id = inbound.id, replica = %backend.id, %error, "an answer broke off");
             gateway.pool.borrow_mut().failed(&backend.id, gateway.now());
-            return Err(Failure::new(SendOutcome::Uncertain, "cut_answer"));
+            return Err(Failure::CutAnswer);
         }
-        Err(_) => return Err(Failure::new(SendOutcome::Uncertain, "no_answer_in_time")),
+        Err(_) => return Err(Failure::NoAnswerInTime),
     };
     drop(at_replica);
     lease.give_back(&head.headers);
