Choose the successor of a leader in one place

Two functions chose the voter heard last; the one of a planned stop took voters that were never heard before all others, and such whose machine is to be taken away.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -126,7 +126,7 @@
     }
 
     /// Members on machines whose turn store was told to go: the whole machine goes with it.
-    fn leaving_members(&self) -> BTreeSet<MemberId> {
+    pub(crate) fn leaving_members(&self) -> BTreeSet<MemberId> {
         let Some(state) = self.configuration().and_then(|group| group.machine.state()) else {
             return BTreeSet::new();
         };
--- a/crates/control/src/member_plan.rs
+++ b/crates/control/src/member_plan.rs
@@ -111,10 +111,8 @@
         if voter != self.raft.me() {
             return Some(MemberStep::Change(MembershipChange::Remove(voter)));
         }
-        let voters = self.raft.membership().voters.iter().copied();
-        voters
-            .filter(|peer| *peer != voter && !self.is_leaving(*peer) && !self.is_silent(*peer))
-            .min_by_key(|peer| self.raft.silence_of(*peer))
+        self.raft
+            .successor(|peer| !self.is_leaving(peer) && !self.is_silent(peer))
             .map(MemberStep::HandOver)
     }
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -441,20 +441,19 @@
         }
     }
 
-    /// Hands leadership of every group to the voter that was heard from last.
+    /// Hands leadership of every group to the voter that was heard from last, before others to one
+    /// whose machine is not to be taken away.
     fn hand_over(&mut self) {
         let now = self.now;
+        let leaving = self.leaving_members();
         for group in self
             .groups
             .values_mut()
             .filter(|group| group.raft.is_leader())
         {
-            let me = group.raft.me();
-            let voters = group.raft.membership().voters.iter().copied();
-            let successor = voters
-                .filter(|peer| *peer != me)
-                .min_by_key(|peer| group.raft.silence_of(*peer));
-            if let Some(successor) = successor {
+            let stays = |peer: Peer| !leaving.contains(&peer.member);
+            let successor = group.raft.successor(stays);
+            if let Some(successor) = successor.or_else(|| group.raft.successor(|_| true)) {
                 // A refusal means that leadership is already being handed over.
                 let _ = group.raft.transfer_leadership(successor, now);
             }
--- a/crates/raft/src/replication.rs
+++ b/crates/raft/src/replication.rs
@@ -373,4 +373,15 @@
         let progress = self.progress.get(&peer)?;
         Some(self.now.since(progress.heard_at))
     }
+
+    /// The other voter that the leader heard from last, among those that `fits` accepts.
+    #[must_use]
+    pub fn successor(&self, fits: impl Fn(Peer) -> bool) -> Option<Peer> {
+        let voters = self.membership.voters.iter().copied();
+        voters
+            .filter(|peer| *peer != self.me() && fits(*peer))
+            .filter_map(|peer| Some((self.silence_of(peer)?, peer)))
+            .min()
+            .map(|(_, peer)| peer)
+    }
 }
