--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -3,8 +3,9 @@
 //!
 //! Were every process to ask every member, questions would grow with the product of both. So a
 //! process asks a few: the leader, which alone reads the list of replicas and must hear every
-//! turn store; some of its own zone, whose answers cross no zone; and one elsewhere, so that the
-//! loss of a zone's members leaves it one. Members that are silent or out of touch with their
+//! turn store; those of its own zone, whose answers cross no zone, and which so name the same
+//! gateways of the zone to callers; and one elsewhere, so that the loss of a zone's members leaves
+//! it one. Members that are silent or out of touch with their
 //! leader are replaced by others.
 
 use serde::{Deserialize, Serialize};
@@ -14,10 +15,11 @@
 
 /// Most members of which each process asks all: with so few, leaving some out saves little, and
 /// each of them is a larger part of what may be lost.
-const FEW_MEMBERS: usize = 5;
+const FEW_MEMBERS: usize = 6;
 
-/// Members of its own zone that a process asks: one may be lost without a word.
-const NEAR_MEMBERS: usize = 2;
+/// Members of its own zone that a process asks at the most. All of them in the zones of the
+/// deployments that are known: callers leave a gateway that the next member does not name.
+const NEAR_MEMBERS: usize = 4;
 
 /// Members elsewhere that a process asks, besides the leader.
 const FAR_MEMBERS: usize = 1;
@@ -88,7 +90,8 @@
         others.retain(|place| Some(place.ip) != self.leader);
         others.sort_by_key(|place| (is_avoided(place), !is_near(place), rank(place)));
         if self.places.len() > FEW_MEMBERS {
-            let mut farther = others.split_off(NEAR_MEMBERS.min(others.len()));
+            let near = others.iter().filter(|place| is_near(place)).count();
+            let mut farther = others.split_off(near.clamp(1, NEAR_MEMBERS));
             farther.sort_by_key(|place| (is_avoided(place), is_near(place), rank(place)));
             others.extend(farther.into_iter().take(FAR_MEMBERS));
         }
