--- a/crates/control-server/src/actor.rs
+++ b/crates/control-server/src/actor.rs
@@ -7,14 +7,13 @@
     CONFIGURATION_GROUP, ControlError, ControlNode, Input, Leadership, Output, ReleaseOrder,
     Request, RequestToken, Response,
 };
-use luglink_fleet::BackendList;
+use luglink_fleet::{BackendList, GatewayPlace};
 use luglink_net::{Accepted, FrameSender};
 use luglink_raft::Peer;
 use luglink_storage::FileDisk;
 use luglink_types::{EngineId, GroupId, ProgramId, Timestamp};
 use luglink_wire::{ClientRole, Frame, decode_body, encode_body};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
@@ -392,7 +391,7 @@
 #[derive(Clone, Debug, Default, actix::MessageResponse)]
 pub(crate) struct FleetLook {
     /// Gateways that take callers, with their zones.
-    pub(crate) gateways: Vec<(String, SocketAddr)>,
+    pub(crate) gateways: Vec<GatewayPlace>,
     /// Time for which callers may rely on where they are told to go.
     pub(crate) resolution_time: Duration,
     /// Whether this member polls the platform's list.
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -17,7 +17,6 @@
 use luglink_types::{MemberId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
-use std::time::Duration;
 
 /// Soft state about the fleet. A restart loses it, and the processes' next words restore it.
 #[derive(Debug, Default)]
@@ -196,17 +195,11 @@
             .or_else(|| self.forgotten_store(view))
     }
 
-    /// Silence of a store, and the newest view for which it has handed over. A store that this
-    /// member never heard counts as silent since the member leads.
-    fn store_word(&self, name: &StoreName) -> Option<(Duration, u64, u64)> {
-        self.desk
-            .presence
-            .stores(self.now)
-            .find(|heard| heard.name == name.0)
-            .map(|heard| {
-                let store = heard.store;
-                (heard.silence, store.incarnation, store.handed_over_epoch)
-            })
+    /// The last word of a store. One that this member never heard counts as silent since the
+    /// member leads.
+    fn store_word(&self, name: &StoreName) -> Option<HeardStore<'_>> {
+        let mut stores = self.desk.presence.stores(self.now);
+        stores.find(|heard| heard.name == name.0)
     }
 
     /// Whether every store that may hold something has handed over for the view of `epoch`.
@@ -217,7 +210,7 @@
             .filter(|(name, member)| *name != except && holds(member.state))
             .all(|(name, _)| {
                 self.store_word(name)
-                    .is_some_and(|(_, _, handed_over)| handed_over >= epoch)
+                    .is_some_and(|heard| heard.store.handed_over_epoch >= epoch)
             })
     }
 
@@ -278,7 +271,7 @@
             .is_some_and(|since| self.now.since(since) >= managed.store_silence);
         view.writable()
             .find(|(name, _)| match self.store_word(name) {
-                Some((silence, _, _)) => silence >= managed.store_silence,
+                Some(heard) => heard.silence >= managed.store_silence,
                 None => leading_long,
             })
             .map(|(name, _)| StoreCommand::Lose { name: name.clone() })
--- a/crates/control/src/observers.rs
+++ b/crates/control/src/observers.rs
@@ -4,14 +4,14 @@
 use crate::node::ControlNode;
 use crate::protocol::{RequestToken, Response};
 use luglink_fleet::{
-    BackendReport, Known, MemberList, MemberPlace, MembersStamp, News, Observation,
+    BackendReport, GatewayPlace, Known, MemberList, MemberPlace, MembersStamp, News, Observation,
     VersionedDocument,
 };
 use luglink_raft::Peer;
 use luglink_storage::Disk;
 use luglink_types::Timestamp;
 use std::collections::BTreeMap;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
 /// Silence after which a process counts as gone for those who ask where to go, in times that an
@@ -38,12 +38,15 @@
 impl<D: Disk> ControlNode<D> {
     /// The gateways that take callers, with their zones.
     #[must_use]
-    pub fn ready_gateways(&self) -> Vec<(String, SocketAddr)> {
+    pub fn ready_gateways(&self) -> Vec<GatewayPlace> {
         let limit = self.observe_hold().mul_f64(SILENT_HOLDS);
         self.desk
             .presence
             .ready_gateways(self.now, limit)
-            .map(|(zone, gateway)| (zone.to_owned(), gateway.address))
+            .map(|(zone, gateway)| GatewayPlace {
+                zone: zone.to_owned(),
+                address: gateway.address,
+            })
             .collect()
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,7 +21,7 @@
 };
 pub use document::{DocumentStore, VersionedDocument};
 pub use members::{FIRST_TELLERS, MemberList, MemberPlace, MembersStamp, ObserverPlace};
-pub use naming::named_gateways;
+pub use naming::{GatewayPlace, named_gateways};
 pub use news::{Known, News, Observation};
 pub use placement::owners;
 pub use presence::{GatewayPresence, HeardStore, Presence, PresenceTable, Role, StorePresence};
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -67,6 +67,15 @@
     TooFew,
 }
 
+/// What a store that joins says of itself.
+#[derive(Clone, Copy, Debug)]
+struct Newcomer<'command> {
+    address: SocketAddr,
+    zone: &'command str,
+    incarnation: u64,
+    founding: bool,
+}
+
 /// The registry.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreRegistry {
@@ -99,7 +108,15 @@
                 zone,
                 incarnation,
                 founding,
-            } => self.join(name, (*address, zone), *incarnation, *founding),
+            } => self.join(
+                name,
+                Newcomer {
+                    address: *address,
+                    zone,
+                    incarnation: *incarnation,
+                    founding: *founding,
+                },
+            ),
             StoreCommand::Activate { name, incarnation } => self.activate(name, *incarnation),
             StoreCommand::Lose { name } => self.set_state(name, StoreState::Lost),
             StoreCommand::Retire { name, minimum } => return self.retire(name, *minimum),
@@ -108,13 +125,13 @@
         RetireAnswer::State(RetireState::Running)
     }
 
-    fn join(
-        &mut self,
-        name: &StoreName,
-        (address, zone): (SocketAddr, &str),
-        incarnation: u64,
-        founding: bool,
-    ) {
+    fn join(&mut self, name: &StoreName, newcomer: Newcomer<'_>) {
+        let Newcomer {
+            address,
+            zone,
+            incarnation,
+            founding,
+        } = newcomer;
         let known = self.view.members.get(name);
         let is_new_disk = known.is_some_and(|member| member.incarnation != incarnation);
         let state = match known {
--- a/crates/fleet/tests/naming.rs
+++ b/crates/fleet/tests/naming.rs
@@ -1,17 +1,18 @@
 //! Which gateways callers are told to go to.
 
-use luglink_fleet::named_gateways;
+use luglink_fleet::{GatewayPlace, named_gateways};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-fn gateways(zone: &str, count: u16, first_port: u16) -> Vec<(String, SocketAddr)> {
-    let address = |number| SocketAddr::from(([10, 0, 0, 1], first_port + number));
-    (0..count)
-        .map(|number| (zone.to_owned(), address(number)))
-        .collect()
+fn gateways(zone: &str, count: u16, first_port: u16) -> Vec<GatewayPlace> {
+    let place = |number| GatewayPlace {
+        zone: zone.to_owned(),
+        address: SocketAddr::from(([10, 0, 0, 1], first_port + number)),
+    };
+    (0..count).map(place).collect()
 }
 
-fn fleet(near: u16, far: u16) -> Vec<(String, SocketAddr)> {
+fn fleet(near: u16, far: u16) -> Vec<GatewayPlace> {
     let mut fleet = gateways("far", far, 5_000);
     fleet.extend(gateways("near", near, 1_000));
     fleet
