Do what is the same for all observers once, and what is counted without copies

Cause, from reading the change since: for each observer at each event, twice for those with news, the stamp of the list of members searched the log for the last membership; the leader copied the zone of every gateway for each answer, only to count them; an observer made its own place anew with each question; a closure stood for a constant. Change: the stamp is worked out once for all observers that wait, and not at all without any; gateways that are heard are counted in place; the place of an observer is kept from its start. Behaviour is unchanged.

--- a/crates/control/src/observers.rs
+++ b/crates/control/src/observers.rs
@@ -4,8 +4,8 @@
 use crate::node::ControlNode;
 use crate::protocol::{RequestToken, Response};
 use luglink_fleet::{
-    BackendReport, GatewayPlace, Known, MemberList, MemberPlace, MembersStamp, News, Observation,
-    VersionedDocument,
+    BackendReport, GatewayPlace, GatewayPresence, Known, MemberList, MemberPlace, MembersStamp,
+    News, Observation, VersionedDocument,
 };
 use luglink_raft::Peer;
 use luglink_storage::Disk;
@@ -39,15 +39,16 @@
     /// The gateways that take callers, with their zones.
     #[must_use]
     pub fn ready_gateways(&self) -> Vec<GatewayPlace> {
-        let limit = self.observe_hold().mul_f64(SILENT_HOLDS);
-        self.desk
-            .presence
-            .ready_gateways(self.now, limit)
-            .map(|(zone, gateway)| GatewayPlace {
-                zone: zone.to_owned(),
-                address: gateway.address,
-            })
-            .collect()
+        let gateways = self.heard_gateways().map(|(zone, gateway)| GatewayPlace {
+            zone: zone.to_owned(),
+            address: gateway.address,
+        });
+        gateways.collect()
+    }
+
+    fn heard_gateways(&self) -> impl Iterator<Item = (&str, &GatewayPresence)> {
+        let presence = &self.desk.presence;
+        presence.ready_gateways(self.now, self.resolution_time())
     }
 
     /// Version of the configuration document that this member has applied; 0 for none.
@@ -94,17 +95,22 @@
     pub(crate) fn answer_observers(&mut self) {
         let now = self.now;
         self.desk.note_document(self.document_version(), now);
+        if self.desk.observers.is_empty() {
+            return;
+        }
+        // The same for all observers, and dear: the log is searched for it.
+        let members = self.members_stamp();
         let mut whole_lists = 0;
         let observers = std::mem::take(&mut self.desk.observers);
         for observer in observers {
-            let is_due = now >= observer.until || self.has_news(&observer);
+            let is_due = now >= observer.until || self.has_news(&observer, members);
             let wants_list = is_due && self.wants_whole_list(&observer.known);
             if !is_due || (wants_list && whole_lists >= WHOLE_LISTS_AT_ONCE) {
                 self.desk.observers.push(observer);
                 continue;
             }
             whole_lists += usize::from(wants_list);
-            let news = self.news_after(&observer);
+            let news = self.news_after(&observer, members);
             self.reply(observer.token, Response::News(Box::new(news)));
         }
     }
@@ -149,7 +155,7 @@
 
     /// The control members, as observers are told of them. A member runs beside the turn store of
     /// its address, which says in which zone that is.
-    fn member_list(&self) -> MemberList {
+    fn member_list(&self, stamp: MembersStamp) -> MemberList {
         let Some(group) = self.configuration() else {
             return MemberList::default();
         };
@@ -171,7 +177,7 @@
         };
         let leader = group.raft.leader();
         MemberList {
-            stamp: self.members_stamp(),
+            stamp,
             leader: leader.map(|peer| Ipv4Addr::from(peer.member.0)),
             places: group.raft.membership().peers().map(place).collect(),
         }
@@ -191,7 +197,7 @@
         }
     }
 
-    fn has_news(&self, observer: &Observer) -> bool {
+    fn has_news(&self, observer: &Observer, members: MembersStamp) -> bool {
         let known = &observer.known;
         let Some(state) = self.configuration().and_then(|group| group.machine.state()) else {
             return false;
@@ -203,13 +209,13 @@
                     .is_some_and(|held| held != list.fingerprint())
         });
         (!known.is_current && self.is_fresh())
-            || self.members_stamp() > known.members
+            || members > known.members
             || self.new_document(observer).is_some()
             || state.stores.view().epoch > known.store_epoch
             || newer_backends
     }
 
-    fn news_after(&self, observer: &Observer) -> News {
+    fn news_after(&self, observer: &Observer, members: MembersStamp) -> News {
         let known = &observer.known;
         let mut news = News {
             fresh: self.is_fresh(),
@@ -219,8 +225,8 @@
         let Some(group) = self.configuration() else {
             return news;
         };
-        if self.members_stamp() > known.members {
-            news.members = Some(self.member_list());
+        if members > known.members {
+            news.members = Some(self.member_list(members));
         }
         if let Some(state) = group.machine.state() {
             news.document = self.new_document(observer).cloned();
@@ -237,7 +243,7 @@
         if !self.leads(CONFIGURATION_GROUP) {
             return 0;
         }
-        u32::try_from(self.ready_gateways().len()).unwrap_or(u32::MAX)
+        u32::try_from(self.heard_gateways().count()).unwrap_or(u32::MAX)
     }
 
     fn backend_report(&self, known: &Known) -> Option<BackendReport> {
--- a/crates/fleet-client/src/observer.rs
+++ b/crates/fleet-client/src/observer.rs
@@ -57,6 +57,7 @@
 #[derive(Debug)]
 pub struct Observer<S> {
     subject: Rc<S>,
+    place: ObserverPlace,
     member_port: u16,
     seeds: RefCell<BTreeSet<SocketAddr>>,
     members: RefCell<MemberList>,
@@ -70,7 +71,12 @@
 impl<S: Subject> Observer<S> {
     /// Starts to ask the seeds.
     pub fn start(subject: Rc<S>, config: ObserverConfig) -> Rc<Self> {
+        let presence = subject.presence();
         let observer = Rc::new(Self {
+            place: ObserverPlace {
+                name: presence.name,
+                zone: presence.zone,
+            },
             subject,
             member_port: config.member_port,
             seeds: RefCell::new(config.seeds.into_iter().collect()),
@@ -124,12 +130,7 @@
                 .collect();
             return everyone.into_iter().collect();
         }
-        let presence = self.subject.presence();
-        let place = ObserverPlace {
-            name: presence.name,
-            zone: presence.zone,
-        };
-        let observed = members.observed_by(&place, &self.avoided_addresses());
+        let observed = members.observed_by(&self.place, &self.avoided_addresses());
         observed.into_iter().map(at_port).collect()
     }
 
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -5,8 +5,7 @@
 //! process asks a few: the leader, which alone reads the list of replicas and must hear every
 //! turn store; those of its own zone, whose answers cross no zone, and which so name the same
 //! gateways of the zone to callers; and one elsewhere, so that the loss of a zone's members leaves
-//! it one. Members that are silent or out of touch with their
-//! leader are replaced by others.
+//! it one. Members that are silent or out of touch with their leader are replaced by others.
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -247,11 +247,14 @@
     backend: &Backend,
     extra: &Extra,
 ) -> Result<Request<Body>, Failure> {
-    let unsendable = || Failure::Unsendable;
     let body = extra.body.clone().unwrap_or_else(|| inbound.body.clone());
     let mut request = Request::new(full_body(body.clone()));
     *request.method_mut() = inbound.head.method.clone();
-    let target = inbound.head.uri.path_and_query().ok_or_else(unsendable)?;
+    let target = inbound
+        .head
+        .uri
+        .path_and_query()
+        .ok_or(Failure::Unsendable)?;
     *request.uri_mut() = Uri::from(target.clone());
     let names = gateway.dialect.headers();
     let headers = request.headers_mut();
@@ -265,11 +268,11 @@
     // Rounded down: a replica must not go on beyond what the caller waits.
     let left = u64::try_from(inbound.remaining().as_millis()).unwrap_or(u64::MAX);
     headers.insert(names.deadline_ms.clone(), HeaderValue::from(left.max(1)));
-    set(headers, &names.expected_replica, &backend.id.0).ok_or_else(unsendable)?;
+    set(headers, &names.expected_replica, &backend.id.0).ok_or(Failure::Unsendable)?;
     let urgency = u64::from(inbound.route.priority.min(9));
     headers.insert(names.priority.clone(), HeaderValue::from(urgency));
     if let Some(last) = &extra.last_event_id {
-        set(headers, &names.last_event_id, last).ok_or_else(unsendable)?;
+        set(headers, &names.last_event_id, last).ok_or(Failure::Unsendable)?;
     }
     Ok(request)
 }
