Let programs stay in their zones only where every zone has enough replicas

Change: homes stay in the zone only where every zone with replicas has twelve that take work, and the own zone has some. It is worked out with each new list rather than for each turn.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -2,7 +2,7 @@
 
 use luglink_fleet::{Backend, BackendId, BackendList};
 use luglink_types::Timestamp;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Load that a replica in another zone must be below a near one to be taken instead, in shares
@@ -18,9 +18,10 @@
 /// above the least loaded one.
 const CACHE_WORTH: f64 = 0.5;
 
-/// Replicas of a service in a gateway's own zone from which on programs stay in the zone. With
+/// Replicas of a service that every zone must have for its programs to stay in their zones. With
 /// fewer, uneven homes and zones fill some replicas' memory: with eight in a zone, replicas
 /// preempted a third more requests than with homes in all zones (round L4 in `docs/DECISIONS.md`).
+/// Were only the larger zones to keep theirs, their replicas would get those of the others besides.
 const ENOUGH_NEAR: usize = 12;
 
 /// First pause of a replica that failed; doubles with each failure in a row.
@@ -86,6 +87,8 @@
 pub struct Pool {
     zone: String,
     members: BTreeMap<BackendId, Member>,
+    /// Services whose programs have their home in their gateway's zone.
+    zonal_services: BTreeSet<String>,
     /// Requests at replicas that have left the list since.
     fingerprint: Option<u64>,
 }
@@ -129,6 +132,7 @@
             members.insert(backend.id.clone(), member);
         }
         self.members = members;
+        self.zonal_services = zonal_services(list, &self.zone);
     }
 
     /// Whether a replica is on the list, leaving or not.
@@ -241,17 +245,15 @@
 
     /// The replica that all gateways of a zone with the same list agree on for a program, so that
     /// its prompts meet their cache without a word between gateways. It is one of the zone when
-    /// the zone has enough of them, and otherwise the same for all zones.
+    /// every zone has enough of them, and otherwise the same for all zones.
     #[must_use]
     pub fn home(&self, service: &str, program: u64) -> Option<BackendId> {
-        let serves = |backend: &&Backend| backend.service == service && !backend.draining;
-        let all = || self.members.values().map(|member| &member.backend);
-        let is_near = |backend: &&Backend| backend.zone == self.zone;
-        let near = all().filter(serves).filter(is_near).count();
-        let stays_near = near >= ENOUGH_NEAR;
-        all()
-            .filter(serves)
-            .filter(|backend| !stays_near || is_near(backend))
+        let stays_near = self.zonal_services.contains(service);
+        self.members
+            .values()
+            .map(|member| &member.backend)
+            .filter(|backend| backend.service == service && !backend.draining)
+            .filter(|backend| !stays_near || backend.zone == self.zone)
             .max_by_key(|backend| {
                 xxhash_rust::xxh3::xxh3_64_with_seed(backend.id.0.as_bytes(), program)
             })
@@ -335,6 +337,22 @@
     }
 }
 
+/// Services whose programs stay in `zone`: it has replicas of them, and so many that take work are
+/// in every zone that has any.
+fn zonal_services(list: &BackendList, zone: &str) -> BTreeSet<String> {
+    let mut zones: BTreeMap<&str, BTreeMap<&str, usize>> = BTreeMap::new();
+    for backend in list.backends() {
+        let counts = zones.entry(backend.service.as_str()).or_default();
+        let count = counts.entry(backend.zone.as_str()).or_default();
+        *count += usize::from(!backend.draining);
+    }
+    let is_zonal = |counts: &BTreeMap<&str, usize>| {
+        counts.contains_key(zone) && counts.values().all(|count| *count >= ENOUGH_NEAR)
+    };
+    let zonal = zones.into_iter().filter(|(_, counts)| is_zonal(counts));
+    zonal.map(|(service, _)| service.to_owned()).collect()
+}
+
 /// Less than any other difference in cost, and different for each request.
 fn tie_breaker(id: &BackendId, draw: u64) -> f64 {
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(id.0.as_bytes(), draw);
