Let turn stores give out tenants' quotas, each owner a part of the limit

Weighed: equal parts of the limit at each gateway (a tenant of 15 requests a second has 0.2 at each of 69 gateways), counts told with the observations (a limit is passed within their delay when a tenant sends several times its limit), one owner with a lease (a successor must wait it out), and what was built: one owner more than may be lost, each with a token bucket of its part, asked one after the other. Nothing is agreed on and no owner waits for another.

Change: luglink-quota, pure, with the invariant as a property over cuts, restarts, missed views and gateways that hear nothing. It failed on a store that came back without having seen the view in which another one owned its tenants (now it begins anew), and fails with a longer FRESH_FOR, a fuller first bucket, or limits taken back.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -9,6 +9,7 @@
 use luglink_fleet_client::ObserverConfig;
 use luglink_gateway_server::GatewayConfig;
 use luglink_platform::PlatformDialect;
+use luglink_quota::Tolerance;
 use luglink_settings::{FleetSettings, Role, Settings, load, settings_file};
 use luglink_store_server::StoreServerConfig;
 use luglink_telemetry::LogGuard;
@@ -146,6 +147,9 @@
             list_calls_per_s: fleet.list_calls_per_s,
             list_stale_after: fleet.list_stale_after(),
             replication: replication(fleet),
+            keys_expire_after: fleet
+                .fail_closed
+                .then(|| Duration::from_millis(fleet.revoke_ms)),
             stop_limit: stop_limit.saturating_sub(STOP_RESERVE),
             turn_cache_bytes: usize::try_from((fleet.memory_mb << 20) / TURN_CACHE_SHARE)
                 .unwrap_or(usize::MAX),
@@ -179,6 +183,11 @@
             first_start: fleet.first_start,
             replication: replication(fleet),
             segment_bytes: store.segment_bytes,
+            quota_tolerance: Tolerance {
+                window: Duration::from_secs_f64(fleet.quota_window_s),
+                overage: fleet.quota_overage,
+                slack: fleet.quota_slack,
+            },
             observer: observer(fleet),
             metrics_listen: store.metrics_listen,
         };
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -9,6 +9,7 @@
 };
 use luglink_fleet_client::ObserverConfig;
 use luglink_gateway_server::{GatewayConfig, GatewayServer, start};
+use luglink_quota::Tolerance;
 use luglink_settings::{FleetSettings, ManagedSettings};
 use luglink_store_server::{StoreServer, StoreServerConfig};
 use luglink_turns::Replication;
@@ -68,6 +69,11 @@
         stop_s: 8.0,
         resolution_s: 5.0,
         memory_mb: 256,
+        quota_window_s: 5.0,
+        quota_overage: 0.1,
+        quota_slack: 20.0,
+        fail_closed: false,
+        revoke_ms: 5_000,
     }
 }
 
@@ -169,6 +175,11 @@
         first_start: true,
         replication: Replication::surviving(1),
         segment_bytes: 1 << 20,
+        quota_tolerance: Tolerance {
+            window: Duration::from_secs(5),
+            overage: 0.0,
+            slack: 0.0,
+        },
         observer: observer(fleet),
         metrics_listen: Some((fleet.ip, 0).into()),
     }
@@ -190,6 +201,7 @@
         list_calls_per_s: fleet.list_calls_per_s,
         list_stale_after: Duration::from_millis(500),
         replication: Replication::surviving(1),
+        keys_expire_after: None,
         stop_limit: Duration::from_secs(5),
         turn_cache_bytes: 1 << 20,
     }
@@ -226,6 +238,7 @@
         keeps_history: false,
         retention_ms: 60_000,
         resumable: false,
+        public: false,
     }
 }
 
@@ -258,5 +271,6 @@
             max_body_bytes: 1 << 20,
             ..Limits::default()
         },
+        tenants: Vec::new(),
     }
 }
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -9,6 +9,14 @@
 /// Internal ports that a fleet needs: one for control members, one for stores, one for metrics.
 const NEEDED_PORTS: usize = 3;
 
+/// Share of its limit by which a tenant may pass it where the settings do not say: about what half
+/// a second of its rate comes to in a window of 5 s.
+const DEFAULT_QUOTA_OVERAGE: f64 = 0.1;
+
+/// Requests by which a tenant may pass its limit where the settings do not say: enough for each of
+/// a few stores to hold some.
+const DEFAULT_QUOTA_SLACK: f64 = 20.0;
+
 /// What every process of a managed fleet is told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetSettings {
@@ -40,6 +48,17 @@
     pub resolution_s: f64,
     /// Memory that the process may use, in mebibytes.
     pub memory_mb: u64,
+    /// Span of time in which requests are held against a tenant's limit, in seconds.
+    pub quota_window_s: f64,
+    /// Share of its limit by which a tenant may pass it in such a span.
+    pub quota_overage: f64,
+    /// Requests by which a tenant may pass its limit in such a span besides.
+    pub quota_slack: f64,
+    /// Whether a gateway that hears no control member stops serving callers with keys: they may
+    /// have been taken away meanwhile.
+    pub fail_closed: bool,
+    /// Time without word after which it does, in milliseconds.
+    pub revoke_ms: u64,
 }
 
 impl FleetSettings {
@@ -71,6 +90,11 @@
             stop_s: reader.optional("fleet.stop_s", 8.0),
             resolution_s: reader.optional("fleet.resolution_s", 5.0),
             memory_mb: reader.optional("fleet.memory_mb", 256),
+            quota_window_s: reader.optional("fleet.quota_window_s", 5.0),
+            quota_overage: reader.optional("fleet.quota_overage", DEFAULT_QUOTA_OVERAGE),
+            quota_slack: reader.optional("fleet.quota_slack", DEFAULT_QUOTA_SLACK),
+            fail_closed: reader.optional("fleet.fail_closed", false),
+            revoke_ms: reader.optional("fleet.revoke_ms", 5_000),
         };
         if is_complete {
             settings.check(reader);
@@ -93,10 +117,20 @@
             ("fleet.resolution_s", self.resolution_s > 0.0),
             ("fleet.list_calls_per_s", self.list_calls_per_s > 0.0),
             ("fleet.memory_mb", self.memory_mb > 0),
+            ("fleet.revoke_ms", self.revoke_ms > 0),
+            ("fleet.quota_window_s", self.quota_window_s > 0.0),
         ];
         for (key, holds) in above_zero {
             reader.check(key, holds, "must be above 0");
         }
+        let tolerances = [
+            ("fleet.quota_overage", self.quota_overage),
+            ("fleet.quota_slack", self.quota_slack),
+        ];
+        for (key, value) in tolerances {
+            let is_bearable = value.is_finite() && value >= 0.0;
+            reader.check(key, is_bearable, "must not be below 0");
+        }
     }
 
     /// Age from which a gateway reads the list of replicas itself: half of the time in which a
--- a/crates/store-server/src/metrics.rs
+++ b/crates/store-server/src/metrics.rs
@@ -49,5 +49,6 @@
         StoreRequest::Lookup(_) => "lookup",
         StoreRequest::Account(_) => "account",
         StoreRequest::HandOver { .. } => "hand_over",
+        StoreRequest::Quota(_) => "quota",
     }
 }
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -7,6 +7,7 @@
 use luglink_fleet::{Known, News, Presence, Role, StoreName, StorePresence};
 use luglink_fleet_client::{Observer, ObserverConfig, Subject};
 use luglink_net::{Accepted, FrameSender};
+use luglink_quota::Tolerance;
 use luglink_storage::{FileDisk, WalConfig};
 use luglink_turns::{
     Output, Replication, RequestToken, StoreConfig, StoreNode, StoreRequest, StoreResponse,
@@ -49,6 +50,8 @@
     pub replication: Replication,
     /// Longest segment of the journal, in bytes.
     pub segment_bytes: u64,
+    /// How far beyond their limits the requests of tenants may come.
+    pub quota_tolerance: Tolerance,
     /// Control members.
     pub observer: ObserverConfig,
     /// Address of the metrics, when they are wanted.
@@ -143,6 +146,7 @@
     let node_config = StoreConfig {
         name: StoreName(config.name.clone()),
         replication: config.replication,
+        quota_tolerance: config.quota_tolerance,
         wal: WalConfig {
             segment_bytes: config.segment_bytes,
         },
@@ -313,6 +317,9 @@
     }
 
     fn on_news(&self, member: SocketAddr, news: News) {
+        if news.fresh {
+            self.node.borrow_mut().note_fresh(now());
+        }
         let Some(view) = news.stores else { return };
         if view.epoch <= self.node.borrow().epoch() {
             return;
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -9,6 +9,7 @@
 use crate::replication::Replication;
 use crate::state::State;
 use luglink_fleet::{StoreName, StoreView};
+use luglink_quota::{QuotaOwner, Tolerance};
 use luglink_storage::{Disk, WalConfig};
 use luglink_types::Timestamp;
 use std::time::Duration;
@@ -58,6 +59,8 @@
     pub replication: Replication,
     /// Limits of the journal.
     pub wal: WalConfig,
+    /// How far beyond their limits the requests of tenants may come.
+    pub quota_tolerance: Tolerance,
 }
 
 /// A request whose entries wait for the disk.
@@ -85,6 +88,7 @@
     journal: Journal<D>,
     state: State,
     hand_over: HandOver,
+    quota: QuotaOwner,
     entries: Vec<Entry>,
     pending: Vec<Pending>,
     outputs: Vec<Output>,
@@ -114,8 +118,16 @@
                 handed_over = view.clone();
             }
         }
+        let mut quota = QuotaOwner::new(
+            config.name.clone(),
+            config.replication.quota_owners(),
+            config.quota_tolerance,
+        );
+        // Members tell a store its view only when it lacks it.
+        quota.set_view(handed_over.clone(), now);
         Ok(Self {
             config,
+            quota,
             incarnation: recovered.incarnation,
             journal,
             state,
@@ -167,10 +179,17 @@
     pub fn set_view(&mut self, view: StoreView, now: Timestamp) {
         self.now = self.now.max(now);
         let copies = self.config.replication.copies();
+        self.quota.set_view(view.clone(), self.now);
         self.hand_over
             .set_view(view, &self.config.name, copies, &self.state);
     }
 
+    /// Notes the word of a control member that hears its leader.
+    pub fn note_fresh(&mut self, now: Timestamp) {
+        self.now = self.now.max(now);
+        self.quota.note_fresh(self.now);
+    }
+
     /// Takes a request. Its answer comes out of the next [`StoreNode::flush`].
     pub fn handle(&mut self, token: RequestToken, request: StoreRequest, now: Timestamp) {
         self.now = self.now.max(now);
@@ -205,6 +224,10 @@
                 let chain = self.chain(&wish);
                 self.reply(token, StoreResponse::Chain(chain));
             }
+            StoreRequest::Quota(ask) => {
+                let answer = self.quota.answer(&ask, self.now);
+                self.reply(token, StoreResponse::Quota(answer));
+            }
         }
     }
 
--- a/crates/turns/src/protocol.rs
+++ b/crates/turns/src/protocol.rs
@@ -2,6 +2,7 @@
 
 use crate::account::{Account, Spend};
 use crate::record::{ProgramName, TurnId, TurnRecord};
+use luglink_quota::{QuotaAnswer, QuotaAsk};
 use serde::{Deserialize, Serialize};
 
 /// Asks for a turn and the turns that it goes on from.
@@ -29,7 +30,7 @@
 }
 
 /// What a store is asked.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum StoreRequest {
     /// Notes what a turn takes from its program's budget, and looks a chain up.
     Spend {
@@ -68,6 +69,8 @@
         /// Accounts, with the time for which they are kept, in milliseconds.
         accounts: Vec<(ProgramName, Account, u64)>,
     },
+    /// Asks for a token of a tenant's quota. Nothing of it goes to disk.
+    Quota(QuotaAsk),
 }
 
 /// What a store answers.
@@ -91,4 +94,6 @@
         /// Why.
         reason: String,
     },
+    /// Whether a request may go by its tenant's quota.
+    Quota(QuotaAnswer),
 }
--- a/crates/turns/src/replication.rs
+++ b/crates/turns/src/replication.rs
@@ -30,6 +30,12 @@
         self.tolerated_losses + 1
     }
 
+    /// Stores that give out a tenant's quota: at least one outlasts the losses that are tolerated.
+    #[must_use]
+    pub fn quota_owners(&self) -> usize {
+        self.tolerated_losses + 1
+    }
+
     /// The stores that a program's state goes to.
     #[must_use]
     pub fn owners(&self, view: &StoreView, program: &str) -> Vec<StoreName> {
--- a/crates/turns/tests/store.rs
+++ b/crates/turns/tests/store.rs
@@ -1,6 +1,7 @@
 //! A store and its disk: what survives, what is refused, and what is handed over.
 
 use luglink_fleet::{BackendId, StoreCommand, StoreName, StoreRegistry, StoreView};
+use luglink_quota::Tolerance;
 use luglink_storage::{CrashDamage, MemoryDisk, WalConfig};
 use luglink_turns::{
     Absence, Account, Chain, ChainWish, Output, ProgramName, Replication, RequestToken, Spend,
@@ -35,6 +36,11 @@
         name: name(text),
         replication: Replication::surviving(1),
         wal: WalConfig { segment_bytes },
+        quota_tolerance: Tolerance {
+            window: Duration::from_secs(5),
+            overage: 0.0,
+            slack: 0.0,
+        },
     };
     StoreNode::start(config, disk, fresh, at(1)).expect("the store starts")
 }
--- a/xtask/src/purity.rs
+++ b/xtask/src/purity.rs
@@ -17,6 +17,7 @@
     "fleet",
     "turns",
     "edge",
+    "quota",
 ];
 
 /// Dependencies that a pure crate must not name.
