Let callers in by their tenants' keys, and keep tenants apart

Reserved headers are one list of the dialect. Turns and programs are named within their tenant by a separator that no header value holds, so nobody can spell another tenant's turn; records written before keep their names. A gateway takes a token of the quota for each request that it will send. The tenant's rank goes before the route's. Logs and metrics for 401 and 429.

--- a/crates/edge/src/configuration.rs
+++ b/crates/edge/src/configuration.rs
@@ -1,5 +1,6 @@
 //! The configuration that operators put in force as one document.
 
+use crate::tenant::Tenant;
 use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
 use std::time::Duration;
@@ -52,6 +53,9 @@
     pub retention_ms: u64,
     /// Whether a stream may go on at another replica.
     pub resumable: bool,
+    /// Whether callers need no key where the configuration names tenants.
+    #[serde(default)]
+    pub public: bool,
 }
 
 impl Route {
@@ -127,7 +131,7 @@
 }
 
 /// A whole configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
     /// The operator's version.
     pub version: u64,
@@ -137,6 +141,9 @@
     pub services: Vec<Service>,
     /// Limits for callers.
     pub limits: Limits,
+    /// Who may call; with none, everybody may and no key is looked at.
+    #[serde(default)]
+    pub tenants: Vec<Tenant>,
 }
 
 impl Configuration {
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use crate::configuration::Configuration;
 use crate::errors::DialectError;
-use http::HeaderName;
+use http::{HeaderMap, HeaderName};
 use luglink_fleet::{Backend, RetireState, StoreName};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -34,6 +34,34 @@
     pub last_event_id: HeaderName,
     /// Seconds after which to come back.
     pub retry_after: HeaderName,
+    /// Tells a replica for which tenant a request comes.
+    pub tenant: HeaderName,
+    /// What a caller shows for its tenant.
+    pub credential: HeaderName,
+    /// The scheme before the key in it.
+    pub credential_scheme: &'static str,
+    /// Headers that only the system sets: replicas act on them, so what a caller sends in them
+    /// never reaches one.
+    pub reserved: Vec<HeaderName>,
+}
+
+impl HeaderNames {
+    /// The key that a request shows; none when it shows several or one of another scheme.
+    #[must_use]
+    pub fn secret<'headers>(&self, headers: &'headers HeaderMap) -> Option<&'headers str> {
+        let mut shown = headers.get_all(&self.credential).into_iter();
+        let only = shown.next().filter(|_| shown.next().is_none())?;
+        let (scheme, secret) = only.to_str().ok()?.trim().split_once(' ')?;
+        let is_key = scheme.eq_ignore_ascii_case(self.credential_scheme);
+        is_key.then(|| secret.trim())
+    }
+
+    /// Takes off whatever a caller sent in headers that only the system sets.
+    pub fn remove_reserved(&self, headers: &mut HeaderMap) {
+        for name in &self.reserved {
+            headers.remove(name);
+        }
+    }
 }
 
 /// One page of the platform's list.
--- a/crates/edge/src/own_dialect.rs
+++ b/crates/edge/src/own_dialect.rs
@@ -37,6 +37,14 @@
                 priority: name("luglink-priority"),
                 last_event_id: name("last-event-id"),
                 retry_after: http::header::RETRY_AFTER,
+                tenant: name("luglink-tenant"),
+                credential: http::header::AUTHORIZATION,
+                credential_scheme: "Bearer",
+                reserved: vec![
+                    name("luglink-expected-replica"),
+                    name("luglink-priority"),
+                    name("luglink-tenant"),
+                ],
             },
         }
     }
--- a/crates/edge/src/violation.rs
+++ b/crates/edge/src/violation.rs
@@ -1,7 +1,8 @@
 //! Rules that a configuration must keep to come into force.
 
 use crate::configuration::{Configuration, Route};
-use std::collections::BTreeSet;
+use crate::tenant::Tenant;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 /// A rule that a configuration breaks.
@@ -29,9 +30,26 @@
         }
         self.check_services(&mut found);
         self.check_routes(&mut found);
+        self.check_tenants(&mut found);
         found
     }
 
+    fn check_tenants(&self, found: &mut Vec<Violation>) {
+        let mut names = BTreeSet::new();
+        let mut holders = BTreeMap::new();
+        for (position, tenant) in self.tenants.iter().enumerate() {
+            let at = |field: &str| format!("tenants[{position}].{field} of `{}`", tenant.name);
+            check_tenant(tenant, &at, found);
+            if !names.insert(&tenant.name) {
+                found.push(violation(at("name"), "must name each tenant once"));
+            }
+            let is_shared = |key| *holders.entry(key).or_insert(position) != position;
+            if tenant.keys.iter().any(is_shared) {
+                found.push(violation(at("keys"), "must not be another tenant's too"));
+            }
+        }
+    }
+
     fn check_services(&self, found: &mut Vec<Violation>) {
         let mut names = BTreeSet::new();
         for (position, service) in self.services.iter().enumerate() {
@@ -66,6 +84,27 @@
     }
 }
 
+fn check_tenant(tenant: &Tenant, at: &impl Fn(&str) -> String, found: &mut Vec<Violation>) {
+    // Replicas are told the name in a header, and stored turns are named by it.
+    let name = tenant.name.as_str();
+    let is_sendable = !name.is_empty() && name.bytes().all(|byte| matches!(byte, 0x21..=0x7e));
+    if !is_sendable {
+        let rule = "must be of visible ASCII characters, at least one";
+        found.push(violation(at("name"), rule));
+    }
+    if tenant.keys.iter().any(|key| key.secret().is_empty()) {
+        found.push(violation(at("keys"), "must not be empty"));
+    }
+    if let Some(quota) = tenant.quota {
+        if !(quota.rate_per_s.is_finite() && quota.rate_per_s > 0.0) {
+            found.push(violation(at("rate_per_s"), "must be above 0"));
+        }
+        if !(quota.burst.is_finite() && quota.burst >= 0.0) {
+            found.push(violation(at("burst"), "must not be below 0"));
+        }
+    }
+}
+
 fn check_targets(
     route: &Route,
     services: &BTreeSet<&str>,
--- a/crates/edge/tests/load_shedding.rs
+++ b/crates/edge/tests/load_shedding.rs
@@ -24,6 +24,7 @@
         keeps_history: true,
         retention_ms: 60_000,
         resumable: false,
+        public: false,
     }
 }
 
--- a/crates/edge/tests/routing.rs
+++ b/crates/edge/tests/routing.rs
@@ -27,6 +27,7 @@
         keeps_history: false,
         retention_ms: 60_000,
         resumable: false,
+        public: false,
     }
 }
 
@@ -41,6 +42,7 @@
             engine: None,
         }],
         limits: Limits::default(),
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/gateway-server/src/config.rs
+++ b/crates/gateway-server/src/config.rs
@@ -30,6 +30,9 @@
     pub replication: Replication,
     /// Longest time for a planned stop.
     pub stop_limit: Duration,
+    /// Time without word from a control member that hears its leader, after which callers with
+    /// keys are refused; `None` to go on with the keys that are known.
+    pub keys_expire_after: Option<Duration>,
     /// Bytes of turns that are kept in memory to spare the stores.
     pub turn_cache_bytes: usize,
 }
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -269,7 +269,10 @@
     let left = u64::try_from(inbound.remaining().as_millis()).unwrap_or(u64::MAX);
     headers.insert(names.deadline_ms.clone(), HeaderValue::from(left.max(1)));
     set(headers, &names.expected_replica, &backend.id.0).ok_or(Failure::Unsendable)?;
-    let urgency = u64::from(inbound.route.priority.min(9));
+    if let Some(tenant) = inbound.caller.tenant() {
+        set(headers, &names.tenant, tenant.name.as_str()).ok_or(Failure::Unsendable)?;
+    }
+    let urgency = u64::from(inbound.caller.priority(&inbound.route).min(9));
     headers.insert(names.priority.clone(), HeaderValue::from(urgency));
     if let Some(last) = &extra.last_event_id {
         set(headers, &names.last_event_id, last).ok_or(Failure::Unsendable)?;
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -5,7 +5,7 @@
 use crate::turn_cache::TurnCache;
 use crate::turn_client::TurnClient;
 use crate::upstream::Upstream;
-use luglink_edge::{Configuration, Dialect, LoadShedder, Pool, RoutingTable, SplitDraws};
+use luglink_edge::{Configuration, Dialect, KeyRing, LoadShedder, Pool, RoutingTable, SplitDraws};
 use luglink_fleet::BackendList;
 use luglink_types::Timestamp;
 use std::cell::{Cell, RefCell};
@@ -18,6 +18,7 @@
     pub(crate) version: u64,
     pub(crate) configuration: Configuration,
     pub(crate) table: RoutingTable,
+    pub(crate) keys: KeyRing,
 }
 
 /// A gateway.
@@ -29,8 +30,8 @@
     /// Whether a control member that hears its leader has said which configuration holds. Until
     /// then one that was overtaken before this process started might be taken for it.
     pub(crate) is_current: Cell<bool>,
-    /// Whether such a member was heard at all, with or without a configuration.
-    pub(crate) heard_fresh: Cell<bool>,
+    /// When such a member was last heard, with or without a configuration.
+    pub(crate) fresh_at: Cell<Option<Instant>>,
     /// Splits the routes that have several services.
     pub(crate) splits: RefCell<SplitDraws>,
     /// Lets new programs in.
@@ -81,7 +82,7 @@
             metrics,
             in_force: RefCell::default(),
             is_current: Cell::new(false),
-            heard_fresh: Cell::new(false),
+            fresh_at: Cell::new(None),
             list_seen: Cell::new(None),
             gateways: Cell::new(1),
             is_stopping: Cell::new(false),
@@ -105,6 +106,14 @@
         self.in_force.borrow().clone()
     }
 
+    /// Whether keys may have been taken away since a control member was last heard.
+    pub(crate) fn keys_are_expired(&self) -> bool {
+        let age = self.fresh_at.get().map(|fresh_at| fresh_at.elapsed());
+        self.config
+            .keys_expire_after
+            .is_some_and(|limit| age.is_none_or(|age| age > limit))
+    }
+
     /// Whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping.get()
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -7,8 +7,9 @@
 use http::{HeaderMap, HeaderName, Request, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use luglink_edge::{Route, RouteKind};
+use luglink_edge::{Caller, Route, RouteKind, UnknownKey};
 use luglink_turns::{ProgramName, TurnId};
+use luglink_types::TenantName;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,8 @@
 pub(crate) struct Inbound {
     pub(crate) id: String,
     pub(crate) route: Rc<Route>,
+    /// For whom it comes.
+    pub(crate) caller: Caller,
     /// Service that gets it.
     pub(crate) service: String,
     pub(crate) version: u64,
@@ -58,6 +61,15 @@
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
+
+    /// The turn that it brings.
+    pub(crate) fn turn(&self) -> TurnId {
+        TurnId::of(tenant_name(&self.caller), &self.id)
+    }
+}
+
+fn tenant_name(caller: &Caller) -> Option<&TenantName> {
+    caller.tenant().map(|tenant| &tenant.name)
 }
 
 /// Removes headers that concern one connection only, those named by `Connection` included.
@@ -96,7 +108,7 @@
     request: Request<Incoming>,
 ) -> Result<Inbound, Refusal> {
     let arrived = Instant::now();
-    let (head, incoming) = request.into_parts();
+    let (mut head, incoming) = request.into_parts();
     let headers = gateway.dialect.headers();
     let id = text(&head.headers, &headers.request_id)
         .ok_or(Refusal::new(
@@ -111,12 +123,17 @@
         .table
         .find(host, head.uri.path())
         .ok_or(Refusal::new(StatusCode::NOT_FOUND, "no route"))?;
+    let caller = identify(gateway, in_force, &route, &head, &id)?;
+    if in_force.keys.has_tenants() {
+        head.headers.remove(&headers.credential);
+    }
+    headers.remove_reserved(&mut head.headers);
     let patience = number(&head.headers, &headers.deadline_ms)
         .map_or(route.timeout(), Duration::from_millis)
         .min(route.timeout());
     let deadline = arrived + patience;
     let body = read_body(gateway, in_force, incoming, deadline).await?;
-    let program = program_fields(gateway, &head);
+    let program = program_fields(gateway, &caller, &head);
     let program_hash = program
         .as_ref()
         .map(|program| xxhash_rust::xxh3::xxh3_64(program.name.0.as_bytes()));
@@ -132,6 +149,7 @@
         id,
         service,
         route,
+        caller,
         version: in_force.version,
         head,
         body,
@@ -142,6 +160,44 @@
     })
 }
 
+/// Finds out for whom a request comes, before its body is read.
+fn identify(
+    gateway: &Gateway,
+    in_force: &InForce,
+    route: &Route,
+    head: &Parts,
+    id: &str,
+) -> Result<Caller, Refusal> {
+    if in_force.keys.guards(route) && gateway.keys_are_expired() {
+        return Err(Refusal::recovering(
+            "no control member says which keys still hold",
+        ));
+    }
+    let secret = gateway.dialect.headers().secret(&head.headers);
+    let unknown = match in_force.keys.caller(route, secret) {
+        Ok(caller) => return Ok(caller),
+        Err(unknown) => unknown,
+    };
+    let (shown, fingerprint) = match unknown {
+        UnknownKey::Missing => ("none", None),
+        UnknownKey::Unknown(fingerprint) => ("unknown", Some(fingerprint)),
+    };
+    gateway
+        .metrics
+        .unknown_keys
+        .with_label_values(&[shown])
+        .inc();
+    tracing::info!(
+        id,
+        route = route.name,
+        shown,
+        key = fingerprint.map(tracing::field::display),
+        version = in_force.version,
+        "a caller is not known"
+    );
+    Err(Refusal::new(StatusCode::UNAUTHORIZED, "no known key"))
+}
+
 async fn read_body(
     gateway: &Gateway,
     in_force: &InForce,
@@ -169,18 +225,19 @@
     }
 }
 
-fn program_fields(gateway: &Gateway, head: &Parts) -> Option<ProgramFields> {
+fn program_fields(gateway: &Gateway, caller: &Caller, head: &Parts) -> Option<ProgramFields> {
     let headers = gateway.dialect.headers();
     let name = text(&head.headers, &headers.program)?;
+    let tenant = tenant_name(caller);
     let usage = text(&head.headers, &headers.token_usage);
     let ceiling = usage
         .and_then(|usage| usage.split(',').nth(1))
         .and_then(|most| most.trim().parse().ok())
         .unwrap_or(0);
     Some(ProgramFields {
-        name: ProgramName(name.to_owned()),
+        name: ProgramName::of(tenant, name),
         budget: number(&head.headers, &headers.token_budget),
         ceiling,
-        previous: text(&head.headers, &headers.previous_turn).map(|id| TurnId(id.to_owned())),
+        previous: text(&head.headers, &headers.previous_turn).map(|id| TurnId::of(tenant, id)),
     })
 }
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -17,6 +17,7 @@
 mod news;
 mod program;
 mod proxy;
+mod quota;
 mod refusal;
 mod server;
 mod store_link;
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -26,6 +26,12 @@
     pub(crate) keep_seconds: Histogram,
     /// Version of the configuration in force.
     pub(crate) version: Gauge,
+    /// Requests without a key that is known, by what they showed.
+    pub(crate) unknown_keys: IntCounterVec,
+    /// Requests that a tenant's quota held up, by why.
+    quota_refusals: IntCounterVec,
+    /// Time for the owners of a quota to answer.
+    pub(crate) quota_seconds: Histogram,
 }
 
 impl GatewayMetrics {
@@ -40,8 +46,24 @@
             answer_seconds: registry.seconds("answer_seconds", "Time to an answer")?,
             reserve_seconds: registry.seconds("reserve_seconds", "Time to reserve tokens")?,
             keep_seconds: registry.seconds("keep_seconds", "Time to keep a turn")?,
+            unknown_keys: registry.labelled_counter(
+                "unknown_keys_total",
+                "Requests without a known key",
+                "shown",
+            )?,
+            quota_refusals: registry.labelled_counter(
+                "quota_refusals_total",
+                "Requests refused by their tenants' quotas",
+                "reason",
+            )?,
+            quota_seconds: registry.seconds("quota_seconds", "Time to look a quota up")?,
             version: registry.gauge("configuration_version", "Configuration in force")?,
             registry,
         })
     }
+
+    /// Counts a request that a quota refused.
+    pub(crate) fn note_quota(&self, reason: &str) {
+        self.quota_refusals.with_label_values(&[reason]).inc();
+    }
 }
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -1,7 +1,7 @@
 //! What the control members tell a gateway.
 
 use crate::gateway::{Gateway, InForce};
-use luglink_edge::RoutingTable;
+use luglink_edge::{KeyRing, RoutingTable};
 use luglink_fleet::{
     BackendList, BackendReport, BackendUpdate, GatewayPresence, Known, News, Presence, Role,
     VersionedDocument,
@@ -27,7 +27,8 @@
         let in_force = self.in_force.borrow();
         Known {
             document_version: in_force.as_ref().map_or(0, |in_force| in_force.version),
-            is_current: self.is_current.get() || in_force.is_none() && self.heard_fresh.get(),
+            is_current: self.is_current.get()
+                || in_force.is_none() && self.fresh_at.get().is_some(),
             store_epoch: self.turns.epoch(),
             backends: Some(self.pool.borrow().fingerprint().unwrap_or(0)),
             ..Known::default()
@@ -39,7 +40,7 @@
             self.put_in_force(member, document);
         }
         if news.fresh {
-            self.heard_fresh.set(true);
+            self.fresh_at.set(Some(Instant::now()));
         }
         if news.fresh && !self.is_current.get() && self.in_force.borrow().is_some() {
             tracing::info!(%member, "the configuration is current");
@@ -79,16 +80,19 @@
                     version = document.version,
                     before = held,
                     routes = configuration.routes.len(),
+                    tenants = configuration.tenants.len(),
                     "configuration in force"
                 );
                 self.metrics.version.set(document.version as f64);
                 self.splits.borrow_mut().keep_only(&configuration);
                 self.shedder.borrow_mut().keep_only(&configuration);
                 let table = RoutingTable::new(&configuration);
+                let keys = KeyRing::new(&configuration);
                 *self.in_force.borrow_mut() = Some(Rc::new(InForce {
                     version: document.version,
                     configuration,
                     table,
+                    keys,
                 }));
             }
             // The control members check documents before they take them.
--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -3,10 +3,12 @@
 use crate::chain_search::ChainAnswer;
 use crate::gateway::Gateway;
 use crate::inbound::{Inbound, ProgramFields};
+use crate::quota;
 use crate::refusal::Refusal;
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
 use luglink_edge::Intake;
+use luglink_quota::Purpose;
 use luglink_turns::{Admission, ProgramName, TurnId, TurnRecord};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -82,9 +84,37 @@
     }
 }
 
-/// Reserves a turn's tokens and finds the turns that it goes on from.
+/// What the stores say of a turn.
+struct Reserved {
+    reservation: Option<Reservation>,
+    chain: Option<ChainAnswer>,
+    purpose: Purpose,
+}
+
+impl Reserved {
+    /// Of a turn that needs nothing of the stores.
+    fn nothing(program: &ProgramFields) -> Self {
+        Self {
+            reservation: None,
+            chain: None,
+            purpose: purpose(program.previous.is_none()),
+        }
+    }
+}
+
+fn purpose(begins: bool) -> Purpose {
+    if begins {
+        Purpose::Begins
+    } else {
+        Purpose::Continues
+    }
+}
+
+/// Reserves a turn's tokens, takes one of its tenant's quota, and finds the turns that it goes on
+/// from.
 pub(crate) async fn begin(gateway: &Rc<Gateway>, inbound: &Inbound) -> Result<TurnStart, Refusal> {
     let Some(program) = &inbound.program else {
+        quota::take(gateway, inbound, Purpose::Continues).await?;
         return Ok(TurnStart {
             reservation: None,
             chain: Vec::new(),
@@ -97,19 +127,21 @@
         .filter(|_| inbound.route.keeps_history);
     let known = previous.and_then(|previous| gateway.turn_cache.borrow().chain(previous));
     let wanted = previous.filter(|_| known.is_none());
-    let (reservation, found) = if program.budget.is_some() || wanted.is_some() {
+    let reserved = if program.budget.is_some() || wanted.is_some() {
         reserve(gateway, inbound, program, wanted).await?
     } else {
-        (None, None)
+        Reserved::nothing(program)
     };
-    let chain = match (known, found) {
+    let chain = match (known, reserved.chain) {
         (Some(chain), _) => chain,
         (None, Some(answer)) => take_chain(gateway, inbound, answer)?,
         (None, None) => Vec::new(),
     };
+    // Only for a turn that will be sent: one that names no turn or is over its budget takes none.
+    quota::take(gateway, inbound, reserved.purpose).await?;
     let prompt = (!chain.is_empty()).then(|| prompt(&chain, &inbound.body));
     Ok(TurnStart {
-        reservation,
+        reservation: reserved.reservation,
         chain,
         prompt,
     })
@@ -120,8 +152,8 @@
     inbound: &Inbound,
     program: &ProgramFields,
     wanted: Option<&TurnId>,
-) -> Result<(Option<Reservation>, Option<ChainAnswer>), Refusal> {
-    let turn = TurnId(inbound.id.clone());
+) -> Result<Reserved, Refusal> {
+    let turn = inbound.turn();
     let retention_ms = inbound.route.retention_ms;
     let reservation = Reservation {
         gateway: Rc::clone(gateway),
@@ -150,11 +182,17 @@
     };
     let seconds = began.elapsed().as_secs_f64();
     gateway.metrics.reserve_seconds.observe(seconds);
-    if program.previous.is_none() && begun.account.is_begun_by(&turn) {
+    let begins = program.previous.is_none() && begun.account.is_begun_by(&turn);
+    if begins {
         let_in(gateway, inbound, program)?;
     }
+    let reserved = Reserved {
+        reservation: Some(reservation),
+        chain: begun.chain,
+        purpose: purpose(begins),
+    };
     let Some(budget) = program.budget else {
-        return Ok((Some(reservation), begun.chain));
+        return Ok(reserved);
     };
     let mut spent = begun.account.total();
     let mut admission = Admission::at_first_look(spent, program.ceiling, budget);
@@ -167,7 +205,7 @@
     if admission == Admission::Refuse {
         tracing::info!(
             id = inbound.id,
-            program = program.name.0,
+            program = %program.name,
             spent,
             budget,
             ceiling = program.ceiling,
@@ -178,7 +216,7 @@
             "the program's token budget is spent",
         ));
     }
-    Ok((Some(reservation), begun.chain))
+    Ok(reserved)
 }
 
 /// Refuses a program that has not begun when the engines have too much to do already.
@@ -196,7 +234,7 @@
     };
     tracing::info!(
         id = inbound.id,
-        program = program.name.0,
+        program = %program.name,
         route = inbound.route.name,
         share,
         late,
--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -3,11 +3,12 @@
 use crate::gateway::{Gateway, InForce};
 use crate::inbound;
 use crate::refusal::Refusal;
-use crate::{stream, unary};
+use crate::{quota, stream, unary};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use luglink_edge::{RouteKind, start_patience};
 use luglink_http::{Abort, Body};
+use luglink_quota::Purpose;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -91,6 +92,7 @@
     if inbound.route.kind == RouteKind::Streaming {
         return stream::serve(gateway, inbound, in_flight).await;
     }
+    quota::take(gateway, &inbound, Purpose::Continues).await?;
     let response = unary::serve(gateway, &inbound).await?;
     let elapsed = inbound.arrived.elapsed();
     gateway
--- /dev/null
+++ b/crates/gateway-server/src/quota.rs
@@ -0,0 +1,141 @@
+//! Whether a request may go by its tenant's quota.
+
+use crate::gateway::Gateway;
+use crate::inbound::Inbound;
+use crate::refusal::Refusal;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use http::StatusCode;
+use luglink_edge::{Quota, Tenant};
+use luglink_quota::{Limit, Purpose, QuotaAnswer, QuotaAsk};
+use std::time::{Duration, Instant};
+
+/// Wait for one owner after which the next one is asked too. An owner that is well answers within
+/// a few milliseconds; one token too many is what a slow one costs.
+const OWNER_PATIENCE: Duration = Duration::from_millis(60);
+
+/// Longest wait for the owners together.
+const OWNERS_LIMIT: Duration = Duration::from_millis(400);
+
+/// What the owners of a tenant say together.
+enum Verdict {
+    Granted,
+    Denied {
+        come_back: Duration,
+    },
+    /// None of them could say.
+    Unknown,
+}
+
+/// Takes a token of the quota of a request's tenant; requests of tenants without a limit, and of
+/// callers without a tenant, need none.
+///
+/// # Errors
+/// The tenant's limit is reached, or nobody can say whether it is. The request has not run.
+pub(crate) async fn take(
+    gateway: &Gateway,
+    inbound: &Inbound,
+    purpose: Purpose,
+) -> Result<(), Refusal> {
+    let Some(tenant) = inbound.caller.tenant() else {
+        return Ok(());
+    };
+    let Some(quota) = tenant.quota else {
+        return Ok(());
+    };
+    let began = Instant::now();
+    let ask = ask(inbound, tenant, quota, purpose);
+    let limit = OWNERS_LIMIT.min(inbound.remaining());
+    let verdict = actix_rt::time::timeout(limit, ask_owners(gateway, &ask)).await;
+    let seconds = began.elapsed().as_secs_f64();
+    gateway.metrics.quota_seconds.observe(seconds);
+    match verdict.unwrap_or(Verdict::Unknown) {
+        Verdict::Granted => Ok(()),
+        Verdict::Denied { come_back } => Err(over_limit(gateway, inbound, &ask, come_back)),
+        Verdict::Unknown => {
+            tracing::warn!(
+                id = inbound.id,
+                tenant = %tenant.name,
+                epoch = gateway.turns.epoch(),
+                "no owner of the quota can say whether a request may go"
+            );
+            gateway.metrics.note_quota("unknown");
+            Err(Refusal::recovering(
+                "the tenant's quota cannot be looked up",
+            ))
+        }
+    }
+}
+
+fn ask(inbound: &Inbound, tenant: &Tenant, quota: Quota, purpose: Purpose) -> QuotaAsk {
+    QuotaAsk {
+        tenant: tenant.name.clone(),
+        limit: Limit {
+            version: inbound.version,
+            rate_per_s: quota.rate_per_s,
+            burst: quota.burst,
+        },
+        purpose,
+    }
+}
+
+fn over_limit(
+    gateway: &Gateway,
+    inbound: &Inbound,
+    ask: &QuotaAsk,
+    come_back: Duration,
+) -> Refusal {
+    tracing::info!(
+        id = inbound.id,
+        tenant = %ask.tenant,
+        route = inbound.route.name,
+        purpose = ?ask.purpose,
+        rate_per_s = ask.limit.rate_per_s,
+        burst = ask.limit.burst,
+        version = inbound.version,
+        come_back_ms = come_back.as_millis(),
+        "a tenant's limit is reached"
+    );
+    gateway.metrics.note_quota("denied");
+    Refusal {
+        status: StatusCode::TOO_MANY_REQUESTS,
+        ..Refusal::not_run_until("the tenant's limit is reached", come_back)
+    }
+}
+
+/// Asks one owner after the other until one has a token: the next one when an owner has none, and
+/// besides it when an owner is slow to answer.
+async fn ask_owners(gateway: &Gateway, ask: &QuotaAsk) -> Verdict {
+    let mut owners = gateway.turns.quota_owners(&ask.tenant).into_iter();
+    let mut asking = FuturesUnordered::new();
+    let mut come_back = None;
+    loop {
+        let next = owners.next();
+        let is_last = next.is_none();
+        if let Some(owner) = next {
+            asking.push(gateway.turns.ask_quota(&owner, ask));
+        }
+        loop {
+            let answer = tokio::select! {
+                answer = asking.next() => answer,
+                () = actix_rt::time::sleep(OWNER_PATIENCE), if !is_last => break,
+            };
+            match answer {
+                Some(Some(QuotaAnswer::Granted)) => return Verdict::Granted,
+                Some(Some(QuotaAnswer::Denied { come_back_ms })) => {
+                    let wait = Duration::from_millis(come_back_ms);
+                    come_back = Some(come_back.map_or(wait, |known: Duration| known.min(wait)));
+                }
+                Some(Some(QuotaAnswer::NotOwner) | None) => {}
+                None if is_last => {
+                    return come_back
+                        .map_or(Verdict::Unknown, |come_back| Verdict::Denied { come_back });
+                }
+                None => break,
+            }
+            if !is_last {
+                break;
+            }
+        }
+    }
+}
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -17,7 +17,7 @@
 use luglink_edge::{EventSplitter, StreamEvent};
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::{Body, BodySender, stream_body};
-use luglink_turns::{TurnId, TurnRecord};
+use luglink_turns::TurnRecord;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -256,7 +256,7 @@
         };
         let tokens = self.events * self.tokens_per_event;
         let turn = Rc::new(TurnRecord {
-            id: TurnId(self.inbound.id.clone()),
+            id: self.inbound.turn(),
             program: program.name.clone(),
             ancestors: self
                 .start
@@ -365,7 +365,7 @@
                 .inbound
                 .program
                 .as_ref()
-                .map(|program| program.name.0.as_str()),
+                .map(|program| tracing::field::display(&program.name)),
             chain = self.start.chain.len(),
             events = self.events,
             given = reservation.map(|reservation| reservation.given()),
--- a/crates/gateway-server/src/turn_client.rs
+++ b/crates/gateway-server/src/turn_client.rs
@@ -5,10 +5,12 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use luglink_fleet::{StoreName, StoreState, StoreView};
+use luglink_quota::{QuotaAnswer, QuotaAsk, QuotaOwner};
 use luglink_turns::{
     Account, ChainWish, ProgramName, Replication, Spend, StoreRequest, StoreResponse, TurnId,
     TurnRecord,
 };
+use luglink_types::TenantName;
 use snafu::Snafu;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -333,21 +335,48 @@
         self.ask_quorum(program, request, is_written).await
     }
 
+    /// The stores that give out a tenant's quota, the nearest first.
+    pub(crate) fn quota_owners(&self, tenant: &TenantName) -> Vec<StoreName> {
+        let count = self.replication.quota_owners();
+        let mut owners = QuotaOwner::owners_of(&self.view.borrow(), tenant, count);
+        owners.sort_by_cached_key(|name| self.distance(name));
+        owners
+    }
+
+    /// Asks a store for a token; `None` when it does not answer.
+    pub(crate) fn ask_quota(
+        &self,
+        owner: &StoreName,
+        ask: &QuotaAsk,
+    ) -> impl Future<Output = Option<QuotaAnswer>> + use<> {
+        let asking = self.ask(owner, &StoreRequest::Quota(ask.clone()));
+        async move {
+            match asking.await {
+                (_, Some(StoreResponse::Quota(answer))) => Some(answer),
+                _ => None,
+            }
+        }
+    }
+
     fn nearest(&self, owners: &[StoreName]) -> Option<StoreName> {
-        let links = self.links.borrow();
         let view = self.view.borrow();
         let rank = |name: &&StoreName| {
-            let link = links.get(*name);
             let filled = view
                 .members
                 .get(*name)
                 .is_some_and(|member| member.state == StoreState::Active);
-            let lost = link.is_none_or(|link| link.is_lost());
-            let micros = link.map_or(0, |link| link.answer_micros());
-            (!filled, lost, micros)
+            (!filled, self.distance(name))
         };
         owners.iter().min_by_key(rank).cloned()
     }
+
+    /// Orders stores by how soon they answer; those that did not answer last time come last.
+    fn distance(&self, name: &StoreName) -> (bool, u64) {
+        let links = self.links.borrow();
+        let link = links.get(name);
+        let lost = link.is_none_or(|link| link.is_lost());
+        (lost, link.map_or(0, |link| link.answer_micros()))
+    }
 }
 
 /// Time that the store that was asked for a chain gets beyond the quorum, before all are asked.
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -5,3 +5,4 @@
 mod programs;
 mod replicas;
 mod support;
+mod tenants;
