Let requests of programs that have begun wait a moment for a token

Cause: a program sends several requests at once; where its tenant is near its limit, a request in its middle got 429 although a token was to come within 100 ms, and spent one of its caller's tries.

Change: such a request waits up to 0.4 s, a quarter of its time at the most, for as long as the owner says that a token will be there; a request that begins a program is refused at once.

--- a/crates/gateway-server/src/quota.rs
+++ b/crates/gateway-server/src/quota.rs
@@ -17,6 +17,13 @@
 /// Longest wait for the owners together.
 const OWNERS_LIMIT: Duration = Duration::from_millis(400);
 
+/// Longest time that a request of a program that has begun waits for a token. Refused, it would
+/// spend one of its caller's few tries, or end a program that engines have worked for.
+const TOKEN_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Shortest pause before the owners are asked again.
+const SHORTEST_TOKEN_WAIT: Duration = Duration::from_millis(10);
+
 /// What the owners of a tenant say together.
 enum Verdict {
     Granted,
@@ -45,11 +52,10 @@
     };
     let began = Instant::now();
     let ask = ask(inbound, tenant, quota, purpose);
-    let limit = OWNERS_LIMIT.min(inbound.remaining());
-    let verdict = actix_rt::time::timeout(limit, ask_owners(gateway, &ask)).await;
+    let verdict = verdict(gateway, inbound, &ask).await;
     let seconds = began.elapsed().as_secs_f64();
     gateway.metrics.quota_seconds.observe(seconds);
-    match verdict.unwrap_or(Verdict::Unknown) {
+    match verdict {
         Verdict::Granted => Ok(()),
         Verdict::Denied { come_back } => Err(over_limit(gateway, inbound, &ask, come_back)),
         Verdict::Unknown => {
@@ -67,6 +73,27 @@
     }
 }
 
+/// Asks the owners, again when a program that has begun would be refused for want of a token that
+/// will be there within moments.
+async fn verdict(gateway: &Gateway, inbound: &Inbound, ask: &QuotaAsk) -> Verdict {
+    let patience = match ask.purpose {
+        Purpose::Begins => Duration::ZERO,
+        Purpose::Continues => TOKEN_PATIENCE.min(inbound.remaining() / 4),
+    };
+    let deadline = Instant::now() + patience;
+    loop {
+        let limit = OWNERS_LIMIT.min(inbound.remaining());
+        let asking = actix_rt::time::timeout(limit, ask_owners(gateway, ask));
+        let verdict = asking.await.unwrap_or(Verdict::Unknown);
+        match verdict {
+            Verdict::Denied { come_back } if Instant::now() + come_back < deadline => {
+                actix_rt::time::sleep(come_back.max(SHORTEST_TOKEN_WAIT)).await;
+            }
+            verdict => return verdict,
+        }
+    }
+}
+
 fn ask(inbound: &Inbound, tenant: &Tenant, quota: Quota, purpose: Purpose) -> QuotaAsk {
     QuotaAsk {
         tenant: tenant.name.clone(),
