Place programs by two choices, and let none begin where replicas are full

First events took 170 to 290 ms in the middle instead of 52, and the engines did 750 to 850 turns a second where they had done 1,080. Each gateway saw one program a second and could not tell.

Ruled out: priorities at the engines (none reorders here), preemption (0), gateways' processor time.

Change: before a program begins, its gateway reads the reports of two replicas and takes the emptier one; when both have 0.4 of their places taken, of two in other zones too; when all are at 0.8, the program is refused at once, with a time to come back that is spread. Turn stores remember the replica of a program's last turn, for programs that bring their own history, as a hint that needs no disk. Programs stay in zones of eight replicas instead of twelve: two choices even out what unevenness forbade that.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -147,6 +147,7 @@
             list_calls_per_s: fleet.list_calls_per_s,
             list_stale_after: fleet.list_stale_after(),
             replication: replication(fleet),
+            full_at: gateway.full_at,
             keys_expire_after: fleet
                 .fail_closed
                 .then(|| Duration::from_millis(fleet.revoke_ms)),
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -2,6 +2,7 @@
 
 use crate::configuration::Configuration;
 use crate::errors::DialectError;
+use crate::placement::ReplicaReport;
 use http::{HeaderMap, HeaderName};
 use luglink_fleet::{Backend, RetireState, StoreName};
 use std::net::SocketAddr;
@@ -113,6 +114,15 @@
     /// It cannot be read in full.
     fn backend_page(&self, content: &[u8]) -> Result<BackendPage, DialectError>;
 
+    /// Path at which a replica reports its load.
+    fn report_path(&self) -> &'static str;
+
+    /// Reads such a report.
+    ///
+    /// # Errors
+    /// It cannot be read in full.
+    fn replica_report(&self, content: &[u8]) -> Result<ReplicaReport, DialectError>;
+
     /// Whether a path asks whether a gateway takes callers.
     fn is_readiness(&self, path: &str) -> bool;
 
--- a/crates/edge/src/own_dialect.rs
+++ b/crates/edge/src/own_dialect.rs
@@ -3,6 +3,7 @@
 use crate::configuration::Configuration;
 use crate::dialect::{BackendPage, Dialect, HeaderNames, OperatorCall, ResolutionQuery};
 use crate::errors::{DialectError, MalformedSnafu};
+use crate::placement::ReplicaReport;
 use http::{HeaderName, Method};
 use luglink_fleet::{Backend, BackendId, RetireState, StoreName};
 use serde::{Deserialize, Serialize};
@@ -61,6 +62,15 @@
     draining: bool,
 }
 
+/// What a replica says of itself.
+#[derive(Serialize, Deserialize)]
+struct Report {
+    running: u32,
+    waiting: u32,
+    memory_used: u64,
+    memory_total: u64,
+}
+
 /// A page of a list.
 #[derive(Serialize, Deserialize)]
 struct ListPage {
@@ -123,6 +133,21 @@
         })
     }
 
+    fn report_path(&self) -> &'static str {
+        "/v1/report"
+    }
+
+    fn replica_report(&self, content: &[u8]) -> Result<ReplicaReport, DialectError> {
+        let report: Report =
+            serde_json::from_slice(content).context(MalformedSnafu { what: "report" })?;
+        Ok(ReplicaReport {
+            running: report.running,
+            waiting: report.waiting,
+            memory_used: report.memory_used,
+            memory_total: report.memory_total,
+        })
+    }
+
     fn is_readiness(&self, path: &str) -> bool {
         path == "/v1/ready"
     }
--- /dev/null
+++ b/crates/edge/src/placement.rs
@@ -0,0 +1,67 @@
+//! Where a program begins, and whether it may, by what the replicas themselves say.
+
+use std::time::Duration;
+
+/// What a replica of a model engine says of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaReport {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait in it.
+    pub waiting: u32,
+    /// Tokens of its memory that cannot give way.
+    pub memory_used: u64,
+    /// Tokens of its memory.
+    pub memory_total: u64,
+}
+
+impl ReplicaReport {
+    /// How full the replica is: its requests in shares of its slots, or the share of its memory
+    /// that is in use, whichever is higher. Above 1 requests wait.
+    #[must_use]
+    pub fn fullness(&self, slots: u32) -> f64 {
+        let requests = f64::from(self.running + self.waiting) / f64::from(slots.max(1));
+        let memory = self.memory_used as f64 / self.memory_total.max(1) as f64;
+        requests.max(memory)
+    }
+}
+
+/// Where a program begins.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Placement {
+    /// At the candidate of that position.
+    At(usize),
+    /// Nowhere yet: all candidates are full.
+    Refuse {
+        /// How full the emptiest of them is.
+        fullness: f64,
+        /// When to come back.
+        come_back: Duration,
+    },
+}
+
+/// Time in which a full replica gets room for another program, about: a turn of the programs that
+/// it has.
+const ROOM_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Chooses the emptier of two candidates ("the power of two choices", Mitzenmacher 2001): it
+/// keeps replicas even without a view of all of them. `fullness` has an entry for each candidate,
+/// `None` for one that did not say; `limit` is the fullness from which a replica takes no new
+/// programs. `spread`, from 0 to 1, keeps callers that are refused together from coming back
+/// together.
+#[must_use]
+pub fn place(fullness: &[Option<f64>], limit: f64, spread: f64) -> Placement {
+    let known = fullness
+        .iter()
+        .enumerate()
+        .filter_map(|(position, fullness)| fullness.map(|fullness| (position, fullness)));
+    let emptiest = known.min_by(|left, right| left.1.total_cmp(&right.1));
+    match emptiest {
+        None => Placement::At(0),
+        Some((position, fullness)) if fullness < limit => Placement::At(position),
+        Some((_, fullness)) => Placement::Refuse {
+            fullness,
+            come_back: ROOM_INTERVAL.mul_f64(0.5 + fullness.min(4.0) * (0.5 + spread)),
+        },
+    }
+}
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -18,11 +18,11 @@
 /// above the least loaded one.
 const CACHE_WORTH: f64 = 0.5;
 
-/// Replicas of a service that every zone must have for its programs to stay in their zones. With
-/// fewer, uneven homes and zones fill some replicas' memory: with eight in a zone, replicas
-/// preempted a third more requests than with homes in all zones (round L4 in `docs/DECISIONS.md`).
-/// Were only the larger zones to keep theirs, their replicas would get those of the others besides.
-const ENOUGH_NEAR: usize = 12;
+/// Replicas of a service that every zone must have for its programs to stay in their zones, which
+/// spares connections and bytes between zones. With fewer, two choices do not even out what the
+/// few of a zone get. Were only the larger zones to keep theirs, their replicas would get those of
+/// the others besides.
+const ENOUGH_NEAR: usize = 8;
 
 /// First pause of a replica that failed; doubles with each failure in a row.
 const FIRST_EJECTION: Duration = Duration::from_millis(200);
@@ -73,6 +73,15 @@
     pub draw: u64,
 }
 
+/// Where a program may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// At replicas that may be its home.
+    Home,
+    /// At the others, in other zones.
+    Elsewhere,
+}
+
 /// A choice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -248,16 +257,54 @@
     /// every zone has enough of them, and otherwise the same for all zones.
     #[must_use]
     pub fn home(&self, service: &str, program: u64) -> Option<BackendId> {
-        let stays_near = self.zonal_services.contains(service);
+        self.usable_members(service)
+            .filter(|member| self.is_home(member))
+            .map(|member| &member.backend.id)
+            .max_by_key(|id| home_rank(id, program))
+            .cloned()
+    }
+
+    /// The replicas at which a program may begin, the same at all gateways of a zone with the
+    /// same list: its home, and those that would be it next, or else those that would be it if
+    /// programs did not stay in their zones. Those that failed lately are passed over while others
+    /// are left.
+    #[must_use]
+    pub fn candidates(
+        &self,
+        service: &str,
+        program: u64,
+        reach: Reach,
+        count: usize,
+        now: Timestamp,
+    ) -> Vec<Backend> {
+        let mut ranked: Vec<(bool, u64, &Backend)> = self
+            .usable_members(service)
+            .filter(|member| self.is_home(member) == (reach == Reach::Home))
+            .map(|member| {
+                let backend = &member.backend;
+                let is_sound = member.ejected_until <= now;
+                (is_sound, home_rank(&backend.id, program), backend)
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(is_sound, rank, _)| std::cmp::Reverse((*is_sound, *rank)));
+        let best = ranked.into_iter().take(count);
+        best.map(|(_, _, backend)| backend.clone()).collect()
+    }
+
+    /// Replicas of a service that may get work.
+    fn usable_members<'pool>(
+        &'pool self,
+        service: &'pool str,
+    ) -> impl Iterator<Item = &'pool Member> {
         self.members
             .values()
-            .map(|member| &member.backend)
-            .filter(|backend| backend.service == service && !backend.draining)
-            .filter(|backend| !stays_near || backend.zone == self.zone)
-            .max_by_key(|backend| {
-                xxhash_rust::xxh3::xxh3_64_with_seed(backend.id.0.as_bytes(), program)
-            })
-            .map(|backend| backend.id.clone())
+            .filter(move |member| member.backend.service == service && !member.backend.draining)
+    }
+
+    /// Whether programs of this zone may have their home at a replica.
+    fn is_home(&self, member: &Member) -> bool {
+        let backend = &member.backend;
+        backend.zone == self.zone || !self.zonal_services.contains(&backend.service)
     }
 
     /// Notes that a request goes to a replica.
@@ -353,6 +400,11 @@
     zonal.map(|(service, _)| service.to_owned()).collect()
 }
 
+/// Rank of a replica as a program's home: highest random weight.
+fn home_rank(id: &BackendId, program: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(id.0.as_bytes(), program)
+}
+
 /// Less than any other difference in cost, and different for each request.
 fn tie_breaker(id: &BackendId, draw: u64) -> f64 {
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(id.0.as_bytes(), draw);
--- a/crates/gateway-server/src/config.rs
+++ b/crates/gateway-server/src/config.rs
@@ -30,6 +30,8 @@
     pub replication: Replication,
     /// Longest time for a planned stop.
     pub stop_limit: Duration,
+    /// Fullness of a replica from which it takes no new programs; 0 to look at none.
+    pub full_at: f64,
     /// Time without word from a control member that hears its leader, after which callers with
     /// keys are refused; `None` to go on with the keys that are known.
     pub keys_expire_after: Option<Duration>,
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -116,7 +116,7 @@
     backend: &Backend,
     extra: &Extra,
 ) -> Result<(Response<Incoming>, Lease), Failure> {
-    let limit = connection_limit(gateway, inbound);
+    let limit = connection_limit(gateway, &inbound.service);
     for _ in 0..MAX_REUSES {
         let patience = inbound.remaining();
         let acquired = gateway
@@ -174,11 +174,12 @@
     }
 }
 
-fn connection_limit(gateway: &Gateway, inbound: &Inbound) -> u32 {
+/// Connections to one replica of a service that this gateway may have.
+pub(crate) fn connection_limit(gateway: &Gateway, service: &str) -> u32 {
     let in_force = gateway.in_force.borrow();
     let limit = in_force
         .as_ref()
-        .and_then(|in_force| in_force.configuration.service(&inbound.service))
+        .and_then(|in_force| in_force.configuration.service(service))
         .map_or(MIN_CONNECTIONS, |service| service.connection_limit);
     let share = f64::from(limit) * CONNECTION_SHARE / f64::from(gateway.gateways.get().max(1));
     (share as u32).max(MIN_CONNECTIONS)
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -15,6 +15,7 @@
 mod list;
 mod metrics;
 mod news;
+mod placement;
 mod program;
 mod proxy;
 mod quota;
--- /dev/null
+++ b/crates/gateway-server/src/placement.rs
@@ -0,0 +1,139 @@
+//! Looks at replicas before a program begins at one of them.
+//!
+//! A gateway of a large fleet has less than one request at a time at most replicas, so its own
+//! requests say nothing of how full a replica is; the replica does. Two reports for each program
+//! cost a round trip once in its life. With them programs neither pile up at some replicas, whose
+//! prompt caches then thrash, nor begin while all are full.
+
+use crate::exchange::connection_limit;
+use crate::gateway::Gateway;
+use crate::inbound::Inbound;
+use crate::refusal::Refusal;
+use futures_util::future::join_all;
+use http::{HeaderValue, Request, Uri, header};
+use http_body_util::{BodyExt, Limited};
+use luglink_edge::{Placement, Reach, ReplicaReport, place};
+use luglink_fleet::{Backend, BackendId};
+use luglink_http::empty_body;
+use std::time::Duration;
+
+/// Replicas that are looked at before a program begins.
+const CANDIDATES: usize = 2;
+
+/// Fullness of the candidates in a program's zone from which others are looked at too: below it a
+/// replica batches without slowing down much. From 0.75 on, the replicas of busy zones were full
+/// while others had room.
+const LEAVES_AT: f64 = 0.4;
+
+/// Fullness that a replica in another zone counts as having more: all turns of the program then
+/// cross zones.
+const ELSEWHERE_COST: f64 = 0.1;
+
+/// Longest wait for a replica's report; one that is well answers within a round trip. A program
+/// whose candidates say nothing begins at the first of them.
+const REPORT_LIMIT: Duration = Duration::from_millis(40);
+
+/// Longest report, in bytes.
+const MAX_REPORT_BYTES: usize = 64 << 10;
+
+/// The replica at which a program begins; `None` where that does not matter.
+///
+/// # Errors
+/// All that it could begin at are full. The request has not run.
+pub(crate) async fn first_place(
+    gateway: &Gateway,
+    inbound: &Inbound,
+) -> Result<Option<BackendId>, Refusal> {
+    let limit = gateway.config.full_at;
+    if limit <= 0.0 || !has_engine(gateway, inbound) {
+        return Ok(None);
+    }
+    let (mut candidates, mut fullness) = look_at(gateway, inbound, Reach::Home).await;
+    if fullness
+        .iter()
+        .all(|known| known.is_none_or(|known| known >= LEAVES_AT))
+    {
+        let (others, their_fullness) = look_at(gateway, inbound, Reach::Elsewhere).await;
+        candidates.extend(others);
+        fullness.extend(
+            their_fullness
+                .into_iter()
+                .map(|known| Some(known? + ELSEWHERE_COST)),
+        );
+    }
+    let spread = (gateway.draw() >> 32) as f64 / f64::from(u32::MAX);
+    match place(&fullness, limit, spread) {
+        Placement::At(position) => Ok(candidates.get(position).map(|backend| backend.id.clone())),
+        Placement::Refuse {
+            fullness,
+            come_back,
+        } => {
+            tracing::info!(
+                id = inbound.id,
+                route = inbound.route.name,
+                fullness,
+                limit,
+                come_back_ms = come_back.as_millis() as u64,
+                "a program is not let in: the replicas are full"
+            );
+            Err(Refusal::not_run_until(
+                "the engines have too much to do",
+                come_back,
+            ))
+        }
+    }
+}
+
+/// Looks at the candidates of a reach, and tells how full they are.
+async fn look_at(
+    gateway: &Gateway,
+    inbound: &Inbound,
+    reach: Reach,
+) -> (Vec<Backend>, Vec<Option<f64>>) {
+    let candidates = {
+        let pool = gateway.pool.borrow();
+        let service = &inbound.service;
+        pool.candidates(service, inbound.draw, reach, CANDIDATES, gateway.now())
+    };
+    let looks = candidates.iter().map(|backend| look(gateway, backend));
+    let fullness = join_all(looks).await;
+    (candidates, fullness)
+}
+
+fn has_engine(gateway: &Gateway, inbound: &Inbound) -> bool {
+    let in_force = gateway.in_force.borrow();
+    in_force
+        .as_ref()
+        .and_then(|in_force| in_force.configuration.service(&inbound.service))
+        .is_some_and(|service| service.engine.is_some())
+}
+
+async fn look(gateway: &Gateway, backend: &Backend) -> Option<f64> {
+    let reading = read_report(gateway, backend);
+    let report = actix_rt::time::timeout(REPORT_LIMIT, reading)
+        .await
+        .ok()??;
+    Some(report.fullness(backend.slots))
+}
+
+async fn read_report(gateway: &Gateway, backend: &Backend) -> Option<ReplicaReport> {
+    let limit = connection_limit(gateway, &backend.service);
+    let acquiring = gateway.upstream.acquire(backend, limit, REPORT_LIMIT);
+    let mut lease = acquiring.await.ok()?;
+    let mut request = Request::new(empty_body());
+    *request.uri_mut() = Uri::from_static(gateway.dialect.report_path());
+    let host = HeaderValue::from_str(&backend.address.to_string()).ok()?;
+    request.headers_mut().insert(header::HOST, host);
+    let response = lease.connection()?.send(request).await.ok()?;
+    let (head, incoming) = response.into_parts();
+    let body = Limited::new(incoming, MAX_REPORT_BYTES).collect().await;
+    let report = gateway.dialect.replica_report(&body.ok()?.to_bytes());
+    lease.give_back(&head.headers);
+    match report {
+        Ok(report) => Some(report),
+        Err(error) => {
+            tracing::warn!(replica = %backend.id, %error, "a replica's report cannot be read");
+            None
+        }
+    }
+}
--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -3,14 +3,15 @@
 use crate::chain_search::ChainAnswer;
 use crate::gateway::Gateway;
 use crate::inbound::{Inbound, ProgramFields};
-use crate::quota;
 use crate::refusal::Refusal;
+use crate::{placement, quota};
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
 use luglink_edge::Intake;
+use luglink_fleet::BackendId;
 use luglink_quota::Purpose;
 use luglink_turns::{Admission, ProgramName, TurnId, TurnRecord};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -26,6 +27,8 @@
     pub(crate) reservation: Option<Reservation>,
     /// The turns that it goes on from, oldest first.
     pub(crate) chain: Vec<Rc<TurnRecord>>,
+    /// The replica that holds the prompt's beginning, or at which the program begins.
+    pub(crate) place: Option<BackendId>,
     /// The whole prompt, when it differs from what the caller sent.
     pub(crate) prompt: Option<Bytes>,
 }
@@ -39,6 +42,7 @@
     retention_ms: u64,
     given: Cell<u64>,
     is_settled: Cell<bool>,
+    served_by: RefCell<Option<BackendId>>,
 }
 
 impl std::fmt::Debug for Reservation {
@@ -62,6 +66,12 @@
         self.given.get()
     }
 
+    /// Notes the replica that serves the turn. The stores are told with the turn's end, so that
+    /// the program's next turn goes there from whichever gateway it reaches.
+    pub(crate) fn note_replica(&self, replica: &BackendId) {
+        *self.served_by.borrow_mut() = Some(replica.clone());
+    }
+
     /// The stores have the turn's end already.
     pub(crate) fn mark_settled(&self) {
         self.is_settled.set(true);
@@ -77,8 +87,11 @@
         let program = self.program.clone();
         let turn = self.turn.clone();
         let (given, retention_ms) = (self.given.get(), self.retention_ms);
+        let served_by = self.served_by.take();
         actix_rt::spawn(async move {
-            let settling = gateway.turns.settle(&program, &turn, given, retention_ms);
+            let settling = gateway
+                .turns
+                .settle(&program, &turn, given, retention_ms, served_by);
             settling.await;
         });
     }
@@ -88,6 +101,8 @@
 struct Reserved {
     reservation: Option<Reservation>,
     chain: Option<ChainAnswer>,
+    /// The replica that served the program's last turn.
+    served_by: Option<BackendId>,
     purpose: Purpose,
 }
 
@@ -97,6 +112,7 @@
         Self {
             reservation: None,
             chain: None,
+            served_by: None,
             purpose: purpose(program.previous.is_none()),
         }
     }
@@ -118,6 +134,7 @@
         return Ok(TurnStart {
             reservation: None,
             chain: Vec::new(),
+            place: None,
             prompt: None,
         });
     };
@@ -137,11 +154,17 @@
         (None, Some(answer)) => take_chain(gateway, inbound, answer)?,
         (None, None) => Vec::new(),
     };
+    let place = match (chain.last(), reserved.purpose) {
+        (Some(turn), _) => turn.served_by.clone(),
+        (None, Purpose::Begins) => placement::first_place(gateway, inbound).await?,
+        (None, Purpose::Continues) => reserved.served_by,
+    };
     // Only for a turn that will be sent: one that names no turn or is over its budget takes none.
     quota::take(gateway, inbound, reserved.purpose).await?;
     let prompt = (!chain.is_empty()).then(|| prompt(&chain, &inbound.body));
     Ok(TurnStart {
         reservation: reserved.reservation,
+        place,
         chain,
         prompt,
     })
@@ -162,6 +185,7 @@
         retention_ms,
         given: Cell::new(0),
         is_settled: Cell::new(false),
+        served_by: RefCell::default(),
     };
     let began = Instant::now();
     let beginning =
@@ -189,6 +213,7 @@
     let reserved = Reserved {
         reservation: Some(reservation),
         chain: begun.chain,
+        served_by: begun.served_by,
         purpose: purpose(begins),
     };
     let Some(budget) = program.budget else {
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -60,8 +60,8 @@
 /// one that all gateways agree on for this program.
 fn cached_at(gateway: &Gateway, inbound: &Inbound, start: &TurnStart) -> Option<BackendId> {
     let pool = gateway.pool.borrow();
-    let before = start.chain.last().and_then(|turn| turn.served_by.clone());
-    before
+    let known = start.place.clone();
+    known
         .filter(|id| pool.usable(id).is_some())
         .or_else(|| pool.home(&inbound.service, inbound.draw))
 }
@@ -236,6 +236,9 @@
             self.output.push(b'\n');
         }
         if let Some(time) = self.wait.over() {
+            if let Some(reservation) = &self.start.reservation {
+                reservation.note_replica(&source.backend.id);
+            }
             let mut pool = self.gateway.pool.borrow_mut();
             pool.succeeded(&source.backend.id, time);
         }
--- a/crates/gateway-server/src/turn_client.rs
+++ b/crates/gateway-server/src/turn_client.rs
@@ -4,7 +4,7 @@
 use crate::store_link::StoreLink;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use luglink_fleet::{StoreName, StoreState, StoreView};
+use luglink_fleet::{BackendId, StoreName, StoreState, StoreView};
 use luglink_quota::{QuotaAnswer, QuotaAsk, QuotaOwner};
 use luglink_turns::{
     Account, ChainWish, ProgramName, Replication, Spend, StoreRequest, StoreResponse, TurnId,
@@ -43,6 +43,8 @@
 pub(crate) struct Begun {
     pub(crate) account: Account,
     pub(crate) chain: Option<ChainAnswer>,
+    /// The replica that served the program's last turn.
+    pub(crate) served_by: Option<BackendId>,
 }
 
 /// Talks to all stores of the view.
@@ -180,19 +182,23 @@
                 spend: Spend::Reserved(ceiling),
                 retention_ms,
                 chain,
+                served_by: None,
             };
             asking.push(self.ask(owner, &request));
         }
         let mut search = ChainSearch::default();
         let mut account = Account::default();
         let mut acknowledged = 0;
+        let mut last_replica = None;
         while let Some((name, response)) = asking.next().await {
             if let Some(StoreResponse::Spent {
                 account: copy,
                 chain,
+                served_by,
             }) = response
             {
                 acknowledged += 1;
+                last_replica = last_replica.or(served_by);
                 account.merge(&copy);
                 if let Some(chain) = chain {
                     search.note(&self.view.borrow(), &name, chain);
@@ -212,7 +218,11 @@
             None => None,
             Some(wish) => Some(self.search(wish, search, nearest, asking).await),
         };
-        Ok(Begun { account, chain })
+        Ok(Begun {
+            account,
+            chain,
+            served_by: last_replica,
+        })
     }
 
     /// Looks for a chain on every store, beginning with the owners that are still to answer.
@@ -287,6 +297,7 @@
         turn: &TurnId,
         tokens: u64,
         retention_ms: u64,
+        served_by: Option<BackendId>,
     ) {
         for _ in 0..SETTLE_TRIES {
             let request = StoreRequest::Spend {
@@ -296,6 +307,7 @@
                 spend: Spend::Settled(tokens),
                 retention_ms,
                 chain: None,
+                served_by: served_by.clone(),
             };
             if self.write(program, &request).await.is_ok() {
                 return;
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -17,6 +17,11 @@
 /// a few stores to hold some.
 const DEFAULT_QUOTA_SLACK: f64 = 20.0;
 
+/// Fullness from which a replica takes no new programs where the settings do not say. Programs
+/// that pause for tools are not in it and come back: at 1 the caches of 44 replicas thrashed for
+/// longer after a burst than at 0.8 (mean worth of six plays each, 0.57 and 0.63).
+const DEFAULT_FULL_AT: f64 = 0.8;
+
 /// What every process of a managed fleet is told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetSettings {
@@ -175,6 +180,9 @@
     pub ready_listen: SocketAddr,
     /// Address of the metrics.
     pub metrics_listen: Option<SocketAddr>,
+    /// Fullness of a replica, in shares of its slots or memory, from which it takes no new
+    /// programs; 0 to look at none before programs begin.
+    pub full_at: f64,
 }
 
 impl GatewaySettings {
@@ -182,8 +190,12 @@
         let listen = reader.required("gateway.listen");
         let ready_listen = reader.required("gateway.ready_listen");
         let metrics_listen = reader.optional("gateway.metrics_listen", None);
+        let full_at: f64 = reader.optional("gateway.full_at", DEFAULT_FULL_AT);
+        let is_fullness = full_at.is_finite() && full_at >= 0.0;
+        reader.check("gateway.full_at", is_fullness, "must not be below 0");
         Some(Self {
             metrics_listen,
+            full_at,
             listen: listen?,
             ready_listen: ready_listen?,
         })
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -8,7 +8,7 @@
 use crate::record::{ProgramName, TurnId, TurnRecord};
 use crate::replication::Replication;
 use crate::state::State;
-use luglink_fleet::{StoreName, StoreView};
+use luglink_fleet::{BackendId, StoreName, StoreView};
 use luglink_quota::{QuotaOwner, Tolerance};
 use luglink_storage::{Disk, WalConfig};
 use luglink_types::Timestamp;
@@ -76,6 +76,7 @@
     Spent {
         program: ProgramName,
         chain: Option<ChainWish>,
+        served_by: Option<BackendId>,
     },
     Done,
 }
@@ -201,12 +202,17 @@
                 spend,
                 retention_ms,
                 chain,
+                served_by,
             } => {
                 let entry = spend_entry(&program, &turn, spend, retention_ms);
                 self.write(epoch, &program, vec![entry]);
                 self.pending.push(Pending {
                     token,
-                    answer: Answer::Spent { program, chain },
+                    answer: Answer::Spent {
+                        program,
+                        chain,
+                        served_by,
+                    },
                 });
             }
             StoreRequest::Keep {
@@ -402,7 +408,12 @@
     fn answer(&mut self, pending: Vec<Pending>) {
         for Pending { token, answer } in pending {
             let response = match answer {
-                Answer::Spent { program, chain } => StoreResponse::Spent {
+                Answer::Spent {
+                    program,
+                    chain,
+                    served_by,
+                } => StoreResponse::Spent {
+                    served_by: self.last_replica(&program, served_by),
                     account: self.account(&program),
                     chain: chain.map(|wish| self.chain(&wish)),
                 },
@@ -427,6 +438,19 @@
             .unwrap_or_default()
     }
 
+    /// Notes the replica that served a turn of a program, when it is told, and tells the last one.
+    fn last_replica(
+        &mut self,
+        program: &ProgramName,
+        served_by: Option<BackendId>,
+    ) -> Option<BackendId> {
+        let held = self.state.accounts.get_mut(program)?;
+        if served_by.is_some() {
+            held.served_by = served_by;
+        }
+        held.served_by.clone()
+    }
+
     fn chain(&self, wish: &ChainWish) -> Chain {
         let Some(held) = self.state.turns.get(&wish.turn) else {
             return Chain::Absent {
--- a/crates/turns/src/protocol.rs
+++ b/crates/turns/src/protocol.rs
@@ -2,6 +2,7 @@
 
 use crate::account::{Account, Spend};
 use crate::record::{ProgramName, TurnId, TurnRecord};
+use luglink_fleet::BackendId;
 use luglink_quota::{QuotaAnswer, QuotaAsk};
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +47,8 @@
         retention_ms: u64,
         /// A chain to look up with it.
         chain: Option<ChainWish>,
+        /// The replica that served the turn, and holds the program's prompt in cache.
+        served_by: Option<BackendId>,
     },
     /// Reads a program's account.
     Account(ProgramName),
@@ -82,6 +85,9 @@
         account: Account,
         /// The chain, when it was asked for.
         chain: Option<Chain>,
+        /// The replica that served the program's last turn, as far as this store has heard. Not
+        /// on disk: a hint, lost with the process.
+        served_by: Option<BackendId>,
     },
     /// The program's account at this store.
     Account(Account),
--- a/crates/turns/src/state.rs
+++ b/crates/turns/src/state.rs
@@ -3,6 +3,7 @@
 use crate::account::{Account, Spend};
 use crate::journal::Entry;
 use crate::record::{ProgramName, TurnId, TurnRecord};
+use luglink_fleet::BackendId;
 use luglink_types::Timestamp;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -23,6 +24,8 @@
     pub(crate) oldest_segment: u64,
     pub(crate) until: Timestamp,
     pub(crate) retention_ms: u64,
+    /// The replica that served the program's last turn.
+    pub(crate) served_by: Option<BackendId>,
 }
 
 /// Turns and accounts.
--- a/crates/turns/tests/store.rs
+++ b/crates/turns/tests/store.rs
@@ -84,6 +84,7 @@
         spend: Spend::Reserved(tokens),
         retention_ms: RETENTION_MS,
         chain: None,
+        served_by: None,
     }
 }
 
