Test where programs begin, and replace bounds that tests took from an older constant

Three tests of zones named 8 and 12 replicas because twelve were enough; eight are now, so they name 7 and 8: the same statements about one fewer than enough and just enough. New: the choice among candidates as a property, candidates of a pool, the hint of a store, reports of the platform, and a fleet whose programs begin at the emptier replica, stay there, and are refused while all are full.

--- /dev/null
+++ b/crates/edge/tests/placement.rs
@@ -0,0 +1,62 @@
+//! Where a program begins.
+
+use luglink_edge::{Placement, ReplicaReport, place};
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn report(running: u32, waiting: u32, memory_used: u64) -> ReplicaReport {
+    ReplicaReport {
+        running,
+        waiting,
+        memory_used,
+        memory_total: 1_000,
+    }
+}
+
+#[test]
+fn a_replica_is_as_full_as_its_slots_or_its_memory() {
+    assert_eq!(report(4, 0, 100).fullness(8), 0.5);
+    assert_eq!(report(4, 0, 900).fullness(8), 0.9);
+    assert_eq!(report(8, 4, 900).fullness(8), 1.5);
+    // Neither slots nor memory that it does not tell make it look empty or fail.
+    assert_eq!(ReplicaReport::default().fullness(0), 0.0);
+}
+
+#[test]
+fn the_emptier_candidate_is_taken_and_the_first_of_equals() {
+    let at = |fullness: &[Option<f64>]| place(fullness, 1.0, 0.0);
+    assert_eq!(at(&[Some(0.5), Some(0.25)]), Placement::At(1));
+    assert_eq!(at(&[Some(0.5), Some(0.5)]), Placement::At(0));
+    assert_eq!(at(&[None, Some(0.9)]), Placement::At(1));
+}
+
+#[test]
+fn candidates_that_say_nothing_do_not_keep_a_program_out() {
+    assert_eq!(place(&[None, None], 1.0, 0.0), Placement::At(0));
+    assert_eq!(place(&[], 1.0, 0.0), Placement::At(0));
+}
+
+proptest! {
+    #[test]
+    fn a_program_is_refused_just_when_all_that_say_something_are_full(
+        fullness in prop::collection::vec(prop::option::of(0.0_f64..6.0), 1..5),
+        limit in 0.1_f64..2.0,
+        spread in 0.0_f64..=1.0,
+    ) {
+        let known: Vec<f64> = fullness.iter().copied().flatten().collect();
+        let are_full = !known.is_empty() && known.iter().all(|known| *known >= limit);
+        match place(&fullness, limit, spread) {
+            Placement::At(position) => {
+                prop_assert!(!are_full);
+                let least = known.iter().copied().min_by(f64::total_cmp);
+                prop_assert!(known.is_empty() || fullness[position] == least);
+            }
+            Placement::Refuse { come_back, .. } => {
+                prop_assert!(are_full);
+                // Sooner than a program is over, and not at once.
+                let bounds = Duration::from_millis(125)..Duration::from_secs(2);
+                prop_assert!(bounds.contains(&come_back), "{come_back:?}");
+            }
+        }
+    }
+}
--- a/crates/edge/tests/pool.rs
+++ b/crates/edge/tests/pool.rs
@@ -1,6 +1,6 @@
 //! Which replica gets a request.
 
-use luglink_edge::{Pool, Wish};
+use luglink_edge::{Pool, Reach, Wish};
 use luglink_fleet::{Backend, BackendId, BackendList};
 use luglink_types::Timestamp;
 use std::time::Duration;
@@ -223,7 +223,7 @@
         "every replica of the zone is some program's home"
     );
     assert!(near.iter().all(|home| home.starts_with("here")));
-    let few = homes(8);
+    let few = homes(7);
     assert!(few.iter().any(|home| home.starts_with("there")), "{few:?}");
 }
 
@@ -231,7 +231,7 @@
 fn leaving_replicas_do_not_make_a_zone_large_enough() {
     let mut backends: Vec<Backend> = (0..15)
         .map(|number| Backend {
-            draining: number > 7,
+            draining: number > 6,
             ..backend(&format!("here-{number}"), "here")
         })
         .collect();
@@ -250,8 +250,8 @@
             .collect()
     };
     // Were this zone to keep its programs, its replicas would have those of smaller zones besides.
-    let mut backends = in_zone("here", 12);
-    backends.extend(in_zone("there", 11));
+    let mut backends = in_zone("here", 8);
+    backends.extend(in_zone("there", 7));
     let pool = pool(backends);
     let homes: Vec<BackendId> = (0..600)
         .filter_map(|program| pool.home(SERVICE, program))
@@ -268,3 +268,49 @@
     let backends = (0..15).map(|number| backend(&format!("there-{number}"), "there"));
     assert!(pool(backends.collect()).home(SERVICE, 1).is_some());
 }
+
+fn names(backends: &[Backend]) -> Vec<&str> {
+    backends.iter().map(|found| found.id.0.as_str()).collect()
+}
+
+#[test]
+fn a_program_s_home_is_its_first_candidate_and_the_next_ones_differ() {
+    let backends = (0..10).map(|number| backend(&format!("here-{number}"), "here"));
+    let pool = pool(backends.collect());
+    for program in 0..100 {
+        let home = pool.home(SERVICE, program).unwrap();
+        let found = pool.candidates(SERVICE, program, Reach::Home, 2, Timestamp::ZERO);
+        let found = names(&found);
+        assert_eq!(found[0], home.0);
+        assert_ne!(found[0], found[1]);
+    }
+}
+
+#[test]
+fn replicas_that_failed_are_candidates_only_when_no_others_are_left() {
+    let backends = (0..3).map(|number| backend(&format!("here-{number}"), "here"));
+    let mut pool = pool(backends.collect());
+    let candidates = |pool: &Pool, count| {
+        let found = pool.candidates(SERVICE, 1, Reach::Home, count, Timestamp::ZERO);
+        names(&found)
+            .into_iter()
+            .map(str::to_owned)
+            .collect::<Vec<_>>()
+    };
+    let before = candidates(&pool, 3);
+    pool.failed(&id(&before[0]), Timestamp::ZERO);
+    assert_eq!(candidates(&pool, 2), before[1..]);
+    assert_eq!(candidates(&pool, 3)[2], before[0]);
+}
+
+#[test]
+fn where_programs_stay_in_their_zone_the_other_zones_are_elsewhere() {
+    let zone =
+        |zone: &'static str| (0..8).map(move |number| backend(&format!("{zone}-{number}"), zone));
+    let pool = pool(zone("here").chain(zone("there")).collect());
+    let reach = |reach| pool.candidates(SERVICE, 1, reach, 20, Timestamp::ZERO);
+    let (home, elsewhere) = (reach(Reach::Home), reach(Reach::Elsewhere));
+    assert!(home.iter().all(|found| found.zone == "here"));
+    assert!(elsewhere.iter().all(|found| found.zone == "there"));
+    assert_eq!((home.len(), elsewhere.len()), (8, 8));
+}
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod metrics;
 mod overload;
+mod placement;
 mod programs;
 mod replicas;
 mod support;
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -201,7 +201,7 @@
         list_calls_per_s: fleet.list_calls_per_s,
         list_stale_after: Duration::from_millis(500),
         replication: Replication::surviving(1),
-        full_at: 0.0,
+        full_at: 0.75,
         keys_expire_after: None,
         stop_limit: Duration::from_secs(5),
         turn_cache_bytes: 1 << 20,
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -79,6 +79,8 @@
     /// Connections that the other end has closed.
     pub closed: Rc<Cell<u32>>,
     pub accepted: Rc<Cell<u32>>,
+    /// Requests that it says it works on, of four slots; it does not answer when not set.
+    pub running: Rc<Cell<Option<u32>>>,
 }
 
 impl Replica {
@@ -92,6 +94,7 @@
             seen: Rc::default(),
             closed: Rc::default(),
             accepted: Rc::default(),
+            running: Rc::default(),
         };
         let serving = replica.clone();
         actix_rt::spawn(async move {
@@ -123,6 +126,12 @@
                 self.closed.set(self.closed.get() + 1);
                 return;
             };
+            if seen.target.starts_with("GET /v1/report ") {
+                if !self.report(&mut stream).await {
+                    return;
+                }
+                continue;
+            }
             self.seen.borrow_mut().push(seen.clone());
             let script = self.script.borrow().clone();
             if !self.act(&script, &seen, &mut stream, &mut buffer).await {
@@ -131,6 +140,19 @@
         }
     }
 
+    async fn report(&self, stream: &mut TcpStream) -> bool {
+        let Some(running) = self.running.get() else {
+            return false;
+        };
+        let body = json!({
+            "running": running, "waiting": 0, "memory_used": 0, "memory_total": 1_000,
+        });
+        let body = body.to_string();
+        let length = body.len();
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+        stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
     fn head(&self, status: &str, id: &str, rest: &str) -> String {
         format!("HTTP/1.1 {status}\r\nLuglink-Request-Id: {id}\r\n{rest}\r\n")
     }
--- a/crates/turns/tests/store.rs
+++ b/crates/turns/tests/store.rs
@@ -157,6 +157,34 @@
     assert!(!is_found(&lookup(&mut node, "t2", at(111))));
 }
 
+#[test]
+fn the_replica_of_the_last_turn_is_told_with_the_next_one() {
+    let mut node = start("a", MemoryDisk::default(), 7);
+    let replica = BackendId("replica".to_owned());
+    let told =
+        |node: &mut StoreNode<MemoryDisk>, request: StoreRequest| match ask(node, request, at(2)) {
+            StoreResponse::Spent { served_by, .. } => served_by,
+            other => panic!("expected an account, got {other:?}"),
+        };
+    assert_eq!(told(&mut node, reserve("p", "t1", 100)), None);
+    let settled = StoreRequest::Spend {
+        epoch: CURRENT,
+        program: ProgramName("p".to_owned()),
+        turn: TurnId("t1".to_owned()),
+        spend: Spend::Settled(45),
+        retention_ms: RETENTION_MS,
+        chain: None,
+        served_by: Some(replica.clone()),
+    };
+    told(&mut node, settled);
+    let next = told(&mut node, reserve("p", "t2", 100));
+    assert_eq!(next, Some(replica));
+    assert_eq!(told(&mut node, reserve("q", "t3", 100)), None);
+    // It is a hint and goes with the process.
+    let mut node = start("a", node.into_disk(), 8);
+    assert_eq!(told(&mut node, reserve("p", "t4", 100)), None);
+}
+
 #[test]
 fn a_full_disk_refuses_writes_and_loses_nothing() {
     let mut node = start("a", MemoryDisk::default(), 7);
