--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -24,6 +24,9 @@
 
 pub const HOST: &str = "desk.example";
 
+/// Time without a word of the members after which the gateway relies on no key.
+pub const KEYS_EXPIRE_AFTER: Duration = Duration::from_millis(2_500);
+
 /// Each fleet has a block of loopback addresses, so that all its members can use the same ports.
 static NEXT_BLOCK: AtomicU8 = AtomicU8::new(1);
 
@@ -202,7 +205,7 @@
         list_stale_after: Duration::from_millis(500),
         replication: Replication::surviving(1),
         full_at: 0.75,
-        keys_expire_after: None,
+        keys_expire_after: Some(KEYS_EXPIRE_AFTER),
         stop_limit: Duration::from_secs(5),
         turn_cache_bytes: 1 << 20,
     }
--- a/crates/gateway-server/tests/gateway/tenants.rs
+++ b/crates/gateway-server/tests/gateway/tenants.rs
@@ -172,3 +172,21 @@
     let other = keyed(Ask::get("/safe/x", "a2"), "k2");
     assert_eq!(send(&fleet, other).await.status, 200);
 }
+
+#[actix_rt::test]
+async fn keys_hold_no_longer_than_told_without_a_word_of_the_members() {
+    let (mut fleet, replica) = fleet(vec![tenant("one", "k1")]).await;
+    replica.set(Script::Answer);
+    let keyed_ask = || keyed(Ask::get("/safe/x", "a1"), "k1");
+    assert_eq!(send(&fleet, keyed_ask()).await.status, 200);
+    for member in std::mem::take(&mut fleet.members) {
+        member.stop().await;
+    }
+    until("the key is not relied on any more", || async {
+        send(&fleet, keyed_ask()).await.status == 503
+    })
+    .await;
+    // Nobody takes a public route away but a configuration.
+    let public = Ask::get("/public/x", "a2");
+    assert_eq!(send(&fleet, public).await.status, 200);
+}
