Log durations as numbers, and look services up in one place

Fields of 128 bits stood in the JSON lines as text, so nobody could compare them. What a gateway knows of a service was read in three places by the same four lines. Behaviour is unchanged.

--- a/crates/control-server/src/operator.rs
+++ b/crates/control-server/src/operator.rs
@@ -58,7 +58,7 @@
             method = %head.method,
             path,
             status = response.status().as_u16(),
-            ms = began.elapsed().as_millis(),
+            ms = luglink_telemetry::milliseconds(began.elapsed()),
             "operator call"
         );
         Ok(response)
--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -8,6 +8,7 @@
 use luglink_edge::{Retryable, RouteKind, Wish, room_patience, room_pause};
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::Body;
+use luglink_telemetry::milliseconds;
 
 /// How often a request is sent at the most, declined sends included.
 const MAX_SENDS: usize = 12;
@@ -57,7 +58,7 @@
             reason = failure.as_str(),
             runs = self.runs,
             sends = self.tried.len(),
-            left_ms = inbound.remaining().as_millis(),
+            left_ms = milliseconds(inbound.remaining()),
             "a send failed"
         );
         if inbound.remaining().is_zero() {
@@ -102,7 +103,7 @@
         tracing::info!(
             id = inbound.id,
             full = full.len(),
-            pause_ms = pause.as_millis(),
+            pause_ms = milliseconds(pause),
             pauses = self.pauses,
             "a request waits for room"
         );
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -10,6 +10,7 @@
 use luglink_edge::SendOutcome;
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::{Body, SendError, full_body};
+use luglink_telemetry::milliseconds;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -105,7 +106,7 @@
     tracing::warn!(
         replica = %backend.id,
         reason = failure.as_str(),
-        paused_ms = until.map(|until| until.since(gateway.now()).as_millis()),
+        paused_ms = until.map(|until| milliseconds(until.since(gateway.now()))),
         "a replica failed"
     );
 }
@@ -176,11 +177,8 @@
 
 /// Connections to one replica of a service that this gateway may have.
 pub(crate) fn connection_limit(gateway: &Gateway, service: &str) -> u32 {
-    let in_force = gateway.in_force.borrow();
-    let limit = in_force
-        .as_ref()
-        .and_then(|in_force| in_force.configuration.service(service))
-        .map_or(MIN_CONNECTIONS, |service| service.connection_limit);
+    let limit = gateway.of_service(service, |service| service.connection_limit);
+    let limit = limit.unwrap_or(MIN_CONNECTIONS);
     let share = f64::from(limit) * CONNECTION_SHARE / f64::from(gateway.gateways.get().max(1));
     (share as u32).max(MIN_CONNECTIONS)
 }
@@ -267,7 +265,7 @@
         headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
     }
     // Rounded down: a replica must not go on beyond what the caller waits.
-    let left = u64::try_from(inbound.remaining().as_millis()).unwrap_or(u64::MAX);
+    let left = milliseconds(inbound.remaining());
     headers.insert(names.deadline_ms.clone(), HeaderValue::from(left.max(1)));
     set(headers, &names.expected_replica, &backend.id.0).ok_or(Failure::Unsendable)?;
     if let Some(tenant) = inbound.caller.tenant() {
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -5,7 +5,9 @@
 use crate::turn_cache::TurnCache;
 use crate::turn_client::TurnClient;
 use crate::upstream::Upstream;
-use luglink_edge::{Configuration, Dialect, KeyRing, LoadShedder, Pool, RoutingTable, SplitDraws};
+use luglink_edge::{
+    Configuration, Dialect, KeyRing, LoadShedder, Pool, RoutingTable, Service, SplitDraws,
+};
 use luglink_fleet::BackendList;
 use luglink_types::Timestamp;
 use std::cell::{Cell, RefCell};
@@ -106,6 +108,18 @@
         self.in_force.borrow().clone()
     }
 
+    /// What the configuration in force says of a service, if it names it. A configuration that is
+    /// not known to be current yet will do: services keep their kind.
+    pub(crate) fn of_service<Value>(
+        &self,
+        name: &str,
+        read: impl FnOnce(&Service) -> Value,
+    ) -> Option<Value> {
+        let in_force = self.in_force.borrow();
+        let service = in_force.as_ref()?.configuration.service(name)?;
+        Some(read(service))
+    }
+
     /// Whether keys may have been taken away since a control member was last heard.
     pub(crate) fn keys_are_expired(&self) -> bool {
         let age = self.fresh_at.get().map(|fresh_at| fresh_at.elapsed());
--- a/crates/gateway-server/src/placement.rs
+++ b/crates/gateway-server/src/placement.rs
@@ -15,6 +15,7 @@
 use luglink_edge::{Placement, Reach, ReplicaReport, place};
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::empty_body;
+use luglink_telemetry::milliseconds;
 use std::time::Duration;
 
 /// Replicas that are looked at before a program begins.
@@ -45,7 +46,8 @@
     inbound: &Inbound,
 ) -> Result<Option<BackendId>, Refusal> {
     let limit = gateway.config.full_at;
-    if limit <= 0.0 || !has_engine(gateway, inbound) {
+    let has_engine = gateway.of_service(&inbound.service, |service| service.engine.is_some());
+    if limit <= 0.0 || has_engine != Some(true) {
         return Ok(None);
     }
     let (mut candidates, mut fullness) = look_at(gateway, inbound, Reach::Home).await;
@@ -73,7 +75,7 @@
                 route = inbound.route.name,
                 fullness,
                 limit,
-                come_back_ms = come_back.as_millis() as u64,
+                come_back_ms = milliseconds(come_back),
                 "a program is not let in: the replicas are full"
             );
             Err(Refusal::not_run_until(
@@ -100,14 +102,6 @@
     (candidates, fullness)
 }
 
-fn has_engine(gateway: &Gateway, inbound: &Inbound) -> bool {
-    let in_force = gateway.in_force.borrow();
-    in_force
-        .as_ref()
-        .and_then(|in_force| in_force.configuration.service(&inbound.service))
-        .is_some_and(|service| service.engine.is_some())
-}
-
 async fn look(gateway: &Gateway, backend: &Backend) -> Option<f64> {
     let reading = read_report(gateway, backend);
     let report = actix_rt::time::timeout(REPORT_LIMIT, reading)
--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -9,6 +9,7 @@
 use luglink_edge::{RouteKind, start_patience};
 use luglink_http::{Abort, Body};
 use luglink_quota::Purpose;
+use luglink_telemetry::milliseconds;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -27,7 +28,7 @@
         .to_owned();
     let path = request.uri().path().to_owned();
     let result = answer(&gateway, request, in_flight).await;
-    let list_age_ms = gateway.list_age().map(|age| age.as_millis());
+    let list_age_ms = gateway.list_age().map(milliseconds);
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => {
@@ -36,10 +37,10 @@
                 path,
                 status = refusal.status.as_u16(),
                 detail = refusal.detail,
-                retry_after_ms = refusal.retry_after.map(|pause| pause.as_millis()),
+                retry_after_ms = refusal.retry_after.map(milliseconds),
                 version = gateway.in_force.borrow().as_ref().map(|held| held.version),
                 list_age_ms,
-                ms = arrived.elapsed().as_millis(),
+                ms = milliseconds(arrived.elapsed()),
                 "refused"
             );
             refusal.into_response(&*gateway.dialect)
@@ -104,7 +105,7 @@
         route = inbound.route.name,
         version = inbound.version,
         status = response.status().as_u16(),
-        ms = elapsed.as_millis(),
+        ms = milliseconds(elapsed),
         "answered"
     );
     Ok(response)
--- a/crates/gateway-server/src/quota.rs
+++ b/crates/gateway-server/src/quota.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use luglink_edge::{Quota, Tenant};
 use luglink_quota::{Limit, Purpose, QuotaAnswer, QuotaAsk};
+use luglink_telemetry::milliseconds;
 use std::time::{Duration, Instant};
 
 /// Wait for one owner after which the next one is asked too. An owner that is well answers within
@@ -120,7 +121,7 @@
         rate_per_s = ask.limit.rate_per_s,
         burst = ask.limit.burst,
         version = inbound.version,
-        come_back_ms = come_back.as_millis(),
+        come_back_ms = milliseconds(come_back),
         "a tenant's limit is reached"
     );
     gateway.metrics.note_quota("denied");
--- a/crates/gateway-server/src/server.rs
+++ b/crates/gateway-server/src/server.rs
@@ -11,6 +11,7 @@
 use luglink_edge::{Dialect, Limits};
 use luglink_fleet_client::Observer;
 use luglink_http::{Abort, Body, ServeOptions, StopSignal, Stopper, empty_body, serve, stopper};
+use luglink_telemetry::milliseconds;
 use rand::RngCore;
 use snafu::ResultExt;
 use std::net::SocketAddr;
@@ -150,7 +151,7 @@
         self.stopper.stop();
         while began.elapsed() < self.gateway.config.stop_limit {
             if self.gateway.in_flight.get() == 0 && self.signal.open_connections() == 0 {
-                tracing::info!(ms = began.elapsed().as_millis(), "gateway stopped");
+                tracing::info!(ms = milliseconds(began.elapsed()), "gateway stopped");
                 return true;
             }
             actix_rt::time::sleep(STOP_CHECK).await;
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -14,9 +14,10 @@
 use http::{HeaderMap, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use luglink_edge::{EventSplitter, StreamEvent};
+use luglink_edge::{EventSplitter, Service, StreamEvent};
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::{Body, BodySender, stream_body};
+use luglink_telemetry::milliseconds;
 use luglink_turns::TurnRecord;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -112,12 +113,12 @@
 }
 
 fn tokens_per_event(gateway: &Gateway, inbound: &Inbound) -> u64 {
-    let in_force = gateway.in_force.borrow();
-    in_force
-        .as_ref()
-        .and_then(|in_force| in_force.configuration.service(&inbound.service))
-        .and_then(|service| service.engine.as_ref())
-        .map_or(1, |engine| engine.tokens_per_event.max(1))
+    let of_engine = |service: &Service| {
+        let engine = service.engine.as_ref();
+        engine.map(|engine| engine.tokens_per_event)
+    };
+    let tokens = gateway.of_service(&inbound.service, of_engine).flatten();
+    tokens.unwrap_or(1).max(1)
 }
 
 /// Where events come from.
@@ -373,8 +374,8 @@
             events = self.events,
             given = reservation.map(|reservation| reservation.given()),
             resumptions = self.resumptions,
-            first_ms = self.wait.delay().map(|first| first.as_millis()),
-            ms = self.inbound.arrived.elapsed().as_millis(),
+            first_ms = self.wait.delay().map(milliseconds),
+            ms = milliseconds(self.inbound.arrived.elapsed()),
             "stream"
         );
         end
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -9,3 +9,10 @@
 pub use errors::TelemetryError;
 pub use logs::{LogGuard, init_bounded_logs, init_logs};
 pub use metrics::Metrics;
+
+/// A duration as log lines and headers give it: a whole number of milliseconds, rounded down. A
+/// field of 128 bits would stand in a JSON line as text.
+#[must_use]
+pub fn milliseconds(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
