--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -56,7 +56,7 @@
             store_copies: 3,
             store_silence: Duration::from_millis(2_000),
             forget_after: Duration::from_secs(10),
-            observe_hold: Duration::from_millis(250),
+            observe_hold: Duration::from_millis(160),
             observe_hold_per_process: Duration::from_millis(2),
             longest_observe_hold: Duration::from_millis(500),
             document_patience: Duration::from_millis(700),
