Let all members and stores that come together in at once

Cause: the leader let members and stores in one each 200 ms, in two rows of their own: an order of S. On the whole fleet all 66 members were in 13 s after the first, of 24 s before callers come; at twice the size they would not be in before. Gateways know only three members until then, which tell all of them.

Ruled out: a shorter time between the steps, which only moves the size at which it is too long.

Change: one change of the membership brings any number of learners. They have no part in majorities, so consecutive majorities overlap as before; voters still change one at a time. All stores that have come are proposed to the log in one round.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -87,7 +87,7 @@
             return Ok(());
         }
         self.keep_members(&managed);
-        if let Some(command) = self.next_store_command(&managed) {
+        for command in self.next_store_commands(&managed) {
             let command = encode("a store command", &LoggedCommand::Store(command))?;
             self.propose(CONFIGURATION_GROUP, command, None);
         }
@@ -115,10 +115,14 @@
             }
             Some(MemberStep::Change(change)) => {
                 // Refused while an earlier change is under way; the next round tries again.
-                if group.raft.propose_membership(change, now).is_ok()
-                    && let MembershipChange::AddLearner(peer) = change
-                {
-                    self.desk.candidates.remove(&peer);
+                let admitted = match &change {
+                    MembershipChange::AddLearners(peers) => peers.clone(),
+                    _ => BTreeSet::new(),
+                };
+                if group.raft.propose_membership(change, now).is_ok() {
+                    self.desk
+                        .candidates
+                        .retain(|peer, _| !admitted.contains(peer));
                 }
             }
         }
@@ -163,10 +167,23 @@
         peers.any(|peer| Some(peer.member) == at_address)
     }
 
-    fn next_store_command(&self, managed: &ManagedConfig) -> Option<StoreCommand> {
-        let state = self.configuration()?.machine.state()?;
+    /// Stores that have come are all let in at once: one after the other, a large fleet would be
+    /// without most of them for longer than its start may take. Everything else is done one step
+    /// at a time.
+    fn next_store_commands(&self, managed: &ManagedConfig) -> Vec<StoreCommand> {
+        let joins = self.joining_stores(managed);
+        if !joins.is_empty() {
+            return joins;
+        }
+        self.next_store_command(managed).into_iter().collect()
+    }
+
+    fn joining_stores(&self, managed: &ManagedConfig) -> Vec<StoreCommand> {
+        let Some(state) = self.configuration().and_then(|group| group.machine.state()) else {
+            return Vec::new();
+        };
         let view = state.stores.view();
-        let joins = self.desk.presence.stores(self.now).find_map(|heard| {
+        let joins = self.desk.presence.stores(self.now).filter_map(|heard| {
             let HeardStore { zone, store, .. } = heard;
             let name = StoreName(heard.name.to_owned());
             if heard.silence >= managed.store_silence
@@ -188,8 +205,12 @@
                 founding: store.founding,
             })
         });
-        joins
-            .or_else(|| self.filled_store(view))
+        joins.collect()
+    }
+
+    fn next_store_command(&self, managed: &ManagedConfig) -> Option<StoreCommand> {
+        let view = self.configuration()?.machine.state()?.stores.view();
+        self.filled_store(view)
             .or_else(|| self.emptied_store(view))
             .or_else(|| self.silent_store(view, managed))
             .or_else(|| self.forgotten_store(view))
--- a/crates/control/src/member_plan.rs
+++ b/crates/control/src/member_plan.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeSet;
 
 /// What the leader does next about the members.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum MemberStep {
     /// Change who belongs to the group.
     Change(MembershipChange),
@@ -51,10 +51,10 @@
                 .is_none_or(|silence| silence >= self.managed.member_silence)
     }
 
-    /// Lets a candidate in. An earlier incarnation of it never comes back, so that goes first.
+    /// Lets all candidates in. An earlier incarnation of one never comes back, so that goes first.
     fn admission(&self) -> Option<MembershipChange> {
         let membership = self.raft.membership();
-        let mut wanted = self
+        let wanted = self
             .candidates
             .iter()
             .copied()
@@ -67,9 +67,10 @@
         if let Some(earlier) = earlier {
             return Some(MembershipChange::Remove(earlier));
         }
-        wanted
-            .find(|candidate| !membership.contains(*candidate))
-            .map(MembershipChange::AddLearner)
+        let new: BTreeSet<Peer> = wanted
+            .filter(|candidate| !membership.contains(*candidate))
+            .collect();
+        (!new.is_empty()).then_some(MembershipChange::AddLearners(new))
     }
 
     fn leaving_learner(&self) -> Option<MembershipChange> {
--- a/crates/control/tests/managed/members.rs
+++ b/crates/control/tests/managed/members.rs
@@ -1,7 +1,8 @@
 //! Members that come, go, lose their disks and lead.
 
-use crate::support::{FOUNDERS, Fleet, config, document, members};
+use crate::support::{FOUNDERS, Fleet, config, document, members, store};
 use luglink_control::{ControlNode, Request, Response};
+use luglink_fleet::StoreState;
 use luglink_storage::MemoryDisk;
 use luglink_types::MemberId;
 use std::time::Duration;
@@ -145,3 +146,27 @@
     assert_eq!(fleet.document(), Some(document(3, "three")));
     assert_eq!(fleet.nodes[&cut].document_version(), 3);
 }
+
+/// One after the other, the members and stores of a fleet of twice the size we run would take
+/// longer to come than there is before its callers do.
+#[test]
+fn all_members_and_stores_that_come_together_are_let_in_together() {
+    let mut fleet = Fleet::founded();
+    fleet.run(1.0);
+    for member in 4..=60 {
+        fleet.start(member, MemoryDisk::default(), true);
+        fleet
+            .stores
+            .insert(format!("s{member}"), store(u64::from(member), true));
+    }
+    fleet.run_until("all members", 4.0, |fleet| {
+        let leader = fleet
+            .leader()
+            .map(|leader| fleet.nodes[&leader].leadership());
+        leader.is_some_and(|leadership| leadership.voters + leadership.learners == 60)
+    });
+    let is_active = |state: &StoreState| *state == StoreState::Active;
+    let states = fleet.store_states();
+    assert_eq!(states.len(), 57);
+    assert!(states.values().all(is_active), "{states:?}");
+}
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -31,11 +31,14 @@
     pub learners: BTreeSet<Peer>,
 }
 
-/// A change by one peer. One at a time, so that any two consecutive majorities overlap.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// A change by one voter at the most, one at a time, so that any two consecutive majorities
+/// overlap. Learners have no part in majorities, so any number may come at once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MembershipChange {
     /// Starts to bring a peer up to date.
     AddLearner(Peer),
+    /// Starts to bring several peers up to date; those that are members already stay as they are.
+    AddLearners(BTreeSet<Peer>),
     /// Gives a learner a vote. Refused until it has caught up.
     Promote(Peer),
     /// Removes a voter or learner.
@@ -85,6 +88,10 @@
                 }
                 next.learners.insert(peer);
             }
+            MembershipChange::AddLearners(peers) => {
+                let new = peers.into_iter().filter(|peer| !self.contains(*peer));
+                next.learners.extend(new);
+            }
             MembershipChange::Promote(peer) => {
                 if !next.learners.remove(&peer) {
                     return Err("the peer is not a learner");
--- a/crates/raft/tests/cluster.rs
+++ b/crates/raft/tests/cluster.rs
@@ -288,9 +288,10 @@
 
 fn action() -> impl Strategy<Value = Action> {
     let member = 1..=MEMBERS;
-    let change = (0..3, 1..=MEMBERS).prop_map(|(kind, member)| match kind {
+    let change = (0..4, 1..=MEMBERS).prop_map(|(kind, member)| match kind {
         0 => MembershipChange::AddLearner(peer(member)),
         1 => MembershipChange::Promote(peer(member)),
+        2 => MembershipChange::AddLearners((member..=MEMBERS).map(peer).collect()),
         _ => MembershipChange::Remove(peer(member)),
     });
     prop_oneof![
