--- a/crates/control-server/src/lib.rs
+++ b/crates/control-server/src/lib.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod operator;
 mod peers;
+mod relay;
 mod releases;
 mod resolution;
 mod server;
--- a/crates/control-server/src/list.rs
+++ b/crates/control-server/src/list.rs
@@ -1,10 +1,12 @@
-//! Reads the platform's list of replicas, at the member that leads.
+//! Reads the platform's list of replicas, at the member that leads, or at each of them in turn
+//! while none hears a leader.
 
-use crate::actor::{ControlActor, FleetLook, LookAtFleet, TakeBackends};
+use crate::actor::{ControlActor, FleetLook, LookAtFleet, TakeBackends, now};
 use crate::metrics::MemberMetrics;
 use actix::Addr;
 use luglink_edge::Dialect;
-use luglink_list_client::ListClient;
+use luglink_fleet::{ListReader, ListReading, ReadingRates};
+use luglink_list_client::{AtRefusal, ListClient};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -12,19 +14,16 @@
 /// Longest time for one reading of a page; a list may have many.
 const READ_LIMIT: Duration = Duration::from_secs(5);
 
-/// Share of the platform's calls that the leading member uses. The rest is for gateways that do
-/// not hear it.
-const CALLS_SHARE: f64 = 0.8;
+/// Time between looks whether to read.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How the list is read.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PollConfig {
     /// Where the platform serves it.
     pub(crate) address: SocketAddr,
-    /// Shortest time between two readings.
-    pub(crate) interval: Duration,
-    /// Calls that the platform takes from everyone together, per second.
-    pub(crate) calls_per_s: f64,
+    /// How often.
+    pub(crate) rates: ReadingRates,
 }
 
 /// Reads the list for one member.
@@ -36,46 +35,51 @@
     pub(crate) config: PollConfig,
 }
 
-/// Reads the list again and again while this member leads.
+/// Reads the list again and again, whenever it is this member's turn.
 pub(crate) async fn poll(poller: Poller) {
-    let Poller {
-        control, config, ..
-    } = &poller;
-    let mut client = ListClient::new(config.address);
+    let mut client = ListClient::new(poller.config.address);
+    let mut reading = ListReading::new(poller.config.rates);
     let mut is_lost = false;
-    let mut interval = config.interval;
-    let mut began = Instant::now();
     loop {
-        // From beginning to beginning: a long list takes a part of the interval to read.
-        actix_rt::time::sleep(interval.saturating_sub(began.elapsed())).await;
-        interval = config.interval;
-        began = Instant::now();
-        let Ok(look) = control.send(LookAtFleet).await else {
+        actix_rt::time::sleep(CHECK_INTERVAL).await;
+        let Ok(look) = poller.control.send(LookAtFleet).await else {
             return;
         };
         poller.show_state(&look);
-        if !look.polls {
+        let reader = match look.leads_configuration {
+            true => ListReader::Leader,
+            false => ListReader::Member(look.members),
+        };
+        reading.expect_replicas(look.replicas);
+        if !reading.is_due(reader, look.list_age, now(), rand::random()) {
             continue;
         }
-        let fetched = client.fetch(&*poller.dialect, READ_LIMIT).await;
-        poller.count(fetched.is_ok());
-        match fetched {
+        let at_refusal = match reader {
+            ListReader::Leader => AtRefusal::Wait,
+            _ => AtRefusal::GiveUp,
+        };
+        let began = now();
+        let started = Instant::now();
+        let fetched = client.fetch(&*poller.dialect, READ_LIMIT, at_refusal);
+        match fetched.await {
             Ok(fetched) => {
-                let own_share = config.calls_per_s * CALLS_SHARE;
-                interval = fetched.interval(own_share, config.interval);
-                let list = fetched.list;
+                reading.succeeded(fetched.pages, began, rand::random());
                 if is_lost {
-                    tracing::info!(
-                        replicas = list.backends().len(),
-                        "list of replicas regained"
-                    );
+                    let replicas = fetched.list.len();
+                    tracing::info!(replicas, "list of replicas regained");
                 }
                 is_lost = false;
-                control.do_send(TakeBackends(list));
+                poller.count("read");
+                poller.control.do_send(TakeBackends {
+                    list: fetched.list,
+                    age: started.elapsed(),
+                });
             }
             Err(error) => {
+                reading.failed(error.is_refusal(), began, rand::random());
+                poller.count("failed");
                 if !is_lost {
-                    tracing::warn!(%error, "list of replicas lost");
+                    tracing::warn!(%error, ?reader, "list of replicas lost");
                 }
                 is_lost = true;
             }
@@ -84,14 +88,13 @@
 }
 
 impl Poller {
-    fn count(&self, was_read: bool) {
-        let end = if was_read { "read" } else { "failed" };
+    fn count(&self, end: &str) {
         self.metrics.list_reads.with_label_values(&[end]).inc();
     }
 
     fn show_state(&self, look: &FleetLook) {
         self.metrics.leads.set(f64::from(u8::from(look.leads)));
         self.metrics.version.set(look.document_version as f64);
-        self.metrics.gateways.set(look.gateways.len() as f64);
+        self.metrics.gateways.set(f64::from(look.ready_gateways));
     }
 }
--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -7,17 +7,18 @@
 use crate::actor::{ControlActor, Halt, OwnRequest, Reopen, SocketEvent, now};
 use crate::errors::{ControlServerError, ListenSnafu};
 use crate::joining::{JoinConfig, ask_when_alone};
-use crate::list;
-use crate::list::{PollConfig, Poller};
+use crate::list::{self, PollConfig, Poller};
 use crate::metrics::MemberMetrics;
 use crate::operator::OperatorService;
 use crate::peers::Peers;
+use crate::relay::{self, RelayConfig};
 use crate::resolution::ResolutionService;
 use actix::{Actor, Addr};
 use http::Request;
 use hyper::body::Incoming;
 use luglink_control::{ControlConfig, ControlNode, ManagedConfig, Request as Ask};
 use luglink_edge::Dialect;
+use luglink_fleet::ReadingRates;
 use luglink_http::{ServeOptions, serve, stopper};
 use luglink_settings::{FleetSettings, ManagedSettings};
 use luglink_storage::FileDisk;
@@ -86,11 +87,13 @@
     }));
     serve_operators(config, &actor, &dialect, &metrics, operators);
     serve_resolutions(config, &actor, &dialect, &metrics, resolutions);
-    let interval = Duration::from_millis(config.member.list_interval_ms);
     let poll = PollConfig {
         address: fleet.list_address,
-        interval,
-        calls_per_s: fleet.list_calls_per_s,
+        rates: ReadingRates {
+            calls_per_s: fleet.list_calls_per_s,
+            shortest: Duration::from_millis(config.member.list_interval_ms),
+            stale_after: fleet.list_stale_after(),
+        },
     };
     let poller = Poller {
         control: actor.clone(),
@@ -99,6 +102,13 @@
         config: poll,
     };
     actix_rt::spawn(list::poll(poller));
+    let relay = RelayConfig {
+        name: fleet.name.clone(),
+        zone: fleet.zone.clone(),
+        member_port: fleet.member_port(),
+    };
+    actix_rt::spawn(relay::follow_leader(actor.clone(), relay.clone()));
+    actix_rt::spawn(relay::tell_neighbours(actor.clone(), relay));
     let seeds = Rc::new(RefCell::new(fleet.member_seeds()));
     let join = JoinConfig {
         own: address,
--- /dev/null
+++ b/crates/control-server/src/relay.rs
@@ -0,0 +1,149 @@
+//! What members tell each other beside consensus: the leader's list of replicas and number of
+//! gateways to all, and the words of gateways to the other members of a zone.
+//!
+//! So gateways need ask only a few members near them, and the leader hears the members and not the
+//! gateways.
+
+use crate::actor::{ControlActor, DescribeList, ListWord, LookAtFleet, TakeLeaderNews, TakeWords};
+use actix::Addr;
+use luglink_control::{Request, Response};
+use luglink_fleet::{Known, MemberPresence, MembersStamp, News, Observation, Presence, Role};
+use luglink_net::RequestClient;
+use luglink_wire::{ClientRole, Hello, PROTOCOL_VERSION, decode_body, encode_body};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// Time beyond the leader's wait for news after which it counts as silent.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Pause after a question that failed, or while there is no leader to ask.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Shortest time between two questions to the leader.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Time between two tellings of gateways' words. A gateway that falls silent is so noticed by the
+/// members that do not hear it themselves a quarter of a second later than by those that do.
+const WORDS_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Who a member is, for those it asks.
+#[derive(Clone, Debug)]
+pub(crate) struct RelayConfig {
+    /// Name of its machine.
+    pub(crate) name: String,
+    /// Its zone.
+    pub(crate) zone: String,
+    /// Internal port of all members.
+    pub(crate) member_port: u16,
+}
+
+impl RelayConfig {
+    fn link(&self, member: Ipv4Addr) -> RequestClient {
+        let hello = Hello {
+            version: PROTOCOL_VERSION,
+            role: ClientRole::Observer,
+            id: 0,
+        };
+        RequestClient::open(SocketAddr::from((member, self.member_port)), hello)
+    }
+}
+
+/// Follows whoever leads, for ever.
+pub(crate) async fn follow_leader(control: Addr<ControlActor>, config: RelayConfig) {
+    let mut followed: Option<(Ipv4Addr, RequestClient)> = None;
+    loop {
+        let Ok(look) = control.send(LookAtFleet).await else {
+            return;
+        };
+        let Some(leader) = look.followed_leader else {
+            followed = None;
+            actix_rt::time::sleep(FAILURE_PAUSE).await;
+            continue;
+        };
+        let (_, link) = match followed.take() {
+            Some((known, link)) if known == leader => followed.insert((known, link)),
+            _ => followed.insert((leader, config.link(leader))),
+        };
+        let presence = MemberPresence {
+            gateways: look.own_gateways,
+        };
+        match ask_leader(&control, &config, link, presence).await {
+            Some(news) => {
+                control.do_send(TakeLeaderNews {
+                    report: news.backends,
+                    gateways: news.gateways,
+                });
+                actix_rt::time::sleep(QUESTION_INTERVAL).await;
+            }
+            None => actix_rt::time::sleep(FAILURE_PAUSE).await,
+        }
+    }
+}
+
+async fn ask_leader(
+    control: &Addr<ControlActor>,
+    config: &RelayConfig,
+    link: &RequestClient,
+    presence: MemberPresence,
+) -> Option<News> {
+    let ListWord(known) = control.send(DescribeList).await.ok()?;
+    let request = Request::Observe(Box::new(Observation {
+        presence: Presence {
+            name: config.name.clone(),
+            zone: config.zone.clone(),
+            role: Role::Member(presence),
+        },
+        // Everything else comes with the log.
+        known: Known {
+            document_version: u64::MAX,
+            is_current: true,
+            store_epoch: u64::MAX,
+            backends: known,
+            members: MembersStamp::NEWEST,
+        },
+        tells_first: false,
+        is_counted_here: false,
+    }));
+    let body = encode_body(&request).ok()?;
+    let answer = link.request(body, ANSWER_LIMIT).await.ok()?;
+    match decode_body(&answer).ok()? {
+        Response::News(news) => Some(*news),
+        _ => None,
+    }
+}
+
+/// Tells the other members of the zone which gateways this one hears, for ever.
+pub(crate) async fn tell_neighbours(control: Addr<ControlActor>, config: RelayConfig) {
+    let mut links: BTreeMap<Ipv4Addr, RequestClient> = BTreeMap::new();
+    loop {
+        actix_rt::time::sleep(WORDS_INTERVAL).await;
+        let Ok(taken) = control.send(TakeWords).await else {
+            return;
+        };
+        links.retain(|member, _| taken.neighbours.contains(member));
+        if taken.neighbours.is_empty() {
+            continue;
+        }
+        let body = match encode_body(&Request::HearGateways(taken.words)) {
+            Ok(body) => body,
+            Err(error) => {
+                tracing::error!(%error, "cannot encode the words of gateways");
+                continue;
+            }
+        };
+        for neighbour in taken.neighbours {
+            let link = links
+                .entry(neighbour)
+                .or_insert_with(|| config.link(neighbour));
+            tell(link, body.clone());
+        }
+    }
+}
+
+/// Sends words without a wait for the answer: later ones follow soon.
+fn tell(link: &RequestClient, body: Vec<u8>) {
+    if !link.tell(body) {
+        tracing::debug!(address = %link.address(), "a member of the zone is not reached");
+    }
+}
--- a/crates/control-server/src/resolution.rs
+++ b/crates/control-server/src/resolution.rs
@@ -1,6 +1,6 @@
 //! Tells callers which gateways to go to.
 
-use crate::actor::{ControlActor, LookAtFleet};
+use crate::actor::{ControlActor, LookAtGateways};
 use crate::metrics::MemberMetrics;
 use actix::Addr;
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
@@ -38,13 +38,14 @@
         let Some(query) = self.dialect.resolution(uri.path(), query) else {
             return json(StatusCode::NOT_FOUND, self.dialect.problem("no such call"));
         };
-        let look = self.control.send(LookAtFleet).await.unwrap_or_default();
-        let gateways = named_gateways(look.gateways, query.zone.as_deref(), self.salt);
+        let asked = self.control.send(LookAtGateways).await;
+        let directory = asked.unwrap_or_default();
+        let gateways = named_gateways(directory.gateways, query.zone.as_deref(), self.salt);
         if gateways.is_empty() {
             let detail = self.dialect.problem("no gateway is known yet");
             return json(StatusCode::SERVICE_UNAVAILABLE, detail);
         }
-        let valid_for = look.resolution_time.min(self.longest);
+        let valid_for = directory.valid_for.min(self.longest);
         let answer = self.dialect.resolution_answer(&gateways, valid_for);
         json(StatusCode::OK, answer)
     }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -6,11 +6,11 @@
 use crate::machine::{CONFIGURATION_GROUP, LoggedCommand, encode};
 use crate::member_plan::{MemberPlan, MemberStep};
 use crate::node::ControlNode;
-use crate::observers::Observer;
+use crate::observer_table::ObserverTable;
 use crate::protocol::Response;
 use luglink_fleet::{
-    BackendHistory, BackendList, HeardStore, PresenceTable, RetireState, StoreCommand, StoreMember,
-    StoreName, StoreState, StoreView,
+    HeardStore, ListHistory, PresenceTable, RetireState, StoreCommand, StoreMember, StoreName,
+    StoreState, StoreView,
 };
 use luglink_raft::{MembershipChange, Peer};
 use luglink_storage::Disk;
@@ -22,9 +22,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct FleetDesk {
     pub(crate) presence: PresenceTable,
-    pub(crate) observers: Vec<Observer>,
-    pub(crate) backends: BackendHistory,
-    pub(crate) backends_seen: Timestamp,
+    pub(crate) observers: ObserverTable,
+    pub(crate) list: ListHistory,
+    /// Gateways that take callers, as the leader has summed them; 0 while that is not known.
+    pub(crate) gateways: u32,
     candidates: BTreeMap<Peer, Timestamp>,
     /// Version of the document that this member applied last, and when it did.
     document_version: u64,
@@ -38,20 +39,6 @@
             self.document_since = now;
         }
     }
-
-    pub(crate) fn forget_client(&mut self, client: u64) {
-        self.observers
-            .retain(|observer| observer.token.client != client);
-    }
-
-    pub(crate) fn next_deadline(&self) -> Option<Timestamp> {
-        self.observers.iter().map(|observer| observer.until).min()
-    }
-
-    pub(crate) fn set_backends(&mut self, list: BackendList, now: Timestamp) {
-        self.backends.push(list);
-        self.backends_seen = now;
-    }
 }
 
 impl<D: Disk> ControlNode<D> {
@@ -79,6 +66,7 @@
             return Ok(());
         };
         self.desk.presence.expire(self.now, managed.forget_after);
+        self.count_gateways();
         let now = self.now;
         self.desk
             .candidates
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 mod machine;
 mod member_plan;
 mod node;
+mod observer_table;
 mod observers;
 mod persistence;
 mod placement;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -9,13 +9,14 @@
 use crate::placement::initial_membership;
 use crate::protocol::{Fence, MemberStatus, ReleaseOrder, Request, RequestToken, Response};
 use crate::store::MemberStore;
-use luglink_fleet::{BackendList, StoreCommand};
+use luglink_fleet::{BackendList, BackendReport, StoreCommand};
 use luglink_program::Command;
 use luglink_raft::{Envelope, Message, Peer, RaftNode, RestoredState};
 use luglink_resources::{CatchUp, Resource};
 use luglink_storage::Disk;
 use luglink_types::{EngineId, GroupId, ProgramId, Revision, Timestamp};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Gives each group of a member its own seed.
 const SEED_MIX: u64 = 0x9E37_79B9_7F4A_7C15;
@@ -37,8 +38,20 @@
         /// The request.
         request: Box<Request>,
     },
-    /// The platform's list of backends, as this member has just seen it.
-    Backends(BackendList),
+    /// The platform's list of backends, as this member has just read it.
+    Backends {
+        /// The list.
+        list: BackendList,
+        /// Time since the reading began.
+        age: Duration,
+    },
+    /// What the leader tells of the list of backends and of the number of gateways.
+    LeaderNews {
+        /// The list, when there is a newer one.
+        report: Option<BackendReport>,
+        /// The number of gateways; 0 while it is not known.
+        gateways: u32,
+    },
     /// A client is gone; what it waits for need not be answered.
     ClientGone {
         /// The client.
@@ -168,13 +181,24 @@
                 Ok(())
             }
             Input::Request { token, request } => self.on_request(token, *request),
-            Input::Backends(list) => {
-                self.desk.set_backends(list, self.now);
+            Input::Backends { list, age } => {
+                let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+                let seen = Timestamp::from_micros(self.now.as_micros().saturating_sub(age));
+                self.desk.list.replace(list, seen);
+                Ok(())
+            }
+            Input::LeaderNews { report, gateways } => {
+                if let Some(report) = report {
+                    self.desk.list.follow(report, self.now);
+                }
+                if gateways > 0 {
+                    self.desk.gateways = gateways;
+                }
                 Ok(())
             }
             Input::ClientGone { client } => {
                 self.watches.retain(|watch| watch.token.client != client);
-                self.desk.forget_client(client);
+                self.desk.observers.forget_client(client);
                 Ok(())
             }
         }
@@ -207,7 +231,7 @@
         let watches = self.watches.iter().map(|watch| watch.until);
         groups
             .chain(watches)
-            .chain(self.desk.next_deadline())
+            .chain(self.desk.observers.next_deadline())
             .chain([self.housekeeping_due])
             .min()
             .unwrap_or(self.now)
@@ -370,6 +394,10 @@
                 self.on_observe(token, *observation);
                 None
             }
+            Request::HearGateways(words) => {
+                self.on_words(words);
+                Some(Response::Done)
+            }
             Request::Join(peer) => Some(self.on_join(peer)),
             Request::Retire(name) => {
                 let minimum = self.config.managed_or_default().store_copies;
--- a/crates/control/src/observers.rs
+++ b/crates/control/src/observers.rs
@@ -2,9 +2,10 @@
 
 use crate::machine::CONFIGURATION_GROUP;
 use crate::node::ControlNode;
+use crate::observer_table::{NewsStamp, Observer, ObserverKey};
 use crate::protocol::{RequestToken, Response};
 use luglink_fleet::{
-    BackendReport, GatewayPlace, GatewayPresence, Known, MemberList, MemberPlace, MembersStamp,
+    GatewayPlace, GatewayPresence, HeardGateway, KnownList, MemberList, MemberPlace, MembersStamp,
     News, Observation, VersionedDocument,
 };
 use luglink_raft::Peer;
@@ -19,22 +20,6 @@
 /// because callers go on to wait for it for as long as they are told of it.
 const SILENT_HOLDS: f64 = 2.5;
 
-/// Whole lists of backends that are sent at once. Each may be as large as the deployment, and
-/// after a start every gateway wants one: sent together they would fill this process's memory.
-const WHOLE_LISTS_AT_ONCE: usize = 4;
-
-/// An observer that waits for news.
-#[derive(Clone, Debug)]
-pub(crate) struct Observer {
-    /// Name of its process, which asks one question at a time.
-    name: String,
-    pub(crate) token: RequestToken,
-    known: Known,
-    /// Whether it counts on this member to be told of a new document at once.
-    tells_first: bool,
-    pub(crate) until: Timestamp,
-}
-
 impl<D: Disk> ControlNode<D> {
     /// The gateways that take callers, with their zones.
     #[must_use]
@@ -46,6 +31,12 @@
         gateways.collect()
     }
 
+    /// Number of gateways that take callers.
+    #[must_use]
+    pub fn ready_gateway_count(&self) -> u32 {
+        u32::try_from(self.heard_gateways().count()).unwrap_or(u32::MAX)
+    }
+
     fn heard_gateways(&self) -> impl Iterator<Item = (&str, &GatewayPresence)> {
         let presence = &self.desk.presence;
         presence.ready_gateways(self.now, self.resolution_time())
@@ -59,20 +50,40 @@
     }
 
     pub(crate) fn on_observe(&mut self, token: RequestToken, observation: Observation) {
-        let hold = self.observe_hold();
-        let name = observation.presence.name.clone();
-        // Who asks again has given its earlier question up.
-        let asks_again =
-            |other: &Observer| other.name == name && other.token.client == token.client;
-        self.desk.observers.retain(|other| !asks_again(other));
-        self.desk.presence.note(observation.presence, self.now);
-        self.desk.observers.push(Observer {
-            name,
+        let key = ObserverKey {
+            client: token.client,
+            name: observation.presence.name.clone(),
+        };
+        let is_counted_here = observation.is_counted_here;
+        let presence = &mut self.desk.presence;
+        presence.note(observation.presence, is_counted_here, self.now);
+        let observer = Observer {
             token,
             known: observation.known,
             tells_first: observation.tells_first,
-            until: self.now.plus(hold),
-        });
+            until: self.now.plus(self.observe_hold()),
+        };
+        self.desk.observers.insert(key, observer);
+    }
+
+    /// Words of gateways for the other members of this one's zone, which hear others.
+    #[must_use]
+    pub fn words_for_neighbours(&self) -> Vec<HeardGateway> {
+        let presence = &self.desk.presence;
+        presence.first_hand_gateways(self.now, self.resolution_time())
+    }
+
+    /// Members to pass the words of gateways to.
+    #[must_use]
+    pub fn neighbours(&self) -> Vec<Ipv4Addr> {
+        let own = Ipv4Addr::from(self.peer().member.0);
+        self.member_list(MembersStamp::default()).neighbours_of(own)
+    }
+
+    pub(crate) fn on_words(&mut self, words: Vec<HeardGateway>) {
+        for word in words {
+            self.desk.presence.note_relayed(word, self.now);
+        }
     }
 
     /// Time for which callers may rely on an answer where to go: about as long as the silence of
@@ -95,29 +106,52 @@
     pub(crate) fn answer_observers(&mut self) {
         let now = self.now;
         self.desk.note_document(self.document_version(), now);
-        if self.desk.observers.is_empty() {
+        // The same for all observers, and dear: the log is searched for it.
+        let stamp = self.news_stamp();
+        let mut ready = self.desk.observers.take_candidates(stamp);
+        ready.retain(|key| self.has_news(key, stamp.members));
+        ready.extend(self.desk.observers.due(now));
+        for key in ready {
+            self.answer(key, stamp.members);
+        }
+        for key in self.desk.observers.next_for_list() {
+            self.answer(key, stamp.members);
+        }
+    }
+
+    fn answer(&mut self, key: ObserverKey, members: MembersStamp) {
+        let Some(observer) = self.desk.observers.get(&key) else {
+            return;
+        };
+        let lacks_list = self.lacks_much(observer.known.backends.as_ref());
+        if lacks_list && !self.desk.observers.may_send_list() {
+            self.desk.observers.wait_for_list(key);
             return;
         }
-        // The same for all observers, and dear: the log is searched for it.
-        let members = self.members_stamp();
-        let mut whole_lists = 0;
-        let observers = std::mem::take(&mut self.desk.observers);
-        for observer in observers {
-            let is_due = now >= observer.until || self.has_news(&observer, members);
-            let wants_list = is_due && self.wants_whole_list(&observer.known);
-            if !is_due || (wants_list && whole_lists >= WHOLE_LISTS_AT_ONCE) {
-                self.desk.observers.push(observer);
-                continue;
-            }
-            whole_lists += usize::from(wants_list);
-            let news = self.news_after(&observer, members);
-            self.reply(observer.token, Response::News(Box::new(news)));
+        let Some(observer) = self.desk.observers.remove(&key) else {
+            return;
+        };
+        if lacks_list {
+            self.desk.observers.list_is_sent(key);
         }
+        let news = self.news_after(&observer, members);
+        self.reply(observer.token, Response::News(Box::new(news)));
     }
 
-    fn wants_whole_list(&self, known: &Known) -> bool {
-        let known = known.backends.filter(|_| self.polls());
-        known.is_some_and(|known| self.desk.backends.lacks(known))
+    fn lacks_much(&self, known: Option<&KnownList>) -> bool {
+        known.is_some_and(|known| self.desk.list.lacks_much(known))
+    }
+
+    fn news_stamp(&self) -> NewsStamp {
+        let state = self.configuration().and_then(|group| group.machine.state());
+        NewsStamp {
+            is_fresh: self.is_fresh(),
+            members: self.members_stamp(),
+            document_version: self.document_version(),
+            tells_document_to_all: self.tells_document_to_all(),
+            store_epoch: state.map_or(0, |state| state.stores.view().epoch),
+            list_seen: self.desk.list.copy().seen(),
+        }
     }
 
     /// Whether this member hears a leader that a quorum follows, and has applied what that
@@ -141,8 +175,12 @@
     /// that they can't. An observer that has just started is told by all.
     fn tells_document(&self, observer: &Observer) -> bool {
         let has_started = observer.known.is_current && observer.known.document_version > 0;
+        !has_started || observer.tells_first || self.tells_document_to_all()
+    }
+
+    fn tells_document_to_all(&self) -> bool {
         let patience = self.config.managed_or_default().document_patience;
-        !has_started || observer.tells_first || self.now.since(self.desk.document_since) >= patience
+        self.now.since(self.desk.document_since) >= patience
     }
 
     /// The document in force, when it is new for an observer and this member tells it.
@@ -197,29 +235,32 @@
         }
     }
 
-    fn has_news(&self, observer: &Observer, members: MembersStamp) -> bool {
+    fn has_news(&self, key: &ObserverKey, members: MembersStamp) -> bool {
+        let Some(observer) = self.desk.observers.get(key) else {
+            return false;
+        };
         let known = &observer.known;
         let Some(state) = self.configuration().and_then(|group| group.machine.state()) else {
             return false;
         };
-        let newer_backends = self.desk.backends.latest().is_some_and(|list| {
-            self.polls()
-                && known
-                    .backends
-                    .is_some_and(|held| held != list.fingerprint())
-        });
+        let list = &self.desk.list;
+        let newer_list = known.backends.as_ref();
         (!known.is_current && self.is_fresh())
             || members > known.members
             || self.new_document(observer).is_some()
             || state.stores.view().epoch > known.store_epoch
-            || newer_backends
+            || newer_list.is_some_and(|known| list.is_news(known, self.now))
     }
 
-    fn news_after(&self, observer: &Observer, members: MembersStamp) -> News {
+    fn news_after(&mut self, observer: &Observer, members: MembersStamp) -> News {
         let known = &observer.known;
         let mut news = News {
             fresh: self.is_fresh(),
-            gateways: self.counted_gateways(),
+            gateways: self.desk.gateways,
+            backends: known
+                .backends
+                .as_ref()
+                .and_then(|known| self.desk.list.report(known, self.now)),
             ..News::default()
         };
         let Some(group) = self.configuration() else {
@@ -234,32 +275,48 @@
                 news.stores = Some(state.stores.view().clone());
             }
         }
-        news.backends = self.backend_report(known);
         news
     }
 
-    /// Number of gateways that take callers, at the one member that every gateway asks.
-    fn counted_gateways(&self) -> u32 {
+    /// Gateways that take callers and count on this member.
+    #[must_use]
+    pub fn own_gateways(&self) -> u32 {
+        let presence = &self.desk.presence;
+        presence.counted_gateways(self.now, self.resolution_time())
+    }
+
+    /// Sums up the gateways, where that is done.
+    pub(crate) fn count_gateways(&mut self) {
         if !self.leads(CONFIGURATION_GROUP) {
-            return 0;
+            return;
         }
-        u32::try_from(self.heard_gateways().count()).unwrap_or(u32::MAX)
+        let forget_after = self.config.managed_or_default().forget_after;
+        let elsewhere = self
+            .desk
+            .presence
+            .gateways_of_members(self.now, forget_after);
+        self.desk.gateways = self.own_gateways() + elsewhere;
+    }
+
+    /// Members of the configuration group, as far as this one knows.
+    #[must_use]
+    pub fn member_count(&self) -> u32 {
+        let count = |group: &crate::group::Group| group.raft.membership().peers().count();
+        u32::try_from(self.configuration().map_or(0, count)).unwrap_or(u32::MAX)
     }
 
-    fn backend_report(&self, known: &Known) -> Option<BackendReport> {
-        let known = known.backends?;
-        let latest = self.desk.backends.latest().filter(|_| self.polls())?;
-        Some(BackendReport {
-            fingerprint: latest.fingerprint(),
-            age: self.now.since(self.desk.backends_seen),
-            update: self.desk.backends.update_from(known),
-        })
+    /// The leader to follow for the list and the number of gateways; `None` when this member
+    /// leads or knows of none.
+    #[must_use]
+    pub fn followed_leader(&self) -> Option<Ipv4Addr> {
+        let leader = self.configuration()?.raft.leader()?;
+        let is_other = leader != self.peer() && !self.leads(CONFIGURATION_GROUP);
+        is_other.then(|| Ipv4Addr::from(leader.member.0))
     }
 
-    /// Whether this member is the one that polls the platform's list. Several would have lists
-    /// that differ by moments, and observers would be sent whole ones back and forth.
+    /// This member's copy of the list of backends.
     #[must_use]
-    pub fn polls(&self) -> bool {
-        self.leads(CONFIGURATION_GROUP)
+    pub fn list(&self) -> &luglink_fleet::ListCopy {
+        self.desk.list.copy()
     }
 }
--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -1,6 +1,6 @@
 //! Requests to a control member and its responses.
 
-use luglink_fleet::{News, Observation, RetireAnswer, StoreName, VersionedDocument};
+use luglink_fleet::{HeardGateway, News, Observation, RetireAnswer, StoreName, VersionedDocument};
 use luglink_program::{Command, ProgramView, Reply};
 use luglink_raft::{LogIndex, Membership, MembershipChange, Peer, Term};
 use luglink_resources::{CatchUp, Change, ChangeAnswer};
@@ -54,6 +54,8 @@
     ReadDocument,
     /// Says who asks and what it knows; answered at news or after a while.
     Observe(Box<Observation>),
+    /// Words of gateways that another member of the zone has heard.
+    HearGateways(Vec<HeardGateway>),
     /// A member that the configuration group does not contain wants to be let in.
     Join(Peer),
     /// Empties a turn store.
--- a/crates/control/tests/managed/support.rs
+++ b/crates/control/tests/managed/support.rs
@@ -4,7 +4,7 @@
     ControlConfig, ControlNode, Input, ManagedConfig, Output, Request, RequestToken, Response,
 };
 use luglink_fleet::{
-    GatewayPresence, Known, MembersStamp, Observation, Presence, Role, StorePresence, StoreState,
+    GatewayPresence, Known, Observation, Presence, Role, StorePresence, StoreState,
     VersionedDocument,
 };
 use luglink_raft::Envelope;
@@ -18,14 +18,6 @@
 pub const STEP: Duration = Duration::from_millis(20);
 pub const FOUNDERS: [u32; 3] = [1, 2, 3];
 
-/// Of an observer for which no list of members is news.
-pub const NEWEST_MEMBERS: MembersStamp = MembersStamp {
-    term: u64::MAX,
-    knows_leader: true,
-    membership: u64::MAX,
-    stores: u64::MAX,
-};
-
 pub fn config(member: u32, first_start: bool) -> ControlConfig {
     let founders: Vec<MemberId> = FOUNDERS.iter().map(|id| MemberId(*id)).collect();
     let mut config = ControlConfig::new(MemberId(member), founders);
@@ -262,6 +254,7 @@
         },
         known,
         tells_first: false,
+        is_counted_here: true,
     }
 }
 
--- /dev/null
+++ b/crates/edge/src/pool/index.rs
@@ -0,0 +1,149 @@
+//! The replicas of one service by zone, and which of them this gateway has used.
+
+use super::{Reach, Wish};
+use luglink_fleet::{Backend, BackendId};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Replicas of a service that every zone must have for its programs to stay in their zones, which
+/// spares connections and bytes between zones. With fewer, two choices do not even out what the
+/// few of a zone get. Were only the larger zones to keep theirs, their replicas would get those of
+/// the others besides.
+const ENOUGH_NEAR: usize = 8;
+
+/// Replicas of a service of which a gateway remembers what it has seen of them, apart from those
+/// that have its requests. A request is weighed between all of these, and a gateway of a large
+/// fleet would come to have used every replica.
+const REMEMBERED: usize = 64;
+
+/// The replicas of one service in one zone.
+#[derive(Clone, Debug, Default)]
+struct ZoneIndex {
+    /// Those that may get work, in an order that is the same at all gateways and says nothing of
+    /// the replicas: neighbours in it are neighbours nowhere else.
+    usable: BTreeSet<(u64, BackendId)>,
+    /// Number of all that are listed, leaving ones included.
+    listed: usize,
+}
+
+/// The replicas of one service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServiceIndex {
+    zones: BTreeMap<String, ZoneIndex>,
+    /// Replicas that this gateway has used, leaving ones included.
+    used: BTreeSet<BackendId>,
+    /// The same in the order of their first use.
+    used_order: VecDeque<BackendId>,
+}
+
+impl ServiceIndex {
+    pub(super) fn add(&mut self, backend: &Backend) {
+        let zone = self.zones.entry(backend.zone.clone()).or_default();
+        zone.listed += 1;
+        if !backend.draining {
+            zone.usable.insert(place(&backend.id));
+        }
+    }
+
+    pub(super) fn remove(&mut self, backend: &Backend) {
+        if let Some(zone) = self.zones.get_mut(&backend.zone) {
+            zone.listed -= 1;
+            zone.usable.remove(&place(&backend.id));
+            if zone.listed == 0 {
+                self.zones.remove(&backend.zone);
+            }
+        }
+        if self.used.remove(&backend.id) {
+            self.used_order.retain(|id| *id != backend.id);
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.zones.is_empty()
+    }
+
+    /// Replicas that this gateway has used.
+    pub(super) fn used(&self) -> impl Iterator<Item = &BackendId> {
+        self.used.iter()
+    }
+
+    pub(super) fn is_used(&self, id: &BackendId) -> bool {
+        self.used.contains(id)
+    }
+
+    pub(super) fn note_used(&mut self, id: &BackendId) {
+        if self.used.insert(id.clone()) {
+            self.used_order.push_back(id.clone());
+        }
+    }
+
+    /// Forgets that a replica was used, the one that was used first of those that are idle, when
+    /// too many are remembered.
+    pub(super) fn forget_one(&mut self, is_idle: impl Fn(&BackendId) -> bool) -> Option<BackendId> {
+        if self.used.len() <= REMEMBERED {
+            return None;
+        }
+        // The newest is about to be used.
+        let others = self.used_order.len() - 1;
+        let position = self.used_order.iter().take(others).position(is_idle)?;
+        let forgotten = self.used_order.remove(position)?;
+        self.used.remove(&forgotten);
+        Some(forgotten)
+    }
+
+    /// Whether programs of a zone stay in it: it has replicas, and so many that take work are in
+    /// every zone that has any.
+    fn is_zonal(&self, zone: &str) -> bool {
+        self.zones.contains_key(zone)
+            && self
+                .zones
+                .values()
+                .all(|index| index.usable.len() >= ENOUGH_NEAR)
+    }
+
+    /// Replicas at which programs of a zone may begin.
+    pub(super) fn reached<'index>(
+        &'index self,
+        zone: &'index str,
+        reach: Reach,
+    ) -> impl Iterator<Item = &'index BackendId> {
+        let is_zonal = self.is_zonal(zone);
+        let zones = self.zones.iter().filter(move |(name, _)| {
+            let is_home = *name == zone || !is_zonal;
+            is_home == (reach == Reach::Home)
+        });
+        zones.flat_map(|(_, index)| index.usable.iter().map(|(_, id)| id))
+    }
+
+    /// Replicas that this gateway has not used, one of its zone, or one of each other zone when its
+    /// own has none. They differ in nothing that it knows, so one is as good as all.
+    pub(super) fn draw_unused<'index>(
+        &'index self,
+        zone: &str,
+        wish: &Wish<'_>,
+    ) -> Vec<&'index BackendId> {
+        let near = self.zones.get(zone);
+        let near = near.and_then(|index| self.draw_in(index, wish));
+        if let Some(near) = near {
+            return vec![near];
+        }
+        let others = self.zones.iter().filter(|(name, _)| *name != zone);
+        others
+            .filter_map(|(_, index)| self.draw_in(index, wish))
+            .collect()
+    }
+
+    fn draw_in<'index>(
+        &self,
+        index: &'index ZoneIndex,
+        wish: &Wish<'_>,
+    ) -> Option<&'index BackendId> {
+        let is_free = |id: &&BackendId| !self.used.contains(id) && !wish.tried.contains(id);
+        let start = (wish.draw.rotate_left(32), BackendId::default());
+        let from_start = index.usable.range(start..).chain(index.usable.iter());
+        from_start.map(|(_, id)| id).find(is_free)
+    }
+}
+
+fn place(id: &BackendId) -> (u64, BackendId) {
+    (id.spread(), id.clone())
+}
--- /dev/null
+++ b/crates/edge/src/pool/record.rs
@@ -0,0 +1,95 @@
+//! What a gateway has seen of one replica.
+
+use luglink_types::Timestamp;
+use std::time::Duration;
+
+/// First pause of a replica that failed; doubles with each failure in a row.
+const FIRST_EJECTION: Duration = Duration::from_millis(200);
+
+/// Longest pause of a replica that failed.
+const LONGEST_EJECTION: Duration = Duration::from_secs(3);
+
+/// Weight of a new sample in the average time to an answer.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// Weight of a new failure in a replica's trouble.
+const TROUBLE_WEIGHT: f64 = 0.3;
+
+/// What is left of a replica's trouble after a success.
+const TROUBLE_AFTER_SUCCESS: f64 = 0.85;
+
+/// Time in which half of a replica's trouble is forgotten, so that it is tried again.
+const TROUBLE_HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// What is left of trouble that does not count any more.
+const FORGOTTEN_TROUBLE: f64 = 0.01;
+
+/// What a gateway has seen of one replica.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Record {
+    /// Requests of this gateway that are at it.
+    pub(super) in_flight: u32,
+    failures: u32,
+    pub(super) ejected_until: Timestamp,
+    /// Share of failures lately, as of `troubled_at`. Unlike a pause it also tells a replica
+    /// that fails now and then from one that does not.
+    trouble: f64,
+    troubled_at: Timestamp,
+    /// Average time to the first sign of an answer, in milliseconds; 0 before the first sample.
+    pub(super) answer_ms: f64,
+}
+
+impl Record {
+    /// Of a replica that was not used.
+    pub(super) const UNUSED: Self = Self {
+        in_flight: 0,
+        failures: 0,
+        ejected_until: Timestamp::ZERO,
+        trouble: 0.0,
+        troubled_at: Timestamp::ZERO,
+        answer_ms: 0.0,
+    };
+
+    /// Whether nothing is lost with it but how fast the replica answers.
+    pub(super) fn is_idle(&self) -> bool {
+        self.in_flight == 0 && self.failures == 0 && self.trouble < FORGOTTEN_TROUBLE
+    }
+
+    /// Share of failures lately, fading with time.
+    pub(super) fn trouble_at(&self, now: Timestamp) -> f64 {
+        if self.trouble == 0.0 {
+            return 0.0;
+        }
+        let half_lives =
+            now.since(self.troubled_at).as_secs_f64() / TROUBLE_HALF_LIFE.as_secs_f64();
+        self.trouble * 0.5_f64.powf(half_lives)
+    }
+
+    pub(super) fn succeeded(&mut self, time: Duration) {
+        self.failures = 0;
+        self.ejected_until = Timestamp::ZERO;
+        self.trouble *= TROUBLE_AFTER_SUCCESS;
+        let sample = time.as_secs_f64() * 1_000.0;
+        self.answer_ms = if self.answer_ms > 0.0 {
+            self.answer_ms + SAMPLE_WEIGHT * (sample - self.answer_ms)
+        } else {
+            sample
+        };
+    }
+
+    pub(super) fn troubled(&mut self, now: Timestamp) {
+        let before = self.trouble_at(now);
+        self.trouble = before + TROUBLE_WEIGHT * (1.0 - before);
+        self.troubled_at = now;
+    }
+
+    /// Returns until when the replica pauses.
+    pub(super) fn failed(&mut self, now: Timestamp) -> Timestamp {
+        self.troubled(now);
+        let doublings = self.failures.min(8);
+        self.failures += 1;
+        let pause = (FIRST_EJECTION * 2_u32.pow(doublings)).min(LONGEST_EJECTION);
+        self.ejected_until = now.plus(pause);
+        self.ejected_until
+    }
+}
--- a/crates/edge/tests/pool.rs
+++ b/crates/edge/tests/pool.rs
@@ -24,10 +24,15 @@
 
 fn pool(backends: Vec<Backend>) -> Pool {
     let mut pool = Pool::new("here");
-    pool.update(&BackendList::new(backends));
+    show(&mut pool, &BackendList::default(), backends);
     pool
 }
 
+/// Shows a list in place of the one `before`.
+fn show(pool: &mut Pool, before: &BackendList, backends: Vec<Backend>) {
+    pool.apply(&before.changes_to(&BackendList::new(backends)));
+}
+
 fn chosen(pool: &Pool, wish: &Wish<'_>, now: Timestamp) -> Option<String> {
     pool.choose(wish, |_| true, now)
         .map(|choice| choice.backend.id.0)
@@ -129,14 +134,13 @@
 
 #[test]
 fn a_new_list_keeps_what_is_known_of_those_that_stay() {
-    let mut pool = pool(vec![backend("a", "here"), backend("b", "here")]);
+    let before = vec![backend("a", "here"), backend("b", "here")];
+    let mut pool = pool(before.clone());
     for _ in 0..4 {
         pool.begin(&id("a"));
     }
-    pool.update(&BackendList::new(vec![
-        backend("a", "here"),
-        backend("c", "here"),
-    ]));
+    let after = vec![backend("a", "here"), backend("c", "here")];
+    show(&mut pool, &BackendList::new(before), after);
     assert_eq!(chosen(&pool, &wish(), Timestamp::ZERO).unwrap(), "c");
     assert!(!pool.lists(&id("b")));
     // Requests of replicas that have left end without harm.
@@ -147,7 +151,7 @@
 fn gateways_with_the_same_list_agree_on_a_program_s_home() {
     let backends: Vec<Backend> = (0..5).map(|n| backend(&n.to_string(), "here")).collect();
     let mut elsewhere = Pool::new("there");
-    elsewhere.update(&BackendList::new(backends.clone()));
+    show(&mut elsewhere, &BackendList::default(), backends.clone());
     let here = pool(backends);
     let homes: Vec<_> = (0..100)
         .map(|program| here.home(SERVICE, program))
--- a/crates/fleet-client/src/lib.rs
+++ b/crates/fleet-client/src/lib.rs
@@ -9,4 +9,4 @@
 
 mod observer;
 
-pub use observer::{Observer, ObserverConfig, Subject};
+pub use observer::{ListSource, Observer, ObserverConfig, Subject};
--- a/crates/fleet-client/src/observer.rs
+++ b/crates/fleet-client/src/observer.rs
@@ -1,7 +1,9 @@
 //! The observing loop.
 
 use luglink_control::{Request, Response};
-use luglink_fleet::{FIRST_TELLERS, Known, MemberList, News, Observation, ObserverPlace, Presence};
+use luglink_fleet::{
+    Contact, FIRST_TELLERS, Known, MemberList, News, Observation, ObserverPlace, Presence, Role,
+};
 use luglink_net::RequestClient;
 use luglink_wire::{ClientRole, Hello, PROTOCOL_VERSION, decode_body, encode_body};
 use std::cell::{Cell, RefCell};
@@ -23,8 +25,12 @@
 /// others can take its place. About an election and the news of it.
 const AVOIDED_FOR: Duration = Duration::from_secs(2);
 
-/// Time without word from any member that hears its leader, after which every known member is
-/// asked: longer than most elections, and less than half of the shortest bound on a change (2 s).
+/// Members that an observer asks for the list of replicas: when the first has none, or falls
+/// silent, the second has told it meanwhile.
+const LIST_SOURCES: usize = 2;
+
+/// Time without word from any member that hears its leader, after which more members are asked:
+/// longer than most elections, and less than half of the shortest bound on a change (2 s).
 const ISOLATED_AFTER: Duration = Duration::from_millis(1_200);
 
 /// Time between looks whether other members should be asked.
@@ -36,12 +42,23 @@
     fn presence(&self) -> Presence;
 
     /// What the process knows, but for the members, which the observer knows.
-    fn known(&self) -> Known;
+    fn known(&self, source: ListSource) -> Known;
 
     /// Takes news. `member` is the control member that tells them.
     fn on_news(&self, member: SocketAddr, news: News);
 }
 
+/// What the member that is asked is for a process's list of replicas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListSource {
+    /// The one that tells it.
+    First,
+    /// One that tells changes of it too.
+    Second,
+    /// One that does not.
+    Not,
+}
+
 /// Where control members are.
 #[derive(Clone, Debug)]
 pub struct ObserverConfig {
@@ -52,8 +69,8 @@
 }
 
 /// Asks control members again and again: all that settings name until it has heard of the
-/// others, then those that [`MemberList::observed_by`] chooses, and all of them while none that
-/// it asks hears a leader.
+/// others, then those that [`MemberList::observed_by`] chooses, and besides them those that the
+/// settings name while none that it asks hears a leader.
 #[derive(Debug)]
 pub struct Observer<S> {
     subject: Rc<S>,
@@ -76,6 +93,7 @@
             place: ObserverPlace {
                 name: presence.name,
                 zone: presence.zone,
+                asks_leader: matches!(presence.role, Role::Store(_)),
             },
             subject,
             member_port: config.member_port,
@@ -120,18 +138,21 @@
     /// The members to ask, those that should tell of a new document first.
     fn planned(&self) -> Vec<SocketAddr> {
         let members = self.members.borrow();
+        let named = self.seeds.borrow();
+        if members.places.is_empty() {
+            return named.iter().copied().collect();
+        }
+        let contact = self.contact();
+        let observed = members.observed_by(&self.place, contact, &self.avoided_addresses());
         let at_port = |ip: Ipv4Addr| SocketAddr::from((ip, self.member_port));
-        if members.places.is_empty() || self.is_isolated() {
-            let named = self.seeds.borrow();
-            let everyone: BTreeSet<SocketAddr> = members
-                .addresses()
-                .map(at_port)
-                .chain(named.iter().copied())
-                .collect();
-            return everyone.into_iter().collect();
+        let mut planned: Vec<SocketAddr> = observed.into_iter().map(at_port).collect();
+        if contact == Contact::Lost {
+            // The members that are known may all be gone.
+            let unplanned = named.iter().filter(|seed| !planned.contains(seed));
+            let unplanned: Vec<SocketAddr> = unplanned.copied().collect();
+            planned.extend(unplanned);
         }
-        let observed = members.observed_by(&self.place, &self.avoided_addresses());
-        observed.into_iter().map(at_port).collect()
+        planned
     }
 
     fn avoided_addresses(&self) -> BTreeSet<Ipv4Addr> {
@@ -143,8 +164,11 @@
         addresses.collect()
     }
 
-    fn is_isolated(&self) -> bool {
-        self.fresh_at.get().elapsed() >= ISOLATED_AFTER
+    fn contact(&self) -> Contact {
+        match self.fresh_at.get().elapsed() < ISOLATED_AFTER {
+            true => Contact::Held,
+            false => Contact::Lost,
+        }
     }
 
     async fn ask_again_and_again(self: Rc<Self>, member: SocketAddr) {
@@ -157,12 +181,8 @@
         let mut heard = false;
         let mut usual = Duration::ZERO;
         while let Some(order) = self.planned().iter().position(|planned| *planned == member) {
-            let tells_first = order < FIRST_TELLERS || self.is_isolated();
             let asked = Instant::now();
-            match self
-                .ask(&client, tells_first, ANSWER_LIMIT + usual * 2)
-                .await
-            {
+            match self.ask(&client, order, ANSWER_LIMIT + usual * 2).await {
                 Some(news) => {
                     usual = asked.elapsed();
                     if !heard {
@@ -189,19 +209,22 @@
         self.tasks.borrow_mut().remove(&member);
     }
 
-    async fn ask(
-        &self,
-        client: &RequestClient,
-        tells_first: bool,
-        limit: Duration,
-    ) -> Option<News> {
+    /// Asks a member, the one at `order` in the plan.
+    async fn ask(&self, client: &RequestClient, order: usize, limit: Duration) -> Option<News> {
+        let is_lost = self.contact() == Contact::Lost;
+        let source = match order {
+            0 => ListSource::First,
+            order if order < LIST_SOURCES || is_lost => ListSource::Second,
+            _ => ListSource::Not,
+        };
         let request = Request::Observe(Box::new(Observation {
             presence: self.subject.presence(),
             known: Known {
                 members: self.members.borrow().stamp,
-                ..self.subject.known()
+                ..self.subject.known(source)
             },
-            tells_first,
+            tells_first: order < FIRST_TELLERS || is_lost,
+            is_counted_here: order == 0,
         }));
         let body = encode_body(&request).ok()?;
         let answer = client.request(body, limit).await.ok()?;
--- a/crates/fleet-client/tests/observer.rs
+++ b/crates/fleet-client/tests/observer.rs
@@ -3,8 +3,9 @@
 use luglink_control::{Request, Response};
 use luglink_fleet::{
     GatewayPresence, Known, MemberList, MemberPlace, MembersStamp, News, Presence, Role,
+    StorePresence,
 };
-use luglink_fleet_client::{Observer, ObserverConfig, Subject};
+use luglink_fleet_client::{ListSource, Observer, ObserverConfig, Subject};
 use luglink_net::{Accepted, FrameSender, serve};
 use luglink_wire::{Frame, decode_body, encode_body};
 use std::cell::{Cell, RefCell};
@@ -86,22 +87,35 @@
     }
 }
 
-/// A gateway of zone "a" that only observes.
-struct Watcher;
+/// A process of zone "a" that only observes.
+struct Watcher(Role);
+
+fn gateway() -> Watcher {
+    Watcher(Role::Gateway(GatewayPresence {
+        address: ([127, 0, 0, 1], 80).into(),
+        ready: true,
+    }))
+}
+
+fn store() -> Watcher {
+    Watcher(Role::Store(StorePresence {
+        address: ([127, 0, 0, 1], 90).into(),
+        incarnation: 1,
+        founding: true,
+        handed_over_epoch: 0,
+    }))
+}
 
 impl Subject for Watcher {
     fn presence(&self) -> Presence {
         Presence {
             name: "front-1".to_owned(),
             zone: ZONES[0].to_owned(),
-            role: Role::Gateway(GatewayPresence {
-                address: ([127, 0, 0, 1], 80).into(),
-                ready: true,
-            }),
+            role: self.0.clone(),
         }
     }
 
-    fn known(&self) -> Known {
+    fn known(&self, _: ListSource) -> Known {
         Known::default()
     }
 
@@ -149,13 +163,13 @@
         Self { members, port }
     }
 
-    fn observe(&self) -> Rc<Observer<Watcher>> {
+    fn observe(&self, watcher: Watcher) -> Rc<Observer<Watcher>> {
         let seed = SocketAddr::from((self.members[1].ip, self.port));
         let config = ObserverConfig {
             seeds: vec![seed],
             member_port: self.port,
         };
-        Observer::start(Rc::new(Watcher), config)
+        Observer::start(Rc::new(watcher), config)
     }
 
     /// Members that are asked in a while, once those of before have been told to stop.
@@ -188,7 +202,7 @@
 #[actix_rt::test]
 async fn an_observer_learns_of_all_members_and_asks_a_few() {
     let fleet = Fleet::start(16).await;
-    let _observer = fleet.observe();
+    let _observer = fleet.observe(gateway());
     fleet
         .wait_for("the leader, its zone and one more", asks_a_few)
         .await;
@@ -203,7 +217,7 @@
 #[actix_rt::test]
 async fn others_take_the_place_of_members_that_are_silent_or_hear_no_leader() {
     let fleet = Fleet::start(16).await;
-    let _observer = fleet.observe();
+    let _observer = fleet.observe(gateway());
     fleet.wait_for("a few members", asks_a_few).await;
     fleet.members[NEAR[0]].manner.set(Manner::Silent);
     fleet.members[NEAR[1]].manner.set(Manner::Stale);
@@ -218,16 +232,35 @@
 }
 
 #[actix_rt::test]
-async fn all_members_are_asked_while_none_hears_a_leader() {
+async fn members_are_asked_a_few_at_a_time_and_all_in_turn_while_none_hears_a_leader() {
     let fleet = Fleet::start(16).await;
-    let _observer = fleet.observe();
+    let _gateway = fleet.observe(gateway());
     fleet.wait_for("a few members", asks_a_few).await;
     for member in &fleet.members {
         member.manner.set(Manner::Stale);
     }
-    let everyone = |asked: &BTreeSet<usize>| asked.len() == fleet.members.len();
-    fleet.wait_for("all members", everyone).await;
+    let met = RefCell::new(BTreeSet::<usize>::new());
+    let everyone = |asked: &BTreeSet<usize>| {
+        met.borrow_mut().extend(asked);
+        met.borrow().len() == fleet.members.len()
+    };
+    fleet.wait_for("all members in turn", everyone).await;
     // One that hears the new leader is enough to ask a few again.
+    for member in &fleet.members {
+        member.manner.set(Manner::Fresh);
+    }
+    fleet
+        .wait_for("a few again", |asked| !asked.is_empty() && asked.len() <= 5)
+        .await;
+}
+
+#[actix_rt::test]
+async fn a_store_follows_the_leader() {
+    let fleet = Fleet::start(16).await;
+    let _store = fleet.observe(store());
+    fleet
+        .wait_for("the leader", |asked| asked.contains(&0))
+        .await;
     let list = MemberList {
         stamp: MembersStamp {
             term: 2,
@@ -237,7 +270,6 @@
         ..fleet.members[0].list.borrow().clone()
     };
     for member in &fleet.members {
-        member.manner.set(Manner::Fresh);
         *member.list.borrow_mut() = list.clone();
     }
     let led_by_another = |asked: &BTreeSet<usize>| asked.contains(&5) && asked.len() <= 6;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,7 +7,11 @@
 #![deny(missing_docs)]
 
 mod backend;
+mod backend_list;
 mod document;
+mod list_copy;
+mod list_history;
+mod list_reading;
 mod members;
 mod naming;
 mod news;
@@ -16,14 +20,21 @@
 mod registry;
 mod view;
 
-pub use backend::{
-    Backend, BackendChanges, BackendHistory, BackendId, BackendList, BackendReport, BackendUpdate,
-};
+pub use backend::{Backend, BackendId};
+pub use backend_list::{BackendChanges, BackendList, BackendPatch, ListDigest};
 pub use document::{DocumentStore, VersionedDocument};
-pub use members::{FIRST_TELLERS, MemberList, MemberPlace, MembersStamp, ObserverPlace};
+pub use list_copy::{BackendReport, BackendUpdate, KnownList, ListCopy};
+pub use list_history::ListHistory;
+pub use list_reading::{ListReader, ListReading, ReadingRates};
+pub use members::{
+    Contact, FIRST_TELLERS, MemberList, MemberPlace, MembersStamp, NEAR_MEMBERS, ObserverPlace,
+};
 pub use naming::{GatewayPlace, named_gateways};
 pub use news::{Known, News, Observation};
 pub use placement::owners;
-pub use presence::{GatewayPresence, HeardStore, Presence, PresenceTable, Role, StorePresence};
+pub use presence::{
+    GatewayPresence, HeardGateway, HeardStore, MemberPresence, Presence, PresenceTable, Role,
+    StorePresence,
+};
 pub use registry::{RetireAnswer, RetireState, StoreCommand, StoreRegistry};
 pub use view::{StoreMember, StoreName, StoreState, StoreView};
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -2,10 +2,11 @@
 //! process asks.
 //!
 //! Were every process to ask every member, questions would grow with the product of both. So a
-//! process asks a few: the leader, which alone reads the list of replicas and must hear every
-//! turn store; those of its own zone, whose answers cross no zone, and which so name the same
-//! gateways of the zone to callers; and one elsewhere, so that the loss of a zone's members leaves
-//! it one. Members that are silent or out of touch with their leader are replaced by others.
+//! process asks a few: some of its own zone, whose answers cross no zone, and one elsewhere, so
+//! that the loss of a zone's members leaves it one. Turn stores ask the leader besides, which must
+//! hear every one of them; gateways, of which there are many more, do not. Members that are silent
+//! or out of touch with their leader are replaced by others, a few more of them at a time while a
+//! process hears none that is in touch.
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -16,13 +17,17 @@
 /// each of them is a larger part of what may be lost.
 const FEW_MEMBERS: usize = 6;
 
-/// Members of its own zone that a process asks at the most. All of them in the zones of the
-/// deployments that are known: callers leave a gateway that the next member does not name.
-const NEAR_MEMBERS: usize = 4;
+/// Members of its own zone that a process asks at the most. Where a zone has more, they tell each
+/// other whom they hear, since callers leave a gateway that the next member does not name.
+pub const NEAR_MEMBERS: usize = 4;
 
-/// Members elsewhere that a process asks, besides the leader.
+/// Members elsewhere that a process asks.
 const FAR_MEMBERS: usize = 1;
 
+/// Members elsewhere that a process asks while it hears none that hears a leader. They change as
+/// those asked in vain are passed over, so that it comes round to all of them.
+const FAR_MEMBERS_IN_ISOLATION: usize = 4;
+
 /// Members that tell one process of a new document at once. A document may be large; the other
 /// members that it asks tell it only when these do not.
 pub const FIRST_TELLERS: usize = 2;
@@ -51,6 +56,16 @@
     pub stores: u64,
 }
 
+impl MembersStamp {
+    /// Newer than all others: of a process for which no list of members is news.
+    pub const NEWEST: Self = Self {
+        term: u64::MAX,
+        knows_leader: true,
+        membership: u64::MAX,
+        stores: u64::MAX,
+    };
+}
+
 /// All control members.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberList {
@@ -69,6 +84,26 @@
     pub name: String,
     /// Its zone.
     pub zone: String,
+    /// Whether the leader must hear it.
+    pub asks_leader: bool,
+}
+
+/// How an observer stands with the members.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// A member that hears its leader has answered lately.
+    Held,
+    /// None has.
+    Lost,
+}
+
+impl Contact {
+    fn far_members(self) -> usize {
+        match self {
+            Self::Held => FAR_MEMBERS,
+            Self::Lost => FAR_MEMBERS_IN_ISOLATION,
+        }
+    }
 }
 
 impl MemberList {
@@ -78,24 +113,42 @@
     pub fn observed_by(
         &self,
         observer: &ObserverPlace,
+        contact: Contact,
         avoided: &BTreeSet<Ipv4Addr>,
     ) -> Vec<Ipv4Addr> {
+        let asks_all = self.places.len() <= FEW_MEMBERS;
+        let leader = self.leader.filter(|_| asks_all || observer.asks_leader);
         let rank = |place: &MemberPlace| {
             xxh3_64_with_seed(observer.name.as_bytes(), u64::from(u32::from(place.ip)))
         };
         let is_near = |place: &MemberPlace| place.zone == observer.zone;
         let is_avoided = |place: &MemberPlace| avoided.contains(&place.ip);
         let mut others: Vec<&MemberPlace> = self.places.iter().collect();
-        others.retain(|place| Some(place.ip) != self.leader);
+        others.retain(|place| Some(place.ip) != leader);
         others.sort_by_key(|place| (is_avoided(place), !is_near(place), rank(place)));
-        if self.places.len() > FEW_MEMBERS {
+        if !asks_all {
             let near = others.iter().filter(|place| is_near(place)).count();
             let mut farther = others.split_off(near.clamp(1, NEAR_MEMBERS));
             farther.sort_by_key(|place| (is_avoided(place), is_near(place), rank(place)));
-            others.extend(farther.into_iter().take(FAR_MEMBERS));
+            others.extend(farther.into_iter().take(contact.far_members()));
         }
         let others = others.into_iter().map(|place| place.ip);
-        others.chain(self.leader).collect()
+        others.chain(leader).collect()
+    }
+
+    /// The other members of a member's zone, when they are so many that no process asks all.
+    #[must_use]
+    pub fn neighbours_of(&self, member: Ipv4Addr) -> Vec<Ipv4Addr> {
+        let own = self.places.iter().find(|place| place.ip == member);
+        let Some(zone) = own.map(|place| &place.zone).filter(|zone| !zone.is_empty()) else {
+            return Vec::new();
+        };
+        let near = self.places.iter().filter(|place| place.zone == *zone);
+        let near: Vec<Ipv4Addr> = near.map(|place| place.ip).collect();
+        if near.len() <= NEAR_MEMBERS {
+            return Vec::new();
+        }
+        near.into_iter().filter(|ip| *ip != member).collect()
     }
 
     /// Addresses of all members.
--- a/crates/fleet/src/news.rs
+++ b/crates/fleet/src/news.rs
@@ -1,14 +1,14 @@
 //! What a process asks a control member, and what it is told.
 
-use crate::backend::BackendReport;
 use crate::document::VersionedDocument;
+use crate::list_copy::{BackendReport, KnownList};
 use crate::members::{MemberList, MembersStamp};
 use crate::presence::Presence;
 use crate::view::StoreView;
 use serde::{Deserialize, Serialize};
 
 /// What a process has already.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Known {
     /// Version of its document; 0 for none.
     pub document_version: u64,
@@ -16,8 +16,8 @@
     pub is_current: bool,
     /// Epoch of its view of the stores.
     pub store_epoch: u64,
-    /// Fingerprint of its list of backends, 0 for none; `None` when it needs no list.
-    pub backends: Option<u64>,
+    /// Its list of backends; `None` when the member that is asked need not tell it.
+    pub backends: Option<KnownList>,
     /// How new its list of members is.
     pub members: MembersStamp,
 }
@@ -32,6 +32,8 @@
     /// Whether the member that is asked should tell it of a new document at once. Otherwise
     /// others do so first, and this member only when they have had time for it.
     pub tells_first: bool,
+    /// Whether the member that is asked is the one that counts this process.
+    pub is_counted_here: bool,
 }
 
 /// What is new for an observer.
@@ -44,10 +46,10 @@
     pub document: Option<VersionedDocument>,
     /// A newer view of the stores.
     pub stores: Option<StoreView>,
-    /// The list of backends, from the member that polls the platform.
+    /// The list of backends, when the observer asks for it and the member has a newer one.
     pub backends: Option<BackendReport>,
-    /// Number of gateways that share the backends' limits, from the member that hears them all;
-    /// 0 from the others.
+    /// Number of gateways that share the backends' limits, as the leader has summed it; 0 while
+    /// that is not known.
     pub gateways: u32,
     /// A newer list of the control members.
     pub members: Option<MemberList>,
--- a/crates/fleet/src/presence.rs
+++ b/crates/fleet/src/presence.rs
@@ -28,6 +28,13 @@
     pub handed_over_epoch: u64,
 }
 
+/// A control member's word of itself, to the leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberPresence {
+    /// Gateways that take callers and count on this member to say so.
+    pub gateways: u32,
+}
+
 /// What a process is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Role {
@@ -35,6 +42,26 @@
     Gateway(GatewayPresence),
     /// Holds turns and accounts.
     Store(StorePresence),
+    /// Passes on what the leader knows.
+    Member(MemberPresence),
+}
+
+/// Kinds of processes; names are distinct within one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Kind {
+    Gateway,
+    Store,
+    Member,
+}
+
+impl Role {
+    fn kind(&self) -> Kind {
+        match self {
+            Self::Gateway(_) => Kind::Gateway,
+            Self::Store(_) => Kind::Store,
+            Self::Member(_) => Kind::Member,
+        }
+    }
 }
 
 /// A process's word of itself.
@@ -61,18 +88,64 @@
     pub store: &'table StorePresence,
 }
 
+/// A gateway's last word, as one member passes it on to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeardGateway {
+    /// Its word.
+    pub presence: Presence,
+    /// Time since it was heard from.
+    pub silence: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    heard: Timestamp,
+    presence: Presence,
+    /// Whether the process itself said it, rather than another member.
+    is_first_hand: bool,
+    /// Whether the process counts on this member to count it.
+    is_counted_here: bool,
+}
+
 /// Who was heard from lately.
 #[derive(Clone, Debug, Default)]
 pub struct PresenceTable {
-    heard: BTreeMap<(bool, String), (Timestamp, Presence)>,
+    heard: BTreeMap<(Kind, String), Entry>,
 }
 
 impl PresenceTable {
-    /// Takes a process's word.
-    pub fn note(&mut self, presence: Presence, now: Timestamp) {
-        let is_store = matches!(presence.role, Role::Store(_));
-        self.heard
-            .insert((is_store, presence.name.clone()), (now, presence));
+    /// Takes a process's word. `is_counted_here` says that of all members it asks it is to be
+    /// counted by this one.
+    pub fn note(&mut self, presence: Presence, is_counted_here: bool, now: Timestamp) {
+        let key = (presence.role.kind(), presence.name.clone());
+        let entry = Entry {
+            heard: now,
+            presence,
+            is_first_hand: true,
+            is_counted_here,
+        };
+        self.heard.insert(key, entry);
+    }
+
+    /// Takes a gateway's word that another member heard, unless a later one is known.
+    pub fn note_relayed(&mut self, word: HeardGateway, now: Timestamp) {
+        let silence = u64::try_from(word.silence.as_micros()).unwrap_or(u64::MAX);
+        let heard = Timestamp::from_micros(now.as_micros().saturating_sub(silence));
+        let key = (word.presence.role.kind(), word.presence.name.clone());
+        if self
+            .heard
+            .get(&key)
+            .is_some_and(|known| known.heard >= heard)
+        {
+            return;
+        }
+        let entry = Entry {
+            heard,
+            presence: word.presence,
+            is_first_hand: false,
+            is_counted_here: false,
+        };
+        self.heard.insert(key, entry);
     }
 
     /// Number of processes that are known.
@@ -89,7 +162,16 @@
 
     /// Forgets processes that were silent for `limit`.
     pub fn expire(&mut self, now: Timestamp, limit: Duration) {
-        self.heard.retain(|_, (heard, _)| now.since(*heard) < limit);
+        self.heard.retain(|_, entry| now.since(entry.heard) < limit);
+    }
+
+    fn gateways(&self) -> impl Iterator<Item = (&Entry, &GatewayPresence)> {
+        self.heard
+            .values()
+            .filter_map(|entry| match &entry.presence.role {
+                Role::Gateway(gateway) => Some((entry, gateway)),
+                Role::Store(_) | Role::Member(_) => None,
+            })
     }
 
     /// Gateways with their zones that were heard from within `limit` and take callers.
@@ -98,25 +180,55 @@
         now: Timestamp,
         limit: Duration,
     ) -> impl Iterator<Item = (&str, &GatewayPresence)> {
-        self.heard.values().filter_map(move |(heard, presence)| {
-            let Role::Gateway(gateway) = &presence.role else {
-                return None;
-            };
-            let counts = gateway.ready && now.since(*heard) < limit;
-            counts.then_some((presence.zone.as_str(), gateway))
-        })
+        self.gateways()
+            .filter(move |(entry, gateway)| gateway.ready && now.since(entry.heard) < limit)
+            .map(|(entry, gateway)| (entry.presence.zone.as_str(), gateway))
+    }
+
+    /// Words that gateways said to this member itself within `limit`, for the others of its zone.
+    #[must_use]
+    pub fn first_hand_gateways(&self, now: Timestamp, limit: Duration) -> Vec<HeardGateway> {
+        self.gateways()
+            .filter(|(entry, _)| entry.is_first_hand && now.since(entry.heard) < limit)
+            .map(|(entry, _)| HeardGateway {
+                presence: entry.presence.clone(),
+                silence: now.since(entry.heard),
+            })
+            .collect()
+    }
+
+    /// Gateways that take callers, were heard from within `limit` and are counted here.
+    #[must_use]
+    pub fn counted_gateways(&self, now: Timestamp, limit: Duration) -> u32 {
+        let counted = self.gateways().filter(|(entry, gateway)| {
+            gateway.ready && entry.is_counted_here && now.since(entry.heard) < limit
+        });
+        u32::try_from(counted.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Gateways that members heard from within `limit` have counted.
+    #[must_use]
+    pub fn gateways_of_members(&self, now: Timestamp, limit: Duration) -> u32 {
+        self.heard
+            .values()
+            .filter(|entry| now.since(entry.heard) < limit)
+            .map(|entry| match &entry.presence.role {
+                Role::Member(member) => member.gateways,
+                Role::Gateway(_) | Role::Store(_) => 0,
+            })
+            .sum()
     }
 
     /// Stores with the time since they were heard from.
     pub fn stores(&self, now: Timestamp) -> impl Iterator<Item = HeardStore<'_>> {
-        self.heard.values().filter_map(move |(heard, presence)| {
-            let Role::Store(store) = &presence.role else {
+        self.heard.values().filter_map(move |entry| {
+            let Role::Store(store) = &entry.presence.role else {
                 return None;
             };
             Some(HeardStore {
-                name: &presence.name,
-                zone: &presence.zone,
-                silence: now.since(*heard),
+                name: &entry.presence.name,
+                zone: &entry.presence.zone,
+                silence: now.since(entry.heard),
                 store,
             })
         })
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -1,6 +1,6 @@
 //! Which members a process asks.
 
-use luglink_fleet::{MemberList, MemberPlace, MembersStamp, ObserverPlace};
+use luglink_fleet::{Contact, MemberList, MemberPlace, MembersStamp, NEAR_MEMBERS, ObserverPlace};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
@@ -23,10 +23,19 @@
     }
 }
 
+/// A turn store, which the leader must hear.
 fn observer(number: usize) -> ObserverPlace {
     ObserverPlace {
         name: format!("front-{number}"),
         zone: ZONES[number % ZONES.len()].to_owned(),
+        asks_leader: true,
+    }
+}
+
+fn gateway(number: usize) -> ObserverPlace {
+    ObserverPlace {
+        asks_leader: false,
+        ..observer(number)
     }
 }
 
@@ -39,7 +48,7 @@
 fn all_of_a_few_members_are_asked() {
     for members in 1..=6 {
         let list = list(members);
-        let asked = list.observed_by(&observer(3), &BTreeSet::new());
+        let asked = list.observed_by(&observer(3), Contact::Held, &BTreeSet::new());
         let distinct: BTreeSet<_> = asked.iter().copied().collect();
         assert_eq!(distinct, list.addresses().collect());
         assert_eq!(asked.len(), members);
@@ -51,7 +60,7 @@
     for members in [7, 12, 36, 200] {
         let list = list(members);
         for number in 0..300 {
-            let asked = list.observed_by(&observer(number), &BTreeSet::new());
+            let asked = list.observed_by(&observer(number), Contact::Held, &BTreeSet::new());
             let distinct: BTreeSet<_> = asked.iter().copied().collect();
             assert_eq!(distinct.len(), asked.len());
             assert!(asked.len() <= 6, "{asked:?}");
@@ -60,12 +69,59 @@
     }
 }
 
+/// There may be a thousand gateways; what the leader hears must not grow with them.
+#[test]
+fn gateways_of_a_large_fleet_leave_the_leader_alone_unless_it_is_near_or_their_far_one() {
+    for members in [12, 66, 132] {
+        let list = list(members);
+        let gateways = 1_728;
+        let asked = (0..gateways).filter(|number| {
+            let place = gateway(*number);
+            let asked = list.observed_by(&place, Contact::Held, &BTreeSet::new());
+            assert!(asked.len() <= NEAR_MEMBERS + 1);
+            asked.contains(&ip(0))
+        });
+        // As any other member: its part of the zone, and its part of those elsewhere.
+        let near = (members / 6).clamp(1, NEAR_MEMBERS) * gateways / members;
+        let far = gateways / members;
+        let share = asked.count();
+        assert!(share <= (near + far) * 3 / 2, "{members}: {share}");
+    }
+}
+
+#[test]
+fn a_process_that_has_lost_contact_asks_a_few_more_and_comes_round_to_all() {
+    let list = list(66);
+    let mut avoided = BTreeSet::new();
+    let mut met = BTreeSet::new();
+    for _ in 0..20 {
+        let asked = list.observed_by(&gateway(1), Contact::Lost, &avoided);
+        assert!(asked.len() <= 8, "{asked:?}");
+        met.extend(asked.iter().copied());
+        avoided.extend(asked);
+    }
+    assert_eq!(met.len(), 66);
+}
+
+#[test]
+fn members_of_a_large_zone_tell_each_other_and_those_of_a_small_one_need_not() {
+    let small = list(24);
+    assert!(small.neighbours_of(ip(3)).is_empty());
+    let large = list(66);
+    let neighbours = large.neighbours_of(ip(3));
+    assert_eq!(neighbours.len(), 10);
+    assert!(!neighbours.contains(&ip(3)));
+    let is_near = |ip: &Ipv4Addr| zone_of(&large, *ip) == ZONES[3];
+    assert!(neighbours.iter().all(is_near));
+    assert!(large.neighbours_of(Ipv4Addr::LOCALHOST).is_empty());
+}
+
 #[test]
 fn members_of_the_own_zone_come_first_and_one_is_elsewhere() {
     let list = list(36);
     for number in 0..100 {
         let observer = observer(number);
-        let asked = list.observed_by(&observer, &BTreeSet::new());
+        let asked = list.observed_by(&observer, Contact::Held, &BTreeSet::new());
         let zones: Vec<&str> = asked.iter().map(|ip| zone_of(&list, *ip)).collect();
         let near = zones.iter().take_while(|zone| **zone == observer.zone);
         assert_eq!(near.count(), 4);
@@ -78,7 +134,7 @@
     let list = list(24);
     for number in 0..100 {
         let observer = observer(number);
-        let asked = list.observed_by(&observer, &BTreeSet::new());
+        let asked = list.observed_by(&observer, Contact::Held, &BTreeSet::new());
         let near = list
             .places
             .iter()
@@ -94,7 +150,7 @@
     let list = list(24);
     let mut asked = BTreeMap::<Ipv4Addr, u32>::new();
     for number in 0..600 {
-        for ip in list.observed_by(&observer(number), &BTreeSet::new()) {
+        for ip in list.observed_by(&observer(number), Contact::Held, &BTreeSet::new()) {
             *asked.entry(ip).or_default() += 1;
         }
     }
@@ -110,9 +166,9 @@
 fn another_member_takes_the_place_of_one_that_is_avoided() {
     let list = list(36);
     for number in 0..100 {
-        let before = list.observed_by(&observer(number), &BTreeSet::new());
+        let before = list.observed_by(&observer(number), Contact::Held, &BTreeSet::new());
         let avoided = BTreeSet::from([before[0], before[4]]);
-        let after = list.observed_by(&observer(number), &avoided);
+        let after = list.observed_by(&observer(number), Contact::Held, &avoided);
         assert_eq!(after.len(), before.len());
         assert!(after.iter().all(|ip| !avoided.contains(ip)), "{after:?}");
         assert!(after.contains(&before[1]), "the others stay");
@@ -123,7 +179,11 @@
 fn members_that_are_all_avoided_are_asked_all_the_same() {
     let list = list(12);
     let everyone: BTreeSet<Ipv4Addr> = list.addresses().collect();
-    assert_eq!(list.observed_by(&observer(1), &everyone).len(), 4); // two near, one far, the leader
+    assert_eq!(
+        list.observed_by(&observer(1), Contact::Held, &everyone)
+            .len(),
+        4
+    ); // two near, one far, the leader
 }
 
 #[test]
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -8,7 +8,7 @@
 use luglink_edge::{
     Configuration, Dialect, KeyRing, LoadShedder, Pool, RoutingTable, Service, SplitDraws,
 };
-use luglink_fleet::BackendList;
+use luglink_fleet::ListCopy;
 use luglink_types::Timestamp;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -40,10 +40,9 @@
     pub(crate) shedder: RefCell<LoadShedder>,
     pub(crate) pool: RefCell<Pool>,
     /// The list that the pool shows.
-    pub(crate) list: RefCell<BackendList>,
-    /// When the platform showed the list that the pool shows.
-    pub(crate) list_seen: Cell<Option<Instant>>,
-    /// Gateways that share the replicas' connections.
+    pub(crate) list: RefCell<ListCopy>,
+    /// Gateways that share the replicas' connections and the platform's calls; 0 before a member
+    /// has said how many.
     pub(crate) gateways: Cell<u32>,
     pub(crate) turns: TurnClient,
     pub(crate) turn_cache: RefCell<TurnCache>,
@@ -85,8 +84,7 @@
             in_force: RefCell::default(),
             is_current: Cell::new(false),
             fresh_at: Cell::new(None),
-            list_seen: Cell::new(None),
-            gateways: Cell::new(1),
+            gateways: Cell::new(0),
             is_stopping: Cell::new(false),
             in_flight: Cell::new(0),
             draws: Cell::new(seed),
@@ -132,13 +130,13 @@
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping.get()
             && self.in_force().is_some()
-            && self.list_seen.get().is_some()
+            && self.list.borrow().seen().is_some()
             && self.turns.has_quorum()
     }
 
     /// Age of the list of replicas.
     pub(crate) fn list_age(&self) -> Option<Duration> {
-        self.list_seen.get().map(|seen| seen.elapsed())
+        self.list.borrow().age(self.now())
     }
 
     /// A number that differs from request to request.
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -3,14 +3,19 @@
 use crate::gateway::{Gateway, InForce};
 use luglink_edge::{KeyRing, RoutingTable};
 use luglink_fleet::{
-    BackendList, BackendReport, BackendUpdate, GatewayPresence, Known, News, Presence, Role,
-    VersionedDocument,
+    BackendChanges, BackendList, BackendReport, GatewayPresence, Known, KnownList, News, Presence,
+    Role, VersionedDocument,
 };
-use luglink_fleet_client::Subject;
+use luglink_fleet_client::{ListSource, Subject};
+use luglink_types::Timestamp;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Time after its start from which a gateway that has no list of replicas asks more than one
+/// member for it: a list is large, and the first one that is asked is about to send it.
+const FIRST_LIST_PATIENCE: Duration = Duration::from_secs(2);
+
 impl Subject for Gateway {
     fn presence(&self) -> Presence {
         Presence {
@@ -23,14 +28,14 @@
         }
     }
 
-    fn known(&self) -> Known {
+    fn known(&self, source: ListSource) -> Known {
         let in_force = self.in_force.borrow();
         Known {
             document_version: in_force.as_ref().map_or(0, |in_force| in_force.version),
             is_current: self.is_current.get()
                 || in_force.is_none() && self.fresh_at.get().is_some(),
             store_epoch: self.turns.epoch(),
-            backends: Some(self.pool.borrow().fingerprint().unwrap_or(0)),
+            backends: self.known_list(source),
             ..Known::default()
         }
     }
@@ -59,9 +64,6 @@
     }
 }
 
-/// Time that news may have been on their way.
-const TRANSFER_TIME: Duration = Duration::from_millis(20);
-
 impl Gateway {
     /// Puts a document in force unless a newer one is. A version never goes back within a life.
     fn put_in_force(&self, member: SocketAddr, document: VersionedDocument) {
@@ -102,41 +104,43 @@
         }
     }
 
-    fn take_report(&self, report: BackendReport) {
-        let Some(seen) = Instant::now().checked_sub(report.age + TRANSFER_TIME) else {
-            return;
-        };
-        let list = match report.update {
-            BackendUpdate::Whole(list) => Some(list),
-            // Changes to a list that was replaced meanwhile are passed over; the next question
-            // says which list is here.
-            BackendUpdate::Changes(changes) => self.list.borrow().changed(&changes),
-            BackendUpdate::None => None,
+    /// What to say of the list of replicas to a member; `None` when that member need not tell it.
+    fn known_list(&self, source: ListSource) -> Option<KnownList> {
+        let now = self.now();
+        let known = self.list.borrow().known(now);
+        let is_asked = match source {
+            ListSource::First => true,
+            ListSource::Second => {
+                known.age.is_some() || now.since(Timestamp::ZERO) >= FIRST_LIST_PATIENCE
+            }
+            ListSource::Not => false,
         };
-        let held = self.list.borrow().fingerprint();
-        if list.is_some() || held == report.fingerprint {
-            self.take_list(list, seen);
-        }
+        is_asked.then_some(known)
     }
 
-    /// Takes a list, or the word that the list is still the same, unless a later look is known.
-    pub(crate) fn take_list(&self, list: Option<BackendList>, seen: Instant) {
-        if self.list_seen.get().is_some_and(|known| known >= seen) {
-            return;
-        }
-        self.list_seen.set(Some(seen));
-        let Some(list) = list else { return };
-        if self.pool.borrow().fingerprint() == Some(list.fingerprint()) {
-            return;
-        }
-        let draining = list.backends().iter().filter(|backend| backend.draining);
+    fn take_report(&self, report: BackendReport) {
+        let changes = self.list.borrow_mut().follow(report, self.now());
+        self.show(changes);
+    }
+
+    /// Takes a list that this gateway has read itself, in a reading that began at `seen`.
+    pub(crate) fn take_list(&self, list: BackendList, seen: Timestamp) {
+        let changes = self.list.borrow_mut().replace(list, seen);
+        self.show(changes);
+    }
+
+    /// Shows changes of the list in the pool.
+    fn show(&self, changes: Option<BackendChanges>) {
+        let Some(changes) = changes else { return };
+        let draining = changes.changed.iter().filter(|backend| backend.draining);
         tracing::info!(
-            replicas = list.backends().len(),
+            replicas = self.list.borrow().list().len(),
+            changed = changes.changed.len(),
             draining = draining.count(),
+            removed = changes.removed.len(),
             "new list of replicas"
         );
-        self.pool.borrow_mut().update(&list);
-        *self.list.borrow_mut() = list;
-        self.upstream.keep_only(&self.pool.borrow());
+        self.pool.borrow_mut().apply(&changes);
+        self.upstream.forget(&changes.removed);
     }
 }
--- a/crates/gateway-server/src/upstream.rs
+++ b/crates/gateway-server/src/upstream.rs
@@ -1,7 +1,6 @@
 //! Connections to replicas, kept and shared out.
 
 use http::{HeaderMap, header};
-use luglink_edge::Pool;
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::{ClientConnection, ConnectError, connect};
 use prometheus::IntCounter;
@@ -122,8 +121,11 @@
 
     /// Closes connections to replicas that are not listed any more. Requests under way end by
     /// themselves.
-    pub(crate) fn keep_only(&self, pool: &Pool) {
-        self.replicas.borrow_mut().retain(|id, _| pool.lists(id));
+    pub(crate) fn forget(&self, removed: &[BackendId]) {
+        let mut replicas = self.replicas.borrow_mut();
+        for id in removed {
+            replicas.remove(id);
+        }
     }
 
     /// Whether a kept connection to a replica can be used again.
--- a/crates/list-client/src/lib.rs
+++ b/crates/list-client/src/lib.rs
@@ -65,8 +65,20 @@
     Endless,
 }
 
-/// Pause after the platform said that it is asked too often.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(60);
+/// First pause after the platform said that it is asked too often; doubles with each such answer.
+const FIRST_REFUSAL_PAUSE: Duration = Duration::from_millis(60);
+
+/// Longest such pause.
+const LONGEST_REFUSAL_PAUSE: Duration = Duration::from_secs(2);
+
+/// What to do when the platform says that it is asked too often.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AtRefusal {
+    /// Ask for the same page after a growing pause: this reader reads for all others.
+    Wait,
+    /// Give the reading up: others may read as well.
+    GiveUp,
+}
 
 /// A list and what it cost.
 #[derive(Clone, Debug)]
@@ -77,19 +89,14 @@
     pub pages: u32,
 }
 
-impl Fetched {
-    /// Time between two readings that keeps a reader within `calls_per_s` calls a second, and
-    /// at least `shortest`.
+impl ListError {
+    /// Whether the platform said that it is asked too often.
     #[must_use]
-    pub fn interval(&self, calls_per_s: f64, shortest: Duration) -> Duration {
-        let paced = f64::from(self.pages) / calls_per_s.max(0.01);
-        shortest.max(Duration::from_secs_f64(paced.min(MAX_INTERVAL_S)))
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::Refused { status } if *status == StatusCode::TOO_MANY_REQUESTS)
     }
 }
 
-/// Longest time between two readings, in seconds, whatever they cost.
-const MAX_INTERVAL_S: f64 = 60.0;
-
 /// Reads the whole list. The connection is kept from one look to the next.
 #[derive(Debug)]
 pub struct ListClient {
@@ -115,26 +122,38 @@
         &mut self,
         dialect: &dyn Dialect,
         limit: Duration,
+        at_refusal: AtRefusal,
     ) -> Result<Fetched, ListError> {
-        let fetched = actix_rt::time::timeout(limit, self.fetch_pages(dialect, limit)).await;
-        let result = fetched.ok().context(SilentSnafu { limit })?;
-        if result.is_err() {
+        let reading = self.fetch_pages(dialect, limit, at_refusal);
+        let fetched = actix_rt::time::timeout(limit, reading).await;
+        let result = fetched.ok().context(SilentSnafu { limit });
+        // A reading that was given up may have left an answer on its way.
+        if !matches!(result, Ok(Ok(_))) {
             self.connection = None;
         }
-        result
+        result?
     }
 
     async fn fetch_pages(
         &mut self,
         dialect: &dyn Dialect,
         limit: Duration,
+        at_refusal: AtRefusal,
     ) -> Result<Fetched, ListError> {
+        let mut pause = FIRST_REFUSAL_PAUSE;
         let mut backends = Vec::new();
         let mut next = None;
         for pages in 1..=MAX_PAGES {
-            let content = self
-                .fetch_patiently(&dialect.list_path(next.as_deref()), limit)
-                .await?;
+            let path = dialect.list_path(next.as_deref());
+            let content = loop {
+                match self.fetch_page(&path, limit).await {
+                    Err(error) if error.is_refusal() && at_refusal == AtRefusal::Wait => {
+                        actix_rt::time::sleep(pause).await;
+                        pause = (pause * 2).min(LONGEST_REFUSAL_PAUSE);
+                    }
+                    result => break result?,
+                }
+            };
             let page = dialect.backend_page(&content)?;
             backends.extend(page.backends);
             match page.next {
@@ -148,19 +167,6 @@
         EndlessSnafu.fail()
     }
 
-    /// Reads a page; a platform that is asked too often is asked again a little later, since
-    /// to begin anew would only ask it more.
-    async fn fetch_patiently(&mut self, path: &str, limit: Duration) -> Result<Bytes, ListError> {
-        loop {
-            match self.fetch_page(path, limit).await {
-                Err(ListError::Refused {
-                    status: StatusCode::TOO_MANY_REQUESTS,
-                }) => actix_rt::time::sleep(REFUSAL_PAUSE).await,
-                result => return result,
-            }
-        }
-    }
-
     async fn fetch_page(&mut self, path: &str, limit: Duration) -> Result<Bytes, ListError> {
         let mut connection = match self.connection.take() {
             Some(connection) if connection.is_ready() => connection,
--- a/crates/net/src/request_client.rs
+++ b/crates/net/src/request_client.rs
@@ -69,6 +69,13 @@
         self.address
     }
 
+    /// Sends a request whose response nobody waits for. Returns false when the link is broken.
+    pub fn tell(&self, body: Vec<u8>) -> bool {
+        let correlation = self.next.get();
+        self.next.set(correlation + 1);
+        self.link.send(Frame::request(correlation, body))
+    }
+
     /// Sends a request and waits for its response.
     ///
     /// # Errors
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -5,7 +5,7 @@
 use crate::metrics::{StoreMetrics, kind};
 use crate::peers::Peers;
 use luglink_fleet::{Known, News, Presence, Role, StoreName, StorePresence};
-use luglink_fleet_client::{Observer, ObserverConfig, Subject};
+use luglink_fleet_client::{ListSource, Observer, ObserverConfig, Subject};
 use luglink_net::{Accepted, FrameSender};
 use luglink_quota::Tolerance;
 use luglink_storage::{FileDisk, WalConfig};
@@ -307,7 +307,7 @@
         }
     }
 
-    fn known(&self) -> Known {
+    fn known(&self, _: ListSource) -> Known {
         Known {
             document_version: u64::MAX,
             is_current: true,
