Replace the lab's capacity by a benchmark of what a request costs

Cause: `luglink-lab capacity` measured the logic of daemons without sockets, and its straight lines said nothing of the managed fleet: that leader's questions grow with gateways stood on the page as a remark, that a gateway's own reading grows with the product was not on it.

`cargo bench -p luglink-edge` measures a choice, the candidates of a program and a change of 60 replicas before 100 to 20,000 replicas. No test is lost: the tool had none.

--- /dev/null
+++ b/crates/edge/benches/pool.rs
@@ -0,0 +1,83 @@
+//! What a request and a change cost before ten replicas and before twenty thousand.
+//!
+//! `cargo bench -p luglink-edge`. Release build, median of each on one core of a shared machine; the
+//! figures of the code before the index and after it stand in `docs/CAPACITY.md`.
+
+use divan::{Bencher, black_box};
+use luglink_edge::{Pool, Reach, Wish};
+use luglink_fleet::{Backend, BackendId, BackendList};
+use luglink_types::Timestamp;
+
+const REPLICAS: [usize; 4] = [100, 1_000, 10_000, 20_000];
+
+const ZONES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+/// Replicas that change at once while a service is replaced or emptied.
+const CHANGED: usize = 60;
+
+fn main() {
+    divan::main();
+}
+
+fn list(count: usize, leaving: usize) -> BackendList {
+    let backend = |number: usize| Backend {
+        id: BackendId(format!("i-{number:08x}")),
+        service: if number.is_multiple_of(3) {
+            "plain"
+        } else {
+            "llm"
+        }
+        .to_owned(),
+        address: ([10, 0, 0, 1], 1_000).into(),
+        zone: ZONES[number % ZONES.len()].to_owned(),
+        slots: 6,
+        draining: number < leaving,
+    };
+    BackendList::new((0..count).map(backend).collect())
+}
+
+fn pool(count: usize) -> Pool {
+    let mut pool = Pool::new("a");
+    pool.apply(&BackendList::default().changes_to(&list(count, 0)));
+    pool
+}
+
+#[divan::bench(args = REPLICAS)]
+fn choose(bencher: Bencher<'_, '_>, replicas: usize) {
+    let pool = pool(replicas);
+    let mut draw = 0;
+    bencher.bench_local(|| {
+        draw += 1;
+        let wish = Wish {
+            service: "plain",
+            draw,
+            ..Wish::default()
+        };
+        pool.choose(black_box(&wish), |_| false, Timestamp::ZERO)
+    });
+}
+
+#[divan::bench(args = REPLICAS)]
+fn candidates(bencher: Bencher<'_, '_>, replicas: usize) {
+    let pool = pool(replicas);
+    let mut program = 0;
+    bencher.bench_local(|| {
+        program += 1;
+        pool.candidates("llm", program, Reach::Home, 2, Timestamp::ZERO)
+    });
+}
+
+#[divan::bench(args = REPLICAS)]
+fn take_a_change_of_60(bencher: Bencher<'_, '_>, replicas: usize) {
+    let lists = [list(replicas, 0), list(replicas, CHANGED)];
+    let there = lists[0].changes_to(&lists[1]);
+    let back = lists[1].changes_to(&lists[0]);
+    let mut pool = pool(replicas);
+    let mut copy = lists[0].clone();
+    bencher.bench_local(|| {
+        for changes in [&there, &back] {
+            assert!(copy.apply(changes));
+            pool.apply(changes);
+        }
+    });
+}
--- a/crates/lab/src/cli/mod.rs
+++ b/crates/lab/src/cli/mod.rs
@@ -1,6 +1,5 @@
 //! The command line of `luglink-lab`.
 
-mod capacity;
 mod compare;
 mod demo;
 mod generate;
@@ -33,9 +32,6 @@
     /// Compare refund of unused reservations with no refund, under the same budgets
     #[bpaf(command)]
     Refund(#[bpaf(external(refund::refund_options))] refund::RefundOptions),
-    /// Measure what things cost and work out what that comes to at the size designed for
-    #[bpaf(command)]
-    Capacity(#[bpaf(external(capacity::capacity_options))] capacity::CapacityOptions),
     /// Write a seeded trace to standard output
     #[bpaf(command)]
     Generate(#[bpaf(external(generate::generate_options))] generate::GenerateOptions),
@@ -53,7 +49,6 @@
         Command::Sim(options) => sim::run(&options),
         Command::Compare(options) => compare::run(&options),
         Command::Refund(options) => refund::run(&options),
-        Command::Capacity(options) => capacity::run(&options),
         Command::Generate(options) => generate::run(&options),
     };
     match outcome {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,7 +4,6 @@
 #![deny(missing_docs)]
 
 mod caller_policy;
-pub mod capacity;
 pub mod check;
 pub mod cli;
 pub mod compare;
