Let nobody read the list who has none or does not know how many others there are

Members that had just started were not in the group yet, counted the three founders or nobody, and so read as if they were a few; processes without a list took a reading for one page and not for fifty.

Change: a member that does not belong to the group counts nobody and does not read; neither does anybody who has no list, since the others are about to send one. The leader reads at the latest after 0.45 of the age at which others begin, so that a replica that begins to leave just after a reading, with the leader lost before the next, is known everywhere within that age.

Tests: those who were told nothing, or have no list, ask for nothing in 60 s at 900 and 1,800 gateways.

--- a/crates/control/src/observers.rs
+++ b/crates/control/src/observers.rs
@@ -298,11 +298,18 @@
         self.desk.gateways = self.own_gateways() + elsewhere;
     }
 
-    /// Members of the configuration group, as far as this one knows.
+    /// Members of the configuration group as far as this one knows; 0 while it is none of them,
+    /// since the group may have grown or gone without it.
     #[must_use]
     pub fn member_count(&self) -> u32 {
-        let count = |group: &crate::group::Group| group.raft.membership().peers().count();
-        u32::try_from(self.configuration().map_or(0, count)).unwrap_or(u32::MAX)
+        let Some(group) = self.configuration() else {
+            return 0;
+        };
+        let membership = group.raft.membership();
+        if !membership.contains(self.peer()) {
+            return 0;
+        }
+        u32::try_from(membership.peers().count()).unwrap_or(u32::MAX)
     }
 
     /// The leader to follow for the list and the number of gateways; `None` when this member
--- a/crates/control/tests/managed/members.rs
+++ b/crates/control/tests/managed/members.rs
@@ -170,3 +170,16 @@
     assert_eq!(states.len(), 57);
     assert!(states.values().all(is_active), "{states:?}");
 }
+
+/// A member that has just started knows the founders at the most; were it to count these, all that
+/// start together would read the platform's list as if they were three.
+#[test]
+fn a_member_that_was_not_let_in_counts_no_members() {
+    let mut fleet = Fleet::founded();
+    fleet.run(1.0);
+    fleet.start(4, MemoryDisk::default(), false);
+    assert_eq!(fleet.nodes[&4].member_count(), 0);
+    assert_eq!(fleet.nodes[&1].member_count(), 3);
+    fleet.run(3.0);
+    assert_eq!(fleet.nodes[&4].member_count(), 4);
+}
--- a/crates/fleet/src/list_reading.rs
+++ b/crates/fleet/src/list_reading.rs
@@ -4,15 +4,20 @@
 //! a call for each page. So one process reads for all: the leader. While nobody hears a leader,
 //! members read, and gateways that hear no member: both so rarely that together they stay within
 //! a share of the platform's rate, however many they are. A process that has never been told how
-//! many there are never reads: it has no configuration either, and serves nobody.
+//! many there are, or has never had a list, never reads: it has no configuration either, and serves
+//! nobody.
 
 use luglink_types::Timestamp;
 use std::time::Duration;
 
-/// Share of the platform's calls that the leader takes, unless that makes its list old. A list of
-/// 50 pages is so read each 1.3 s where the platform answers 390 calls a second.
+/// Share of the platform's calls that the leader takes, unless that makes its list old.
 const LEADER_SHARE: f64 = 0.1;
 
+/// Longest time between two readings of the leader, as a share of the age from which others read.
+/// With a reading, an election and the way to the last gateway besides, a leaving replica is known
+/// everywhere before that age even when the leader falls between two readings.
+const LEADER_INTERVAL: f64 = 0.45;
+
 /// Share of the platform's calls that members take together while they hear no leader.
 const MEMBERS_SHARE: f64 = 0.3;
 
@@ -30,7 +35,8 @@
 pub enum ListReader {
     /// For all: it leads.
     Leader,
-    /// For those who ask it, when no leader's list comes: one of so many members.
+    /// For those who ask it, when no leader's list comes: one of so many members; 0 while it does
+    /// not belong to them.
     Member(u32),
     /// For itself, when no member's list comes: one of so many gateways; 0 while it was not told.
     Gateway(u32),
@@ -104,9 +110,10 @@
     ) -> bool {
         let is_needed = match reader {
             ListReader::Leader => true,
-            ListReader::Gateway(0) => false,
+            ListReader::Member(0) | ListReader::Gateway(0) => false,
+            // Who has no list yet does not know what a reading costs, and will get one from others.
             ListReader::Member(_) | ListReader::Gateway(_) => {
-                age.is_none_or(|age| age >= self.rates.stale_after)
+                age.is_some_and(|age| age >= self.rates.stale_after)
             }
         };
         if !is_needed {
@@ -161,8 +168,7 @@
         let own = reader.calls_per_s(self.rates.calls_per_s);
         let paced = Duration::from_secs_f64(f64::from(self.pages) / own);
         let longest = match reader {
-            // Half of the age at which others would begin to read.
-            ListReader::Leader => self.rates.stale_after / 2,
+            ListReader::Leader => self.rates.stale_after.mul_f64(LEADER_INTERVAL),
             _ => Duration::MAX,
         };
         paced.min(longest).max(self.rates.shortest)
--- a/crates/fleet/tests/list_reading.rs
+++ b/crates/fleet/tests/list_reading.rs
@@ -122,10 +122,17 @@
 /// What broke first at this size: each gateway counted one gateway, and asked a platform that
 /// refused again after 60 ms for ever, ten thousand times a second.
 #[test]
-fn gateways_that_no_member_has_told_anything_ask_the_platform_nothing() {
+fn those_that_no_member_has_told_anything_ask_the_platform_nothing() {
     for (gateways, replicas) in FLEETS {
-        let mut model = Model::new(gateways, replicas, ListReader::Gateway(0), None);
-        assert_eq!(model.calls_per_s(60), 0.0);
+        let seen = Some(Timestamp::from_millis(1_000_000));
+        let has_list_only = [ListReader::Gateway(0), ListReader::Member(0)].map(|it| (it, seen));
+        // After a start all wait for their first list, and do not know how long it is.
+        let is_told_only = [ListReader::Gateway(gateways), ListReader::Member(66)];
+        let is_told_only = is_told_only.map(|reader| (reader, None));
+        for (reader, seen) in has_list_only.into_iter().chain(is_told_only) {
+            let mut model = Model::new(gateways, replicas, reader, seen);
+            assert_eq!(model.calls_per_s(60), 0.0);
+        }
     }
 }
 
@@ -167,7 +174,9 @@
 #[test]
 fn members_without_a_leader_stay_within_their_share() {
     for (members, replicas) in [(66, 9_999), (132, 20_000)] {
-        let mut model = Model::new(members, replicas, ListReader::Member(members), None);
+        let seen = Some(Timestamp::from_millis(1_000_000));
+        let reader = ListReader::Member(members);
+        let mut model = Model::new(members, replicas, reader, seen);
         for _ in 0..5 {
             let calls = model.calls_per_s(30);
             assert!(calls < RATES.calls_per_s * 0.45, "{members}: {calls}");
