Name as many gateways, and use as many replicas, as the load needs

A zone has 144 gateways and 1,111 engines for some 300 requests a second; callers were spread over 64 gateways and programs over all engines, so the pairs of gateway and replica grew with the product of both and each was used about once. Shared parts of prompts were read again everywhere for the same reason.

Ruled out: a larger weight of connections at rest, which choice among used replicas already prefers; the pairs are new, not forgotten.

Change: gateways tell their members what they have to do; members of a zone tell each other the words they hear, name the same gateways to callers, one for 32 requests a second and at least 12, and tell each gateway the sum of its zone. A gateway sends to a working set of its zone's replicas: four places for each request under way, at least 16, growing at once, also where candidates say that they are busy, and shrinking slowly. Zones of up to 16 replicas work as before.

Tests changed: those of names say how much load they mean, since "all that are near" is now "as many as are needed"; the preference for a connection at rest says that its replica was used, since a gateway has none to others.

--- a/crates/control-server/src/actor.rs
+++ b/crates/control-server/src/actor.rs
@@ -7,7 +7,9 @@
     CONFIGURATION_GROUP, ControlError, ControlNode, Input, Leadership, Output, ReleaseOrder,
     Request, RequestToken, Response,
 };
-use luglink_fleet::{BackendList, BackendReport, GatewayPlace, HeardGateway, KnownList};
+use luglink_fleet::{
+    BackendList, BackendReport, GatewayPlace, HeardGateway, KnownList, NamedGateways,
+};
 use luglink_net::{Accepted, FrameSender};
 use luglink_raft::Peer;
 use luglink_storage::FileDisk;
@@ -439,13 +441,18 @@
 /// Asks which gateways take callers.
 #[derive(Message)]
 #[rtype(result = "Directory")]
-pub(crate) struct LookAtGateways;
+pub(crate) struct LookAtGateways {
+    /// The caller's zone.
+    pub(crate) zone: Option<String>,
+}
 
 /// Where callers may go.
 #[derive(Clone, Debug, Default, actix::MessageResponse)]
 pub(crate) struct Directory {
     /// Gateways that take callers, with their zones.
     pub(crate) gateways: Vec<GatewayPlace>,
+    /// How many of the caller's zone it is told of.
+    pub(crate) named: NamedGateways,
     /// Time for which callers may rely on where they are told to go.
     pub(crate) valid_for: Duration,
 }
@@ -453,10 +460,11 @@
 impl Handler<LookAtGateways> for ControlActor {
     type Result = Directory;
 
-    fn handle(&mut self, _: LookAtGateways, _: &mut Self::Context) -> Directory {
+    fn handle(&mut self, look: LookAtGateways, _: &mut Self::Context) -> Directory {
         let node = self.node.as_ref();
         node.map_or_else(Directory::default, |node| Directory {
             gateways: node.ready_gateways(),
+            named: node.named_gateways(look.zone.as_deref()),
             valid_for: node.resolution_time(),
         })
     }
--- a/crates/control-server/src/list.rs
+++ b/crates/control-server/src/list.rs
@@ -94,6 +94,9 @@
 
     fn show_state(&self, look: &FleetLook) {
         self.metrics.leads.set(f64::from(u8::from(look.leads)));
+        if let Some(age) = look.list_age {
+            self.metrics.list_age.set(age.as_secs_f64());
+        }
         self.metrics.version.set(look.document_version as f64);
         self.metrics.gateways.set(f64::from(look.ready_gateways));
     }
--- a/crates/control-server/src/resolution.rs
+++ b/crates/control-server/src/resolution.rs
@@ -1,6 +1,6 @@
 //! Tells callers which gateways to go to.
 
-use crate::actor::{ControlActor, LookAtGateways};
+use crate::actor::{ControlActor, Directory, LookAtGateways};
 use crate::metrics::MemberMetrics;
 use actix::Addr;
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
@@ -38,9 +38,13 @@
         let Some(query) = self.dialect.resolution(uri.path(), query) else {
             return json(StatusCode::NOT_FOUND, self.dialect.problem("no such call"));
         };
-        let asked = self.control.send(LookAtGateways).await;
-        let directory = asked.unwrap_or_default();
-        let gateways = named_gateways(directory.gateways, query.zone.as_deref(), self.salt);
+        let zone = query.zone;
+        let asked = self.control.send(LookAtGateways { zone: zone.clone() });
+        let directory = asked.await.unwrap_or_default();
+        let Directory {
+            gateways, named, ..
+        } = directory;
+        let gateways = named_gateways(gateways, zone.as_deref(), named, self.salt);
         if gateways.is_empty() {
             let detail = self.dialect.problem("no gateway is known yet");
             return json(StatusCode::SERVICE_UNAVAILABLE, detail);
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -9,14 +9,15 @@
 use crate::observer_table::ObserverTable;
 use crate::protocol::Response;
 use luglink_fleet::{
-    HeardStore, ListHistory, PresenceTable, RetireState, StoreCommand, StoreMember, StoreName,
-    StoreState, StoreView,
+    GatewayLoad, HeardStore, ListHistory, NamedGateways, PresenceTable, RetireState, StoreCommand,
+    StoreMember, StoreName, StoreState, StoreView,
 };
 use luglink_raft::{MembershipChange, Peer};
 use luglink_storage::Disk;
 use luglink_types::{MemberId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
 
 /// Soft state about the fleet. A restart loses it, and the processes' next words restore it.
 #[derive(Debug, Default)]
@@ -26,13 +27,32 @@
     pub(crate) list: ListHistory,
     /// Gateways that take callers, as the leader has summed them; 0 while that is not known.
     pub(crate) gateways: u32,
+    /// What the gateways of each zone have to do, and how many of them callers are told of.
+    pub(crate) zones: BTreeMap<String, ZoneState>,
     candidates: BTreeMap<Peer, Timestamp>,
     /// Version of the document that this member applied last, and when it did.
     document_version: u64,
     pub(crate) document_since: Timestamp,
 }
 
+/// What this member knows of a zone.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ZoneState {
+    pub(crate) load: GatewayLoad,
+    pub(crate) named: NamedGateways,
+}
+
 impl FleetDesk {
+    fn follow_zones(&mut self, now: Timestamp, limit: Duration) {
+        let mut loads = self.presence.zone_loads(now, limit);
+        self.zones.retain(|zone, _| loads.contains_key(zone));
+        for (zone, load) in std::mem::take(&mut loads) {
+            let state = self.zones.entry(zone).or_default();
+            state.named.follow(&load, now);
+            state.load = load;
+        }
+    }
+
     pub(crate) fn note_document(&mut self, version: u64, now: Timestamp) {
         if self.document_version != version {
             self.document_version = version;
@@ -67,6 +87,8 @@
         };
         self.desk.presence.expire(self.now, managed.forget_after);
         self.count_gateways();
+        let limit = self.resolution_time();
+        self.desk.follow_zones(self.now, limit);
         let now = self.now;
         self.desk
             .candidates
--- a/crates/control/src/observer_table.rs
+++ b/crates/control/src/observer_table.rs
@@ -20,6 +20,8 @@
     pub(crate) known: Known,
     /// Whether it counts on this member to be told of a new document at once.
     pub(crate) tells_first: bool,
+    /// Its zone, when this member counts it.
+    pub(crate) counted_in: Option<String>,
     pub(crate) until: Timestamp,
 }
 
--- a/crates/control/src/observers.rs
+++ b/crates/control/src/observers.rs
@@ -6,7 +6,7 @@
 use crate::protocol::{RequestToken, Response};
 use luglink_fleet::{
     GatewayPlace, GatewayPresence, HeardGateway, KnownList, MemberList, MemberPlace, MembersStamp,
-    News, Observation, VersionedDocument,
+    NamedGateways, News, Observation, VersionedDocument,
 };
 use luglink_raft::Peer;
 use luglink_storage::Disk;
@@ -31,6 +31,13 @@
         gateways.collect()
     }
 
+    /// How many gateways of a zone callers are told of.
+    #[must_use]
+    pub fn named_gateways(&self, zone: Option<&str>) -> NamedGateways {
+        let state = zone.and_then(|zone| self.desk.zones.get(zone));
+        state.map_or_else(NamedGateways::default, |zone| zone.named)
+    }
+
     /// Number of gateways that take callers.
     #[must_use]
     pub fn ready_gateway_count(&self) -> u32 {
@@ -55,12 +62,15 @@
             name: observation.presence.name.clone(),
         };
         let is_counted_here = observation.is_counted_here;
+        let zone = &observation.presence.zone;
+        let counted_in = is_counted_here.then(|| zone.clone());
         let presence = &mut self.desk.presence;
         presence.note(observation.presence, is_counted_here, self.now);
         let observer = Observer {
             token,
             known: observation.known,
             tells_first: observation.tells_first,
+            counted_in,
             until: self.now.plus(self.observe_hold()),
         };
         self.desk.observers.insert(key, observer);
@@ -257,6 +267,11 @@
         let mut news = News {
             fresh: self.is_fresh(),
             gateways: self.desk.gateways,
+            zone_load: observer
+                .counted_in
+                .as_ref()
+                .and_then(|zone| self.desk.zones.get(zone))
+                .map(|zone| zone.load.clone()),
             backends: known
                 .backends
                 .as_ref()
--- a/crates/control/tests/managed/observers.rs
+++ b/crates/control/tests/managed/observers.rs
@@ -3,7 +3,7 @@
 use crate::support::{FOUNDERS, Fleet, address, document, gateway, members, observation, observe};
 use luglink_control::{Input, ManagedConfig, Request, Response};
 use luglink_fleet::{
-    Backend, BackendId, BackendList, BackendUpdate, GatewayPresence, Known, KnownList,
+    Backend, BackendId, BackendList, BackendUpdate, GatewayLoad, GatewayPresence, Known, KnownList,
     MemberPresence, MembersStamp, News, Role,
 };
 use luglink_types::Timestamp;
@@ -391,6 +391,7 @@
     let leaving = Role::Gateway(GatewayPresence {
         address: address(80),
         ready: false,
+        load: GatewayLoad::default(),
     });
     fleet.input(2, observe("g", leaving, Known::default()));
     fleet.input(2, Request::HearGateways(words));
--- a/crates/control/tests/managed/support.rs
+++ b/crates/control/tests/managed/support.rs
@@ -4,7 +4,7 @@
     ControlConfig, ControlNode, Input, ManagedConfig, Output, Request, RequestToken, Response,
 };
 use luglink_fleet::{
-    GatewayPresence, Known, Observation, Presence, Role, StorePresence, StoreState,
+    GatewayLoad, GatewayPresence, Known, Observation, Presence, Role, StorePresence, StoreState,
     VersionedDocument,
 };
 use luglink_raft::Envelope;
@@ -238,6 +238,7 @@
     Role::Gateway(GatewayPresence {
         address: address(80),
         ready: true,
+        load: GatewayLoad::default(),
     })
 }
 
--- a/crates/edge/src/pool/index.rs
+++ b/crates/edge/src/pool/index.rs
@@ -1,7 +1,9 @@
 //! The replicas of one service by zone, and which of them this gateway has used.
 
+use super::working_set::WorkingSet;
 use super::{Reach, Wish};
 use luglink_fleet::{Backend, BackendId};
+use luglink_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Replicas of a service that every zone must have for its programs to stay in their zones, which
@@ -33,12 +35,25 @@
     used: BTreeSet<BackendId>,
     /// The same in the order of their first use.
     used_order: VecDeque<BackendId>,
+    /// How many replicas of a zone get work, where programs stay in their zones.
+    working_set: WorkingSet,
+    /// Requests that a replica works on at once, as the last one that came says.
+    slots: u32,
 }
 
 impl ServiceIndex {
+    pub(super) fn follow_load(&mut self, in_flight: f64, now: Timestamp) {
+        self.working_set.follow(in_flight, self.slots, now);
+    }
+
+    pub(super) fn widen(&mut self) {
+        self.working_set.widen();
+    }
+
     pub(super) fn add(&mut self, backend: &Backend) {
         let zone = self.zones.entry(backend.zone.clone()).or_default();
         zone.listed += 1;
+        self.slots = backend.slots;
         if !backend.draining {
             zone.usable.insert(place(&backend.id));
         }
@@ -107,11 +122,24 @@
         reach: Reach,
     ) -> impl Iterator<Item = &'index BackendId> {
         let is_zonal = self.is_zonal(zone);
+        let size = self.working_set.size();
+        let (first, count) = match (is_zonal, reach) {
+            (false, _) => (0, usize::MAX),
+            (true, Reach::Spare) => (size, size),
+            (true, Reach::Home | Reach::Elsewhere) => (0, size),
+        };
         let zones = self.zones.iter().filter(move |(name, _)| {
             let is_home = *name == zone || !is_zonal;
-            is_home == (reach == Reach::Home)
+            match reach {
+                Reach::Home => is_home,
+                Reach::Spare => is_home && is_zonal,
+                Reach::Elsewhere => !is_home,
+            }
         });
-        zones.flat_map(|(_, index)| index.usable.iter().map(|(_, id)| id))
+        zones.flat_map(move |(_, index)| {
+            let ids = index.usable.iter().map(|(_, id)| id);
+            ids.skip(first).take(count)
+        })
     }
 
     /// Replicas that this gateway has not used, one of its zone, or one of each other zone when its
@@ -132,15 +160,19 @@
             .collect()
     }
 
+    /// One of the working set while there is one that may be drawn, or else the next in order.
     fn draw_in<'index>(
         &self,
         index: &'index ZoneIndex,
         wish: &Wish<'_>,
     ) -> Option<&'index BackendId> {
         let is_free = |id: &&BackendId| !self.used.contains(id) && !wish.tried.contains(id);
-        let start = (wish.draw.rotate_left(32), BackendId::default());
-        let from_start = index.usable.range(start..).chain(index.usable.iter());
-        from_start.map(|(_, id)| id).find(is_free)
+        let size = self.working_set.size().min(index.usable.len());
+        let ids = || index.usable.iter().map(|(_, id)| id);
+        let start = (wish.draw % size.max(1) as u64) as usize;
+        let set = ids().take(size).skip(start).chain(ids().take(start));
+        let spare = ids().skip(size);
+        set.chain(spare).find(is_free)
     }
 }
 
--- a/crates/edge/src/pool/mod.rs
+++ b/crates/edge/src/pool/mod.rs
@@ -7,9 +7,10 @@
 
 mod index;
 mod record;
+mod working_set;
 
 use index::ServiceIndex;
-use luglink_fleet::{Backend, BackendChanges, BackendId};
+use luglink_fleet::{Backend, BackendChanges, BackendId, GatewayLoad};
 use luglink_types::Timestamp;
 use record::Record;
 use std::collections::{BTreeMap, HashMap};
@@ -49,6 +50,8 @@
 pub enum Reach {
     /// At replicas that may be its home.
     Home,
+    /// At others of the same zone, which are not needed at the load of now.
+    Spare,
     /// At the others, in other zones.
     Elsewhere,
 }
@@ -297,6 +300,31 @@
             .collect()
     }
 
+    /// Takes what the gateways of the zone have under way together.
+    pub fn follow_zone_load(&mut self, load: &GatewayLoad, now: Timestamp) {
+        for service in &load.services {
+            let in_flight = f64::from(service.in_flight_hundredths) / 100.0;
+            if let Some(index) = self.services.get_mut(&service.service) {
+                index.follow_load(in_flight, now);
+            }
+        }
+    }
+
+    /// Lets more replicas of the zone get work at once: those that did are found busy.
+    pub fn widen(&mut self, service: &str) {
+        if let Some(index) = self.services.get_mut(service) {
+            index.widen();
+        }
+    }
+
+    /// Requests of this gateway under way at each service.
+    pub fn in_flight(&self) -> impl Iterator<Item = (&str, u32)> {
+        self.services.iter().map(|(name, service)| {
+            let records = service.used().filter_map(|id| self.records.get(id));
+            (name.as_str(), records.map(|record| record.in_flight).sum())
+        })
+    }
+
     /// What is known of a replica, to be changed; `None` when it is not listed.
     fn record(&mut self, id: &BackendId) -> Option<&mut Record> {
         let backend = self.backends.get(id)?;
@@ -313,6 +341,11 @@
         Some(self.records.entry(id.clone()).or_default())
     }
 
+    /// Notes that there is a connection to a replica, so that it is weighed with those in use.
+    pub fn note_connected(&mut self, id: &BackendId) {
+        self.record(id);
+    }
+
     /// Notes that a request goes to a replica.
     pub fn begin(&mut self, id: &BackendId) {
         if let Some(record) = self.record(id) {
--- a/crates/edge/tests/pool.rs
+++ b/crates/edge/tests/pool.rs
@@ -1,8 +1,10 @@
 //! Which replica gets a request.
 
 use luglink_edge::{Pool, Reach, Wish};
-use luglink_fleet::{Backend, BackendId, BackendList};
+use luglink_fleet::{Backend, BackendId, BackendList, GatewayLoad, ServiceLoad};
 use luglink_types::Timestamp;
+use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 const SERVICE: &str = "llm";
@@ -186,6 +188,9 @@
         backend("kept", "here"),
         backend("far", "there"),
     ]);
+    for connected in ["kept", "far"] {
+        pool.note_connected(&id(connected));
+    }
     let chosen = |pool: &Pool, connected: &str, draw| {
         let wish = Wish { draw, ..wish() };
         pool.choose(&wish, |id| id.0 == connected, Timestamp::ZERO)
@@ -318,3 +323,135 @@
     assert!(elsewhere.iter().all(|found| found.zone == "there"));
     assert_eq!((home.len(), elsewhere.len()), (8, 8));
 }
+
+/// Replicas of two zones.
+fn large(in_each: usize) -> Vec<Backend> {
+    let zone = |zone: &'static str| {
+        (0..in_each).map(move |number| backend(&format!("{zone}-{number}"), zone))
+    };
+    zone("here").chain(zone("there")).collect()
+}
+
+fn load(in_flight: u32) -> GatewayLoad {
+    GatewayLoad {
+        requests_per_minute: 60,
+        services: vec![ServiceLoad {
+            service: SERVICE.to_owned(),
+            in_flight_hundredths: in_flight * 100,
+        }],
+    }
+}
+
+/// A choice weighs those that this gateway has used lately and a drawn one, not the whole fleet.
+#[test]
+fn a_choice_looks_at_a_few_replicas_however_many_there_are() {
+    for in_each in [50, 500, 5_000, 10_000] {
+        let mut pool = pool(large(in_each));
+        // Over time this gateway uses every replica.
+        for number in 0..in_each {
+            let used = id(&format!("here-{number}"));
+            pool.begin(&used);
+            pool.end(&used);
+        }
+        let looks = Cell::new(0);
+        for draw in 0..50 {
+            let wish = Wish { draw, ..wish() };
+            let is_connected = |_: &BackendId| {
+                looks.set(looks.get() + 1);
+                false
+            };
+            pool.choose(&wish, is_connected, Timestamp::ZERO).unwrap();
+        }
+        assert!(looks.get() <= 50 * 66, "{in_each}: {}", looks.get());
+    }
+}
+
+#[test]
+fn programs_begin_at_as_many_replicas_as_the_load_needs() {
+    let homes = |pool: &Pool| -> BTreeSet<BackendId> {
+        let homes = (0..5_000).filter_map(|program| pool.home(SERVICE, program));
+        homes.collect()
+    };
+    let mut pool = pool(large(1_000));
+    let idle = homes(&pool);
+    assert!(idle.len() <= 16, "{}", idle.len());
+    let now = Timestamp::from_millis(1_000);
+    // Replicas have ten slots: four hundred places for a hundred requests.
+    pool.follow_zone_load(&load(100), now);
+    let busy = homes(&pool);
+    assert_eq!(busy.len(), 40);
+    assert!(busy.is_superset(&idle), "those that are warm stay in use");
+    pool.follow_zone_load(&load(0), now.plus(Duration::from_secs(1)));
+    assert!(homes(&pool).len() > 30, "it shrinks slowly");
+    pool.follow_zone_load(&load(0), now.plus(Duration::from_secs(100)));
+    assert_eq!(homes(&pool), idle);
+    pool.follow_zone_load(&load(100_000), now.plus(Duration::from_secs(101)));
+    assert!(
+        homes(&pool).len() > 980,
+        "all but those that no program fell to"
+    );
+}
+
+#[test]
+fn busy_replicas_make_the_working_set_grow_at_once() {
+    let mut pool = pool(large(1_000));
+    let reach = |pool: &Pool, reach| {
+        let found = pool.candidates(SERVICE, 1, reach, 1_000, Timestamp::ZERO);
+        let found: BTreeSet<BackendId> = found.into_iter().map(|found| found.id).collect();
+        found
+    };
+    let before = reach(&pool, Reach::Home);
+    let spare = reach(&pool, Reach::Spare);
+    assert!(spare.is_disjoint(&before) && !spare.is_empty());
+    pool.widen(SERVICE);
+    let after = reach(&pool, Reach::Home);
+    assert!(after.len() > before.len() && after.is_superset(&before));
+}
+
+/// A crash of many replicas must leave the zone enough of them at once.
+#[test]
+fn others_take_the_place_of_members_of_the_working_set_that_leave() {
+    let backends = large(1_000);
+    let mut pool = pool(backends.clone());
+    let homes = |pool: &Pool| -> BTreeSet<BackendId> {
+        let homes = (0..2_000).filter_map(|program| pool.home(SERVICE, program));
+        homes.collect()
+    };
+    let before = homes(&pool);
+    let leaving: BTreeSet<&BackendId> = before.iter().take(8).collect();
+    let left = backends.iter().cloned().map(|backend| Backend {
+        draining: leaving.contains(&backend.id),
+        ..backend
+    });
+    show(
+        &mut pool,
+        &BackendList::new(backends.clone()),
+        left.collect(),
+    );
+    let after = homes(&pool);
+    assert_eq!(after.len(), before.len());
+    assert!(after.iter().all(|home| !leaving.contains(home)));
+    assert_eq!(after.intersection(&before).count(), before.len() - 8);
+}
+
+/// When all that a gateway has used are busy, one more of the working set gets the request.
+#[test]
+fn requests_go_to_the_working_set_until_all_of_it_has_been_tried() {
+    let pool = pool(large(1_000));
+    let mut tried = Vec::new();
+    let set: BTreeSet<String> = (0..2_000)
+        .filter_map(|program| pool.home(SERVICE, program))
+        .map(|home| home.0)
+        .collect();
+    for draw in 0..(set.len() as u64 + 5) {
+        let wish = Wish {
+            tried: &tried,
+            draw,
+            ..wish()
+        };
+        let chosen = chosen(&pool, &wish, Timestamp::ZERO).unwrap();
+        assert_eq!(set.contains(&chosen), tried.len() < set.len());
+        assert!(chosen.starts_with("here"));
+        tried.push(id(&chosen));
+    }
+}
--- a/crates/fleet-client/tests/observer.rs
+++ b/crates/fleet-client/tests/observer.rs
@@ -2,8 +2,8 @@
 
 use luglink_control::{Request, Response};
 use luglink_fleet::{
-    GatewayPresence, Known, MemberList, MemberPlace, MembersStamp, News, Presence, Role,
-    StorePresence,
+    GatewayLoad, GatewayPresence, Known, MemberList, MemberPlace, MembersStamp, News, Presence,
+    Role, StorePresence,
 };
 use luglink_fleet_client::{ListSource, Observer, ObserverConfig, Subject};
 use luglink_net::{Accepted, FrameSender, serve};
@@ -94,6 +94,7 @@
     Watcher(Role::Gateway(GatewayPresence {
         address: ([127, 0, 0, 1], 80).into(),
         ready: true,
+        load: GatewayLoad::default(),
     }))
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,7 +18,9 @@
 mod placement;
 mod presence;
 mod registry;
+mod shrinking;
 mod view;
+mod zone_load;
 
 pub use backend::{Backend, BackendId};
 pub use backend_list::{BackendChanges, BackendList, BackendPatch, ListDigest};
@@ -29,7 +31,7 @@
 pub use members::{
     Contact, FIRST_TELLERS, MemberList, MemberPlace, MembersStamp, NEAR_MEMBERS, ObserverPlace,
 };
-pub use naming::{GatewayPlace, named_gateways};
+pub use naming::{GatewayPlace, NamedGateways, named_gateways};
 pub use news::{Known, News, Observation};
 pub use placement::owners;
 pub use presence::{
@@ -37,4 +39,6 @@
     StorePresence,
 };
 pub use registry::{RetireAnswer, RetireState, StoreCommand, StoreRegistry};
+pub use shrinking::SlowlyShrinking;
 pub use view::{StoreMember, StoreName, StoreState, StoreView};
+pub use zone_load::{GatewayLoad, ServiceLoad};
--- a/crates/fleet/src/news.rs
+++ b/crates/fleet/src/news.rs
@@ -5,6 +5,7 @@
 use crate::members::{MemberList, MembersStamp};
 use crate::presence::Presence;
 use crate::view::StoreView;
+use crate::zone_load::GatewayLoad;
 use serde::{Deserialize, Serialize};
 
 /// What a process has already.
@@ -51,6 +52,9 @@
     /// Number of gateways that share the backends' limits, as the leader has summed it; 0 while
     /// that is not known.
     pub gateways: u32,
+    /// What the gateways of the observer's zone have to do together, from the member that counts
+    /// the observer.
+    pub zone_load: Option<GatewayLoad>,
     /// A newer list of the control members.
     pub members: Option<MemberList>,
 }
--- a/crates/fleet/src/presence.rs
+++ b/crates/fleet/src/presence.rs
@@ -1,5 +1,6 @@
 //! Who is there, by what each process says of itself again and again.
 
+use crate::zone_load::GatewayLoad;
 use luglink_types::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -13,6 +14,8 @@
     pub address: SocketAddr,
     /// Whether callers should be sent to it.
     pub ready: bool,
+    /// What it has to do.
+    pub load: GatewayLoad,
 }
 
 /// A store's word of itself.
@@ -185,6 +188,21 @@
             .map(|(entry, gateway)| (entry.presence.zone.as_str(), gateway))
     }
 
+    /// What the gateways of each zone have to do together, those that were heard from within
+    /// `limit`.
+    #[must_use]
+    pub fn zone_loads(&self, now: Timestamp, limit: Duration) -> BTreeMap<String, GatewayLoad> {
+        let mut loads: BTreeMap<&str, Vec<&GatewayLoad>> = BTreeMap::new();
+        let heard = self.gateways();
+        for (entry, gateway) in heard.filter(|(entry, _)| now.since(entry.heard) < limit) {
+            let zone = loads.entry(entry.presence.zone.as_str()).or_default();
+            zone.push(&gateway.load);
+        }
+        let sums = loads.into_iter();
+        sums.map(|(zone, loads)| (zone.to_owned(), GatewayLoad::sum(loads)))
+            .collect()
+    }
+
     /// Words that gateways said to this member itself within `limit`, for the others of its zone.
     #[must_use]
     pub fn first_hand_gateways(&self, now: Timestamp, limit: Duration) -> Vec<HeardGateway> {
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -1,6 +1,7 @@
 //! What all parts of a gateway share. Everything runs on one thread.
 
 use crate::config::GatewayConfig;
+use crate::load_meter::LoadMeter;
 use crate::metrics::GatewayMetrics;
 use crate::turn_cache::TurnCache;
 use crate::turn_client::TurnClient;
@@ -50,6 +51,7 @@
     pub(crate) is_stopping: Cell<bool>,
     /// Requests under way.
     pub(crate) in_flight: Cell<u32>,
+    pub(crate) load_meter: RefCell<LoadMeter>,
     pub(crate) draws: Cell<u64>,
     start: Instant,
 }
@@ -87,6 +89,7 @@
             gateways: Cell::new(0),
             is_stopping: Cell::new(false),
             in_flight: Cell::new(0),
+            load_meter: RefCell::default(),
             draws: Cell::new(seed),
             start: Instant::now(),
         }
@@ -148,6 +151,7 @@
 
     pub(crate) fn track(self: &Rc<Self>) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
+        self.load_meter.borrow_mut().count();
         InFlight(Rc::clone(self))
     }
 }
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -13,6 +13,7 @@
 mod gateway;
 mod inbound;
 mod list;
+mod load_meter;
 mod metrics;
 mod news;
 mod placement;
--- /dev/null
+++ b/crates/gateway-server/src/load_meter.rs
@@ -0,0 +1,63 @@
+//! What this gateway has to do, as it tells the control members.
+
+use luglink_edge::Pool;
+use luglink_fleet::{GatewayLoad, ServiceLoad};
+use luglink_types::Timestamp;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time over which requests and what is under way are averaged: a few turns of a program.
+const AVERAGED_OVER: Duration = Duration::from_secs(1);
+
+/// Averages of the last moments, brought up to date whenever they are asked for.
+#[derive(Debug, Default)]
+pub(crate) struct LoadMeter {
+    at: Timestamp,
+    /// Requests that have come since `at`.
+    requests: u32,
+    requests_per_s: f64,
+    in_flight: BTreeMap<String, f64>,
+}
+
+impl LoadMeter {
+    /// Counts a request of a caller.
+    pub(crate) fn count(&mut self) {
+        self.requests += 1;
+    }
+
+    /// The load of now.
+    pub(crate) fn read(&mut self, pool: &Pool, now: Timestamp) -> GatewayLoad {
+        let elapsed = now.since(self.at).as_secs_f64();
+        if elapsed > 0.0 {
+            let weight = 1.0 - (-elapsed / AVERAGED_OVER.as_secs_f64()).exp();
+            let rate = f64::from(std::mem::take(&mut self.requests)) / elapsed;
+            self.requests_per_s += weight * (rate - self.requests_per_s);
+            self.average_in_flight(pool, weight);
+            self.at = now;
+        }
+        let in_flight = self.in_flight.iter();
+        let services = in_flight.map(|(service, average)| ServiceLoad {
+            service: service.clone(),
+            in_flight_hundredths: (average * 100.0).round() as u32,
+        });
+        GatewayLoad {
+            requests_per_minute: (self.requests_per_s * 60.0).round() as u32,
+            services: services
+                .filter(|service| service.in_flight_hundredths > 0)
+                .collect(),
+        }
+    }
+
+    fn average_in_flight(&mut self, pool: &Pool, weight: f64) {
+        self.in_flight
+            .retain(|service, _| pool.in_flight().any(|(known, _)| known == service));
+        for (service, in_flight) in pool.in_flight() {
+            if !self.in_flight.contains_key(service) {
+                self.in_flight.insert(service.to_owned(), 0.0);
+            }
+            if let Some(average) = self.in_flight.get_mut(service) {
+                *average += weight * (f64::from(in_flight) - *average);
+            }
+        }
+    }
+}
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -24,6 +24,10 @@
             role: Role::Gateway(GatewayPresence {
                 address: self.config.listen,
                 ready: self.is_ready(),
+                load: self
+                    .load_meter
+                    .borrow_mut()
+                    .read(&self.pool.borrow(), self.now()),
             }),
         }
     }
@@ -61,6 +65,9 @@
         if let Some(report) = news.backends {
             self.take_report(report);
         }
+        if let Some(load) = news.zone_load {
+            self.pool.borrow_mut().follow_zone_load(&load, self.now());
+        }
     }
 }
 
--- a/crates/gateway-server/src/placement.rs
+++ b/crates/gateway-server/src/placement.rs
@@ -21,7 +21,8 @@
 /// Replicas that are looked at before a program begins.
 const CANDIDATES: usize = 2;
 
-/// Fullness of the candidates in a program's zone from which others are looked at too: below it a
+/// Fullness of the candidates of a program's home from which others are looked at too, first those
+/// of its zone that are not needed at the load of now, then those of other zones: below it a
 /// replica batches without slowing down much. From 0.75 on, the replicas of busy zones were full
 /// while others had room.
 const LEAVES_AT: f64 = 0.4;
@@ -51,17 +52,17 @@
         return Ok(None);
     }
     let (mut candidates, mut fullness) = look_at(gateway, inbound, Reach::Home).await;
-    if fullness
-        .iter()
-        .all(|known| known.is_none_or(|known| known >= LEAVES_AT))
-    {
+    if are_busy(&fullness) {
+        let (spare, their_fullness) = look_at(gateway, inbound, Reach::Spare).await;
+        candidates.extend(spare);
+        fullness.extend(their_fullness);
+        gateway.pool.borrow_mut().widen(&inbound.service);
+    }
+    if are_busy(&fullness) {
         let (others, their_fullness) = look_at(gateway, inbound, Reach::Elsewhere).await;
         candidates.extend(others);
-        fullness.extend(
-            their_fullness
-                .into_iter()
-                .map(|known| Some(known? + ELSEWHERE_COST)),
-        );
+        let their_fullness = their_fullness.into_iter();
+        fullness.extend(their_fullness.map(|known| Some(known? + ELSEWHERE_COST)));
     }
     let spread = (gateway.draw() >> 32) as f64 / f64::from(u32::MAX);
     match place(&fullness, limit, spread) {
@@ -86,6 +87,12 @@
     }
 }
 
+/// Whether no candidate is known to have room to spare.
+fn are_busy(fullness: &[Option<f64>]) -> bool {
+    let is_busy = |known: &Option<f64>| known.is_none_or(|known| known >= LEAVES_AT);
+    fullness.iter().all(is_busy)
+}
+
 /// Looks at the candidates of a reach, and tells how full they are.
 async fn look_at(
     gateway: &Gateway,
@@ -114,6 +121,7 @@
     let limit = connection_limit(gateway, &backend.service);
     let acquiring = gateway.upstream.acquire(backend, limit, REPORT_LIMIT);
     let mut lease = acquiring.await.ok()?;
+    gateway.pool.borrow_mut().note_connected(&backend.id);
     let mut request = Request::new(empty_body());
     *request.uri_mut() = Uri::from_static(gateway.dialect.report_path());
     let host = HeaderValue::from_str(&backend.address.to_string()).ok()?;
