--- a/crates/control-server/src/metrics.rs
+++ b/crates/control-server/src/metrics.rs
@@ -22,6 +22,8 @@
     pub(crate) version: Gauge,
     /// Gateways that take callers.
     pub(crate) gateways: Gauge,
+    /// Time since the platform showed the list of replicas, in seconds.
+    pub(crate) list_age: Gauge,
 }
 
 impl MemberMetrics {
@@ -37,6 +39,7 @@
             leads: registry.gauge("member_leads", "1 at the current leader")?,
             version: registry.gauge("member_configuration_version", "Configuration applied")?,
             gateways: registry.gauge("member_ready_gateways", "Gateways that take callers")?,
+            list_age: registry.gauge("member_list_age_seconds", "Age of the list of replicas")?,
             registry,
         })
     }
--- a/crates/control-server/src/relay.rs
+++ b/crates/control-server/src/relay.rs
@@ -9,13 +9,14 @@
 use luglink_control::{Request, Response};
 use luglink_fleet::{Known, MemberPresence, MembersStamp, News, Observation, Presence, Role};
 use luglink_net::RequestClient;
+use luglink_telemetry::milliseconds;
 use luglink_wire::{ClientRole, Hello, PROTOCOL_VERSION, decode_body, encode_body};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-/// Time beyond the leader's wait for news after which it counts as silent.
-const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time after which the leader counts as silent: half as much again as it ever waits for news.
+const ANSWER_LIMIT: Duration = Duration::from_millis(900);
 
 /// Pause after a question that failed, or while there is no leader to ask.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
@@ -52,6 +53,7 @@
 /// Follows whoever leads, for ever.
 pub(crate) async fn follow_leader(control: Addr<ControlActor>, config: RelayConfig) {
     let mut followed: Option<(Ipv4Addr, RequestClient)> = None;
+    let mut is_heard = false;
     loop {
         let Ok(look) = control.send(LookAtFleet).await else {
             return;
@@ -68,7 +70,16 @@
         let presence = MemberPresence {
             gateways: look.own_gateways,
         };
-        match ask_leader(&control, &config, link, presence).await {
+        let news = ask_leader(&control, &config, link, presence).await;
+        if is_heard != news.is_some() {
+            is_heard = news.is_some();
+            let list_age_ms = look.list_age.map(milliseconds);
+            match is_heard {
+                true => tracing::info!(%leader, list_age_ms, "following the leader's list"),
+                false => tracing::warn!(%leader, list_age_ms, "the leader's list is not heard"),
+            }
+        }
+        match news {
             Some(news) => {
                 control.do_send(TakeLeaderNews {
                     report: news.backends,
