--- a/crates/control-server/src/joining.rs
+++ b/crates/control-server/src/joining.rs
@@ -1,6 +1,7 @@
 //! Asks the members of a running fleet to let this one in.
 
-use crate::actor::{ControlActor, LookAtFleet};
+use crate::actor::ControlActor;
+use crate::looks::LookAtFleet;
 use actix::Addr;
 use luglink_control::{Request, Response};
 use luglink_net::RequestClient;
--- a/crates/control-server/src/lib.rs
+++ b/crates/control-server/src/lib.rs
@@ -10,6 +10,7 @@
 mod errors;
 mod joining;
 mod list;
+mod looks;
 mod managed;
 mod metrics;
 mod operator;
--- a/crates/control-server/src/list.rs
+++ b/crates/control-server/src/list.rs
@@ -1,7 +1,8 @@
 //! Reads the platform's list of replicas, at the member that leads, or at each of them in turn
 //! while none hears a leader.
 
-use crate::actor::{ControlActor, FleetLook, LookAtFleet, TakeBackends, now};
+use crate::actor::{ControlActor, TakeBackends, now};
+use crate::looks::{FleetLook, LookAtFleet};
 use crate::metrics::MemberMetrics;
 use actix::Addr;
 use luglink_edge::Dialect;
--- a/crates/control-server/src/operator.rs
+++ b/crates/control-server/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operator's calls: the configuration as one document, and turn stores that are to go.
 
-use crate::actor::{ControlActor, LookAtFleet, OwnRequest};
+use crate::actor::{ControlActor, OwnRequest};
+use crate::looks::LookAtFleet;
 use crate::metrics::MemberMetrics;
 use crate::resolution::json;
 use actix::Addr;
--- a/crates/control-server/src/relay.rs
+++ b/crates/control-server/src/relay.rs
@@ -4,7 +4,8 @@
 //! So gateways need ask only a few members near them, and the leader hears the members and not the
 //! gateways.
 
-use crate::actor::{ControlActor, DescribeList, ListWord, LookAtFleet, TakeLeaderNews, TakeWords};
+use crate::actor::{ControlActor, TakeLeaderNews};
+use crate::looks::{DescribeList, ListWord, LookAtFleet, TakeWords};
 use actix::Addr;
 use luglink_control::{Request, Response};
 use luglink_fleet::{Known, MemberPresence, MembersStamp, News, Observation, Presence, Role};
--- a/crates/control-server/src/resolution.rs
+++ b/crates/control-server/src/resolution.rs
@@ -1,6 +1,7 @@
 //! Tells callers which gateways to go to.
 
-use crate::actor::{ControlActor, Directory, LookAtGateways};
+use crate::actor::ControlActor;
+use crate::looks::{Directory, LookAtGateways};
 use crate::metrics::MemberMetrics;
 use actix::Addr;
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -44,9 +44,9 @@
 
 impl FleetDesk {
     fn follow_zones(&mut self, now: Timestamp, limit: Duration) {
-        let mut loads = self.presence.zone_loads(now, limit);
+        let loads = self.presence.zone_loads(now, limit);
         self.zones.retain(|zone, _| loads.contains_key(zone));
-        for (zone, load) in std::mem::take(&mut loads) {
+        for (zone, load) in loads {
             let state = self.zones.entry(zone).or_default();
             state.named.follow(&load, now);
             state.load = load;
--- a/crates/edge/src/pool/mod.rs
+++ b/crates/edge/src/pool/mod.rs
@@ -132,18 +132,6 @@
         }
     }
 
-    /// Number of listed replicas, leaving ones included.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.backends.len()
-    }
-
-    /// Whether no replica is listed.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.backends.is_empty()
-    }
-
     /// Whether a replica is on the list, leaving or not.
     #[must_use]
     pub fn lists(&self, id: &BackendId) -> bool {
--- a/crates/fleet/src/list_copy.rs
+++ b/crates/fleet/src/list_copy.rs
@@ -132,7 +132,7 @@
                 // says which list is here.
                 let is_taken = Arc::make_mut(&mut self.list).apply(&changes);
                 is_taken.then(|| {
-                    self.is_current(seen);
+                    self.note_current(seen);
                     Arc::unwrap_or_clone(changes)
                 })
             }
@@ -154,7 +154,7 @@
     fn take(&mut self, list: BackendList, seen: Timestamp) -> Option<BackendChanges> {
         let changes = self.list.changes_to(&list);
         let is_first = self.seen.is_none();
-        self.is_current(seen);
+        self.note_current(seen);
         if changes.is_empty() && !is_first {
             return None;
         }
@@ -162,7 +162,8 @@
         Some(changes)
     }
 
-    fn is_current(&mut self, seen: Timestamp) {
+    /// Notes that the list is as the platform showed it at `seen`.
+    fn note_current(&mut self, seen: Timestamp) {
         self.seen = Some(seen);
         self.says_digest = false;
         self.wants_whole = false;
--- a/crates/fleet/src/list_history.rs
+++ b/crates/fleet/src/list_history.rs
@@ -1,7 +1,7 @@
 //! What a member remembers of the lists before its own, so that those who have one of them are
 //! told what has changed.
 
-use crate::backend_list::{BackendChanges, BackendList};
+use crate::backend_list::{BackendChanges, BackendList, ListDigest};
 use crate::list_copy::{BackendReport, BackendUpdate, KnownList, ListCopy};
 use luglink_types::Timestamp;
 use std::collections::{BTreeMap, VecDeque};
@@ -81,11 +81,7 @@
         })
     }
 
-    fn update_from(
-        &mut self,
-        fingerprint: u64,
-        digest: Option<&crate::backend_list::ListDigest>,
-    ) -> BackendUpdate {
+    fn update_from(&mut self, fingerprint: u64, digest: Option<&ListDigest>) -> BackendUpdate {
         if let Some(changes) = self.changes_from(fingerprint) {
             return BackendUpdate::Changes(changes);
         }
