--- a/crates/edge/benches/pool.rs
+++ b/crates/edge/benches/pool.rs
@@ -22,7 +22,7 @@
 fn list(count: usize, leaving: usize) -> BackendList {
     let backend = |number: usize| Backend {
         id: BackendId(format!("i-{number:08x}")),
-        service: if number.is_multiple_of(3) {
+        service: if (number / ZONES.len()).is_multiple_of(3) {
             "plain"
         } else {
             "llm"
