Give the decisions under load a crate of their own

Cause: choice of replicas, placement of programs, load shedding and waits stood in the crate that reads requests and configurations, beside what has nothing to do with load.

Ruled out: leaving them there and adding the new decisions beside them; the crate would read and decide.

Change: crates/scheduling holds pool, placement, load shedding and patience with their tests and the benchmark. A replica's report stays with the dialect that reads it. No behaviour changes; xtask checks the new crate's purity.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use crate::configuration::Configuration;
 use crate::errors::DialectError;
-use crate::placement::ReplicaReport;
+use crate::replica_report::ReplicaReport;
 use http::{HeaderMap, HeaderName};
 use luglink_fleet::{Backend, RetireState, StoreName};
 use std::net::SocketAddr;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,5 +1,5 @@
-//! What a gateway decides about HTTP requests, as pure logic: which route a request takes, which
-//! replica gets it, when it may be sent again, and what an answer is worth.
+//! What a gateway reads and checks of HTTP requests, as pure logic: which route a request takes, who
+//! sent it, what may be sent again, and what a configuration says.
 //!
 //! How callers, replicas and the platform spell things is the job of a [`Dialect`]; nothing else
 //! here knows a header or a path.
@@ -11,11 +11,8 @@
 mod errors;
 mod events;
 mod keyring;
-mod load_shedding;
 mod own_dialect;
-mod patience;
-mod placement;
-mod pool;
+mod replica_report;
 mod routing_table;
 mod sending;
 mod split;
@@ -27,11 +24,8 @@
 pub use errors::DialectError;
 pub use events::{EventSplitter, StreamEvent};
 pub use keyring::{Caller, KeyRing, UnknownKey};
-pub use load_shedding::{Intake, LoadShedder};
 pub use own_dialect::LuglinkDialect;
-pub use patience::{room_patience, room_pause, start_patience};
-pub use placement::{Placement, ReplicaReport, place};
-pub use pool::{Choice, Pool, Reach, Wish};
+pub use replica_report::ReplicaReport;
 pub use routing_table::RoutingTable;
 pub use sending::{Retryable, SendOutcome};
 pub use split::SplitDraws;
--- a/crates/edge/src/own_dialect.rs
+++ b/crates/edge/src/own_dialect.rs
@@ -3,7 +3,7 @@
 use crate::configuration::Configuration;
 use crate::dialect::{BackendPage, Dialect, HeaderNames, OperatorCall, ResolutionQuery};
 use crate::errors::{DialectError, MalformedSnafu};
-use crate::placement::ReplicaReport;
+use crate::replica_report::ReplicaReport;
 use http::{HeaderName, Method};
 use luglink_fleet::{Backend, BackendId, RetireState, StoreName};
 use serde::{Deserialize, Serialize};
--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -5,9 +5,10 @@
 use crate::inbound::Inbound;
 use crate::refusal::Refusal;
 use http::Response;
-use luglink_edge::{Retryable, RouteKind, Wish, room_patience, room_pause};
+use luglink_edge::{Retryable, RouteKind};
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::Body;
+use luglink_scheduling::{Wish, room_patience, room_pause};
 use luglink_telemetry::milliseconds;
 
 /// How often a request is sent at the most, declined sends included.
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -6,10 +6,9 @@
 use crate::turn_cache::TurnCache;
 use crate::turn_client::TurnClient;
 use crate::upstream::Upstream;
-use luglink_edge::{
-    Configuration, Dialect, KeyRing, LoadShedder, Pool, RoutingTable, Service, SplitDraws,
-};
+use luglink_edge::{Configuration, Dialect, KeyRing, RoutingTable, Service, SplitDraws};
 use luglink_fleet::ListCopy;
+use luglink_scheduling::{LoadShedder, Pool};
 use luglink_types::Timestamp;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/crates/gateway-server/src/load_meter.rs
+++ b/crates/gateway-server/src/load_meter.rs
@@ -1,7 +1,7 @@
 //! What this gateway has to do, as it tells the control members.
 
-use luglink_edge::Pool;
 use luglink_fleet::{GatewayLoad, ServiceLoad};
+use luglink_scheduling::Pool;
 use luglink_types::Timestamp;
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/gateway-server/src/placement.rs
+++ b/crates/gateway-server/src/placement.rs
@@ -12,9 +12,10 @@
 use futures_util::future::join_all;
 use http::{HeaderValue, Request, Uri, header};
 use http_body_util::{BodyExt, Limited};
-use luglink_edge::{Placement, Reach, ReplicaReport, place};
+use luglink_edge::ReplicaReport;
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::empty_body;
+use luglink_scheduling::{Placement, Reach, place};
 use luglink_telemetry::milliseconds;
 use std::time::Duration;
 
--- a/crates/edge/benches/pool.rs
+++ b/crates/scheduling/benches/pool.rs
@@ -1,11 +1,11 @@
 //! What a request and a change cost before ten replicas and before twenty thousand.
 //!
-//! `cargo bench -p luglink-edge`. Release build, median of each on one core of a shared machine; the
+//! `cargo bench -p luglink-scheduling`. Release build, median of each on one core of a shared machine; the
 //! figures of the code before the index and after it stand in `docs/CAPACITY.md`.
 
 use divan::{Bencher, black_box};
-use luglink_edge::{Pool, Reach, Wish};
 use luglink_fleet::{Backend, BackendId, BackendList};
+use luglink_scheduling::{Pool, Reach, Wish};
 use luglink_types::Timestamp;
 
 const REPLICAS: [usize; 4] = [100, 1_000, 10_000, 20_000];
--- /dev/null
+++ b/crates/scheduling/src/lib.rs
@@ -0,0 +1,17 @@
+//! Every decision of a gateway under load, as pure logic: which replica gets a request, whether a
+//! program may begin, how long a request waits, and when one that waits goes elsewhere.
+//!
+//! Time, seeds and typed views come in, typed decisions go out. Each module says which load it
+//! answers, and what callers need of its thresholds.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod load_shedding;
+mod patience;
+mod placement;
+mod pool;
+
+pub use load_shedding::{Intake, LoadShedder};
+pub use patience::{room_patience, room_pause, start_patience};
+pub use placement::{Placement, place};
+pub use pool::{Choice, Pool, Reach, Wish};
--- a/crates/edge/src/load_shedding.rs
+++ b/crates/scheduling/src/load_shedding.rs
@@ -10,7 +10,7 @@
 //!
 //! Each gateway decides by the delays that it sees itself; nothing is exchanged.
 
-use crate::configuration::{Configuration, Route};
+use luglink_edge::{Configuration, Route};
 use luglink_types::Timestamp;
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/edge/tests/load_shedding.rs
+++ b/crates/scheduling/tests/load_shedding.rs
@@ -1,6 +1,7 @@
 //! Which new programs are let in under load.
 
-use luglink_edge::{Configuration, Intake, LoadShedder, Route, RouteKind, Target};
+use luglink_edge::{Configuration, Route, RouteKind, Target};
+use luglink_scheduling::{Intake, LoadShedder};
 use luglink_types::Timestamp;
 use proptest::prelude::*;
 use std::time::Duration;
--- a/crates/edge/tests/patience.rs
+++ b/crates/scheduling/tests/patience.rs
@@ -1,6 +1,6 @@
 //! How long requests wait for what their gateway depends on.
 
-use luglink_edge::{room_patience, room_pause, start_patience};
+use luglink_scheduling::{room_patience, room_pause, start_patience};
 use proptest::prelude::*;
 use std::time::Duration;
 
--- a/crates/edge/tests/placement.rs
+++ b/crates/scheduling/tests/placement.rs
@@ -1,6 +1,7 @@
 //! Where a program begins.
 
-use luglink_edge::{Placement, ReplicaReport, place};
+use luglink_edge::ReplicaReport;
+use luglink_scheduling::{Placement, place};
 use proptest::prelude::*;
 use std::time::Duration;
 
--- a/crates/edge/tests/pool.rs
+++ b/crates/scheduling/tests/pool.rs
@@ -1,7 +1,7 @@
 //! Which replica gets a request.
 
-use luglink_edge::{Pool, Reach, Wish};
 use luglink_fleet::{Backend, BackendId, BackendList, GatewayLoad, ServiceLoad};
+use luglink_scheduling::{Pool, Reach, Wish};
 use luglink_types::Timestamp;
 use std::cell::Cell;
 use std::collections::BTreeSet;
--- a/xtask/src/purity.rs
+++ b/xtask/src/purity.rs
@@ -18,6 +18,7 @@
     "turns",
     "edge",
     "quota",
+    "scheduling",
 ];
 
 /// Dependencies that a pure crate must not name.
