Agree on the interfaces of the decisions under load

Cause: parts for hard load are to be built side by side: a view of the replicas' load that gateways share, placement by expected finish, moves, admission by working set, fair shares, bounds on held bytes.

Change: fleet::Sights, what gateways see of replicas; scheduling::LoadView, how it ages; scheduling::Features with settings [gateway.scheduling], each on, off or auto, auto by what the configuration in force (streams that may go to a second replica) and the conditions of the settings (pressure) call for; wire::Parts, numbered parts behind a message whose layout stays. Nothing takes effect yet.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -10,6 +10,7 @@
 use luglink_gateway_server::GatewayConfig;
 use luglink_platform::PlatformDialect;
 use luglink_quota::Tolerance;
+use luglink_scheduling::Features;
 use luglink_settings::{FleetSettings, Role, Settings, load, settings_file};
 use luglink_store_server::StoreServerConfig;
 use luglink_telemetry::LogGuard;
@@ -148,6 +149,7 @@
             list_stale_after: fleet.list_stale_after(),
             replication: replication(fleet),
             full_at: gateway.full_at,
+            features: Features::new(gateway.scheduling, fleet.expects_pressure()),
             keys_expire_after: fleet
                 .fail_closed
                 .then(|| Duration::from_millis(fleet.revoke_ms)),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod presence;
 mod registry;
 mod shrinking;
+mod sight;
 mod view;
 mod zone_load;
 
@@ -40,5 +41,6 @@
 };
 pub use registry::{RetireAnswer, RetireState, StoreCommand, StoreRegistry};
 pub use shrinking::SlowlyShrinking;
+pub use sight::{MAX_SIGHTS, ReplicaKey, ReplicaSight, Sights};
 pub use view::{StoreMember, StoreName, StoreState, StoreView};
 pub use zone_load::{GatewayLoad, ServiceLoad};
--- a/crates/gateway-server/src/config.rs
+++ b/crates/gateway-server/src/config.rs
@@ -1,6 +1,7 @@
 //! How a gateway runs.
 
 use luglink_fleet_client::ObserverConfig;
+use luglink_scheduling::Features;
 use luglink_turns::Replication;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -30,6 +31,8 @@
     pub replication: Replication,
     /// Longest time for a planned stop.
     pub stop_limit: Duration,
+    /// Decisions under load that are taken.
+    pub features: Features,
     /// Fullness of a replica from which it takes no new programs; 0 to look at none.
     pub full_at: f64,
     /// Time without word from a control member that hears its leader, after which callers with
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -10,6 +10,7 @@
 use luglink_fleet_client::ObserverConfig;
 use luglink_gateway_server::{GatewayConfig, GatewayServer, start};
 use luglink_quota::Tolerance;
+use luglink_scheduling::Features;
 use luglink_settings::{FleetSettings, ManagedSettings};
 use luglink_store_server::{StoreServer, StoreServerConfig};
 use luglink_turns::Replication;
@@ -77,6 +78,7 @@
         quota_slack: 20.0,
         fail_closed: false,
         revoke_ms: 5_000,
+        conditions: Vec::new(),
     }
 }
 
@@ -205,6 +207,7 @@
         list_stale_after: Duration::from_millis(500),
         replication: Replication::surviving(1),
         full_at: 0.75,
+        features: Features::default(),
         keys_expire_after: Some(KEYS_EXPIRE_AFTER),
         stop_limit: Duration::from_secs(5),
         turn_cache_bytes: 1 << 20,
--- /dev/null
+++ b/crates/scheduling/src/features.rs
@@ -0,0 +1,79 @@
+//! Which decisions under load a deployment calls for.
+
+use luglink_edge::{Configuration, Route, RouteKind};
+use luglink_types::Switches;
+
+/// Fewest replicas for one request with which operators say that another replica may do what a
+/// first one does not.
+const SECOND_REPLICA: u32 = 2;
+
+/// Which decisions are taken, by the settings and the configuration in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Features {
+    switches: Switches,
+    /// Whether the deployment expects more work than its replicas can do.
+    expects_pressure: bool,
+}
+
+impl Features {
+    /// Those of a process.
+    #[must_use]
+    pub fn new(switches: Switches, expects_pressure: bool) -> Self {
+        Self {
+            switches,
+            expects_pressure,
+        }
+    }
+
+    /// Whether requests of a route that wait at a slow replica go to another one: the route allows
+    /// a second replica, and the request may run again there.
+    #[must_use]
+    pub fn moves(&self, route: &Route) -> bool {
+        let called_for = route.kind == RouteKind::Streaming && allows_second(route);
+        route.is_repeatable() && allows_second(route) && self.switches.moves.holds(called_for)
+    }
+
+    /// Whether gateways tell each other what they see of the replicas.
+    #[must_use]
+    pub fn load_view(&self, configuration: &Configuration) -> bool {
+        let called_for = self.expects_pressure || any_stream_may_move(configuration);
+        self.switches.load_view.holds(called_for)
+    }
+
+    /// Whether replicas are chosen by when a request is expected to be finished.
+    #[must_use]
+    pub fn expected_finish(&self, configuration: &Configuration) -> bool {
+        let called_for = self.expects_pressure || any_stream_may_move(configuration);
+        self.switches.expected_finish.holds(called_for)
+    }
+
+    /// Whether programs are let in by the memory that those under way need until they end.
+    #[must_use]
+    pub fn working_set(&self) -> bool {
+        self.switches.working_set.holds(self.expects_pressure)
+    }
+
+    /// Whether tenants and kinds of request get fair shares while room is short.
+    #[must_use]
+    pub fn fair_shares(&self) -> bool {
+        self.switches.fair_shares.holds(self.expects_pressure)
+    }
+
+    /// Whether bytes held for slow readers are bounded.
+    #[must_use]
+    pub fn held_bytes(&self) -> bool {
+        self.switches.held_bytes.holds(true)
+    }
+}
+
+fn allows_second(route: &Route) -> bool {
+    route.max_attempts >= SECOND_REPLICA
+}
+
+fn any_stream_may_move(configuration: &Configuration) -> bool {
+    let mut streams = configuration
+        .routes
+        .iter()
+        .filter(|route| route.kind == RouteKind::Streaming);
+    streams.any(allows_second)
+}
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -6,12 +6,16 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod features;
 mod load_shedding;
+mod load_view;
 mod patience;
 mod placement;
 mod pool;
 
+pub use features::Features;
 pub use load_shedding::{Intake, LoadShedder};
+pub use load_view::{AgedSight, LoadView};
 pub use patience::{room_patience, room_pause, start_patience};
 pub use placement::{Placement, place};
 pub use pool::{Choice, Pool, Reach, Wish};
--- a/crates/scheduling/src/pool/mod.rs
+++ b/crates/scheduling/src/pool/mod.rs
@@ -9,8 +9,11 @@
 mod record;
 mod working_set;
 
+use crate::load_view::LoadView;
 use index::ServiceIndex;
-use luglink_fleet::{Backend, BackendChanges, BackendId, GatewayLoad};
+use luglink_fleet::{
+    Backend, BackendChanges, BackendId, GatewayLoad, ReplicaKey, ReplicaSight, Sights,
+};
 use luglink_types::Timestamp;
 use record::Record;
 use std::collections::{BTreeMap, HashMap};
@@ -73,6 +76,8 @@
     services: BTreeMap<String, ServiceIndex>,
     /// What is known of the replicas that this gateway has used.
     records: HashMap<BackendId, Record>,
+    /// What all gateways of the zone saw of the replicas.
+    view: LoadView,
 }
 
 /// A replica that a request may go to, as this gateway sees it.
@@ -313,6 +318,26 @@
         })
     }
 
+    /// What this gateway sees of the replicas that it uses, for the others of its zone.
+    #[must_use]
+    pub fn sights(&self, _now: Timestamp) -> Sights {
+        let used = self.records.iter();
+        let busy = used.filter(|(_, record)| record.in_flight > 0);
+        Sights::sum([&Sights(
+            busy.map(|(id, record)| ReplicaSight {
+                replica: ReplicaKey::of(id),
+                in_flight_tenths: record.in_flight * 10,
+                ..ReplicaSight::default()
+            })
+            .collect(),
+        )])
+    }
+
+    /// Takes what all gateways of the zone saw together.
+    pub fn take_view(&mut self, sights: &Sights, now: Timestamp) {
+        self.view.take(sights, now);
+    }
+
     /// What is known of a replica, to be changed; `None` when it is not listed.
     fn record(&mut self, id: &BackendId) -> Option<&mut Record> {
         let backend = self.backends.get(id)?;
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::daemon::unspecified;
 use crate::reader::Reader;
+use luglink_types::{Switch, Switches};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -23,6 +24,9 @@
 /// 0.604 of six at 0.8, over three seeds; two plays of one seed differ by up to 0.06).
 const DEFAULT_FULL_AT: f64 = 0.8;
 
+/// Condition of a deployment whose callers compete for too little room at times.
+const PRESSURE: &str = "pressure";
+
 /// What every process of a managed fleet is told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetSettings {
@@ -65,6 +69,9 @@
     pub fail_closed: bool,
     /// Time without word after which it does, in milliseconds.
     pub revoke_ms: u64,
+    /// Conditions that the deployment expects. [`FleetSettings::expects_pressure`] reads them; those
+    /// that this product does not know change nothing.
+    pub conditions: Vec<String>,
 }
 
 impl FleetSettings {
@@ -101,6 +108,7 @@
             quota_slack: reader.optional("fleet.quota_slack", DEFAULT_QUOTA_SLACK),
             fail_closed: reader.optional("fleet.fail_closed", false),
             revoke_ms: reader.optional("fleet.revoke_ms", 5_000),
+            conditions: reader.optional("fleet.conditions", Vec::new()),
         };
         if is_complete {
             settings.check(reader);
@@ -146,6 +154,12 @@
         Duration::from_millis(self.drain_ms / 2)
     }
 
+    /// Whether more work is to be expected than the replicas can do.
+    #[must_use]
+    pub fn expects_pressure(&self) -> bool {
+        self.conditions.iter().any(|known| known == PRESSURE)
+    }
+
     fn port(&self, offset: u16) -> u16 {
         self.ports.first().copied().unwrap_or_default() + offset
     }
@@ -184,6 +198,8 @@
     /// Fullness of a replica, in shares of its slots or memory, from which it takes no new
     /// programs; 0 to look at none before programs begin.
     pub full_at: f64,
+    /// Decisions under load that are taken.
+    pub scheduling: Switches,
 }
 
 impl GatewaySettings {
@@ -194,15 +210,28 @@
         let full_at: f64 = reader.optional("gateway.full_at", DEFAULT_FULL_AT);
         let is_fullness = full_at.is_finite() && full_at >= 0.0;
         reader.check("gateway.full_at", is_fullness, "must not be below 0");
+        let scheduling = read_switches(reader);
         Some(Self {
             metrics_listen,
             full_at,
+            scheduling,
             listen: listen?,
             ready_listen: ready_listen?,
         })
     }
 }
 
+fn read_switches(reader: &mut Reader<'_>) -> Switches {
+    Switches {
+        load_view: reader.optional("gateway.scheduling.load_view", Switch::Auto),
+        expected_finish: reader.optional("gateway.scheduling.expected_finish", Switch::Auto),
+        moves: reader.optional("gateway.scheduling.moves", Switch::Auto),
+        working_set: reader.optional("gateway.scheduling.working_set", Switch::Auto),
+        fair_shares: reader.optional("gateway.scheduling.fair_shares", Switch::Auto),
+        held_bytes: reader.optional("gateway.scheduling.held_bytes", Switch::Auto),
+    }
+}
+
 /// Settings of a turn store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoreSettings {
--- a/crates/settings/tests/files.rs
+++ b/crates/settings/tests/files.rs
@@ -72,6 +72,7 @@
         "control",
         "fleet",
         "gateway",
+        "scheduling",
         "store",
         "member",
         "log_filter",
@@ -187,3 +188,21 @@
         }
     }
 }
+
+#[test]
+fn decisions_under_load_can_be_switched_and_conditions_that_are_not_known_are_passed_over() {
+    let folder = tempfile::tempdir().unwrap();
+    let template = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../etc/fleet.toml");
+    let text = std::fs::read_to_string(template).unwrap();
+    let text = text.replace(
+        "# conditions = []",
+        "conditions = [\"tenants\", \"pressure\"]",
+    );
+    let text = text.replace("# [gateway.scheduling]", "[gateway.scheduling]");
+    let text = text.replace("# moves = \"auto\"", "moves = \"off\"");
+    let settings = loaded(&write(&folder, &text));
+    assert!(settings.fleet.unwrap().expects_pressure());
+    let scheduling = settings.gateway.unwrap().scheduling;
+    assert_eq!(scheduling.moves, luglink_types::Switch::Off);
+    assert_eq!(scheduling.load_view, luglink_types::Switch::Auto);
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,6 +10,7 @@
 mod outcome;
 mod priority;
 mod refusal;
+mod switches;
 mod time;
 
 pub use budget::{Budget, BudgetDimension, Charge, UNLIMITED};
@@ -22,4 +23,5 @@
 pub use outcome::OutcomeClass;
 pub use priority::Priority;
 pub use refusal::{Executed, Refusal, RefusalCode};
+pub use switches::{Switch, Switches};
 pub use time::Timestamp;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,9 +7,11 @@
 #![deny(missing_docs)]
 
 mod errors;
+mod extension;
 mod frame;
 
 pub use errors::WireError;
+pub use extension::{PartNumber, Parts, decode_with_parts, encode_with_parts};
 pub use frame::{
     ClientRole, Frame, FrameDecoder, Hello, MAX_FRAME_BYTES, PROTOCOL_VERSION, decode_body,
     encode_body, encode_frame,
--- /dev/null
+++ b/crates/wire/tests/extension.rs
@@ -0,0 +1,50 @@
+//! Fields that newer builds add to a message.
+
+use luglink_wire::{
+    PartNumber, Parts, decode_body, decode_with_parts, encode_body, encode_with_parts,
+};
+use proptest::prelude::*;
+
+const KNOWN: PartNumber = PartNumber(1);
+const OF_A_NEWER_BUILD: PartNumber = PartNumber(9);
+
+type Message = (u64, Vec<String>);
+
+fn message() -> Message {
+    (7, vec!["a".to_owned(), "b".to_owned()])
+}
+
+#[test]
+fn an_older_build_reads_the_message_and_passes_over_its_parts() {
+    let mut parts = Parts::default();
+    parts.put(KNOWN, &"new").unwrap();
+    let bytes = encode_with_parts(&message(), &parts).unwrap();
+    assert_eq!(decode_body::<Message>(&bytes).unwrap(), message());
+}
+
+#[test]
+fn the_message_of_an_older_build_has_no_parts() {
+    let bytes = encode_body(&message()).unwrap();
+    let (read, parts) = decode_with_parts::<Message>(&bytes).unwrap();
+    assert_eq!(read, message());
+    assert!(parts.is_empty());
+    assert_eq!(encode_with_parts(&message(), &parts).unwrap(), bytes);
+}
+
+#[test]
+fn a_part_that_is_not_known_is_passed_over() {
+    let mut parts = Parts::default();
+    parts.put(OF_A_NEWER_BUILD, &(1_u64, 2_u64)).unwrap();
+    parts.put(KNOWN, &5_u32).unwrap();
+    let bytes = encode_with_parts(&message(), &parts).unwrap();
+    let (_, read) = decode_with_parts::<Message>(&bytes).unwrap();
+    assert_eq!(read.get::<u32>(KNOWN).unwrap(), Some(5));
+    assert_eq!(read.get::<u32>(PartNumber(2)).unwrap(), None);
+}
+
+proptest! {
+    #[test]
+    fn bytes_that_are_no_message_are_refused_without_a_panic(bytes: Vec<u8>) {
+        let _ = decode_with_parts::<Message>(&bytes);
+    }
+}
