Pass over entries of the list that cannot be read, one by one

Cause: one entry of another writer (a field missing or of another type, an unknown state, bytes that are no text) made its whole page unreadable, so one bad entry blinded the fleet.

Ruled out: reading the page as JSON and its entries as raw values: bytes that are no text, or no JSON, inside one entry would still lose the page; replacing such bytes before reading: an entry of another writer would then name a replica.

Change: ListEntries cuts a page into its entries by brackets, commas and strings and reads each by itself; names in an entry are bounded. What is passed over is counted, with one shortened log line a page. A page that is no list or is cut short stays an error.

--- a/crates/control-server/src/list.rs
+++ b/crates/control-server/src/list.rs
@@ -71,6 +71,8 @@
                 }
                 is_lost = false;
                 poller.count("read");
+                let passed_over = u64::from(fetched.passed_over);
+                poller.metrics.passed_over.inc_by(passed_over);
                 poller.control.do_send(TakeBackends {
                     list: fetched.list,
                     age: started.elapsed(),
--- a/crates/control-server/src/metrics.rs
+++ b/crates/control-server/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::errors::ControlServerError;
 use luglink_telemetry::Metrics;
-use prometheus::{Gauge, Histogram, IntCounterVec};
+use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec};
 
 /// Counters, gauges and histograms of a member.
 #[derive(Clone, Debug)]
@@ -16,6 +16,8 @@
     pub(crate) resolutions: IntCounterVec,
     /// Readings of the platform's list by how they ended.
     pub(crate) list_reads: IntCounterVec,
+    /// Entries of the list that name no replica to use.
+    pub(crate) passed_over: IntCounter,
     /// Whether this member leads and is current.
     pub(crate) leads: Gauge,
     /// Version of the configuration that it has applied.
@@ -36,6 +38,10 @@
             operator_seconds: registry.seconds("operator_seconds", "Time to answer operators")?,
             resolutions: labelled("resolutions_total", "Answers where to go", "status")?,
             list_reads: labelled("member_list_reads_total", "Looks at the list", "end")?,
+            passed_over: registry.counter(
+                "member_list_entries_passed_over_total",
+                "Entries of the list that cannot be read",
+            )?,
             leads: registry.gauge("member_leads", "1 at the current leader")?,
             version: registry.gauge("member_configuration_version", "Configuration applied")?,
             gateways: registry.gauge("member_ready_gateways", "Gateways that take callers")?,
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -2,6 +2,7 @@
 
 use crate::configuration::Configuration;
 use crate::errors::DialectError;
+use crate::list_entries::PassedOver;
 use crate::replica_report::ReplicaReport;
 use http::{HeaderMap, HeaderName};
 use luglink_fleet::{Backend, RetireState, StoreName};
@@ -70,6 +71,8 @@
 pub struct BackendPage {
     /// Replicas on it.
     pub backends: Vec<Backend>,
+    /// Entries on it that name no replica to use.
+    pub passed_over: PassedOver,
     /// Names the page after it.
     pub next: Option<String>,
 }
@@ -108,10 +111,10 @@
     /// Path and query of a page of the platform's list.
     fn list_path(&self, page: Option<&str>) -> String;
 
-    /// Reads a page of the platform's list.
+    /// Reads a page of the platform's list. Entries that cannot be read are passed over.
     ///
     /// # Errors
-    /// It cannot be read in full.
+    /// It is not such a page, or is cut short.
     fn backend_page(&self, content: &[u8]) -> Result<BackendPage, DialectError>;
 
     /// Path at which a replica reports its load.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod errors;
 mod events;
 mod keyring;
+mod list_entries;
 mod own_dialect;
 mod replica_report;
 mod routing_table;
@@ -24,6 +25,7 @@
 pub use errors::DialectError;
 pub use events::{EventSplitter, StreamEvent};
 pub use keyring::{Caller, KeyRing, UnknownKey};
+pub use list_entries::{ListEntries, ListEntry, PassedOver};
 pub use own_dialect::LuglinkDialect;
 pub use replica_report::ReplicaReport;
 pub use routing_table::RoutingTable;
--- a/crates/edge/src/own_dialect.rs
+++ b/crates/edge/src/own_dialect.rs
@@ -3,6 +3,7 @@
 use crate::configuration::Configuration;
 use crate::dialect::{BackendPage, Dialect, HeaderNames, OperatorCall, ResolutionQuery};
 use crate::errors::{DialectError, MalformedSnafu};
+use crate::list_entries::{ListEntries, ListEntry};
 use crate::replica_report::ReplicaReport;
 use http::{HeaderName, Method};
 use luglink_fleet::{Backend, BackendId, RetireState, StoreName};
@@ -62,6 +63,12 @@
     draining: bool,
 }
 
+impl ListEntry for ListedBackend {
+    fn names(&self) -> Vec<&str> {
+        vec![&self.id, &self.service, &self.zone]
+    }
+}
+
 /// What a replica says of itself.
 #[derive(Serialize, Deserialize)]
 struct Report {
@@ -71,13 +78,6 @@
     memory_total: u64,
 }
 
-/// A page of a list.
-#[derive(Serialize, Deserialize)]
-struct ListPage {
-    replicas: Vec<ListedBackend>,
-    next: Option<String>,
-}
-
 #[derive(Serialize)]
 struct Resolution<'answer> {
     gateways: &'answer [SocketAddr],
@@ -117,9 +117,8 @@
     }
 
     fn backend_page(&self, content: &[u8]) -> Result<BackendPage, DialectError> {
-        let page: ListPage =
-            serde_json::from_slice(content).context(MalformedSnafu { what: "list" })?;
-        let backends = page.replicas.into_iter().map(|listed| Backend {
+        let page = ListEntries::<ListedBackend>::read(content, "replicas", "next")?;
+        let backends = page.entries.into_iter().map(|listed| Backend {
             id: BackendId(listed.id),
             service: listed.service,
             address: listed.address,
@@ -129,6 +128,7 @@
         });
         Ok(BackendPage {
             backends: backends.collect(),
+            passed_over: page.passed_over,
             next: page.next,
         })
     }
--- a/crates/gateway-server/src/list.rs
+++ b/crates/gateway-server/src/list.rs
@@ -44,6 +44,8 @@
     match fetched.await {
         Ok(fetched) => {
             reading.succeeded(fetched.pages, began, gateway.draw());
+            let passed_over = u64::from(fetched.passed_over);
+            gateway.metrics.list_entries_passed_over.inc_by(passed_over);
             gateway.take_list(fetched.list, began);
         }
         Err(error) => {
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -18,6 +18,8 @@
     pub(crate) connects: IntCounter,
     /// Looks at the platform's list by this gateway.
     pub(crate) list_reads: IntCounter,
+    /// Entries of that list that name no replica to use.
+    pub(crate) list_entries_passed_over: IntCounter,
     /// Time to a whole answer, or to the first event of a stream.
     pub(crate) answer_seconds: Histogram,
     /// Time for the turn stores to note a turn's beginning.
@@ -43,6 +45,10 @@
             streams: registry.labelled_counter("streams_total", "Streams by end", "end")?,
             connects: registry.counter("connects_total", "New connections to replicas")?,
             list_reads: registry.counter("list_reads_total", "Looks at the platform's list")?,
+            list_entries_passed_over: registry.counter(
+                "list_entries_passed_over_total",
+                "Entries of the platform's list that cannot be read",
+            )?,
             answer_seconds: registry.seconds("answer_seconds", "Time to an answer")?,
             reserve_seconds: registry.seconds("reserve_seconds", "Time to reserve tokens")?,
             keep_seconds: registry.seconds("keep_seconds", "Time to keep a turn")?,
--- a/crates/list-client/src/lib.rs
+++ b/crates/list-client/src/lib.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, StatusCode};
-use luglink_edge::{Dialect, DialectError};
+use luglink_edge::{Dialect, DialectError, PassedOver};
 use luglink_fleet::BackendList;
 use luglink_http::{ClientConnection, ConnectError, SendError, connect, empty_body};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
@@ -87,6 +87,8 @@
     pub list: BackendList,
     /// Calls that it took.
     pub pages: u32,
+    /// Entries that name no replica to use.
+    pub passed_over: u32,
 }
 
 impl ListError {
@@ -142,6 +144,7 @@
     ) -> Result<Fetched, ListError> {
         let mut pause = FIRST_REFUSAL_PAUSE;
         let mut backends = Vec::new();
+        let mut passed_over = 0_u32;
         let mut next = None;
         for pages in 1..=MAX_PAGES {
             let path = dialect.list_path(next.as_deref());
@@ -155,12 +158,18 @@
                 }
             };
             let page = dialect.backend_page(&content)?;
+            log_passed_over(&page.passed_over, &path);
+            passed_over = passed_over.saturating_add(page.passed_over.count);
             backends.extend(page.backends);
             match page.next {
                 Some(token) => next = Some(token),
                 None => {
                     let list = BackendList::new(backends);
-                    return Ok(Fetched { list, pages });
+                    return Ok(Fetched {
+                        list,
+                        pages,
+                        passed_over,
+                    });
                 }
             }
         }
@@ -187,3 +196,11 @@
         Ok(content)
     }
 }
+
+/// Writes one line for all entries of a page that were passed over.
+fn log_passed_over(passed_over: &PassedOver, path: &str) {
+    if let Some(first_reason) = &passed_over.first_reason {
+        let count = passed_over.count;
+        tracing::warn!(path, count, first_reason, "entries of the list passed over");
+    }
+}
