--- a/crates/gateway-server/src/load_meter.rs
+++ b/crates/gateway-server/src/load_meter.rs
@@ -49,15 +49,12 @@
     }
 
     fn average_in_flight(&mut self, pool: &Pool, weight: f64) {
+        let counts: BTreeMap<&str, u32> = pool.in_flight().collect();
         self.in_flight
-            .retain(|service, _| pool.in_flight().any(|(known, _)| known == service));
-        for (service, in_flight) in pool.in_flight() {
-            if !self.in_flight.contains_key(service) {
-                self.in_flight.insert(service.to_owned(), 0.0);
-            }
-            if let Some(average) = self.in_flight.get_mut(service) {
-                *average += weight * (f64::from(in_flight) - *average);
-            }
+            .retain(|service, _| counts.contains_key(service.as_str()));
+        for (service, in_flight) in counts {
+            let average = self.in_flight.entry(service.to_owned()).or_default();
+            *average += weight * (f64::from(in_flight) - *average);
         }
     }
 }
