Decide purely when a request leaves a silent replica

Cause: a turn that waits at a replica that keeps it silent, or serves it several times more slowly, is lost until its caller gives up, though its route allows a second replica. The longest pause that operators name for a route was not read.

Ruled out: a fixed time, or one from the route's aim (it moves too many turns under load and too few otherwise); the mean and a high quantile of all waits (a tenth of silent replicas shifts them by as much as the waits that are to be recognised); the spread of the shorter waits (it says nothing of the longer ones where engines have a least time); leaving out all waits that were given up (waits would look shorter and shorter).

Change: scheduling::Usual, quantiles of waits that fade; scheduling::Waits, by route; scheduling::decide_move, which waits on, stays with its reason or moves, from the time waited, what is usual, what a new start costs, the time left, the program's time and who may run the request; ExtraSends, a bound on moves and early second sends; is_hopeless. Route::gap_aim_ms, read from the platform's configuration, left out of what is written when it is not named. Features::early_hedge.

--- a/crates/edge/src/configuration.rs
+++ b/crates/edge/src/configuration.rs
@@ -53,6 +53,10 @@
     pub retention_ms: u64,
     /// Whether a stream may go on at another replica.
     pub resumable: bool,
+    /// Longest pause between events at which an answer is in time, in milliseconds, when the
+    /// operator names one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub gap_aim_ms: Option<u64>,
     /// Whether callers need no key where the configuration names tenants.
     #[serde(default)]
     pub public: bool,
@@ -71,6 +75,12 @@
         Duration::from_millis(self.target_latency_ms)
     }
 
+    /// Longest pause between events at which an answer is in time, when the operator names one.
+    #[must_use]
+    pub fn bearable_pause(&self) -> Option<Duration> {
+        self.gap_aim_ms.map(Duration::from_millis)
+    }
+
     /// Whether a request may run more than once.
     #[must_use]
     pub fn is_repeatable(&self) -> bool {
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -29,6 +29,8 @@
     pub token_budget: HeaderName,
     /// Tokens of the prompt and the most to be generated, parted by a comma.
     pub token_usage: HeaderName,
+    /// Time until a request's program should be over, in milliseconds.
+    pub program_deadline_ms: HeaderName,
     /// Urgency at the replica; 0 comes first.
     pub priority: HeaderName,
     /// Last event that the receiver of a stream has.
--- a/crates/edge/tests/routing.rs
+++ b/crates/edge/tests/routing.rs
@@ -27,6 +27,7 @@
         keeps_history: false,
         retention_ms: 60_000,
         resumable: false,
+        gap_aim_ms: None,
         public: false,
     }
 }
--- a/crates/edge/tests/tenants.rs
+++ b/crates/edge/tests/tenants.rs
@@ -25,6 +25,7 @@
         keeps_history: false,
         retention_ms: 1_000,
         resumable: false,
+        gap_aim_ms: None,
         public,
     }
 }
--- a/crates/scheduling/src/features.rs
+++ b/crates/scheduling/src/features.rs
@@ -33,6 +33,15 @@
         route.is_repeatable() && allows_second(route) && self.switches.moves.holds(called_for)
     }
 
+    /// Whether requests with one whole answer go to a second replica earlier than the route's aim
+    /// tells.
+    #[must_use]
+    pub fn early_hedge(&self, configuration: &Configuration) -> bool {
+        self.switches
+            .moves
+            .holds(any_stream_may_move(configuration))
+    }
+
     /// Whether gateways tell each other what they see of the replicas.
     #[must_use]
     pub fn load_view(&self, configuration: &Configuration) -> bool {
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -9,13 +9,22 @@
 mod features;
 mod load_shedding;
 mod load_view;
+mod moves;
 mod patience;
 mod placement;
 mod pool;
+mod usual;
+mod waits;
 
 pub use features::Features;
 pub use load_shedding::{Intake, LoadShedder};
 pub use load_view::{AgedSight, LoadView};
+pub use moves::{
+    Awaited, ExtraSends, MoveDecision, Reruns, Restart, Stay, UsualWait, Waiting, decide_move,
+    hedge_after, is_hopeless,
+};
 pub use patience::{room_patience, room_pause, start_patience};
 pub use placement::{Placement, place};
 pub use pool::{Choice, Pool, Reach, Wish};
+pub use usual::Usual;
+pub use waits::{RouteWaits, Waits};
--- /dev/null
+++ b/crates/scheduling/src/waits.rs
@@ -0,0 +1,138 @@
+//! What a gateway has learned of its routes' waits.
+
+use crate::moves::{ExtraSends, QUICKEST_SHARE, USUAL_SHARE, UsualWait};
+use crate::usual::Usual;
+use luglink_edge::{Configuration, Route};
+use luglink_types::Timestamp;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Requests of a route that may move, of all: more than the share of replicas that misbehave at
+/// once, and far fewer than would move if all were slow.
+const MOVED_SHARE: f64 = 0.2;
+
+/// Requests that go to a second replica early, of all.
+const HEDGED_SHARE: f64 = 0.05;
+
+/// Share of waits given up that are put down to single replicas.
+const FEW_VAIN: f64 = 0.25;
+
+/// Share of waits at sound replicas that are given up.
+const SOUND_VAIN: f64 = 0.025;
+
+/// Waits of all routes.
+#[derive(Clone, Debug, Default)]
+pub struct Waits {
+    routes: HashMap<String, RouteWaits>,
+}
+
+/// Waits of one route.
+#[derive(Clone, Debug)]
+pub struct RouteWaits {
+    first_events: Usual,
+    /// Waits for first events that were given up.
+    vain: Usual,
+    pauses: Usual,
+    answers: Usual,
+    /// Moves that the route's requests have earned.
+    pub moves: ExtraSends,
+    /// Early second sends that the route's requests have earned.
+    pub hedges: ExtraSends,
+}
+
+impl Default for RouteWaits {
+    fn default() -> Self {
+        Self {
+            first_events: Usual::default(),
+            vain: Usual::default(),
+            pauses: Usual::default(),
+            answers: Usual::default(),
+            moves: ExtraSends::new(MOVED_SHARE),
+            hedges: ExtraSends::new(HEDGED_SHARE),
+        }
+    }
+}
+
+impl Waits {
+    /// Those of a route.
+    pub fn route(&mut self, route: &Route) -> &mut RouteWaits {
+        self.routes.entry(route.name.clone()).or_default()
+    }
+
+    /// Forgets routes that are not in force any more.
+    pub fn keep_only(&mut self, configuration: &Configuration) {
+        let names = configuration.route_names();
+        self.routes.retain(|name, _| names.contains(name.as_str()));
+    }
+}
+
+impl RouteWaits {
+    /// Notes the time from a send to the first event.
+    pub fn note_first_event(&mut self, wait: Duration, now: Timestamp) {
+        self.first_events.note(wait, now);
+    }
+
+    /// Notes the time from a send until nobody waited for its first event any more.
+    pub fn note_vain(&mut self, wait: Duration, now: Timestamp) {
+        self.vain.note(wait, now);
+    }
+
+    /// Notes a pause between two events.
+    pub fn note_pause(&mut self, pause: Duration, now: Timestamp) {
+        self.pauses.note(pause, now);
+    }
+
+    /// Notes the time from a send to a whole answer, or until nobody waited for it any more.
+    pub fn note_answer(&mut self, wait: Duration, now: Timestamp) {
+        self.answers.note(wait, now);
+    }
+
+    /// What waits for first events are like. `aim` stands for them while too few are known.
+    #[must_use]
+    pub fn first_event(&self, aim: Duration, now: Timestamp) -> UsualWait {
+        let median = self.sound_quantile(0.5, now);
+        let usual = self.sound_quantile(USUAL_SHARE, now);
+        match (median, usual) {
+            (Some(median), Some(usual)) => UsualWait { median, usual },
+            _ => UsualWait::expected(aim),
+        }
+    }
+
+    /// A quantile of the first events of replicas that are well. Waits given up are put down to
+    /// the others while they are few, except for as many as sound replicas bring about: were
+    /// those left out too, waits would look shorter and shorter. When they are many, all replicas
+    /// are slow, and they count like the rest.
+    fn sound_quantile(&self, share: f64, now: Timestamp) -> Option<Duration> {
+        let (answered, vain) = (self.first_events.weight(now), self.vain.weight(now));
+        if vain > FEW_VAIN * (vain + answered) {
+            return self.first_events.with(&self.vain, now).quantile(share, now);
+        }
+        let sound = answered + vain.min(SOUND_VAIN * answered);
+        let share = share * sound / answered.max(f64::MIN_POSITIVE);
+        self.first_events.quantile(share, now)
+    }
+
+    /// What the quickest first events take, once enough are known.
+    #[must_use]
+    pub fn quickest_first_event(&self, now: Timestamp) -> Option<Duration> {
+        self.first_events.quantile(QUICKEST_SHARE, now)
+    }
+
+    /// Half of the pauses between events do not exceed it.
+    #[must_use]
+    pub fn median_pause(&self, now: Timestamp) -> Option<Duration> {
+        self.pauses.quantile(0.5, now)
+    }
+
+    /// A usual pause between events.
+    #[must_use]
+    pub fn usual_pause(&self, now: Timestamp) -> Option<Duration> {
+        self.pauses.quantile(USUAL_SHARE, now)
+    }
+
+    /// A usual time to a whole answer.
+    #[must_use]
+    pub fn usual_answer(&self, now: Timestamp) -> Option<Duration> {
+        self.answers.quantile(USUAL_SHARE, now)
+    }
+}
--- a/crates/scheduling/tests/load_shedding.rs
+++ b/crates/scheduling/tests/load_shedding.rs
@@ -25,6 +25,7 @@
         keeps_history: true,
         retention_ms: 60_000,
         resumable: false,
+        gap_aim_ms: None,
         public: false,
     }
 }
