Move streams that wait at a slow replica, and ask a second one sooner

Cause: nobody took a waiting turn away from a slow engine; a second replica was asked for a whole answer only after 1.5 times the route's aim; requests whose caller left before an answer left no trace.

Ruled out: sending to both replicas and taking the first answer (a stream would be worked on twice); closing the first connection after the second send (the former replica would go on beside the new one); early second sends without a bound (load would feed itself).

Change: MoveWatch follows a stream from its send to its end. A move closes the connection first, counts the replica among those that may have run the request, and goes on at another with the last event that the caller has; a replica that declines is passed over; when none is left the answer is 502 or 504 as before. A stream with less time than the quickest first events take is refused before it is sent. CallerWatch: a log line and a counter for callers that leave.

--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -24,19 +24,37 @@
     pub(crate) has_hedged: bool,
     /// Those of `tried` that had no room for it. They have not run it, and may have room later.
     full: Vec<BackendId>,
+    /// Those of `tried` from which the request was taken away.
+    moved_from: Vec<BackendId>,
     /// Pauses so far in which the request waited for room.
     pauses: u32,
 }
 
 impl Attempts {
-    /// For a request that must not go to a replica.
-    pub(crate) fn besides(replica: BackendId) -> Self {
+    /// For a request that must go neither to `replica` nor to those that it has moved from.
+    pub(crate) fn besides(&self, replica: BackendId) -> Self {
+        let mut tried = self.moved_from.clone();
+        tried.push(replica);
         Self {
-            tried: vec![replica],
+            tried,
             ..Self::default()
         }
     }
 
+    /// Replicas that were tried, and the one that has the request.
+    pub(crate) fn tried_and(&self, replica: &BackendId) -> Vec<BackendId> {
+        let mut tried = self.tried.clone();
+        tried.push(replica.clone());
+        tried
+    }
+
+    /// Notes that the request was taken away from a replica that may have run it.
+    pub(crate) fn note_moved(&mut self, from: &Backend) {
+        self.tried.push(from.id.clone());
+        self.moved_from.push(from.id.clone());
+        self.runs += 1;
+    }
+
     /// Notes a failure. Returns what to answer when the request may not be sent again.
     pub(crate) fn note(
         &mut self,
@@ -136,22 +154,29 @@
     attempts: &Attempts,
     cached_at: Option<&BackendId>,
 ) -> Result<Backend, Refusal> {
+    choose_besides(gateway, inbound, &attempts.tried, cached_at)
+        .ok_or_else(|| attempts.nowhere("no replica can take the request"))
+}
+
+/// Chooses a replica that is not among `tried`; `None` when there is none.
+pub(crate) fn choose_besides(
+    gateway: &Gateway,
+    inbound: &Inbound,
+    tried: &[BackendId],
+    cached_at: Option<&BackendId>,
+) -> Option<Backend> {
     let wish = Wish {
         service: &inbound.service,
         cached_at,
-        tried: &attempts.tried,
+        tried,
         draw: gateway.draw(),
     };
-    gateway
-        .pool
-        .borrow()
-        .choose(
-            &wish,
-            |replica| gateway.upstream.has_resting(replica),
-            gateway.now(),
-        )
-        .map(|choice| choice.backend)
-        .ok_or_else(|| attempts.nowhere("no replica can take the request"))
+    let choice = gateway.pool.borrow().choose(
+        &wish,
+        |replica| gateway.upstream.has_resting(replica),
+        gateway.now(),
+    );
+    choice.map(|choice| choice.backend)
 }
 
 /// Chooses a replica that has not been tried. When all that are left had no room, the request
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -81,6 +81,7 @@
     extra: &Extra,
 ) -> Result<Answer, Failure> {
     let at_replica = AtReplica::begin(gateway, &backend.id);
+    inbound.watch.note_sent(&backend.id);
     let result = send_on_some_connection(gateway, inbound, backend, extra).await;
     let end = match &result {
         Ok(_) => "answered",
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -8,7 +8,7 @@
 use crate::upstream::Upstream;
 use luglink_edge::{Configuration, Dialect, KeyRing, RoutingTable, Service, SplitDraws};
 use luglink_fleet::ListCopy;
-use luglink_scheduling::{LoadShedder, Pool};
+use luglink_scheduling::{LoadShedder, Pool, Waits};
 use luglink_types::Timestamp;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -38,6 +38,8 @@
     pub(crate) splits: RefCell<SplitDraws>,
     /// Lets new programs in.
     pub(crate) shedder: RefCell<LoadShedder>,
+    /// What waits of each route usually are.
+    pub(crate) waits: RefCell<Waits>,
     pub(crate) pool: RefCell<Pool>,
     /// The list that the pool shows.
     pub(crate) list: RefCell<ListCopy>,
@@ -79,6 +81,7 @@
             list: RefCell::default(),
             splits: RefCell::default(),
             shedder: RefCell::default(),
+            waits: RefCell::default(),
             config,
             dialect,
             metrics,
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -1,5 +1,6 @@
 //! A caller's request, read whole.
 
+use crate::caller_watch::CallerWatch;
 use crate::gateway::{Gateway, InForce};
 use crate::refusal::Refusal;
 use bytes::Bytes;
@@ -49,6 +50,12 @@
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
     pub(crate) program: Option<ProgramFields>,
+    /// When its program should be over.
+    pub(crate) program_deadline: Option<Instant>,
+    /// Tokens of its prompt, as its caller says; 0 when it does not.
+    pub(crate) prompt_tokens: u64,
+    /// Notes a caller that leaves early.
+    pub(crate) watch: Rc<CallerWatch>,
     pub(crate) arrived: Instant,
     /// When nobody wants an answer any more.
     pub(crate) deadline: Instant,
@@ -144,6 +151,11 @@
         (RouteKind::Streaming, Some(hash)) => hash,
         _ => gateway.splits.borrow_mut().next(&route, gateway.draw()),
     };
+    let program_left = number(&head.headers, &headers.program_deadline_ms);
+    let program_deadline =
+        program_left.and_then(|left| arrived.checked_add(Duration::from_millis(left)));
+    let prompt_tokens = used_tokens(gateway, &head, 0);
+    let watch = CallerWatch::begin(&gateway.metrics, &id, &route, arrived);
     let service = route.service_for(share).unwrap_or_default().to_owned();
     Ok(Inbound {
         id,
@@ -154,6 +166,9 @@
         head,
         body,
         program,
+        program_deadline,
+        prompt_tokens,
+        watch,
         arrived,
         deadline,
         draw,
@@ -229,11 +244,7 @@
     let headers = gateway.dialect.headers();
     let name = text(&head.headers, &headers.program)?;
     let tenant = tenant_name(caller);
-    let usage = text(&head.headers, &headers.token_usage);
-    let ceiling = usage
-        .and_then(|usage| usage.split(',').nth(1))
-        .and_then(|most| most.trim().parse().ok())
-        .unwrap_or(0);
+    let ceiling = used_tokens(gateway, head, 1);
     Some(ProgramFields {
         name: ProgramName::of(tenant, name),
         budget: number(&head.headers, &headers.token_budget),
@@ -241,3 +252,13 @@
         previous: text(&head.headers, &headers.previous_turn).map(|id| TurnId::of(tenant, id)),
     })
 }
+
+/// A part of what the caller says of its tokens: those of the prompt, then the most to be
+/// generated. 0 when it does not say so.
+fn used_tokens(gateway: &Gateway, head: &Parts, part: usize) -> u64 {
+    let usage = text(&head.headers, &gateway.dialect.headers().token_usage);
+    usage
+        .and_then(|usage| usage.split(',').nth(part))
+        .and_then(|tokens| tokens.trim().parse().ok())
+        .unwrap_or(0)
+}
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(missing_docs)]
 
 mod attempts;
+mod caller_watch;
 mod chain_search;
 mod config;
 mod errors;
@@ -11,10 +12,12 @@
 mod failure;
 mod first_event;
 mod gateway;
+mod hedging;
 mod inbound;
 mod list;
 mod load_meter;
 mod metrics;
+mod move_watch;
 mod news;
 mod placement;
 mod program;
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -30,6 +30,20 @@
     pub(crate) unknown_keys: IntCounterVec,
     /// Requests that a tenant's quota held up, by why.
     quota_refusals: IntCounterVec,
+    /// Streams that went on to another replica while the first one kept them waiting, by route.
+    pub(crate) moved: IntCounterVec,
+    /// Streams that waited for unusually long and stayed, by route.
+    pub(crate) kept: IntCounterVec,
+    /// Of these, those that had too little time left for another replica, by route.
+    pub(crate) too_late_to_move: IntCounterVec,
+    /// Streams refused because no replica could answer them in time, by route.
+    pub(crate) hopeless: IntCounterVec,
+    /// Time that streams had waited when they moved.
+    pub(crate) move_seconds: Histogram,
+    /// Requests with one whole answer that went to a second replica, by when.
+    pub(crate) hedges: IntCounterVec,
+    /// Callers that left before their answer, by what they waited for.
+    pub(crate) callers_gone: IntCounterVec,
     /// Time for the owners of a quota to answer.
     pub(crate) quota_seconds: Histogram,
 }
@@ -57,6 +71,25 @@
                 "reason",
             )?,
             quota_seconds: registry.seconds("quota_seconds", "Time to look a quota up")?,
+            moved: registry.labelled_counter("moves_total", "Streams moved", "route")?,
+            kept: registry.labelled_counter("moves_kept_total", "Slow streams kept", "route")?,
+            too_late_to_move: registry.labelled_counter(
+                "moves_too_late_total",
+                "Slow streams with too little time to move",
+                "route",
+            )?,
+            hopeless: registry.labelled_counter(
+                "hopeless_total",
+                "Streams refused for want of time",
+                "route",
+            )?,
+            move_seconds: registry.seconds("move_seconds", "Time waited before a move")?,
+            hedges: registry.labelled_counter("hedges_total", "Second sends", "when")?,
+            callers_gone: registry.labelled_counter(
+                "callers_gone_total",
+                "Callers that left before their answer",
+                "awaited",
+            )?,
             version: registry.gauge("configuration_version", "Configuration in force")?,
             registry,
         })
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -95,6 +95,7 @@
                 self.metrics.version.set(document.version as f64);
                 self.splits.borrow_mut().keep_only(&configuration);
                 self.shedder.borrow_mut().keep_only(&configuration);
+                self.waits.borrow_mut().keep_only(&configuration);
                 let table = RoutingTable::new(&configuration);
                 let keys = KeyRing::new(&configuration);
                 *self.in_force.borrow_mut() = Some(Rc::new(InForce {
--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -1,7 +1,7 @@
 //! The way of a request through the gateway.
 
 use crate::gateway::{Gateway, InForce};
-use crate::inbound;
+use crate::inbound::{self, Inbound};
 use crate::refusal::Refusal;
 use crate::{quota, stream, unary};
 use http::{HeaderValue, Request, Response, header};
@@ -91,11 +91,19 @@
         .ok_or(Refusal::recovering("no configuration is known yet"))?;
     let inbound = inbound::read(gateway, &in_force, request).await?;
     drop(in_force);
-    if inbound.route.kind == RouteKind::Streaming {
-        return stream::serve(gateway, inbound, in_flight).await;
-    }
-    quota::take(gateway, &inbound, Purpose::Continues).await?;
-    let response = unary::serve(gateway, &inbound).await?;
+    let watch = Rc::clone(&inbound.watch);
+    let result = if inbound.route.kind == RouteKind::Streaming {
+        stream::serve(gateway, inbound, in_flight).await
+    } else {
+        answer_whole(gateway, &inbound).await
+    };
+    watch.note_answered();
+    result
+}
+
+async fn answer_whole(gateway: &Rc<Gateway>, inbound: &Inbound) -> Result<Response<Body>, Refusal> {
+    quota::take(gateway, inbound, Purpose::Continues).await?;
+    let response = unary::serve(gateway, inbound).await?;
     let elapsed = inbound.arrived.elapsed();
     gateway
         .metrics
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -6,6 +6,7 @@
 use crate::first_event::FirstEventWait;
 use crate::gateway::{Gateway, InFlight};
 use crate::inbound::{Inbound, strip_hop_by_hop};
+use crate::move_watch::{MoveWatch, Sent, refuse_hopeless};
 use crate::program::{self, TurnStart};
 use crate::refusal::Refusal;
 use crate::unary::whole;
@@ -34,7 +35,9 @@
     inbound: Inbound,
     in_flight: InFlight,
 ) -> Result<Response<Body>, Refusal> {
+    refuse_hopeless(gateway, &inbound)?;
     let start = program::begin(gateway, &inbound).await?;
+    refuse_hopeless(gateway, &inbound)?;
     let extra = Extra {
         body: start.prompt.clone(),
         last_event_id: None,
@@ -42,18 +45,35 @@
     let wait = FirstEventWait::begin(gateway, &inbound);
     let mut attempts = Attempts::default();
     let cached_at = cached_at(gateway, &inbound, &start);
+    let tokens_per_event = tokens_per_event(gateway, &inbound);
+    let mut moves = MoveWatch::begin(gateway, &inbound, tokens_per_event);
+    let mut moves_to = None;
     let answer = loop {
-        let backend = next_replica(gateway, &inbound, &mut attempts, cached_at.as_ref()).await?;
-        match send(gateway, &inbound, &backend, &extra).await {
-            Ok(answer) if answer.response.status().is_success() => break answer,
-            Ok(answer) => match whole(gateway, &inbound, answer).await {
+        let backend = match moves_to.take() {
+            Some(backend) => backend,
+            None => next_replica(gateway, &inbound, &mut attempts, cached_at.as_ref()).await?,
+        };
+        match moves.send(&inbound, &backend, &extra, &attempts).await {
+            Sent::Answered(answer) if answer.response.status().is_success() => break *answer,
+            Sent::Answered(answer) => match whole(gateway, &inbound, *answer).await {
                 Ok(response) => return Ok(response),
                 Err(failure) => attempts.note(&inbound, &backend, failure)?,
             },
-            Err(failure) => attempts.note(&inbound, &backend, failure)?,
+            Sent::Failed(failure) => attempts.note(&inbound, &backend, failure)?,
+            Sent::GivenUpFor(other) => {
+                attempts.note_moved(&backend);
+                moves_to = Some(other);
+            }
         }
     };
-    let waited = Waited { start, extra, wait };
+    let waited = Waited {
+        start,
+        extra,
+        wait,
+        attempts,
+        moves,
+        tokens_per_event,
+    };
     Ok(relay(gateway, inbound, in_flight, waited, answer))
 }
 
@@ -72,6 +92,9 @@
     start: TurnStart,
     extra: Extra,
     wait: FirstEventWait,
+    attempts: Attempts,
+    moves: MoveWatch,
+    tokens_per_event: u64,
 }
 
 fn relay(
@@ -86,14 +109,15 @@
     let mut shown = head.clone();
     strip_hop_by_hop(&mut shown.headers);
     shown.headers.remove(header::CONTENT_LENGTH);
-    let tokens_per_event = tokens_per_event(gateway, &inbound);
     let relay = Relay {
         gateway: Rc::clone(gateway),
         inbound,
         start: waited.start,
         extra: waited.extra,
         wait: waited.wait,
-        tokens_per_event,
+        attempts: waited.attempts,
+        moves: waited.moves,
+        tokens_per_event: waited.tokens_per_event,
         splitter: EventSplitter::default(),
         output: Vec::new(),
         events: 0,
@@ -137,6 +161,8 @@
     Broken(&'static str),
     CallerGone,
     OutOfTime,
+    /// The replica has been silent for so long that the stream may move.
+    Look,
 }
 
 /// Passes the events of one answer on.
@@ -146,6 +172,8 @@
     start: TurnStart,
     extra: Extra,
     wait: FirstEventWait,
+    attempts: Attempts,
+    moves: MoveWatch,
     tokens_per_event: u64,
     splitter: EventSplitter,
     /// The answer as later prompts repeat it.
@@ -188,6 +216,10 @@
                     Ok(next) => source = next,
                     Err(reason) => break self.finish_log(reason),
                 },
+                Step::Look => match self.look(source, &sender).await {
+                    Ok(same_or_next) => source = same_or_next,
+                    Err(reason) => break self.finish_log(reason),
+                },
                 Step::CallerGone => break self.finish_log("caller_gone"),
                 Step::OutOfTime => break self.finish_log("out_of_time"),
             }
@@ -210,6 +242,7 @@
                 None => Step::End,
             },
             () = actix_rt::time::sleep(left) => Step::OutOfTime,
+            () = self.moves.until_look() => Step::Look,
         }
     }
 
@@ -229,6 +262,7 @@
         }
         let Some(data) = &event.data else { return };
         self.events += 1;
+        self.moves.note_event(&self.inbound);
         if let Some(reservation) = &self.start.reservation {
             reservation.give(self.tokens_per_event);
         }
@@ -322,6 +356,7 @@
         );
         self.extra.last_event_id.clone_from(&self.last_event_id);
         actix_rt::time::sleep(RESUMPTION_PAUSE).await;
+        self.moves.note_sent(&self.inbound, &self.attempts);
         let failure = match self.resume_at(&backend).await {
             Ok(source) => return Ok(source),
             Err(failure) => failure,
@@ -331,13 +366,46 @@
         if !is_gone {
             return Err("not_resumed");
         }
-        let attempts = Attempts::besides(backend.id);
+        let attempts = self.attempts.besides(backend.id);
         let other = choose(&self.gateway, &self.inbound, &attempts, None);
         let other = other.map_err(|_| "nowhere_to_resume")?;
         let resumed = self.resume_at(&other).await;
         resumed.map_err(|_| "not_resumed_elsewhere")
     }
 
+    /// Moves the stream to another replica when its own has been silent for too long.
+    async fn look(&mut self, source: Source, sender: &BodySender) -> Result<Source, &'static str> {
+        let at = &source.backend;
+        let Some(other) = self.moves.look(&self.inbound, at, &self.attempts) else {
+            return Ok(source);
+        };
+        tokio::select! {
+            biased;
+            () = sender.gone() => Err("caller_gone"),
+            moved = self.move_to(source, other) => moved,
+        }
+    }
+
+    async fn move_to(&mut self, from: Source, mut to: Backend) -> Result<Source, &'static str> {
+        self.attempts.note_moved(&from.backend);
+        // Frees the former replica before another one goes on with the request.
+        drop(from);
+        self.splitter.clear();
+        self.extra.last_event_id.clone_from(&self.last_event_id);
+        loop {
+            self.moves.note_sent(&self.inbound, &self.attempts);
+            let failure = match self.resume_at(&to).await {
+                Ok(source) => return Ok(source),
+                Err(failure) => failure,
+            };
+            self.moves.note_failed(failure);
+            let verdict = self.attempts.note(&self.inbound, &to, failure);
+            verdict.map_err(|_| "not_moved")?;
+            let next = next_replica(&self.gateway, &self.inbound, &mut self.attempts, None);
+            to = next.await.map_err(|_| "nowhere_to_move")?;
+        }
+    }
+
     async fn resume_at(&self, backend: &Backend) -> Result<Source, Failure> {
         let answer = send(&self.gateway, &self.inbound, backend, &self.extra).await?;
         if !answer.response.status().is_success() {
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -4,6 +4,7 @@
 use crate::exchange::{Answer, Extra, send};
 use crate::failure::Failure;
 use crate::gateway::Gateway;
+use crate::hedging::Hedging;
 use crate::inbound::{Inbound, strip_hop_by_hop};
 use crate::refusal::Refusal;
 use bytes::Bytes;
@@ -14,10 +15,7 @@
 use luglink_fleet::Backend;
 use luglink_http::{Body, full_body};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-/// Times the latency that a route aims at after which a replica counts as stuck.
-const HEDGE_FACTOR: f64 = 1.5;
+use std::time::Instant;
 
 /// One send to one replica, from the choice to the whole answer.
 async fn attempt(
@@ -41,12 +39,27 @@
     (backend, result)
 }
 
+/// Serves a request with one whole answer.
+pub(crate) async fn serve(
+    gateway: &Rc<Gateway>,
+    inbound: &Inbound,
+) -> Result<Response<Body>, Refusal> {
+    let mut hedging = Hedging::begin(gateway, inbound);
+    let began = Instant::now();
+    let result = serve_hedged(gateway, inbound, &mut hedging).await;
+    if result.is_ok() {
+        hedging.note_answer(gateway, inbound, began.elapsed());
+    }
+    result
+}
+
 /// Serves a request with one whole answer. A replica that keeps a request which may be repeated
 /// for much longer than it should take does not hold it up: another one gets it too, within the
 /// number of replicas that the route allows, and the first whole answer counts.
-pub(crate) async fn serve(
+async fn serve_hedged(
     gateway: &Rc<Gateway>,
     inbound: &Inbound,
+    hedging: &mut Hedging,
 ) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::default();
     let mut under_way = FuturesUnordered::new();
@@ -59,7 +72,7 @@
         let may_hedge = attempts.may_hedge(inbound, under_way.len());
         let ended = tokio::select! {
             ended = under_way.next() => ended,
-            () = actix_rt::time::sleep(hedge_after(inbound)), if may_hedge => None,
+            () = actix_rt::time::sleep(hedging.pause(inbound)), if may_hedge => None,
         };
         match ended {
             Some((_, Ok(response))) if attempts.may_do_better(inbound, &response) => {
@@ -80,9 +93,10 @@
                     verdict?;
                 }
             }
+            None if !hedging.take(gateway, inbound) => {}
             None => {
                 if let Ok(backend) = choose(gateway, inbound, &attempts, None) {
-                    tracing::info!(id = inbound.id, replica = %backend.id, "a request is hedged");
+                    hedging.note_hedge(gateway, inbound, &backend);
                     attempts.tried.push(backend.id.clone());
                     under_way.push(attempt(gateway, inbound, backend));
                 }
@@ -92,12 +106,6 @@
     }
 }
 
-/// Time after which a request that may be repeated goes to another replica too.
-fn hedge_after(inbound: &Inbound) -> Duration {
-    let expected = inbound.route.target_latency().mul_f64(HEDGE_FACTOR);
-    expected.min(inbound.remaining() / 3)
-}
-
 /// Reads an answer to its end before anything of it is given on: one that is cut short must
 /// not reach the caller as a success.
 pub(crate) async fn whole(
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! A gateway in a whole fleet, before scripted replicas.
 
 mod metrics;
+mod moves;
 mod overload;
 mod placement;
 mod programs;
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -245,6 +245,7 @@
         keeps_history: false,
         retention_ms: 60_000,
         resumable: false,
+        gap_aim_ms: None,
         public: false,
     }
 }
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -48,6 +48,8 @@
     StreamEndsInside(usize),
     /// Sends five events, from after the one that the request names.
     Stream,
+    /// Sends so many whole events and then nothing.
+    StreamSilent(usize),
     /// Sends events without end.
     StreamEndless,
 }
@@ -229,6 +231,9 @@
                 let end = Some((*events, "da", "0\r\n\r\n"));
                 return self.stream(seen, stream, end).await;
             }
+            Script::StreamSilent(events) => {
+                return self.stream_silent(seen, stream, *events).await;
+            }
             Script::Stream => return self.stream(seen, stream, None).await,
             Script::StreamEndless => return self.stream_endless(seen, stream).await,
         };
@@ -274,6 +279,19 @@
         stream.write_all(text.as_bytes()).await.is_ok()
     }
 
+    async fn stream_silent(&self, seen: &Seen, stream: &mut TcpStream, events: usize) -> bool {
+        let mut text = self.stream_head(seen);
+        for number in 0..events {
+            text += &chunk(&event(number));
+        }
+        if stream.write_all(text.as_bytes()).await.is_ok() {
+            let mut rest = [0];
+            let _ = stream.read(&mut rest).await;
+        }
+        self.closed.set(self.closed.get() + 1);
+        false
+    }
+
     async fn stream_endless(&self, seen: &Seen, stream: &mut TcpStream) -> bool {
         let mut text = self.stream_head(seen);
         for number in 0.. {
