Choose replicas by when a request is expected to be finished

Cause: the cost of a replica is counted in shares of its slots, in which the prompt that it holds outweighs that its events come several times slower, so programs stay at slow replicas. Ruled out: a larger weight of the time to answers in the same cost; a gateway of a fleet has too few answers of each replica, and shares of slots say nothing of a wait. Change: the pool keeps the pauses between events, tells them and troubles to the zone, and chooses by expected time, drawing among near equals. Nothing uses it yet.

--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -6,16 +6,20 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod answer_lengths;
 mod features;
+mod finish;
 mod load_shedding;
 mod load_view;
 mod patience;
 mod placement;
 mod pool;
 
+pub use answer_lengths::AnswerLengths;
 pub use features::Features;
+pub use finish::{Expected, ReplicaState, SharedPart, Work, batch_factor, expect};
 pub use load_shedding::{Intake, LoadShedder};
 pub use load_view::{AgedSight, LoadView};
 pub use patience::{room_patience, room_pause, start_patience};
 pub use placement::{Placement, place};
-pub use pool::{Choice, Pool, Reach, Wish};
+pub use pool::{Choice, Grounds, Leaving, Pool, Reach, Wish};
--- /dev/null
+++ b/crates/scheduling/src/pool/held_parts.rs
@@ -0,0 +1,38 @@
+//! The shared parts of prompts that a replica has read lately.
+
+use luglink_types::Timestamp;
+use std::time::Duration;
+
+/// Time for which a part that is not used again is taken to be held. Parts that are unused longest
+/// give way first.
+const HELD_FOR: Duration = Duration::from_secs(10);
+
+/// Parts that are remembered of one replica.
+const REMEMBERED: usize = 16;
+
+/// The shared parts of prompts that a replica has read lately.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HeldParts(Vec<(u64, Timestamp)>);
+
+impl HeldParts {
+    pub(super) const NONE: Self = Self(Vec::new());
+
+    pub(super) fn note(&mut self, part: u64, now: Timestamp) {
+        if let Some(known) = self.0.iter_mut().find(|(id, _)| *id == part) {
+            known.1 = now;
+            return;
+        }
+        if self.0.len() >= REMEMBERED {
+            let oldest = (0..self.0.len()).min_by_key(|position| self.0[*position].1);
+            if let Some(oldest) = oldest {
+                self.0.swap_remove(oldest);
+            }
+        }
+        self.0.push((part, now));
+    }
+
+    pub(super) fn holds(&self, part: u64, now: Timestamp) -> bool {
+        let mut known = self.0.iter();
+        known.any(|(id, at)| *id == part && now.since(*at) < HELD_FOR)
+    }
+}
--- a/crates/scheduling/src/pool/mod.rs
+++ b/crates/scheduling/src/pool/mod.rs
@@ -5,15 +5,18 @@
 //! not, which are all alike to it. A program's home is one of its zone's working set, so many of
 //! the zone's replicas as the load needs, the same at all gateways.
 
+mod by_finish;
+mod held_parts;
 mod index;
 mod record;
+mod step_mean;
 mod working_set;
 
+use crate::finish::Work;
 use crate::load_view::LoadView;
+pub use by_finish::{Grounds, Leaving};
 use index::ServiceIndex;
-use luglink_fleet::{
-    Backend, BackendChanges, BackendId, GatewayLoad, ReplicaKey, ReplicaSight, Sights,
-};
+use luglink_fleet::{Backend, BackendChanges, BackendId, GatewayLoad, ReplicaKey, Sights};
 use luglink_types::Timestamp;
 use record::Record;
 use std::collections::{BTreeMap, HashMap};
@@ -46,6 +49,8 @@
     pub tried: &'request [BackendId],
     /// Breaks ties; differs between requests.
     pub draw: u64,
+    /// What it asks of a model engine, where that is known.
+    pub work: Option<Work>,
 }
 
 /// Where a program may begin.
@@ -66,6 +71,8 @@
     pub backend: Backend,
     /// Requests of this gateway that are at it.
     pub in_flight: u32,
+    /// What it went by, when it went by expected finish.
+    pub grounds: Option<Grounds>,
 }
 
 /// The replicas of all services.
@@ -78,6 +85,8 @@
     records: HashMap<BackendId, Record>,
     /// What all gateways of the zone saw of the replicas.
     view: LoadView,
+    /// Whether requests that say what they ask for are placed by expected finish.
+    by_finish: bool,
 }
 
 /// A replica that a request may go to, as this gateway sees it.
@@ -152,7 +161,7 @@
     fn candidate(&self, id: &BackendId) -> Option<Candidate<'_>> {
         Some(Candidate {
             backend: self.usable(id)?,
-            record: self.records.get(id).unwrap_or(&Record::UNUSED),
+            record: self.records.get(id).unwrap_or(&record::UNUSED),
         })
     }
 
@@ -183,6 +192,14 @@
             .iter()
             .copied()
             .filter(|candidate| candidate.record.ejected_until <= now);
+        let work = wish.work.as_ref().filter(|_| self.by_finish);
+        let soonest = work.and_then(|work| {
+            let sound = sound.clone().collect();
+            self.soonest(sound, work, wish, &is_connected, now)
+        });
+        if soonest.is_some() {
+            return soonest;
+        }
         let best = self.cheapest(sound, wish, is_connected, now).or_else(|| {
             let ejected = all.iter().copied();
             ejected.min_by_key(|candidate| candidate.record.ejected_until)
@@ -190,6 +207,7 @@
         Some(Choice {
             backend: best.backend.clone(),
             in_flight: best.record.in_flight,
+            grounds: None,
         })
     }
 
@@ -320,22 +338,18 @@
 
     /// What this gateway sees of the replicas that it uses, for the others of its zone.
     #[must_use]
-    pub fn sights(&self, _now: Timestamp) -> Sights {
+    pub fn sights(&self, now: Timestamp) -> Sights {
         let used = self.records.iter();
-        let busy = used.filter(|(_, record)| record.in_flight > 0);
-        Sights::sum([&Sights(
-            busy.map(|(id, record)| ReplicaSight {
-                replica: ReplicaKey::of(id),
-                in_flight_tenths: record.in_flight * 10,
-                ..ReplicaSight::default()
-            })
-            .collect(),
-        )])
+        let sights = used.filter_map(|(id, record)| record.sight(ReplicaKey::of(id), now));
+        Sights::sum([&Sights(sights.collect())])
     }
 
     /// Takes what all gateways of the zone saw together.
     pub fn take_view(&mut self, sights: &Sights, now: Timestamp) {
         self.view.take(sights, now);
+        for record in self.records.values_mut() {
+            record.in_flight_at_view = record.in_flight;
+        }
     }
 
     /// What is known of a replica, to be changed; `None` when it is not listed.
--- a/crates/scheduling/src/pool/record.rs
+++ b/crates/scheduling/src/pool/record.rs
@@ -1,5 +1,8 @@
 //! What a gateway has seen of one replica.
 
+use super::held_parts::HeldParts;
+use super::step_mean::{StepMean, faded};
+use luglink_fleet::{ReplicaKey, ReplicaSight};
 use luglink_types::Timestamp;
 use std::time::Duration;
 
@@ -24,6 +27,15 @@
 /// What is left of trouble that does not count any more.
 const FORGOTTEN_TROUBLE: f64 = 0.01;
 
+/// Time in which half of the troubles that the other gateways are told of is forgotten.
+const SIGHT_HALF_LIFE: Duration = Duration::from_secs(1);
+
+/// Troubles left from which a replica is told of to the other gateways.
+const WITNESSED: f64 = 0.2;
+
+/// Samples left from which a replica is told of to the other gateways.
+const MEASURED: f64 = 0.5;
+
 /// What a gateway has seen of one replica.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Record {
@@ -37,19 +49,31 @@
     troubled_at: Timestamp,
     /// Average time to the first sign of an answer, in milliseconds; 0 before the first sample.
     pub(super) answer_ms: f64,
+    /// Pauses between the events of its streams.
+    pub(super) steps: StepMean,
+    /// Requests that were at it when the view of the zone was taken, which counts them.
+    pub(super) in_flight_at_view: u32,
+    /// Shared parts of prompts that it has read for this gateway.
+    pub(super) parts: HeldParts,
+    /// Sends in trouble lately, as of `troubled_at`.
+    troubles: f64,
 }
 
-impl Record {
-    /// Of a replica that was not used.
-    pub(super) const UNUSED: Self = Self {
-        in_flight: 0,
-        failures: 0,
-        ejected_until: Timestamp::ZERO,
-        trouble: 0.0,
-        troubled_at: Timestamp::ZERO,
-        answer_ms: 0.0,
-    };
+/// Of a replica that was not used.
+pub(super) static UNUSED: Record = Record {
+    in_flight: 0,
+    failures: 0,
+    ejected_until: Timestamp::ZERO,
+    trouble: 0.0,
+    troubled_at: Timestamp::ZERO,
+    answer_ms: 0.0,
+    steps: StepMean::NONE,
+    in_flight_at_view: 0,
+    parts: HeldParts::NONE,
+    troubles: 0.0,
+};
 
+impl Record {
     /// Whether nothing is lost with it but how fast the replica answers.
     pub(super) fn is_idle(&self) -> bool {
         self.in_flight == 0 && self.failures == 0 && self.trouble < FORGOTTEN_TROUBLE
@@ -60,9 +84,34 @@
         if self.trouble == 0.0 {
             return 0.0;
         }
-        let half_lives =
-            now.since(self.troubled_at).as_secs_f64() / TROUBLE_HALF_LIFE.as_secs_f64();
-        self.trouble * 0.5_f64.powf(half_lives)
+        self.trouble * faded(now.since(self.troubled_at), TROUBLE_HALF_LIFE)
+    }
+
+    /// Sends in trouble lately, fading with time.
+    fn troubles_at(&self, now: Timestamp) -> f64 {
+        if self.troubles == 0.0 {
+            return 0.0;
+        }
+        self.troubles * faded(now.since(self.troubled_at), SIGHT_HALF_LIFE)
+    }
+
+    /// What the other gateways of the zone should know of the replica; `None` when it was not used
+    /// in the last moments.
+    pub(super) fn sight(&self, replica: ReplicaKey, now: Timestamp) -> Option<ReplicaSight> {
+        let samples = self.steps.weight_at(now);
+        let troubles = self.troubles_at(now);
+        let is_witness = troubles >= WITNESSED;
+        if self.in_flight == 0 && samples < MEASURED && !is_witness {
+            return None;
+        }
+        Some(ReplicaSight {
+            replica,
+            in_flight_tenths: self.in_flight * 10,
+            samples_tenths: (samples * 10.0).round() as u32,
+            step_micros: self.steps.micros().round() as u32,
+            troubles_tenths: (troubles * 10.0).round() as u32,
+            witnesses: u16::from(is_witness),
+        })
     }
 
     pub(super) fn succeeded(&mut self, time: Duration) {
@@ -79,6 +128,7 @@
 
     pub(super) fn troubled(&mut self, now: Timestamp) {
         let before = self.trouble_at(now);
+        self.troubles = self.troubles_at(now) + 1.0;
         self.trouble = before + TROUBLE_WEIGHT * (1.0 - before);
         self.troubled_at = now;
     }
