Let gateways choose engines by expected finish where the deployment calls for it

Cause: the pool can choose by expected time, and nothing tells it what a turn asks of an engine. Ruled out: a guess from the body's length alone; callers name the tokens of their prompts. Change: a gateway reads the prompt's parts and learns the lengths of answers, measures the pauses between events, and notes long silences in a stream. Programs whose prompts share a part begin at a bounded set of replicas. Metrics and a log line show what was expected.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -29,6 +29,9 @@
     pub token_budget: HeaderName,
     /// Tokens of the prompt and the most to be generated, parted by a comma.
     pub token_usage: HeaderName,
+    /// Parts of the prompt in order, parted by commas, each an identifier in hex, a colon and its
+    /// tokens. The last one is the request's own or its program's.
+    pub prompt_parts: HeaderName,
     /// Urgency at the replica; 0 comes first.
     pub priority: HeaderName,
     /// Last event that the receiver of a stream has.
--- a/crates/edge/src/own_dialect.rs
+++ b/crates/edge/src/own_dialect.rs
@@ -35,6 +35,7 @@
                 previous_turn: name("luglink-previous-turn"),
                 token_budget: name("luglink-token-budget"),
                 token_usage: name("luglink-token-usage"),
+                prompt_parts: name("luglink-prompt-parts"),
                 priority: name("luglink-priority"),
                 last_event_id: name("last-event-id"),
                 retry_after: http::header::RETRY_AFTER,
--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -8,8 +8,9 @@
 use luglink_edge::{Retryable, RouteKind};
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::Body;
-use luglink_scheduling::{Wish, room_patience, room_pause};
+use luglink_scheduling::{Choice, Expected, Grounds, Wish, Work, room_patience, room_pause};
 use luglink_telemetry::milliseconds;
+use std::cell::Cell;
 
 /// How often a request is sent at the most, declined sends included.
 const MAX_SENDS: usize = 12;
@@ -24,6 +25,10 @@
     pub(crate) has_hedged: bool,
     /// Those of `tried` that had no room for it. They have not run it, and may have room later.
     full: Vec<BackendId>,
+    /// What the request asks of an engine, where replicas are chosen by expected finish.
+    pub(crate) work: Option<Work>,
+    /// What was expected of the replica that was chosen last.
+    pub(crate) expected: Cell<Option<Expected>>,
     /// Pauses so far in which the request waited for room.
     pauses: u32,
 }
@@ -37,6 +42,11 @@
         }
     }
 
+    /// For a request that asks this of an engine.
+    pub(crate) fn with_work(self, work: Option<Work>) -> Self {
+        Self { work, ..self }
+    }
+
     /// Notes a failure. Returns what to answer when the request may not be sent again.
     pub(crate) fn note(
         &mut self,
@@ -141,8 +151,9 @@
         cached_at,
         tried: &attempts.tried,
         draw: gateway.draw(),
+        work: attempts.work,
     };
-    gateway
+    let choice = gateway
         .pool
         .borrow()
         .choose(
@@ -150,8 +161,30 @@
             |replica| gateway.upstream.has_resting(replica),
             gateway.now(),
         )
-        .map(|choice| choice.backend)
-        .ok_or_else(|| attempts.nowhere("no replica can take the request"))
+        .ok_or_else(|| attempts.nowhere("no replica can take the request"))?;
+    let grounds = choice.grounds.as_ref();
+    attempts
+        .expected
+        .set(grounds.map(|grounds| grounds.expected));
+    if let Some(grounds) = grounds {
+        log_leaving(inbound, &choice, grounds);
+    }
+    Ok(choice.backend)
+}
+
+fn log_leaving(inbound: &Inbound, choice: &Choice, grounds: &Grounds) {
+    let Some(leaving) = &grounds.leaving else {
+        return;
+    };
+    tracing::info!(
+        id = inbound.id,
+        from = %leaving.from,
+        from_ms = milliseconds(leaving.expected.finish()),
+        to = %choice.backend.id,
+        to_ms = milliseconds(grounds.expected.finish()),
+        view_age_ms = milliseconds(grounds.view_age),
+        "a turn leaves the replica that holds its prompt"
+    );
 }
 
 /// Chooses a replica that has not been tried. When all that are left had no room, the request
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -8,7 +8,7 @@
 use crate::upstream::Upstream;
 use luglink_edge::{Configuration, Dialect, KeyRing, RoutingTable, Service, SplitDraws};
 use luglink_fleet::ListCopy;
-use luglink_scheduling::{LoadShedder, Pool};
+use luglink_scheduling::{AnswerLengths, LoadShedder, Pool};
 use luglink_types::Timestamp;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -39,6 +39,8 @@
     /// Lets new programs in.
     pub(crate) shedder: RefCell<LoadShedder>,
     pub(crate) pool: RefCell<Pool>,
+    /// Events of the answers of each route.
+    pub(crate) answer_lengths: RefCell<AnswerLengths>,
     /// The list that the pool shows.
     pub(crate) list: RefCell<ListCopy>,
     /// Gateways that share the replicas' connections and the platform's calls; 0 before a member
@@ -79,6 +81,7 @@
             list: RefCell::default(),
             splits: RefCell::default(),
             shedder: RefCell::default(),
+            answer_lengths: RefCell::default(),
             config,
             dialect,
             metrics,
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use luglink_edge::{Caller, Route, RouteKind, UnknownKey};
+use luglink_scheduling::PromptParts;
 use luglink_turns::{ProgramName, TurnId};
 use luglink_types::TenantName;
 use std::rc::Rc;
@@ -49,6 +50,8 @@
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
     pub(crate) program: Option<ProgramFields>,
+    /// What its caller says of its prompt.
+    pub(crate) prompt: Option<PromptParts>,
     pub(crate) arrived: Instant,
     /// When nobody wants an answer any more.
     pub(crate) deadline: Instant,
@@ -134,6 +137,10 @@
     let deadline = arrived + patience;
     let body = read_body(gateway, in_force, incoming, deadline).await?;
     let program = program_fields(gateway, &caller, &head);
+    let prompt = PromptParts::read(
+        text(&head.headers, &headers.token_usage),
+        text(&head.headers, &headers.prompt_parts),
+    );
     let program_hash = program
         .as_ref()
         .map(|program| xxhash_rust::xxh3::xxh3_64(program.name.0.as_bytes()));
@@ -154,6 +161,7 @@
         head,
         body,
         program,
+        prompt,
         arrived,
         deadline,
         draw,
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -28,6 +28,7 @@
 mod turn_client;
 mod unary;
 mod upstream;
+mod work;
 
 pub use config::GatewayConfig;
 pub use errors::GatewayError;
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -20,6 +20,10 @@
     pub(crate) list_reads: IntCounter,
     /// Time to a whole answer, or to the first event of a stream.
     pub(crate) answer_seconds: Histogram,
+    /// By how much the time to a first event differed from what was expected.
+    pub(crate) expectation_error_seconds: Histogram,
+    /// Time to a first event that was expected.
+    pub(crate) expected_seconds: Histogram,
     /// Time for the turn stores to note a turn's beginning.
     pub(crate) reserve_seconds: Histogram,
     /// Time for the turn stores to keep a turn.
@@ -44,6 +48,12 @@
             connects: registry.counter("connects_total", "New connections to replicas")?,
             list_reads: registry.counter("list_reads_total", "Looks at the platform's list")?,
             answer_seconds: registry.seconds("answer_seconds", "Time to an answer")?,
+            expectation_error_seconds: registry.seconds(
+                "expectation_error_seconds",
+                "Difference between the expected and the measured time to a first event",
+            )?,
+            expected_seconds: registry
+                .seconds("expected_seconds", "Expected time to a first event")?,
             reserve_seconds: registry.seconds("reserve_seconds", "Time to reserve tokens")?,
             keep_seconds: registry.seconds("keep_seconds", "Time to keep a turn")?,
             unknown_keys: registry.labelled_counter(
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -95,6 +95,8 @@
                 self.metrics.version.set(document.version as f64);
                 self.splits.borrow_mut().keep_only(&configuration);
                 self.shedder.borrow_mut().keep_only(&configuration);
+                let by_finish = self.config.features.expected_finish(&configuration);
+                self.pool.borrow_mut().set_expected_finish(by_finish);
                 let table = RoutingTable::new(&configuration);
                 let keys = KeyRing::new(&configuration);
                 *self.in_force.borrow_mut() = Some(Rc::new(InForce {
--- a/crates/gateway-server/src/placement.rs
+++ b/crates/gateway-server/src/placement.rs
@@ -9,13 +9,14 @@
 use crate::gateway::Gateway;
 use crate::inbound::Inbound;
 use crate::refusal::Refusal;
+use crate::work;
 use futures_util::future::join_all;
 use http::{HeaderValue, Request, Uri, header};
 use http_body_util::{BodyExt, Limited};
 use luglink_edge::ReplicaReport;
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::empty_body;
-use luglink_scheduling::{Placement, Reach, place};
+use luglink_scheduling::{Placement, Reach, Work, place, place_soonest};
 use luglink_telemetry::milliseconds;
 use std::time::Duration;
 
@@ -52,7 +53,8 @@
     if limit <= 0.0 || has_engine != Some(true) {
         return Ok(None);
     }
-    let (mut candidates, mut fullness) = look_at(gateway, inbound, Reach::Home).await;
+    let work = work::of_first_turn(gateway, inbound).filter(|_| remembers_place(inbound));
+    let (mut candidates, mut fullness) = look_home(gateway, inbound, work.as_ref()).await;
     if are_busy(&fullness) {
         let (spare, their_fullness) = look_at(gateway, inbound, Reach::Spare).await;
         candidates.extend(spare);
@@ -66,7 +68,14 @@
         fullness.extend(their_fullness.map(|known| Some(known? + ELSEWHERE_COST)));
     }
     let spread = (gateway.draw() >> 32) as f64 / f64::from(u32::MAX);
-    match place(&fullness, limit, spread) {
+    let placement = match &work {
+        None => place(&fullness, limit, spread),
+        Some(work) => {
+            let seconds = expected_seconds(gateway, &candidates, work);
+            place_soonest(&fullness, &seconds, LEAVES_AT, limit, spread)
+        }
+    };
+    match placement {
         Placement::At(position) => Ok(candidates.get(position).map(|backend| backend.id.clone())),
         Placement::Refuse {
             fullness,
@@ -88,12 +97,47 @@
     }
 }
 
+/// Whether the stores say at the program's later turns where it began. Those of other programs
+/// go where all gateways agree on.
+fn remembers_place(inbound: &Inbound) -> bool {
+    let program = inbound.program.as_ref();
+    let has_budget = program.is_some_and(|program| program.budget.is_some());
+    has_budget || inbound.route.keeps_history
+}
+
+fn expected_seconds(gateway: &Gateway, candidates: &[Backend], work: &Work) -> Vec<f64> {
+    let now = gateway.now();
+    let pool = gateway.pool.borrow();
+    let seconds = candidates.iter().map(|backend| {
+        let expected = pool.expected_at(&backend.id, work, now);
+        expected.map_or(f64::INFINITY, |expected| expected.finish_seconds)
+    });
+    seconds.collect()
+}
+
 /// Whether no candidate is known to have room to spare.
 fn are_busy(fullness: &[Option<f64>]) -> bool {
     let is_busy = |known: &Option<f64>| known.is_none_or(|known| known >= LEAVES_AT);
     fullness.iter().all(is_busy)
 }
 
+/// Looks at the candidates for a program's home, and tells how full they are.
+async fn look_home(
+    gateway: &Gateway,
+    inbound: &Inbound,
+    work: Option<&Work>,
+) -> (Vec<Backend>, Vec<Option<f64>>) {
+    let Some(work) = work else {
+        return look_at(gateway, inbound, Reach::Home).await;
+    };
+    let candidates = {
+        let pool = gateway.pool.borrow();
+        let (service, now) = (&inbound.service, gateway.now());
+        pool.candidates_by_finish(service, inbound.draw, work, CANDIDATES, now)
+    };
+    look_at_each(gateway, candidates).await
+}
+
 /// Looks at the candidates of a reach, and tells how full they are.
 async fn look_at(
     gateway: &Gateway,
@@ -105,6 +149,13 @@
         let service = &inbound.service;
         pool.candidates(service, inbound.draw, reach, CANDIDATES, gateway.now())
     };
+    look_at_each(gateway, candidates).await
+}
+
+async fn look_at_each(
+    gateway: &Gateway,
+    candidates: Vec<Backend>,
+) -> (Vec<Backend>, Vec<Option<f64>>) {
     let looks = candidates.iter().map(|backend| look(gateway, backend));
     let fullness = join_all(looks).await;
     (candidates, fullness)
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -10,6 +10,7 @@
 use crate::refusal::Refusal;
 use crate::unary::whole;
 use crate::upstream::Lease;
+use crate::work;
 use bytes::Bytes;
 use http::{HeaderMap, Response, header};
 use http_body_util::BodyExt;
@@ -17,6 +18,7 @@
 use luglink_edge::{EventSplitter, Service, StreamEvent};
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::{Body, BodySender, stream_body};
+use luglink_scheduling::{Expected, Work};
 use luglink_telemetry::milliseconds;
 use luglink_turns::TurnRecord;
 use std::rc::Rc;
@@ -28,6 +30,10 @@
 /// Pause before a stream goes on at the replica that broke it off.
 const RESUMPTION_PAUSE: Duration = Duration::from_millis(10);
 
+/// Silence between events after which, and between which, a replica counts as in trouble. Shorter
+/// ones happen where a request is read again.
+const SILENCE: Duration = Duration::from_secs(1);
+
 /// Serves a streaming request. The answer's events are passed on by a task of their own.
 pub(crate) async fn serve(
     gateway: &Rc<Gateway>,
@@ -40,7 +46,8 @@
         last_event_id: None,
     };
     let wait = FirstEventWait::begin(gateway, &inbound);
-    let mut attempts = Attempts::default();
+    let work = work::of_turn(gateway, &inbound, &start);
+    let mut attempts = Attempts::default().with_work(work);
     let cached_at = cached_at(gateway, &inbound, &start);
     let answer = loop {
         let backend = next_replica(gateway, &inbound, &mut attempts, cached_at.as_ref()).await?;
@@ -53,10 +60,27 @@
             Err(failure) => attempts.note(&inbound, &backend, failure)?,
         }
     };
-    let waited = Waited { start, extra, wait };
+    note_shared_part(gateway, work.as_ref(), &answer.backend);
+    let expected = attempts.expected.take();
+    let waited = Waited {
+        start,
+        extra,
+        wait,
+        work,
+        // What was expected counts from the only send.
+        expected: expected.filter(|_| attempts.tried.is_empty()),
+    };
     Ok(relay(gateway, inbound, in_flight, waited, answer))
 }
 
+fn note_shared_part(gateway: &Gateway, work: Option<&Work>, backend: &Backend) {
+    let Some(part) = work.and_then(|work| work.shared) else {
+        return;
+    };
+    let mut pool = gateway.pool.borrow_mut();
+    pool.note_shared_part(&backend.id, part.id, gateway.now());
+}
+
 /// The replica that holds the prompt's beginning: the one that served the turn before, or the
 /// one that all gateways agree on for this program.
 fn cached_at(gateway: &Gateway, inbound: &Inbound, start: &TurnStart) -> Option<BackendId> {
@@ -72,6 +96,8 @@
     start: TurnStart,
     extra: Extra,
     wait: FirstEventWait,
+    work: Option<Work>,
+    expected: Option<Expected>,
 }
 
 fn relay(
@@ -93,6 +119,9 @@
         start: waited.start,
         extra: waited.extra,
         wait: waited.wait,
+        work: waited.work,
+        expected: waited.expected,
+        event_at: None,
         tokens_per_event,
         splitter: EventSplitter::default(),
         output: Vec::new(),
@@ -135,6 +164,7 @@
     Part(Bytes),
     End,
     Broken(&'static str),
+    Silent,
     CallerGone,
     OutOfTime,
 }
@@ -146,6 +176,11 @@
     start: TurnStart,
     extra: Extra,
     wait: FirstEventWait,
+    work: Option<Work>,
+    /// What was expected of its replica.
+    expected: Option<Expected>,
+    /// When the last event came, since the stream began or went on.
+    event_at: Option<Instant>,
     tokens_per_event: u64,
     splitter: EventSplitter,
     /// The answer as later prompts repeat it.
@@ -188,6 +223,7 @@
                     Ok(next) => source = next,
                     Err(reason) => break self.finish_log(reason),
                 },
+                Step::Silent => self.note_silence(&source),
                 Step::CallerGone => break self.finish_log("caller_gone"),
                 Step::OutOfTime => break self.finish_log("out_of_time"),
             }
@@ -209,10 +245,48 @@
                 }
                 None => Step::End,
             },
-            () = actix_rt::time::sleep(left) => Step::OutOfTime,
+            () = actix_rt::time::sleep(left.min(SILENCE)) => {
+                if self.inbound.remaining().is_zero() {
+                    Step::OutOfTime
+                } else {
+                    Step::Silent
+                }
+            }
         }
     }
 
+    /// Lets others go elsewhere while a replica keeps this stream.
+    fn note_silence(&self, source: &Source) {
+        if self.work.is_none() {
+            return;
+        }
+        let now = self.gateway.now();
+        self.gateway
+            .pool
+            .borrow_mut()
+            .troubled(&source.backend.id, now);
+    }
+
+    /// Notes the pause before an event that has just come.
+    fn note_pause(&mut self, source: &Source) {
+        let at = Instant::now();
+        if let Some(before) = self.event_at.replace(at) {
+            let mut pool = self.gateway.pool.borrow_mut();
+            pool.note_step(&source.backend.id, at - before, self.gateway.now());
+        }
+    }
+
+    fn note_expected(&self, measured: Duration) {
+        let Some(expected) = &self.expected else {
+            return;
+        };
+        let expected = expected.first_event();
+        let metrics = &self.gateway.metrics;
+        metrics.expected_seconds.observe(expected.as_secs_f64());
+        let error = expected.abs_diff(measured).as_secs_f64();
+        metrics.expectation_error_seconds.observe(error);
+    }
+
     /// Passes whole events on. Returns false when the caller has left.
     async fn pass_events_on(&mut self, source: &Source, sender: &BodySender) -> bool {
         let mut together = Vec::new();
@@ -229,6 +303,7 @@
         }
         let Some(data) = &event.data else { return };
         self.events += 1;
+        self.note_pause(source);
         if let Some(reservation) = &self.start.reservation {
             reservation.give(self.tokens_per_event);
         }
@@ -237,6 +312,7 @@
             self.output.push(b'\n');
         }
         if let Some(time) = self.wait.over() {
+            self.note_expected(time);
             if let Some(reservation) = &self.start.reservation {
                 reservation.note_replica(&source.backend.id);
             }
@@ -251,6 +327,8 @@
             return "not_kept";
         }
         sender.finish();
+        let mut lengths = self.gateway.answer_lengths.borrow_mut();
+        lengths.note(&self.inbound.route.name, self.events);
         "complete"
     }
 
@@ -307,6 +385,7 @@
         let backend = broken.backend.clone();
         drop(broken);
         self.splitter.clear();
+        self.event_at = None;
         if !self.inbound.route.resumable || self.resumptions >= MAX_RESUMPTIONS {
             let mut pool = self.gateway.pool.borrow_mut();
             pool.failed(&backend.id, self.gateway.now());
@@ -331,7 +410,7 @@
         if !is_gone {
             return Err("not_resumed");
         }
-        let attempts = Attempts::besides(backend.id);
+        let attempts = Attempts::besides(backend.id).with_work(self.work);
         let other = choose(&self.gateway, &self.inbound, &attempts, None);
         let other = other.map_err(|_| "nowhere_to_resume")?;
         let resumed = self.resume_at(&other).await;
--- a/crates/scheduling/src/finish.rs
+++ b/crates/scheduling/src/finish.rs
@@ -16,7 +16,7 @@
 
 /// Time that a send which fails, or keeps silent, costs its program: until that is noticed, and
 /// until the turn has been read elsewhere.
-const FAILED_SEND_SECONDS: f64 = 3.0;
+const FAILED_SEND_SECONDS: f64 = 2.0;
 
 /// Share of the time for events by which a replica in another zone counts as slower: its load is
 /// less well known here, and each of the program's later turns crosses zones too.
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -14,6 +14,7 @@
 mod patience;
 mod placement;
 mod pool;
+mod prompt_parts;
 
 pub use answer_lengths::AnswerLengths;
 pub use features::Features;
@@ -21,5 +22,6 @@
 pub use load_shedding::{Intake, LoadShedder};
 pub use load_view::{AgedSight, LoadView};
 pub use patience::{room_patience, room_pause, start_patience};
-pub use placement::{Placement, place};
+pub use placement::{Placement, place, place_soonest};
 pub use pool::{Choice, Grounds, Leaving, Pool, Reach, Wish};
+pub use prompt_parts::PromptParts;
--- a/crates/scheduling/src/placement.rs
+++ b/crates/scheduling/src/placement.rs
@@ -20,6 +20,9 @@
 /// it has.
 const ROOM_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Fullness above the emptiest candidate's up to which another one may be the better.
+const NEARLY_AS_EMPTY: f64 = 0.1;
+
 /// Chooses the emptier of two candidates ("the power of two choices", Mitzenmacher 2001): it
 /// keeps replicas even without a view of all of them. `fullness` has an entry for each candidate,
 /// `None` for one that did not say; `limit` is the fullness from which a replica takes no new
@@ -41,3 +44,27 @@
         },
     }
 }
+
+/// Chooses the candidate at which a program is expected to be finished soonest, among those that
+/// are less full than `open_below` and not much fuller than the emptiest. `seconds` has an entry
+/// for each candidate, in the order of `fullness`. Everything else is as with [`place`]: fullness
+/// also tells of the memory, which the time does not.
+#[must_use]
+pub fn place_soonest(
+    fullness: &[Option<f64>],
+    seconds: &[f64],
+    open_below: f64,
+    limit: f64,
+    spread: f64,
+) -> Placement {
+    let known = || fullness.iter().flatten();
+    let least = known().copied().min_by(f64::total_cmp).unwrap_or(0.0);
+    let below = open_below.max(least + NEARLY_AS_EMPTY).min(limit);
+    let open = fullness.iter().zip(seconds).enumerate();
+    let open = open.filter(|(_, (fullness, _))| fullness.is_some_and(|known| known < below));
+    let soonest = open.min_by(|(_, left), (_, right)| left.1.total_cmp(right.1));
+    match soonest {
+        Some((position, _)) => Placement::At(position),
+        None => place(fullness, limit, spread),
+    }
+}
--- a/crates/scheduling/src/pool/by_finish.rs
+++ b/crates/scheduling/src/pool/by_finish.rs
@@ -107,6 +107,12 @@
         self.by_finish = is_on;
     }
 
+    /// Whether replicas are chosen by expected finish.
+    #[must_use]
+    pub fn goes_by_finish(&self) -> bool {
+        self.by_finish
+    }
+
     /// Notes the pause between two events of a replica's stream.
     pub fn note_step(&mut self, id: &BackendId, pause: Duration, now: Timestamp) {
         if let Some(record) = self.records.get_mut(id) {
--- /dev/null
+++ b/crates/scheduling/src/prompt_parts.rs
@@ -0,0 +1,59 @@
+//! What callers say of their prompts.
+
+use crate::finish::SharedPart;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Parts that are read at the most: callers write the header.
+const MAX_PARTS: usize = 64;
+
+/// What a caller says of a prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PromptParts {
+    /// Tokens of the whole prompt.
+    pub tokens: u32,
+    /// What it shares with prompts of other programs.
+    pub shared: Option<SharedPart>,
+}
+
+impl PromptParts {
+    /// Reads `usage`, "prompt tokens,most out", and `parts`, "ID:TOKENS,ID:TOKENS" with the
+    /// identifiers in hex and the part that is not shared last. `None` when neither tells the
+    /// prompt's length. Parts that cannot be read count as not shared, and so do those after them.
+    #[must_use]
+    pub fn read(usage: Option<&str>, parts: Option<&str>) -> Option<Self> {
+        let tokens = usage.and_then(|usage| usage.split(',').next()?.trim().parse().ok());
+        let parts: Vec<(u64, u32)> = parts
+            .unwrap_or_default()
+            .split(',')
+            .take(MAX_PARTS)
+            .map_while(read_part)
+            .collect();
+        let sum = parts
+            .iter()
+            .fold(0_u32, |sum, (_, tokens)| sum.saturating_add(*tokens));
+        let tokens = tokens.or((sum > 0).then_some(sum))?;
+        let shared = parts.split_last().map(|(_, shared)| shared);
+        let shared = shared.filter(|shared| !shared.is_empty());
+        Some(Self {
+            tokens,
+            shared: shared.map(together),
+        })
+    }
+}
+
+fn read_part(part: &str) -> Option<(u64, u32)> {
+    let (id, tokens) = part.trim().split_once(':')?;
+    let id = u64::from_str_radix(id, 16).ok()?;
+    Some((id, tokens.parse().ok()?))
+}
+
+/// A part is only held where all before it are held too.
+fn together(parts: &[(u64, u32)]) -> SharedPart {
+    let nothing = SharedPart { id: 0, tokens: 0 };
+    parts
+        .iter()
+        .fold(nothing, |before, (id, tokens)| SharedPart {
+            id: xxh3_64_with_seed(&id.to_le_bytes(), before.id),
+            tokens: before.tokens.saturating_add(*tokens),
+        })
+}
