--- a/crates/scheduling/src/pool/by_finish.rs
+++ b/crates/scheduling/src/pool/by_finish.rs
@@ -12,14 +12,19 @@
 use luglink_types::Timestamp;
 use std::time::Duration;
 
-/// Share of the least cost within which replicas count as equal. Gateways that hold the same stale
-/// view draw among these, so that they do not all send to the one that looks best.
-const NEAR_EQUAL: f64 = 1.10;
+/// How much seldomer a replica is drawn that costs more than the least: between two views many
+/// requests of many gateways are placed by the same figures, and were each to go to the replica
+/// that looks best, all would meet there. One within a tenth of the least is drawn half as often as
+/// the best or more, one at twice the cost next to never.
+const SHARPNESS: i32 = 5;
 
-/// Share of the least cost up to which a turn stays at the replica that holds its prompt: reading
-/// it elsewhere also holds up the requests that run there, and the least of many estimates is
-/// lower than what it stands for.
-const KEEPS_PROMPT: f64 = 1.25;
+/// Share by which a replica that must read a shared part has to be better than one that holds it.
+const PART_WORTH: f64 = 1.0;
+
+/// Times what another replica would cost up to which a turn stays at the one that holds its prompt.
+/// Reading it elsewhere also holds up the requests that run there, and makes others leave in turn;
+/// a replica that has turned slow or silent costs more than this within a second.
+const KEEPS_PROMPT: f64 = 2.0;
 
 /// Times what its speed earns that a replica may have of the requests while others have less.
 const LOAD_BOUND: f64 = 1.25;
@@ -48,7 +53,7 @@
 const VIEW_HALF_LIFE: Duration = Duration::from_secs(1);
 
 /// One in so many of a zone's replicas gets the programs whose prompts begin with the same part.
-const SHARED_PART_SPREAD: usize = 4;
+const SHARED_PART_SPREAD: usize = 2;
 
 /// Fewest replicas for a shared part: one may be slow and one gone.
 const LEAST_PART_HOMES: usize = 3;
@@ -130,18 +135,17 @@
     /// When `work` is expected to be finished at a replica; `None` when it may not get it.
     #[must_use]
     pub fn expected_at(&self, id: &BackendId, work: &Work, now: Timestamp) -> Option<Expected> {
-        let wish = Wish {
-            work: Some(*work),
-            ..Wish::default()
-        };
+        self.weighed_at(id, work, now)
+            .map(|weighed| weighed.expected)
+    }
+
+    fn weighed_at(&self, id: &BackendId, work: &Work, now: Timestamp) -> Option<Weighed<'_>> {
         let candidate = self.candidate(id)?;
         let service = self.services.get(&candidate.backend.service)?;
         let mut all: Vec<Candidate<'_>> = self.used_of(service).collect();
         all.retain(|other| other.backend.id != *id);
         all.push(candidate);
-        self.weigh(all, work, &wish, now)
-            .pop()
-            .map(|weighed| weighed.expected)
+        self.weigh(all, work, &Wish::default(), now).pop()
     }
 
     fn used_of<'pool>(
@@ -165,19 +169,13 @@
             .iter()
             .find(|weighed| wish.cached_at == Some(&weighed.candidate.backend.id));
         let any_has_room = weighed.iter().any(|weighed| weighed.has_room);
-        let mut open: Vec<&Weighed<'_>> = weighed
+        let open: Vec<&Weighed<'_>> = weighed
             .iter()
             .filter(|weighed| weighed.has_room || !any_has_room)
             .collect();
-        open.sort_by(|left, right| cost(left).total_cmp(&cost(right)));
-        let least = cost(open.first()?);
-        let stays = holder.filter(|holder| {
-            (holder.has_room || !any_has_room) && cost(holder) <= least * KEEPS_PROMPT
-        });
-        let chosen = match stays {
-            Some(holder) => holder,
-            None => draw(&open, least, wish, is_connected)?,
-        };
+        let drawn = draw(&open, wish, is_connected)?;
+        let stays = holder.filter(|holder| cost(holder) <= cost(drawn) * KEEPS_PROMPT);
+        let chosen = stays.unwrap_or(drawn);
         let leaving = holder
             .filter(|holder| holder.candidate.backend.id != chosen.candidate.backend.id)
             .map(|holder| Leaving {
@@ -223,7 +221,7 @@
                 Weighed {
                     candidate,
                     expected: expect(work, &state),
-                    has_room: state.requests + 1.0 <= most.ceil(),
+                    has_room: state.requests + 1.0 <= most,
                 }
             })
             .collect()
@@ -321,17 +319,16 @@
             prompt_tokens: work.prompt_tokens.saturating_sub(part.tokens),
             ..reading
         };
-        let soonest = |backend: &Backend, work: &Work| {
-            let expected = self.expected_at(&backend.id, work, now);
-            expected.map_or(f64::INFINITY, |expected| expected.finish_seconds)
+        let weigh = |backend: Backend, work: &Work, worth: f64| {
+            let weighed = self.weighed_at(&backend.id, work, now)?;
+            Some((!weighed.has_room, cost(&weighed) * worth, backend))
         };
-        let mut drawn: Vec<(f64, Backend)> = of_part
-            .map(|backend| (soonest(&backend, &held), backend))
-            .chain(elsewhere.map(|backend| (soonest(&backend, &reading) * NEAR_EQUAL, backend)))
-            .collect();
-        drawn.sort_by(|left, right| left.0.total_cmp(&right.0));
+        let of_part = of_part.filter_map(|backend| weigh(backend, &held, 1.0));
+        let elsewhere = elsewhere.filter_map(|backend| weigh(backend, &reading, PART_WORTH));
+        let mut drawn: Vec<(bool, f64, Backend)> = of_part.chain(elsewhere).collect();
+        drawn.sort_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
         let drawn = drawn.into_iter().take(count);
-        drawn.map(|(_, backend)| backend).collect()
+        drawn.map(|(_, _, backend)| backend).collect()
     }
 }
 
@@ -345,30 +342,35 @@
     weighed.expected.finish_seconds
 }
 
-/// One of those that cost nearly the least, of which one with a connection at rest comes first.
+/// One of the candidates, those that cost less more often; near equals much alike.
 fn draw<'weighed, 'pool>(
     open: &[&'weighed Weighed<'pool>],
-    least: f64,
     wish: &Wish<'_>,
     is_connected: impl Fn(&BackendId) -> bool,
 ) -> Option<&'weighed Weighed<'pool>> {
-    let equal = |weighed: &&&Weighed<'_>| cost(weighed) <= least * NEAR_EQUAL;
-    let rank =
-        |weighed: &&'weighed Weighed<'pool>| home_rank(&weighed.candidate.backend.id, wish.draw);
-    let drawn = *open.iter().filter(equal).max_by_key(|each| rank(each))?;
+    let least = open.iter().map(|weighed| cost(weighed));
+    let least = least.min_by(f64::total_cmp)?;
+    let lot = |weighed: &&Weighed<'_>| lot(weighed, least, wish);
+    let drawn = *open
+        .iter()
+        .min_by(|left, right| lot(left).total_cmp(&lot(right)))?;
     if is_connected(&drawn.candidate.backend.id) {
         return Some(drawn);
     }
-    // A second draw, so that a connection is opened only where it is worth it.
-    let connected = open.iter().filter(equal).filter(|weighed| {
-        let limit = drawn.expected.after_connecting().finish_seconds;
-        cost(weighed) <= limit && is_connected(&weighed.candidate.backend.id)
-    });
-    Some(
-        connected
-            .max_by_key(|each| rank(each))
-            .map_or(drawn, |each| *each),
-    )
+    // One that is no worse with a connection at rest spares opening one.
+    let limit = drawn.expected.after_connecting().finish_seconds;
+    let mut nearly = open.iter().filter(|weighed| cost(weighed) <= limit);
+    let connected = nearly.find(|weighed| is_connected(&weighed.candidate.backend.id));
+    Some(connected.map_or(drawn, |connected| *connected))
+}
+
+/// What a replica draws: the least lot wins, with a chance in proportion to the replica's weight.
+/// Different for each request.
+fn lot(weighed: &Weighed<'_>, least: f64, wish: &Wish<'_>) -> f64 {
+    let hash = home_rank(&weighed.candidate.backend.id, wish.draw);
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    let weight = (least / cost(weighed)).powi(SHARPNESS);
+    -uniform.ln() / weight
 }
 
 fn tokens_to_read(
