Merge placement by expected finish and moves

Conflicts: both read what callers say of their prompts; the prompt's tokens stand once, in PromptParts. A look at another replica leaves what was expected of the chosen one alone.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -32,6 +32,9 @@
     pub token_usage: HeaderName,
     /// Time until a request's program should be over, in milliseconds.
     pub program_deadline_ms: HeaderName,
+    /// Parts of the prompt in order, parted by commas, each an identifier in hex, a colon and its
+    /// tokens. The last one is the request's own or its program's.
+    pub prompt_parts: HeaderName,
     /// Urgency at the replica; 0 comes first.
     pub priority: HeaderName,
     /// Last event that the receiver of a stream has.
--- a/crates/edge/src/own_dialect.rs
+++ b/crates/edge/src/own_dialect.rs
@@ -37,6 +37,7 @@
                 token_budget: name("luglink-token-budget"),
                 token_usage: name("luglink-token-usage"),
                 program_deadline_ms: name("luglink-program-deadline-ms"),
+                prompt_parts: name("luglink-prompt-parts"),
                 priority: name("luglink-priority"),
                 last_event_id: name("last-event-id"),
                 retry_after: http::header::RETRY_AFTER,
--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -8,8 +8,9 @@
 use luglink_edge::{Retryable, RouteKind};
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::Body;
-use luglink_scheduling::{Wish, room_patience, room_pause};
+use luglink_scheduling::{Choice, Expected, Grounds, Wish, Work, room_patience, room_pause};
 use luglink_telemetry::milliseconds;
+use std::cell::Cell;
 
 /// How often a request is sent at the most, declined sends included.
 const MAX_SENDS: usize = 12;
@@ -26,6 +27,10 @@
     full: Vec<BackendId>,
     /// Those of `tried` from which the request was taken away.
     moved_from: Vec<BackendId>,
+    /// What the request asks of an engine, where replicas are chosen by expected finish.
+    pub(crate) work: Option<Work>,
+    /// What was expected of the replica that was chosen last.
+    pub(crate) expected: Cell<Option<Expected>>,
     /// Pauses so far in which the request waited for room.
     pauses: u32,
 }
@@ -55,6 +60,11 @@
         self.runs += 1;
     }
 
+    /// For a request that asks this of an engine.
+    pub(crate) fn with_work(self, work: Option<Work>) -> Self {
+        Self { work, ..self }
+    }
+
     /// Notes a failure. Returns what to answer when the request may not be sent again.
     pub(crate) fn note(
         &mut self,
@@ -154,29 +164,53 @@
     attempts: &Attempts,
     cached_at: Option<&BackendId>,
 ) -> Result<Backend, Refusal> {
-    choose_besides(gateway, inbound, &attempts.tried, cached_at)
-        .ok_or_else(|| attempts.nowhere("no replica can take the request"))
+    let choice = choose_besides(gateway, inbound, attempts, &attempts.tried, cached_at)
+        .ok_or_else(|| attempts.nowhere("no replica can take the request"))?;
+    let grounds = choice.grounds.as_ref();
+    attempts
+        .expected
+        .set(grounds.map(|grounds| grounds.expected));
+    if let Some(grounds) = grounds {
+        log_leaving(inbound, &choice, grounds);
+    }
+    Ok(choice.backend)
 }
 
 /// Chooses a replica that is not among `tried`; `None` when there is none.
 pub(crate) fn choose_besides(
     gateway: &Gateway,
     inbound: &Inbound,
+    attempts: &Attempts,
     tried: &[BackendId],
     cached_at: Option<&BackendId>,
-) -> Option<Backend> {
+) -> Option<Choice> {
     let wish = Wish {
         service: &inbound.service,
         cached_at,
         tried,
         draw: gateway.draw(),
+        work: attempts.work,
     };
-    let choice = gateway.pool.borrow().choose(
+    gateway.pool.borrow().choose(
         &wish,
         |replica| gateway.upstream.has_resting(replica),
         gateway.now(),
+    )
+}
+
+fn log_leaving(inbound: &Inbound, choice: &Choice, grounds: &Grounds) {
+    let Some(leaving) = &grounds.leaving else {
+        return;
+    };
+    tracing::info!(
+        id = inbound.id,
+        from = %leaving.from,
+        from_ms = milliseconds(leaving.expected.finish()),
+        to = %choice.backend.id,
+        to_ms = milliseconds(grounds.expected.finish()),
+        view_age_ms = milliseconds(grounds.view_age),
+        "a turn leaves the replica that holds its prompt"
     );
-    choice.map(|choice| choice.backend)
 }
 
 /// Chooses a replica that has not been tried. When all that are left had no room, the request
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -8,7 +8,7 @@
 use crate::upstream::Upstream;
 use luglink_edge::{Configuration, Dialect, KeyRing, RoutingTable, Service, SplitDraws};
 use luglink_fleet::ListCopy;
-use luglink_scheduling::{LoadShedder, Pool, Waits};
+use luglink_scheduling::{AnswerLengths, LoadShedder, Pool, Waits};
 use luglink_types::Timestamp;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -41,6 +41,8 @@
     /// What waits of each route usually are.
     pub(crate) waits: RefCell<Waits>,
     pub(crate) pool: RefCell<Pool>,
+    /// Events of the answers of each route.
+    pub(crate) answer_lengths: RefCell<AnswerLengths>,
     /// The list that the pool shows.
     pub(crate) list: RefCell<ListCopy>,
     /// Gateways that share the replicas' connections and the platform's calls; 0 before a member
@@ -82,6 +84,7 @@
             splits: RefCell::default(),
             shedder: RefCell::default(),
             waits: RefCell::default(),
+            answer_lengths: RefCell::default(),
             config,
             dialect,
             metrics,
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use luglink_edge::{Caller, Route, RouteKind, UnknownKey};
+use luglink_scheduling::PromptParts;
 use luglink_turns::{ProgramName, TurnId};
 use luglink_types::TenantName;
 use std::rc::Rc;
@@ -52,10 +53,10 @@
     pub(crate) program: Option<ProgramFields>,
     /// When its program should be over.
     pub(crate) program_deadline: Option<Instant>,
-    /// Tokens of its prompt, as its caller says; 0 when it does not.
-    pub(crate) prompt_tokens: u64,
     /// Notes a caller that leaves early.
     pub(crate) watch: Rc<CallerWatch>,
+    /// What its caller says of its prompt.
+    pub(crate) prompt: Option<PromptParts>,
     pub(crate) arrived: Instant,
     /// When nobody wants an answer any more.
     pub(crate) deadline: Instant,
@@ -141,6 +142,10 @@
     let deadline = arrived + patience;
     let body = read_body(gateway, in_force, incoming, deadline).await?;
     let program = program_fields(gateway, &caller, &head);
+    let prompt = PromptParts::read(
+        text(&head.headers, &headers.token_usage),
+        text(&head.headers, &headers.prompt_parts),
+    );
     let program_hash = program
         .as_ref()
         .map(|program| xxhash_rust::xxh3::xxh3_64(program.name.0.as_bytes()));
@@ -154,7 +159,6 @@
     let program_left = number(&head.headers, &headers.program_deadline_ms);
     let program_deadline =
         program_left.and_then(|left| arrived.checked_add(Duration::from_millis(left)));
-    let prompt_tokens = used_tokens(gateway, &head, 0);
     let watch = CallerWatch::begin(&gateway.metrics, &id, &route, arrived);
     let service = route.service_for(share).unwrap_or_default().to_owned();
     Ok(Inbound {
@@ -167,8 +171,8 @@
         body,
         program,
         program_deadline,
-        prompt_tokens,
         watch,
+        prompt,
         arrived,
         deadline,
         draw,
--- a/crates/gateway-server/src/move_watch.rs
+++ b/crates/gateway-server/src/move_watch.rs
@@ -177,7 +177,7 @@
         attempts: &Attempts,
     ) -> Option<Backend> {
         let tried = attempts.tried_and(&at.id);
-        let other = choose_besides(&self.gateway, inbound, &tried, None);
+        let other = choose_besides(&self.gateway, inbound, attempts, &tried, None);
         let waiting = self.waiting(inbound, other.is_some());
         let decision = decide_move(&waiting);
         let gain = match decision {
@@ -197,7 +197,7 @@
             self.note_kept(inbound, at, &waiting, "too_many_moves");
             return None;
         }
-        let other = other?;
+        let other = other?.backend;
         self.note_vain();
         self.note_moved(inbound, at, &other, &waiting, gain);
         Some(other)
@@ -224,13 +224,14 @@
         let waits = waits.route(&inbound.route);
         let pause = waits.median_pause(now);
         let tokens_per_event = u32::try_from(self.tokens_per_event).unwrap_or(u32::MAX);
+        let prompt_tokens = inbound.prompt.map_or(0, |prompt| u64::from(prompt.tokens));
         Waiting {
             awaited: self.awaited(inbound, waits),
             waited: self.last_event.unwrap_or(self.sent_at).elapsed(),
             left: inbound.remaining(),
             first_event: waits.first_event(inbound.route.target_latency(), now),
             restart: Restart {
-                tokens: inbound.prompt_tokens + self.events * self.tokens_per_event,
+                tokens: prompt_tokens + self.events * self.tokens_per_event,
                 step: pause.map(|pause| pause / tokens_per_event.max(1)),
             },
             reruns: Reruns {
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -96,6 +96,8 @@
                 self.splits.borrow_mut().keep_only(&configuration);
                 self.shedder.borrow_mut().keep_only(&configuration);
                 self.waits.borrow_mut().keep_only(&configuration);
+                let by_finish = self.config.features.expected_finish(&configuration);
+                self.pool.borrow_mut().set_expected_finish(by_finish);
                 let table = RoutingTable::new(&configuration);
                 let keys = KeyRing::new(&configuration);
                 *self.in_force.borrow_mut() = Some(Rc::new(InForce {
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -6,17 +6,22 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod answer_lengths;
 mod features;
+mod finish;
 mod load_shedding;
 mod load_view;
 mod moves;
 mod patience;
 mod placement;
 mod pool;
+mod prompt_parts;
 mod usual;
 mod waits;
 
+pub use answer_lengths::AnswerLengths;
 pub use features::Features;
+pub use finish::{Expected, ReplicaState, SharedPart, Work, batch_factor, expect};
 pub use load_shedding::{Intake, LoadShedder};
 pub use load_view::{AgedSight, LoadView};
 pub use moves::{
@@ -24,7 +29,8 @@
     hedge_after, is_hopeless,
 };
 pub use patience::{room_patience, room_pause, start_patience};
-pub use placement::{Placement, place};
-pub use pool::{Choice, Pool, Reach, Wish};
+pub use placement::{Placement, place, place_soonest};
+pub use pool::{Choice, Grounds, Leaving, Pool, Reach, Wish};
+pub use prompt_parts::PromptParts;
 pub use usual::Usual;
 pub use waits::{RouteWaits, Waits};
