--- a/crates/scheduling/src/pool/by_finish.rs
+++ b/crates/scheduling/src/pool/by_finish.rs
@@ -18,15 +18,14 @@
 /// the best or more, one at twice the cost next to never.
 const SHARPNESS: i32 = 5;
 
-/// Share by which a replica that must read a shared part has to be better than one that holds it.
-const PART_WORTH: f64 = 1.0;
-
 /// Times what another replica would cost up to which a turn stays at the one that holds its prompt.
 /// Reading it elsewhere also holds up the requests that run there, and makes others leave in turn;
 /// a replica that has turned slow or silent costs more than this within a second.
 const KEEPS_PROMPT: f64 = 2.0;
 
-/// Times what its speed earns that a replica may have of the requests while others have less.
+/// Times what its speed earns that a replica may have of the requests while others have less, for
+/// new programs and for turns that move. Turns whose prompt it holds are not sent away for it: to
+/// read them elsewhere lengthens the batches there.
 const LOAD_BOUND: f64 = 1.25;
 
 /// Share of its slots that a replica may always fill: a batch that small is scarcely slower.
@@ -319,12 +318,12 @@
             prompt_tokens: work.prompt_tokens.saturating_sub(part.tokens),
             ..reading
         };
-        let weigh = |backend: Backend, work: &Work, worth: f64| {
+        let weigh = |backend: Backend, work: &Work| {
             let weighed = self.weighed_at(&backend.id, work, now)?;
-            Some((!weighed.has_room, cost(&weighed) * worth, backend))
+            Some((!weighed.has_room, cost(&weighed), backend))
         };
-        let of_part = of_part.filter_map(|backend| weigh(backend, &held, 1.0));
-        let elsewhere = elsewhere.filter_map(|backend| weigh(backend, &reading, PART_WORTH));
+        let of_part = of_part.filter_map(|backend| weigh(backend, &held));
+        let elsewhere = elsewhere.filter_map(|backend| weigh(backend, &reading));
         let mut drawn: Vec<(bool, f64, Backend)> = of_part.chain(elsewhere).collect();
         drawn.sort_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
         let drawn = drawn.into_iter().take(count);
