Keep a margin below the bound on load for turns that stay

Cause: new programs were let in up to the bound, and turns that stay came on top of it. Change: new programs and turns that move are let in up to 1.15 times what a replica earns.

--- a/crates/scheduling/src/pool/by_finish.rs
+++ b/crates/scheduling/src/pool/by_finish.rs
@@ -23,10 +23,11 @@
 /// a replica that has turned slow or silent costs more than this within a second.
 const KEEPS_PROMPT: f64 = 2.0;
 
-/// Times what its speed earns that a replica may have of the requests while others have less, for
-/// new programs and for turns that move. Turns whose prompt it holds are not sent away for it: to
-/// read them elsewhere lengthens the batches there.
-const LOAD_BOUND: f64 = 1.25;
+/// Times what its speed earns that a replica may have of the requests, for it to get new programs
+/// and turns that move while others have less. Those that it has stay when it has more: to read
+/// them elsewhere lengthens the batches there. So that all of them together stay within a quarter
+/// above what it earns, it is less than that.
+const LOAD_BOUND: f64 = 1.15;
 
 /// Share of its slots that a replica may always fill: a batch that small is scarcely slower.
 const FREE_SHARE: f64 = 0.25;
@@ -216,11 +217,13 @@
             .map(|(candidate, state)| {
                 let earned = (requests + 1.0) * self::speed(&state) / speed;
                 let free = (FREE_SHARE * f64::from(state.slots)).max(1.0);
+                // A moment without requests, while programs call their tools, is no room.
+                let load = state.requests.max(state.measured_at_requests);
                 let most = (LOAD_BOUND * earned).max(free);
                 Weighed {
                     candidate,
                     expected: expect(work, &state),
-                    has_room: state.requests + 1.0 <= most,
+                    has_room: load + 1.0 <= most,
                 }
             })
             .collect()
