Test the choice by expected finish through a gateway

Ruled out: none. Change: a gateway with three replicas expects as many first events as it serves, keeps programs where they began, and expects nothing where the configuration does not call for it. A turn that goes on counts its program's part as held where the turn before was served. A benchmark of the choice.

--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -29,6 +29,8 @@
     pub(crate) chain: Vec<Rc<TurnRecord>>,
     /// The replica that holds the prompt's beginning, or at which the program begins.
     pub(crate) place: Option<BackendId>,
+    /// Whether it is not its program's first.
+    pub(crate) goes_on: bool,
     /// The whole prompt, when it differs from what the caller sent.
     pub(crate) prompt: Option<Bytes>,
 }
@@ -135,6 +137,7 @@
             reservation: None,
             chain: Vec::new(),
             place: None,
+            goes_on: false,
             prompt: None,
         });
     };
@@ -165,6 +168,7 @@
     Ok(TurnStart {
         reservation: reserved.reservation,
         place,
+        goes_on: reserved.purpose == Purpose::Continues,
         chain,
         prompt,
     })
--- a/crates/gateway-server/src/work.rs
+++ b/crates/gateway-server/src/work.rs
@@ -36,6 +36,8 @@
 pub(crate) fn of_turn(gateway: &Gateway, inbound: &Inbound, start: &TurnStart) -> Option<Work> {
     let mut work = of_first_turn(gateway, inbound)?;
     let Some(whole) = &start.prompt else {
+        // The part that is its program's is mostly what was read for the turn before.
+        work.new_tokens = if start.goes_on { 0 } else { work.new_tokens };
         return Some(work);
     };
     // Callers name the tokens of the whole prompt; what is new is told by its bytes.
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! A gateway in a whole fleet, before scripted replicas.
 
+mod expected_finish;
 mod metrics;
 mod overload;
 mod placement;
--- a/crates/scheduling/benches/pool.rs
+++ b/crates/scheduling/benches/pool.rs
@@ -5,7 +5,7 @@
 
 use divan::{Bencher, black_box};
 use luglink_fleet::{Backend, BackendId, BackendList};
-use luglink_scheduling::{Pool, Reach, Wish};
+use luglink_scheduling::{Pool, Reach, Wish, Work};
 use luglink_types::Timestamp;
 
 const REPLICAS: [usize; 4] = [100, 1_000, 10_000, 20_000];
@@ -57,6 +57,31 @@
     });
 }
 
+#[divan::bench(args = REPLICAS)]
+fn choose_by_finish(bencher: Bencher<'_, '_>, replicas: usize) {
+    let mut pool = pool(replicas);
+    pool.set_expected_finish(true);
+    for number in 0..64 {
+        pool.note_connected(&BackendId(format!("i-{:08x}", number * ZONES.len())));
+    }
+    let mut draw = 0;
+    bencher.bench_local(|| {
+        draw += 1;
+        let wish = Wish {
+            service: "llm",
+            draw,
+            work: Some(Work {
+                prompt_tokens: 3_000,
+                events: 6.0,
+                tokens_per_event: 6,
+                ..Work::default()
+            }),
+            ..Wish::default()
+        };
+        pool.choose(black_box(&wish), |_| true, Timestamp::ZERO)
+    });
+}
+
 #[divan::bench(args = REPLICAS)]
 fn candidates(bencher: Bencher<'_, '_>, replicas: usize) {
     let pool = pool(replicas);
