Choose by expected finish only with a view of the present

Cause: without the zone's view a gateway of a large fleet takes nearly all replicas for typical ones, and loses what the plain way knows: the emptier of two, and its own average of answers. Ruled out: longer memory of a gateway's own pauses; it has an answer of each engine every few seconds, and their slowness lasts for less. Change: the plain way holds until a view has come, and from 2 s after the last one.

--- a/crates/gateway-server/src/work.rs
+++ b/crates/gateway-server/src/work.rs
@@ -5,12 +5,12 @@
 use crate::program::TurnStart;
 use luglink_scheduling::Work;
 
-/// Of a program's first turn; `None` where replicas are not chosen by expected finish, or the
+/// Of a program's first turn; `None` where replicas are not chosen by expected finish now, or the
 /// service has no engines.
 pub(crate) fn of_first_turn(gateway: &Gateway, inbound: &Inbound) -> Option<Work> {
     let prompt = inbound
         .prompt
-        .filter(|_| gateway.pool.borrow().goes_by_finish())?;
+        .filter(|_| gateway.pool.borrow().goes_by_finish(gateway.now()))?;
     let tokens_per_event = gateway
         .of_service(&inbound.service, |service| {
             let engine = service.engine.as_ref();
--- a/crates/scheduling/src/pool/by_finish.rs
+++ b/crates/scheduling/src/pool/by_finish.rs
@@ -112,10 +112,11 @@
         self.by_finish = is_on;
     }
 
-    /// Whether replicas are chosen by expected finish.
+    /// Whether replicas are chosen by expected finish now. Without a view of the present a gateway
+    /// of a fleet takes nearly all replicas for typical ones, and the plain way knows more.
     #[must_use]
-    pub fn goes_by_finish(&self) -> bool {
-        self.by_finish
+    pub fn goes_by_finish(&self, now: Timestamp) -> bool {
+        self.by_finish && self.view.is_fresh(now)
     }
 
     /// Notes the pause between two events of a replica's stream.
@@ -305,7 +306,7 @@
         now: Timestamp,
     ) -> Vec<Backend> {
         let plain = || self.candidates(service, program, Reach::Home, count, now);
-        let Some(part) = work.shared.filter(|_| self.by_finish) else {
+        let Some(part) = work.shared.filter(|_| self.goes_by_finish(now)) else {
             return plain();
         };
         let all = self.candidates(service, part.id, Reach::Home, usize::MAX, now);
--- a/crates/scheduling/src/pool/mod.rs
+++ b/crates/scheduling/src/pool/mod.rs
@@ -192,7 +192,7 @@
             .iter()
             .copied()
             .filter(|candidate| candidate.record.ejected_until <= now);
-        let work = wish.work.as_ref().filter(|_| self.by_finish);
+        let work = wish.work.as_ref().filter(|_| self.goes_by_finish(now));
         let soonest = work.and_then(|work| {
             let sound = sound.clone().collect();
             self.soonest(sound, work, wish, &is_connected, now)
--- a/crates/scheduling/tests/placement.rs
+++ b/crates/scheduling/tests/placement.rs
@@ -1,7 +1,7 @@
 //! Where a program begins.
 
 use luglink_edge::ReplicaReport;
-use luglink_scheduling::{Placement, place};
+use luglink_scheduling::{Placement, place, place_soonest};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -61,3 +61,21 @@
         }
     }
 }
+
+#[test]
+fn the_sooner_of_candidates_that_are_nearly_as_empty_is_taken() {
+    let soonest =
+        |fullness: &[Option<f64>], seconds: &[f64]| place_soonest(fullness, seconds, 0.4, 0.8, 0.0);
+    let both = [Some(0.1), Some(0.3)];
+    assert_eq!(soonest(&both, &[2.0, 1.0]), Placement::At(1));
+    assert_eq!(soonest(&both, &[1.0, 2.0]), Placement::At(0));
+    // One that is much fuller is not taken for its speed, nor one that says nothing.
+    assert_eq!(
+        soonest(&[Some(0.5), Some(0.75)], &[2.0, 1.0]),
+        Placement::At(0)
+    );
+    assert_eq!(soonest(&[Some(0.5), None], &[2.0, 1.0]), Placement::At(0));
+    assert_eq!(soonest(&[None, None], &[2.0, 1.0]), Placement::At(0));
+    let full = soonest(&[Some(0.9), Some(0.85)], &[2.0, 1.0]);
+    assert!(matches!(full, Placement::Refuse { .. }));
+}
