--- a/crates/control-server/src/actor.rs
+++ b/crates/control-server/src/actor.rs
@@ -4,14 +4,14 @@
 use crate::releases;
 use actix::prelude::*;
 use luglink_control::{
-    ControlError, ControlNode, Input, Leadership, Output, ReleaseOrder, Request, RequestToken,
-    Response,
+    ControlError, ControlNode, Input, Leadership, Output, ReleaseOrder, Request, RequestParts,
+    RequestToken, Response, ResponseParts,
 };
-use luglink_fleet::{BackendList, BackendReport};
+use luglink_fleet::{BackendList, BackendReport, ReplicaIncarnation};
 use luglink_net::{Accepted, FrameSender};
 use luglink_storage::FileDisk;
 use luglink_types::{EngineId, GroupId, ProgramId, Timestamp};
-use luglink_wire::{ClientRole, Frame, decode_body, encode_body};
+use luglink_wire::{ClientRole, Frame, Parts, decode_body, decode_with_parts, encode_with_parts};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -124,9 +124,10 @@
 
     /// Without its disk the member knows nothing for certain.
     fn refuse(&mut self, input: Input) {
-        if let Input::Request { token, .. } = input {
+        if let Input::Request { token, .. } | Input::ExtendedRequest { token, .. } = input {
             let reason = "this member's disk cannot be used".to_owned();
-            self.reply(token, Response::Unavailable { reason });
+            let response = Response::Unavailable { reason };
+            self.reply(token, response, &ResponseParts::default());
         }
     }
 
@@ -204,12 +205,16 @@
     fn carry_out(&mut self, output: Output, context: &mut Context<Self>) {
         match output {
             Output::Peer { group, envelope } => self.peers.send(group, &envelope),
-            Output::Reply { token, response } => self.reply(token, *response),
+            Output::Reply {
+                token,
+                response,
+                parts,
+            } => self.reply(token, *response, &parts),
             Output::Release(order) => self.start_release(order, context),
         }
     }
 
-    fn reply(&mut self, token: RequestToken, response: Response) {
+    fn reply(&mut self, token: RequestToken, response: Response, parts: &ResponseParts) {
         if token.client == OWN_CLIENT {
             if let Some(waiting) = self.own_requests.remove(&token.request) {
                 let _ = waiting.send(response);
@@ -219,7 +224,8 @@
         let Some(client) = self.clients.get(&token.client) else {
             return;
         };
-        match encode_body(&response) {
+        let encoded = parts.encode();
+        match encoded.and_then(|parts| encode_with_parts(&response, &parts)) {
             Ok(body) => {
                 client.send(Frame::response(token.request, body));
             }
@@ -264,14 +270,20 @@
             },
             Frame::Request {
                 correlation, body, ..
-            } => match decode_body(&body) {
-                Ok(request) => {
+            } => match decode_with_parts(&body) {
+                Ok((request, parts)) => {
                     let token = RequestToken {
                         client: connection,
                         request: correlation,
                     };
                     let request = Box::new(request);
-                    self.take(Input::Request { token, request }, context);
+                    let parts = Box::new(read_parts(&parts));
+                    let input = Input::ExtendedRequest {
+                        token,
+                        request,
+                        parts,
+                    };
+                    self.take(input, context);
                 }
                 Err(error) => tracing::warn!(%error, "malformed request"),
             },
@@ -282,6 +294,14 @@
     }
 }
 
+/// What follows a request. A part that cannot be read is passed over: the request stands without.
+fn read_parts(parts: &Parts) -> RequestParts {
+    RequestParts::decode(parts).unwrap_or_else(|error| {
+        tracing::warn!(%error, "the parts behind a request cannot be read");
+        RequestParts::default()
+    })
+}
+
 impl Actor for ControlActor {
     type Context = Context<Self>;
 
@@ -392,14 +412,22 @@
 pub(crate) struct TakeLeaderNews {
     pub(crate) report: Option<BackendReport>,
     pub(crate) gateways: u32,
+    pub(crate) incarnations: Vec<ReplicaIncarnation>,
 }
 
 impl Handler<TakeLeaderNews> for ControlActor {
     type Result = ();
 
     fn handle(&mut self, news: TakeLeaderNews, context: &mut Self::Context) {
-        let TakeLeaderNews { report, gateways } = news;
+        let TakeLeaderNews {
+            report,
+            gateways,
+            incarnations,
+        } = news;
         self.take(Input::LeaderNews { report, gateways }, context);
+        if !incarnations.is_empty() {
+            self.take(Input::LeaderIncarnations(incarnations), context);
+        }
     }
 }
 
--- a/crates/control-server/src/looks.rs
+++ b/crates/control-server/src/looks.rs
@@ -4,7 +4,7 @@
 use crate::actor::{ControlActor, now};
 use actix::prelude::*;
 use luglink_control::CONFIGURATION_GROUP;
-use luglink_fleet::{GatewayPlace, HeardGateway, KnownList, NamedGateways};
+use luglink_fleet::{GatewayPlace, HeardGateway, KnownIncarnations, KnownList, NamedGateways};
 use luglink_raft::Peer;
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -129,12 +129,21 @@
 
 /// What a member says of its list.
 #[derive(Clone, Debug, actix::MessageResponse)]
-pub(crate) struct ListWord(pub(crate) Option<KnownList>);
+pub(crate) struct ListWord {
+    /// What it has of the list; `None` while it has no disk.
+    pub(crate) list: Option<KnownList>,
+    /// What it has of the incarnations.
+    pub(crate) incarnations: Option<KnownIncarnations>,
+}
 
 impl Handler<DescribeList> for ControlActor {
     type Result = ListWord;
 
     fn handle(&mut self, _: DescribeList, _: &mut Self::Context) -> ListWord {
-        ListWord(self.node().map(|node| node.list().known(now())))
+        let list = self.node().map(|node| node.list());
+        ListWord {
+            list: list.map(|list| list.known(now())),
+            incarnations: list.map(|list| list.known_incarnations()),
+        }
     }
 }
--- a/crates/control-server/src/relay.rs
+++ b/crates/control-server/src/relay.rs
@@ -7,11 +7,13 @@
 use crate::actor::{ControlActor, TakeLeaderNews};
 use crate::looks::{DescribeList, ListWord, LookAtFleet, TakeWords};
 use actix::Addr;
-use luglink_control::{Request, Response};
+use luglink_control::{Request, RequestParts, Response, ResponseParts};
 use luglink_fleet::{Known, MemberPresence, MembersStamp, News, Observation, Presence, Role};
 use luglink_net::RequestClient;
 use luglink_telemetry::milliseconds;
-use luglink_wire::{ClientRole, Hello, PROTOCOL_VERSION, decode_body, encode_body};
+use luglink_wire::{
+    ClientRole, Hello, PROTOCOL_VERSION, decode_with_parts, encode_body, encode_with_parts,
+};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -81,10 +83,11 @@
             }
         }
         match news {
-            Some(news) => {
+            Some((news, parts)) => {
                 control.do_send(TakeLeaderNews {
                     report: news.backends,
                     gateways: news.gateways,
+                    incarnations: parts.incarnations,
                 });
                 actix_rt::time::sleep(QUESTION_INTERVAL).await;
             }
@@ -98,8 +101,8 @@
     config: &RelayConfig,
     link: &RequestClient,
     presence: MemberPresence,
-) -> Option<News> {
-    let ListWord(known) = control.send(DescribeList).await.ok()?;
+) -> Option<(News, ResponseParts)> {
+    let ListWord { list, incarnations } = control.send(DescribeList).await.ok()?;
     let request = Request::Observe(Box::new(Observation {
         presence: Presence {
             name: config.name.clone(),
@@ -111,16 +114,20 @@
             document_version: u64::MAX,
             is_current: true,
             store_epoch: u64::MAX,
-            backends: known,
+            backends: list,
             members: MembersStamp::NEWEST,
         },
         tells_first: false,
         is_counted_here: false,
     }));
-    let body = encode_body(&request).ok()?;
+    let parts = RequestParts {
+        known_incarnations: incarnations,
+    };
+    let body = encode_with_parts(&request, &parts.encode().ok()?).ok()?;
     let answer = link.request(body, ANSWER_LIMIT).await.ok()?;
-    match decode_body(&answer).ok()? {
-        Response::News(news) => Some(*news),
+    let (response, parts) = decode_with_parts(&answer).ok()?;
+    match response {
+        Response::News(news) => Some((*news, ResponseParts::decode(&parts).ok()?)),
         _ => None,
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,6 +21,7 @@
 mod node;
 mod observer_table;
 mod observers;
+mod parts;
 mod persistence;
 mod placement;
 mod protocol;
@@ -31,6 +32,7 @@
 pub use identity::Identity;
 pub use machine::CONFIGURATION_GROUP;
 pub use node::{ControlNode, Input, Leadership, Output};
+pub use parts::{RequestParts, ResponseParts};
 pub use placement::initial_membership;
 pub use protocol::{
     Fence, GroupStatus, MemberStatus, ReleaseOrder, Request, RequestToken, Response,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -6,10 +6,11 @@
 use crate::group::Group;
 use crate::identity::Identity;
 use crate::machine::{CONFIGURATION_GROUP, LoggedCommand, Machine, decode, encode};
+use crate::parts::{RequestParts, ResponseParts};
 use crate::placement::initial_membership;
 use crate::protocol::{Fence, MemberStatus, ReleaseOrder, Request, RequestToken, Response};
 use crate::store::MemberStore;
-use luglink_fleet::{BackendList, BackendReport, StoreCommand};
+use luglink_fleet::{BackendList, BackendReport, ReplicaIncarnation, StoreCommand};
 use luglink_program::Command;
 use luglink_raft::{Envelope, Message, Peer, RaftNode, RestoredState};
 use luglink_resources::{CatchUp, Resource};
@@ -38,6 +39,15 @@
         /// The request.
         request: Box<Request>,
     },
+    /// A request of a client that a newer build has added to.
+    ExtendedRequest {
+        /// To be given back with the response.
+        token: RequestToken,
+        /// The request.
+        request: Box<Request>,
+        /// What follows it.
+        parts: Box<RequestParts>,
+    },
     /// The platform's list of backends, as this member has just read it.
     Backends {
         /// The list.
@@ -52,6 +62,8 @@
         /// The number of gateways; 0 while it is not known.
         gateways: u32,
     },
+    /// Incarnations of replicas that the leader knows.
+    LeaderIncarnations(Vec<ReplicaIncarnation>),
     /// A client is gone; what it waits for need not be answered.
     ClientGone {
         /// The client.
@@ -75,6 +87,8 @@
         token: RequestToken,
         /// The response.
         response: Box<Response>,
+        /// What follows it.
+        parts: Box<ResponseParts>,
     },
     /// Order an engine to give up memory, until it confirms.
     Release(ReleaseOrder),
@@ -180,7 +194,14 @@
                 self.on_peer_message(group, *envelope);
                 Ok(())
             }
-            Input::Request { token, request } => self.on_request(token, *request),
+            Input::Request { token, request } => {
+                self.on_request(token, *request, RequestParts::default())
+            }
+            Input::ExtendedRequest {
+                token,
+                request,
+                parts,
+            } => self.on_request(token, *request, *parts),
             Input::Backends { list, age } => {
                 let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
                 let seen = Timestamp::from_micros(self.now.as_micros().saturating_sub(age));
@@ -196,6 +217,10 @@
                 }
                 Ok(())
             }
+            Input::LeaderIncarnations(incarnations) => {
+                self.desk.list.take_incarnations(&incarnations);
+                Ok(())
+            }
             Input::ClientGone { client } => {
                 self.watches.retain(|watch| watch.token.client != client);
                 self.desk.observers.forget_client(client);
@@ -360,7 +385,12 @@
         }
     }
 
-    fn on_request(&mut self, token: RequestToken, request: Request) -> Result<(), ControlError> {
+    fn on_request(
+        &mut self,
+        token: RequestToken,
+        request: Request,
+        parts: RequestParts,
+    ) -> Result<(), ControlError> {
         let response = match request {
             Request::Program(command) => self.propose_program(token, command)?,
             Request::View(program) => {
@@ -391,7 +421,7 @@
             }
             Request::ReadDocument => self.read(CONFIGURATION_GROUP, Request::ReadDocument, token),
             Request::Observe(observation) => {
-                self.on_observe(token, *observation);
+                self.on_observe(token, *observation, parts);
                 None
             }
             Request::HearGateways(words) => {
@@ -632,9 +662,19 @@
     }
 
     pub(crate) fn reply(&mut self, token: RequestToken, response: Response) {
+        self.reply_with_parts(token, response, ResponseParts::default());
+    }
+
+    pub(crate) fn reply_with_parts(
+        &mut self,
+        token: RequestToken,
+        response: Response,
+        parts: ResponseParts,
+    ) {
         self.outputs.push(Output::Reply {
             token,
             response: Box::new(response),
+            parts: Box::new(parts),
         });
     }
 }
--- a/crates/control/src/observer_table.rs
+++ b/crates/control/src/observer_table.rs
@@ -4,7 +4,7 @@
 //! new costs as much whether ten or a thousand others wait.
 
 use crate::protocol::RequestToken;
-use luglink_fleet::{Known, MembersStamp};
+use luglink_fleet::{Known, KnownIncarnations, MembersStamp};
 use luglink_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,6 +18,8 @@
 pub(crate) struct Observer {
     pub(crate) token: RequestToken,
     pub(crate) known: Known,
+    /// What it knows of incarnations, when it asks for them.
+    pub(crate) known_incarnations: Option<KnownIncarnations>,
     /// Whether it counts on this member to be told of a new document at once.
     pub(crate) tells_first: bool,
     /// Its zone, when this member counts it.
--- a/crates/control/src/observers.rs
+++ b/crates/control/src/observers.rs
@@ -3,6 +3,7 @@
 use crate::machine::CONFIGURATION_GROUP;
 use crate::node::ControlNode;
 use crate::observer_table::{NewsStamp, Observer, ObserverKey};
+use crate::parts::{RequestParts, ResponseParts};
 use crate::protocol::{RequestToken, Response};
 use luglink_fleet::{
     GatewayPlace, GatewayPresence, HeardGateway, KnownList, MemberList, MemberPlace, MembersStamp,
@@ -56,7 +57,12 @@
         state.map_or(0, |state| state.document.version())
     }
 
-    pub(crate) fn on_observe(&mut self, token: RequestToken, observation: Observation) {
+    pub(crate) fn on_observe(
+        &mut self,
+        token: RequestToken,
+        observation: Observation,
+        parts: RequestParts,
+    ) {
         let key = ObserverKey {
             client: token.client,
             name: observation.presence.name.clone(),
@@ -69,6 +75,7 @@
         let observer = Observer {
             token,
             known: observation.known,
+            known_incarnations: parts.known_incarnations,
             tells_first: observation.tells_first,
             counted_in,
             until: self.now.plus(self.observe_hold()),
@@ -145,7 +152,19 @@
             self.desk.observers.list_is_sent(key);
         }
         let news = self.news_after(&observer, members);
-        self.reply(observer.token, Response::News(Box::new(news)));
+        let parts = self.parts_beside(&observer, &news);
+        self.reply_with_parts(observer.token, Response::News(Box::new(news)), parts);
+    }
+
+    /// What an observer of a newer build is told beside the news.
+    fn parts_beside(&self, observer: &Observer, news: &News) -> ResponseParts {
+        let list = &self.desk.list;
+        let is_told_list = news.backends.is_some();
+        let known = observer.known_incarnations;
+        let incarnations = known.and_then(|known| list.incarnations_after(known, is_told_list));
+        ResponseParts {
+            incarnations: incarnations.unwrap_or_default(),
+        }
     }
 
     fn lacks_much(&self, known: Option<&KnownList>) -> bool {
--- a/crates/control/tests/managed/observers.rs
+++ b/crates/control/tests/managed/observers.rs
@@ -3,8 +3,8 @@
 use crate::support::{FOUNDERS, Fleet, address, document, gateway, members, observation, observe};
 use luglink_control::{Input, ManagedConfig, Request, Response};
 use luglink_fleet::{
-    Backend, BackendId, BackendList, BackendUpdate, GatewayLoad, GatewayPresence, Known, KnownList,
-    MemberPresence, MembersStamp, News, Role,
+    Backend, BackendId, BackendList, BackendUpdate, GatewayLoad, GatewayPresence, Incarnation,
+    Known, KnownList, MemberPresence, MembersStamp, News, Role,
 };
 use luglink_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
@@ -165,6 +165,7 @@
         zone: "z".to_owned(),
         slots: 1,
         draining: false,
+        incarnation: Incarnation::UNKNOWN,
     };
     BackendList::new((0..count).map(backend).collect())
 }
--- a/crates/control/tests/managed/support.rs
+++ b/crates/control/tests/managed/support.rs
@@ -1,7 +1,8 @@
 //! A fleet of members in memory, over a network without delay.
 
 use luglink_control::{
-    ControlConfig, ControlNode, Input, ManagedConfig, Output, Request, RequestToken, Response,
+    ControlConfig, ControlNode, Input, ManagedConfig, Output, Request, RequestParts, RequestToken,
+    Response, ResponseParts,
 };
 use luglink_fleet::{
     GatewayLoad, GatewayPresence, Known, Observation, Presence, Role, StorePresence, StoreState,
@@ -37,6 +38,8 @@
     pub cut_off: BTreeSet<u32>,
     pub mail: VecDeque<(u32, Envelope)>,
     pub replies: BTreeMap<(u32, u64), Response>,
+    /// What followed them.
+    pub reply_parts: BTreeMap<(u32, u64), ResponseParts>,
     pub requests: u64,
     pub starts: u64,
     /// Whether a member was seen that led but had not committed in its term.
@@ -53,6 +56,7 @@
             cut_off: BTreeSet::new(),
             mail: VecDeque::new(),
             replies: BTreeMap::new(),
+            reply_parts: BTreeMap::new(),
             requests: 0,
             starts: 0,
             saw_uncommitted_leader: false,
@@ -91,6 +95,23 @@
         self.requests
     }
 
+    /// Asks as a newer build does.
+    pub fn input_with_parts(&mut self, member: u32, request: Request, parts: RequestParts) -> u64 {
+        self.requests += 1;
+        let token = RequestToken {
+            client: 7,
+            request: self.requests,
+        };
+        let input = Input::ExtendedRequest {
+            token,
+            request: Box::new(request),
+            parts: Box::new(parts),
+        };
+        let node = self.nodes.get_mut(&member).unwrap();
+        node.handle(input, self.now).unwrap();
+        self.requests
+    }
+
     pub fn step(&mut self) {
         self.now = self.now.plus(STEP);
         let members: Vec<u32> = self.nodes.keys().copied().collect();
@@ -143,8 +164,13 @@
                         self.mail.push_back((to, *envelope));
                     }
                 }
-                Output::Reply { token, response } => {
+                Output::Reply {
+                    token,
+                    response,
+                    parts,
+                } => {
                     self.replies.insert((member, token.request), *response);
+                    self.reply_parts.insert((member, token.request), *parts);
                 }
                 Output::Release(_) => {}
             }
--- a/crates/control/tests/member.rs
+++ b/crates/control/tests/member.rs
@@ -63,6 +63,7 @@
             Output::Reply {
                 token: own,
                 response,
+                ..
             } if own == token => Some(*response),
             _ => None,
         });
--- /dev/null
+++ b/crates/control/tests/mixed_builds.rs
@@ -0,0 +1,109 @@
+//! Messages between builds that know of the parts behind them and builds that do not.
+
+use luglink_control::{Request, RequestParts, Response, ResponseParts};
+use luglink_fleet::{
+    Backend, BackendId, BackendList, Incarnation, KnownIncarnations, News, ReplicaIncarnation,
+};
+use luglink_wire::{decode_body, decode_with_parts, encode_body, encode_with_parts};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// A replica as builds without incarnations lay it out.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct OlderBackend {
+    id: String,
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    slots: u32,
+    draining: bool,
+}
+
+fn backend() -> Backend {
+    Backend {
+        id: BackendId("i-1".to_owned()),
+        service: "s".to_owned(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "z".to_owned(),
+        slots: 4,
+        draining: true,
+        incarnation: Incarnation(1_765_000_000_123),
+    }
+}
+
+fn older_backend() -> OlderBackend {
+    OlderBackend {
+        id: "i-1".to_owned(),
+        service: "s".to_owned(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "z".to_owned(),
+        slots: 4,
+        draining: true,
+    }
+}
+
+fn request_parts() -> RequestParts {
+    RequestParts {
+        known_incarnations: Some(KnownIncarnations { sum: 77 }),
+    }
+}
+
+fn response_parts() -> ResponseParts {
+    ResponseParts {
+        incarnations: vec![ReplicaIncarnation {
+            replica: BackendId("i-1".to_owned()),
+            incarnation: Incarnation(5),
+        }],
+    }
+}
+
+#[test]
+fn lists_are_laid_out_as_older_builds_read_and_write_them() {
+    let newer = encode_body(&BackendList::new(vec![backend()])).unwrap();
+    let older = encode_body(&vec![older_backend()]).unwrap();
+    assert_eq!(newer, older);
+    let read: BackendList = decode_body(&older).unwrap();
+    let only = read.backends().next().unwrap();
+    assert_eq!(only.incarnation, Incarnation::UNKNOWN);
+}
+
+#[test]
+fn an_older_build_reads_a_request_with_parts() {
+    let parts = request_parts().encode().unwrap();
+    let bytes = encode_with_parts(&Request::Status, &parts).unwrap();
+    let read: Request = decode_body(&bytes).unwrap();
+    assert_eq!(read, Request::Status);
+}
+
+#[test]
+fn an_older_build_reads_a_response_with_parts() {
+    let news = Response::News(Box::new(News {
+        gateways: 9,
+        ..News::default()
+    }));
+    let parts = response_parts().encode().unwrap();
+    let bytes = encode_with_parts(&news, &parts).unwrap();
+    let read: Response = decode_body(&bytes).unwrap();
+    assert_eq!(read, news);
+}
+
+#[test]
+fn messages_of_an_older_build_have_no_parts() {
+    let bytes = encode_body(&Request::Status).unwrap();
+    let (_, parts) = decode_with_parts::<Request>(&bytes).unwrap();
+    let parts = RequestParts::decode(&parts).unwrap();
+    assert_eq!(parts, RequestParts::default());
+    let (_, parts) = decode_with_parts::<Response>(&encode_body(&Response::Done).unwrap()).unwrap();
+    let parts = ResponseParts::decode(&parts).unwrap();
+    assert_eq!(parts, ResponseParts::default());
+}
+
+#[test]
+fn parts_come_over_whole() {
+    let bytes = encode_with_parts(&Request::Status, &request_parts().encode().unwrap()).unwrap();
+    let (_, parts) = decode_with_parts::<Request>(&bytes).unwrap();
+    assert_eq!(RequestParts::decode(&parts).unwrap(), request_parts());
+    let bytes = encode_with_parts(&Response::Done, &response_parts().encode().unwrap()).unwrap();
+    let (_, parts) = decode_with_parts::<Response>(&bytes).unwrap();
+    assert_eq!(ResponseParts::decode(&parts).unwrap(), response_parts());
+}
--- a/crates/edge/src/own_dialect.rs
+++ b/crates/edge/src/own_dialect.rs
@@ -6,7 +6,7 @@
 use crate::list_entries::{ListEntries, ListEntry};
 use crate::replica_report::ReplicaReport;
 use http::{HeaderName, Method};
-use luglink_fleet::{Backend, BackendId, RetireState, StoreName};
+use luglink_fleet::{Backend, BackendId, Incarnation, RetireState, StoreName};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use std::net::SocketAddr;
@@ -61,6 +61,9 @@
     zone: String,
     slots: u32,
     draining: bool,
+    /// Unix millisecond of its start.
+    #[serde(default)]
+    started_ms: u64,
 }
 
 impl ListEntry for ListedBackend {
@@ -76,6 +79,8 @@
     waiting: u32,
     memory_used: u64,
     memory_total: u64,
+    #[serde(default)]
+    started_ms: u64,
 }
 
 #[derive(Serialize)]
@@ -125,6 +130,7 @@
             zone: listed.zone,
             slots: listed.slots,
             draining: listed.draining,
+            incarnation: Incarnation(listed.started_ms),
         });
         Ok(BackendPage {
             backends: backends.collect(),
@@ -145,6 +151,7 @@
             waiting: report.waiting,
             memory_used: report.memory_used,
             memory_total: report.memory_total,
+            incarnation: Incarnation(report.started_ms),
         })
     }
 
--- a/crates/edge/src/replica_report.rs
+++ b/crates/edge/src/replica_report.rs
@@ -1,5 +1,7 @@
 //! What a replica of a model engine says of itself.
 
+use luglink_fleet::Incarnation;
+
 /// What a replica of a model engine says of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReplicaReport {
@@ -11,6 +13,8 @@
     pub memory_used: u64,
     /// Tokens of its memory.
     pub memory_total: u64,
+    /// Its life.
+    pub incarnation: Incarnation,
 }
 
 impl ReplicaReport {
--- a/crates/fleet-client/src/lib.rs
+++ b/crates/fleet-client/src/lib.rs
@@ -9,4 +9,4 @@
 
 mod observer;
 
-pub use observer::{ListSource, Observer, ObserverConfig, Subject};
+pub use observer::{Asked, ListSource, Observer, ObserverConfig, Subject};
--- a/crates/fleet-client/src/observer.rs
+++ b/crates/fleet-client/src/observer.rs
@@ -1,11 +1,13 @@
 //! The observing loop.
 
-use luglink_control::{Request, Response};
+use luglink_control::{Request, RequestParts, Response, ResponseParts};
 use luglink_fleet::{
     Contact, FIRST_TELLERS, Known, MemberList, News, Observation, ObserverPlace, Presence, Role,
 };
 use luglink_net::RequestClient;
-use luglink_wire::{ClientRole, Hello, PROTOCOL_VERSION, decode_body, encode_body};
+use luglink_wire::{
+    ClientRole, Hello, PROTOCOL_VERSION, Parts, decode_with_parts, encode_with_parts,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -44,8 +46,16 @@
     /// What the process knows, but for the members, which the observer knows.
     fn known(&self, source: ListSource) -> Known;
 
+    /// What follows the question to a member.
+    fn parts(&self, _asked: Asked) -> RequestParts {
+        RequestParts::default()
+    }
+
     /// Takes news. `member` is the control member that tells them.
     fn on_news(&self, member: SocketAddr, news: News);
+
+    /// Takes what follows the news, after those.
+    fn on_parts(&self, _parts: ResponseParts) {}
 }
 
 /// What the member that is asked is for a process's list of replicas.
@@ -59,6 +69,15 @@
     Not,
 }
 
+/// What a member is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Asked {
+    /// What it is for the process's list of replicas.
+    pub source: ListSource,
+    /// Whether it is the one member that counts this process.
+    pub is_counted_here: bool,
+}
+
 /// Where control members are.
 #[derive(Clone, Debug)]
 pub struct ObserverConfig {
@@ -183,7 +202,7 @@
         while let Some(order) = self.planned().iter().position(|planned| *planned == member) {
             let asked = Instant::now();
             match self.ask(&client, order, ANSWER_LIMIT + usual * 2).await {
-                Some(news) => {
+                Some((news, parts)) => {
                     usual = asked.elapsed();
                     if !heard {
                         tracing::info!(%member, fresh = news.fresh, "control member regained");
@@ -191,6 +210,7 @@
                     heard = true;
                     self.learn(member, &news);
                     self.subject.on_news(member, news);
+                    self.subject.on_parts(parts);
                     self.ask_planned();
                     actix_rt::time::sleep(QUESTION_INTERVAL).await;
                 }
@@ -210,7 +230,12 @@
     }
 
     /// Asks a member, the one at `order` in the plan.
-    async fn ask(&self, client: &RequestClient, order: usize, limit: Duration) -> Option<News> {
+    async fn ask(
+        &self,
+        client: &RequestClient,
+        order: usize,
+        limit: Duration,
+    ) -> Option<(News, ResponseParts)> {
         let is_lost = self.contact() == Contact::Lost;
         let source = match order {
             0 => ListSource::First,
@@ -226,10 +251,15 @@
             tells_first: order < FIRST_TELLERS || is_lost,
             is_counted_here: order == 0,
         }));
-        let body = encode_body(&request).ok()?;
+        let parts = self.subject.parts(Asked {
+            source,
+            is_counted_here: order == 0,
+        });
+        let body = encode_with_parts(&request, &parts.encode().ok()?).ok()?;
         let answer = client.request(body, limit).await.ok()?;
-        match decode_body(&answer).ok()? {
-            Response::News(news) => Some(*news),
+        let (response, parts) = decode_with_parts(&answer).ok()?;
+        match response {
+            Response::News(news) => Some((*news, read_parts(&parts))),
             _ => None,
         }
     }
@@ -261,3 +291,11 @@
         self.avoided.borrow_mut().insert(member, until);
     }
 }
+
+/// What follows an answer. A part that cannot be read is passed over: the news stand without.
+fn read_parts(parts: &Parts) -> ResponseParts {
+    ResponseParts::decode(parts).unwrap_or_else(|error| {
+        tracing::warn!(%error, "the parts behind news cannot be read");
+        ResponseParts::default()
+    })
+}
--- a/crates/fleet/src/backend.rs
+++ b/crates/fleet/src/backend.rs
@@ -1,11 +1,12 @@
 //! Replicas as the platform's list names them.
 
+use crate::incarnation::Incarnation;
 use serde::{Deserialize, Serialize};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
-use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
 
-/// One start of a replica; another start has another identifier.
+/// Names a replica. Most starts of one have another identifier; see [`Incarnation`] for the rest.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct BackendId(pub String);
 
@@ -24,9 +25,9 @@
 }
 
 /// A replica of a service.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Backend {
-    /// Names this start of the replica.
+    /// Names the replica.
     pub id: BackendId,
     /// The service it belongs to.
     pub service: String,
@@ -38,13 +39,30 @@
     pub slots: u32,
     /// Whether it is leaving and must get no new work.
     pub draining: bool,
+    /// Its life. It travels behind the list, so that builds without it read the same list.
+    #[serde(skip)]
+    pub incarnation: Incarnation,
 }
 
 impl Backend {
-    /// Differs between replicas that differ in anything.
+    /// Differs between replicas that differ in anything but their lives. All builds compute the
+    /// same, whether they know of incarnations or not.
     pub(crate) fn hash_value(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        self.hash(&mut hasher);
+        self.id.hash(&mut hasher);
+        self.service.hash(&mut hasher);
+        self.address.hash(&mut hasher);
+        self.zone.hash(&mut hasher);
+        self.slots.hash(&mut hasher);
+        self.draining.hash(&mut hasher);
         hasher.finish()
     }
+
+    /// The share of this replica in a sum over the incarnations of a list.
+    pub(crate) fn incarnation_hash(&self) -> u64 {
+        match self.incarnation {
+            Incarnation::UNKNOWN => 0,
+            Incarnation(start) => xxh3_64_with_seed(self.id.0.as_bytes(), start),
+        }
+    }
 }
--- a/crates/fleet/src/backend_list.rs
+++ b/crates/fleet/src/backend_list.rs
@@ -5,6 +5,7 @@
 //! what is done for two lists whose difference nobody remembers costs a digest.
 
 use crate::backend::{Backend, BackendId};
+use crate::incarnation::{Incarnation, ReplicaIncarnation};
 use serde::{Deserialize, Serialize};
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,20 +24,23 @@
     backends: BTreeMap<BackendId, Backend>,
     /// Sum of the hashes of all replicas: a change takes its own from it, in any order.
     sum: u64,
+    /// The same of what is known of their incarnations.
+    incarnation_sum: u64,
 }
 
 impl BackendList {
-    /// A list. A page that was read later may name a replica again: it is leaving when one of
-    /// them says so.
+    /// A list. A page that was read later may name a replica again: its latest life counts, and
+    /// that one is leaving when one of the entries says so.
     #[must_use]
     pub fn new(backends: Vec<Backend>) -> Self {
         let mut list = Self::default();
         for backend in backends {
-            let is_known_to_leave = list
-                .backends
-                .get(&backend.id)
-                .is_some_and(|known| known.draining);
-            if !is_known_to_leave {
+            let is_outdated = list.backends.get(&backend.id).is_some_and(|known| {
+                let is_earlier_life = known.incarnation > backend.incarnation;
+                let is_known_to_leave = known.draining && known.incarnation == backend.incarnation;
+                is_earlier_life || is_known_to_leave
+            });
+            if !is_outdated {
                 list.put(backend);
             }
         }
@@ -66,7 +70,19 @@
         xxh3_64_with_seed(&self.sum.to_le_bytes(), self.backends.len() as u64)
     }
 
-    fn put(&mut self, backend: Backend) {
+    /// Sum over what is known of the replicas' incarnations; differs between lists that differ in
+    /// them.
+    #[must_use]
+    pub fn incarnation_sum(&self) -> u64 {
+        self.incarnation_sum
+    }
+
+    fn put(&mut self, mut backend: Backend) {
+        if let Some(known) = self.backends.get(&backend.id) {
+            backend.incarnation = backend.incarnation.max(known.incarnation);
+        }
+        let incarnation = backend.incarnation_hash();
+        self.incarnation_sum = self.incarnation_sum.wrapping_add(incarnation);
         self.sum = self.sum.wrapping_add(backend.hash_value());
         match self.backends.entry(backend.id.clone()) {
             Entry::Vacant(place) => {
@@ -74,15 +90,64 @@
             }
             Entry::Occupied(mut place) => {
                 let before = place.insert(backend);
-                self.sum = self.sum.wrapping_sub(before.hash_value());
+                self.take_off(&before);
             }
         }
     }
 
     fn remove(&mut self, id: &BackendId) {
         if let Some(before) = self.backends.remove(id) {
-            self.sum = self.sum.wrapping_sub(before.hash_value());
+            self.take_off(&before);
+        }
+    }
+
+    fn take_off(&mut self, before: &Backend) {
+        self.sum = self.sum.wrapping_sub(before.hash_value());
+        let incarnation = before.incarnation_hash();
+        self.incarnation_sum = self.incarnation_sum.wrapping_sub(incarnation);
+    }
+
+    /// What is known of the incarnation of a replica.
+    #[must_use]
+    pub fn incarnation_of(&self, id: &BackendId) -> Option<ReplicaIncarnation> {
+        let backend = self.backends.get(id)?;
+        (backend.incarnation != Incarnation::UNKNOWN).then(|| ReplicaIncarnation {
+            replica: id.clone(),
+            incarnation: backend.incarnation,
+        })
+    }
+
+    /// What is known of all incarnations.
+    #[must_use]
+    pub fn incarnations(&self) -> Vec<ReplicaIncarnation> {
+        let ids = self.backends.keys();
+        ids.filter_map(|id| self.incarnation_of(id)).collect()
+    }
+
+    /// The replica that is told of, when a later life of it is told.
+    fn older_than(&self, told: &ReplicaIncarnation) -> Option<&Backend> {
+        let known = self.backends.get(&told.replica);
+        known.filter(|known| known.incarnation < told.incarnation)
+    }
+
+    /// Whether any of these is later than what is known here.
+    pub(crate) fn lacks_any(&self, told: &[ReplicaIncarnation]) -> bool {
+        told.iter().any(|told| self.older_than(told).is_some())
+    }
+
+    /// Takes incarnations of replicas that it names, where they are later than those that it
+    /// knows. Returns the replicas that have changed.
+    pub(crate) fn take_incarnations(&mut self, told: &[ReplicaIncarnation]) -> Vec<Backend> {
+        let mut changed = Vec::new();
+        for told in told {
+            let Some(mut backend) = self.older_than(told).cloned() else {
+                continue;
+            };
+            backend.incarnation = told.incarnation;
+            changed.push(backend.clone());
+            self.put(backend);
         }
+        changed
     }
 
     /// What turns this list into `newer`.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod backend;
 mod backend_list;
 mod document;
+mod incarnation;
 mod list_copy;
 mod list_history;
 mod list_reading;
@@ -26,6 +27,7 @@
 pub use backend::{Backend, BackendId};
 pub use backend_list::{BackendChanges, BackendList, BackendPatch, ListDigest};
 pub use document::{DocumentStore, VersionedDocument};
+pub use incarnation::{Incarnation, KnownIncarnations, ReplicaIncarnation};
 pub use list_copy::{BackendReport, BackendUpdate, KnownList, ListCopy};
 pub use list_history::ListHistory;
 pub use list_reading::{ListReader, ListReading, ReadingRates};
--- a/crates/fleet/src/list_copy.rs
+++ b/crates/fleet/src/list_copy.rs
@@ -1,6 +1,7 @@
 //! A copy of the list of replicas, kept current by what others report of theirs.
 
 use crate::backend_list::{BackendChanges, BackendList, BackendPatch, ListDigest};
+use crate::incarnation::{KnownIncarnations, ReplicaIncarnation};
 use luglink_types::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -151,7 +152,33 @@
         }
     }
 
-    fn take(&mut self, list: BackendList, seen: Timestamp) -> Option<BackendChanges> {
+    /// What to say of the incarnations in this copy.
+    #[must_use]
+    pub fn known_incarnations(&self) -> KnownIncarnations {
+        KnownIncarnations {
+            sum: self.list.incarnation_sum(),
+        }
+    }
+
+    /// Takes incarnations that another process knows. Returns what has changed, when something
+    /// has; nothing in it but incarnations differs from before.
+    pub fn take_incarnations(&mut self, told: &[ReplicaIncarnation]) -> Option<BackendChanges> {
+        if !self.list.lacks_any(told) {
+            return None;
+        }
+        let changed = Arc::make_mut(&mut self.list).take_incarnations(told);
+        let fingerprint = self.list.fingerprint();
+        Some(BackendChanges {
+            base: fingerprint,
+            result: fingerprint,
+            changed,
+            removed: Vec::new(),
+        })
+    }
+
+    fn take(&mut self, mut list: BackendList, seen: Timestamp) -> Option<BackendChanges> {
+        // A list that came over the wire names no incarnations.
+        list.take_incarnations(&self.list.incarnations());
         let changes = self.list.changes_to(&list);
         let is_first = self.seen.is_none();
         self.note_current(seen);
--- a/crates/fleet/src/list_history.rs
+++ b/crates/fleet/src/list_history.rs
@@ -2,6 +2,7 @@
 //! told what has changed.
 
 use crate::backend_list::{BackendChanges, BackendList, ListDigest};
+use crate::incarnation::{IncarnationHistory, KnownIncarnations, ReplicaIncarnation};
 use crate::list_copy::{BackendReport, BackendUpdate, KnownList, ListCopy};
 use luglink_types::Timestamp;
 use std::collections::{BTreeMap, VecDeque};
@@ -25,6 +26,7 @@
     remembered: usize,
     /// Changes from earlier lists to this one, worked out once for all who have them.
     merged: BTreeMap<u64, Arc<BackendChanges>>,
+    incarnations: IncarnationHistory,
 }
 
 impl ListHistory {
@@ -46,8 +48,36 @@
         self.remember(changes);
     }
 
+    /// Takes incarnations that another member knows.
+    pub fn take_incarnations(&mut self, told: &[ReplicaIncarnation]) {
+        let changes = self.copy.take_incarnations(told);
+        self.remember(changes);
+    }
+
+    /// What an asker lacks of the incarnations, beside what it is told of the list; `None` when
+    /// there is nothing to tell. All of them are told only to one that has this list then: another
+    /// one may know newer ones.
+    #[must_use]
+    pub fn incarnations_after(
+        &self,
+        known: KnownIncarnations,
+        will_have_this_list: bool,
+    ) -> Option<Vec<ReplicaIncarnation>> {
+        let list = self.copy.list();
+        if list.incarnation_sum() == known.sum {
+            return None;
+        }
+        let since = self.incarnations.since(known);
+        let all = || will_have_this_list.then(|| list.incarnations());
+        since.or_else(all).filter(|lacking| !lacking.is_empty())
+    }
+
     fn remember(&mut self, changes: Option<BackendChanges>) {
         let Some(changes) = changes else { return };
+        self.incarnations.note(self.copy.list(), &changes);
+        if changes.base == changes.result {
+            return;
+        }
         self.merged.clear();
         self.remembered += changes.len();
         self.steps.push_back(Arc::new(changes));
--- a/crates/fleet/tests/backends.rs
+++ b/crates/fleet/tests/backends.rs
@@ -1,8 +1,8 @@
 //! Lists of replicas: changes instead of whole lists, whoever tells them.
 
 use luglink_fleet::{
-    Backend, BackendChanges, BackendId, BackendList, BackendReport, BackendUpdate, KnownList,
-    ListCopy, ListHistory,
+    Backend, BackendChanges, BackendId, BackendList, BackendReport, BackendUpdate, Incarnation,
+    KnownList, ListCopy, ListHistory,
 };
 use luglink_types::Timestamp;
 use proptest::prelude::*;
@@ -22,6 +22,7 @@
         zone: "z".to_owned(),
         slots: 4,
         draining,
+        incarnation: Incarnation::UNKNOWN,
     }
 }
 
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -102,6 +102,11 @@
     if failure.is_full() || failure.outcome() == SendOutcome::Declined {
         return;
     }
+    if gateway.pool.borrow().has_restarted(backend) {
+        let reason = failure.as_str();
+        tracing::info!(replica = %backend.id, reason, "an earlier life of a replica failed");
+        return;
+    }
     let until = gateway.pool.borrow_mut().failed(&backend.id, gateway.now());
     tracing::warn!(
         replica = %backend.id,
@@ -160,6 +165,9 @@
 async fn suspect(gateway: &Gateway, backend: &Backend) {
     for _ in 0..MAX_SUSPICIONS {
         actix_rt::time::sleep(SUSPICION_INTERVAL).await;
+        if gateway.pool.borrow().has_restarted(backend) {
+            return;
+        }
         let now = gateway.now();
         gateway.pool.borrow_mut().troubled(&backend.id, now);
     }
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -20,6 +20,8 @@
     pub(crate) list_reads: IntCounter,
     /// Entries of that list that name no replica to use.
     pub(crate) list_entries_passed_over: IntCounter,
+    /// Replicas that have started again under their old identifiers.
+    pub(crate) replica_restarts: IntCounter,
     /// Time to a whole answer, or to the first event of a stream.
     pub(crate) answer_seconds: Histogram,
     /// Time for the turn stores to note a turn's beginning.
@@ -49,6 +51,8 @@
                 "list_entries_passed_over_total",
                 "Entries of the platform's list that cannot be read",
             )?,
+            replica_restarts: registry
+                .counter("replica_restarts_total", "Replicas seen in another life")?,
             answer_seconds: registry.seconds("answer_seconds", "Time to an answer")?,
             reserve_seconds: registry.seconds("reserve_seconds", "Time to reserve tokens")?,
             keep_seconds: registry.seconds("keep_seconds", "Time to keep a turn")?,
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -1,12 +1,13 @@
 //! What the control members tell a gateway.
 
 use crate::gateway::{Gateway, InForce};
+use luglink_control::{RequestParts, ResponseParts};
 use luglink_edge::{KeyRing, RoutingTable};
 use luglink_fleet::{
-    BackendChanges, BackendList, BackendReport, GatewayPresence, Known, KnownList, News, Presence,
-    Role, VersionedDocument,
+    BackendChanges, BackendId, BackendList, BackendReport, GatewayPresence, Incarnation, Known,
+    KnownList, News, Presence, ReplicaIncarnation, Role, VersionedDocument,
 };
-use luglink_fleet_client::{ListSource, Subject};
+use luglink_fleet_client::{Asked, ListSource, Subject};
 use luglink_types::Timestamp;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -44,6 +45,17 @@
         }
     }
 
+    fn parts(&self, asked: Asked) -> RequestParts {
+        let asks_list = self.known_list(asked.source).is_some();
+        RequestParts {
+            known_incarnations: asks_list.then(|| self.list.borrow().known_incarnations()),
+        }
+    }
+
+    fn on_parts(&self, parts: ResponseParts) {
+        self.take_incarnations(&parts.incarnations);
+    }
+
     fn on_news(&self, member: SocketAddr, news: News) {
         if let Some(document) = news.document {
             self.put_in_force(member, document);
@@ -136,18 +148,35 @@
         self.show(changes);
     }
 
+    /// Takes what a replica says of its life itself: it is there before the list shows it.
+    pub(crate) fn note_incarnation(&self, replica: &BackendId, incarnation: Incarnation) {
+        self.take_incarnations(&[ReplicaIncarnation {
+            replica: replica.clone(),
+            incarnation,
+        }]);
+    }
+
+    fn take_incarnations(&self, told: &[ReplicaIncarnation]) {
+        let changes = self.list.borrow_mut().take_incarnations(told);
+        self.show(changes);
+    }
+
     /// Shows changes of the list in the pool.
     fn show(&self, changes: Option<BackendChanges>) {
         let Some(changes) = changes else { return };
+        let restarted = self.pool.borrow().restarted(&changes);
         let draining = changes.changed.iter().filter(|backend| backend.draining);
         tracing::info!(
             replicas = self.list.borrow().list().len(),
             changed = changes.changed.len(),
             draining = draining.count(),
             removed = changes.removed.len(),
+            restarted = restarted.len(),
             "new list of replicas"
         );
         self.pool.borrow_mut().apply(&changes);
         self.upstream.forget(&changes.removed);
+        self.upstream.forget(&restarted);
+        self.metrics.replica_restarts.inc_by(restarted.len() as u64);
     }
 }
--- a/crates/gateway-server/src/placement.rs
+++ b/crates/gateway-server/src/placement.rs
@@ -115,6 +115,7 @@
     let report = actix_rt::time::timeout(REPORT_LIMIT, reading)
         .await
         .ok()??;
+    gateway.note_incarnation(&backend.id, report.incarnation);
     Some(report.fullness(backend.slots))
 }
 
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -241,7 +241,9 @@
                 reservation.note_replica(&source.backend.id);
             }
             let mut pool = self.gateway.pool.borrow_mut();
-            pool.succeeded(&source.backend.id, time);
+            if !pool.has_restarted(&source.backend) {
+                pool.succeeded(&source.backend.id, time);
+            }
         }
     }
 
@@ -309,7 +311,9 @@
         self.splitter.clear();
         if !self.inbound.route.resumable || self.resumptions >= MAX_RESUMPTIONS {
             let mut pool = self.gateway.pool.borrow_mut();
-            pool.failed(&backend.id, self.gateway.now());
+            if !pool.has_restarted(&backend) {
+                pool.failed(&backend.id, self.gateway.now());
+            }
             return Err(reason);
         }
         self.resumptions += 1;
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -31,16 +31,23 @@
         Err(failure) => Err(failure),
     };
     if let Ok(response) = &result {
-        let mut pool = gateway.pool.borrow_mut();
-        if response.status().is_server_error() {
-            pool.troubled(&backend.id, gateway.now());
-        } else {
-            pool.succeeded(&backend.id, began.elapsed());
-        }
+        note_answer(gateway, &backend, response, began.elapsed());
     }
     (backend, result)
 }
 
+/// Notes what an answer says of the replica, unless an earlier life of it gave the answer.
+fn note_answer(gateway: &Gateway, backend: &Backend, response: &Response<Body>, time: Duration) {
+    let mut pool = gateway.pool.borrow_mut();
+    if pool.has_restarted(backend) {
+        return;
+    }
+    match response.status().is_server_error() {
+        true => pool.troubled(&backend.id, gateway.now()),
+        false => pool.succeeded(&backend.id, time),
+    }
+}
+
 /// Serves a request with one whole answer. A replica that keeps a request which may be repeated
 /// for much longer than it should take does not hold it up: another one gets it too, within the
 /// number of replicas that the route allows, and the first whole answer counts.
@@ -117,7 +124,10 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
             tracing::debug!(id = inbound.id, replica = %backend.id, %error, "an answer broke off");
-            gateway.pool.borrow_mut().failed(&backend.id, gateway.now());
+            let mut pool = gateway.pool.borrow_mut();
+            if !pool.has_restarted(&backend) {
+                pool.failed(&backend.id, gateway.now());
+            }
             return Err(Failure::CutAnswer);
         }
         Err(_) => return Err(Failure::NoAnswerInTime),
--- a/crates/gateway-server/tests/gateway/replicas.rs
+++ b/crates/gateway-server/tests/gateway/replicas.rs
@@ -1,9 +1,9 @@
 //! Replicas that misbehave: nothing but a whole answer of the request's own reaches a caller as
 //! a success, and nothing that may have run is run again unless it may be.
 
-use crate::support::caller::{Ask, Got};
+use crate::support::caller::{Ask, Got, get};
 use crate::support::replica::{Replica, Script};
-use crate::support::{Fleet, configuration};
+use crate::support::{Fleet, configuration, until};
 
 async fn fleet(scripts: &[Script]) -> (Fleet, Vec<Replica>) {
     let mut replicas = Vec::new();
@@ -284,3 +284,24 @@
     assert_eq!(wide.send(to).await.status, 431);
     assert_eq!(runs(&replicas), 0);
 }
+
+/// A replica that starts again under its identifier has none of the connections of before. The
+/// restart shows in nothing but the time of its start.
+#[actix_rt::test]
+async fn connections_to_an_earlier_life_of_a_replica_are_not_kept() {
+    let replica = Replica::start("r0", Script::Answer).await;
+    replica.started_ms.set(5);
+    let fleet = Fleet::start(vec![replica.clone()]).await;
+    fleet.configure(&configuration(1)).await;
+    let ask = |id: &str| Ask::post("/safe/x", id, "").send(fleet.gateway_address);
+    assert_eq!(ask("before").await.status, 200);
+    let closed = replica.closed.get();
+    replica.started_ms.set(8);
+    until("the connection of before is closed", || async {
+        replica.closed.get() > closed
+    })
+    .await;
+    assert_eq!(ask("after").await.status, 200);
+    let metrics = get(fleet.gateway.metrics_address.unwrap(), "/metrics").await;
+    assert!(metrics.body.contains("luglink_replica_restarts_total 1"));
+}
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -74,6 +74,8 @@
     pub id: String,
     pub address: SocketAddr,
     pub is_draining: Rc<Cell<bool>>,
+    /// When it says that it started; 0 when it does not say.
+    pub started_ms: Rc<Cell<u64>>,
     pub script: Rc<RefCell<Script>>,
     pub seen: Rc<RefCell<Vec<Seen>>>,
     /// Connections that the other end has closed.
@@ -90,6 +92,7 @@
             id: id.to_owned(),
             address: listener.local_addr().unwrap(),
             is_draining: Rc::default(),
+            started_ms: Rc::default(),
             script: Rc::new(RefCell::new(script)),
             seen: Rc::default(),
             closed: Rc::default(),
@@ -146,6 +149,7 @@
         };
         let body = json!({
             "running": running, "waiting": 0, "memory_used": 0, "memory_total": 1_000,
+            "started_ms": self.started_ms.get(),
         });
         let body = body.to_string();
         let length = body.len();
@@ -396,6 +400,7 @@
             json!({
                 "id": replica.id, "service": "service", "address": replica.address,
                 "zone": "here", "slots": 4, "draining": replica.is_draining.get(),
+                "started_ms": replica.started_ms.get(),
             })
         })
         .collect();
--- a/crates/lab/src/sim/control.rs
+++ b/crates/lab/src/sim/control.rs
@@ -311,7 +311,9 @@
                 let to = Node::Control(member_index(envelope.to.member));
                 self.send(from, to, Message::Peer { group, envelope });
             }
-            Output::Reply { token, response } => {
+            Output::Reply {
+                token, response, ..
+            } => {
                 let client = ControlClientId(token.client);
                 let delivery = Message::ControlResponse {
                     request: token.request,
--- a/crates/scheduling/benches/pool.rs
+++ b/crates/scheduling/benches/pool.rs
@@ -4,7 +4,7 @@
 //! figures of the code before the index and after it stand in `docs/CAPACITY.md`.
 
 use divan::{Bencher, black_box};
-use luglink_fleet::{Backend, BackendId, BackendList};
+use luglink_fleet::{Backend, BackendId, BackendList, Incarnation};
 use luglink_scheduling::{Pool, Reach, Wish};
 use luglink_types::Timestamp;
 
@@ -32,6 +32,7 @@
         zone: ZONES[number % ZONES.len()].to_owned(),
         slots: 6,
         draining: number < leaving,
+        incarnation: Incarnation::UNKNOWN,
     };
     BackendList::new((0..count).map(backend).collect())
 }
--- a/crates/scheduling/src/pool/mod.rs
+++ b/crates/scheduling/src/pool/mod.rs
@@ -107,10 +107,17 @@
         }
     }
 
-    fn put(&mut self, backend: Backend) {
+    fn put(&mut self, mut backend: Backend) {
         if let Some(before) = self.backends.get(&backend.id) {
             let before = before.clone();
             self.unindex(&before);
+            if backend.incarnation.is_after(before.incarnation)
+                && let Some(record) = self.records.get_mut(&backend.id)
+            {
+                record.begin_new_life();
+            }
+            // Changes that came over the wire name no incarnations.
+            backend.incarnation = backend.incarnation.max(before.incarnation);
         }
         let service = self.services.entry(backend.service.clone()).or_default();
         service.add(&backend);
@@ -143,6 +150,25 @@
         self.backends.contains_key(id)
     }
 
+    /// Whether a replica that a request was sent to is in another life by now: what the request
+    /// meets says nothing of the replica that is listed.
+    #[must_use]
+    pub fn has_restarted(&self, sent_to: &Backend) -> bool {
+        let listed = self.backends.get(&sent_to.id);
+        listed.is_some_and(|listed| listed.incarnation.is_after(sent_to.incarnation))
+    }
+
+    /// Replicas in `changes` that the pool knows in an earlier life.
+    #[must_use]
+    pub fn restarted(&self, changes: &BackendChanges) -> Vec<BackendId> {
+        let is_restart = |backend: &&Backend| {
+            let listed = self.backends.get(&backend.id);
+            listed.is_some_and(|listed| backend.incarnation.is_after(listed.incarnation))
+        };
+        let restarted = changes.changed.iter().filter(is_restart);
+        restarted.map(|backend| backend.id.clone()).collect()
+    }
+
     /// The listed replica of that identifier, when it may get work.
     #[must_use]
     pub fn usable(&self, id: &BackendId) -> Option<&Backend> {
--- a/crates/scheduling/src/pool/record.rs
+++ b/crates/scheduling/src/pool/record.rs
@@ -65,6 +65,15 @@
         self.trouble * 0.5_f64.powf(half_lives)
     }
 
+    /// Forgets what was seen of an earlier life of the replica. Requests that are still at it stay
+    /// counted until each of them ends.
+    pub(super) fn begin_new_life(&mut self) {
+        *self = Self {
+            in_flight: self.in_flight,
+            ..Self::UNUSED
+        };
+    }
+
     pub(super) fn succeeded(&mut self, time: Duration) {
         self.failures = 0;
         self.ejected_until = Timestamp::ZERO;
--- a/crates/scheduling/tests/placement.rs
+++ b/crates/scheduling/tests/placement.rs
@@ -11,6 +11,7 @@
         waiting,
         memory_used,
         memory_total: 1_000,
+        ..ReplicaReport::default()
     }
 }
 
--- a/crates/scheduling/tests/pool.rs
+++ b/crates/scheduling/tests/pool.rs
@@ -1,6 +1,6 @@
 //! Which replica gets a request.
 
-use luglink_fleet::{Backend, BackendId, BackendList, GatewayLoad, ServiceLoad};
+use luglink_fleet::{Backend, BackendId, BackendList, GatewayLoad, Incarnation, ServiceLoad};
 use luglink_scheduling::{Pool, Reach, Wish};
 use luglink_types::Timestamp;
 use std::cell::Cell;
@@ -21,6 +21,7 @@
         zone: zone.to_owned(),
         slots: 10,
         draining: false,
+        incarnation: Incarnation::UNKNOWN,
     }
 }
 
