Merge the shared view of the replicas' load and incarnations

A replica's record begins anew with a new life in the form that placement by expected finish gave it.

--- a/crates/control-server/src/looks.rs
+++ b/crates/control-server/src/looks.rs
@@ -4,7 +4,9 @@
 use crate::actor::{ControlActor, now};
 use actix::prelude::*;
 use luglink_control::CONFIGURATION_GROUP;
-use luglink_fleet::{GatewayPlace, HeardGateway, KnownList, NamedGateways};
+use luglink_fleet::{
+    GatewayPlace, HeardGateway, KnownIncarnations, KnownList, MemberSights, NamedGateways,
+};
 use luglink_raft::Peer;
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -104,6 +106,8 @@
 pub(crate) struct WordsForNeighbours {
     pub(crate) neighbours: Vec<Ipv4Addr>,
     pub(crate) words: Vec<HeardGateway>,
+    /// What the gateways see that this member counts.
+    pub(crate) sights: Option<MemberSights>,
 }
 
 impl Handler<TakeWords> for ControlActor {
@@ -114,11 +118,14 @@
             return WordsForNeighbours::default();
         };
         let neighbours = node.neighbours();
-        let words = match neighbours.is_empty() {
-            true => Vec::new(),
-            false => node.words_for_neighbours(),
-        };
-        WordsForNeighbours { neighbours, words }
+        if neighbours.is_empty() {
+            return WordsForNeighbours::default();
+        }
+        WordsForNeighbours {
+            neighbours,
+            words: node.words_for_neighbours(),
+            sights: node.sights_for_neighbours(),
+        }
     }
 }
 
@@ -129,12 +136,21 @@
 
 /// What a member says of its list.
 #[derive(Clone, Debug, actix::MessageResponse)]
-pub(crate) struct ListWord(pub(crate) Option<KnownList>);
+pub(crate) struct ListWord {
+    /// What it has of the list; `None` while it has no disk.
+    pub(crate) list: Option<KnownList>,
+    /// What it has of the incarnations.
+    pub(crate) incarnations: Option<KnownIncarnations>,
+}
 
 impl Handler<DescribeList> for ControlActor {
     type Result = ListWord;
 
     fn handle(&mut self, _: DescribeList, _: &mut Self::Context) -> ListWord {
-        ListWord(self.node().map(|node| node.list().known(now())))
+        let list = self.node().map(|node| node.list());
+        ListWord {
+            list: list.map(|list| list.known(now())),
+            incarnations: list.map(|list| list.known_incarnations()),
+        }
     }
 }
--- a/crates/control/tests/managed/main.rs
+++ b/crates/control/tests/managed/main.rs
@@ -1,6 +1,8 @@
 //! A managed fleet: members and turn stores that come, go and lose their disks.
 
+mod incarnations;
 mod members;
 mod observers;
+mod sights;
 mod stores;
 mod support;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod backend;
 mod backend_list;
 mod document;
+mod incarnation;
 mod list_copy;
 mod list_history;
 mod list_reading;
@@ -22,10 +23,12 @@
 mod sight;
 mod view;
 mod zone_load;
+mod zone_sights;
 
 pub use backend::{Backend, BackendId};
 pub use backend_list::{BackendChanges, BackendList, BackendPatch, ListDigest};
 pub use document::{DocumentStore, VersionedDocument};
+pub use incarnation::{Incarnation, KnownIncarnations, ReplicaIncarnation};
 pub use list_copy::{BackendReport, BackendUpdate, KnownList, ListCopy};
 pub use list_history::ListHistory;
 pub use list_reading::{ListReader, ListReading, ReadingRates};
@@ -44,3 +47,4 @@
 pub use sight::{MAX_SIGHTS, ReplicaKey, ReplicaSight, Sights};
 pub use view::{StoreMember, StoreName, StoreState, StoreView};
 pub use zone_load::{GatewayLoad, ServiceLoad};
+pub use zone_sights::{GatewaySights, MemberSights, SightTable, ZoneSights};
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -16,6 +16,7 @@
 mod inbound;
 mod list;
 mod load_meter;
+mod load_view;
 mod metrics;
 mod move_watch;
 mod news;
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -20,6 +20,12 @@
     pub(crate) list_reads: IntCounter,
     /// Entries of that list that name no replica to use.
     pub(crate) list_entries_passed_over: IntCounter,
+    /// Replicas that have started again under their old identifiers.
+    pub(crate) replica_restarts: IntCounter,
+    /// Mean age of what the gateways of the zone told last, in seconds.
+    pub(crate) load_view_age: Gauge,
+    /// Replicas in it.
+    pub(crate) load_view_replicas: Gauge,
     /// Time to a whole answer, or to the first event of a stream.
     pub(crate) answer_seconds: Histogram,
     /// By how much the time to a first event differed from what was expected.
@@ -67,6 +73,11 @@
                 "list_entries_passed_over_total",
                 "Entries of the platform's list that cannot be read",
             )?,
+            replica_restarts: registry
+                .counter("replica_restarts_total", "Replicas seen in another life")?,
+            load_view_age: registry.gauge("load_view_age_seconds", "Age of the zone's view")?,
+            load_view_replicas: registry
+                .gauge("load_view_replicas", "Replicas in the zone's view")?,
             answer_seconds: registry.seconds("answer_seconds", "Time to an answer")?,
             expectation_error_seconds: registry.seconds(
                 "expectation_error_seconds",
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -15,7 +15,7 @@
 use luglink_fleet::Backend;
 use luglink_http::{Body, full_body};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// One send to one replica, from the choice to the whole answer.
 async fn attempt(
@@ -29,16 +29,23 @@
         Err(failure) => Err(failure),
     };
     if let Ok(response) = &result {
-        let mut pool = gateway.pool.borrow_mut();
-        if response.status().is_server_error() {
-            pool.troubled(&backend.id, gateway.now());
-        } else {
-            pool.succeeded(&backend.id, began.elapsed());
-        }
+        note_answer(gateway, &backend, response, began.elapsed());
     }
     (backend, result)
 }
 
+/// Notes what an answer says of the replica, unless an earlier life of it gave the answer.
+fn note_answer(gateway: &Gateway, backend: &Backend, response: &Response<Body>, time: Duration) {
+    let mut pool = gateway.pool.borrow_mut();
+    if pool.has_restarted(backend) {
+        return;
+    }
+    match response.status().is_server_error() {
+        true => pool.troubled(&backend.id, gateway.now()),
+        false => pool.succeeded(&backend.id, time),
+    }
+}
+
 /// Serves a request with one whole answer.
 pub(crate) async fn serve(
     gateway: &Rc<Gateway>,
@@ -125,7 +132,10 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
             tracing::debug!(id = inbound.id, replica = %backend.id, %error, "an answer broke off");
-            gateway.pool.borrow_mut().failed(&backend.id, gateway.now());
+            let mut pool = gateway.pool.borrow_mut();
+            if !pool.has_restarted(&backend) {
+                pool.failed(&backend.id, gateway.now());
+            }
             return Err(Failure::CutAnswer);
         }
         Err(_) => return Err(Failure::NoAnswerInTime),
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! A gateway in a whole fleet, before scripted replicas.
 
 mod expected_finish;
+mod load_view;
 mod metrics;
 mod moves;
 mod overload;
--- a/crates/scheduling/src/pool/record.rs
+++ b/crates/scheduling/src/pool/record.rs
@@ -114,6 +114,15 @@
         })
     }
 
+    /// Forgets what was seen of an earlier life of the replica. Requests that are still at it stay
+    /// counted until each of them ends.
+    pub(super) fn begin_new_life(&mut self) {
+        *self = Self {
+            in_flight: self.in_flight,
+            ..Self::default()
+        };
+    }
+
     pub(super) fn succeeded(&mut self, time: Duration) {
         self.failures = 0;
         self.ejected_until = Timestamp::ZERO;
