Let builds of today and of production read each other, and hold that by bytes

Cause: machines are replaced one after the other, so that builds of two versions share connections, logs and folders. Nothing held the layouts, a member left a request that it could not read without an answer, and a log that ends with a batch of a newer layout was taken for torn and cut off.

Ruled out: a version record at the head of each log and a self-describing encoding; the build in production reads neither.

Members answer a request that they cannot read as unavailable, with a line in the log, and keep the connection; stores did. An intact batch whose magic has another version is refused and stays; a torn one is cut off as before.

--- a/crates/control-server/src/actor.rs
+++ b/crates/control-server/src/actor.rs
@@ -11,7 +11,7 @@
 use luglink_net::{Accepted, FrameSender};
 use luglink_storage::FileDisk;
 use luglink_types::{EngineId, GroupId, ProgramId, Timestamp};
-use luglink_wire::{ClientRole, Frame, decode_body, encode_body};
+use luglink_wire::{ClientRole, Frame, WireError, decode_body, encode_body};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -252,6 +252,14 @@
         }
     }
 
+    /// Answers a request that a newer build may have sent: its sender asks another member at once
+    /// instead of waiting for an answer that never comes.
+    fn decline_unknown(&mut self, token: RequestToken, error: &WireError) {
+        tracing::warn!(connection = token.client, %error, "a request cannot be understood");
+        let reason = format!("this build does not know the request: {error}");
+        self.reply(token, Response::Unavailable { reason });
+    }
+
     fn on_frame(&mut self, connection: u64, frame: Frame, context: &mut Context<Self>) {
         match frame {
             Frame::Peer { group, body, .. } => match decode_body(&body) {
@@ -264,17 +272,19 @@
             },
             Frame::Request {
                 correlation, body, ..
-            } => match decode_body(&body) {
-                Ok(request) => {
-                    let token = RequestToken {
-                        client: connection,
-                        request: correlation,
-                    };
-                    let request = Box::new(request);
-                    self.take(Input::Request { token, request }, context);
+            } => {
+                let token = RequestToken {
+                    client: connection,
+                    request: correlation,
+                };
+                match decode_body(&body) {
+                    Ok(request) => {
+                        let request = Box::new(request);
+                        self.take(Input::Request { token, request }, context);
+                    }
+                    Err(error) => self.decline_unknown(token, &error),
                 }
-                Err(error) => tracing::warn!(%error, "malformed request"),
-            },
+            }
             Frame::Hello(_) | Frame::Response { .. } => {
                 tracing::warn!(connection, "unexpected frame");
             }
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! A gateway in a whole fleet, before scripted replicas.
 
 mod metrics;
+mod mixed_builds;
 mod overload;
 mod placement;
 mod programs;
--- a/crates/storage/src/frame.rs
+++ b/crates/storage/src/frame.rs
@@ -1,7 +1,14 @@
 //! One batch on disk: `magic, length, sequence, checksum, payload`, integers little-endian.
+//!
+//! The last byte of the magic is the version of the payload's layout. The header is the same in
+//! every version, so that a build recognizes the batches of a newer one, whose payloads it cannot
+//! read, and does not take them for a torn tail that may be cut off.
 
 const MAGIC: [u8; 4] = *b"LLW1";
 const MAGIC_END: usize = 4;
+
+/// Bytes of the magic that are the same in every version.
+const FAMILY_END: usize = 3;
 const LENGTH_END: usize = 8;
 const SEQUENCE_END: usize = 16;
 
@@ -43,6 +50,17 @@
     if bytes[..MAGIC_END] != MAGIC {
         return Err("the header is not a record's");
     }
+    decode_any_version(bytes)
+}
+
+/// Reads the frame at the start of `bytes`, whichever version its payload has.
+fn decode_any_version(bytes: &[u8]) -> Result<Frame<'_>, &'static str> {
+    if bytes.len() < HEADER_BYTES {
+        return Err("the header is cut short");
+    }
+    if bytes[..FAMILY_END] != MAGIC[..FAMILY_END] {
+        return Err("the header is not a record's");
+    }
     let length = read_u32(&bytes[MAGIC_END..LENGTH_END]) as usize;
     let sequence = read_u64(&bytes[LENGTH_END..SEQUENCE_END]);
     let expected = read_u32(&bytes[SEQUENCE_END..HEADER_BYTES]);
@@ -58,12 +76,17 @@
     Ok(Frame { sequence, payload })
 }
 
-/// Whether an intact frame later than `sequence` starts anywhere in `bytes`.
+/// Whether `bytes` start with an intact frame whose payload has another version.
+pub(crate) fn is_of_another_version(bytes: &[u8]) -> bool {
+    decode_any_version(bytes).is_ok() && bytes[..MAGIC_END] != MAGIC
+}
+
+/// Whether an intact frame later than `sequence`, of any version, starts anywhere in `bytes`.
 pub(crate) fn intact_frame_follows(bytes: &[u8], sequence: u64) -> bool {
-    let starts = bytes.windows(MAGIC_END).enumerate();
-    let candidates = starts.filter(|(_, window)| *window == MAGIC);
+    let starts = bytes.windows(FAMILY_END).enumerate();
+    let candidates = starts.filter(|(_, window)| *window == &MAGIC[..FAMILY_END]);
     candidates
-        .map(|(offset, _)| decode(&bytes[offset..]))
+        .map(|(offset, _)| decode_any_version(&bytes[offset..]))
         .any(|frame| frame.is_ok_and(|frame| frame.sequence > sequence))
 }
 
--- a/crates/storage/src/wal.rs
+++ b/crates/storage/src/wal.rs
@@ -8,6 +8,9 @@
 const SEGMENT_PREFIX: &str = "wal-";
 const SEGMENT_SUFFIX: &str = ".log";
 
+/// Why a whole batch of another version is refused rather than cut off: it was acknowledged.
+const NEWER_LAYOUT: &str = "the record has a layout that this build does not know";
+
 /// Limits of the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WalConfig {
@@ -168,6 +171,14 @@
                 }
                 Err(reason) => {
                     let rest = &bytes[offset..];
+                    ensure!(
+                        !frame::is_of_another_version(rest),
+                        CorruptSnafu {
+                            file: &file,
+                            offset: offset as u64,
+                            reason: NEWER_LAYOUT
+                        }
+                    );
                     let torn_tail =
                         is_last && !frame::intact_frame_follows(rest, self.next_sequence);
                     ensure!(
--- a/crates/storage/tests/wal.rs
+++ b/crates/storage/tests/wal.rs
@@ -136,3 +136,42 @@
     let error = FileDisk::open(file.path()).expect_err("not a folder");
     assert!(error.to_string().contains("data folder"), "{error}");
 }
+
+/// A frame whose payload has the version after today's, with a right checksum.
+fn frame_of_a_newer_build(batches: usize) -> Vec<u8> {
+    let mut disk = MemoryDisk::new();
+    append_all(&mut disk, &vec![b"newer".to_vec(); batches + 1]);
+    let log = disk.read("wal-0000000000000000.log").expect("read");
+    let length = log.len() / (batches + 1);
+    let mut frame = log[log.len() - length..].to_vec();
+    assert_eq!(&frame[..4], b"LLW1");
+    frame[3] = b'2';
+    frame
+}
+
+#[test]
+fn a_batch_of_a_newer_layout_is_refused_and_nothing_is_cut_off() {
+    let file = "wal-0000000000000000.log";
+    for batches in 0..3 {
+        let mut disk = MemoryDisk::new();
+        append_all(&mut disk, &vec![b"known".to_vec(); batches]);
+        disk.append(file, &frame_of_a_newer_build(batches))
+            .expect("append");
+        disk.sync(file).expect("sync");
+        let before = disk.read(file).expect("read");
+        let error = Wal::open(&mut disk, SMALL).expect_err("a newer layout");
+        assert!(error.to_string().contains("does not know"), "{error}");
+        assert_eq!(disk.read(file).expect("read"), before);
+    }
+}
+
+#[test]
+fn a_torn_batch_of_a_newer_layout_is_cut_off_like_any_other() {
+    let file = "wal-0000000000000000.log";
+    let mut disk = MemoryDisk::new();
+    append_all(&mut disk, &[b"known".to_vec()]);
+    let frame = frame_of_a_newer_build(1);
+    disk.append(file, &frame[..frame.len() - 1])
+        .expect("append");
+    assert_eq!(payloads(&mut disk), [b"known".to_vec()]);
+}
