Bound what a gateway holds for readers that do not read

Cause: bodies, prompts, kept answers and up to 64 parts of any size for each caller had no bound together, a caller that stopped to read held its replica for as long as its connection lived, and machines have 88 to 220 MB.

Ruled out: a limit on requests under way, which suits either small or large bodies; cutting the oldest, whose work is mostly done.

Change: HeldBytes counts by request, tenant and process and decides; the gateway's ledger and guards carry that out. What does not fit is refused as not run before its body is read; at a bound the newest of the large holders that can be cut go first. A stream has 64 KiB on its way; a caller that takes nothing for 2 s is cut as caller_stalled, its connection after 4 s. The system's send buffer towards callers is 128 KiB, since with megabytes a slow reader looked like one that stalls: a test of one failed so. Gauge and counters by reason, a line in the log for each cut. The process's bound is a quarter of its memory limit, a tenant's and a request's half of that. Switched by held_bytes.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -23,6 +23,10 @@
 /// Part of the memory limit that a gateway gives to turns it has seen.
 const TURN_CACHE_SHARE: u64 = 8;
 
+/// Part of the memory limit that a gateway may hold for callers and replicas that read slowly. The
+/// process itself, its connections and the turns it has seen need the rest.
+const HELD_BYTES_SHARE: u64 = 4;
+
 /// Time kept back from a planned stop's limit, for the process to end by itself.
 const STOP_RESERVE: Duration = Duration::from_millis(500);
 
@@ -154,6 +158,7 @@
                 .fail_closed
                 .then(|| Duration::from_millis(fleet.revoke_ms)),
             stop_limit: stop_limit.saturating_sub(STOP_RESERVE),
+            held_bytes_limit: (fleet.memory_mb << 20) / HELD_BYTES_SHARE,
             turn_cache_bytes: usize::try_from((fleet.memory_mb << 20) / TURN_CACHE_SHARE)
                 .unwrap_or(usize::MAX),
         };
--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -176,6 +176,7 @@
     ServeOptions {
         header_bytes: 16 << 10,
         idle: CONNECTION_IDLE,
+        unread: None,
     }
 }
 
--- a/crates/gateway-server/src/config.rs
+++ b/crates/gateway-server/src/config.rs
@@ -38,6 +38,8 @@
     /// Time without word from a control member that hears its leader, after which callers with
     /// keys are refused; `None` to go on with the keys that are known.
     pub keys_expire_after: Option<Duration>,
+    /// Bytes that may be held for callers and replicas that read slowly.
+    pub held_bytes_limit: u64,
     /// Bytes of turns that are kept in memory to spare the stores.
     pub turn_cache_bytes: usize,
 }
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -1,6 +1,7 @@
 //! What all parts of a gateway share. Everything runs on one thread.
 
 use crate::config::GatewayConfig;
+use crate::held::Ledger;
 use crate::load_meter::LoadMeter;
 use crate::metrics::GatewayMetrics;
 use crate::turn_cache::TurnCache;
@@ -47,6 +48,8 @@
     pub(crate) turns: TurnClient,
     pub(crate) turn_cache: RefCell<TurnCache>,
     pub(crate) upstream: Upstream,
+    /// Bytes that are held for callers and replicas.
+    pub(crate) held: Rc<Ledger>,
     pub(crate) is_stopping: Cell<bool>,
     /// Requests under way.
     pub(crate) in_flight: Cell<u32>,
@@ -71,7 +74,10 @@
         metrics: GatewayMetrics,
         seed: u64,
     ) -> Self {
+        let is_bounded = config.features.held_bytes();
+        let held_limit = is_bounded.then_some(config.held_bytes_limit);
         Self {
+            held: Ledger::new(held_limit, metrics.clone()),
             pool: RefCell::new(Pool::new(&config.zone)),
             turns: TurnClient::new(config.replication),
             turn_cache: RefCell::new(TurnCache::new(config.turn_cache_bytes)),
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -1,12 +1,13 @@
 //! A caller's request, read whole.
 
 use crate::gateway::{Gateway, InForce};
+use crate::held::Held;
 use crate::refusal::Refusal;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, Request, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use luglink_edge::{Caller, Route, RouteKind, UnknownKey};
 use luglink_turns::{ProgramName, TurnId};
 use luglink_types::TenantName;
@@ -48,6 +49,8 @@
     pub(crate) version: u64,
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
+    /// The memory that it takes.
+    pub(crate) held: Held,
     pub(crate) program: Option<ProgramFields>,
     pub(crate) arrived: Instant,
     /// When nobody wants an answer any more.
@@ -132,7 +135,13 @@
         .map_or(route.timeout(), Duration::from_millis)
         .min(route.timeout());
     let deadline = arrived + patience;
-    let body = read_body(gateway, in_force, incoming, deadline).await?;
+    let limit = in_force.configuration.limits.max_body_bytes;
+    let held = make_room(gateway, &caller, &id, &incoming, limit)?;
+    let body = tokio::select! {
+        body = read_body(gateway, incoming, limit, deadline, &held) => body?,
+        _ = held.cut() => return Err(Refusal::no_room()),
+    };
+    held.set_can_be_cut(false);
     let program = program_fields(gateway, &caller, &head);
     let program_hash = program
         .as_ref()
@@ -153,6 +162,7 @@
         version: in_force.version,
         head,
         body,
+        held,
         program,
         arrived,
         deadline,
@@ -198,24 +208,59 @@
     Err(Refusal::new(StatusCode::UNAUTHORIZED, "no known key"))
 }
 
+/// Makes room for a body before anything of it is read. One that announces no length, or more
+/// than is allowed, counts as it arrives.
+fn make_room(
+    gateway: &Gateway,
+    caller: &Caller,
+    id: &str,
+    incoming: &Incoming,
+    limit: usize,
+) -> Result<Held, Refusal> {
+    let announced = incoming.size_hint().exact().unwrap_or(0);
+    let announced = if announced > limit as u64 {
+        0
+    } else {
+        announced
+    };
+    let tenant = tenant_name(caller).cloned();
+    let held = gateway.held.admit(id, tenant, announced);
+    let held = held.map_err(|_| Refusal::no_room())?;
+    held.set_can_be_cut(true);
+    Ok(held)
+}
+
+/// Why a body cannot be had.
+enum BodyFailure {
+    TooLong,
+    Broken,
+    /// It would take more memory than there is room for.
+    NoRoom,
+}
+
 async fn read_body(
     gateway: &Gateway,
-    in_force: &InForce,
     incoming: Incoming,
+    limit: usize,
     deadline: Instant,
+    held: &Held,
 ) -> Result<Bytes, Refusal> {
-    let limit = in_force.configuration.limits.max_body_bytes;
     let left = deadline.saturating_duration_since(Instant::now());
-    let reading = Limited::new(incoming, limit).collect();
+    let announced = incoming.size_hint().exact().unwrap_or(0);
+    let reading = collect(Limited::new(incoming, limit), announced, held);
     match actix_rt::time::timeout(left, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => {
-            tracing::debug!(%error, stopping = gateway.is_stopping.get(), "a body did not arrive");
-            let is_long = error.is::<http_body_util::LengthLimitError>();
-            Err(if is_long {
-                Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
-            } else {
-                Refusal::new(StatusCode::BAD_REQUEST, "the body is not whole")
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(failure)) => {
+            let stopping = gateway.is_stopping.get();
+            tracing::debug!(stopping, "a body did not arrive");
+            Err(match failure {
+                BodyFailure::TooLong => {
+                    Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
+                }
+                BodyFailure::Broken => {
+                    Refusal::new(StatusCode::BAD_REQUEST, "the body is not whole")
+                }
+                BodyFailure::NoRoom => Refusal::no_room(),
             })
         }
         Err(_) => Err(Refusal::new(
@@ -225,6 +270,31 @@
     }
 }
 
+/// Reads a body to its end; what comes beyond the announced length counts as it arrives.
+async fn collect(
+    mut body: Limited<Incoming>,
+    announced: u64,
+    held: &Held,
+) -> Result<Bytes, BodyFailure> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            tracing::debug!(%error, "a body broke off");
+            if error.is::<http_body_util::LengthLimitError>() {
+                BodyFailure::TooLong
+            } else {
+                BodyFailure::Broken
+            }
+        })?;
+        bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
+        let length = bytes.len() as u64;
+        if length > announced {
+            held.set_request(length).map_err(|_| BodyFailure::NoRoom)?;
+        }
+    }
+    Ok(bytes.freeze())
+}
+
 fn program_fields(gateway: &Gateway, caller: &Caller, head: &Parts) -> Option<ProgramFields> {
     let headers = gateway.dialect.headers();
     let name = text(&head.headers, &headers.program)?;
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -11,6 +11,7 @@
 mod failure;
 mod first_event;
 mod gateway;
+mod held;
 mod inbound;
 mod list;
 mod load_meter;
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -30,6 +30,12 @@
     pub(crate) unknown_keys: IntCounterVec,
     /// Requests that a tenant's quota held up, by why.
     quota_refusals: IntCounterVec,
+    /// Bytes held for callers and replicas.
+    pub(crate) held_bytes: Gauge,
+    /// Requests that were cut for what they held, by why.
+    pub(crate) held_cuts: IntCounterVec,
+    /// Requests whose bodies there was no room for, by the bound.
+    pub(crate) held_refusals: IntCounterVec,
     /// Time for the owners of a quota to answer.
     pub(crate) quota_seconds: Histogram,
 }
@@ -57,6 +63,17 @@
                 "reason",
             )?,
             quota_seconds: registry.seconds("quota_seconds", "Time to look a quota up")?,
+            held_bytes: registry.gauge("held_bytes", "Bytes held for callers and replicas")?,
+            held_cuts: registry.labelled_counter(
+                "held_cuts_total",
+                "Requests cut for what they held",
+                "reason",
+            )?,
+            held_refusals: registry.labelled_counter(
+                "held_refusals_total",
+                "Requests whose bodies there was no room for",
+                "reason",
+            )?,
             version: registry.gauge("configuration_version", "Configuration in force")?,
             registry,
         })
--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -161,7 +161,10 @@
     };
     // Only for a turn that will be sent: one that names no turn or is over its budget takes none.
     quota::take(gateway, inbound, reserved.purpose).await?;
-    let prompt = (!chain.is_empty()).then(|| prompt(&chain, &inbound.body));
+    let prompt = match chain.is_empty() {
+        true => None,
+        false => Some(prompt(&chain, inbound)?),
+    };
     Ok(TurnStart {
         reservation: reserved.reservation,
         place,
@@ -297,16 +300,19 @@
 }
 
 /// The prompt of a turn: everything before it in its line, then what is new.
-fn prompt(chain: &[Rc<TurnRecord>], input: &Bytes) -> Bytes {
+fn prompt(chain: &[Rc<TurnRecord>], inbound: &Inbound) -> Result<Bytes, Refusal> {
     let history: usize = chain
         .iter()
         .map(|turn| turn.input.len() + turn.output.len())
         .sum();
-    let mut prompt = BytesMut::with_capacity(history + input.len());
+    let length = history + inbound.body.len();
+    let room = inbound.held.add_prompt(length as u64);
+    room.map_err(|_| Refusal::no_room())?;
+    let mut prompt = BytesMut::with_capacity(length);
     for turn in chain {
         prompt.extend_from_slice(&turn.input);
         prompt.extend_from_slice(&turn.output);
     }
-    prompt.extend_from_slice(input);
-    prompt.freeze()
+    prompt.extend_from_slice(&inbound.body);
+    Ok(prompt.freeze())
 }
--- a/crates/gateway-server/src/refusal.rs
+++ b/crates/gateway-server/src/refusal.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// The request has not run and will not, because too much is held for others already.
+    pub(crate) fn no_room() -> Self {
+        Self::not_run("there is no memory left to hold the request")
+    }
+
     /// The request has not run and will not, because the gateway waits for others; the caller
     /// may come back once they are likely to be there.
     pub(crate) fn recovering(detail: &'static str) -> Self {
--- a/crates/gateway-server/src/server.rs
+++ b/crates/gateway-server/src/server.rs
@@ -23,6 +23,11 @@
 /// it before find it, and hear on each answer that they should leave.
 const LEAVING_TIME: Duration = Duration::from_millis(1_000);
 
+/// Time after which a connection is broken off whose caller takes nothing of what waits for it.
+/// Streams are cut before, with their own reason; this lets go of what their connections still have,
+/// and of whole answers.
+const UNREAD_CONNECTION_LIMIT: Duration = Duration::from_secs(4);
+
 /// Time between looks at what is still under way.
 const STOP_CHECK: Duration = Duration::from_millis(20);
 
@@ -84,6 +89,7 @@
 fn serve_callers(gateway: &Rc<Gateway>, listener: TcpListener, signal: StopSignal) {
     let options = {
         let gateway = Rc::clone(gateway);
+        let features = gateway.config.features;
         move || {
             let limits = gateway
                 .in_force()
@@ -92,6 +98,7 @@
                 header_bytes: limits.max_header_bytes,
                 // The library counts rest and head together.
                 idle: Duration::from_millis(limits.idle_timeout_ms + limits.header_timeout_ms),
+                unread: features.held_bytes().then_some(UNREAD_CONNECTION_LIMIT),
             }
         }
     };
@@ -106,6 +113,7 @@
     ServeOptions {
         header_bytes: 16 << 10,
         idle: CHECK_IDLE,
+        unread: None,
     }
 }
 
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -17,11 +17,19 @@
 use luglink_edge::{EventSplitter, Service, StreamEvent};
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::{Body, BodySender, stream_body};
+use luglink_scheduling::HeldBound;
 use luglink_telemetry::milliseconds;
 use luglink_turns::TurnRecord;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Longest time for which a caller may leave its answer unread. A replica cuts an answer off that
+/// stays unread for some seconds: one that is given up before frees it for others.
+const UNREAD_LIMIT: Duration = Duration::from_secs(2);
+
+/// Why a stream ends whose caller does not read.
+const CALLER_STALLED: &str = "caller_stalled";
+
 /// How often a stream goes on after a break.
 const MAX_RESUMPTIONS: u32 = 3;
 
@@ -101,6 +109,8 @@
         resumptions: 0,
         _in_flight: in_flight,
     };
+    // What a caller gets from now on ends visibly when it is cut.
+    relay.inbound.held.set_can_be_cut(true);
     let source = Source {
         incoming,
         headers: head.headers,
@@ -137,6 +147,8 @@
     Broken(&'static str),
     CallerGone,
     OutOfTime,
+    /// It holds more than there is room for.
+    Cut(HeldBound),
 }
 
 /// Passes the events of one answer on.
@@ -162,8 +174,8 @@
             match self.step(&mut source, &sender).await {
                 Step::Part(bytes) => {
                     self.splitter.push(&bytes);
-                    if !self.pass_events_on(&source, &sender).await {
-                        break self.finish_log("caller_gone");
+                    if let Err(reason) = self.pass_events_on(&source, &sender).await {
+                        break self.finish_log(reason);
                     }
                 }
                 Step::End if self.splitter.has_partial_event() => {
@@ -190,6 +202,7 @@
                 },
                 Step::CallerGone => break self.finish_log("caller_gone"),
                 Step::OutOfTime => break self.finish_log("out_of_time"),
+                Step::Cut(bound) => break self.finish_log(bound.as_str()),
             }
         };
         // Dropping the sender breaks the answer off, and dropping the source frees the replica.
@@ -201,6 +214,7 @@
         tokio::select! {
             biased;
             () = sender.gone() => Step::CallerGone,
+            bound = self.inbound.held.cut() => Step::Cut(bound),
             frame = source.incoming.frame() => match frame {
                 Some(Ok(frame)) => Step::Part(frame.into_data().unwrap_or_default()),
                 Some(Err(error)) => {
@@ -213,14 +227,42 @@
         }
     }
 
-    /// Passes whole events on. Returns false when the caller has left.
-    async fn pass_events_on(&mut self, source: &Source, sender: &BodySender) -> bool {
+    /// Passes whole events on, or says why no more can be.
+    async fn pass_events_on(
+        &mut self,
+        source: &Source,
+        sender: &BodySender,
+    ) -> Result<(), &'static str> {
         let mut together = Vec::new();
         while let Some(event) = self.splitter.next_event() {
             self.note(&event, source);
             together.extend_from_slice(&event.raw);
         }
-        together.is_empty() || sender.send(Bytes::from(together)).await
+        let held = &self.inbound.held;
+        let here = (self.output.len() + together.len()) as u64 + sender.waiting_bytes();
+        held.set_answer(here).map_err(HeldBound::as_str)?;
+        if together.is_empty() {
+            return Ok(());
+        }
+        tokio::select! {
+            biased;
+            bound = held.cut() => Err(bound.as_str()),
+            is_taken = sender.send(Bytes::from(together)) => {
+                if is_taken { Ok(()) } else { Err("caller_gone") }
+            }
+            () = self.unread_for_too_long() => {
+                held.note_given_up(CALLER_STALLED);
+                Err(CALLER_STALLED)
+            }
+        }
+    }
+
+    /// Ends once the caller has left its answer unread for too long, where that is looked at.
+    async fn unread_for_too_long(&self) {
+        if !self.gateway.config.features.held_bytes() {
+            return std::future::pending().await;
+        }
+        actix_rt::time::sleep(UNREAD_LIMIT).await;
     }
 
     fn note(&mut self, event: &StreamEvent, source: &Source) {
@@ -247,6 +289,7 @@
 
     /// Makes a turn last before its answer ends as complete.
     async fn complete(&mut self, backend: &Backend, sender: BodySender) -> &'static str {
+        self.inbound.held.set_can_be_cut(false);
         if self.inbound.route.keeps_history && !self.keep(backend).await {
             return "not_kept";
         }
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -6,11 +6,12 @@
 use crate::gateway::Gateway;
 use crate::inbound::{Inbound, strip_hop_by_hop};
 use crate::refusal::Refusal;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use http::{Response, header};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use luglink_fleet::Backend;
 use luglink_http::{Body, full_body};
 use std::rc::Rc;
@@ -112,14 +113,15 @@
         at_replica,
     } = answer;
     let (mut head, incoming) = response.into_parts();
-    let reading = actix_rt::time::timeout(inbound.remaining(), incoming.collect());
+    let reading = actix_rt::time::timeout(inbound.remaining(), collect(inbound, incoming));
     let body: Bytes = match reading.await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => {
-            tracing::debug!(id = inbound.id, replica = %backend.id, %error, "an answer broke off");
+        Ok(Ok(body)) => body,
+        Ok(Err(AnswerFailure::Broken { source })) => {
+            tracing::debug!(id = inbound.id, replica = %backend.id, error = %source, "an answer broke off");
             gateway.pool.borrow_mut().failed(&backend.id, gateway.now());
             return Err(Failure::CutAnswer);
         }
+        Ok(Err(AnswerFailure::NoRoom)) => return Err(Failure::CutAnswer),
         Err(_) => return Err(Failure::NoAnswerInTime),
     };
     drop(at_replica);
@@ -128,3 +130,23 @@
     head.headers.remove(header::CONTENT_LENGTH);
     Ok(Response::from_parts(head, full_body(body)))
 }
+
+/// Why an answer cannot be had whole.
+enum AnswerFailure {
+    Broken {
+        source: hyper::Error,
+    },
+    /// It would take more memory than there is room for.
+    NoRoom,
+}
+
+async fn collect(inbound: &Inbound, mut incoming: Incoming) -> Result<Bytes, AnswerFailure> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|source| AnswerFailure::Broken { source })?;
+        bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
+        let here = inbound.held.set_answer(bytes.len() as u64);
+        here.map_err(|_| AnswerFailure::NoRoom)?;
+    }
+    Ok(bytes.freeze())
+}
--- /dev/null
+++ b/crates/gateway-server/tests/gateway/held_bytes.rs
@@ -0,0 +1,127 @@
+//! Callers that do not read their answers and replicas that do not read requests: what is held
+//! for them stays bounded, and others are served.
+
+use crate::metrics::{metrics, value};
+use crate::support::caller::Ask;
+use crate::support::replica::{Replica, Script};
+use crate::support::{Fleet, HELD_BYTES_LIMIT, HOST, configuration, until};
+use futures_util::future::join_all;
+use std::net::SocketAddr;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+const STALLED_CALLERS: usize = 3;
+
+const LONG_BODY_BYTES: usize = 1 << 20;
+
+async fn fleet(script: Script) -> (Fleet, Replica) {
+    let replica = Replica::start("r0", script).await;
+    let fleet = Fleet::start(vec![replica.clone()]).await;
+    fleet.configure(&configuration(1)).await;
+    (fleet, replica)
+}
+
+async fn metric(fleet: &Fleet, series: &str) -> f64 {
+    let text = metrics(fleet.gateway.metrics_address).await.body;
+    value(&text, &format!("luglink_{series}"))
+}
+
+async fn held(fleet: &Fleet) -> f64 {
+    metric(fleet, "held_bytes").await
+}
+
+/// Asks for a stream whose answer is never read.
+async fn ask_without_reading(to: SocketAddr, id: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    let request = format!(
+        "POST /resumable/x HTTP/1.1\r\nHost: {HOST}\r\nLuglink-Request-Id: stalled-{id}\r\n\
+         Luglink-Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nbody"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    stream
+}
+
+#[actix_rt::test]
+async fn callers_that_stop_reading_are_cut_and_others_are_served() {
+    let (fleet, replica) = fleet(Script::Flood).await;
+    let mut unread = Vec::new();
+    for id in 0..STALLED_CALLERS {
+        unread.push(ask_without_reading(fleet.gateway_address, id).await);
+    }
+    let stalled = "streams_total{end=\"caller_stalled\"}";
+    until("all stalled callers are cut", || async {
+        assert!(held(&fleet).await <= HELD_BYTES_LIMIT as f64);
+        let other = Ask::get("/safe/x", "other").send(fleet.gateway_address);
+        assert_eq!(other.await.status, 200);
+        metric(&fleet, stalled).await == STALLED_CALLERS as f64
+    })
+    .await;
+    let cut = "held_cuts_total{reason=\"caller_stalled\"}";
+    assert_eq!(metric(&fleet, cut).await, STALLED_CALLERS as f64);
+    until("everything is let go", || async {
+        held(&fleet).await == 0.0
+    })
+    .await;
+    until("the replica is free", || async {
+        replica.closed.get() >= STALLED_CALLERS as u32
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn an_answer_that_is_to_be_kept_and_never_ends_is_cut_at_its_bound() {
+    let (fleet, _replica) = fleet(Script::Flood).await;
+    let got = Ask::post("/kept/x", "t1", "input")
+        .with("luglink-program", "program")
+        .with("luglink-token-usage", "100,50")
+        .send(fleet.gateway_address)
+        .await;
+    assert_eq!((got.status, got.is_whole), (200, false));
+    let end = "streams_total{end=\"request_memory\"}";
+    assert_eq!(metric(&fleet, end).await, 1.0);
+    let cut = "held_cuts_total{reason=\"request_memory\"}";
+    assert_eq!(metric(&fleet, cut).await, 1.0);
+    until("everything is let go", || async {
+        held(&fleet).await == 0.0
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn bodies_that_a_replica_does_not_read_leave_no_room_for_more_until_they_end() {
+    let (fleet, replica) = fleet(Script::Unread).await;
+    let long = |id: &str| {
+        Ask::post("/unsafe/x", id, vec![b'x'; LONG_BODY_BYTES])
+            .with("luglink-deadline-ms", "2500")
+            .send(fleet.gateway_address)
+    };
+    let most = HELD_BYTES_LIMIT as usize / LONG_BODY_BYTES;
+    let ids: Vec<String> = (0..most).map(|number| format!("long-{number}")).collect();
+    let waiting = join_all(ids.iter().map(|id| long(id)));
+    let meanwhile = async {
+        until("all of them are held", || async {
+            held(&fleet).await == HELD_BYTES_LIMIT as f64
+        })
+        .await;
+        let refused = long("one-more").await;
+        assert_eq!(refused.status, 503);
+        assert!(refused.header("retry-after").is_some(), "{refused:?}");
+        let reason = "held_refusals_total{reason=\"process_memory\"}";
+        assert_eq!(metric(&fleet, reason).await, 1.0);
+    };
+    let (ended, ()) = tokio::join!(waiting, meanwhile);
+    for got in ended {
+        assert!(matches!(got.status, 502..=504), "{got:?}");
+    }
+    assert!(replica.requests() <= most, "what was refused was not sent");
+    until("everything is let go", || async {
+        held(&fleet).await == 0.0
+    })
+    .await;
+    replica.set(Script::Answer);
+    until("it serves again", || async {
+        let got = Ask::get("/safe/x", "after").send(fleet.gateway_address);
+        got.await.status == 200
+    })
+    .await;
+}
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! A gateway in a whole fleet, before scripted replicas.
 
+mod held_bytes;
 mod metrics;
 mod mixed_builds;
 mod overload;
--- a/crates/gateway-server/tests/gateway/metrics.rs
+++ b/crates/gateway-server/tests/gateway/metrics.rs
@@ -6,13 +6,13 @@
 use std::net::SocketAddr;
 
 /// The value of a metric; `series` is its name with its labels. 0 when it is not there.
-fn value(text: &str, series: &str) -> f64 {
+pub(crate) fn value(text: &str, series: &str) -> f64 {
     let line = text.lines().find_map(|line| line.strip_prefix(series));
     let number = line.and_then(|rest| rest.trim().parse().ok());
     number.unwrap_or(0.0)
 }
 
-async fn metrics(address: Option<SocketAddr>) -> Got {
+pub(crate) async fn metrics(address: Option<SocketAddr>) -> Got {
     get(address.unwrap(), "/metrics").await
 }
 
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -28,6 +28,9 @@
 /// Time without a word of the members after which the gateway relies on no key.
 pub const KEYS_EXPIRE_AFTER: Duration = Duration::from_millis(2_500);
 
+/// Bytes that the gateway may hold for callers and replicas.
+pub const HELD_BYTES_LIMIT: u64 = 4 << 20;
+
 /// Each fleet has a block of loopback addresses, so that all its members can use the same ports.
 static NEXT_BLOCK: AtomicU8 = AtomicU8::new(1);
 
@@ -210,6 +213,7 @@
         features: Features::default(),
         keys_expire_after: Some(KEYS_EXPIRE_AFTER),
         stop_limit: Duration::from_secs(5),
+        held_bytes_limit: HELD_BYTES_LIMIT,
         turn_cache_bytes: 1 << 20,
     }
 }
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -9,6 +9,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Data in one event of a flood, in bytes.
+const FLOOD_EVENT_BYTES: usize = 16 << 10;
+
+/// Time for which a request is left unread: longer than any caller waits.
+const UNREAD_FOR: Duration = Duration::from_secs(10);
+
 /// What a replica does with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Script {
@@ -50,6 +56,10 @@
     Stream,
     /// Sends events without end.
     StreamEndless,
+    /// Answers streams with long events without end, as fast as they are read, and the rest whole.
+    Flood,
+    /// Reads the head of a request and nothing more, and closes much later.
+    Unread,
 }
 
 /// A request that a replica has read.
@@ -121,7 +131,7 @@
     async fn serve(self, mut stream: TcpStream) {
         let mut buffer = Vec::new();
         loop {
-            let is_early = *self.script.borrow() == Script::Early;
+            let is_early = matches!(*self.script.borrow(), Script::Early | Script::Unread);
             let Some(seen) = read_request(&mut stream, &mut buffer, is_early).await else {
                 self.closed.set(self.closed.get() + 1);
                 return;
@@ -230,6 +240,9 @@
                 return self.stream(seen, stream, end).await;
             }
             Script::Stream => return self.stream(seen, stream, None).await,
+            Script::Flood if seen.target.contains("/safe/") => (self.whole(&id, &body), true),
+            Script::Flood => return self.flood(seen, stream).await,
+            Script::Unread => return self.leave_unread().await,
             Script::StreamEndless => return self.stream_endless(seen, stream).await,
         };
         stream.write_all(text.as_bytes()).await.is_ok() && goes_on
@@ -274,6 +287,26 @@
         stream.write_all(text.as_bytes()).await.is_ok()
     }
 
+    async fn flood(&self, seen: &Seen, stream: &mut TcpStream) -> bool {
+        let mut text = self.stream_head(seen);
+        for number in 0.. {
+            let long = "w".repeat(FLOOD_EVENT_BYTES);
+            text += &chunk(&format!("id: {number}\ndata: {long}\n\n"));
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                break;
+            }
+            text.clear();
+        }
+        self.closed.set(self.closed.get() + 1);
+        false
+    }
+
+    async fn leave_unread(&self) -> bool {
+        actix_rt::time::sleep(UNREAD_FOR).await;
+        self.closed.set(self.closed.get() + 1);
+        false
+    }
+
     async fn stream_endless(&self, seen: &Seen, stream: &mut TcpStream) -> bool {
         let mut text = self.stream_head(seen);
         for number in 0.. {
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -6,12 +6,17 @@
 use hyper::body::{Frame, SizeHint};
 use snafu::Snafu;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 
 /// Parts of a streamed body that may wait for a slow caller.
 const QUEUE_PARTS: usize = 64;
 
+/// Bytes of a streamed body that may wait for a slow caller; a single part may be longer. Callers
+/// that read are never so far behind.
+const QUEUE_BYTES: u32 = 64 << 10;
+
 /// The body cannot be completed: the connection must be broken off, so that nobody takes what
 /// was sent for the whole.
 #[derive(Debug, Snafu)]
@@ -40,16 +45,38 @@
 /// Feeds a streamed body. Dropping it without [`BodySender::finish`] breaks the answer off.
 #[derive(Debug)]
 pub struct BodySender {
-    parts: mpsc::Sender<Bytes>,
+    parts: mpsc::Sender<Part>,
+    room: Arc<Semaphore>,
     finish: oneshot::Sender<()>,
 }
 
+/// A part that waits, and the room that it takes until it is read.
+#[derive(Debug)]
+struct Part {
+    bytes: Bytes,
+    _room: Option<OwnedSemaphorePermit>,
+}
+
 impl BodySender {
-    /// Sends a part. Returns false when the caller has left.
-    pub async fn send(&self, part: Bytes) -> bool {
+    /// Sends a part, once there is room for it. Returns false when the caller has left.
+    pub async fn send(&self, bytes: Bytes) -> bool {
+        let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+        let wanted = length.min(QUEUE_BYTES);
+        let room = Arc::clone(&self.room).acquire_many_owned(wanted).await;
+        let part = Part {
+            bytes,
+            _room: room.ok(),
+        };
         self.parts.send(part).await.is_ok()
     }
 
+    /// Bytes that wait for the caller, a part longer than the room for them counted as that room.
+    #[must_use]
+    pub fn waiting_bytes(&self) -> u64 {
+        let free = self.room.available_permits() as u64;
+        u64::from(QUEUE_BYTES).saturating_sub(free)
+    }
+
     /// Waits until the caller has left.
     pub async fn gone(&self) {
         self.parts.closed().await;
@@ -69,6 +96,7 @@
     let (finish_sender, finish) = oneshot::channel();
     let sender = BodySender {
         parts: parts_sender,
+        room: Arc::new(Semaphore::new(QUEUE_BYTES as usize)),
         finish: finish_sender,
     };
     (sender, Streamed { parts, finish }.boxed_unsync())
@@ -76,7 +104,7 @@
 
 /// A body whose parts come one by one.
 struct Streamed {
-    parts: mpsc::Receiver<Bytes>,
+    parts: mpsc::Receiver<Part>,
     finish: oneshot::Receiver<()>,
 }
 
@@ -90,7 +118,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.parts.poll_recv(context) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(part)) => Poll::Ready(Some(Ok(Frame::data(part)))),
+            Poll::Ready(Some(part)) => Poll::Ready(Some(Ok(Frame::data(part.bytes)))),
             Poll::Ready(None) => match self.finish.try_recv() {
                 Ok(()) => Poll::Ready(None),
                 Err(_) => Poll::Ready(Some(Err(BodyError {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod client;
 mod server;
+mod unread;
 
 pub use body::{Body, BodyError, BodySender, empty_body, full_body, stream_body};
 pub use client::{ClientConnection, ConnectError, SendError, connect};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,10 +1,12 @@
 //! The accepting end.
 
 use crate::body::Body;
+use crate::unread::UnreadLimit;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use luglink_net::set_send_buffer;
 use snafu::Snafu;
 use std::cell::Cell;
 use std::future::Future;
@@ -20,6 +22,10 @@
 /// Smallest buffer that the library takes, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// Bytes that the operating system holds of an answer whose caller may stop to read: the answers
+/// of most requests whole, and at a round trip of some milliseconds no limit to the others' speed.
+const SEND_BUFFER_BYTES: usize = 128 << 10;
+
 /// Limits of a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ServeOptions {
@@ -27,6 +33,9 @@
     pub header_bytes: usize,
     /// Longest time without a whole head, rest between requests included.
     pub idle: Duration,
+    /// Longest time for which the other end may take nothing of what is written to it; `None` for
+    /// ever.
+    pub unread: Option<Duration>,
 }
 
 /// The handler wants the connection broken off without an answer.
@@ -117,6 +126,12 @@
     let _ = stream.set_nodelay(true);
     let open = Rc::clone(&signal.open);
     open.set(open.get() + 1);
+    if options.unread.is_some()
+        && let Err(error) = set_send_buffer(&stream, SEND_BUFFER_BYTES)
+    {
+        tracing::debug!(%error, "the send buffer stays as it is");
+    }
+    let stream = UnreadLimit::new(stream, options.unread);
     let service = service_fn(move |request| handler(request));
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/metrics-server/src/lib.rs
+++ b/crates/metrics-server/src/lib.rs
@@ -50,6 +50,7 @@
     ServeOptions {
         header_bytes: MAX_HEADER_BYTES,
         idle: CONNECTION_IDLE,
+        unread: None,
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,4 +17,4 @@
 pub use link::{Link, LinkEvent};
 pub use listener::{Accepted, serve};
 pub use request_client::RequestClient;
-pub use socket::set_liveness;
+pub use socket::{set_liveness, set_send_buffer};
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -16,3 +16,13 @@
     stream.set_nodelay(true)?;
     SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
+
+/// Bounds what the operating system holds of what is written to a connection, in bytes. It tells of
+/// progress only once a third of that was taken: with the megabytes that it takes of its own accord,
+/// an end that reads slowly looks for seconds like one that does not read.
+///
+/// # Errors
+/// The operating system refuses the option.
+pub fn set_send_buffer(stream: &TcpStream, bytes: usize) -> std::io::Result<()> {
+    SockRef::from(stream).set_send_buffer_size(bytes)
+}
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs)]
 
 mod features;
+mod held_bytes;
 mod load_shedding;
 mod load_view;
 mod patience;
@@ -14,6 +15,7 @@
 mod pool;
 
 pub use features::Features;
+pub use held_bytes::{Growth, HeldBound, HeldBytes, HeldCut, HolderId};
 pub use load_shedding::{Intake, LoadShedder};
 pub use load_view::{AgedSight, LoadView};
 pub use patience::{room_patience, room_pause, start_patience};
