--- a/crates/control-server/src/actor.rs
+++ b/crates/control-server/src/actor.rs
@@ -11,7 +11,9 @@
 use luglink_net::{Accepted, FrameSender};
 use luglink_storage::FileDisk;
 use luglink_types::{EngineId, GroupId, ProgramId, Timestamp};
-use luglink_wire::{ClientRole, Frame, Parts, decode_body, decode_with_parts, encode_with_parts};
+use luglink_wire::{
+    ClientRole, Frame, Parts, WireError, decode_body, decode_with_parts, encode_with_parts,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -258,6 +260,18 @@
         }
     }
 
+    /// Answers a request that a newer build may have sent: its sender asks another member at once
+    /// instead of waiting for an answer that never comes.
+    fn decline_unknown(&mut self, token: RequestToken, error: &WireError) {
+        tracing::warn!(connection = token.client, %error, "a request cannot be understood");
+        let reason = format!("this build does not know the request: {error}");
+        self.reply(
+            token,
+            Response::Unavailable { reason },
+            &ResponseParts::default(),
+        );
+    }
+
     fn on_frame(&mut self, connection: u64, frame: Frame, context: &mut Context<Self>) {
         match frame {
             Frame::Peer { group, body, .. } => match decode_body(&body) {
@@ -270,23 +284,25 @@
             },
             Frame::Request {
                 correlation, body, ..
-            } => match decode_with_parts(&body) {
-                Ok((request, parts)) => {
-                    let token = RequestToken {
-                        client: connection,
-                        request: correlation,
-                    };
-                    let request = Box::new(request);
-                    let parts = Box::new(read_parts(&parts));
-                    let input = Input::ExtendedRequest {
-                        token,
-                        request,
-                        parts,
-                    };
-                    self.take(input, context);
+            } => {
+                let token = RequestToken {
+                    client: connection,
+                    request: correlation,
+                };
+                match decode_with_parts(&body) {
+                    Ok((request, parts)) => {
+                        let request = Box::new(request);
+                        let parts = Box::new(read_parts(&parts));
+                        let input = Input::ExtendedRequest {
+                            token,
+                            request,
+                            parts,
+                        };
+                        self.take(input, context);
+                    }
+                    Err(error) => self.decline_unknown(token, &error),
                 }
-                Err(error) => tracing::warn!(%error, "malformed request"),
-            },
+            }
             Frame::Hello(_) | Frame::Response { .. } => {
                 tracing::warn!(connection, "unexpected frame");
             }
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -13,6 +13,7 @@
 mod first_event;
 mod gateway;
 mod hedging;
+mod held;
 mod inbound;
 mod list;
 mod load_meter;
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -1,8 +1,10 @@
 //! A gateway in a whole fleet, before scripted replicas.
 
 mod expected_finish;
+mod held_bytes;
 mod load_view;
 mod metrics;
+mod mixed_builds;
 mod moves;
 mod overload;
 mod placement;
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer_lengths;
 mod features;
 mod finish;
+mod held_bytes;
 mod load_shedding;
 mod load_view;
 mod moves;
@@ -22,6 +23,7 @@
 pub use answer_lengths::AnswerLengths;
 pub use features::Features;
 pub use finish::{Expected, ReplicaState, SharedPart, Work, batch_factor, expect};
+pub use held_bytes::{Growth, HeldBound, HeldBytes, HeldCut, HolderId};
 pub use load_shedding::{Intake, LoadShedder};
 pub use load_view::{AgedSight, LoadView};
 pub use moves::{
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -3,7 +3,9 @@
 mod engine;
 
 use engine::{EVENTS, Engine, Happened, SLOTS, TICK_MS};
-use luglink_fleet::{Backend, BackendId, BackendList, GatewayLoad, ServiceLoad, Sights};
+use luglink_fleet::{
+    Backend, BackendId, BackendList, GatewayLoad, Incarnation, ServiceLoad, Sights,
+};
 use luglink_scheduling::{Placement, Pool, SharedPart, Wish, Work, place, place_soonest};
 use luglink_types::Timestamp;
 
@@ -60,6 +62,7 @@
         zone: "a".to_owned(),
         slots: SLOTS,
         draining: false,
+        incarnation: Incarnation::UNKNOWN,
     };
     (0..ENGINES).map(backend).collect()
 }
