Let programs in by the memory that those under way need, in fair shares

Cause: new programs were refused by a route's lateness as one gateway sees it, which comes after the harm: programs that pause lose their cached prompts when more begin than memory holds, are read again at many times the cost, and overload feeds itself.

The gateway asks it after the stores have said that a program is new, in place of the load shedder, for services with engines and where the features say so. Without the features nothing changes.

--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -1,5 +1,6 @@
 //! What all parts of a gateway share. Everything runs on one thread.
 
+use crate::admission::AdmissionState;
 use crate::config::GatewayConfig;
 use crate::load_meter::LoadMeter;
 use crate::metrics::GatewayMetrics;
@@ -38,6 +39,8 @@
     pub(crate) splits: RefCell<SplitDraws>,
     /// Lets new programs in.
     pub(crate) shedder: RefCell<LoadShedder>,
+    /// Lets new programs in where they are let in by their working set.
+    pub(crate) admission: RefCell<AdmissionState>,
     pub(crate) pool: RefCell<Pool>,
     /// The list that the pool shows.
     pub(crate) list: RefCell<ListCopy>,
@@ -79,6 +82,7 @@
             list: RefCell::default(),
             splits: RefCell::default(),
             shedder: RefCell::default(),
+            admission: RefCell::default(),
             config,
             dialect,
             metrics,
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod admission;
 mod attempts;
 mod chain_search;
 mod config;
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -32,6 +32,17 @@
     quota_refusals: IntCounterVec,
     /// Time for the owners of a quota to answer.
     pub(crate) quota_seconds: Histogram,
+    /// New programs by what became of them: let in, or what was too short.
+    pub(crate) programs: IntCounterVec,
+    /// New programs by whether their tenants ask for more than their fair shares while room is
+    /// short.
+    pub(crate) tenant_classes: IntCounterVec,
+    /// Tokens of memory that programs under way need until they end, by the last estimate.
+    pub(crate) working_set: Gauge,
+    /// Tokens of memory that there are for them.
+    pub(crate) room: Gauge,
+    /// Estimated time from a program's beginning to its end, of the last one that came.
+    pub(crate) program_seconds: Gauge,
 }
 
 impl GatewayMetrics {
@@ -57,6 +68,25 @@
                 "reason",
             )?,
             quota_seconds: registry.seconds("quota_seconds", "Time to look a quota up")?,
+            programs: registry.labelled_counter(
+                "programs_total",
+                "New programs by what became of them",
+                "end",
+            )?,
+            tenant_classes: registry.labelled_counter(
+                "program_tenants_total",
+                "New programs by their tenants' shares",
+                "class",
+            )?,
+            working_set: registry.gauge(
+                "working_set_tokens",
+                "Tokens that programs under way need until they end",
+            )?,
+            room: registry.gauge("room_tokens", "Tokens of memory for programs under way")?,
+            program_seconds: registry.gauge(
+                "program_lifetime_seconds",
+                "Estimated life of the last new program",
+            )?,
             version: registry.gauge("configuration_version", "Configuration in force")?,
             registry,
         })
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -67,6 +67,9 @@
         }
         if let Some(load) = news.zone_load {
             self.pool.borrow_mut().follow_zone_load(&load, self.now());
+            self.admission
+                .borrow_mut()
+                .take_zone_load(&load, self.now());
         }
     }
 }
@@ -95,6 +98,7 @@
                 self.metrics.version.set(document.version as f64);
                 self.splits.borrow_mut().keep_only(&configuration);
                 self.shedder.borrow_mut().keep_only(&configuration);
+                self.admission.borrow_mut().keep_only(&configuration);
                 let table = RoutingTable::new(&configuration);
                 let keys = KeyRing::new(&configuration);
                 *self.in_force.borrow_mut() = Some(Rc::new(InForce {
--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -1,10 +1,11 @@
 //! The program side of a turn: its budget and the turns that it goes on from.
 
+use crate::admission::UnderWay;
 use crate::chain_search::ChainAnswer;
 use crate::gateway::Gateway;
 use crate::inbound::{Inbound, ProgramFields};
 use crate::refusal::Refusal;
-use crate::{placement, quota};
+use crate::{admission, placement, quota};
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
 use luglink_fleet::BackendId;
@@ -31,6 +32,8 @@
     pub(crate) place: Option<BackendId>,
     /// The whole prompt, when it differs from what the caller sent.
     pub(crate) prompt: Option<Bytes>,
+    /// Counts its program as under way, where programs are let in by their working set.
+    pub(crate) _under_way: Option<UnderWay>,
 }
 
 /// Tokens that a turn holds of its program's budget. Dropping it gives back what was not given
@@ -136,6 +139,7 @@
             chain: Vec::new(),
             place: None,
             prompt: None,
+            _under_way: None,
         });
     };
     let previous = program
@@ -167,6 +171,7 @@
         place,
         chain,
         prompt,
+        _under_way: admission::note_turn(gateway, inbound, program, reserved.purpose),
     })
 }
 
@@ -246,8 +251,11 @@
 
 /// Refuses a program that has not begun when the engines have too much to do already.
 fn let_in(gateway: &Gateway, inbound: &Inbound, program: &ProgramFields) -> Result<(), Refusal> {
-    let mut shedder = gateway.shedder.borrow_mut();
     let place = xxh3_64_with_seed(program.name.0.as_bytes(), INTAKE_SEED);
+    if admission::decides(gateway, inbound) {
+        return admission::let_in(gateway, inbound, program, place);
+    }
+    let mut shedder = gateway.shedder.borrow_mut();
     let intake = shedder.admit(&inbound.route, place, gateway.now());
     let Intake::Refuse {
         come_back,
--- a/crates/gateway-server/tests/gateway/overload.rs
+++ b/crates/gateway-server/tests/gateway/overload.rs
@@ -2,8 +2,10 @@
 
 use crate::support::caller::{Ask, Got};
 use crate::support::replica::{Replica, Script};
-use crate::support::{Fleet, configuration};
+use crate::support::{Fleet, configuration, until};
 use futures_util::future::join_all;
+use luglink_scheduling::Features;
+use luglink_types::{Switch, Switches};
 use std::net::SocketAddr;
 
 /// Rounds of turns that wait in vain, and turns in each.
@@ -63,3 +65,68 @@
     assert_eq!(next.send(gateway).await.status, 200);
     assert_eq!(turn("begun", "begun-sub").send(gateway).await.status, 200);
 }
+
+/// Programs are let in by the memory that those under way need; one replica has 1,000 tokens.
+fn by_working_set() -> Features {
+    let switches = Switches {
+        working_set: Switch::On,
+        fair_shares: Switch::On,
+        ..Switches::default()
+    };
+    Features::new(switches, false)
+}
+
+fn large_turn(program: &str, id: &str) -> Ask {
+    turn(program, id).with("luglink-token-usage", "600,50")
+}
+
+#[actix_rt::test]
+async fn no_program_begins_beyond_the_memory_and_those_under_way_go_on() {
+    let replica = Replica::start("r0", Script::StreamEndless).await;
+    let fleet = Fleet::start_deciding(vec![replica.clone()], by_working_set()).await;
+    fleet.configure(&configuration(1)).await;
+    let gateway = fleet.gateway_address;
+    let first = large_turn("begun", "begun-1").with("luglink-deadline-ms", 1_500);
+    let under_way = actix_rt::spawn(first.send(gateway));
+    until("the first turn runs", || async { replica.requests() == 1 }).await;
+
+    let refused = large_turn("new", "new-1").send(gateway).await;
+    assert_eq!(refused.status, 503);
+    let come_back: f64 = refused.header("retry-after").unwrap().parse().unwrap();
+    // A third of the three seconds that the caller has.
+    assert!(come_back > 0.0 && come_back <= 1.0, "{come_back}");
+    assert_eq!(replica.requests(), 1, "a refused program has run");
+
+    // A sub-agent of the program under way needs no leave, and small ones find room.
+    replica.set(Script::Stream);
+    let sub = large_turn("begun", "begun-2").send(gateway).await;
+    assert_eq!(sub.status, 200);
+    assert_eq!(turn("small", "small-1").send(gateway).await.status, 200);
+    under_way.await.unwrap();
+
+    // Once it has ended there is room for the one that was refused.
+    until("there is room again", || async {
+        large_turn("new", "new-1").send(gateway).await.status == 200
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn lateness_refuses_nobody_where_the_working_set_decides() {
+    let replica = Replica::start("r0", Script::Mute).await;
+    let fleet = Fleet::start_deciding(vec![replica.clone()], by_working_set()).await;
+    fleet.configure(&configuration(1)).await;
+    wait_in_vain(fleet.gateway_address).await;
+    replica.set(Script::Stream);
+    // Those that waited in vain have ended; nothing is under way.
+    until("there is room again", || async {
+        let got = turn("after", "after").send(fleet.gateway_address).await;
+        got.status == 200
+    })
+    .await;
+    for number in 0..NEW_PROGRAMS {
+        let name = format!("new-{number}");
+        let got = turn(&name, &name).send(fleet.gateway_address).await;
+        assert_eq!(got.status, 200, "{name}");
+    }
+}
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -92,11 +92,26 @@
         Self::start_with(tempfile::tempdir().unwrap(), replicas, true).await
     }
 
+    /// A fleet whose gateway takes these decisions under load.
+    pub async fn start_deciding(replicas: Vec<Replica>, features: Features) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        Self::start_as(folder, replicas, false, features).await
+    }
+
     pub async fn start_in(folder: TempDir, replicas: Vec<Replica>) -> Self {
         Self::start_with(folder, replicas, false).await
     }
 
     async fn start_with(folder: TempDir, replicas: Vec<Replica>, is_misled: bool) -> Self {
+        Self::start_as(folder, replicas, is_misled, Features::default()).await
+    }
+
+    async fn start_as(
+        folder: TempDir,
+        replicas: Vec<Replica>,
+        is_misled: bool,
+        features: Features,
+    ) -> Self {
         let block = NEXT_BLOCK.fetch_add(1, Ordering::Relaxed);
         let ports = free_ports();
         let replicas = Rc::new(RefCell::new(replicas));
@@ -131,10 +146,11 @@
         }
         let gateway_address: SocketAddr = (fleet.ip, ports[0] + 6).into();
         let ready_address: SocketAddr = (fleet.ip, ports[0] + 7).into();
-        let gateway = start(
-            gateway_config(&fleet, gateway_address, ready_address),
-            dialect,
-        );
+        let config = GatewayConfig {
+            features,
+            ..gateway_config(&fleet, gateway_address, ready_address)
+        };
+        let gateway = start(config, dialect);
         Self {
             gateway: Rc::new(gateway.await.unwrap()),
             gateway_address,
--- a/crates/scheduling/src/pool/index.rs
+++ b/crates/scheduling/src/pool/index.rs
@@ -1,7 +1,7 @@
 //! The replicas of one service by zone, and which of them this gateway has used.
 
 use super::working_set::WorkingSet;
-use super::{Reach, Wish};
+use super::{Extent, Reach, Wish};
 use luglink_fleet::{Backend, BackendId};
 use luglink_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -72,6 +72,14 @@
         }
     }
 
+    pub(super) fn extent(&self) -> Extent {
+        let usable = self.zones.values().map(|zone| zone.usable.len()).sum();
+        Extent {
+            usable,
+            zones: self.zones.len(),
+        }
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.zones.is_empty()
     }
--- a/crates/scheduling/src/pool/mod.rs
+++ b/crates/scheduling/src/pool/mod.rs
@@ -59,6 +59,15 @@
     Elsewhere,
 }
 
+/// How many replicas a service has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Extent {
+    /// Replicas that may get work.
+    pub usable: usize,
+    /// Zones in which replicas are listed.
+    pub zones: usize,
+}
+
 /// A choice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -303,6 +312,13 @@
         }
     }
 
+    /// How many replicas a service has.
+    #[must_use]
+    pub fn extent(&self, service: &str) -> Extent {
+        let service = self.services.get(service);
+        service.map(ServiceIndex::extent).unwrap_or_default()
+    }
+
     /// Lets more replicas of the zone get work at once: those that did are found busy.
     pub fn widen(&mut self, service: &str) {
         if let Some(index) = self.services.get_mut(service) {
