Count a pausing program by how likely it goes on

Cause: programs of one turn counted as pausing after they had ended, so that small quick ones were refused. lateness_refuses_nobody_where_the_ working_set_decides failed now and then.

Ruled out: a shorter expiry; it would lose those that wait for a tool.

Change: where prompts do not grow, the share of turns that are not the last. First prompts are averaged over the same time as all prompts.

--- a/crates/scheduling/src/program_table.rs
+++ b/crates/scheduling/src/program_table.rs
@@ -212,7 +212,7 @@
             // Sub-agents have prompts of their own.
             f64::from(program.in_flight)
         } else {
-            profile.pauses_still(now.since(program.seen)) * f64::from(u8::from(left > 0.0))
+            profile.pauses_still(now.since(program.seen)) * profile.goes_on(program.prompt)
         };
         demand.programs += lines.min(1.0);
         demand.requests += f64::from(program.in_flight);
--- a/crates/scheduling/src/route_profile.rs
+++ b/crates/scheduling/src/route_profile.rs
@@ -81,7 +81,7 @@
 pub(crate) struct RouteProfile {
     turns: f64,
     beginnings: f64,
-    first_prompt: Average,
+    first_prompt: TimedAverage,
     prompt: TimedAverage,
     turn_seconds: Average,
     pause_seconds: Average,
@@ -95,7 +95,7 @@
         self.prompt.add(prompt, now);
         if begins_program {
             self.beginnings += 1.0;
-            self.first_prompt.add(prompt);
+            self.first_prompt.add(prompt, now);
         }
     }
 
@@ -134,6 +134,15 @@
         ((prompt - first) / growth).clamp(0.0, 1.0)
     }
 
+    /// How likely a program has a next turn. Where prompts do not grow they say nothing of that, and
+    /// one turn in as many as programs have is the last.
+    pub(crate) fn goes_on(&self, prompt: f64) -> f64 {
+        if self.growth() < 1.0 {
+            return 1.0 - 1.0 / self.turns_per_program();
+        }
+        f64::from(u8::from(self.age(prompt) < 1.0))
+    }
+
     fn pause(&self) -> Duration {
         let seconds = self.pause_seconds.get();
         seconds.map_or(FIRST_PAUSE, Duration::from_secs_f64)
