--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -1,5 +1,6 @@
 //! What all parts of a gateway share. Everything runs on one thread.
 
+use crate::admission::AdmissionState;
 use crate::config::GatewayConfig;
 use crate::held::Ledger;
 use crate::load_meter::LoadMeter;
@@ -42,6 +43,8 @@
     pub(crate) shedder: RefCell<LoadShedder>,
     /// What waits of each route usually are.
     pub(crate) waits: RefCell<Waits>,
+    /// Lets new programs in where they are let in by their working set.
+    pub(crate) admission: RefCell<AdmissionState>,
     pub(crate) pool: RefCell<Pool>,
     /// Events of the answers of each route.
     pub(crate) answer_lengths: RefCell<AnswerLengths>,
@@ -94,6 +97,7 @@
             shedder: RefCell::default(),
             waits: RefCell::default(),
             answer_lengths: RefCell::default(),
+            admission: RefCell::default(),
             config,
             dialect,
             metrics,
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod admission;
 mod attempts;
 mod caller_watch;
 mod chain_search;
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -84,6 +84,9 @@
         }
         if let Some(load) = news.zone_load {
             self.pool.borrow_mut().follow_zone_load(&load, self.now());
+            self.admission
+                .borrow_mut()
+                .take_zone_load(&load, self.now());
         }
     }
 }
@@ -115,6 +118,7 @@
                 self.waits.borrow_mut().keep_only(&configuration);
                 let by_finish = self.config.features.expected_finish(&configuration);
                 self.pool.borrow_mut().set_expected_finish(by_finish);
+                self.admission.borrow_mut().keep_only(&configuration);
                 let table = RoutingTable::new(&configuration);
                 let keys = KeyRing::new(&configuration);
                 *self.in_force.borrow_mut() = Some(Rc::new(InForce {
--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -1,10 +1,11 @@
 //! The program side of a turn: its budget and the turns that it goes on from.
 
+use crate::admission::UnderWay;
 use crate::chain_search::ChainAnswer;
 use crate::gateway::Gateway;
 use crate::inbound::{Inbound, ProgramFields};
 use crate::refusal::Refusal;
-use crate::{placement, quota};
+use crate::{admission, placement, quota};
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
 use luglink_fleet::BackendId;
@@ -33,6 +34,8 @@
     pub(crate) goes_on: bool,
     /// The whole prompt, when it differs from what the caller sent.
     pub(crate) prompt: Option<Bytes>,
+    /// Counts its program as under way, where programs are let in by their working set.
+    pub(crate) _under_way: Option<UnderWay>,
 }
 
 /// Tokens that a turn holds of its program's budget. Dropping it gives back what was not given
@@ -139,6 +142,7 @@
             place: None,
             goes_on: false,
             prompt: None,
+            _under_way: None,
         });
     };
     let previous = program
@@ -174,6 +178,7 @@
         goes_on: reserved.purpose == Purpose::Continues,
         chain,
         prompt,
+        _under_way: admission::note_turn(gateway, inbound, program, reserved.purpose),
     })
 }
 
@@ -253,8 +258,11 @@
 
 /// Refuses a program that has not begun when the engines have too much to do already.
 fn let_in(gateway: &Gateway, inbound: &Inbound, program: &ProgramFields) -> Result<(), Refusal> {
-    let mut shedder = gateway.shedder.borrow_mut();
     let place = xxh3_64_with_seed(program.name.0.as_bytes(), INTAKE_SEED);
+    if admission::decides(gateway, inbound) {
+        return admission::let_in(gateway, inbound, program, place);
+    }
+    let mut shedder = gateway.shedder.borrow_mut();
     let intake = shedder.admit(&inbound.route, place, gateway.now());
     let Intake::Refuse {
         come_back,
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod admission;
 mod answer_lengths;
 mod features;
 mod finish;
@@ -16,10 +17,15 @@
 mod patience;
 mod placement;
 mod pool;
+mod program_table;
 mod prompt_parts;
+mod route_profile;
+mod shares;
 mod usual;
 mod waits;
+mod zone_trend;
 
+pub use admission::{Entry, FleetDemand, Newcomer, ProgramIntake, Room, ShortOf, ZoneRequests};
 pub use answer_lengths::AnswerLengths;
 pub use features::Features;
 pub use finish::{Expected, ReplicaState, SharedPart, Work, batch_factor, expect};
@@ -32,7 +38,10 @@
 };
 pub use patience::{room_patience, room_pause, start_patience};
 pub use placement::{Placement, place, place_soonest};
-pub use pool::{Choice, Grounds, Leaving, Pool, Reach, Wish};
+pub use pool::{Choice, Extent, Grounds, Leaving, Pool, Reach, Wish};
+pub use program_table::{OwnDemand, ProgramTable, TurnBegins};
 pub use prompt_parts::PromptParts;
+pub use shares::{Demand, TenantDemands, max_min_shares};
 pub use usual::Usual;
 pub use waits::{RouteWaits, Waits};
+pub use zone_trend::ZoneTrend;
