Let a turn leave only a replica that is slow for reasons of its own

Change: a turn leaves only when staying costs three times what the middle replica costs besides twice the drawn one. Where all are slow nobody leaves.

--- a/crates/scheduling/src/pool/by_finish.rs
+++ b/crates/scheduling/src/pool/by_finish.rs
@@ -23,6 +23,11 @@
 /// a replica that has turned slow or silent costs more than this within a second.
 const KEEPS_PROMPT: f64 = 2.0;
 
+/// Times the cost of the middle replica from which the one that holds a turn's prompt is slow for
+/// reasons of its own. Under too much load all are slow, and turns that left would have their
+/// prompts read again by engines that have no time for it.
+const OUTLIER: f64 = 3.0;
+
 /// Times what its speed earns that a replica may have of the requests, for it to get new programs
 /// and turns that move while others have less. Those that it has stay when it has more: to read
 /// them elsewhere lengthens the batches there. So that all of them together stay within a quarter
@@ -175,7 +180,8 @@
             .filter(|weighed| weighed.has_room || !any_has_room)
             .collect();
         let drawn = draw(&open, wish, is_connected)?;
-        let stays = holder.filter(|holder| cost(holder) <= cost(drawn) * KEEPS_PROMPT);
+        let most = (cost(drawn) * KEEPS_PROMPT).max(middle_cost(&weighed) * OUTLIER);
+        let stays = holder.filter(|holder| cost(holder) <= most);
         let chosen = stays.unwrap_or(drawn);
         let leaving = holder
             .filter(|holder| holder.candidate.backend.id != chosen.candidate.backend.id)
@@ -341,6 +347,11 @@
     ranked
 }
 
+/// What half of the replicas would cost at the most.
+fn middle_cost(weighed: &[Weighed<'_>]) -> f64 {
+    median(weighed.iter().map(cost).collect()).unwrap_or(0.0)
+}
+
 fn cost(weighed: &Weighed<'_>) -> f64 {
     weighed.expected.finish_seconds
 }
