--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -26,6 +26,7 @@
 mod placement;
 mod protocol;
 mod store;
+mod watches;
 
 pub use config::{ControlConfig, ManagedConfig};
 pub use errors::ControlError;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -10,6 +10,7 @@
 use crate::placement::initial_membership;
 use crate::protocol::{Fence, MemberStatus, ReleaseOrder, Request, RequestToken, Response};
 use crate::store::MemberStore;
+use crate::watches::Watch;
 use luglink_fleet::{BackendList, BackendReport, ReplicaIncarnation, StoreCommand};
 use luglink_program::Command;
 use luglink_raft::{Envelope, Message, Peer, RaftNode, RestoredState};
@@ -107,14 +108,6 @@
     pub learners: usize,
 }
 
-/// A configuration watch that waits for news.
-#[derive(Clone, Copy, Debug)]
-struct Watch {
-    token: RequestToken,
-    known: Revision,
-    until: Timestamp,
-}
-
 /// A control member.
 #[derive(Debug)]
 pub struct ControlNode<D> {
@@ -125,7 +118,7 @@
     /// When this member began to lead the configuration group, while it does.
     pub(crate) leads_since: Option<Timestamp>,
     pub(crate) store: MemberStore<D>,
-    watches: Vec<Watch>,
+    pub(crate) watches: Vec<Watch>,
     pub(crate) outputs: Vec<Output>,
     pub(crate) now: Timestamp,
     housekeeping_due: Timestamp,
@@ -518,71 +511,6 @@
         }
     }
 
-    fn watch(&mut self, token: RequestToken, known: Revision, hold: bool) -> Option<Response> {
-        if !self.configuration_is_fresh() {
-            return Some(Response::Unavailable {
-                reason: "this member does not hear the configuration leader".to_owned(),
-            });
-        }
-        if self.revision() > known {
-            return Some(Response::Configuration(self.catch_up(known)));
-        }
-        if !hold {
-            return Some(Response::Configuration(CatchUp::Current));
-        }
-        self.watches.push(Watch {
-            token,
-            known,
-            until: self.now.plus(self.config.watch_hold),
-        });
-        None
-    }
-
-    fn configuration_is_fresh(&self) -> bool {
-        let leads = self.leads(CONFIGURATION_GROUP);
-        let silence = self.now.since(self.configuration_heard_at);
-        leads || silence < self.config.configuration_freshness
-    }
-
-    fn catch_up(&self, known: Revision) -> CatchUp {
-        self.configuration()
-            .and_then(|group| group.machine.configuration())
-            .map_or(CatchUp::Current, |store| store.catch_up(known))
-    }
-
-    fn answer_watches(&mut self) {
-        let revision = self.revision();
-        let (news, waiting): (Vec<Watch>, Vec<Watch>) = self
-            .watches
-            .drain(..)
-            .partition(|watch| watch.known < revision);
-        self.watches = waiting;
-        for watch in news {
-            let catch_up = self.catch_up(watch.known);
-            self.reply(watch.token, Response::Configuration(catch_up));
-        }
-    }
-
-    fn expire_watches(&mut self) {
-        let now = self.now;
-        let fresh = self.configuration_is_fresh();
-        let (over, waiting): (Vec<Watch>, Vec<Watch>) = self
-            .watches
-            .drain(..)
-            .partition(|watch| !fresh || now >= watch.until);
-        self.watches = waiting;
-        for watch in over {
-            let response = if fresh {
-                Response::Configuration(CatchUp::Current)
-            } else {
-                Response::Unavailable {
-                    reason: "this member does not hear the configuration leader".to_owned(),
-                }
-            };
-            self.reply(watch.token, response);
-        }
-    }
-
     fn keep_house(&mut self) -> Result<(), ControlError> {
         let now = self.now;
         let overdue: Vec<GroupId> = self
