--- a/crates/gateway-server/src/admission.rs
+++ b/crates/gateway-server/src/admission.rs
@@ -6,7 +6,7 @@
 //! afterwards, in [`crate::placement`].
 
 use crate::gateway::Gateway;
-use crate::inbound::{Inbound, ProgramFields, text};
+use crate::inbound::{Inbound, ProgramFields};
 use crate::refusal::Refusal;
 use luglink_edge::{Configuration, Service};
 use luglink_fleet::GatewayLoad;
@@ -113,7 +113,7 @@
         program: program_hash(program),
         route: &inbound.route,
         service: &inbound.service,
-        prompt_tokens: prompt_tokens(gateway, inbound),
+        prompt_tokens: prompt_tokens(inbound),
         begins_program: purpose == Purpose::Begins,
     };
     let mut state = gateway.admission.borrow_mut();
@@ -145,7 +145,7 @@
         place,
         route: &inbound.route,
         tenant: inbound.caller.tenant().map(|tenant| &tenant.name),
-        prompt_tokens: prompt_tokens(gateway, inbound),
+        prompt_tokens: prompt_tokens(inbound),
         remaining: inbound.remaining(),
         lifetime: state.programs.lifetime(&inbound.route.name),
         spread: (gateway.draw() >> 32) as f64 / f64::from(u32::MAX),
@@ -250,11 +250,7 @@
     xxh3_64(program.name.0.as_bytes())
 }
 
-/// Tokens of a request's whole prompt, as its caller says.
-fn prompt_tokens(gateway: &Gateway, inbound: &Inbound) -> u64 {
-    let name = &gateway.dialect.headers().token_usage;
-    let usage = text(&inbound.head.headers, name);
-    let prompt = usage.and_then(|usage| usage.split(',').next());
-    let tokens = prompt.and_then(|tokens| tokens.trim().parse().ok());
-    tokens.unwrap_or(0)
+/// Tokens of a request's whole prompt, as its caller says; 0 when it does not.
+fn prompt_tokens(inbound: &Inbound) -> u64 {
+    inbound.prompt.map_or(0, |prompt| u64::from(prompt.tokens))
 }
