Name what an engine reads in a step, and a view's age, once each

Cause: two modules had a constant each for the tokens that an engine reads in a step, the gateway repeated the age from which a view is stale, and admission hashed a program's name again that inbound had hashed.

Change: moves use the constant of finish, the gateway that of LoadView, and admission the request's draw, which is that hash. Behaviour stays.

--- a/crates/gateway-server/src/admission.rs
+++ b/crates/gateway-server/src/admission.rs
@@ -20,7 +20,6 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// What this gateway knows of the programs under way.
 #[derive(Debug, Default)]
@@ -103,14 +102,13 @@
 pub(crate) fn note_turn(
     gateway: &Rc<Gateway>,
     inbound: &Inbound,
-    program: &ProgramFields,
     purpose: Purpose,
 ) -> Option<UnderWay> {
     if !decides(gateway, inbound) {
         return None;
     }
     let turn = TurnBegins {
-        program: program_hash(program),
+        program: inbound.draw,
         route: &inbound.route,
         service: &inbound.service,
         prompt_tokens: prompt_tokens(inbound),
@@ -134,7 +132,7 @@
     place: u64,
 ) -> Result<(), Refusal> {
     let mut state = gateway.admission.borrow_mut();
-    if state.programs.knows(program_hash(program)) {
+    if state.programs.knows(inbound.draw) {
         return Ok(());
     }
     let now = gateway.now();
@@ -246,10 +244,6 @@
     }
 }
 
-fn program_hash(program: &ProgramFields) -> u64 {
-    xxh3_64(program.name.0.as_bytes())
-}
-
 /// Tokens of a request's whole prompt, as its caller says; 0 when it does not.
 fn prompt_tokens(inbound: &Inbound) -> u64 {
     inbound.prompt.map_or(0, |prompt| u64::from(prompt.tokens))
--- a/crates/gateway-server/src/load_view.rs
+++ b/crates/gateway-server/src/load_view.rs
@@ -3,15 +3,13 @@
 use crate::gateway::Gateway;
 use luglink_fleet::{Sights, ZoneSights};
 use luglink_fleet_client::Asked;
+use luglink_scheduling::VIEW_STALE_AFTER;
 use luglink_telemetry::milliseconds;
 use luglink_types::Timestamp;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Age from which the view counts as lost: the pool relies on none that is older.
-const LOST_AFTER: Duration = Duration::from_secs(2);
-
 /// Time between looks at the view's age.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -73,7 +71,8 @@
             gateway.metrics.load_view_age.set(age.as_secs_f64());
             gateway.metrics.load_view_replicas.set(replicas as f64);
         }
-        let was_held = std::mem::replace(&mut is_held, age.is_some_and(|age| age < LOST_AFTER));
+        let was_held =
+            std::mem::replace(&mut is_held, age.is_some_and(|age| age < VIEW_STALE_AFTER));
         match (was_held, is_held) {
             (false, true) => tracing::info!(replicas, "load view of the zone regained"),
             (true, false) => {
--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -178,7 +178,7 @@
         goes_on: reserved.purpose == Purpose::Continues,
         chain,
         prompt,
-        _under_way: admission::note_turn(gateway, inbound, program, reserved.purpose),
+        _under_way: admission::note_turn(gateway, inbound, reserved.purpose),
     })
 }
 
--- a/crates/scheduling/src/finish.rs
+++ b/crates/scheduling/src/finish.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// Prompt tokens that an engine reads in the time of one step.
-const TOKENS_READ_PER_STEP: f64 = 250.0;
+pub(crate) const TOKENS_READ_PER_STEP: f64 = 250.0;
 
 /// Share by which a step of a full batch is longer than one of a request that runs alone. Only
 /// load that came or went since the pause between events was measured is weighed by it.
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -31,7 +31,7 @@
 pub use finish::{Expected, ReplicaState, SharedPart, Work, batch_factor, expect};
 pub use held_bytes::{Growth, HeldBound, HeldBytes, HeldCut, HolderId};
 pub use load_shedding::{Intake, LoadShedder};
-pub use load_view::{AgedSight, LoadView};
+pub use load_view::{AgedSight, LoadView, VIEW_STALE_AFTER};
 pub use moves::{
     Awaited, ExtraSends, MoveDecision, Reruns, Restart, Stay, UsualWait, Waiting, decide_move,
     hedge_after, is_hopeless,
--- a/crates/scheduling/src/load_view.rs
+++ b/crates/scheduling/src/load_view.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Age from which a view says nothing of the present any more: a replica's trouble may be over.
-const STALE_AFTER: Duration = Duration::from_secs(2);
+pub const VIEW_STALE_AFTER: Duration = Duration::from_secs(2);
 
 /// Time over which requests at a replica are averaged: that in which half of the pauses between
 /// events are forgotten, and the view's way.
@@ -58,7 +58,7 @@
     /// Whether the view says something of the present.
     #[must_use]
     pub fn is_fresh(&self, now: Timestamp) -> bool {
-        self.taken_at > Timestamp::ZERO && self.age(now) < STALE_AFTER
+        self.taken_at > Timestamp::ZERO && self.age(now) < VIEW_STALE_AFTER
     }
 
     /// Requests that were at a replica over the time that its pauses were measured in.
@@ -78,6 +78,6 @@
     pub fn sight(&self, id: &BackendId, now: Timestamp) -> Option<AgedSight> {
         let age = self.age(now);
         let sight = *self.sights.get(&ReplicaKey::of(id))?;
-        (age < STALE_AFTER).then_some(AgedSight { sight, age })
+        (age < VIEW_STALE_AFTER).then_some(AgedSight { sight, age })
     }
 }
--- a/crates/scheduling/src/moves.rs
+++ b/crates/scheduling/src/moves.rs
@@ -15,6 +15,7 @@
 //! Nothing moves while many waits are unusual at once: then all replicas are busy, waiting turns
 //! find no better place, and each that moves would make the others slower still.
 
+use crate::finish::TOKENS_READ_PER_STEP;
 use std::time::Duration;
 
 /// Share of waits that a usual one does not exceed.
@@ -37,9 +38,6 @@
 /// Time for a connection to another replica.
 const CONNECTING: Duration = Duration::from_millis(10);
 
-/// Tokens of a prompt that an engine reads while it makes one token for each request of a batch.
-const READ_TOKENS_PER_STEP: f64 = 250.0;
-
 /// Time for one token as long as none was seen.
 const DEFAULT_STEP: Duration = Duration::from_millis(5);
 
@@ -87,7 +85,7 @@
     /// Time until the first event of another replica.
     fn time(&self, wait: &UsualWait) -> Duration {
         let step = self.step.unwrap_or(DEFAULT_STEP);
-        let reading = step.mul_f64(self.tokens as f64 / READ_TOKENS_PER_STEP);
+        let reading = step.mul_f64(self.tokens as f64 / TOKENS_READ_PER_STEP);
         wait.median + CONNECTING + reading
     }
 }
