Log at which replica and software version a stream goes on

The registry's software version is now read and sent to gateways in message parts 6 and 7, which other builds pass over; lists and fingerprints stay as they were. Lines `stream resumed` and `caller resumes a stream` and the counter `stream_resumptions_total` name both replicas, both versions and how they relate. No decision changes.

--- a/crates/control-server/src/actor.rs
+++ b/crates/control-server/src/actor.rs
@@ -7,7 +7,7 @@
     ControlError, ControlNode, Input, Leadership, Output, ReleaseOrder, Request, RequestParts,
     RequestToken, Response, ResponseParts,
 };
-use luglink_fleet::{BackendList, BackendReport, ReplicaIncarnation};
+use luglink_fleet::{BackendList, BackendReport, ReplicaIncarnation, ReplicaVersion};
 use luglink_net::{FrameSender, ListenerEvent};
 use luglink_storage::FileDisk;
 use luglink_types::{EngineId, GroupId, ProgramId, Timestamp};
@@ -431,6 +431,7 @@
     pub(crate) report: Option<BackendReport>,
     pub(crate) gateways: u32,
     pub(crate) incarnations: Vec<ReplicaIncarnation>,
+    pub(crate) replica_versions: Vec<ReplicaVersion>,
 }
 
 impl Handler<ApplyLeaderUpdate> for ControlActor {
@@ -441,11 +442,16 @@
             report,
             gateways,
             incarnations,
+            replica_versions,
         } = update;
         self.handle_input(Input::LeaderUpdate { report, gateways }, context);
         if !incarnations.is_empty() {
             self.handle_input(Input::LeaderIncarnations(incarnations), context);
         }
+        if !replica_versions.is_empty() {
+            let versions = Input::LeaderReplicaVersions(replica_versions);
+            self.handle_input(versions, context);
+        }
     }
 }
 
--- a/crates/control-server/src/queries.rs
+++ b/crates/control-server/src/queries.rs
@@ -4,7 +4,8 @@
 use actix::prelude::*;
 use luglink_control::CONFIGURATION_GROUP;
 use luglink_fleet::{
-    AdvertisedCount, GatewayLocation, KnownIncarnations, KnownList, MemberStats, RelayedPresence,
+    AdvertisedCount, GatewayLocation, KnownIncarnations, KnownList, KnownReplicaVersions,
+    MemberStats, RelayedPresence,
 };
 use luglink_raft::Peer;
 use std::net::Ipv4Addr;
@@ -142,6 +143,9 @@
     pub(crate) list: Option<KnownList>,
     /// Sum over the incarnations of the list; `None` while the disk of the member cannot be used.
     pub(crate) incarnations: Option<KnownIncarnations>,
+    /// Sum over the software versions of the list; `None` while the disk of the member cannot be
+    /// used.
+    pub(crate) replica_versions: Option<KnownReplicaVersions>,
 }
 
 impl Handler<GetListState> for ControlActor {
@@ -152,6 +156,7 @@
         ListState {
             list: list.map(|list| list.known(now())),
             incarnations: list.map(|list| list.known_incarnations()),
+            replica_versions: list.map(|list| list.known_replica_versions()),
         }
     }
 }
--- a/crates/control-server/src/relay.rs
+++ b/crates/control-server/src/relay.rs
@@ -90,6 +90,7 @@
                     report: update.backends,
                     gateways: update.gateways,
                     incarnations: parts.incarnations,
+                    replica_versions: parts.replica_versions,
                 });
                 actix_rt::time::sleep(REQUEST_INTERVAL).await;
             }
@@ -104,7 +105,11 @@
     link: &RequestClient,
     presence: MemberPresence,
 ) -> Option<(ObserverUpdate, ResponseParts)> {
-    let ListState { list, incarnations } = control.send(GetListState).await.ok()?;
+    let ListState {
+        list,
+        incarnations,
+        replica_versions,
+    } = control.send(GetListState).await.ok()?;
     let request = Request::Observe(Box::new(ObserverRequest {
         presence: Presence {
             name: config.name.clone(),
@@ -124,6 +129,7 @@
     }));
     let parts = RequestParts {
         known_incarnations: incarnations,
+        known_replica_versions: replica_versions,
         ..RequestParts::default()
     };
     let body = encode_with_parts(&request, &parts.encode().ok()?).ok()?;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,7 +11,7 @@
 use crate::protocol::{Fence, MemberStatus, ReleaseOrder, Request, RequestToken, Response};
 use crate::store::MemberStore;
 use crate::watches::Watch;
-use luglink_fleet::{BackendList, BackendReport, ReplicaIncarnation, StoreCommand};
+use luglink_fleet::{BackendList, BackendReport, ReplicaIncarnation, ReplicaVersion, StoreCommand};
 use luglink_program::Command;
 use luglink_raft::{Envelope, Message, Peer, RaftNode, RestoredState};
 use luglink_resources::{CatchUp, Resource};
@@ -65,6 +65,8 @@
     },
     /// Incarnations of replicas, as the leader knows them.
     LeaderIncarnations(Vec<ReplicaIncarnation>),
+    /// Software versions of replicas, as the leader knows them.
+    LeaderReplicaVersions(Vec<ReplicaVersion>),
     /// A client has disconnected; its open requests need no response.
     ClientDisconnected {
         /// The client.
@@ -217,6 +219,10 @@
                 self.fleet.list.merge_incarnations(&incarnations);
                 Ok(())
             }
+            Input::LeaderReplicaVersions(versions) => {
+                self.fleet.list.merge_versions(&versions);
+                Ok(())
+            }
             Input::ClientDisconnected { client } => {
                 self.watches.retain(|watch| watch.token.client != client);
                 self.fleet.observers.forget_client(client);
--- a/crates/control/src/observer_table.rs
+++ b/crates/control/src/observer_table.rs
@@ -4,7 +4,7 @@
 //! not depend on the number of observers that wait.
 
 use crate::protocol::RequestToken;
-use luglink_fleet::{KnownIncarnations, KnownVersions, MembersStamp};
+use luglink_fleet::{KnownIncarnations, KnownReplicaVersions, KnownVersions, MembersStamp};
 use luglink_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,6 +20,8 @@
     pub(crate) known: KnownVersions,
     /// Incarnations that it knows; set if it asks for newer ones.
     pub(crate) known_incarnations: Option<KnownIncarnations>,
+    /// Software versions of replicas that it knows; set if it asks for others.
+    pub(crate) known_replica_versions: Option<KnownReplicaVersions>,
     /// Its zone, if it asks for the replica statistics of the zone.
     pub(crate) stats_zone: Option<String>,
     /// True if it expects this member to send a new document at once.
--- a/crates/control/src/observers.rs
+++ b/crates/control/src/observers.rs
@@ -99,6 +99,7 @@
             token,
             known: observer_request.known,
             known_incarnations: parts.known_incarnations,
+            known_replica_versions: parts.known_replica_versions,
             stats_zone,
             wants_document_at_once: observer_request.wants_document_at_once,
             counted_zone,
@@ -204,8 +205,11 @@
         let includes_list = update.backends.is_some();
         let known = observer.known_incarnations;
         let incarnations = known.and_then(|known| list.incarnations_after(known, includes_list));
+        let known = observer.known_replica_versions;
+        let versions = known.and_then(|known| list.versions_after(known, includes_list));
         ResponseParts {
             incarnations: incarnations.unwrap_or_default(),
+            replica_versions: versions.unwrap_or_default(),
             zone_stats: observer
                 .stats_zone
                 .as_ref()
--- a/crates/control/src/parts.rs
+++ b/crates/control/src/parts.rs
@@ -4,7 +4,10 @@
 //! adds a part to a response only if the request carried a part that shows that the client reads
 //! it.
 
-use luglink_fleet::{KnownIncarnations, MemberStats, ReplicaIncarnation, StatsReport, ZoneStats};
+use luglink_fleet::{
+    KnownIncarnations, KnownReplicaVersions, MemberStats, ReplicaIncarnation, ReplicaVersion,
+    StatsReport, ZoneStats,
+};
 use luglink_wire::{PartNumber, Parts, WireError};
 
 /// Request part: sum over the replica incarnations that the observer knows.
@@ -23,11 +26,19 @@
 /// counts.
 const MEMBER_STATS: PartNumber = PartNumber(5);
 
+/// Request part: sum over the software versions of replicas that the observer knows.
+const KNOWN_REPLICA_VERSIONS: PartNumber = PartNumber(6);
+
+/// Response part: software versions of replicas that the observer lacks.
+const REPLICA_VERSIONS: PartNumber = PartNumber(7);
+
 /// Optional parts of a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestParts {
     /// Incarnations that the observer knows; set if it asks for newer ones.
     pub known_incarnations: Option<KnownIncarnations>,
+    /// Software versions of replicas that the observer knows; set if it asks for others.
+    pub known_replica_versions: Option<KnownReplicaVersions>,
     /// Statistics of the observing gateway; set if it asks for those of its zone.
     pub replica_stats: Option<StatsReport>,
     /// Statistics of the gateways that the sending member counts.
@@ -44,6 +55,9 @@
         if let Some(known) = &self.known_incarnations {
             parts.put(KNOWN_INCARNATIONS, known)?;
         }
+        if let Some(known) = &self.known_replica_versions {
+            parts.put(KNOWN_REPLICA_VERSIONS, known)?;
+        }
         if let Some(replica_stats) = &self.replica_stats {
             parts.put(REPLICA_STATS, replica_stats)?;
         }
@@ -60,6 +74,7 @@
     pub fn decode(parts: &Parts) -> Result<Self, WireError> {
         Ok(Self {
             known_incarnations: parts.get(KNOWN_INCARNATIONS)?,
+            known_replica_versions: parts.get(KNOWN_REPLICA_VERSIONS)?,
             replica_stats: parts.get(REPLICA_STATS)?,
             member_stats: parts.get(MEMBER_STATS)?,
         })
@@ -71,6 +86,8 @@
 pub struct ResponseParts {
     /// Replica incarnations that the observer lacks.
     pub incarnations: Vec<ReplicaIncarnation>,
+    /// Software versions of replicas that the observer lacks.
+    pub replica_versions: Vec<ReplicaVersion>,
     /// Statistics of the replicas, aggregated over the gateways of the observer's zone.
     pub zone_stats: Option<ZoneStats>,
 }
@@ -85,6 +102,9 @@
         if !self.incarnations.is_empty() {
             parts.put(INCARNATIONS, &self.incarnations)?;
         }
+        if !self.replica_versions.is_empty() {
+            parts.put(REPLICA_VERSIONS, &self.replica_versions)?;
+        }
         if let Some(zone_stats) = &self.zone_stats {
             parts.put(ZONE_STATS, zone_stats)?;
         }
@@ -98,6 +118,7 @@
     pub fn decode(parts: &Parts) -> Result<Self, WireError> {
         Ok(Self {
             incarnations: parts.get(INCARNATIONS)?.unwrap_or_default(),
+            replica_versions: parts.get(REPLICA_VERSIONS)?.unwrap_or_default(),
             zone_stats: parts.get(ZONE_STATS)?,
         })
     }
--- a/crates/control/tests/golden/values.rs
+++ b/crates/control/tests/golden/values.rs
@@ -219,6 +219,7 @@
         slots: 12,
         draining: number == 2,
         incarnation: luglink_fleet::Incarnation::UNKNOWN,
+        version: None,
     }
 }
 
--- a/crates/control/tests/managed/incarnations.rs
+++ b/crates/control/tests/managed/incarnations.rs
@@ -17,6 +17,7 @@
         slots: 1,
         draining: false,
         incarnation: Incarnation(start),
+        version: None,
     };
     BackendList::new((0..).zip(starts).map(backend).collect())
 }
--- a/crates/control/tests/managed/observers.rs
+++ b/crates/control/tests/managed/observers.rs
@@ -163,6 +163,7 @@
         slots: 1,
         draining: false,
         incarnation: Incarnation::UNKNOWN,
+        version: None,
     };
     BackendList::new((0..count).map(backend).collect())
 }
--- a/crates/control/tests/mixed_builds.rs
+++ b/crates/control/tests/mixed_builds.rs
@@ -2,9 +2,9 @@
 
 use luglink_control::{Request, RequestParts, Response, ResponseParts};
 use luglink_fleet::{
-    Backend, BackendId, BackendList, Incarnation, KnownIncarnations, MAX_REPLICA_STATS,
-    MemberStats, ObserverUpdate, ReplicaIncarnation, ReplicaKey, ReplicaStats, StatsReport,
-    ZoneStats,
+    Backend, BackendId, BackendList, Incarnation, KnownIncarnations, KnownReplicaVersions,
+    MAX_REPLICA_STATS, MemberStats, ObserverUpdate, ReplicaIncarnation, ReplicaKey, ReplicaStats,
+    ReplicaVersion, SoftwareVersion, StatsReport, ZoneStats,
 };
 use luglink_wire::{decode_body, decode_with_parts, encode_body, encode_with_parts};
 use serde::{Deserialize, Serialize};
@@ -31,6 +31,7 @@
         slots: 4,
         draining: true,
         incarnation: Incarnation(1_765_000_000_123),
+        version: Some(SoftwareVersion("v1".to_owned())),
     }
 }
 
@@ -66,6 +67,7 @@
 fn request_parts() -> RequestParts {
     RequestParts {
         known_incarnations: Some(KnownIncarnations { sum: 77 }),
+        known_replica_versions: Some(KnownReplicaVersions { sum: 78 }),
         replica_stats: Some(replica_stats()),
         member_stats: Some(MemberStats {
             member: 3,
@@ -80,6 +82,11 @@
             replica: BackendId("i-1".to_owned()),
             incarnation: Incarnation(5),
         }],
+        replica_versions: vec![ReplicaVersion {
+            replica: BackendId("i-1".to_owned()),
+            incarnation: Incarnation(5),
+            version: SoftwareVersion("v2".to_owned()),
+        }],
         zone_stats: Some(zone_stats()),
     }
 }
@@ -92,6 +99,7 @@
     let read: BackendList = decode_body(&older).unwrap();
     let only = read.backends().next().unwrap();
     assert_eq!(only.incarnation, Incarnation::UNKNOWN);
+    assert_eq!(only.version, None);
 }
 
 #[test]
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -39,6 +39,8 @@
     pub priority: HeaderName,
     /// Identifier of the last event that the receiver of a stream has.
     pub last_event_id: HeaderName,
+    /// Identifier of the request that brought the first event of the stream that a request resumes.
+    pub resumes: HeaderName,
     /// Time after which to retry, in seconds.
     pub retry_after: HeaderName,
     /// Tenant of a request, sent to replicas.
--- a/crates/edge/src/own_dialect.rs
+++ b/crates/edge/src/own_dialect.rs
@@ -6,7 +6,7 @@
 use crate::list_entries::{ListEntries, ListEntry};
 use crate::replica_report::ReplicaReport;
 use http::{HeaderName, Method};
-use luglink_fleet::{Backend, BackendId, Incarnation, RetireState, StoreName};
+use luglink_fleet::{Backend, BackendId, Incarnation, RetireState, SoftwareVersion, StoreName};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use std::net::SocketAddr;
@@ -40,6 +40,7 @@
                 prompt_parts: name("luglink-prompt-parts"),
                 priority: name("luglink-priority"),
                 last_event_id: name("last-event-id"),
+                resumes: name("luglink-resumes"),
                 retry_after: http::header::RETRY_AFTER,
                 tenant: name("luglink-tenant"),
                 credential: http::header::AUTHORIZATION,
@@ -66,6 +67,9 @@
     /// Start time in Unix milliseconds.
     #[serde(default)]
     started_ms: u64,
+    /// Version of its software. Replicas of a list that names none are of one version.
+    #[serde(default)]
+    version: SoftwareVersion,
 }
 
 impl ListEntry for ListedBackend {
@@ -133,6 +137,7 @@
             slots: listed.slots,
             draining: listed.draining,
             incarnation: Incarnation(listed.started_ms),
+            version: Some(listed.version),
         });
         Ok(BackendPage {
             backends: backends.collect(),
--- a/crates/fleet/src/backend.rs
+++ b/crates/fleet/src/backend.rs
@@ -1,6 +1,7 @@
 //! Replicas as the platform lists them.
 
 use crate::incarnation::Incarnation;
+use crate::software_version::{ReplicaVersion, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
@@ -44,11 +45,15 @@
     /// same list.
     #[serde(skip)]
     pub incarnation: Incarnation,
+    /// Version of its software, sent after the list like the incarnation; `None` if it is not
+    /// known.
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
 }
 
 impl Backend {
-    /// Returns a hash of all fields except the incarnation. Builds with and without incarnations
-    /// compute the same value.
+    /// Returns a hash of all fields except the incarnation and the software version. Builds without
+    /// these compute the same value.
     pub(crate) fn hash_value(&self) -> u64 {
         let mut hasher = Xxh3::new();
         self.id.hash(&mut hasher);
@@ -67,4 +72,37 @@
             Incarnation(start) => xxh3_64_with_seed(self.id.0.as_bytes(), start),
         }
     }
+
+    /// Returns the term of this replica in the version sum of a list.
+    pub(crate) fn version_hash(&self) -> u64 {
+        let Some(version) = &self.version else {
+            return 0;
+        };
+        let mut hasher = Xxh3::new();
+        self.id.hash(&mut hasher);
+        self.incarnation.hash(&mut hasher);
+        version.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Returns the software version with the incarnation that has it, if it is known.
+    pub(crate) fn replica_version(&self) -> Option<ReplicaVersion> {
+        let version = self.version.clone()?;
+        Some(ReplicaVersion {
+            replica: self.id.clone(),
+            incarnation: self.incarnation,
+            version,
+        })
+    }
+
+    /// Fills in what an earlier entry of the same replica says and this one does not: a decoded
+    /// entry has neither an incarnation nor a software version.
+    pub fn complete_from(&mut self, earlier: &Self) {
+        if self.incarnation < earlier.incarnation {
+            self.incarnation = earlier.incarnation;
+            self.version.clone_from(&earlier.version);
+        } else if self.incarnation == earlier.incarnation && self.version.is_none() {
+            self.version.clone_from(&earlier.version);
+        }
+    }
 }
--- a/crates/fleet/src/backend_list.rs
+++ b/crates/fleet/src/backend_list.rs
@@ -6,6 +6,7 @@
 
 use crate::backend::{Backend, BackendId};
 use crate::incarnation::{Incarnation, ReplicaIncarnation};
+use crate::software_version::ReplicaVersion;
 use serde::{Deserialize, Serialize};
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,6 +29,8 @@
     sum: u64,
     /// Sum of the hashes of all known incarnations.
     incarnation_sum: u64,
+    /// Sum of the hashes of all known software versions.
+    version_sum: u64,
 }
 
 impl BackendList {
@@ -66,7 +69,7 @@
         self.backends.is_empty()
     }
 
-    /// Returns a hash of the list, without incarnations.
+    /// Returns a hash of the list, without incarnations and software versions.
     #[must_use]
     pub fn fingerprint(&self) -> u64 {
         xxh3_64_with_seed(&self.sum.to_le_bytes(), self.backends.len() as u64)
@@ -80,10 +83,11 @@
 
     fn put(&mut self, mut backend: Backend) {
         if let Some(known) = self.backends.get(&backend.id) {
-            backend.incarnation = backend.incarnation.max(known.incarnation);
+            backend.complete_from(known);
         }
         let incarnation = backend.incarnation_hash();
         self.incarnation_sum = self.incarnation_sum.wrapping_add(incarnation);
+        self.version_sum = self.version_sum.wrapping_add(backend.version_hash());
         self.sum = self.sum.wrapping_add(backend.hash_value());
         match self.backends.entry(backend.id.clone()) {
             Entry::Vacant(entry) => {
@@ -107,6 +111,62 @@
         self.sum = self.sum.wrapping_sub(previous.hash_value());
         let incarnation = previous.incarnation_hash();
         self.incarnation_sum = self.incarnation_sum.wrapping_sub(incarnation);
+        self.version_sum = self.version_sum.wrapping_sub(previous.version_hash());
+    }
+
+    /// Returns the sum of the hashes of all known software versions, which identifies them.
+    #[must_use]
+    pub fn version_sum(&self) -> u64 {
+        self.version_sum
+    }
+
+    /// Returns the software version of a replica, if it is known.
+    #[must_use]
+    pub fn version_of(&self, id: &BackendId) -> Option<ReplicaVersion> {
+        self.backends.get(id)?.replica_version()
+    }
+
+    /// Returns all known software versions.
+    #[must_use]
+    pub fn versions(&self) -> Vec<ReplicaVersion> {
+        let backends = self.backends.values();
+        backends.filter_map(Backend::replica_version).collect()
+    }
+
+    /// Updates listed replicas of which another process knows a software version of the same or a
+    /// later incarnation. Returns the replicas that have changed.
+    pub(crate) fn merge_versions(&mut self, received: &[ReplicaVersion]) -> Vec<Backend> {
+        let mut changed = Vec::new();
+        for received in received {
+            let Some(known) = self.backends.get(&received.replica) else {
+                continue;
+            };
+            let is_outdated = received.incarnation < known.incarnation;
+            if is_outdated || known.replica_version().as_ref() == Some(received) {
+                continue;
+            }
+            let mut backend = known.clone();
+            backend.incarnation = received.incarnation;
+            backend.version = Some(received.version.clone());
+            changed.push(backend.clone());
+            self.put(backend);
+        }
+        changed
+    }
+
+    /// Fills in the incarnations and software versions that `earlier` knows and this list does
+    /// not.
+    pub(crate) fn complete_from(&mut self, earlier: &Self) {
+        for known in earlier.backends() {
+            let Some(listed) = self.backends.get(&known.id) else {
+                continue;
+            };
+            let mut backend = listed.clone();
+            backend.complete_from(known);
+            if backend != *listed {
+                self.put(backend);
+            }
+        }
     }
 
     /// Returns the incarnation of a replica, if it is known.
@@ -147,6 +207,8 @@
             let Some(mut backend) = self.older_than(received).cloned() else {
                 continue;
             };
+            // The version belongs to the earlier incarnation.
+            backend.version = None;
             backend.incarnation = received.incarnation;
             changed.push(backend.clone());
             self.put(backend);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs)]
 
 mod advertised;
+mod attribute_history;
 mod backend;
 mod backend_list;
 mod decaying_peak;
@@ -21,6 +22,7 @@
 mod presence;
 mod registry;
 mod replica_stats;
+mod software_version;
 mod view;
 mod zone_load;
 mod zone_stats;
@@ -46,6 +48,7 @@
 };
 pub use registry::{RetireResponse, RetireState, StoreCommand, StoreRegistry};
 pub use replica_stats::{MAX_REPLICA_STATS, ReplicaKey, ReplicaStats, StatsReport};
+pub use software_version::{KnownReplicaVersions, ReplicaVersion, SoftwareVersion};
 pub use view::{StoreMember, StoreName, StoreState, StoreView};
 pub use zone_load::{GatewayLoad, ServiceLoad};
 pub use zone_stats::{MemberStats, StatsSource, StatsTable, ZoneStats};
--- a/crates/fleet/src/list_copy.rs
+++ b/crates/fleet/src/list_copy.rs
@@ -1,7 +1,9 @@
 //! A copy of the list of replicas, kept up to date by reports of other processes.
 
+use crate::backend::Backend;
 use crate::backend_list::{BackendChanges, BackendList, BackendPatch, ListDigest};
 use crate::incarnation::{KnownIncarnations, ReplicaIncarnation};
+use crate::software_version::{KnownReplicaVersions, ReplicaVersion};
 use luglink_types::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -171,18 +173,41 @@
             return None;
         }
         let changed = Arc::make_mut(&mut self.list).merge_incarnations(received);
+        Some(self.attribute_changes(changed))
+    }
+
+    /// Returns the summary of the software versions in this copy.
+    #[must_use]
+    pub fn known_replica_versions(&self) -> KnownReplicaVersions {
+        KnownReplicaVersions {
+            sum: self.list.version_sum(),
+        }
+    }
+
+    /// Merges software versions received from another process. Returns the changes, if there are
+    /// any; they differ from the previous list in versions and incarnations only.
+    pub fn merge_versions(&mut self, received: &[ReplicaVersion]) -> Option<BackendChanges> {
+        if received.is_empty() {
+            return None;
+        }
+        let changed = Arc::make_mut(&mut self.list).merge_versions(received);
+        (!changed.is_empty()).then(|| self.attribute_changes(changed))
+    }
+
+    /// Returns changes that leave the fingerprint as it is.
+    fn attribute_changes(&self, changed: Vec<Backend>) -> BackendChanges {
         let fingerprint = self.list.fingerprint();
-        Some(BackendChanges {
+        BackendChanges {
             base: fingerprint,
             result: fingerprint,
             changed,
             removed: Vec::new(),
-        })
+        }
     }
 
     fn install(&mut self, mut list: BackendList, seen: Timestamp) -> Option<BackendChanges> {
-        // A decoded list has no incarnations: keep the known ones.
-        list.merge_incarnations(&self.list.incarnations());
+        // A decoded list has no incarnations and no versions: keep the known ones.
+        list.complete_from(&self.list);
         let changes = self.list.changes_to(&list);
         let is_first = self.seen.is_none();
         self.mark_current(seen);
--- a/crates/fleet/src/list_history.rs
+++ b/crates/fleet/src/list_history.rs
@@ -1,9 +1,11 @@
 //! History of a member's recent lists, so that a process with an earlier list gets only the
 //! changes.
 
+use crate::attribute_history::AttributeHistory;
 use crate::backend_list::{BackendChanges, BackendList, ListDigest};
-use crate::incarnation::{IncarnationHistory, KnownIncarnations, ReplicaIncarnation};
+use crate::incarnation::{KnownIncarnations, ReplicaIncarnation};
 use crate::list_copy::{BackendReport, BackendUpdate, KnownList, ListCopy};
+use crate::software_version::{KnownReplicaVersions, ReplicaVersion};
 use luglink_types::Timestamp;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -29,7 +31,8 @@
     /// Merged changes from earlier lists to the current one, cached by the earlier list's
     /// fingerprint.
     merged: BTreeMap<u64, Arc<BackendChanges>>,
-    incarnations: IncarnationHistory,
+    incarnations: AttributeHistory<ReplicaIncarnation>,
+    versions: AttributeHistory<ReplicaVersion>,
 }
 
 impl ListHistory {
@@ -70,14 +73,38 @@
         if list.incarnation_sum() == known.sum {
             return None;
         }
-        let since = self.incarnations.since(known);
+        let since = self.incarnations.since(known.sum);
         let all = || will_have_this_list.then(|| list.incarnations());
         since.or_else(all).filter(|lacking| !lacking.is_empty())
     }
 
+    /// Merges software versions received from another member.
+    pub fn merge_versions(&mut self, received: &[ReplicaVersion]) {
+        let changes = self.copy.merge_versions(received);
+        self.record(changes);
+    }
+
+    /// Returns the software versions that the requester lacks, under the same conditions as
+    /// [`ListHistory::incarnations_after`].
+    #[must_use]
+    pub fn versions_after(
+        &self,
+        known: KnownReplicaVersions,
+        will_have_this_list: bool,
+    ) -> Option<Vec<ReplicaVersion>> {
+        let list = self.copy.list();
+        if list.version_sum() == known.sum {
+            return None;
+        }
+        let since = self.versions.since(known.sum);
+        let all = || will_have_this_list.then(|| list.versions());
+        since.or_else(all).filter(|lacking| !lacking.is_empty())
+    }
+
     fn record(&mut self, changes: Option<BackendChanges>) {
         let Some(changes) = changes else { return };
         self.incarnations.record(self.copy.list(), &changes);
+        self.versions.record(self.copy.list(), &changes);
         if changes.base == changes.result {
             return;
         }
--- a/crates/fleet/tests/backends.rs
+++ b/crates/fleet/tests/backends.rs
@@ -23,6 +23,7 @@
         slots: 4,
         draining,
         incarnation: Incarnation::UNKNOWN,
+        version: None,
     }
 }
 
--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -20,6 +20,7 @@
         slots: 4,
         draining: number == 2,
         incarnation: Incarnation(start),
+        version: None,
     }
 }
 
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -14,6 +14,9 @@
     pub(crate) sends: IntCounterVec,
     /// Streams by outcome.
     pub(crate) streams: IntCounterVec,
+    /// Continuations of broken streams at a replica, by how its software version relates to that
+    /// of the replica before.
+    pub(crate) resumptions: IntCounterVec,
     /// New connections to replicas.
     pub(crate) connects: IntCounter,
     /// Reads of the platform's list of replicas by this gateway.
@@ -84,6 +87,11 @@
             answers: registry.labelled_counter("answers_total", "Answers by status", "status")?,
             sends: registry.labelled_counter("sends_total", "Sends to replicas", "end")?,
             streams: registry.labelled_counter("streams_total", "Streams by end", "end")?,
+            resumptions: registry.labelled_counter(
+                "stream_resumptions_total",
+                "Continuations of broken streams by software version",
+                "version",
+            )?,
             connects: registry.counter("connects_total", "New connections to replicas")?,
             list_reads: registry.counter(
                 "list_reads_total",
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -49,6 +49,8 @@
         let asks_for_list = self.known_list(asked_member.source).is_some();
         RequestParts {
             known_incarnations: asks_for_list.then(|| self.list.borrow().known_incarnations()),
+            known_replica_versions: asks_for_list
+                .then(|| self.list.borrow().known_replica_versions()),
             replica_stats: self.replica_stats_to_report(asked_member),
             ..RequestParts::default()
         }
@@ -56,6 +58,11 @@
 
     fn on_response_parts(&self, parts: ResponseParts) {
         self.record_incarnations(&parts.incarnations);
+        let changes = self
+            .list
+            .borrow_mut()
+            .merge_versions(&parts.replica_versions);
+        self.apply_list_changes(changes);
         if let Some(zone_stats) = parts.zone_stats {
             self.update_load_view(&zone_stats);
         }
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -5,7 +5,7 @@
 use crate::failure::Failure;
 use crate::first_event::FirstEventWait;
 use crate::gateway::{Gateway, InFlight};
-use crate::inbound::{InboundRequest, strip_hop_by_hop};
+use crate::inbound::{InboundRequest, header_text, strip_hop_by_hop};
 use crate::move_watch::{MoveWatch, SendResult, refuse_unreachable_deadline};
 use crate::program::{self, PreparedTurn};
 use crate::refusal::Refusal;
@@ -49,6 +49,7 @@
     in_flight: InFlight,
 ) -> Result<Response<Body>, Refusal> {
     refuse_unreachable_deadline(gateway, &inbound)?;
+    log_caller_resumption(gateway, &inbound);
     let prepared = program::prepare_turn(gateway, &inbound).await?;
     refuse_unreachable_deadline(gateway, &inbound)?;
     let overrides = SendOverrides {
@@ -102,6 +103,21 @@
     Ok(relay(gateway, inbound, in_flight, started, answer))
 }
 
+/// Logs that a request continues the stream of an earlier one.
+fn log_caller_resumption(gateway: &Gateway, inbound: &InboundRequest) {
+    let names = gateway.dialect.headers();
+    let headers = &inbound.head.headers;
+    if let Some(last) = header_text(headers, &names.last_event_id) {
+        tracing::info!(
+            id = inbound.id,
+            route = inbound.route.name,
+            resumes = header_text(headers, &names.resumes),
+            last_event_id = last,
+            "caller resumes a stream"
+        );
+    }
+}
+
 fn note_shared_part(gateway: &Gateway, work: Option<&Work>, backend: &Backend) {
     let Some(part) = work.and_then(|work| work.shared) else {
         return;
@@ -189,6 +205,16 @@
     tokens.unwrap_or(1).max(1)
 }
 
+/// Returns how the software versions of two replicas relate, for logs and metrics.
+fn version_relation(from: &Backend, to: &Backend) -> &'static str {
+    match (&from.version, &to.version) {
+        _ if from.id == to.id => "same_replica",
+        (Some(before), Some(after)) if before == after => "same",
+        (Some(_), Some(_)) => "other",
+        _ => "unknown",
+    }
+}
+
 /// Response body from which events are read, with its connection and its replica.
 struct Source {
     incoming: Incoming,
@@ -497,7 +523,7 @@
         actix_rt::time::sleep(RESUMPTION_DELAY).await;
         self.move_watch.note_sent(&self.inbound, &self.attempts);
         let failure = match self.resume_at(&backend).await {
-            Ok(source) => return Ok(source),
+            Ok(source) => return Ok(self.note_resumed(&backend, source)),
             Err(failure) => failure,
         };
         let is_gone =
@@ -505,11 +531,36 @@
         if !is_gone {
             return Err("not_resumed");
         }
-        let attempts = self.attempts.excluding(backend.id).with_work(self.work);
+        let attempts = self
+            .attempts
+            .excluding(backend.id.clone())
+            .with_work(self.work);
         let other = choose(&self.gateway, &self.inbound, &attempts, None);
         let other = other.map_err(|_| "nowhere_to_resume")?;
         let resumed = self.resume_at(&other).await;
-        resumed.map_err(|_| "not_resumed_elsewhere")
+        let resumed = resumed.map_err(|_| "not_resumed_elsewhere")?;
+        Ok(self.note_resumed(&backend, resumed))
+    }
+
+    /// Records that the stream goes on at another response.
+    fn note_resumed(&self, from: &Backend, to: Source) -> Source {
+        let replica = &to.backend;
+        let relation = version_relation(from, replica);
+        let counter = &self.gateway.metrics.resumptions;
+        counter.with_label_values(&[relation]).inc();
+        tracing::info!(
+            id = self.inbound.id,
+            from = %from.id,
+            from_version = from.version.as_ref().map(tracing::field::display),
+            to = %replica.id,
+            to_version = replica.version.as_ref().map(tracing::field::display),
+            relation,
+            events = self.events,
+            last_event_id = self.last_event_id,
+            list_age_ms = self.gateway.list_age().map(milliseconds),
+            "stream resumed"
+        );
+        to
     }
 
     /// Moves the stream to another replica if the current one has sent nothing for too long.
@@ -535,6 +586,7 @@
 
     async fn move_to(&mut self, from: Source, mut to: Backend) -> Result<Source, &'static str> {
         self.attempts.note_moved(&from.backend);
+        let previous = from.backend.clone();
         // Cancels the request at the previous replica before another one resumes it.
         drop(from);
         self.splitter.clear();
@@ -542,7 +594,7 @@
         loop {
             self.move_watch.note_sent(&self.inbound, &self.attempts);
             let failure = match self.resume_at(&to).await {
-                Ok(source) => return Ok(source),
+                Ok(source) => return Ok(self.note_resumed(&previous, source)),
                 Err(failure) => failure,
             };
             self.move_watch.note_failed(failure);
--- a/crates/scheduling/benches/pool.rs
+++ b/crates/scheduling/benches/pool.rs
@@ -33,6 +33,7 @@
         slots: 6,
         draining: number < draining,
         incarnation: Incarnation::UNKNOWN,
+        version: None,
     };
     BackendList::new((0..count).map(backend).collect())
 }
--- a/crates/scheduling/src/pool/mod.rs
+++ b/crates/scheduling/src/pool/mod.rs
@@ -135,8 +135,8 @@
             {
                 record.reset_for_restart();
             }
-            // Changes received over the network contain no incarnations.
-            backend.incarnation = backend.incarnation.max(before.incarnation);
+            // Changes received over the network contain no incarnations and no versions.
+            backend.complete_from(&before);
         }
         let service = self.services.entry(backend.service.clone()).or_default();
         service.add(&backend);
--- a/crates/scheduling/tests/incarnations.rs
+++ b/crates/scheduling/tests/incarnations.rs
@@ -20,6 +20,7 @@
         slots: 10,
         draining: false,
         incarnation: Incarnation(start),
+        version: None,
     }
 }
 
--- a/crates/scheduling/tests/pool.rs
+++ b/crates/scheduling/tests/pool.rs
@@ -22,6 +22,7 @@
         slots: 10,
         draining: false,
         incarnation: Incarnation::UNKNOWN,
+        version: None,
     }
 }
 
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -64,6 +64,7 @@
         slots: SLOTS,
         draining: false,
         incarnation: Incarnation::UNKNOWN,
+        version: None,
     };
     (0..ENGINES).map(backend).collect()
 }
