--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -10,5 +10,6 @@
 mod placement;
 mod programs;
 mod replicas;
+mod resumed_streams;
 mod support;
 mod tenants;
--- /dev/null
+++ b/crates/gateway-server/tests/gateway/resumed_streams.rs
@@ -0,0 +1,160 @@
+//! Streams that continue at another replica or gateway stay at the software version that began
+//! them.
+
+use crate::support::caller::{TestRequest, TestResponse, get};
+use crate::support::replica::{Replica, Script, event};
+use crate::support::{Fleet, configuration, route, wait_until};
+use luglink_edge::{Configuration, RouteKind};
+use luglink_gateway_server::GatewayServer;
+use std::net::SocketAddr;
+
+/// Maximum number of requests until one is sent to a given replica.
+const MAX_ROUNDS: usize = 40;
+
+/// Number of attempts that resume the same stream. Each would reach another version with a
+/// probability of one half or more if versions did not count.
+const RESUMING_ATTEMPTS: usize = 12;
+
+fn configuration_with_moves() -> Configuration {
+    let mut configuration = configuration(1);
+    let mut movable = route("/movable/", RouteKind::Streaming);
+    movable.resumable = true;
+    movable.gap_aim_ms = Some(300);
+    configuration.routes.push(movable);
+    configuration
+}
+
+async fn fleet(replicas: &[Replica]) -> Fleet {
+    let fleet = Fleet::start(replicas.to_vec()).await;
+    fleet.configure(&configuration_with_moves()).await;
+    fleet
+}
+
+async fn second_gateway(fleet: &Fleet) -> (GatewayServer, SocketAddr) {
+    let (gateway, address) = fleet.start_second_gateway().await;
+    let ready = SocketAddr::new(address.ip(), address.port() + 1);
+    wait_until("the second gateway is ready", || async {
+        get(ready, "/v1/ready").await.status == 200
+    })
+    .await;
+    (gateway, address)
+}
+
+fn events(numbers: std::ops::Range<usize>) -> String {
+    numbers.map(event).collect()
+}
+
+fn has_seen(replica: &Replica, id: &str) -> bool {
+    let seen = replica.seen.borrow();
+    seen.iter().any(|seen| seen.id() == id)
+}
+
+/// Sends streams to `path` until one was sent to `replica`. Returns its identifier and response.
+async fn stream_at(fleet: &Fleet, path: &str, replica: &Replica) -> (String, TestResponse) {
+    for number in 0..MAX_ROUNDS {
+        let id = format!("s{number}");
+        let request = TestRequest::post(path, &id, "body");
+        let response = request.send(fleet.gateway_address).await;
+        if has_seen(replica, &id) {
+            return (id, response);
+        }
+    }
+    panic!("no request was sent to {}", replica.id);
+}
+
+/// Begins streams until one was sent to `replica`, and disconnects from each after its first
+/// events. Returns the identifier of that one.
+async fn abandoned_stream_at(fleet: &Fleet, replica: &Replica) -> String {
+    for number in 0..MAX_ROUNDS {
+        let id = format!("s{number}");
+        let request = TestRequest::post("/resumable/x", &id, "body");
+        request.send_and_disconnect(fleet.gateway_address).await;
+        if has_seen(replica, &id) {
+            return id;
+        }
+    }
+    panic!("no request was sent to {}", replica.id);
+}
+
+fn resuming(first_attempt: &str, id: &str) -> TestRequest {
+    TestRequest::post("/resumable/x", id, "body")
+        .with("luglink-resumes", first_attempt)
+        .with("last-event-id", 1)
+}
+
+#[actix_rt::test]
+async fn a_stream_of_a_crashed_replica_does_not_continue_at_another_software_version() {
+    let crashing = Replica::start_version("r0", "v1", Script::StreamCrashes(2)).await;
+    let other = Replica::start_version("r1", "v2", Script::Stream).await;
+    let fleet = fleet(&[crashing.clone(), other.clone()]).await;
+    let (id, response) = stream_at(&fleet, "/resumable/x", &crashing).await;
+    assert!(!has_seen(&other, &id), "{response:?}");
+    assert_eq!((response.is_whole, response.body), (false, events(0..2)));
+}
+
+#[actix_rt::test]
+async fn a_stream_of_a_crashed_replica_continues_at_the_same_software_version() {
+    let crashing = Replica::start_version("r0", "v1", Script::StreamCrashes(2)).await;
+    let same = Replica::start_version("r1", "v1", Script::Stream).await;
+    let mut replicas = vec![crashing.clone(), same.clone()];
+    for number in 2..6 {
+        let id = format!("r{number}");
+        replicas.push(Replica::start_version(&id, "v2", Script::Stream).await);
+    }
+    let fleet = fleet(&replicas).await;
+    let (id, response) = stream_at(&fleet, "/resumable/x", &crashing).await;
+    assert!(has_seen(&same, &id), "{response:?}");
+    assert_eq!((response.is_whole, response.body), (true, events(0..5)));
+}
+
+#[actix_rt::test]
+async fn a_stalled_stream_does_not_move_to_another_software_version() {
+    let stalled = Replica::start_version("r0", "v1", Script::StreamStalled(2)).await;
+    let other = Replica::start_version("r1", "v2", Script::Stream).await;
+    let fleet = fleet(&[stalled.clone(), other.clone()]).await;
+    let (id, response) = stream_at(&fleet, "/movable/x", &stalled).await;
+    assert!(!has_seen(&other, &id), "{response:?}");
+    assert_eq!((response.is_whole, response.body), (false, events(0..2)));
+}
+
+#[actix_rt::test]
+async fn a_stalled_stream_moves_to_the_same_software_version() {
+    let stalled = Replica::start_version("r0", "v1", Script::StreamStalled(2)).await;
+    let same = Replica::start_version("r1", "v1", Script::Stream).await;
+    let mut replicas = vec![stalled.clone(), same.clone()];
+    for number in 2..6 {
+        let id = format!("r{number}");
+        replicas.push(Replica::start_version(&id, "v2", Script::Stream).await);
+    }
+    let fleet = fleet(&replicas).await;
+    let (id, response) = stream_at(&fleet, "/movable/x", &stalled).await;
+    assert!(has_seen(&same, &id), "{response:?}");
+    assert_eq!((response.is_whole, response.body), (true, events(0..5)));
+}
+
+#[actix_rt::test]
+async fn a_caller_that_resumes_at_another_gateway_gets_the_same_software_version() {
+    let first = Replica::start_version("r0", "v1", Script::StreamStalled(2)).await;
+    let same = Replica::start_version("r1", "v1", Script::Stream).await;
+    let mut replicas = vec![first.clone(), same.clone()];
+    for number in 2..6 {
+        let id = format!("r{number}");
+        replicas.push(Replica::start_version(&id, "v2", Script::Stream).await);
+    }
+    let fleet = fleet(&replicas).await;
+    let (_second, address) = second_gateway(&fleet).await;
+    let began_as = abandoned_stream_at(&fleet, &first).await;
+    first.set_script(Script::Stream);
+    for number in 0..RESUMING_ATTEMPTS {
+        let id = format!("resuming-{number}");
+        let to = [address, fleet.gateway_address][number % 2];
+        let response = resuming(&began_as, &id).send(to).await;
+        let whole = (response.status, response.is_whole, response.body.as_str());
+        assert_eq!(whole, (200, true, events(2..5).as_str()), "{response:?}");
+        let others = &replicas[2..];
+        assert!(
+            !others.iter().any(|other| has_seen(other, &id)),
+            "{response:?}"
+        );
+    }
+}
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
 /// Size of one event's data in [`Script::Flood`].
 const FLOOD_EVENT_BYTES: usize = 16 << 10;
@@ -50,6 +51,8 @@
     StreamBroken(usize),
     /// Sends this many complete events and closes without the end of the body.
     StreamCut(usize),
+    /// Sends this many complete events, closes all connections and accepts no more.
+    StreamCrashes(usize),
     /// Sends this many events, a part of the next one, and the proper end of the body.
     StreamEndsInside(usize),
     /// Sends five events, starting after the last event named by the request.
@@ -98,6 +101,10 @@
     /// Number of running requests, of four slots, in its reports. Without it, the replica does not
     /// answer requests for reports.
     pub running: Rc<Cell<Option<u32>>>,
+    /// Software version in its list entry; `None` if the entry has none.
+    pub version: Rc<RefCell<Option<String>>>,
+    /// Set once the replica has crashed.
+    crash: CancellationToken,
 }
 
 impl Replica {
@@ -113,17 +120,34 @@
             closed: Rc::default(),
             accepted: Rc::default(),
             running: Rc::default(),
+            version: Rc::default(),
+            crash: CancellationToken::new(),
         };
         let serving = replica.clone();
-        actix_rt::spawn(async move {
+        let accepting = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 serving.accepted.set(serving.accepted.get() + 1);
-                actix_rt::spawn(serving.clone().serve(stream));
+                let serving = serving.clone();
+                let crash = serving.crash.clone();
+                actix_rt::spawn(async move {
+                    crash.run_until_cancelled(serving.serve(stream)).await;
+                });
             }
+        };
+        let crash = replica.crash.clone();
+        actix_rt::spawn(async move {
+            crash.run_until_cancelled(accepting).await;
         });
         replica
     }
 
+    /// Starts a replica whose list entry names a software version.
+    pub async fn start_version(id: &str, version: &str, script: Script) -> Self {
+        let replica = Self::start(id, script).await;
+        *replica.version.borrow_mut() = Some(version.to_owned());
+        replica
+    }
+
     pub fn set_script(&self, script: Script) {
         *self.script.borrow_mut() = script;
     }
@@ -248,6 +272,11 @@
                 let end = Some((*events, "da", "0\r\n\r\n"));
                 return self.stream(seen, stream, end).await;
             }
+            Script::StreamCrashes(events) => {
+                self.stream(seen, stream, Some((*events, "", ""))).await;
+                self.crash.cancel();
+                return false;
+            }
             Script::StreamStalled(events) => {
                 return self.stream_stalled(seen, stream, *events).await;
             }
@@ -456,11 +485,15 @@
     let entries: Vec<_> = replicas
         .iter()
         .map(|replica| {
-            json!({
+            let mut entry = json!({
                 "id": replica.id, "service": "service", "address": replica.address,
                 "zone": "here", "slots": 4, "draining": replica.is_draining.get(),
                 "started_ms": replica.started_ms.get(),
-            })
+            });
+            if let Some(version) = &*replica.version.borrow() {
+                entry["version"] = json!(version);
+            }
+            entry
         })
         .collect();
     json!({"replicas": entries, "next": null}).to_string()
