Continue a stream only at the software version that began it, within one response

Callers got streams whose events came from replicas of two software versions. Cause: a broken or stalled stream went on at any replica of the service; the gateway did not know versions. The origin of a stream (service, replica, incarnation, version) is fixed by its first event and restricts every later choice: resumption, move, and retries of a move. Unknown versions equal no other one, so such a stream continues only where it began. A service's replicas are all compared for such a choice, since the few used ones may not have the version.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 mod registry;
 mod replica_stats;
 mod software_version;
+mod stream_origin;
 mod view;
 mod zone_load;
 mod zone_stats;
@@ -49,6 +50,7 @@
 pub use registry::{RetireResponse, RetireState, StoreCommand, StoreRegistry};
 pub use replica_stats::{MAX_REPLICA_STATS, ReplicaKey, ReplicaStats, StatsReport};
 pub use software_version::{KnownReplicaVersions, ReplicaVersion, SoftwareVersion};
+pub use stream_origin::StreamOrigin;
 pub use view::{StoreMember, StoreName, StoreState, StoreView};
 pub use zone_load::{GatewayLoad, ServiceLoad};
 pub use zone_stats::{MemberStats, StatsSource, StatsTable, ZoneStats};
--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -6,13 +6,14 @@
 use crate::refusal::Refusal;
 use http::Response;
 use luglink_edge::{Retryable, RouteKind};
-use luglink_fleet::{Backend, BackendId};
+use luglink_fleet::{Backend, BackendId, StreamOrigin};
 use luglink_http::Body;
 use luglink_scheduling::{
     Choice, ChoiceBasis, Expected, RoutingRequest, Work, capacity_retry_delay, max_capacity_wait,
 };
 use luglink_telemetry::milliseconds;
 use std::cell::Cell;
+use std::rc::Rc;
 
 /// Maximum number of sends of one request, including declined ones.
 const MAX_SENDS: usize = 12;
@@ -33,6 +34,9 @@
     moved_from: Vec<BackendId>,
     /// Estimated work of the request, set where replicas are chosen by expected finish.
     pub(crate) work: Option<Work>,
+    /// Origin of the stream, once an event of it was sent to the caller by this or an earlier
+    /// request.
+    pub(crate) origin: Option<Rc<StreamOrigin>>,
     /// Prediction for the replica that was chosen last.
     pub(crate) expected: Cell<Option<Expected>>,
     /// Number of pauses in which the request waited for capacity.
@@ -40,13 +44,15 @@
 }
 
 impl Attempts {
-    /// Returns a new history that excludes `replica` and the replicas that the request was moved
-    /// from.
+    /// Returns a new history of the same stream that excludes `replica` and the replicas that the
+    /// request was moved from.
     pub(crate) fn excluding(&self, replica: BackendId) -> Self {
         let mut tried = self.moved_from.clone();
         tried.push(replica);
         Self {
             tried,
+            work: self.work,
+            origin: self.origin.clone(),
             ..Self::default()
         }
     }
@@ -200,6 +206,7 @@
         tried,
         draw: gateway.draw(),
         work: attempts.work,
+        origin: attempts.origin.as_deref(),
     };
     gateway.pool.borrow().choose(
         &routing_request,
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -17,7 +17,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use luglink_edge::{EventSplitter, Service, StreamEvent};
-use luglink_fleet::{Backend, BackendId};
+use luglink_fleet::{Backend, BackendId, StreamOrigin};
 use luglink_http::{Body, BodySender, stream_body};
 use luglink_scheduling::{Expected, HeldBytesLimit, Work};
 use luglink_telemetry::milliseconds;
@@ -410,6 +410,10 @@
         if event.id.is_some() {
             self.last_event_id.clone_from(&event.id);
         }
+        if self.attempts.origin.is_none() {
+            let origin = StreamOrigin::at(&source.backend);
+            self.attempts.origin = Some(Rc::new(origin));
+        }
         let Some(data) = &event.data else { return };
         self.events += 1;
         self.move_watch.note_event(&self.inbound);
@@ -493,8 +497,9 @@
     }
 
     /// Resumes a broken stream after its last event, if the route allows it: at the same replica,
-    /// or at another one if that replica is unreachable or no longer listed. A replica that still
-    /// exists counts as having run the request, so the stream does not continue at another one.
+    /// or at another one of its software version if that replica is unreachable or no longer
+    /// listed. A replica that still exists counts as having run the request, so the stream does not
+    /// continue at another one.
     async fn resume(
         &mut self,
         broken: Source,
@@ -522,19 +527,17 @@
         self.overrides.last_event_id.clone_from(&self.last_event_id);
         actix_rt::time::sleep(RESUMPTION_DELAY).await;
         self.move_watch.note_sent(&self.inbound, &self.attempts);
-        let failure = match self.resume_at(&backend).await {
-            Ok(source) => return Ok(self.note_resumed(&backend, source)),
-            Err(failure) => failure,
-        };
-        let is_gone =
-            failure == Failure::Unreachable || !self.gateway.pool.borrow().lists(&backend.id);
-        if !is_gone {
-            return Err("not_resumed");
+        if !self.was_replaced(&backend) {
+            let failure = match self.resume_at(&backend).await {
+                Ok(source) => return Ok(self.note_resumed(&backend, source)),
+                Err(failure) => failure,
+            };
+            let is_listed = self.gateway.pool.borrow().listed(&backend.id).is_some();
+            if failure != Failure::Unreachable && is_listed {
+                return Err("not_resumed");
+            }
         }
-        let attempts = self
-            .attempts
-            .excluding(backend.id.clone())
-            .with_work(self.work);
+        let attempts = self.attempts.excluding(backend.id.clone());
         let other = choose(&self.gateway, &self.inbound, &attempts, None);
         let other = other.map_err(|_| "nowhere_to_resume")?;
         let resumed = self.resume_at(&other).await;
@@ -542,6 +545,16 @@
         Ok(self.note_resumed(&backend, resumed))
     }
 
+    /// Returns true if the replica's identifier now belongs to one that may not continue the stream.
+    fn was_replaced(&self, replica: &Backend) -> bool {
+        let pool = self.gateway.pool.borrow();
+        let listed = pool.listed(&replica.id);
+        match (listed, &self.attempts.origin) {
+            (Some(listed), Some(origin)) => !origin.may_continue_at(listed),
+            _ => false,
+        }
+    }
+
     /// Records that the stream goes on at another response.
     fn note_resumed(&self, from: &Backend, to: Source) -> Source {
         let replica = &to.backend;
--- a/crates/scheduling/src/pool/index.rs
+++ b/crates/scheduling/src/pool/index.rs
@@ -84,6 +84,12 @@
         self.zones.is_empty()
     }
 
+    /// Returns the replicas that may get work.
+    pub(super) fn usable(&self) -> impl Iterator<Item = &BackendId> {
+        let zones = self.zones.values();
+        zones.flat_map(|index| index.usable.iter().map(|(_, id)| id))
+    }
+
     /// Returns the replicas that this gateway has used.
     pub(super) fn used(&self) -> impl Iterator<Item = &BackendId> {
         self.used.iter()
--- a/crates/scheduling/src/pool/mod.rs
+++ b/crates/scheduling/src/pool/mod.rs
@@ -16,7 +16,9 @@
 use crate::load_view::LoadView;
 pub use by_finish::{ChoiceBasis, Relocation};
 use index::ServiceIndex;
-use luglink_fleet::{Backend, BackendChanges, BackendId, GatewayLoad, ReplicaKey, StatsReport};
+use luglink_fleet::{
+    Backend, BackendChanges, BackendId, GatewayLoad, ReplicaKey, StatsReport, StreamOrigin,
+};
 use luglink_types::Timestamp;
 use record::Record;
 use std::collections::{BTreeMap, HashMap};
@@ -51,6 +53,8 @@
     pub draw: u64,
     /// Work for a model engine, if known.
     pub work: Option<Work>,
+    /// Origin of the stream that the request continues, if it continues one.
+    pub origin: Option<&'request StreamOrigin>,
 }
 
 /// Set of replicas at which a program may start.
@@ -163,10 +167,10 @@
         }
     }
 
-    /// Returns true if a replica is listed, draining or not.
+    /// Returns a listed replica, draining or not.
     #[must_use]
-    pub fn lists(&self, id: &BackendId) -> bool {
-        self.backends.contains_key(id)
+    pub fn listed(&self, id: &BackendId) -> Option<&Backend> {
+        self.backends.get(id)
     }
 
     /// Returns true if a replica has restarted since a request was sent to it. The result of the
@@ -212,20 +216,10 @@
         now: Timestamp,
     ) -> Option<Choice> {
         let service = self.services.get(request.service)?;
-        let is_untried = |id: &&BackendId| !request.tried.contains(id);
-        let used: Vec<Candidate<'_>> = service
-            .used()
-            .filter(is_untried)
-            .filter_map(|id| self.candidate(id))
-            .collect();
-        let cached = request
-            .cached_at
-            .filter(|id| is_untried(id) && !service.is_used(id));
-        let cached = cached.and_then(|id| self.candidate(id));
-        let cached = cached.filter(|cached| cached.backend.service == request.service);
-        let drawn = service.draw_unused(&self.zone, request);
-        let drawn = drawn.into_iter().filter_map(|id| self.candidate(id));
-        let all: Vec<Candidate<'_>> = used.into_iter().chain(cached).chain(drawn).collect();
+        let all = match request.origin {
+            None => self.compared_candidates(service, request),
+            Some(origin) => self.continuing_candidates(service, request, origin),
+        };
         let healthy = all
             .iter()
             .copied()
@@ -254,6 +248,41 @@
         })
     }
 
+    /// Returns the replicas that are compared for a request: those that this gateway has used, the
+    /// one that holds the prompt, and one drawn from the others.
+    fn compared_candidates<'pool>(
+        &'pool self,
+        service: &'pool ServiceIndex,
+        request: &RoutingRequest<'_>,
+    ) -> Vec<Candidate<'pool>> {
+        let is_untried = |id: &&BackendId| !request.tried.contains(id);
+        let used = service.used().filter(is_untried);
+        let used = used.filter_map(|id| self.candidate(id));
+        let cached = request
+            .cached_at
+            .filter(|id| is_untried(id) && !service.is_used(id));
+        let cached = cached.and_then(|id| self.candidate(id));
+        let cached = cached.filter(|cached| cached.backend.service == request.service);
+        let drawn = service.draw_unused(&self.zone, request);
+        let drawn = drawn.into_iter().filter_map(|id| self.candidate(id));
+        used.chain(cached).chain(drawn).collect()
+    }
+
+    /// Returns the replicas that may continue a stream. Compares all replicas of the service: few
+    /// requests continue a stream, and few replicas may have its version.
+    fn continuing_candidates<'pool>(
+        &'pool self,
+        service: &'pool ServiceIndex,
+        request: &RoutingRequest<'_>,
+        origin: &StreamOrigin,
+    ) -> Vec<Candidate<'pool>> {
+        let untried = service.usable().filter(|id| !request.tried.contains(id));
+        let candidates = untried.filter_map(|id| self.candidate(id));
+        candidates
+            .filter(|candidate| origin.may_continue_at(candidate.backend))
+            .collect()
+    }
+
     /// Returns the first of the cheapest candidates. The connection check costs more than all the
     /// rest, so it is only made for candidates that can still win.
     fn cheapest<'pool>(
--- a/crates/scheduling/tests/incarnations.rs
+++ b/crates/scheduling/tests/incarnations.rs
@@ -106,7 +106,7 @@
     pool.apply(&changes);
     assert!(pool.has_restarted(&sent_to));
     assert!(
-        pool.lists(&id("a")),
+        pool.listed(&id("a")).is_some(),
         "the replica is still listed, so the request may have run there"
     );
 }
--- a/crates/scheduling/tests/pool.rs
+++ b/crates/scheduling/tests/pool.rs
@@ -58,7 +58,7 @@
     let pool = pool(vec![draining, other]);
     assert_eq!(chosen(&pool, &request(), Timestamp::ZERO), None);
     assert!(pool.usable(&id("a")).is_none());
-    assert!(pool.lists(&id("a")));
+    assert!(pool.listed(&id("a")).is_some());
 }
 
 #[test]
@@ -146,7 +146,7 @@
     let after = vec![backend("a", "here"), backend("c", "here")];
     apply_list(&mut pool, &BackendList::new(before), after);
     assert_eq!(chosen(&pool, &request(), Timestamp::ZERO).unwrap(), "c");
-    assert!(!pool.lists(&id("b")));
+    assert!(pool.listed(&id("b")).is_none());
     // Requests at replicas that were removed end without an error.
     pool.end(&id("b"));
 }
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -197,6 +197,7 @@
             draw,
             work: Some(work),
             tried: &[],
+            origin: None,
         };
         let chosen = pool.choose(&request, |_| true, at(now_ms)).unwrap().backend;
         pool.begin(&chosen.id);
