Continue a stream at the software version that began it, over a caller's attempts

Callers that took up a stream at another gateway, or at the same one, got the rest from a replica of another software version. Cause: a request with Last-Event-Id was routed like a new one; the header that names the first attempt was not read, and only the gateway that began a stream knew where.

The origin of a stream is recorded at its first event: in the gateway, and in the memory of the turn stores that own the identifier of the request, as a part of a lookup that older stores answer with nothing. It is kept until the caller's deadline and 2 s, for 65,536 streams a store. Without a record it goes on only if all replicas of the service have had one version since before the stream can have begun, or the list names no versions. All other such requests are refused at once, without a retry delay, since a retry would end the same way.

--- a/crates/edge/src/split.rs
+++ b/crates/edge/src/split.rs
@@ -27,6 +27,13 @@
     pub fn service_for(&self, draw: u64) -> Option<&str> {
         target_at(&self.targets, draw).map(|target| target.service.as_str())
     }
+
+    /// Returns true if requests may go to a service.
+    #[must_use]
+    pub fn has_target(&self, service: &str) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|target| target.service == service && target.weight > 0)
+    }
 }
 
 /// Draws for requests of each route that do not belong to a program. A gateway gets few requests of
--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -44,6 +44,15 @@
 }
 
 impl Attempts {
+    /// Returns the history of a request that was not sent yet.
+    pub(crate) fn new(work: Option<Work>, origin: Option<Rc<StreamOrigin>>) -> Self {
+        Self {
+            work,
+            origin,
+            ..Self::default()
+        }
+    }
+
     /// Returns a new history of the same stream that excludes `replica` and the replicas that the
     /// request was moved from.
     pub(crate) fn excluding(&self, replica: BackendId) -> Self {
@@ -51,9 +60,7 @@
         tried.push(replica);
         Self {
             tried,
-            work: self.work,
-            origin: self.origin.clone(),
-            ..Self::default()
+            ..Self::new(self.work, self.origin.clone())
         }
     }
 
@@ -71,11 +78,6 @@
         self.runs += 1;
     }
 
-    /// Sets the estimated work of the request.
-    pub(crate) fn with_work(self, work: Option<Work>) -> Self {
-        Self { work, ..self }
-    }
-
     /// Records a failed send. Returns the refusal for the caller if the request must not be sent
     /// again.
     pub(crate) fn note_failure(
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -6,12 +6,14 @@
 use crate::load_meter::LoadMeter;
 use crate::load_view::LastView;
 use crate::metrics::GatewayMetrics;
+use crate::stream_origins::MAX_OWN_ORIGINS;
 use crate::turn_cache::TurnCache;
 use crate::turn_client::TurnClient;
 use crate::upstream::Upstream;
 use luglink_edge::{Configuration, Dialect, KeyRing, RoutingTable, Service, SplitDraws};
 use luglink_fleet::ListCopy;
-use luglink_scheduling::{AnswerLengths, LoadShedder, Pool, Waits};
+use luglink_scheduling::{AnswerLengths, LoadShedder, Pool, SoleVersions, Waits};
+use luglink_turns::OriginTable;
 use luglink_types::Timestamp;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -56,6 +58,10 @@
     pub(crate) gateway_count: Cell<u32>,
     pub(crate) turns: TurnClient,
     pub(crate) turn_cache: RefCell<TurnCache>,
+    /// Origins of the streams that this gateway began.
+    pub(crate) origins: RefCell<OriginTable>,
+    /// Services whose replicas have had a single software version for a while.
+    pub(crate) sole_versions: RefCell<SoleVersions>,
     pub(crate) upstream: Upstream,
     /// Accounting of the bytes buffered for callers and replicas.
     pub(crate) held: Rc<HeldBytesLedger>,
@@ -92,6 +98,8 @@
             pool: RefCell::new(Pool::new(&config.zone)),
             turns: TurnClient::new(config.replication),
             turn_cache: RefCell::new(TurnCache::new(config.turn_cache_bytes)),
+            origins: RefCell::new(OriginTable::new(MAX_OWN_ORIGINS)),
+            sole_versions: RefCell::default(),
             upstream: Upstream::new(metrics.connects.clone()),
             list: RefCell::default(),
             splits: RefCell::default(),
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -81,7 +81,7 @@
     }
 }
 
-fn tenant_name(caller: &Caller) -> Option<&TenantName> {
+pub(crate) fn tenant_name(caller: &Caller) -> Option<&TenantName> {
     caller.tenant().map(|tenant| &tenant.name)
 }
 
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -31,6 +31,7 @@
 mod server;
 mod store_link;
 mod stream;
+mod stream_origins;
 mod turn_cache;
 mod turn_client;
 mod unary;
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -17,6 +17,8 @@
     /// Continuations of broken streams at a replica, by how its software version relates to that
     /// of the replica before.
     pub(crate) resumptions: IntCounterVec,
+    /// Streams that callers resume, by how their origin was found.
+    pub(crate) caller_resumptions: IntCounterVec,
     /// New connections to replicas.
     pub(crate) connects: IntCounter,
     /// Reads of the platform's list of replicas by this gateway.
@@ -92,6 +94,11 @@
                 "Continuations of broken streams by software version",
                 "version",
             )?,
+            caller_resumptions: registry.labelled_counter(
+                "caller_resumptions_total",
+                "Streams that callers resume by how their origin was found",
+                "origin",
+            )?,
             connects: registry.counter("connects_total", "New connections to replicas")?,
             list_reads: registry.counter(
                 "list_reads_total",
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -202,6 +202,9 @@
             "list of replicas updated"
         );
         self.pool.borrow_mut().apply(&changes);
+        let pool = self.pool.borrow();
+        let mut sole_versions = self.sole_versions.borrow_mut();
+        sole_versions.update(pool.sole_versions(), self.now());
         self.upstream.forget(&changes.removed);
         self.upstream.forget(&restarted);
         self.metrics.replica_restarts.inc_by(restarted.len() as u64);
--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -136,9 +136,13 @@
 
 /// Prepares a turn: reserves its tokens, loads its ancestors, chooses a replica, and takes a token
 /// from its tenant's quota.
+///
+/// A turn that resumes a stream stays at the software version of the stream, so no replica is
+/// chosen for it here.
 pub(crate) async fn prepare_turn(
     gateway: &Rc<Gateway>,
     inbound: &InboundRequest,
+    resumes_stream: bool,
 ) -> Result<PreparedTurn, Refusal> {
     let Some(program) = &inbound.program else {
         quota::take_token(gateway, inbound, Purpose::Continues).await?;
@@ -169,6 +173,7 @@
     };
     let preferred_replica = match (chain.last(), reserved.purpose) {
         (Some(turn), _) => turn.served_by.clone(),
+        (None, Purpose::Begins) if resumes_stream => None,
         (None, Purpose::Begins) => placement::choose_first_replica(gateway, inbound).await?,
         (None, Purpose::Continues) => reserved.served_by,
     };
--- a/crates/gateway-server/src/refusal.rs
+++ b/crates/gateway-server/src/refusal.rs
@@ -48,6 +48,15 @@
         }
     }
 
+    /// Creates a refusal of a request that has not run, will not run, and would be refused again if
+    /// the caller retried it.
+    pub(crate) fn not_run_at_all(detail: &'static str) -> Self {
+        Self {
+            retry_after: None,
+            ..Self::not_run(detail)
+        }
+    }
+
     /// Creates a refusal of a request that does not fit into the memory left for requests. It has
     /// not run and will not run.
     pub(crate) fn memory_exhausted() -> Self {
--- a/crates/gateway-server/src/store_link.rs
+++ b/crates/gateway-server/src/store_link.rs
@@ -1,9 +1,12 @@
 //! Client of one turn store.
 
-use luglink_fleet::StoreName;
+use luglink_fleet::{StoreName, StreamOrigin};
 use luglink_net::RequestClient;
-use luglink_turns::{StoreRequest, StoreResponse};
-use luglink_wire::{ClientRole, Hello, PROTOCOL_VERSION, decode_body, encode_body};
+use luglink_turns::{OriginRequest, StoreRequest, StoreResponse, decode_origin};
+use luglink_wire::{
+    ClientRole, Hello, PROTOCOL_VERSION, WireError, decode_body, decode_with_parts, encode_body,
+    encode_with_parts,
+};
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -63,15 +66,39 @@
         request: &StoreRequest,
     ) -> impl Future<Output = Option<StoreResponse>> + use<> {
         let body = encode_body(request).ok();
+        async move { self.exchange(body?, decode_body).await }
+    }
+
+    /// Sends a request about the origin of a stream, under the same conditions as
+    /// [`StoreLink::send`]. Returns the origin if the store has it; `None` if the store does not
+    /// answer in time.
+    pub(crate) fn send_origin_request(
+        self: Rc<Self>,
+        request: &OriginRequest,
+    ) -> impl Future<Output = Option<Option<StreamOrigin>>> + use<> {
+        let parts = request.encode();
+        let body = parts.and_then(|parts| encode_with_parts(&OriginRequest::message(), &parts));
         async move {
-            let started_at = Instant::now();
-            let answer = self.client.request(body?, REQUEST_TIMEOUT).await.ok();
-            let response = answer.and_then(|answer| decode_body(&answer).ok());
-            self.record_response(started_at.elapsed(), response.is_some());
-            response
+            let decode = |answer: &[u8]| {
+                let (_, parts) = decode_with_parts::<StoreResponse>(answer)?;
+                decode_origin(&parts)
+            };
+            self.exchange(body.ok()?, decode).await
         }
     }
 
+    async fn exchange<Response>(
+        &self,
+        body: Vec<u8>,
+        decode: impl FnOnce(&[u8]) -> Result<Response, WireError>,
+    ) -> Option<Response> {
+        let started_at = Instant::now();
+        let answer = self.client.request(body, REQUEST_TIMEOUT).await.ok();
+        let response = answer.and_then(|answer| decode(&answer).ok());
+        self.record_response(started_at.elapsed(), response.is_some());
+        response
+    }
+
     fn record_response(&self, time: Duration, answered: bool) {
         if self.is_unresponsive.replace(!answered) == answered {
             if answered {
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -5,13 +5,13 @@
 use crate::failure::Failure;
 use crate::first_event::FirstEventWait;
 use crate::gateway::{Gateway, InFlight};
-use crate::inbound::{InboundRequest, header_text, strip_hop_by_hop};
+use crate::inbound::{InboundRequest, strip_hop_by_hop};
 use crate::move_watch::{MoveWatch, SendResult, refuse_unreachable_deadline};
 use crate::program::{self, PreparedTurn};
 use crate::refusal::Refusal;
 use crate::unary::read_whole_response;
 use crate::upstream::Lease;
-use crate::work;
+use crate::{stream_origins, work};
 use bytes::Bytes;
 use http::{HeaderMap, Response, header};
 use http_body_util::BodyExt;
@@ -45,12 +45,12 @@
 /// Serves a streaming request. A separate task forwards the response's events.
 pub(crate) async fn serve(
     gateway: &Rc<Gateway>,
-    inbound: InboundRequest,
+    mut inbound: InboundRequest,
     in_flight: InFlight,
 ) -> Result<Response<Body>, Refusal> {
     refuse_unreachable_deadline(gateway, &inbound)?;
-    log_caller_resumption(gateway, &inbound);
-    let prepared = program::prepare_turn(gateway, &inbound).await?;
+    let origin = stream_origins::find(gateway, &mut inbound).await?;
+    let prepared = program::prepare_turn(gateway, &inbound, origin.is_some()).await?;
     refuse_unreachable_deadline(gateway, &inbound)?;
     let overrides = SendOverrides {
         body: prepared.prompt.clone(),
@@ -58,8 +58,8 @@
     };
     let wait = FirstEventWait::begin(gateway, &inbound);
     let work = work::estimate_turn(gateway, &inbound, &prepared);
-    let mut attempts = Attempts::default().with_work(work);
-    let cached_at = cached_at(gateway, &inbound, &prepared);
+    let mut attempts = Attempts::new(work, origin);
+    let cached_at = cached_at(gateway, &inbound, &prepared, &attempts);
     let tokens_per_event = tokens_per_event(gateway, &inbound);
     let mut move_watch = MoveWatch::begin(gateway, &inbound, tokens_per_event);
     let mut move_target = None;
@@ -103,21 +103,6 @@
     Ok(relay(gateway, inbound, in_flight, started, answer))
 }
 
-/// Logs that a request continues the stream of an earlier one.
-fn log_caller_resumption(gateway: &Gateway, inbound: &InboundRequest) {
-    let names = gateway.dialect.headers();
-    let headers = &inbound.head.headers;
-    if let Some(last) = header_text(headers, &names.last_event_id) {
-        tracing::info!(
-            id = inbound.id,
-            route = inbound.route.name,
-            resumes = header_text(headers, &names.resumes),
-            last_event_id = last,
-            "caller resumes a stream"
-        );
-    }
-}
-
 fn note_shared_part(gateway: &Gateway, work: Option<&Work>, backend: &Backend) {
     let Some(part) = work.and_then(|work| work.shared) else {
         return;
@@ -126,16 +111,22 @@
     pool.note_shared_part(&backend.id, part.id, gateway.now());
 }
 
-/// Returns the replica that likely caches the beginning of the prompt: the one that served the
-/// previous turn, or else the program's home replica, which is the same for all gateways.
+/// Returns the replica that likely caches the beginning of the prompt: the one that began the
+/// stream, or else the one that served the previous turn, or else the program's home replica, which
+/// is the same for all gateways.
 fn cached_at(
     gateway: &Gateway,
     inbound: &InboundRequest,
     prepared: &PreparedTurn,
+    attempts: &Attempts,
 ) -> Option<BackendId> {
     let pool = gateway.pool.borrow();
-    let known = prepared.preferred_replica.clone();
-    known
+    let began_at = attempts
+        .origin
+        .as_ref()
+        .map(|origin| origin.replica.clone());
+    began_at
+        .or_else(|| prepared.preferred_replica.clone())
         .filter(|id| pool.usable(id).is_some())
         .or_else(|| pool.home(&inbound.service, inbound.affinity_hash))
 }
@@ -180,6 +171,7 @@
         output: Vec::new(),
         events: 0,
         last_event_id: None,
+        is_origin_recorded: false,
         resumptions: 0,
         _in_flight: in_flight,
     };
@@ -258,6 +250,7 @@
     output: Vec<u8>,
     events: u64,
     last_event_id: Option<String>,
+    is_origin_recorded: bool,
     resumptions: u32,
     _in_flight: InFlight,
 }
@@ -410,10 +403,7 @@
         if event.id.is_some() {
             self.last_event_id.clone_from(&event.id);
         }
-        if self.attempts.origin.is_none() {
-            let origin = StreamOrigin::at(&source.backend);
-            self.attempts.origin = Some(Rc::new(origin));
-        }
+        self.note_origin(&source.backend);
         let Some(data) = &event.data else { return };
         self.events += 1;
         self.move_watch.note_event(&self.inbound);
@@ -437,6 +427,18 @@
         }
     }
 
+    /// Fixes the origin of the stream at its first event, and records it before the caller can
+    /// resume the stream elsewhere.
+    fn note_origin(&mut self, backend: &Backend) {
+        if self.is_origin_recorded {
+            return;
+        }
+        self.is_origin_recorded = true;
+        let at_backend = || Rc::new(StreamOrigin::at(backend));
+        let origin = self.attempts.origin.get_or_insert_with(at_backend);
+        stream_origins::record(&self.gateway, &self.inbound, origin);
+    }
+
     /// Stores the turn, then ends the response as complete. Returns the end reason.
     async fn complete(&mut self, backend: &Backend, sender: BodySender) -> &'static str {
         self.inbound.held.set_abortable(false);
--- /dev/null
+++ b/crates/gateway-server/src/stream_origins.rs
@@ -0,0 +1,197 @@
+//! Origins of streams that callers resume: recorded at the first event, and looked up when a caller
+//! takes up the stream at this or another gateway.
+
+use crate::gateway::Gateway;
+use crate::inbound::{InboundRequest, header_number, header_text, tenant_name};
+use crate::refusal::Refusal;
+use crate::turn_client::OriginLookup;
+use luglink_fleet::{BackendId, Incarnation, StreamOrigin};
+use luglink_telemetry::milliseconds;
+use luglink_turns::{OriginRecord, TurnId};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Maximum number of origins that a gateway keeps itself.
+pub(crate) const MAX_OWN_ORIGINS: usize = 1 << 13;
+
+/// Time for which an origin is kept after the caller's deadline.
+const RETENTION_MARGIN: Duration = Duration::from_secs(2);
+
+/// Stream that a caller's request continues.
+#[derive(Debug)]
+struct Resumption {
+    /// Request that began the stream; `None` if the caller does not name it.
+    began_as: Option<TurnId>,
+    last_event_id: String,
+}
+
+impl Resumption {
+    /// Returns the stream that a request continues; `None` if it begins one.
+    fn of(gateway: &Gateway, inbound: &InboundRequest) -> Option<Self> {
+        let names = gateway.dialect.headers();
+        let headers = &inbound.head.headers;
+        let last_event_id = header_text(headers, &names.last_event_id)?;
+        if last_event_id.is_empty() || !inbound.route.resumable {
+            return None;
+        }
+        let began_as = header_text(headers, &names.resumes);
+        Some(Self {
+            began_as: began_as.map(|id| TurnId::of(tenant_name(&inbound.caller), id)),
+            last_event_id: last_event_id.to_owned(),
+        })
+    }
+}
+
+/// Result of looking for the origin of a stream, as logs and metrics name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OriginSource {
+    /// This gateway began the stream.
+    Own,
+    /// A turn store has the origin.
+    Stores,
+    /// All replicas of the service have had the same version since before the stream began.
+    SoleVersion,
+    /// No store that answered has the origin.
+    NotFound,
+    /// No store answered.
+    Unavailable,
+}
+
+impl OriginSource {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Stores => "stores",
+            Self::SoleVersion => "sole_version",
+            Self::NotFound => "not_found",
+            Self::Unavailable => "unavailable",
+        }
+    }
+}
+
+/// Records where the stream of a request began, here and at the turn stores.
+pub(crate) fn record(gateway: &Gateway, inbound: &InboundRequest, origin: &StreamOrigin) {
+    if !inbound.route.resumable {
+        return;
+    }
+    let stream = inbound.turn();
+    let retention = retention(gateway, inbound);
+    gateway
+        .origins
+        .borrow_mut()
+        .record(&stream, origin, retention, gateway.now());
+    gateway.turns.record_origin(OriginRecord {
+        stream,
+        origin: origin.clone(),
+        retention_ms: milliseconds(retention),
+    });
+}
+
+/// Returns the time for which a caller may resume the stream of a request.
+fn retention(gateway: &Gateway, inbound: &InboundRequest) -> Duration {
+    let name = &gateway.dialect.headers().deadline_ms;
+    let stated = header_number(&inbound.head.headers, name).map(Duration::from_millis);
+    let allowed = stated.unwrap_or_default().max(inbound.route.timeout());
+    allowed.saturating_add(RETENTION_MARGIN)
+}
+
+/// Returns the origin of the stream that a request resumes; `None` if it begins one. Sets the
+/// service of the request to that of the origin.
+///
+/// # Errors
+/// The stream cannot continue, because its origin is not known or no replica may continue it. The
+/// request has not run.
+pub(crate) async fn find(
+    gateway: &Gateway,
+    inbound: &mut InboundRequest,
+) -> Result<Option<Rc<StreamOrigin>>, Refusal> {
+    let Some(resumption) = Resumption::of(gateway, inbound) else {
+        return Ok(None);
+    };
+    let started_at = Instant::now();
+    let (source, origin) = look_up(gateway, inbound, resumption.began_as.as_ref()).await;
+    let is_routed = |service: &str| inbound.route.has_target(service);
+    let origin = origin.filter(|origin| is_routed(&origin.service));
+    let may_continue = |origin: &StreamOrigin| gateway.pool.borrow().has_continuation(origin);
+    let can_continue = origin.as_ref().is_some_and(may_continue);
+    let counter = &gateway.metrics.caller_resumptions;
+    counter.with_label_values(&[source.as_str()]).inc();
+    tracing::info!(
+        id = inbound.id,
+        route = inbound.route.name,
+        resumes = resumption.began_as.as_ref().map(tracing::field::display),
+        last_event_id = resumption.last_event_id,
+        origin = source.as_str(),
+        replica = origin
+            .as_ref()
+            .map(|origin| tracing::field::display(&origin.replica)),
+        version = origin
+            .as_ref()
+            .and_then(|origin| origin.version.as_ref())
+            .map(tracing::field::display),
+        can_continue,
+        list_age_ms = gateway.list_age().map(milliseconds),
+        ms = milliseconds(started_at.elapsed()),
+        "caller resumes a stream"
+    );
+    match origin {
+        Some(origin) if can_continue => {
+            inbound.service.clone_from(&origin.service);
+            Ok(Some(Rc::new(origin)))
+        }
+        Some(_) => Err(Refusal::not_run_at_all(
+            "no replica has the software version that began the stream",
+        )),
+        None if source == OriginSource::Unavailable => Err(Refusal::recovering(
+            "the software version that began the stream cannot be looked up at the moment",
+        )),
+        None => Err(Refusal::not_run_at_all(
+            "the software version that began the stream is not known",
+        )),
+    }
+}
+
+async fn look_up(
+    gateway: &Gateway,
+    inbound: &InboundRequest,
+    began_as: Option<&TurnId>,
+) -> (OriginSource, Option<StreamOrigin>) {
+    let mut missing = OriginSource::NotFound;
+    if let Some(stream) = began_as {
+        let own = gateway
+            .origins
+            .borrow()
+            .find(stream, gateway.now())
+            .cloned();
+        if own.is_some() {
+            return (OriginSource::Own, own);
+        }
+        match gateway.turns.find_origin(stream).await {
+            OriginLookup::Found(origin) => return (OriginSource::Stores, Some(origin)),
+            OriginLookup::NotFound => {}
+            OriginLookup::Unavailable => missing = OriginSource::Unavailable,
+        }
+    }
+    match sole_origin(gateway, inbound) {
+        Some(origin) => (OriginSource::SoleVersion, Some(origin)),
+        None => (missing, None),
+    }
+}
+
+/// Returns the origin of any stream of the request's service, if all its replicas have had the same
+/// version since before any stream that is still under way. Without the name of a program, a route
+/// that is split does not tell the service of the stream.
+fn sole_origin(gateway: &Gateway, inbound: &InboundRequest) -> Option<StreamOrigin> {
+    if inbound.route.targets.len() > 1 && inbound.program.is_none() {
+        return None;
+    }
+    let age = retention(gateway, inbound) + gateway.config.list_stale_after;
+    let versions = gateway.sole_versions.borrow();
+    let version = versions.held_for(&inbound.service, age, gateway.now())?;
+    Some(StreamOrigin {
+        service: inbound.service.clone(),
+        replica: BackendId::default(),
+        incarnation: Incarnation::UNKNOWN,
+        version: Some(version.clone()),
+    })
+}
--- a/crates/gateway-server/tests/gateway/resumed_streams.rs
+++ b/crates/gateway-server/tests/gateway/resumed_streams.rs
@@ -158,3 +158,78 @@
         );
     }
 }
+
+#[actix_rt::test]
+async fn a_stream_whose_origin_is_lost_does_not_continue_among_several_versions() {
+    let replicas = [
+        Replica::start_version("r0", "v1", Script::Stream).await,
+        Replica::start_version("r1", "v2", Script::Stream).await,
+    ];
+    let fleet = fleet(&replicas).await;
+    let unnamed = TestRequest::post("/resumable/x", "b", "body").with("last-event-id", 1);
+    for request in [resuming("never-seen", "a"), unnamed] {
+        let response = request.send(fleet.gateway_address).await;
+        assert_eq!(
+            (response.status, response.header("retry-after")),
+            (503, None)
+        );
+    }
+    assert_eq!(replicas.iter().map(Replica::requests).sum::<usize>(), 0);
+}
+
+#[actix_rt::test]
+async fn a_stream_whose_origin_is_lost_continues_in_a_fleet_without_versions() {
+    let replica = Replica::start("r0", Script::Stream).await;
+    let fleet = fleet(&[replica]).await;
+    let unnamed = TestRequest::post("/resumable/x", "b", "body").with("last-event-id", 1);
+    for request in [resuming("never-seen", "a"), unnamed] {
+        let response = request.send(fleet.gateway_address).await;
+        let whole = (response.status, response.is_whole, response.body);
+        assert_eq!(whole, (200, true, events(2..5)));
+    }
+}
+
+#[actix_rt::test]
+async fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let first = Replica::start_version("r0", "v1", Script::StreamStalled(2)).await;
+    let other = Replica::start_version("r1", "v2", Script::Stream).await;
+    let fleet = fleet(&[first.clone(), other.clone()]).await;
+    let began_as = abandoned_stream_at(&fleet, &first).await;
+    *first.version.borrow_mut() = Some("v2".to_owned());
+    first.started_ms.set(1);
+    first.set_script(Script::Stream);
+    wait_until("the gateway knows of the restart", || async {
+        let response = resuming(&began_as, "early")
+            .send(fleet.gateway_address)
+            .await;
+        response.status == 503
+    })
+    .await;
+    let response = resuming(&began_as, "late")
+        .send(fleet.gateway_address)
+        .await;
+    assert_eq!(
+        (response.status, response.header("retry-after")),
+        (503, None)
+    );
+    assert!(!has_seen(&other, "early") && !has_seen(&other, "late"));
+    assert!(!has_seen(&first, "late"));
+}
+
+#[actix_rt::test]
+async fn a_moved_stream_that_the_caller_resumes_stays_at_its_software_version() {
+    let stalled = Replica::start_version("r0", "v1", Script::StreamStalled(2)).await;
+    let same = Replica::start_version("r1", "v1", Script::Stream).await;
+    let other = Replica::start_version("r2", "v2", Script::Stream).await;
+    let fleet = fleet(&[stalled.clone(), same.clone(), other.clone()]).await;
+    let (began_as, response) = stream_at(&fleet, "/movable/x", &stalled).await;
+    assert!(response.is_whole, "{response:?}");
+    stalled.set_script(Script::Stream);
+    let (_second, address) = second_gateway(&fleet).await;
+    for number in 0..RESUMING_ATTEMPTS {
+        let id = format!("resuming-{number}");
+        let response = resuming(&began_as, &id).send(address).await;
+        assert_eq!((response.status, response.is_whole), (200, true));
+        assert!(!has_seen(&other, &id), "{response:?}");
+    }
+}
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -20,6 +20,7 @@
 mod prompt_parts;
 mod route_profile;
 mod shares;
+mod sole_versions;
 mod wait_histogram;
 mod wait_limits;
 mod waits;
@@ -45,6 +46,7 @@
 pub use program_table::{LocalDemand, ProgramTable, TurnStarted};
 pub use prompt_parts::PromptParts;
 pub use shares::{Demand, TenantDemands, max_min_shares};
+pub use sole_versions::SoleVersions;
 pub use wait_histogram::WaitHistogram;
 pub use wait_limits::{capacity_retry_delay, max_capacity_wait, max_startup_wait};
 pub use waits::{RouteWaits, Waits};
--- a/crates/scheduling/src/pool/index.rs
+++ b/crates/scheduling/src/pool/index.rs
@@ -2,7 +2,7 @@
 
 use super::working_set::WorkingSet;
 use super::{CandidateScope, RoutingRequest, ServiceSize};
-use luglink_fleet::{Backend, BackendId};
+use luglink_fleet::{Backend, BackendId, SoftwareVersion};
 use luglink_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -39,6 +39,8 @@
     working_set: WorkingSet,
     /// Number of requests that a replica serves concurrently, by the replica added last.
     slots: u32,
+    /// Number of listed replicas of each software version, including draining ones.
+    versions: BTreeMap<Option<SoftwareVersion>, usize>,
 }
 
 impl ServiceIndex {
@@ -54,6 +56,7 @@
         let zone = self.zones.entry(backend.zone.clone()).or_default();
         zone.listed += 1;
         self.slots = backend.slots;
+        *self.versions.entry(backend.version.clone()).or_default() += 1;
         if !backend.draining {
             zone.usable.insert(index_key(&backend.id));
         }
@@ -67,6 +70,12 @@
                 self.zones.remove(&backend.zone);
             }
         }
+        if let Some(listed) = self.versions.get_mut(&backend.version) {
+            *listed -= 1;
+            if *listed == 0 {
+                self.versions.remove(&backend.version);
+            }
+        }
         if self.used.remove(&backend.id) {
             self.used_order.retain(|id| *id != backend.id);
         }
@@ -80,6 +89,13 @@
         }
     }
 
+    /// Returns the software version of all listed replicas, if it is the same and known.
+    pub(super) fn sole_version(&self) -> Option<&SoftwareVersion> {
+        let mut versions = self.versions.keys();
+        let first = versions.next()?.as_ref();
+        first.filter(|_| versions.next().is_none())
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.zones.is_empty()
     }
--- a/crates/scheduling/src/pool/mod.rs
+++ b/crates/scheduling/src/pool/mod.rs
@@ -17,7 +17,8 @@
 pub use by_finish::{ChoiceBasis, Relocation};
 use index::ServiceIndex;
 use luglink_fleet::{
-    Backend, BackendChanges, BackendId, GatewayLoad, ReplicaKey, StatsReport, StreamOrigin,
+    Backend, BackendChanges, BackendId, GatewayLoad, ReplicaKey, SoftwareVersion, StatsReport,
+    StreamOrigin,
 };
 use luglink_types::Timestamp;
 use record::Record;
@@ -173,6 +174,12 @@
         self.backends.get(id)
     }
 
+    /// Returns the services whose listed replicas all have the same known software version.
+    pub fn sole_versions(&self) -> impl Iterator<Item = (&str, &SoftwareVersion)> {
+        let services = self.services.iter();
+        services.filter_map(|(name, service)| Some((name.as_str(), service.sole_version()?)))
+    }
+
     /// Returns true if a replica has restarted since a request was sent to it. The result of the
     /// request then says nothing about the listed replica.
     #[must_use]
@@ -268,6 +275,17 @@
         used.chain(cached).chain(drawn).collect()
     }
 
+    /// Returns true if a replica may get requests that continue a stream.
+    #[must_use]
+    pub fn has_continuation(&self, origin: &StreamOrigin) -> bool {
+        let service = self.services.get(&origin.service);
+        let mut usable = service.into_iter().flat_map(ServiceIndex::usable);
+        usable.any(|id| {
+            let listed = self.backends.get(id);
+            listed.is_some_and(|listed| origin.may_continue_at(listed))
+        })
+    }
+
     /// Returns the replicas that may continue a stream. Compares all replicas of the service: few
     /// requests continue a stream, and few replicas may have its version.
     fn continuing_candidates<'pool>(
--- /dev/null
+++ b/crates/scheduling/src/sole_versions.rs
@@ -0,0 +1,57 @@
+//! Services whose replicas have had a single software version for a while.
+//!
+//! Every stream of such a service that is under way began at that version, so a stream whose origin
+//! is not known may continue there.
+
+use luglink_fleet::SoftwareVersion;
+use luglink_types::Timestamp;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Services with a single software version, and the time from which they have had no other.
+#[derive(Clone, Debug, Default)]
+pub struct SoleVersions {
+    services: HashMap<String, SoleVersion>,
+}
+
+#[derive(Clone, Debug)]
+struct SoleVersion {
+    version: SoftwareVersion,
+    since: Timestamp,
+}
+
+impl SoleVersions {
+    /// Sets the services that have a single version now. All others have several, or unknown ones.
+    pub fn update<'list>(
+        &mut self,
+        services: impl Iterator<Item = (&'list str, &'list SoftwareVersion)>,
+        now: Timestamp,
+    ) {
+        let mut before = std::mem::take(&mut self.services);
+        for (service, version) in services {
+            let same = before.remove_entry(service);
+            let same = same.filter(|(_, sole)| sole.version == *version);
+            let (service, sole) = same.unwrap_or_else(|| {
+                let version = version.clone();
+                let since = now;
+                (service.to_owned(), SoleVersion { version, since })
+            });
+            self.services.insert(service, sole);
+        }
+    }
+
+    /// Returns the single version of a service, if it has had no other for `duration`. A list that
+    /// names no versions is of a fleet that has none, for any time.
+    #[must_use]
+    pub fn held_for(
+        &self,
+        service: &str,
+        duration: Duration,
+        now: Timestamp,
+    ) -> Option<&SoftwareVersion> {
+        let sole = self.services.get(service)?;
+        let is_unnamed = sole.version == SoftwareVersion::default();
+        let is_held = now.since(sole.since) >= duration;
+        (is_unnamed || is_held).then_some(&sole.version)
+    }
+}
--- a/crates/store-server/src/metrics.rs
+++ b/crates/store-server/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::errors::StoreServerError;
 use luglink_telemetry::Metrics;
-use luglink_turns::StoreRequest;
+use luglink_turns::{OriginRequest, StoreRequest};
 use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec};
 
 /// Counters, gauges and histograms of a turn store.
@@ -21,6 +21,8 @@
     pub(crate) accounts: Gauge,
     /// Epoch of the current view of the stores.
     pub(crate) epoch: Gauge,
+    /// Streams whose origins are kept.
+    pub(crate) origins: Gauge,
 }
 
 impl StoreMetrics {
@@ -39,6 +41,7 @@
                 "store_view_epoch",
                 "Epoch of the current view of the stores",
             )?,
+            origins: registry.gauge("store_stream_origins", "Streams whose origins are kept")?,
             registry,
         })
     }
@@ -55,3 +58,11 @@
         StoreRequest::Quota(_) => "quota",
     }
 }
+
+/// Returns the value of the metric label `kind` for a request about the origin of a stream.
+pub(crate) fn origin_request_kind(request: &OriginRequest) -> &'static str {
+    match request {
+        OriginRequest::Record(_) => "record_origin",
+        OriginRequest::Find(_) => "find_origin",
+    }
+}
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::now;
 use crate::errors::{ListenSnafu, StoreServerError};
-use crate::metrics::{StoreMetrics, request_kind};
+use crate::metrics::{StoreMetrics, origin_request_kind, request_kind};
 use crate::peers::Peers;
 use luglink_fleet::{KnownVersions, ObserverUpdate, Presence, Role, StoreName, StorePresence};
 use luglink_fleet_client::{ListSource, Observer, ObserverConfig, ObserverDelegate};
@@ -10,9 +10,10 @@
 use luglink_quota::Tolerance;
 use luglink_storage::{FileDisk, WalConfig};
 use luglink_turns::{
-    Output, Replication, RequestToken, StoreConfig, StoreNode, StoreRequest, StoreResponse,
+    Chain, OriginRequest, Output, Replication, RequestToken, StoreConfig, StoreNode, StoreRequest,
+    StoreResponse, encode_origin,
 };
-use luglink_wire::{Frame, decode_body, encode_body};
+use luglink_wire::{Frame, WireError, decode_with_parts, encode_body, encode_with_parts};
 use rand::RngCore;
 use snafu::ResultExt;
 use std::cell::{Cell, RefCell};
@@ -170,6 +171,12 @@
     }
 }
 
+/// Decodes a request and the part that asks about the origin of a stream, if it has one.
+fn decode_request(body: &[u8]) -> Result<(StoreRequest, Option<OriginRequest>), WireError> {
+    let (request, parts) = decode_with_parts(body)?;
+    Ok((request, OriginRequest::decode(&parts)?))
+}
+
 /// Flushes on request. It first yields to all tasks that are ready, so that requests that arrive
 /// together are written with one sync.
 async fn flush_when_woken(shared: Rc<Shared>) {
@@ -196,6 +203,7 @@
         self.metrics.turns.set(turns as f64);
         self.metrics.accounts.set(accounts as f64);
         self.metrics.epoch.set(node.epoch() as f64);
+        self.metrics.origins.set(node.origin_count() as f64);
     }
 
     fn on_socket(self: &Rc<Self>, event: ListenerEvent) {
@@ -222,8 +230,9 @@
 
     fn on_request(self: &Rc<Self>, client: u64, request: u64, body: &[u8]) {
         let token = RequestToken { client, request };
-        match decode_body::<StoreRequest>(body) {
-            Ok(request) => {
+        match decode_request(body) {
+            Ok((_, Some(origin_request))) => self.on_origin_request(token, &origin_request),
+            Ok((request, None)) => {
                 let requests = &self.metrics.requests;
                 requests.with_label_values(&[request_kind(&request)]).inc();
                 self.node.borrow_mut().handle(token, request, now());
@@ -244,6 +253,21 @@
         }
     }
 
+    fn on_origin_request(&self, token: RequestToken, request: &OriginRequest) {
+        let requests = &self.metrics.requests;
+        requests
+            .with_label_values(&[origin_request_kind(request)])
+            .inc();
+        let mut node = self.node.borrow_mut();
+        let origin = node.handle_origin(request, now());
+        let incarnation = node.incarnation();
+        drop(node);
+        let response = StoreResponse::Chain(Chain::Absent { incarnation });
+        let body =
+            encode_origin(origin.as_ref()).and_then(|parts| encode_with_parts(&response, &parts));
+        self.send(token, body);
+    }
+
     fn flush(self: &Rc<Self>) {
         let started = Instant::now();
         let outputs = self.node.borrow_mut().flush();
@@ -270,11 +294,15 @@
     }
 
     fn reply(&self, token: RequestToken, response: &StoreResponse) {
+        self.send(token, encode_body(response));
+    }
+
+    fn send(&self, token: RequestToken, body: Result<Vec<u8>, WireError>) {
         let clients = self.clients.borrow();
         let Some(client) = clients.get(&token.client) else {
             return;
         };
-        match encode_body(response) {
+        match body {
             Ok(body) => {
                 client.send(Frame::response(token.request, body));
             }
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -4,11 +4,13 @@
 use crate::errors::TurnsError;
 use crate::hand_over::HandOver;
 use crate::journal::{Entry, Journal};
+use crate::origins::OriginTable;
+use crate::parts::OriginRequest;
 use crate::protocol::{Chain, ChainQuery, StoreRequest, StoreResponse};
 use crate::record::{ProgramName, TurnId, TurnRecord};
 use crate::replication::Replication;
 use crate::state::State;
-use luglink_fleet::{BackendId, StoreName, StoreView};
+use luglink_fleet::{BackendId, StoreName, StoreView, StreamOrigin};
 use luglink_quota::{QuotaOwner, Tolerance};
 use luglink_storage::{Disk, WalConfig};
 use luglink_types::Timestamp;
@@ -20,6 +22,9 @@
 /// Number of journal segments after which the live entries of the oldest are rewritten.
 const MAX_SEGMENTS: u64 = 4;
 
+/// Maximum number of streams whose origins are kept.
+const MAX_ORIGINS: usize = 1 << 16;
+
 /// Identifies one request of one client in its reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestToken {
@@ -91,6 +96,7 @@
     state: State,
     hand_over: HandOver,
     quota: QuotaOwner,
+    origins: OriginTable,
     entries: Vec<Entry>,
     pending: Vec<PendingReply>,
     outputs: Vec<Output>,
@@ -134,6 +140,7 @@
             journal,
             state,
             hand_over: HandOver::new(completed_view),
+            origins: OriginTable::new(MAX_ORIGINS),
             entries: Vec::new(),
             pending: Vec::new(),
             outputs: Vec::new(),
@@ -240,6 +247,31 @@
         }
     }
 
+    /// Keeps or returns the origin of a stream. Origins are not written to disk, so there is no need
+    /// to wait for [`StoreNode::flush`].
+    pub fn handle_origin(
+        &mut self,
+        request: &OriginRequest,
+        now: Timestamp,
+    ) -> Option<StreamOrigin> {
+        self.now = self.now.max(now);
+        match request {
+            OriginRequest::Record(record) => {
+                let retention = Duration::from_millis(record.retention_ms);
+                self.origins
+                    .record(&record.stream, &record.origin, retention, self.now);
+                None
+            }
+            OriginRequest::Find(stream) => self.origins.find(stream, self.now).cloned(),
+        }
+    }
+
+    /// Number of streams whose origins are kept.
+    #[must_use]
+    pub fn origin_count(&self) -> usize {
+        self.origins.len()
+    }
+
     /// Handles the acknowledgement of the hand-over request `number` by another store.
     pub fn on_hand_over_acknowledged(&mut self, by: &StoreName, number: u64, now: Timestamp) {
         self.now = self.now.max(now);
@@ -252,6 +284,7 @@
         if self.now >= self.expiry_due {
             self.expiry_due = self.now.plus(EXPIRY_INTERVAL);
             self.state.expire(self.now);
+            self.origins.expire(self.now);
         }
     }
 
--- /dev/null
+++ b/crates/turns/src/parts.rs
@@ -0,0 +1,96 @@
+//! Optional extensions of requests to turn stores and of their responses, for compatibility between
+//! builds.
+//!
+//! An origin is recorded and queried by a part of a [`StoreRequest::Lookup`] of no turn, which
+//! stores of builds without origins answer like any lookup of an unknown turn.
+//!
+//! [`StoreRequest::Lookup`]: crate::StoreRequest::Lookup
+
+use crate::protocol::{ChainQuery, StoreRequest};
+use crate::record::TurnId;
+use luglink_fleet::StreamOrigin;
+use luglink_wire::{PartNumber, Parts, WireError};
+use serde::{Deserialize, Serialize};
+
+/// Request part: origin of a stream to keep.
+const RECORD_ORIGIN: PartNumber = PartNumber(1);
+
+/// Request part: stream whose origin is queried.
+const FIND_ORIGIN: PartNumber = PartNumber(2);
+
+/// Response part: origin of the stream.
+const ORIGIN: PartNumber = PartNumber(3);
+
+/// Origin of a stream that a store keeps in memory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginRecord {
+    /// Identifier of the request that began the stream.
+    pub stream: TurnId,
+    /// Its origin.
+    pub origin: StreamOrigin,
+    /// Time for which the origin is kept, in milliseconds.
+    pub retention_ms: u64,
+}
+
+/// Request about the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OriginRequest {
+    /// Keeps an origin.
+    Record(OriginRecord),
+    /// Returns the origin of a stream.
+    Find(TurnId),
+}
+
+impl OriginRequest {
+    /// Returns the message that carries the part.
+    #[must_use]
+    pub fn message() -> StoreRequest {
+        StoreRequest::Lookup(ChainQuery {
+            turn: TurnId::default(),
+        })
+    }
+
+    /// Encodes the part for the wire.
+    ///
+    /// # Errors
+    /// Fails if the part cannot be encoded.
+    pub fn encode(&self) -> Result<Parts, WireError> {
+        let mut parts = Parts::default();
+        match self {
+            Self::Record(record) => parts.put(RECORD_ORIGIN, record)?,
+            Self::Find(stream) => parts.put(FIND_ORIGIN, stream)?,
+        }
+        Ok(parts)
+    }
+
+    /// Decodes the part from the wire; `None` if the request has none.
+    ///
+    /// # Errors
+    /// Fails if the part cannot be decoded.
+    pub fn decode(parts: &Parts) -> Result<Option<Self>, WireError> {
+        if let Some(record) = parts.get(RECORD_ORIGIN)? {
+            return Ok(Some(Self::Record(record)));
+        }
+        Ok(parts.get(FIND_ORIGIN)?.map(Self::Find))
+    }
+}
+
+/// Encodes the part of a response that has an origin.
+///
+/// # Errors
+/// Fails if the part cannot be encoded.
+pub fn encode_origin(origin: Option<&StreamOrigin>) -> Result<Parts, WireError> {
+    let mut parts = Parts::default();
+    if let Some(origin) = origin {
+        parts.put(ORIGIN, origin)?;
+    }
+    Ok(parts)
+}
+
+/// Decodes the origin in a response, if there is one.
+///
+/// # Errors
+/// Fails if the part cannot be decoded.
+pub fn decode_origin(parts: &Parts) -> Result<Option<StreamOrigin>, WireError> {
+    parts.get(ORIGIN)
+}
