Judge whether a service has one software version only after its versions arrived

Callers that do not name the stream they resume were refused after every change of the list, though all replicas had one version. Cause: a gateway applies a list first and its versions after it; between the two a new replica had none, and the time for which the service had one version started again.

--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -63,6 +63,7 @@
             .borrow_mut()
             .merge_versions(&parts.replica_versions);
         self.apply_list_changes(changes);
+        self.update_sole_versions();
         if let Some(zone_stats) = parts.zone_stats {
             self.update_load_view(&zone_stats);
         }
@@ -171,6 +172,15 @@
     pub(crate) fn apply_list(&self, list: BackendList, seen: Timestamp) {
         let changes = self.list.borrow_mut().replace(list, seen);
         self.apply_list_changes(changes);
+        self.update_sole_versions();
+    }
+
+    /// Records which services have a single software version. Must not be called between a list and
+    /// the versions that follow it, which would show a new replica without one.
+    fn update_sole_versions(&self) {
+        let pool = self.pool.borrow();
+        let mut sole_versions = self.sole_versions.borrow_mut();
+        sole_versions.update(pool.sole_versions(), self.now());
     }
 
     /// Records the incarnation from a replica's own report, which shows a restart earlier than the
@@ -202,9 +212,6 @@
             "list of replicas updated"
         );
         self.pool.borrow_mut().apply(&changes);
-        let pool = self.pool.borrow();
-        let mut sole_versions = self.sole_versions.borrow_mut();
-        sole_versions.update(pool.sole_versions(), self.now());
         self.upstream.forget(&changes.removed);
         self.upstream.forget(&restarted);
         self.metrics.replica_restarts.inc_by(restarted.len() as u64);
--- a/crates/gateway-server/tests/gateway/resumed_streams.rs
+++ b/crates/gateway-server/tests/gateway/resumed_streams.rs
@@ -233,3 +233,26 @@
         assert!(!has_seen(&other, &id), "{response:?}");
     }
 }
+
+/// The list brings a new replica before its version: for that moment the service must not count as
+/// one with several versions.
+#[actix_rt::test]
+async fn a_new_replica_of_the_only_version_does_not_stop_streams_whose_origin_is_lost() {
+    let replica = Replica::start_version("r0", "v1", Script::Stream).await;
+    let fleet = fleet(&[replica.clone()]).await;
+    let resume = |id: &'static str| resuming("never-seen", id).send(fleet.gateway_address);
+    wait_until(
+        "the only version has been listed for long enough",
+        || async { resume("early").await.status == 200 },
+    )
+    .await;
+    let added = Replica::start_version("r1", "v1", Script::Stream).await;
+    fleet.replicas.borrow_mut().push(added.clone());
+    wait_until("the new replica gets requests", || async {
+        let request = TestRequest::post("/resumable/x", "other", "body");
+        request.send(fleet.gateway_address).await;
+        added.requests() > 0
+    })
+    .await;
+    assert_eq!(resume("late").await.status, 200);
+}
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -46,6 +46,8 @@
 /// Fleet of three members, three stores and one gateway, with scripted replicas and their list.
 pub struct Fleet {
     pub gateway: Rc<GatewayServer>,
+    /// Replicas in the platform's list.
+    pub replicas: Rc<RefCell<Vec<Replica>>>,
     pub gateway_address: SocketAddr,
     pub ready_address: SocketAddr,
     pub operator_address: SocketAddr,
@@ -126,7 +128,7 @@
         let block = NEXT_BLOCK.fetch_add(1, Ordering::Relaxed);
         let ports = free_ports();
         let replicas = Rc::new(RefCell::new(replicas));
-        let list = replica::serve_list(replicas).await;
+        let list = replica::serve_list(Rc::clone(&replicas)).await;
         let dialect: Rc<dyn Dialect> = Rc::new(LuglinkDialect::default());
         let (operator_port, resolution_port) = (ports[0] + 4, ports[0] + 5);
         let mut members = Vec::new();
@@ -165,6 +167,7 @@
         let gateway = start(config, dialect);
         Self {
             gateway: Rc::new(gateway.await.unwrap()),
+            replicas,
             second,
             gateway_address,
             ready_address,
