--- a/crates/gateway-server/tests/gateway/resumed_streams.rs
+++ b/crates/gateway-server/tests/gateway/resumed_streams.rs
@@ -239,7 +239,7 @@
 #[actix_rt::test]
 async fn a_new_replica_of_the_only_version_does_not_stop_streams_whose_origin_is_lost() {
     let replica = Replica::start_version("r0", "v1", Script::Stream).await;
-    let fleet = fleet(&[replica.clone()]).await;
+    let fleet = fleet(&[replica]).await;
     let resume = |id: &'static str| resuming("never-seen", id).send(fleet.gateway_address);
     wait_until(
         "the only version has been listed for long enough",
