Let streams continue at replicas that begin to drain, if no other has their version

Callers that resumed a stream were refused once every replica of its version was listed as draining, though those go on serving for drain_ms. Cause: draining replicas get no requests at all, which is right for new streams, that have other replicas, and wrong for one that no other replica may continue. They now get such requests for a third of drain_ms after the list that first showed them as draining was read; with a list that is stale by half of drain_ms this stays within it. Evidence: a_caller_resumes_its_stream_when_all_replicas_of_its_ version_begin_to_drain gets 503 without the change and 200 with it.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -160,6 +160,7 @@
             list_address: fleet.list_address,
             list_calls_per_s: fleet.list_calls_per_s,
             list_stale_after: fleet.list_stale_after(),
+            draining_continuation: fleet.draining_continuation(),
             replication: replication(fleet),
             full_at: gateway.full_at,
             features: Features::new(gateway.scheduling, fleet.expects_overload()),
--- a/crates/gateway-server/src/config.rs
+++ b/crates/gateway-server/src/config.rs
@@ -27,6 +27,9 @@
     pub list_calls_per_s: f64,
     /// Age from which the list is stale, so that this gateway may read it directly.
     pub list_stale_after: Duration,
+    /// Time for which a replica that is listed as draining still gets streams that no other replica
+    /// may continue.
+    pub draining_continuation: Duration,
     /// Replication of turns and accounts on the turn stores.
     pub replication: Replication,
     /// Maximum duration of a planned stop.
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -93,9 +93,11 @@
     ) -> Self {
         let is_bounded = config.features.held_bytes();
         let held_limit = is_bounded.then_some(config.held_bytes_limit);
+        let mut pool = Pool::new(&config.zone);
+        pool.set_draining_continuation(config.draining_continuation);
         Self {
             held: HeldBytesLedger::new(held_limit, metrics.clone()),
-            pool: RefCell::new(Pool::new(&config.zone)),
+            pool: RefCell::new(pool),
             turns: TurnClient::new(config.replication),
             turn_cache: RefCell::new(TurnCache::new(config.turn_cache_bytes)),
             origins: RefCell::new(OriginTable::new(MAX_OWN_ORIGINS)),
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -211,7 +211,12 @@
             restarted = restarted.len(),
             "list of replicas updated"
         );
-        self.pool.borrow_mut().apply(&changes);
+        let mut pool = self.pool.borrow_mut();
+        if let Some(seen) = self.list.borrow().seen() {
+            pool.note_draining(&changes, seen);
+        }
+        pool.apply(&changes);
+        drop(pool);
         self.upstream.forget(&changes.removed);
         self.upstream.forget(&restarted);
         self.metrics.replica_restarts.inc_by(restarted.len() as u64);
--- a/crates/gateway-server/src/stream_origins.rs
+++ b/crates/gateway-server/src/stream_origins.rs
@@ -112,7 +112,12 @@
     let (source, origin) = look_up(gateway, inbound, resumption.began_as.as_ref()).await;
     let is_routed = |service: &str| inbound.route.has_target(service);
     let origin = origin.filter(|origin| is_routed(&origin.service));
-    let may_continue = |origin: &StreamOrigin| gateway.pool.borrow().has_continuation(origin);
+    let may_continue = |origin: &StreamOrigin| {
+        gateway
+            .pool
+            .borrow()
+            .has_continuation(origin, gateway.now())
+    };
     let can_continue = origin.as_ref().is_some_and(may_continue);
     let counter = &gateway.metrics.caller_resumptions;
     counter.with_label_values(&[source.as_str()]).inc();
--- a/crates/gateway-server/tests/gateway/resumed_streams.rs
+++ b/crates/gateway-server/tests/gateway/resumed_streams.rs
@@ -49,12 +49,16 @@
     seen.iter().any(|seen| seen.id() == id)
 }
 
+/// Returns a request whose stream may be resumed for a minute, however slow the machine is.
+fn beginning(path: &str, id: &str) -> TestRequest {
+    TestRequest::post(path, id, "body").with("luglink-deadline-ms", 60_000)
+}
+
 /// Sends streams to `path` until one was sent to `replica`. Returns its identifier and response.
 async fn stream_at(fleet: &Fleet, path: &str, replica: &Replica) -> (String, TestResponse) {
     for number in 0..MAX_ROUNDS {
         let id = format!("s{number}");
-        let request = TestRequest::post(path, &id, "body");
-        let response = request.send(fleet.gateway_address).await;
+        let response = beginning(path, &id).send(fleet.gateway_address).await;
         if has_seen(replica, &id) {
             return (id, response);
         }
@@ -67,7 +71,7 @@
 async fn abandoned_stream_at(fleet: &Fleet, replica: &Replica) -> String {
     for number in 0..MAX_ROUNDS {
         let id = format!("s{number}");
-        let request = TestRequest::post("/resumable/x", &id, "body");
+        let request = beginning("/resumable/x", &id);
         request.send_and_disconnect(fleet.gateway_address).await;
         if has_seen(replica, &id) {
             return id;
@@ -222,10 +226,10 @@
     let same = Replica::start_version("r1", "v1", Script::Stream).await;
     let other = Replica::start_version("r2", "v2", Script::Stream).await;
     let fleet = fleet(&[stalled.clone(), same.clone(), other.clone()]).await;
+    let (_second, address) = second_gateway(&fleet).await;
     let (began_as, response) = stream_at(&fleet, "/movable/x", &stalled).await;
     assert!(response.is_whole, "{response:?}");
     stalled.set_script(Script::Stream);
-    let (_second, address) = second_gateway(&fleet).await;
     for number in 0..RESUMING_ATTEMPTS {
         let id = format!("resuming-{number}");
         let response = resuming(&began_as, &id).send(address).await;
@@ -256,3 +260,28 @@
     .await;
     assert_eq!(resume("late").await.status, 200);
 }
+
+#[actix_rt::test]
+async fn a_caller_resumes_its_stream_when_all_replicas_of_its_version_begin_to_drain() {
+    let first = Replica::start_version("r0", "v1", Script::StreamStalled(2)).await;
+    let other = Replica::start_version("r1", "v2", Script::Stream).await;
+    let fleet = fleet(&[first.clone(), other.clone()]).await;
+    let began_as = abandoned_stream_at(&fleet, &first).await;
+    first.set_script(Script::Stream);
+    first.is_draining.set(true);
+    wait_until("the gateway knows that the replica drains", || async {
+        let before = first.requests();
+        let requests = (0..4).map(|number| {
+            let id = format!("new-{number}");
+            TestRequest::post("/resumable/x", &id, "body").send(fleet.gateway_address)
+        });
+        futures_util::future::join_all(requests).await;
+        first.requests() == before
+    })
+    .await;
+    let response = resuming(&began_as, "late")
+        .send(fleet.gateway_address)
+        .await;
+    assert_eq!((response.status, response.body), (200, events(2..5)));
+    assert!(has_seen(&first, "late") && !has_seen(&other, "late"));
+}
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -247,6 +247,7 @@
         list_address: fleet.list_address,
         list_calls_per_s: fleet.list_calls_per_s,
         list_stale_after: Duration::from_millis(500),
+        draining_continuation: Duration::from_secs(60),
         replication: Replication::surviving(1),
         full_at: 0.75,
         features: Features::default(),
--- a/crates/scheduling/src/pool/index.rs
+++ b/crates/scheduling/src/pool/index.rs
@@ -100,7 +100,7 @@
         self.zones.is_empty()
     }
 
-    /// Returns the replicas that may get work.
+    /// Returns the replicas that may get any work.
     pub(super) fn usable(&self) -> impl Iterator<Item = &BackendId> {
         let zones = self.zones.values();
         zones.flat_map(|index| index.usable.iter().map(|(_, id)| id))
--- a/crates/scheduling/src/pool/mod.rs
+++ b/crates/scheduling/src/pool/mod.rs
@@ -6,6 +6,7 @@
 //! the load needs and is the same at all gateways.
 
 mod by_finish;
+mod continuation;
 mod held_parts;
 mod index;
 mod record;
@@ -101,6 +102,10 @@
     view: LoadView,
     /// True if requests that describe their work are placed by expected finish.
     expected_finish_enabled: bool,
+    /// Listed replicas that have begun to drain, by the time of the list that first said so.
+    draining_since: HashMap<BackendId, Timestamp>,
+    /// Time for which these still get streams that no other replica may continue.
+    draining_continuation: Duration,
 }
 
 /// Replica that may get a request, with this gateway's record of it.
@@ -156,6 +161,7 @@
             self.unindex(&backend);
         }
         self.records.remove(id);
+        self.draining_since.remove(id);
     }
 
     fn unindex(&mut self, backend: &Backend) {
@@ -206,10 +212,13 @@
     }
 
     fn candidate(&self, id: &BackendId) -> Option<Candidate<'_>> {
-        Some(Candidate {
-            backend: self.usable(id)?,
-            record: self.records.get(id).unwrap_or(&record::UNUSED),
-        })
+        self.usable(id).map(|backend| self.with_record(backend))
+    }
+
+    fn with_record<'pool>(&'pool self, backend: &'pool Backend) -> Candidate<'pool> {
+        let record = self.records.get(&backend.id);
+        let record = record.unwrap_or(&record::UNUSED);
+        Candidate { backend, record }
     }
 
     /// Chooses a replica, or returns `None` if no replica of the service may get the request.
@@ -225,7 +234,7 @@
         let service = self.services.get(request.service)?;
         let all = match request.origin {
             None => self.compared_candidates(service, request),
-            Some(origin) => self.continuing_candidates(service, request, origin),
+            Some(origin) => self.continuing_candidates(service, request.tried, origin, now),
         };
         let healthy = all
             .iter()
@@ -275,32 +284,6 @@
         used.chain(cached).chain(drawn).collect()
     }
 
-    /// Returns true if a replica may get requests that continue a stream.
-    #[must_use]
-    pub fn has_continuation(&self, origin: &StreamOrigin) -> bool {
-        let service = self.services.get(&origin.service);
-        let mut usable = service.into_iter().flat_map(ServiceIndex::usable);
-        usable.any(|id| {
-            let listed = self.backends.get(id);
-            listed.is_some_and(|listed| origin.may_continue_at(listed))
-        })
-    }
-
-    /// Returns the replicas that may continue a stream. Compares all replicas of the service: few
-    /// requests continue a stream, and few replicas may have its version.
-    fn continuing_candidates<'pool>(
-        &'pool self,
-        service: &'pool ServiceIndex,
-        request: &RoutingRequest<'_>,
-        origin: &StreamOrigin,
-    ) -> Vec<Candidate<'pool>> {
-        let untried = service.usable().filter(|id| !request.tried.contains(id));
-        let candidates = untried.filter_map(|id| self.candidate(id));
-        candidates
-            .filter(|candidate| origin.may_continue_at(candidate.backend))
-            .collect()
-    }
-
     /// Returns the first of the cheapest candidates. The connection check costs more than all the
     /// rest, so it is only made for candidates that can still win.
     fn cheapest<'pool>(
--- a/crates/scheduling/tests/stream_origin.rs
+++ b/crates/scheduling/tests/stream_origin.rs
@@ -6,6 +6,7 @@
 use luglink_scheduling::{Pool, RoutingRequest};
 use luglink_types::Timestamp;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 fn backend(id: &str, version: Option<&str>) -> Backend {
     Backend {
@@ -22,6 +23,7 @@
 
 fn pool(backends: &[Backend]) -> Pool {
     let mut pool = Pool::new("z");
+    pool.set_draining_continuation(Duration::from_secs(1));
     pool.apply(&BackendChanges {
         changed: backends.to_vec(),
         ..BackendChanges::default()
@@ -107,3 +109,65 @@
     let origin = StreamOrigin::at(&backend("gone", Some("v1")));
     assert_eq!(chosen(&pool, &origin, &[]), names(&["a", "b"]));
 }
+
+/// Lists a replica as draining at `seconds`.
+fn drain(pool: &mut Pool, id: &str, version: &str, seconds: u64) {
+    let changes = BackendChanges {
+        changed: vec![Backend {
+            draining: true,
+            ..backend(id, Some(version))
+        }],
+        ..BackendChanges::default()
+    };
+    pool.note_draining(&changes, at(seconds));
+    pool.apply(&changes);
+}
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::from_millis(seconds * 1_000)
+}
+
+fn chosen_at(pool: &Pool, origin: &StreamOrigin, seconds: u64) -> Option<String> {
+    let request = RoutingRequest {
+        service: "s",
+        origin: Some(origin),
+        ..RoutingRequest::default()
+    };
+    let choice = pool.choose(&request, |_| true, at(seconds));
+    let chosen = choice.map(|choice| choice.backend.id.0);
+    assert_eq!(pool.has_continuation(origin, at(seconds)), chosen.is_some());
+    chosen
+}
+
+#[test]
+fn a_stream_continues_at_a_draining_replica_only_for_a_short_time_and_without_another_one() {
+    let mut pool = pool(&[
+        backend("a", Some("v1")),
+        backend("b", Some("v1")),
+        backend("c", Some("v2")),
+    ]);
+    let origin = StreamOrigin::at(&backend("gone", Some("v1")));
+    drain(&mut pool, "a", "v1", 10);
+    assert_eq!(chosen_at(&pool, &origin, 10).as_deref(), Some("b"));
+    drain(&mut pool, "b", "v1", 12);
+    assert_eq!(chosen_at(&pool, &origin, 12).as_deref(), Some("b"));
+    assert_eq!(chosen_at(&pool, &origin, 13), None);
+}
+
+#[test]
+fn a_replica_that_was_first_listed_as_draining_does_not_continue_streams() {
+    let mut pool = pool(&[backend("c", Some("v2"))]);
+    drain(&mut pool, "a", "v1", 10);
+    let origin = StreamOrigin::at(&backend("gone", Some("v1")));
+    assert_eq!(chosen_at(&pool, &origin, 10), None);
+}
+
+#[test]
+fn a_replica_that_is_listed_as_draining_again_does_not_get_more_time() {
+    let mut pool = pool(&[backend("a", Some("v1"))]);
+    let origin = StreamOrigin::at(&backend("gone", Some("v1")));
+    for seconds in 10..20 {
+        drain(&mut pool, "a", "v1", seconds);
+    }
+    assert_eq!(chosen_at(&pool, &origin, 11), None);
+}
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -155,6 +155,14 @@
         Duration::from_millis(self.drain_ms / 2)
     }
 
+    /// Returns the time for which a replica that is listed as draining still gets streams that no
+    /// other replica may continue: a third of the time after which it must not receive work, so
+    /// that a list which is stale by half of that does not exceed it.
+    #[must_use]
+    pub fn draining_continuation(&self) -> Duration {
+        Duration::from_millis(self.drain_ms / 3)
+    }
+
     /// Returns true if the deployment at times expects more work than its replicas can process.
     #[must_use]
     pub fn expects_overload(&self) -> bool {
