Soak streams over restarts of processes and releases of replicas

Real gateways, stores and members are killed, stopped, frozen and reloaded in overlapping series while replicas of three versions crash, drain, break and stall streams. Callers keep their connections, resume at any gateway, and check that the events of a stream are in order and of one version; the share of resumed streams that go on is held against that of new ones while processes are undisturbed. Three seeds run with the tests; SOAK_SEEDS runs others, and the folder of a failed seed is kept.

--- /dev/null
+++ b/app/luglink/tests/stream_soak/fleet.rs
@@ -0,0 +1,285 @@
+//! Fleet of `luglink` processes, each with a loopback address of its own.
+
+use crate::replicas::Replicas;
+use awc::Client;
+use luglink_edge::{Configuration, Limits, Route, RouteKind, Service, Target};
+use rustix::process::{Pid, Signal, kill_process};
+use std::cell::{Cell, RefCell};
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+/// Timeout of every wait, far above the usual duration.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+const MEMBERS: usize = 3;
+
+/// Replicas of each version at the start.
+const REPLICAS_PER_VERSION: usize = 5;
+
+/// Host name of all routes.
+pub const HOST: &str = "desk.example";
+
+/// Paths of the routes. Stalled streams of the second one move.
+pub const PATHS: [&str; 2] = ["/resumable/x", "/movable/x"];
+
+static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
+
+/// Process that can be signalled and started again.
+pub struct Process {
+    role: &'static str,
+    settings: PathBuf,
+    log: PathBuf,
+    child: RefCell<Option<Child>>,
+    /// Identifier of the process while it runs, also while its end is awaited.
+    pid: Cell<Option<Pid>>,
+    /// Time of the latest signal to the process, or of its latest start.
+    pub disturbed_at: Cell<Instant>,
+}
+
+impl Process {
+    fn start(role: &'static str, settings: PathBuf) -> Self {
+        let process = Self {
+            role,
+            log: settings.with_extension("log"),
+            settings,
+            child: RefCell::default(),
+            pid: Cell::default(),
+            disturbed_at: Cell::new(Instant::now()),
+        };
+        process.start_again();
+        process
+    }
+
+    pub fn start_again(&self) {
+        let mut log = File::options();
+        let log = log.create(true).append(true).open(&self.log).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_luglink"))
+            .arg(self.role)
+            .arg("--config")
+            .arg(&self.settings)
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .expect("the binary starts");
+        self.pid.set(Some(Pid::from_child(&child)));
+        *self.child.borrow_mut() = Some(child);
+        self.disturbed_at.set(Instant::now());
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&self, signal: Signal) {
+        self.disturbed_at.set(Instant::now());
+        if let Some(pid) = self.pid.get() {
+            kill_process(pid, signal).expect("the signal is sent");
+        }
+    }
+
+    /// Waits for the end of the process. Returns false if another task has done so.
+    pub async fn wait_for_exit(&self) -> bool {
+        let Some(mut child) = self.child.borrow_mut().take() else {
+            return false;
+        };
+        let started = Instant::now();
+        while child.try_wait().unwrap().is_none() {
+            assert!(started.elapsed() < WAIT_TIMEOUT, "a process did not stop");
+            self.disturbed_at.set(Instant::now());
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
+        self.pid.set(None);
+        true
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.borrow_mut().take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Running fleet with its replicas.
+#[derive(Clone)]
+pub struct Fleet {
+    pub members: Rc<Vec<Process>>,
+    pub stores: Rc<Vec<Process>>,
+    pub gateways: Rc<Vec<Process>>,
+    pub addresses: Rc<Vec<SocketAddr>>,
+    pub replicas: Replicas,
+    operator: SocketAddr,
+    version: Rc<Cell<u64>>,
+    _folder: Rc<Folder>,
+}
+
+/// Folder of settings, data and logs. It is kept after a failure, or if `SOAK_KEEP_LOGS` is set.
+struct Folder(TempDir);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if std::thread::panicking() || std::env::var_os("SOAK_KEEP_LOGS").is_some() {
+            self.0.disable_cleanup(true);
+            println!("logs are kept in {}", self.0.path().display());
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts all processes and waits until all gateways serve.
+    pub async fn start(seed: u64, gateways: usize) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let replicas = Replicas::start(seed, REPLICAS_PER_VERSION).await;
+        let list = replicas.serve_list().await;
+        let block = NEXT_FLEET.fetch_add(1, Ordering::Relaxed) % 60;
+        let process = std::process::id() % 250;
+        let ip = |host: usize| format!("127.{}.{process}.{}", 100 + block, host + 1);
+        let settings = |host: usize| write_settings(folder.path(), host, &ip, list);
+        let start = |role, host| Process::start(role, settings(host));
+        let members = (0..MEMBERS).map(|host| start("member", host));
+        let members: Vec<Process> = members.collect();
+        let stores = (0..MEMBERS).map(|host| start("store", host));
+        let stores: Vec<Process> = stores.collect();
+        let hosts = MEMBERS..MEMBERS + gateways;
+        let started = hosts.clone().map(|host| start("gateway", host));
+        let gateways: Vec<Process> = started.collect();
+        let address = |host, port| format!("{}:{port}", ip(host)).parse().unwrap();
+        let fleet = Self {
+            members: Rc::new(members),
+            stores: Rc::new(stores),
+            gateways: Rc::new(gateways),
+            addresses: Rc::new(hosts.map(|host| address(host, 7400)).collect()),
+            replicas,
+            operator: address(0, 7200),
+            version: Rc::default(),
+            _folder: Rc::new(Folder(folder)),
+        };
+        let started = Instant::now();
+        while !fleet.configure().await {
+            assert!(started.elapsed() < WAIT_TIMEOUT, "no configuration");
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
+        fleet.assert_all_gateways_serve().await;
+        fleet
+    }
+
+    /// Sends the next version of the configuration. Returns true if it is acknowledged.
+    pub async fn configure(&self) -> bool {
+        self.version.set(self.version.get() + 1);
+        let body = configuration(self.version.get());
+        let client = Client::default();
+        let mut address = self.operator.to_string();
+        for _ in 0..2 {
+            let url = format!("http://{address}/v1/configuration");
+            let Ok(answer) = client.post(url).send_json(&body).await else {
+                return false;
+            };
+            let location = answer.headers().get("location");
+            let location = location.and_then(|value| value.to_str().ok());
+            match location.and_then(|url| url.strip_prefix("http://")?.split('/').next()) {
+                Some(leader) => address = leader.to_owned(),
+                None => return answer.status().is_success(),
+            }
+        }
+        false
+    }
+
+    /// Waits until every gateway serves a whole stream.
+    pub async fn assert_all_gateways_serve(&self) {
+        let started = Instant::now();
+        for (number, address) in self.addresses.iter().enumerate() {
+            while !serves(*address).await {
+                let log = self.gateways[number].log.display();
+                assert!(
+                    started.elapsed() < WAIT_TIMEOUT,
+                    "{address} does not serve: {log}"
+                );
+                actix_rt::time::sleep(POLL_INTERVAL).await;
+            }
+        }
+    }
+}
+
+async fn serves(address: SocketAddr) -> bool {
+    let request = Client::default()
+        .get(format!("http://{address}{}", PATHS[0]))
+        .insert_header(("host", HOST))
+        .insert_header(("luglink-request-id", format!("check-{address}")))
+        .insert_header(("luglink-deadline-ms", "3000"));
+    match request.send().await {
+        Ok(mut answer) => answer.status().is_success() && answer.body().await.is_ok(),
+        Err(_) => false,
+    }
+}
+
+/// Writes the settings of a machine. Returns the path of the file.
+fn write_settings(
+    folder: &Path,
+    host: usize,
+    ip: &impl Fn(usize) -> String,
+    list: SocketAddr,
+) -> PathBuf {
+    let seeds: Vec<String> = (0..MEMBERS)
+        .map(|member| format!("\"{}:7200\"", ip(member)))
+        .collect();
+    let (seeds, ip) = (seeds.join(", "), ip(host));
+    let data = folder.join(format!("machine-{host}"));
+    let data = data.display();
+    let text = format!(
+        "[log]\nfilter = \"info\"\n\
+         [fleet]\nname = \"machine-{host}\"\nzone = \"here\"\nip = \"{ip}\"\nports = [7100, 7115]\n\
+         seeds = [{seeds}]\nfirst_start = true\nlist_address = \"{list}\"\nstop_s = 4.0\n\
+         [gateway]\nlisten = \"{ip}:7400\"\nready_listen = \"{ip}:7401\"\n\
+         [store]\ndata_folder = \"{data}-store\"\n\
+         [member]\noperator_listen = \"{ip}:7200\"\nresolution_listen = \"{ip}:7201\"\n\
+         data_folder = \"{data}-member\"\nlist_interval_ms = 200\n"
+    );
+    let path = folder.join(format!("machine-{host}.toml"));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn configuration(version: u64) -> Configuration {
+    let route = |path: &str, gap_aim_ms| Route {
+        name: path.trim_matches('/').replace('/', "-"),
+        host: HOST.to_owned(),
+        path_prefix: path.trim_end_matches('x').to_owned(),
+        kind: RouteKind::Streaming,
+        // Changes with every version, so that each is a change in effect.
+        timeout_ms: 4_000 + version % 2,
+        target_latency_ms: 200,
+        priority: 1,
+        targets: vec![Target {
+            service: "service".to_owned(),
+            weight: 1,
+        }],
+        max_attempts: 3,
+        keeps_history: false,
+        retention_ms: 60_000,
+        resumable: true,
+        gap_aim_ms,
+        public: false,
+    };
+    Configuration {
+        version,
+        routes: vec![route(PATHS[0], None), route(PATHS[1], Some(300))],
+        services: vec![Service {
+            name: "service".to_owned(),
+            health_path: "/health".to_owned(),
+            connection_limit: 500,
+            engine: None,
+        }],
+        limits: Limits {
+            max_body_bytes: 1 << 20,
+            ..Limits::default()
+        },
+        tenants: Vec::new(),
+    }
+}
--- /dev/null
+++ b/app/luglink/tests/stream_soak/main.rs
@@ -0,0 +1,68 @@
+//! Soak of gateway, store and member processes: streams keep their software version while processes
+//! are killed, stopped, frozen and reloaded, replicas crash and are released, and all of it overlaps.
+//!
+//! `SOAK_SEEDS=0..50` runs other seeds than the few of every test run.
+
+mod callers;
+mod chaos;
+mod fleet;
+mod random;
+mod replicas;
+
+use callers::{Callers, Report};
+use fleet::Fleet;
+use std::ops::Range;
+use std::time::Duration;
+
+/// Seeds of every test run. One of them has many gateways.
+const DEFAULT_SEEDS: Range<u64> = 9..12;
+
+/// Duration of the traffic of one seed.
+const TRAFFIC_DURATION: Duration = Duration::from_secs(14);
+
+/// One in this many seeds has many gateways.
+const CROWDED_SEED_DIVISOR: u64 = 10;
+
+const GATEWAYS: usize = 4;
+
+const CROWDED_GATEWAYS: usize = 24;
+
+/// Minimum number of resumed streams for their share to be judged.
+const MIN_RESUMED: u32 = 12;
+
+fn seeds() -> Range<u64> {
+    let Ok(text) = std::env::var("SOAK_SEEDS") else {
+        return DEFAULT_SEEDS;
+    };
+    let (first, end) = text.split_once("..").expect("a range such as 0..50");
+    first.parse().expect("a number")..end.parse().expect("a number")
+}
+
+/// Returns the report of one seed.
+async fn soak(seed: u64) -> Report {
+    let is_crowded = seed.is_multiple_of(CROWDED_SEED_DIVISOR);
+    let gateways = if is_crowded {
+        CROWDED_GATEWAYS
+    } else {
+        GATEWAYS
+    };
+    let fleet = Fleet::start(seed, gateways).await;
+    let callers = Callers::start(&fleet, seed);
+    chaos::run(&fleet, seed, TRAFFIC_DURATION).await;
+    let report = callers.stop().await;
+    fleet.assert_all_gateways_serve().await;
+    report
+}
+
+#[actix_rt::test]
+async fn resumed_streams_keep_their_software_version_while_processes_restart() {
+    for seed in seeds() {
+        let report = soak(seed).await;
+        println!("seed {seed}: {report}");
+        assert_eq!(report.mixed, Vec::<String>::new(), "seed {seed}");
+        let judged = report.resumed.total >= MIN_RESUMED;
+        let is_held = report.resumed.share() >= report.begun.share() / 2.0;
+        assert!(!judged || is_held, "seed {seed}: {report}");
+        assert!(report.begun.total > 0, "seed {seed}: {report}");
+    }
+}
