Compare all replicas for a continued stream only if the few usual ones do not have its version

A check of a slow stream chooses a replica too. With an origin it looked at every replica of the service, 10,000 in the largest fleet, for each check. Now it looks at the replicas that are compared for any request, and at all others only if none of these may continue the stream and is healthy. Found while reading the diff; the cost was not measured.

--- a/crates/scheduling/src/pool/continuation.rs
+++ b/crates/scheduling/src/pool/continuation.rs
@@ -1,8 +1,8 @@
 //! Replicas that may continue a stream which another replica or request began.
 
 use super::index::ServiceIndex;
-use super::{Candidate, Pool};
-use luglink_fleet::{Backend, BackendChanges, BackendId, StreamOrigin};
+use super::{Candidate, Pool, RoutingRequest};
+use luglink_fleet::{Backend, BackendChanges, StreamOrigin};
 use luglink_types::Timestamp;
 use std::time::Duration;
 
@@ -38,27 +38,31 @@
                 .any(|backend| origin.may_continue_at(backend))
     }
 
-    /// Returns the replicas that may continue a stream: draining ones only if there is no other.
-    /// Compares all replicas of the service: few requests continue a stream, and few replicas may
-    /// have its version.
+    /// Returns the replicas that may continue a stream: those of the few that are compared for any
+    /// request, or else all others of the service, or else draining ones.
     pub(super) fn continuing_candidates<'pool>(
         &'pool self,
         service: &'pool ServiceIndex,
-        tried: &[BackendId],
+        request: &RoutingRequest<'_>,
         origin: &StreamOrigin,
         now: Timestamp,
     ) -> Vec<Candidate<'pool>> {
-        let may_continue =
-            |backend: &&Backend| origin.may_continue_at(backend) && !tried.contains(&backend.id);
+        let mut compared = self.compared_candidates(service, request);
+        compared.retain(|candidate| origin.may_continue_at(candidate.backend));
+        let is_healthy = |candidate: &Candidate<'_>| candidate.record.ejected_until <= now;
+        if compared.iter().any(is_healthy) {
+            return compared;
+        }
+        let may_continue = |backend: &&Backend| {
+            origin.may_continue_at(backend) && !request.tried.contains(&backend.id)
+        };
         let usable = service.usable().filter_map(|id| self.backends.get(id));
-        let mut candidates: Vec<&Backend> = usable.filter(may_continue).collect();
-        if candidates.is_empty() {
-            candidates = self.draining(now).filter(may_continue).collect();
+        let mut others: Vec<&Backend> = usable.filter(may_continue).collect();
+        if others.is_empty() {
+            others = self.draining(now).filter(may_continue).collect();
         }
-        let candidates = candidates.into_iter();
-        candidates
-            .map(|backend| self.with_record(backend))
-            .collect()
+        let others = others.into_iter();
+        others.map(|backend| self.with_record(backend)).collect()
     }
 
     /// Returns the replicas that have begun to drain recently.
--- a/crates/scheduling/src/pool/mod.rs
+++ b/crates/scheduling/src/pool/mod.rs
@@ -234,7 +234,7 @@
         let service = self.services.get(request.service)?;
         let all = match request.origin {
             None => self.compared_candidates(service, request),
-            Some(origin) => self.continuing_candidates(service, request.tried, origin, now),
+            Some(origin) => self.continuing_candidates(service, request, origin, now),
         };
         let healthy = all
             .iter()
--- a/crates/scheduling/tests/stream_origin.rs
+++ b/crates/scheduling/tests/stream_origin.rs
@@ -171,3 +171,19 @@
     }
     assert_eq!(chosen_at(&pool, &origin, 11), None);
 }
+
+#[test]
+fn a_stream_avoids_an_ejected_replica_while_an_unused_one_has_its_version() {
+    let mut pool = pool(&[
+        backend("a", Some("v1")),
+        backend("b", Some("v1")),
+        backend("c", Some("v2")),
+        backend("d", Some("v2")),
+    ]);
+    pool.note_connected(&BackendId("c".to_owned()));
+    pool.failed(&BackendId("a".to_owned()), at(10));
+    let origin = StreamOrigin::at(&backend("gone", Some("v1")));
+    for _ in 0..10 {
+        assert_eq!(chosen_at(&pool, &origin, 10).as_deref(), Some("b"));
+    }
+}
