--- a/app/luglink/tests/stream_soak/callers.rs
+++ b/app/luglink/tests/stream_soak/callers.rs
@@ -42,6 +42,11 @@
         self.succeeded += u32::from(succeeded);
     }
 
+    fn add(&mut self, other: Self) {
+        self.total += other.total;
+        self.succeeded += other.succeeded;
+    }
+
     pub fn share(self) -> f64 {
         f64::from(self.succeeded) / f64::from(self.total.max(1))
     }
@@ -64,6 +69,17 @@
     pub resumed_disturbed: Tally,
 }
 
+impl Report {
+    /// Adds the counts of another seed.
+    pub fn add(&mut self, other: &Self) {
+        self.whole += other.whole;
+        self.lost += other.lost;
+        self.begun.add(other.begun);
+        self.resumed.add(other.resumed);
+        self.resumed_disturbed.add(other.resumed_disturbed);
+    }
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
