Split the lookup of an origin from its log line

Cause: the function that finds an origin had sixty lines, most of them a log line; a reader had to look for the decision. Change: the result is a type and its log line a function; no decision and no field changes.

--- a/crates/gateway-server/src/stream_origins.rs
+++ b/crates/gateway-server/src/stream_origins.rs
@@ -95,6 +95,15 @@
     allowed.saturating_add(RETENTION_MARGIN)
 }
 
+/// Result of looking for the origin of a stream.
+#[derive(Debug)]
+struct FoundOrigin {
+    source: OriginSource,
+    origin: Option<StreamOrigin>,
+    /// True if a replica may get the request.
+    can_continue: bool,
+}
+
 /// Returns the origin of the stream that a request resumes; `None` if it begins one. Sets the
 /// service of the request to that of the origin.
 ///
@@ -110,37 +119,19 @@
     };
     let started_at = Instant::now();
     let (source, origin) = look_up(gateway, inbound, resumption.began_as.as_ref()).await;
-    let is_routed = |service: &str| inbound.route.has_target(service);
-    let origin = origin.filter(|origin| is_routed(&origin.service));
-    let may_continue = |origin: &StreamOrigin| {
-        gateway
-            .pool
-            .borrow()
-            .has_continuation(origin, gateway.now())
+    let origin = origin.filter(|origin| inbound.route.has_target(&origin.service));
+    let has_continuation = |origin: &StreamOrigin| {
+        let pool = gateway.pool.borrow();
+        pool.has_continuation(origin, gateway.now())
     };
-    let can_continue = origin.as_ref().is_some_and(may_continue);
-    let counter = &gateway.metrics.caller_resumptions;
-    counter.with_label_values(&[source.as_str()]).inc();
-    tracing::info!(
-        id = inbound.id,
-        route = inbound.route.name,
-        resumes = resumption.began_as.as_ref().map(tracing::field::display),
-        last_event_id = resumption.last_event_id,
-        origin = source.as_str(),
-        replica = origin
-            .as_ref()
-            .map(|origin| tracing::field::display(&origin.replica)),
-        version = origin
-            .as_ref()
-            .and_then(|origin| origin.version.as_ref())
-            .map(tracing::field::display),
-        can_continue,
-        list_age_ms = gateway.list_age().map(milliseconds),
-        ms = milliseconds(started_at.elapsed()),
-        "caller resumes a stream"
-    );
-    match origin {
-        Some(origin) if can_continue => {
+    let found = FoundOrigin {
+        source,
+        can_continue: origin.as_ref().is_some_and(has_continuation),
+        origin,
+    };
+    note_found(gateway, inbound, &resumption, &found, started_at.elapsed());
+    match found.origin {
+        Some(origin) if found.can_continue => {
             inbound.service.clone_from(&origin.service);
             Ok(Some(Rc::new(origin)))
         }
@@ -156,6 +147,33 @@
     }
 }
 
+fn note_found(
+    gateway: &Gateway,
+    inbound: &InboundRequest,
+    resumption: &Resumption,
+    found: &FoundOrigin,
+    duration: Duration,
+) {
+    let counter = &gateway.metrics.caller_resumptions;
+    counter.with_label_values(&[found.source.as_str()]).inc();
+    let origin = found.origin.as_ref();
+    let version = origin.and_then(|origin| origin.version.as_ref());
+    tracing::info!(
+        id = inbound.id,
+        route = inbound.route.name,
+        resumes = resumption.began_as.as_ref().map(tracing::field::display),
+        last_event_id = resumption.last_event_id,
+        origin = found.source.as_str(),
+        replica = origin.map(|origin| tracing::field::display(&origin.replica)),
+        version = version.map(tracing::field::display),
+        can_continue = found.can_continue,
+        list_age_ms = gateway.list_age().map(milliseconds),
+        ms = milliseconds(duration),
+        "caller resumes a stream"
+    );
+}
+
+/// Looks for the origin of a stream here, at the turn stores, and in the versions of the service.
 async fn look_up(
     gateway: &Gateway,
     inbound: &InboundRequest,
