Let unnamed streams continue at a gateway that has just started and has seen one version

Callers that do not name the stream they resume, as all did until now, were refused for some 8 s after every start of a gateway, though the service had one version. Cause: a gateway trusted a single version only after watching it for as long as a stream can last. Change: for such callers it suffices that the gateway has seen no other version since its first list; callers that name their stream, whose record is lost then, are still refused.

--- a/crates/gateway-server/src/stream_origins.rs
+++ b/crates/gateway-server/src/stream_origins.rs
@@ -195,22 +195,30 @@
             OriginLookup::Unavailable => missing = OriginSource::Unavailable,
         }
     }
-    match sole_origin(gateway, inbound) {
+    match sole_origin(gateway, inbound, began_as.is_some()) {
         Some(origin) => (OriginSource::SoleVersion, Some(origin)),
         None => (missing, None),
     }
 }
 
 /// Returns the origin of any stream of the request's service, if all its replicas have had the same
-/// version since before any stream that is still under way. Without the name of a program, a route
-/// that is split does not tell the service of the stream.
-fn sole_origin(gateway: &Gateway, inbound: &InboundRequest) -> Option<StreamOrigin> {
+/// version since before any stream that is still under way. Callers that do not name their streams
+/// get no protection from a record; for them it suffices that a gateway which has started since has
+/// seen no other version. Without the name of a program, a route that is split does not tell the
+/// service of the stream.
+fn sole_origin(
+    gateway: &Gateway,
+    inbound: &InboundRequest,
+    is_named: bool,
+) -> Option<StreamOrigin> {
     if inbound.route.targets.len() > 1 && inbound.program.is_none() {
         return None;
     }
     let age = retention(gateway, inbound) + gateway.config.list_stale_after;
     let versions = gateway.sole_versions.borrow();
-    let version = versions.held_for(&inbound.service, age, gateway.now())?;
+    let held = versions.held_for(&inbound.service, age, gateway.now());
+    let initial = versions.held_since_first_list(&inbound.service);
+    let version = held.or_else(|| initial.filter(|_| !is_named))?;
     Some(StreamOrigin {
         service: inbound.service.clone(),
         replica: BackendId::default(),
--- a/crates/gateway-server/tests/gateway/resumed_streams.rs
+++ b/crates/gateway-server/tests/gateway/resumed_streams.rs
@@ -238,6 +238,19 @@
     }
 }
 
+#[actix_rt::test]
+async fn a_gateway_that_has_just_started_continues_unnamed_streams_of_the_only_version() {
+    let replica = Replica::start_version("r0", "v1", Script::Stream).await;
+    let fleet = fleet(&[replica]).await;
+    let unnamed = TestRequest::post("/resumable/x", "a", "body").with("last-event-id", 1);
+    let response = unnamed.send(fleet.gateway_address).await;
+    assert_eq!((response.status, response.body), (200, events(2..5)));
+    let named = resuming("never-seen", "b")
+        .send(fleet.gateway_address)
+        .await;
+    assert_eq!(named.status, 503);
+}
+
 /// The list brings a new replica before its version: for that moment the service must not count as
 /// one with several versions.
 #[actix_rt::test]
--- a/crates/scheduling/src/sole_versions.rs
+++ b/crates/scheduling/src/sole_versions.rs
@@ -12,29 +12,38 @@
 #[derive(Clone, Debug, Default)]
 pub struct SoleVersions {
     services: HashMap<String, SoleVersion>,
+    has_list: bool,
 }
 
 #[derive(Clone, Debug)]
 struct SoleVersion {
     version: SoftwareVersion,
     since: Timestamp,
+    /// True if the service has had no other version since the first list.
+    is_initial: bool,
 }
 
 impl SoleVersions {
-    /// Sets the services that have a single version now. All others have several, or unknown ones.
+    /// Sets the services that have a single version in the present list. All others have several,
+    /// or unknown ones.
     pub fn update<'list>(
         &mut self,
         services: impl Iterator<Item = (&'list str, &'list SoftwareVersion)>,
         now: Timestamp,
     ) {
         let mut before = std::mem::take(&mut self.services);
+        let is_initial = !std::mem::replace(&mut self.has_list, true);
         for (service, version) in services {
             let same = before.remove_entry(service);
             let same = same.filter(|(_, sole)| sole.version == *version);
             let (service, sole) = same.unwrap_or_else(|| {
                 let version = version.clone();
-                let since = now;
-                (service.to_owned(), SoleVersion { version, since })
+                let sole = SoleVersion {
+                    version,
+                    since: now,
+                    is_initial,
+                };
+                (service.to_owned(), sole)
             });
             self.services.insert(service, sole);
         }
@@ -54,4 +63,11 @@
         let is_held = now.since(sole.since) >= duration;
         (is_unnamed || is_held).then_some(&sole.version)
     }
+
+    /// Returns the single version of a service, if it has had no other since the first list.
+    #[must_use]
+    pub fn held_since_first_list(&self, service: &str) -> Option<&SoftwareVersion> {
+        let sole = self.services.get(service)?;
+        sole.is_initial.then_some(&sole.version)
+    }
 }
--- a/crates/scheduling/tests/sole_versions.rs
+++ b/crates/scheduling/tests/sole_versions.rs
@@ -49,6 +49,11 @@
         self.sole_versions.update(sole_versions, at(seconds));
     }
 
+    fn held_since_first_list(&self) -> Option<&str> {
+        let version = self.sole_versions.held_since_first_list("s");
+        version.map(|version| version.0.as_str())
+    }
+
     fn held(&self, seconds: u64) -> Option<&str> {
         let version = self.sole_versions.held_for("s", HELD, at(seconds));
         version.map(|version| version.0.as_str())
@@ -107,3 +112,14 @@
     follower.list("a", Some(""), false, 1);
     assert_eq!(follower.held(1), Some(""));
 }
+
+#[test]
+fn a_version_that_came_after_another_one_was_not_there_from_the_first_list() {
+    let mut follower = Follower::new();
+    follower.list("a", Some("v1"), false, 1);
+    assert_eq!(follower.held_since_first_list(), Some("v1"));
+    follower.list("b", Some("v2"), false, 2);
+    assert_eq!(follower.held_since_first_list(), None);
+    follower.remove("a", 3);
+    assert_eq!(follower.held_since_first_list(), None);
+}
