Continue a stream elsewhere when another replica took the address of its own

A stream whose replica ended, and whose address another replica took before the list showed it, was broken off though replicas of its version served; the caller had to resume it. Cause: the response 421 of the new replica was taken for one of the old replica, which would still hold the stream. Change: 421 says that the replica is gone, as a refused connection does.

--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -499,9 +499,9 @@
     }
 
     /// Resumes a broken stream after its last event, if the route allows it: at the same replica,
-    /// or at another one of its software version if that replica is unreachable or no longer
-    /// listed. A replica that still exists counts as having run the request, so the stream does not
-    /// continue at another one.
+    /// or at another one of its software version if that replica is unreachable, no longer listed,
+    /// or another replica has its address. A replica that still exists counts as having run the
+    /// request, so the stream does not continue at another one.
     async fn resume(
         &mut self,
         broken: Source,
@@ -535,7 +535,8 @@
                 Err(failure) => failure,
             };
             let is_listed = self.gateway.pool.borrow().listed(&backend.id).is_some();
-            if failure != Failure::Unreachable && is_listed {
+            let is_gone = matches!(failure, Failure::Unreachable | Failure::Misdirected);
+            if !is_gone && is_listed {
                 return Err("not_resumed");
             }
         }
--- a/crates/gateway-server/tests/gateway/resumed_streams.rs
+++ b/crates/gateway-server/tests/gateway/resumed_streams.rs
@@ -111,6 +111,17 @@
     assert_eq!((response.is_whole, response.body), (true, events(0..5)));
 }
 
+#[actix_rt::test]
+async fn a_stream_continues_at_its_software_version_when_another_replica_took_the_address() {
+    let replaced = Replica::start_version("r0", "v1", Script::StreamReplaced(2)).await;
+    let same = Replica::start_version("r1", "v1", Script::Stream).await;
+    let other = Replica::start_version("r2", "v2", Script::Stream).await;
+    let fleet = fleet(&[replaced.clone(), same.clone(), other.clone()]).await;
+    let (id, response) = stream_at(&fleet, "/resumable/x", &replaced).await;
+    assert!(has_seen(&same, &id) && !has_seen(&other, &id));
+    assert_eq!((response.is_whole, response.body), (true, events(0..5)));
+}
+
 #[actix_rt::test]
 async fn a_stalled_stream_does_not_move_to_another_software_version() {
     let stalled = Replica::start_version("r0", "v1", Script::StreamStalled(2)).await;
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -53,6 +53,8 @@
     StreamCut(usize),
     /// Sends this many complete events, closes all connections and accepts no more.
     StreamCrashes(usize),
+    /// Sends this many complete events and closes. From then on another replica has its address.
+    StreamReplaced(usize),
     /// Sends this many events, a part of the next one, and the proper end of the body.
     StreamEndsInside(usize),
     /// Sends five events, starting after the last event named by the request.
@@ -277,6 +279,10 @@
                 self.crash.cancel();
                 return false;
             }
+            Script::StreamReplaced(events) => {
+                self.set_script(Script::Misdirected);
+                return self.stream(seen, stream, Some((*events, "", ""))).await;
+            }
             Script::StreamStalled(events) => {
                 return self.stream_stalled(seen, stream, *events).await;
             }
