Test the takeover of streams from killed and frozen gateways, and without turn stores

The soak covers these ways only by chance, and a gateway without stores not at all. Three tests of real processes begin streams at one gateway, lose the gateway (killed or frozen) and the replica, and resume at another gateway, six streams each; with all stores killed a gateway continues its own streams, refuses those of others with a time to retry, and still refuses them when the stores are back without records.

--- a/app/luglink/tests/stream_soak/callers.rs
+++ b/app/luglink/tests/stream_soak/callers.rs
@@ -138,17 +138,17 @@
 
 /// Events of one stream, over all attempts.
 #[derive(Default)]
-struct Received {
+pub struct Received {
     /// Request that brought the first event.
-    began_as: Option<String>,
+    pub began_as: Option<String>,
     /// Number and version of each event, in the order of arrival.
-    events: Vec<(usize, usize)>,
+    pub events: Vec<(usize, usize)>,
     text: String,
 }
 
 impl Received {
     /// Adds a part of a response. Returns the number of events that it completes.
-    fn add(&mut self, request: &str, bytes: &[u8]) -> usize {
+    pub fn add(&mut self, request: &str, bytes: &[u8]) -> usize {
         self.text.push_str(std::str::from_utf8(bytes).unwrap());
         let before = self.events.len();
         while let Some(end) = self.text.find("\n\n") {
@@ -169,7 +169,7 @@
 
     /// Returns a description of the stream if it has events of several versions, or if its events
     /// are not the first ones in order.
-    fn fault(&self) -> Option<String> {
+    pub fn fault(&self) -> Option<String> {
         let expected = (0..).map(|number| (number, self.version().unwrap_or_default()));
         let is_sound = self
             .events
@@ -313,7 +313,8 @@
     }
 }
 
-fn message(path: &str, request: &str, left: Duration, received: &Received) -> Request<Body> {
+/// Returns a request that begins a stream, or resumes the one that was received in part.
+pub fn message(path: &str, request: &str, left: Duration, received: &Received) -> Request<Body> {
     let mut message = Request::get(path)
         .header("host", HOST)
         .header("luglink-request-id", request)
--- a/app/luglink/tests/stream_soak/fleet.rs
+++ b/app/luglink/tests/stream_soak/fleet.rs
@@ -1,6 +1,6 @@
 //! Fleet of `luglink` processes, each with a loopback address of its own.
 
-use crate::replicas::Replicas;
+use crate::replicas::{Faults, Replicas};
 use awc::Client;
 use luglink_edge::{Configuration, Limits, Route, RouteKind, Service, Target};
 use rustix::process::{Pid, Signal, kill_process};
@@ -134,9 +134,9 @@
 
 impl Fleet {
     /// Starts all processes and waits until all gateways serve.
-    pub async fn start(seed: u64, gateways: usize) -> Self {
+    pub async fn start(seed: u64, gateways: usize, faults: Faults) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let replicas = Replicas::start(seed, REPLICAS_PER_VERSION).await;
+        let replicas = Replicas::start(seed, REPLICAS_PER_VERSION, faults).await;
         let list = replicas.serve_list().await;
         let block = NEXT_FLEET.fetch_add(1, Ordering::Relaxed) % 60;
         let process = std::process::id() % 250;
--- a/app/luglink/tests/stream_soak/main.rs
+++ b/app/luglink/tests/stream_soak/main.rs
@@ -8,9 +8,11 @@
 mod fleet;
 mod random;
 mod replicas;
+mod takeover;
 
 use callers::{Callers, Report};
 use fleet::Fleet;
+use replicas::Faults;
 use std::ops::Range;
 use std::time::Duration;
 
@@ -46,7 +48,7 @@
     } else {
         GATEWAYS
     };
-    let fleet = Fleet::start(seed, gateways).await;
+    let fleet = Fleet::start(seed, gateways, Faults::Random).await;
     let callers = Callers::start(&fleet, seed);
     chaos::run(&fleet, seed, TRAFFIC_DURATION).await;
     let report = callers.stop().await;
--- a/app/luglink/tests/stream_soak/replicas.rs
+++ b/app/luglink/tests/stream_soak/replicas.rs
@@ -30,6 +30,13 @@
 /// Time for which a draining replica goes on serving, longer than the fleet's `drain_ms`.
 const DRAIN_DURATION: Duration = Duration::from_millis(3_400);
 
+/// Whether replicas break and stall streams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Faults {
+    None,
+    Random,
+}
+
 /// Stand-in replica.
 #[derive(Clone)]
 pub struct Replica {
@@ -39,6 +46,7 @@
     is_draining: Rc<Cell<bool>>,
     end: CancellationToken,
     random: Rc<RefCell<Random>>,
+    faults: Faults,
 }
 
 /// Replicas of the platform's list.
@@ -47,15 +55,17 @@
     listed: Rc<RefCell<Vec<Replica>>>,
     started: Rc<Cell<usize>>,
     seed: u64,
+    faults: Faults,
 }
 
 impl Replicas {
     /// Starts `count` replicas of each of two versions.
-    pub async fn start(seed: u64, count: usize) -> Self {
+    pub async fn start(seed: u64, count: usize, faults: Faults) -> Self {
         let replicas = Self {
             listed: Rc::default(),
             started: Rc::default(),
             seed,
+            faults,
         };
         for version in [1, 2] {
             for _ in 0..count {
@@ -75,6 +85,7 @@
             address: listener.local_addr().unwrap(),
             is_draining: Rc::default(),
             end: CancellationToken::new(),
+            faults: self.faults,
             random: Rc::new(RefCell::new(Random::new(self.seed ^ (number as u64) << 32))),
         };
         self.listed.borrow_mut().push(replica.clone());
@@ -121,6 +132,15 @@
         });
     }
 
+    /// Ends a replica at once. One of the same version replaces it.
+    pub async fn replace(&self, id: &str) {
+        let listed = self.listed.borrow().clone();
+        let replica = listed.iter().find(|listed| listed.id == id).unwrap();
+        replica.end.cancel();
+        self.remove(id);
+        self.add(replica.version).await;
+    }
+
     /// Replaces a replica by one of another version.
     pub async fn release(&self, random: &mut Random) {
         let Some(replica) = self.pick(random) else {
@@ -199,6 +219,11 @@
         }
     }
 
+    /// Returns true if a fault of this probability happens now.
+    fn has_fault(&self, percent: usize) -> bool {
+        self.faults == Faults::Random && self.random.borrow_mut().percent(percent)
+    }
+
     /// Responds to a request. Returns true if the connection stays open.
     async fn respond(&self, headers: &BTreeMap<String, String>, stream: &mut TcpStream) -> bool {
         let id = headers
@@ -224,10 +249,10 @@
         }
         for number in from..EVENTS {
             actix_rt::time::sleep(EVENT_INTERVAL).await;
-            if self.random.borrow_mut().percent(BREAK_PERCENT) {
+            if self.has_fault(BREAK_PERCENT) {
                 return false;
             }
-            if self.random.borrow_mut().percent(STALL_PERCENT) {
+            if self.has_fault(STALL_PERCENT) {
                 actix_rt::time::sleep(STALL_DURATION).await;
             }
             let event = format!("id: {number}\ndata: {}\n\n", self.version);
