Keep origins at stores of an older build as hints of accounts

Cause: such stores pass over the parts that carry origins. Change: a response of this build always has its part, so a store without it is known; it gets the origin in the replica hint of an account of its own, which every build keeps in memory and returns.

--- a/crates/gateway-server/src/store_link.rs
+++ b/crates/gateway-server/src/store_link.rs
@@ -2,7 +2,10 @@
 
 use luglink_fleet::{StoreName, StreamOrigin};
 use luglink_net::RequestClient;
-use luglink_turns::{OriginRequest, StoreRequest, StoreResponse, decode_origin};
+use luglink_turns::{
+    OriginRecord, OriginRequest, OriginResponse, StoreRequest, StoreResponse, TurnId, hint_query,
+    hint_request, hinted_origin,
+};
 use luglink_wire::{
     ClientRole, Hello, PROTOCOL_VERSION, WireError, decode_body, decode_with_parts, encode_body,
     encode_with_parts,
@@ -69,24 +72,46 @@
         async move { self.exchange(body?, decode_body).await }
     }
 
-    /// Sends a request about the origin of a stream, under the same conditions as
-    /// [`StoreLink::send`]. Returns the origin if the store has it; `None` if the store does not
-    /// answer in time.
-    pub(crate) fn send_origin_request(
+    /// Sends the origin of a stream, to a store of a build without origins as a hint.
+    pub(crate) async fn record_origin(self: Rc<Self>, epoch: u64, record: Rc<OriginRecord>) {
+        let request = OriginRequest::Record((*record).clone());
+        let answer = self.exchange_origin(&request).await;
+        if answer.is_some_and(|response| response.is_none())
+            && let Ok(hint) = hint_request(epoch, &record)
+        {
+            self.send(&hint).await;
+        }
+    }
+
+    /// Queries the origin of a stream, of a store of a build without origins as a hint. Returns the
+    /// origin if the store has it; `None` if the store does not answer in time.
+    pub(crate) async fn find_origin(
         self: Rc<Self>,
-        request: &OriginRequest,
-    ) -> impl Future<Output = Option<Option<StreamOrigin>>> + use<> {
-        let parts = request.encode();
-        let body = parts.and_then(|parts| encode_with_parts(&OriginRequest::message(), &parts));
-        async move {
-            let decode = |answer: &[u8]| {
-                let (_, parts) = decode_with_parts::<StoreResponse>(answer)?;
-                decode_origin(&parts)
-            };
-            self.exchange(body.ok()?, decode).await
+        epoch: u64,
+        stream: TurnId,
+    ) -> Option<Option<StreamOrigin>> {
+        let request = OriginRequest::Find(stream.clone());
+        match self.exchange_origin(&request).await? {
+            Some(response) => Some(response.origin),
+            None => {
+                let response = self.send(&hint_query(epoch, &stream)).await?;
+                Some(hinted_origin(&response))
+            }
         }
     }
 
+    /// Sends a request about the origin of a stream. Returns no response inside the answer if the
+    /// store is of a build without origins.
+    async fn exchange_origin(&self, request: &OriginRequest) -> Option<Option<OriginResponse>> {
+        let parts = request.encode().ok()?;
+        let body = encode_with_parts(&OriginRequest::message(), &parts).ok()?;
+        let decode = |answer: &[u8]| {
+            let (_, parts) = decode_with_parts::<StoreResponse>(answer)?;
+            OriginResponse::decode(&parts)
+        };
+        self.exchange(body, decode).await
+    }
+
     async fn exchange<Response>(
         &self,
         body: Vec<u8>,
--- a/crates/gateway-server/src/turn_client.rs
+++ b/crates/gateway-server/src/turn_client.rs
@@ -7,8 +7,8 @@
 use luglink_fleet::{BackendId, StoreName, StoreState, StoreView, StreamOrigin};
 use luglink_quota::{QuotaOwner, QuotaRequest, QuotaResponse};
 use luglink_turns::{
-    Account, ChainQuery, OriginRecord, OriginRequest, ProgramName, Replication, Spend,
-    StoreRequest, StoreResponse, TurnId, TurnRecord,
+    Account, ChainQuery, OriginRecord, ProgramName, Replication, Spend, StoreRequest,
+    StoreResponse, TurnId, TurnRecord,
 };
 use luglink_types::TenantName;
 use snafu::Snafu;
@@ -374,10 +374,10 @@
         let owners = self
             .replication
             .owners(&self.view.borrow(), &record.stream.0);
-        let request = OriginRequest::Record(record);
+        let record = Rc::new(record);
         let links = self.links.borrow();
         for link in owners.iter().filter_map(|owner| links.get(owner)) {
-            actix_rt::spawn(Rc::clone(link).send_origin_request(&request));
+            actix_rt::spawn(Rc::clone(link).record_origin(self.epoch(), Rc::clone(&record)));
         }
     }
 
@@ -408,11 +408,11 @@
         stream: &TurnId,
         answers: &mut usize,
     ) -> Option<StreamOrigin> {
-        let request = OriginRequest::Find(stream.clone());
         let mut pending: FuturesUnordered<_> = {
             let links = self.links.borrow();
             let links = stores.iter().filter_map(|store| links.get(store));
-            let pending = links.map(|link| Rc::clone(link).send_origin_request(&request));
+            let epoch = self.epoch();
+            let pending = links.map(|link| Rc::clone(link).find_origin(epoch, stream.clone()));
             pending.collect()
         };
         while let Some(answer) = pending.next().await {
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -10,8 +10,8 @@
 use luglink_quota::Tolerance;
 use luglink_storage::{FileDisk, WalConfig};
 use luglink_turns::{
-    Chain, OriginRequest, Output, Replication, RequestToken, StoreConfig, StoreNode, StoreRequest,
-    StoreResponse, encode_origin,
+    Chain, OriginRequest, OriginResponse, Output, Replication, RequestToken, StoreConfig,
+    StoreNode, StoreRequest, StoreResponse,
 };
 use luglink_wire::{Frame, WireError, decode_with_parts, encode_body, encode_with_parts};
 use rand::RngCore;
@@ -263,8 +263,8 @@
         let incarnation = node.incarnation();
         drop(node);
         let response = StoreResponse::Chain(Chain::Absent { incarnation });
-        let body =
-            encode_origin(origin.as_ref()).and_then(|parts| encode_with_parts(&response, &parts));
+        let parts = OriginResponse { origin }.encode();
+        let body = parts.and_then(|parts| encode_with_parts(&response, &parts));
         self.send(token, body);
     }
 
--- a/crates/turns/src/parts.rs
+++ b/crates/turns/src/parts.rs
@@ -18,8 +18,8 @@
 /// Request part: stream whose origin is queried.
 const FIND_ORIGIN: PartNumber = PartNumber(2);
 
-/// Response part: origin of the stream.
-const ORIGIN: PartNumber = PartNumber(3);
+/// Response part: result of either request.
+const ORIGIN_RESPONSE: PartNumber = PartNumber(3);
 
 /// Origin of a stream that a store keeps in memory.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -75,22 +75,29 @@
     }
 }
 
-/// Encodes the part of a response that has an origin.
-///
-/// # Errors
-/// Fails if the part cannot be encoded.
-pub fn encode_origin(origin: Option<&StreamOrigin>) -> Result<Parts, WireError> {
-    let mut parts = Parts::default();
-    if let Some(origin) = origin {
-        parts.put(ORIGIN, origin)?;
-    }
-    Ok(parts)
+/// Response to a request about the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginResponse {
+    /// The origin, if the request asked for it and the store has it.
+    pub origin: Option<StreamOrigin>,
 }
 
-/// Decodes the origin in a response, if there is one.
-///
-/// # Errors
-/// Fails if the part cannot be decoded.
-pub fn decode_origin(parts: &Parts) -> Result<Option<StreamOrigin>, WireError> {
-    parts.get(ORIGIN)
+impl OriginResponse {
+    /// Encodes the part for the wire.
+    ///
+    /// # Errors
+    /// Fails if the part cannot be encoded.
+    pub fn encode(&self) -> Result<Parts, WireError> {
+        let mut parts = Parts::default();
+        parts.put(ORIGIN_RESPONSE, self)?;
+        Ok(parts)
+    }
+
+    /// Decodes the part from the wire; `None` if the store is of a build without origins.
+    ///
+    /// # Errors
+    /// Fails if the part cannot be decoded.
+    pub fn decode(parts: &Parts) -> Result<Option<Self>, WireError> {
+        parts.get(ORIGIN_RESPONSE)
+    }
 }
--- a/crates/turns/tests/origins.rs
+++ b/crates/turns/tests/origins.rs
@@ -1,9 +1,12 @@
 //! Origins of streams: their table, and messages about them between builds.
 
-use luglink_fleet::{BackendId, Incarnation, SoftwareVersion, StreamOrigin};
+use luglink_fleet::{BackendId, Incarnation, SoftwareVersion, StoreName, StreamOrigin};
+use luglink_quota::Tolerance;
+use luglink_storage::{MemoryDisk, WalConfig};
 use luglink_turns::{
-    Chain, ChainQuery, OriginRecord, OriginRequest, OriginTable, StoreRequest, StoreResponse,
-    TurnId, decode_origin, encode_origin,
+    Chain, ChainQuery, OriginRecord, OriginRequest, OriginResponse, OriginTable, Output,
+    Replication, RequestToken, StoreConfig, StoreNode, StoreRequest, StoreResponse, TurnId,
+    hint_query, hint_request, hinted_origin,
 };
 use luglink_types::Timestamp;
 use luglink_wire::{Parts, decode_body, decode_with_parts, encode_body, encode_with_parts};
@@ -97,13 +100,76 @@
     assert_eq!(OriginRequest::decode(&parts).unwrap(), None);
     let absent = StoreResponse::Chain(Chain::Absent { incarnation: 7 });
     let (_, parts) = decode_with_parts::<StoreResponse>(&encode_body(&absent).unwrap()).unwrap();
-    assert_eq!(decode_origin(&parts).unwrap(), None);
+    assert_eq!(OriginResponse::decode(&parts).unwrap(), None);
 }
 
 #[test]
 fn the_origin_in_a_response_round_trips() {
     for origin in [None, Some(origin("v1"))] {
-        let parts: Parts = encode_origin(origin.as_ref()).unwrap();
-        assert_eq!(decode_origin(&parts).unwrap(), origin);
+        let response = OriginResponse { origin };
+        let parts: Parts = response.encode().unwrap();
+        assert_eq!(OriginResponse::decode(&parts).unwrap(), Some(response));
+    }
+}
+
+fn store() -> StoreNode<MemoryDisk> {
+    let config = StoreConfig {
+        name: StoreName("store".to_owned()),
+        replication: Replication::surviving(0),
+        wal: WalConfig {
+            segment_bytes: 1 << 20,
+        },
+        quota_tolerance: Tolerance {
+            window: Duration::from_secs(5),
+            overage: 0.0,
+            slack: 0.0,
+        },
+    };
+    StoreNode::start(config, MemoryDisk::default(), 7, at(0)).unwrap()
+}
+
+fn respond(
+    store: &mut StoreNode<MemoryDisk>,
+    request: StoreRequest,
+    now: Timestamp,
+) -> StoreResponse {
+    let token = RequestToken {
+        client: 1,
+        request: 1,
+    };
+    store.handle(token, request, now);
+    match store.flush().pop() {
+        Some(Output::Reply { response, .. }) => *response,
+        other => panic!("expected a reply, got {other:?}"),
+    }
+}
+
+/// Requests for hints are plain reservations, which stores of any build handle like this one.
+#[test]
+fn a_store_without_origins_keeps_them_as_hints_until_they_expire() {
+    let mut store = store();
+    let record = OriginRecord {
+        stream: stream(1),
+        origin: origin("v1"),
+        retention_ms: 6_000,
+    };
+    respond(&mut store, hint_request(0, &record).unwrap(), at(0));
+    let found = respond(&mut store, hint_query(0, &stream(1)), at(5));
+    assert_eq!(hinted_origin(&found), Some(origin("v1")));
+    let unknown = respond(&mut store, hint_query(0, &stream(2)), at(5));
+    assert_eq!(hinted_origin(&unknown), None);
+    store.tick(at(30));
+    assert_eq!(store.counts(), (0, 0));
+}
+
+#[test]
+fn a_hint_that_is_no_origin_is_ignored() {
+    for hint in ["", "i-1", "zz", "00ff"] {
+        let response = StoreResponse::Spent {
+            account: luglink_turns::Account::default(),
+            chain: None,
+            served_by: Some(BackendId(hint.to_owned())),
+        };
+        assert_eq!(hinted_origin(&response), None, "{hint}");
     }
 }
