--- a/crates/fleet/src/backend_list.rs
+++ b/crates/fleet/src/backend_list.rs
@@ -31,6 +31,8 @@
     incarnation_sum: u64,
     /// Sum of the hashes of all known software versions.
     version_sum: u64,
+    /// Number of replicas whose software version is known.
+    versions_known: usize,
 }
 
 impl BackendList {
@@ -88,6 +90,7 @@
         let incarnation = backend.incarnation_hash();
         self.incarnation_sum = self.incarnation_sum.wrapping_add(incarnation);
         self.version_sum = self.version_sum.wrapping_add(backend.version_hash());
+        self.versions_known += usize::from(backend.version.is_some());
         self.sum = self.sum.wrapping_add(backend.hash_value());
         match self.backends.entry(backend.id.clone()) {
             Entry::Vacant(entry) => {
@@ -112,6 +115,7 @@
         let incarnation = previous.incarnation_hash();
         self.incarnation_sum = self.incarnation_sum.wrapping_sub(incarnation);
         self.version_sum = self.version_sum.wrapping_sub(previous.version_hash());
+        self.versions_known -= usize::from(previous.version.is_some());
     }
 
     /// Returns the sum of the hashes of all known software versions, which identifies them.
@@ -120,6 +124,12 @@
         self.version_sum
     }
 
+    /// Returns true if the software version of any replica is not known.
+    #[must_use]
+    pub fn lacks_versions(&self) -> bool {
+        self.versions_known < self.len()
+    }
+
     /// Returns the software version of a replica, if it is known.
     #[must_use]
     pub fn version_of(&self, id: &BackendId) -> Option<ReplicaVersion> {
--- a/crates/fleet/tests/software_versions.rs
+++ b/crates/fleet/tests/software_versions.rs
@@ -114,6 +114,19 @@
     assert_eq!(versions(copy.list()), [Some("v2".to_owned())]);
 }
 
+#[test]
+fn a_list_lacks_versions_until_all_are_known() {
+    let mut copy = ListCopy::default();
+    copy.replace(list(&[Some("v1"), None]), at(1));
+    assert!(copy.list().lacks_versions());
+    copy.merge_versions(&[entry(1, 5, "v2")]);
+    assert!(!copy.list().lacks_versions());
+    copy.replace(list(&[Some("v1")]), at(2));
+    assert!(!copy.list().lacks_versions());
+    copy.replace(list(&[None, None, None]), at(3));
+    assert!(copy.list().lacks_versions());
+}
+
 #[test]
 fn versions_of_unlisted_replicas_are_ignored() {
     let mut copy = ListCopy::default();
