Test that a stream is not resumed at its replica after a restart at another version

Cause: the guard for a replica that came back at its address and identifier with other software had no test of a whole gateway.

--- a/crates/gateway-server/tests/gateway/resumed_streams.rs
+++ b/crates/gateway-server/tests/gateway/resumed_streams.rs
@@ -122,6 +122,30 @@
     assert_eq!((response.is_whole, response.body), (true, events(0..5)));
 }
 
+#[actix_rt::test]
+async fn a_broken_stream_is_not_resumed_at_its_replica_after_a_restart_at_another_version() {
+    let replica = Replica::start_version("r0", "v1", Script::StreamStalled(2)).await;
+    replica.started_ms.set(1);
+    let fleet = fleet(std::slice::from_ref(&replica)).await;
+    let sending = beginning("/resumable/x", "s").send(fleet.gateway_address);
+    let restarting = async {
+        wait_until("the stream has begun", || async { replica.requests() > 0 }).await;
+        *replica.version.borrow_mut() = Some("v2".to_owned());
+        replica.started_ms.set(2);
+        replica.set_script(Script::Stream);
+        let restarts = "luglink_replica_restarts_total 1";
+        wait_until("the gateway knows of the restart", || async {
+            let metrics = get(fleet.gateway.metrics_address.unwrap(), "/metrics").await;
+            metrics.body.contains(restarts)
+        })
+        .await;
+        replica.reset.notify_one();
+    };
+    let (response, ()) = tokio::join!(sending, restarting);
+    assert_eq!((response.is_whole, response.body), (false, events(0..2)));
+    assert_eq!(replica.requests(), 1);
+}
+
 #[actix_rt::test]
 async fn a_stalled_stream_does_not_move_to_another_software_version() {
     let stalled = Replica::start_version("r0", "v1", Script::StreamStalled(2)).await;
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 /// Size of one event's data in [`Script::Flood`].
@@ -105,6 +106,8 @@
     pub running: Rc<Cell<Option<u32>>>,
     /// Software version in its list entry; `None` if the entry has none.
     pub version: Rc<RefCell<Option<String>>>,
+    /// Closes the connections of [`Script::StreamStalled`] when notified.
+    pub reset: Rc<Notify>,
     /// Set once the replica has crashed.
     crash: CancellationToken,
 }
@@ -123,6 +126,7 @@
             accepted: Rc::default(),
             running: Rc::default(),
             version: Rc::default(),
+            reset: Rc::default(),
             crash: CancellationToken::new(),
         };
         let serving = replica.clone();
@@ -346,7 +350,10 @@
         }
         if stream.write_all(text.as_bytes()).await.is_ok() {
             let mut rest = [0];
-            let _ = stream.read(&mut rest).await;
+            tokio::select! {
+                _ = stream.read(&mut rest) => {}
+                () = self.reset.notified() => {}
+            }
         }
         self.closed.set(self.closed.get() + 1);
         false
