Keep the logs of a failed cluster test

Cause: ctl_reports_the_outcome_of_each_command failed once today and could not be traced, because its logs went with its folder. Change: the folder stays after a failure and its path is printed.

--- a/app/luglink/tests/support/mod.rs
+++ b/app/luglink/tests/support/mod.rs
@@ -104,6 +104,16 @@
     data: TempDir,
 }
 
+/// Keeps the settings, data and logs of a failed test.
+impl Drop for TestCluster {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.data.disable_cleanup(true);
+            println!("logs are kept in {}", self.data.path().display());
+        }
+    }
+}
+
 impl TestCluster {
     /// Starts all processes and engines and waits until the daemons are ready.
     pub async fn start() -> Self {
