Log the identity of a request over its attempts, and whether its replica is still connected

Change: a fingerprint of what a replica gets to run (method, host, target, body, and the program and turn or the parts of the prompt) in the lines on failed sends and resumptions, with the incarnation of the replica and whether another connection that was open before is still open. No decision depends on it yet.

--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -97,7 +97,9 @@
         }
         tracing::info!(
             id = inbound.id,
+            request = %inbound.fingerprint,
             replica = %backend.id,
+            started_ms = backend.incarnation.0,
             reason = failure.as_str(),
             runs = self.runs,
             sends = self.tried.len(),
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -12,7 +12,7 @@
 use luglink_http::{Body, SendError, full_body};
 use luglink_telemetry::milliseconds;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Fraction of a replica's connection limit that all gateways share. The rest is a margin for
 /// gateways that know of fewer gateways than exist.
@@ -119,6 +119,8 @@
     tracing::warn!(
         replica = %backend.id,
         reason = failure.as_str(),
+        started_ms = backend.incarnation.0,
+        is_replica_connected = gateway.upstream.has_open_since(&backend.id, Instant::now()),
         paused_ms = until.map(|until| milliseconds(until.since(gateway.now()))),
         "replica marked as failed"
     );
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -1,6 +1,7 @@
 //! Reading, authentication and routing of a caller's request.
 
 use crate::caller_watch::CallerWatch;
+use crate::fingerprint;
 use crate::gateway::{ActiveConfiguration, Gateway};
 use crate::held::HeldBytesGuard;
 use crate::refusal::Refusal;
@@ -11,7 +12,7 @@
 use hyper::body::{Body as _, Incoming};
 use luglink_edge::{Caller, KeyError, Route, RouteKind};
 use luglink_scheduling::PromptParts;
-use luglink_turns::{ProgramName, TurnId};
+use luglink_turns::{ProgramName, RequestFingerprint, TurnId};
 use luglink_types::TenantName;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -43,6 +44,8 @@
 #[derive(Debug)]
 pub(crate) struct InboundRequest {
     pub(crate) id: String,
+    /// Identity of the request over the attempts of its caller.
+    pub(crate) fingerprint: RequestFingerprint,
     pub(crate) route: Rc<Route>,
     /// Authenticated caller.
     pub(crate) caller: Caller,
@@ -175,8 +178,10 @@
         program_left.and_then(|left| arrived.checked_add(Duration::from_millis(left)));
     let watch = CallerWatch::begin(&gateway.metrics, &id, &route, arrived);
     let service = route.service_for(share).unwrap_or_default().to_owned();
+    let fingerprint = fingerprint::of(gateway, &caller, &head, &body);
     Ok(InboundRequest {
         id,
+        fingerprint,
         service,
         route,
         caller,
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -12,6 +12,7 @@
 mod errors;
 mod exchange;
 mod failure;
+mod fingerprint;
 mod first_event;
 mod gateway;
 mod hedging;
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -519,10 +519,15 @@
             return Err(reason);
         }
         self.resumptions += 1;
+        let now = Instant::now();
+        let is_replica_connected = self.gateway.upstream.has_open_since(&backend.id, now);
         tracing::info!(
             id = self.inbound.id,
+            request = %self.inbound.fingerprint,
             replica = %backend.id,
+            started_ms = backend.incarnation.0,
             reason,
+            is_replica_connected,
             events = self.events,
             "resuming a broken stream"
         );
--- a/crates/gateway-server/src/upstream.rs
+++ b/crates/gateway-server/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderMap, header};
 use luglink_fleet::{Backend, BackendId};
-use luglink_http::{ClientConnection, ConnectError, connect};
+use luglink_http::{ClientConnection, ConnectError, ConnectionState, connect};
 use prometheus::IntCounter;
 use snafu::Snafu;
 use std::cell::{Cell, RefCell};
@@ -39,9 +39,19 @@
     /// Idle connections and the times until which they may be reused.
     idle: RefCell<Vec<(ClientConnection, Instant)>>,
     open_count: Cell<u32>,
+    /// Open connections, idle or not, and the times at which they were opened.
+    opened: RefCell<Vec<(ConnectionState, Instant)>>,
     freed: Notify,
 }
 
+impl Connections {
+    fn note_opened(&self, connection: &ClientConnection) {
+        let mut opened = self.opened.borrow_mut();
+        opened.retain(|(state, _)| state.is_open());
+        opened.push((connection.state(), Instant::now()));
+    }
+}
+
 /// Connection leased for one request. Dropping the lease closes the connection, which cancels the
 /// request at the replica; [`Lease::give_back`] returns the connection to the pool.
 #[derive(Debug)]
@@ -146,6 +156,18 @@
         })
     }
 
+    /// Returns true if a connection to a replica that was opened before `time` is still open. The
+    /// process that had it then is still running.
+    pub(crate) fn has_open_since(&self, replica: &BackendId, time: Instant) -> bool {
+        let replicas = self.replicas.borrow();
+        let Some(connections) = replicas.get(replica) else {
+            return false;
+        };
+        let opened = connections.opened.borrow();
+        let mut earlier = opened.iter().filter(|(_, opened_at)| *opened_at < time);
+        earlier.any(|(state, _)| state.is_open())
+    }
+
     /// Leases a connection to a replica, preferably an idle one, and waits up to `timeout` while
     /// `limit` connections are open.
     pub(crate) async fn acquire(
@@ -191,6 +213,7 @@
         self.connects.inc();
         let connection = connect(backend.address, timeout.min(CONNECT_TIMEOUT)).await?;
         slot.0 = None;
+        connections.note_opened(&connection);
         Ok(Lease {
             connection: Some(connection),
             connections,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 
 /// The connection could not be opened. No request was sent.
 #[derive(Debug, Snafu)]
@@ -55,6 +56,18 @@
     },
 }
 
+/// Tells whether a connection is open, without keeping it open.
+#[derive(Clone, Debug)]
+pub struct ConnectionState(AbortHandle);
+
+impl ConnectionState {
+    /// Returns true until either side has closed the connection.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.0.is_finished()
+    }
+}
+
 /// HTTP/1.1 client connection. Dropping it closes the connection, even during a request.
 #[derive(Debug)]
 pub struct ClientConnection {
@@ -101,6 +114,12 @@
         self.sender.is_closed()
     }
 
+    /// Returns a handle that tells whether the connection is still open.
+    #[must_use]
+    pub fn state(&self) -> ConnectionState {
+        ConnectionState(self.task.abort_handle())
+    }
+
     /// Returns true if the next request can be sent now.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -15,6 +15,7 @@
 mod account;
 mod admission;
 mod errors;
+mod fingerprint;
 mod hand_over;
 mod journal;
 mod node;
@@ -29,6 +30,7 @@
 pub use account::{Account, Spend};
 pub use admission::BudgetDecision;
 pub use errors::TurnsError;
+pub use fingerprint::RequestFingerprint;
 pub use node::{Output, RequestToken, StoreConfig, StoreNode};
 pub use origin_hints::{hint_query, hint_request, hinted_origin};
 pub use origins::OriginTable;
