--- /dev/null
+++ b/crates/gateway-server/tests/gateway/crashing_requests.rs
@@ -0,0 +1,214 @@
+//! Requests that end every replica that runs them, and the requests that run beside them.
+
+use crate::support::caller::{TestRequest, TestResponse, get};
+use crate::support::replica::{Replica, Script};
+use crate::support::{Fleet, configuration, wait_until};
+use luglink_edge::RouteKind;
+use luglink_gateway_server::GatewayServer;
+use std::net::SocketAddr;
+
+/// Number of crashes under a request after which no replica gets it.
+const MAX_CRASHES: usize = 3;
+
+/// Number of attempts of a caller that does not give up.
+const ATTEMPTS: usize = 7;
+
+const REPLICAS: usize = 9;
+
+/// Part of the path of requests that crash their replicas.
+const CRASHING: &str = "crash";
+
+async fn fleet(script: Script) -> (Fleet, Vec<Replica>) {
+    let mut replicas = Vec::new();
+    for number in 0..REPLICAS {
+        replicas.push(Replica::start(&format!("r{number}"), script.clone()).await);
+    }
+    let fleet = Fleet::start(replicas.clone()).await;
+    fleet.configure(&configuration(1)).await;
+    (fleet, replicas)
+}
+
+async fn second_gateway(fleet: &Fleet) -> (GatewayServer, SocketAddr) {
+    let (gateway, address) = fleet.start_second_gateway().await;
+    let ready = SocketAddr::new(address.ip(), address.port() + 1);
+    wait_until("the second gateway is ready", || async {
+        get(ready, "/v1/ready").await.status == 200
+    })
+    .await;
+    (gateway, address)
+}
+
+fn crashed(replicas: &[Replica]) -> usize {
+    let crashed = replicas.iter().filter(|replica| replica.has_crashed());
+    crashed.count()
+}
+
+/// Sends attempts of one request to the gateways in turn. Returns the last response.
+async fn insist(request: impl Fn(&str) -> TestRequest, gateways: &[SocketAddr]) -> TestResponse {
+    let mut last = TestResponse::default();
+    for number in 0..ATTEMPTS {
+        let to = gateways[number % gateways.len()];
+        last = request(&format!("attempt-{number}")).send(to).await;
+    }
+    last
+}
+
+fn stream(id: &str) -> TestRequest {
+    TestRequest::post("/resumable/x", id, "the same body")
+}
+
+fn call(id: &str) -> TestRequest {
+    TestRequest::get("/safe/crash", id)
+}
+
+/// Asserts that an attempt was refused without a run, and that its caller knows when to come back.
+fn assert_refused(response: &TestResponse) {
+    assert_eq!(response.status, 503, "{response:?}");
+    let retry_after = response.header("retry-after").expect("a retry delay");
+    assert!(retry_after.parse::<f64>().unwrap() > 60.0, "{response:?}");
+}
+
+#[actix_rt::test]
+async fn a_stream_is_sent_to_no_replica_after_the_third_crash_under_it() {
+    let (fleet, replicas) = fleet(Script::StreamCrashes(2)).await;
+    let last = insist(stream, &[fleet.gateway_address]).await;
+    assert_eq!(crashed(&replicas), MAX_CRASHES);
+    assert_refused(&last);
+}
+
+#[actix_rt::test]
+async fn a_stream_without_events_is_sent_to_no_replica_after_the_third_crash_under_it() {
+    let (fleet, replicas) = fleet(Script::StreamCrashes(0)).await;
+    let last = insist(stream, &[fleet.gateway_address]).await;
+    assert_eq!(crashed(&replicas), MAX_CRASHES);
+    assert_refused(&last);
+}
+
+#[actix_rt::test]
+async fn a_call_is_sent_to_no_replica_after_the_third_crash_under_it() {
+    let (fleet, replicas) = fleet(Script::CrashesOn(CRASHING)).await;
+    let last = insist(call, &[fleet.gateway_address]).await;
+    assert_eq!(crashed(&replicas), MAX_CRASHES);
+    assert_refused(&last);
+}
+
+#[actix_rt::test]
+async fn a_hedged_call_is_sent_to_no_replica_after_the_third_crash_under_it() {
+    let (fleet, replicas) = fleet(Script::CrashesOn(CRASHING)).await;
+    let mut configuration = configuration(2);
+    for route in &mut configuration.routes {
+        route.max_attempts = 6;
+        route.target_latency_ms = 20;
+    }
+    fleet.configure(&configuration).await;
+    wait_until("the routes are in force", || async {
+        let metrics = get(fleet.gateway.metrics_address.unwrap(), "/metrics").await;
+        metrics.body.contains("luglink_configuration_version 2")
+    })
+    .await;
+    let last = insist(call, &[fleet.gateway_address]).await;
+    assert_eq!(crashed(&replicas), MAX_CRASHES);
+    assert_refused(&last);
+}
+
+#[actix_rt::test]
+async fn a_request_is_sent_by_no_gateway_after_the_third_crash_under_it() {
+    let (fleet, replicas) = fleet(Script::CrashesOn(CRASHING)).await;
+    let (_second, address) = second_gateway(&fleet).await;
+    let last = insist(call, &[fleet.gateway_address, address]).await;
+    assert_eq!(crashed(&replicas), MAX_CRASHES);
+    assert_refused(&last);
+}
+
+#[actix_rt::test]
+async fn a_gateway_that_has_just_started_knows_the_crashes_under_a_request() {
+    let (fleet, replicas) = fleet(Script::CrashesOn(CRASHING)).await;
+    insist(call, &[fleet.gateway_address]).await;
+    let (_second, address) = second_gateway(&fleet).await;
+    let last = insist(call, &[address]).await;
+    assert_eq!(crashed(&replicas), MAX_CRASHES);
+    assert_refused(&last);
+}
+
+#[actix_rt::test]
+async fn a_request_that_may_not_be_repeated_is_not_refused_as_not_run_where_it_crashed() {
+    let (fleet, _replicas) = fleet(Script::CrashesOn(CRASHING)).await;
+    for number in 0..MAX_CRASHES {
+        let request = TestRequest::post("/unsafe/crash", &format!("{number}"), "body");
+        assert_eq!(request.send(fleet.gateway_address).await.status, 502);
+    }
+    let request = TestRequest::post("/unsafe/crash", "last", "body");
+    assert_refused(&request.send(fleet.gateway_address).await);
+}
+
+#[actix_rt::test]
+async fn requests_beside_one_that_crashes_its_replicas_are_served() {
+    let (fleet, replicas) = fleet(Script::CrashesOn(CRASHING)).await;
+    let gateway = fleet.gateway_address;
+    let bystander = |number: usize| async move {
+        for attempt in 0..3 {
+            let id = format!("b{number}-{attempt}");
+            let request = TestRequest::get(&format!("/safe/{number}"), &id);
+            if request.send(gateway).await.status == 200 {
+                return true;
+            }
+        }
+        false
+    };
+    for round in 0..4 {
+        let numbers = round * 20..(round + 1) * 20;
+        let bystanders = futures_util::future::join_all(numbers.map(bystander));
+        let crashing = call(&format!("crashing-{round}")).send(gateway);
+        let (_, served) = tokio::join!(crashing, bystanders);
+        assert!(served.into_iter().all(|served| served));
+    }
+    assert_eq!(crashed(&replicas), MAX_CRASHES);
+}
+
+#[actix_rt::test]
+async fn a_request_whose_connections_are_reset_by_living_replicas_is_not_refused_for_good() {
+    let (fleet, replicas) = fleet(Script::ClosesOn("reset")).await;
+    let gateway = fleet.gateway_address;
+    let warm_up = (0..60).map(|number| {
+        let request = TestRequest::get(&format!("/safe/{number}"), &format!("w{number}"));
+        request.send(gateway)
+    });
+    futures_util::future::join_all(warm_up).await;
+    let request = |id: &str| TestRequest::get("/safe/reset", id);
+    assert_eq!(insist(request, &[gateway]).await.status, 502);
+    for replica in &replicas {
+        replica.set_script(Script::Answer);
+    }
+    assert_eq!(request("answered").send(gateway).await.status, 200);
+}
+
+#[actix_rt::test]
+async fn a_whole_response_ends_the_count_of_crashes_under_a_request() {
+    let (fleet, replicas) = fleet(Script::CrashesOn(CRASHING)).await;
+    let gateway = fleet.gateway_address;
+    assert_eq!(call("first").send(gateway).await.status, 502);
+    let before = crashed(&replicas);
+    for replica in &replicas {
+        replica.set_script(Script::Answer);
+    }
+    assert_eq!(call("second").send(gateway).await.status, 200);
+    for replica in &replicas {
+        replica.set_script(Script::CrashesOn(CRASHING));
+    }
+    insist(call, &[gateway]).await;
+    assert_eq!(crashed(&replicas), before + MAX_CRASHES);
+}
+
+#[actix_rt::test]
+async fn a_moved_stream_is_sent_to_no_replica_after_the_third_crash_under_it() {
+    let (fleet, replicas) = fleet(Script::StreamCrashes(1)).await;
+    let mut configuration = configuration(2);
+    for route in &mut configuration.routes {
+        route.max_attempts = 6;
+        route.gap_aim_ms = (route.kind == RouteKind::Streaming).then_some(50);
+    }
+    fleet.configure(&configuration).await;
+    let last = insist(stream, &[fleet.gateway_address]).await;
+    assert_eq!(crashed(&replicas), MAX_CRASHES);
+    assert_refused(&last);
+}
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of a gateway in a complete fleet with scripted replicas.
 
+mod crashing_requests;
 mod expected_finish;
 mod held_bytes;
 mod load_view;
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -17,6 +17,9 @@
 /// Time for which [`Script::Unread`] leaves a request unread, longer than any caller waits.
 const UNREAD_DURATION: Duration = Duration::from_secs(10);
 
+/// Time that a request takes in [`Script::CrashesOn`] and [`Script::ClosesOn`].
+const RUN_DURATION: Duration = Duration::from_millis(60);
+
 /// Behaviour of a replica on each request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Script {
@@ -54,6 +57,12 @@
     StreamCut(usize),
     /// Sends this many complete events, closes all connections and accepts no more.
     StreamCrashes(usize),
+    /// Crashes on a request whose target contains this text. Responds to the others after
+    /// [`RUN_DURATION`].
+    CrashesOn(&'static str),
+    /// Closes the connection of a request whose target contains this text, without a response.
+    /// Responds to the others after [`RUN_DURATION`].
+    ClosesOn(&'static str),
     /// Sends this many complete events and closes. From then on another replica has its address.
     StreamReplaced(usize),
     /// Sends this many events, a part of the next one, and the proper end of the body.
@@ -158,6 +167,11 @@
         *self.script.borrow_mut() = script;
     }
 
+    /// Returns true if the replica has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.crash.is_cancelled()
+    }
+
     pub fn requests(&self) -> usize {
         self.seen.borrow().len()
     }
@@ -262,6 +276,17 @@
             }
             Script::Noise => ("this is no answer\r\n\r\n".to_owned(), false),
             Script::Close => (String::new(), false),
+            Script::CrashesOn(text) | Script::ClosesOn(text) => {
+                actix_rt::time::sleep(RUN_DURATION).await;
+                if !seen.target.contains(text) {
+                    (self.whole(&id, &body), true)
+                } else {
+                    if matches!(script, Script::CrashesOn(_)) {
+                        self.crash.cancel();
+                    }
+                    return false;
+                }
+            }
             Script::Mute => {
                 let mut rest = [0];
                 let _ = stream.read(&mut rest).await;
