Keep reports of replicas that ended under a request at the turn stores

Nothing that outlives a response knew which replicas ended under a request. Copies merge in any order by the state of a run (started, crashed, cleared). No gateway sends reports yet.

--- a/crates/store-server/src/lib.rs
+++ b/crates/store-server/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod clock;
 mod errors;
+mod followers;
 mod metrics;
 mod peers;
 mod server;
--- a/crates/store-server/src/metrics.rs
+++ b/crates/store-server/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::errors::StoreServerError;
 use luglink_telemetry::Metrics;
-use luglink_turns::{OriginRequest, StoreRequest};
+use luglink_turns::{CrashRequest, OriginRequest, StoreRequest};
 use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec};
 
 /// Counters, gauges and histograms of a turn store.
@@ -23,6 +23,8 @@
     pub(crate) epoch: Gauge,
     /// Streams whose origins are kept.
     pub(crate) origins: Gauge,
+    /// Requests with reports of replicas that ended while running them.
+    pub(crate) crash_reports: Gauge,
 }
 
 impl StoreMetrics {
@@ -42,6 +44,10 @@
                 "Epoch of the current view of the stores",
             )?,
             origins: registry.gauge("store_stream_origins", "Streams whose origins are kept")?,
+            crash_reports: registry.gauge(
+                "store_crash_reports",
+                "Requests with reports of replicas that ended while running them",
+            )?,
             registry,
         })
     }
@@ -66,3 +72,12 @@
         OriginRequest::Find(_) => "find_origin",
     }
 }
+
+/// Returns the value of the metric label `kind` for a request about crash reports.
+pub(crate) fn crash_request_kind(request: &CrashRequest) -> &'static str {
+    match request {
+        CrashRequest::Record(_) => "record_crash",
+        CrashRequest::Find(_) => "find_crashes",
+        CrashRequest::Follow(_) => "follow_crashes",
+    }
+}
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -2,7 +2,8 @@
 
 use crate::clock::now;
 use crate::errors::{ListenSnafu, StoreServerError};
-use crate::metrics::{StoreMetrics, origin_request_kind, request_kind};
+use crate::followers::{Follower, Followers};
+use crate::metrics::{StoreMetrics, crash_request_kind, origin_request_kind, request_kind};
 use crate::peers::Peers;
 use luglink_fleet::{KnownVersions, ObserverUpdate, Presence, Role, StoreName, StorePresence};
 use luglink_fleet_client::{ListSource, Observer, ObserverConfig, ObserverDelegate};
@@ -10,10 +11,10 @@
 use luglink_quota::Tolerance;
 use luglink_storage::{FileDisk, WalConfig};
 use luglink_turns::{
-    Chain, OriginRequest, OriginResponse, Output, Replication, RequestToken, StoreConfig,
-    StoreNode, StoreRequest, StoreResponse,
+    Chain, CrashRequest, CrashResponse, OriginRequest, OriginResponse, Output, Replication,
+    RequestToken, StoreConfig, StoreNode, StoreRequest, StoreResponse,
 };
-use luglink_wire::{Frame, WireError, decode_with_parts, encode_body, encode_with_parts};
+use luglink_wire::{Frame, Parts, WireError, decode_with_parts, encode_body, encode_with_parts};
 use rand::RngCore;
 use snafu::ResultExt;
 use std::cell::{Cell, RefCell};
@@ -63,8 +64,12 @@
 struct Shared {
     config: StoreServerConfig,
     node: RefCell<StoreNode<FileDisk>>,
+    /// Identifies the store's disk.
+    incarnation: u64,
     clients: RefCell<BTreeMap<u64, FrameSender>>,
     peers: Peers,
+    /// Gateways that wait for crash reports.
+    followers: RefCell<Followers>,
     /// Requests handled since the last flush.
     unflushed_requests: Cell<u32>,
     /// Wakes the task that flushes.
@@ -109,9 +114,11 @@
         "turn store started"
     );
     let shared = Rc::new(Shared {
+        incarnation: node.incarnation(),
         node: RefCell::new(node),
         clients: RefCell::default(),
         peers: Peers::default(),
+        followers: RefCell::default(),
         unflushed_requests: Cell::new(0),
         flush_needed: Notify::new(),
         metrics,
@@ -171,10 +178,22 @@
     }
 }
 
-/// Decodes a request and the part that asks about the origin of a stream, if it has one.
-fn decode_request(body: &[u8]) -> Result<(StoreRequest, Option<OriginRequest>), WireError> {
+/// Request of a client by the part that it carries.
+enum ClientRequest {
+    Store(StoreRequest),
+    Origin(OriginRequest),
+    Crash(CrashRequest),
+}
+
+fn decode_request(body: &[u8]) -> Result<ClientRequest, WireError> {
     let (request, parts) = decode_with_parts(body)?;
-    Ok((request, OriginRequest::decode(&parts)?))
+    if let Some(request) = OriginRequest::decode(&parts)? {
+        return Ok(ClientRequest::Origin(request));
+    }
+    Ok(match CrashRequest::decode(&parts)? {
+        Some(request) => ClientRequest::Crash(request),
+        None => ClientRequest::Store(request),
+    })
 }
 
 /// Flushes on request. It first yields to all tasks that are ready, so that requests that arrive
@@ -192,6 +211,7 @@
         actix_rt::time::sleep(TICK_INTERVAL).await;
         shared.node.borrow_mut().tick(now());
         shared.update_gauges();
+        shared.answer_followers();
         shared.flush_needed.notify_one();
     }
 }
@@ -204,6 +224,8 @@
         self.metrics.accounts.set(accounts as f64);
         self.metrics.epoch.set(node.epoch() as f64);
         self.metrics.origins.set(node.origin_count() as f64);
+        let crash_reports = node.crash_report_count();
+        self.metrics.crash_reports.set(crash_reports as f64);
     }
 
     fn on_socket(self: &Rc<Self>, event: ListenerEvent) {
@@ -224,6 +246,7 @@
             }
             ListenerEvent::Closed { connection } => {
                 self.clients.borrow_mut().remove(&connection);
+                self.followers.borrow_mut().remove(connection);
             }
         }
     }
@@ -231,8 +254,9 @@
     fn on_request(self: &Rc<Self>, client: u64, request: u64, body: &[u8]) {
         let token = RequestToken { client, request };
         match decode_request(body) {
-            Ok((_, Some(origin_request))) => self.on_origin_request(token, &origin_request),
-            Ok((request, None)) => {
+            Ok(ClientRequest::Origin(request)) => self.on_origin_request(token, &request),
+            Ok(ClientRequest::Crash(request)) => self.on_crash_request(token, &request),
+            Ok(ClientRequest::Store(request)) => {
                 let requests = &self.metrics.requests;
                 requests.with_label_values(&[request_kind(&request)]).inc();
                 self.node.borrow_mut().handle(token, request, now());
@@ -260,10 +284,46 @@
             .inc();
         let mut node = self.node.borrow_mut();
         let origin = node.handle_origin(request, now());
-        let incarnation = node.incarnation();
         drop(node);
+        self.reply_with_parts(token, OriginResponse { origin }.encode());
+    }
+
+    fn on_crash_request(&self, token: RequestToken, request: &CrashRequest) {
+        let requests = &self.metrics.requests;
+        let kind = crash_request_kind(request);
+        requests.with_label_values(&[kind]).inc();
+        let mut node = self.node.borrow_mut();
+        let before = node.crash_position();
+        let response = node.handle_crash_request(request, now());
+        drop(node);
+        match request {
+            CrashRequest::Follow(position) if *position == response.position => {
+                let follower = Follower::new(token, *position);
+                self.followers.borrow_mut().add(follower);
+            }
+            _ => self.reply_with_parts(token, response.encode()),
+        }
+        if response.position != before {
+            self.answer_followers();
+        }
+    }
+
+    /// Sends new crash reports to the gateways that wait for them, and an empty response to those
+    /// that have waited long enough.
+    fn answer_followers(&self) {
+        let mut node = self.node.borrow_mut();
+        let due = self.followers.borrow_mut().take_due(node.crash_position());
+        for follower in due {
+            let request = CrashRequest::Follow(follower.position);
+            let response: CrashResponse = node.handle_crash_request(&request, now());
+            self.reply_with_parts(follower.token, response.encode());
+        }
+    }
+
+    /// Responds to a request that carried a part.
+    fn reply_with_parts(&self, token: RequestToken, parts: Result<Parts, WireError>) {
+        let incarnation = self.incarnation;
         let response = StoreResponse::Chain(Chain::Absent { incarnation });
-        let parts = OriginResponse { origin }.encode();
         let body = parts.and_then(|parts| encode_with_parts(&response, &parts));
         self.send(token, body);
     }
--- /dev/null
+++ b/crates/turns/src/crash_reports.rs
@@ -0,0 +1,237 @@
+//! Reports of replicas that ended while they ran a request.
+//!
+//! A request can end every replica that runs it, and its caller's retries would carry it from one
+//! replica to the next. All attempts of a request share a [`RequestFingerprint`], under which the
+//! runs that ended a replica are counted across attempts and gateways.
+//!
+//! Reports are kept in memory only. Copies merge in any order: of two reports of one run, the one
+//! with the later state holds.
+
+use crate::fingerprint::RequestFingerprint;
+use luglink_fleet::{BackendId, Incarnation};
+use luglink_types::Timestamp;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// Number of crashes after which a request is sent to no further replica.
+pub const MAX_CRASHES: usize = 3;
+
+/// Time for which the runs of a request count after the latest report.
+pub const CRASH_RETENTION: Duration = Duration::from_secs(600);
+
+/// Maximum number of runs kept for one request. Concurrent requests with the same content can be
+/// part of many runs.
+const MAX_RUNS: usize = 32;
+
+/// Identifier of one run of a request at a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RunId(pub u64);
+
+/// State of a run. A later state replaces an earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum RunState {
+    /// The run was announced and may still be under way.
+    Started,
+    /// The replica ended during the run.
+    Crashed,
+    /// The replica survived the run, or the request has been answered since.
+    Cleared,
+}
+
+/// Report of one run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunReport {
+    /// The request.
+    pub request: RequestFingerprint,
+    /// The run.
+    pub run: RunId,
+    /// Replica that ran the request.
+    pub replica: BackendId,
+    /// Its incarnation, as far as the gateway knew it.
+    pub incarnation: Incarnation,
+    /// Number of crashes of the request that were known when the run began. It tells two ends of a
+    /// replica apart that restarts under the same identifier.
+    pub known_crashes: u32,
+    /// Time from its first report for which the run may be under way, in milliseconds. After it, a
+    /// run that was not reported as ended counts as a crash.
+    pub lease_ms: u64,
+    /// State of the run.
+    pub state: RunState,
+}
+
+/// Run with the time at which its lease ends.
+#[derive(Clone, Debug)]
+struct KnownRun {
+    report: RunReport,
+    lease_ends_at: Timestamp,
+}
+
+impl KnownRun {
+    fn has_crashed(&self, now: Timestamp) -> bool {
+        match self.report.state {
+            RunState::Started => self.lease_ends_at <= now,
+            RunState::Crashed => true,
+            RunState::Cleared => false,
+        }
+    }
+}
+
+/// Runs of one request.
+#[derive(Clone, Debug, Default)]
+struct RequestRuns {
+    runs: BTreeMap<RunId, KnownRun>,
+    expires_at: Timestamp,
+}
+
+impl RequestRuns {
+    /// Drops one run that does not count. Returns false if there is none.
+    fn drop_cleared(&mut self) -> bool {
+        let mut runs = self.runs.values();
+        let cleared = runs.find(|run| run.report.state == RunState::Cleared);
+        let run = cleared.map(|run| run.report.run);
+        run.is_some_and(|run| self.runs.remove(&run).is_some())
+    }
+
+    /// Returns the number of ends of replicas in the runs that count. Several runs can see the same
+    /// end.
+    fn ends(&self, counts: impl Fn(&KnownRun) -> bool) -> usize {
+        let counted = self.runs.values().filter(|run| counts(run));
+        let ends: BTreeSet<(&BackendId, Incarnation, u32)> = counted
+            .map(|run| &run.report)
+            .map(|report| (&report.replica, report.incarnation, report.known_crashes))
+            .collect();
+        ends.len()
+    }
+}
+
+/// Reports of the runs of recent requests.
+#[derive(Clone, Debug)]
+pub struct CrashTable {
+    max_requests: usize,
+    requests: HashMap<RequestFingerprint, RequestRuns>,
+    /// The same requests by the time at which their reports expire.
+    expiries: BTreeSet<(Timestamp, RequestFingerprint)>,
+}
+
+impl CrashTable {
+    /// Creates an empty table. A request with three reports occupies some 600 bytes.
+    #[must_use]
+    pub fn new(max_requests: usize) -> Self {
+        Self {
+            max_requests,
+            requests: HashMap::new(),
+            expiries: BTreeSet::new(),
+        }
+    }
+
+    /// Merges a report. Returns true if it was new. If the table is full, the reports of the request
+    /// that expire first are dropped.
+    pub fn merge(&mut self, report: &RunReport, now: Timestamp) -> bool {
+        self.expire(now);
+        if !self.requests.contains_key(&report.request) && self.requests.len() >= self.max_requests
+        {
+            self.drop_first();
+        }
+        let request = self.requests.entry(report.request).or_default();
+        let known = request.runs.get(&report.run);
+        if known.is_some_and(|known| known.report.state >= report.state) {
+            return false;
+        }
+        let lease_ends_at = known.map_or_else(
+            || now.plus(Duration::from_millis(report.lease_ms)),
+            |known| known.lease_ends_at,
+        );
+        let is_full = known.is_none() && request.runs.len() >= MAX_RUNS;
+        if is_full && !request.drop_cleared() {
+            return false;
+        }
+        let run = KnownRun {
+            report: report.clone(),
+            lease_ends_at,
+        };
+        request.runs.insert(report.run, run);
+        self.expiries.remove(&(request.expires_at, report.request));
+        request.expires_at = now.plus(CRASH_RETENTION);
+        self.expiries.insert((request.expires_at, report.request));
+        true
+    }
+
+    fn drop_first(&mut self) {
+        if let Some((_, dropped)) = self.expiries.pop_first() {
+            self.requests.remove(&dropped);
+        }
+    }
+
+    /// Drops the reports that have expired.
+    pub fn expire(&mut self, now: Timestamp) {
+        while self.expiries.first().is_some_and(|(at, _)| *at <= now) {
+            self.drop_first();
+        }
+    }
+
+    /// Returns the number of replicas that ended while they ran the request.
+    #[must_use]
+    pub fn crashes(&self, request: RequestFingerprint, now: Timestamp) -> usize {
+        self.ends(request, |run| run.has_crashed(now))
+    }
+
+    /// Returns the number of replicas that ended while they ran the request, or still may in runs
+    /// other than `except`.
+    #[must_use]
+    pub fn possible_crashes(&self, request: RequestFingerprint, except: RunId) -> usize {
+        self.ends(request, |run| {
+            run.report.state != RunState::Cleared && run.report.run != except
+        })
+    }
+
+    fn ends(&self, request: RequestFingerprint, counts: impl Fn(&KnownRun) -> bool) -> usize {
+        let request = self.requests.get(&request);
+        request.map_or(0, |request| request.ends(counts))
+    }
+
+    /// Returns the time at which the reports of a request expire.
+    #[must_use]
+    pub fn expires_at(&self, request: RequestFingerprint) -> Option<Timestamp> {
+        self.requests
+            .get(&request)
+            .map(|request| request.expires_at)
+    }
+
+    /// Returns the reports of a request.
+    pub fn reports(&self, request: RequestFingerprint) -> impl Iterator<Item = &RunReport> {
+        let request = self.requests.get(&request).into_iter();
+        let runs = request.flat_map(|request| request.runs.values());
+        runs.map(|run| &run.report)
+    }
+
+    /// Returns all reports.
+    pub fn all_reports(&self) -> impl Iterator<Item = &RunReport> {
+        let requests = self.requests.values();
+        let runs = requests.flat_map(|request| request.runs.values());
+        runs.map(|run| &run.report)
+    }
+
+    /// Returns the replicas that other requests with earlier crashes are running at.
+    pub fn replicas_with_other_suspects(
+        &self,
+        request: RequestFingerprint,
+    ) -> impl Iterator<Item = &BackendId> {
+        let others = self.all_reports();
+        let others = others.filter(move |report| report.request != request);
+        let running = others.filter(|report| report.state == RunState::Started);
+        running.map(|report| &report.replica)
+    }
+
+    /// Returns the number of requests with reports.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns true if there are no reports.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+}
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -14,6 +14,9 @@
 
 mod account;
 mod admission;
+mod crash_log;
+mod crash_parts;
+mod crash_reports;
 mod errors;
 mod fingerprint;
 mod hand_over;
@@ -29,6 +32,9 @@
 
 pub use account::{Account, Spend};
 pub use admission::BudgetDecision;
+pub use crash_log::CrashLog;
+pub use crash_parts::{CrashRequest, CrashResponse, LogPosition};
+pub use crash_reports::{CRASH_RETENTION, CrashTable, MAX_CRASHES, RunId, RunReport, RunState};
 pub use errors::TurnsError;
 pub use fingerprint::RequestFingerprint;
 pub use node::{Output, RequestToken, StoreConfig, StoreNode};
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -1,6 +1,8 @@
 //! Logic of a store: collects requests, makes them durable in batches, and replies to them.
 
 use crate::account::{Account, Spend};
+use crate::crash_log::CrashLog;
+use crate::crash_parts::{CrashRequest, CrashResponse, LogPosition};
 use crate::errors::TurnsError;
 use crate::hand_over::HandOver;
 use crate::journal::{Entry, Journal};
@@ -97,6 +99,7 @@
     hand_over: HandOver,
     quota: QuotaOwner,
     origins: OriginTable,
+    crashes: CrashLog,
     entries: Vec<Entry>,
     pending: Vec<PendingReply>,
     outputs: Vec<Output>,
@@ -141,6 +144,7 @@
             state,
             hand_over: HandOver::new(completed_view),
             origins: OriginTable::new(MAX_ORIGINS),
+            crashes: CrashLog::new(new_incarnation),
             entries: Vec::new(),
             pending: Vec::new(),
             outputs: Vec::new(),
@@ -272,6 +276,39 @@
         self.origins.len()
     }
 
+    /// Keeps or returns crash reports. They are not written to disk either.
+    pub fn handle_crash_request(
+        &mut self,
+        request: &CrashRequest,
+        now: Timestamp,
+    ) -> CrashResponse {
+        self.now = self.now.max(now);
+        let reports = match request {
+            CrashRequest::Record(report) => {
+                self.crashes.record(report, self.now);
+                self.crashes.find(report.request)
+            }
+            CrashRequest::Find(request) => self.crashes.find(*request),
+            CrashRequest::Follow(position) => self.crashes.reports_from(*position),
+        };
+        CrashResponse {
+            position: self.crashes.position(),
+            reports,
+        }
+    }
+
+    /// Position after the latest crash report.
+    #[must_use]
+    pub fn crash_position(&self) -> LogPosition {
+        self.crashes.position()
+    }
+
+    /// Number of requests with crash reports.
+    #[must_use]
+    pub fn crash_report_count(&self) -> usize {
+        self.crashes.len()
+    }
+
     /// Handles the acknowledgement of the hand-over request `number` by another store.
     pub fn on_hand_over_acknowledged(&mut self, by: &StoreName, number: u64, now: Timestamp) {
         self.now = self.now.max(now);
@@ -285,6 +322,7 @@
             self.expiry_due = self.now.plus(EXPIRY_INTERVAL);
             self.state.expire(self.now);
             self.origins.expire(self.now);
+            self.crashes.expire(self.now);
         }
     }
 
