Send a request to no replica after three ended under it

Cause: every response, and every resumption within one, began the request's history anew, so the limit of attempts was one of a single response, and it did not tell the end of a replica from that of a connection.

Every send now is a run. When a connection breaks during a run and all connections to the replica that were open before are closed 10 ms later, the replica has ended; a silent replica whose request was given up has ended when the list or a refused connection says so within 10 s. The stores know before the caller is answered, and all gateways follow them. From the second run on a run is announced first, so it counts even if its gateway is lost with it, and no more runs are under way than replicas may still end. After the third end the request is refused before it waits for anything: 503 with the time until its reports expire, or 502 within a response in which it has run. A whole successful response clears the count. Requests under which a replica has ended are kept apart from each other. Without the stores, a gateway goes by what it knows itself. Nothing is sent to the stores while no replica ends.

--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -4,6 +4,7 @@
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::refusal::Refusal;
+use crate::run;
 use http::Response;
 use luglink_edge::{Retryable, RouteKind};
 use luglink_fleet::{Backend, BackendId, StreamOrigin};
@@ -82,6 +83,7 @@
     /// again.
     pub(crate) fn note_failure(
         &mut self,
+        gateway: &Gateway,
         inbound: &InboundRequest,
         backend: &Backend,
         failure: Failure,
@@ -109,6 +111,9 @@
         if inbound.remaining().is_zero() {
             return Err(self.deadline_exceeded());
         }
+        if failure == Failure::CrashLimit {
+            return Err(self.crash_limit_reached(gateway, inbound));
+        }
         match failure.outcome().retryable(&inbound.route, self.runs) {
             Retryable::Yes if self.tried.len() < MAX_SENDS => Ok(()),
             Retryable::Yes => Err(self.no_replica_left("all replicas that were tried declined")),
@@ -170,6 +175,13 @@
         Refusal::timed_out("no response before the deadline")
     }
 
+    fn crash_limit_reached(&self, gateway: &Gateway, inbound: &InboundRequest) -> Refusal {
+        if self.runs == 0 {
+            return run::refusal(gateway, inbound, gateway.crashes_under(inbound.fingerprint));
+        }
+        Refusal::uncertain("replicas ended while they ran the request")
+    }
+
     /// Returns the refusal for a request that has no replica left to try.
     pub(crate) fn no_replica_left(&self, detail: &'static str) -> Refusal {
         if self.runs == 0 {
@@ -196,13 +208,40 @@
     Ok(choice.backend)
 }
 
-/// Chooses a replica that is not in `tried`. Returns `None` if there is none.
+/// Chooses a replica that is not in `tried`. Returns `None` if there is none. A request under which
+/// a replica has ended is kept apart from other such requests, so that a request that ends its
+/// replicas does not end those of the others again and again.
 pub(crate) fn choose_excluding(
     gateway: &Gateway,
     inbound: &InboundRequest,
     attempts: &Attempts,
     tried: &[BackendId],
     cached_at: Option<&BackendId>,
+) -> Option<Choice> {
+    let mut kept_apart = Vec::new();
+    if gateway.crashes_under(inbound.fingerprint) > 0 {
+        let crashes = gateway.crashes.borrow();
+        let others = crashes
+            .table
+            .replicas_with_other_suspects(inbound.fingerprint);
+        kept_apart.extend(others.cloned());
+    }
+    if !kept_apart.is_empty() {
+        kept_apart.extend_from_slice(tried);
+        let choice = choose_among(gateway, inbound, attempts, &kept_apart, cached_at);
+        if choice.is_some() {
+            return choice;
+        }
+    }
+    choose_among(gateway, inbound, attempts, tried, cached_at)
+}
+
+fn choose_among(
+    gateway: &Gateway,
+    inbound: &InboundRequest,
+    attempts: &Attempts,
+    tried: &[BackendId],
+    cached_at: Option<&BackendId>,
 ) -> Option<Choice> {
     let routing_request = RoutingRequest {
         service: &inbound.service,
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -3,6 +3,7 @@
 use crate::failure::Failure;
 use crate::gateway::Gateway;
 use crate::inbound::{InboundRequest, strip_hop_by_hop};
+use crate::run::Run;
 use crate::upstream::{AcquireError, Lease};
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response, Uri, header};
@@ -65,6 +66,7 @@
     pub(crate) lease: Lease,
     pub(crate) backend: Backend,
     pub(crate) replica_guard: ReplicaGuard,
+    pub(crate) run: Run,
 }
 
 /// Differences between the request that is sent and the caller's request.
@@ -83,6 +85,7 @@
     backend: &Backend,
     overrides: &SendOverrides,
 ) -> Result<Answer, Failure> {
+    let run = Run::begin(gateway, inbound, backend).await?;
     let replica_guard = ReplicaGuard::begin(gateway, &backend.id);
     inbound.watch.note_sent(&backend.id);
     let result = send_with_reconnect(gateway, inbound, backend, overrides).await;
@@ -91,13 +94,22 @@
         Err(failure) => failure.as_str(),
     };
     gateway.metrics.sends.with_label_values(&[end]).inc();
-    let (response, lease) =
-        result.inspect_err(|failure| note_failure(gateway, backend, *failure))?;
+    let (response, lease) = match result {
+        Ok(answered) => answered,
+        Err(failure) => {
+            note_failure(gateway, backend, failure);
+            run.failed(failure).await;
+            return Err(failure);
+        }
+    };
+    run.note_data();
+    gateway.note_responding(&backend.id, lease.opened_at);
     Ok(Answer {
         response,
         lease,
         backend: backend.clone(),
         replica_guard,
+        run,
     })
 }
 
@@ -127,7 +139,7 @@
 }
 
 async fn send_with_reconnect(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     inbound: &InboundRequest,
     backend: &Backend,
     overrides: &SendOverrides,
@@ -143,7 +155,12 @@
                 remaining.min(MIN_CONNECTION_TIMEOUT.max(remaining / 8)),
             )
             .await;
-        let mut lease = acquired.map_err(|error| unreachable(&error))?;
+        let mut lease = acquired.map_err(|error| {
+            if error.is_refused() {
+                gateway.note_ended(std::slice::from_ref(&backend.id));
+            }
+            unreachable(&error)
+        })?;
         let request = build_request(gateway, inbound, backend, overrides)?;
         let was_reused = lease.is_reused;
         let stall_reports = report_stalls(gateway, backend);
--- a/crates/gateway-server/src/failure.rs
+++ b/crates/gateway-server/src/failure.rs
@@ -5,6 +5,8 @@
 /// Reason of a failed send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
+    /// Too many replicas have ended, or may still end, while they run the request.
+    CrashLimit,
     /// Connecting to the replica failed.
     Unreachable,
     /// All connections that this gateway may open to the replica are in use.
@@ -41,7 +43,8 @@
     /// Classifies the failure by whether the request may have run.
     pub(crate) fn outcome(self) -> SendOutcome {
         match self {
-            Self::Unreachable
+            Self::CrashLimit
+            | Self::Unreachable
             | Self::NoFreeConnection
             | Self::ConnectionsClosed
             | Self::ConnectionClosed
@@ -66,6 +69,7 @@
     /// Returns the name used in logs and metrics.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
+            Self::CrashLimit => "crash_limit",
             Self::Unreachable => "unreachable",
             Self::NoFreeConnection => "no_free_connection",
             Self::ConnectionsClosed => "connections_closed",
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::AdmissionState;
 use crate::config::GatewayConfig;
+use crate::crash_ledger::CrashLedger;
 use crate::held::HeldBytesLedger;
 use crate::load_meter::LoadMeter;
 use crate::load_view::LastView;
@@ -63,6 +64,8 @@
     /// Services whose replicas have had a single software version for a while.
     pub(crate) sole_versions: RefCell<SoleVersions>,
     pub(crate) upstream: Upstream,
+    /// Reports of replicas that ended while they ran a request.
+    pub(crate) crashes: RefCell<CrashLedger>,
     /// Accounting of the bytes buffered for callers and replicas.
     pub(crate) held: Rc<HeldBytesLedger>,
     pub(crate) is_stopping: Cell<bool>,
@@ -102,6 +105,7 @@
             turn_cache: RefCell::new(TurnCache::new(config.turn_cache_bytes)),
             origins: RefCell::new(OriginTable::new(MAX_OWN_ORIGINS)),
             sole_versions: RefCell::default(),
+            crashes: RefCell::default(),
             upstream: Upstream::new(metrics.connects.clone()),
             list: RefCell::default(),
             splits: RefCell::default(),
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -59,6 +59,10 @@
     pub(crate) move_seconds: Histogram,
     /// Non-streaming requests that were hedged to a second replica, by whether early or late.
     pub(crate) hedges: IntCounterVec,
+    /// Requests refused because replicas ended while they ran them.
+    pub(crate) crashing_requests: IntCounter,
+    /// Replicas that ended during a run of a request, as this gateway saw them.
+    pub(crate) crashes: IntCounter,
     /// Callers that disconnected before their answer, by what they were waiting for.
     pub(crate) callers_gone: IntCounterVec,
     /// Bytes buffered for callers and replicas.
@@ -159,6 +163,14 @@
                 "Requests hedged to a second replica",
                 "when",
             )?,
+            crashing_requests: registry.counter(
+                "crashing_requests_total",
+                "Requests refused because replicas ended while they ran them",
+            )?,
+            crashes: registry.counter(
+                "crashes_total",
+                "Replicas that ended during a run of a request",
+            )?,
             callers_gone: registry.labelled_counter(
                 "callers_gone_total",
                 "Callers that disconnected before their answer",
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -220,6 +220,8 @@
         }
         pool.apply(&changes);
         drop(pool);
+        let ended = changes.removed.iter().chain(&restarted);
+        self.crashes.borrow_mut().mark_ended(ended);
         self.upstream.forget(&changes.removed);
         self.upstream.forget(&restarted);
         self.metrics.replica_restarts.inc_by(restarted.len() as u64);
--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -3,7 +3,7 @@
 use crate::gateway::{ActiveConfiguration, Gateway};
 use crate::inbound::{self, InboundRequest};
 use crate::refusal::Refusal;
-use crate::{quota, stream, unary};
+use crate::{quota, run, stream, unary};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use luglink_edge::RouteKind;
@@ -102,6 +102,7 @@
         ))?;
     let inbound = inbound::read(gateway, &in_force, request).await?;
     drop(in_force);
+    run::refuse_crashing(gateway, &inbound).await?;
     let watch = Rc::clone(&inbound.watch);
     let result = if inbound.route.kind == RouteKind::Streaming {
         stream::serve(gateway, inbound, in_flight).await
--- a/crates/gateway-server/src/server.rs
+++ b/crates/gateway-server/src/server.rs
@@ -5,7 +5,7 @@
 use crate::gateway::Gateway;
 use crate::metrics::GatewayMetrics;
 use crate::refusal::Refusal;
-use crate::{list, load_view, proxy};
+use crate::{crash_reports, list, load_view, proxy};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use luglink_edge::{Dialect, Limits};
@@ -72,6 +72,7 @@
     serve_readiness(&gateway, readiness);
     actix_rt::spawn(list::keep_current(Rc::clone(&gateway)));
     actix_rt::spawn(load_view::watch(Rc::clone(&gateway)));
+    actix_rt::spawn(crash_reports::follow(Rc::clone(&gateway)));
     let observer = Observer::start(Rc::clone(&gateway), gateway.config.observer.clone());
     Ok(GatewayServer {
         address,
--- a/crates/gateway-server/src/store_link.rs
+++ b/crates/gateway-server/src/store_link.rs
@@ -3,8 +3,8 @@
 use luglink_fleet::{StoreName, StreamOrigin};
 use luglink_net::RequestClient;
 use luglink_turns::{
-    OriginRecord, OriginRequest, OriginResponse, StoreRequest, StoreResponse, TurnId, hint_query,
-    hint_request, hinted_origin,
+    CrashRequest, CrashResponse, LogPosition, OriginRecord, OriginRequest, OriginResponse,
+    StoreRequest, StoreResponse, TurnId, hint_query, hint_request, hinted_origin,
 };
 use luglink_wire::{
     ClientRole, Hello, PROTOCOL_VERSION, WireError, decode_body, decode_with_parts, encode_body,
@@ -19,6 +19,9 @@
 /// Timeout of a request to a store.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Timeout of a request for new crash reports, which a store holds for up to two seconds.
+const FOLLOW_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Weight of a new sample in the moving average of a store's response time.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
@@ -112,6 +115,27 @@
         self.exchange(body, decode).await
     }
 
+    /// Sends a request about crash reports. Returns no response inside the answer if the store is
+    /// of a build without them; `None` if it does not answer in time.
+    pub(crate) async fn exchange_crashes(
+        &self,
+        request: &CrashRequest,
+    ) -> Option<Option<CrashResponse>> {
+        let body = encode_crash_request(request)?;
+        self.exchange(body, decode_crash_response).await
+    }
+
+    /// Waits for crash reports from a position on. Unlike the time of other requests, that of this
+    /// one does not count as the store's response time.
+    pub(crate) async fn follow_crashes(
+        &self,
+        position: LogPosition,
+    ) -> Option<Option<CrashResponse>> {
+        let body = encode_crash_request(&CrashRequest::Follow(position))?;
+        let answer = self.client.request(body, FOLLOW_TIMEOUT).await.ok()?;
+        decode_crash_response(&answer).ok()
+    }
+
     async fn exchange<Response>(
         &self,
         body: Vec<u8>,
@@ -141,3 +165,13 @@
         });
     }
 }
+
+fn encode_crash_request(request: &CrashRequest) -> Option<Vec<u8>> {
+    let parts = request.encode().ok()?;
+    encode_with_parts(&OriginRequest::message(), &parts).ok()
+}
+
+fn decode_crash_response(answer: &[u8]) -> Result<Option<CrashResponse>, WireError> {
+    let (_, parts) = decode_with_parts::<StoreResponse>(answer)?;
+    CrashResponse::decode(&parts)
+}
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -9,6 +9,7 @@
 use crate::move_watch::{MoveWatch, SendResult, refuse_unreachable_deadline};
 use crate::program::{self, PreparedTurn};
 use crate::refusal::Refusal;
+use crate::run::Run;
 use crate::unary::read_whole_response;
 use crate::upstream::Lease;
 use crate::{stream_origins, work};
@@ -76,10 +77,14 @@
             SendResult::Answered(answer) => {
                 match read_whole_response(gateway, &inbound, *answer).await {
                     Ok(response) => return Ok(response),
-                    Err(failure) => attempts.note_failure(&inbound, &backend, failure)?,
+                    Err(failure) => {
+                        attempts.note_failure(gateway, &inbound, &backend, failure)?;
+                    }
                 }
             }
-            SendResult::Failed(failure) => attempts.note_failure(&inbound, &backend, failure)?,
+            SendResult::Failed(failure) => {
+                attempts.note_failure(gateway, &inbound, &backend, failure)?;
+            }
             SendResult::MovedTo(other) => {
                 attempts.note_moved(&backend);
                 move_target = Some(other);
@@ -183,6 +188,7 @@
         lease: answer.lease,
         backend: answer.backend,
         _replica_guard: answer.replica_guard,
+        run: answer.run,
     };
     actix_rt::spawn(relay.run(source, sender));
     Response::from_parts(caller_head, body)
@@ -214,6 +220,7 @@
     lease: Lease,
     backend: Backend,
     _replica_guard: ReplicaGuard,
+    run: Run,
 }
 
 /// Outcome of waiting for the replica, the caller or a timer of a stream.
@@ -260,6 +267,7 @@
         let end = loop {
             match self.next_step(&mut source, &sender).await {
                 Step::Data(bytes) => {
+                    source.run.note_data();
                     self.splitter.push(&bytes);
                     if let Err(reason) = self.forward_events(&source, &sender).await {
                         break self.log_end(reason);
@@ -276,8 +284,10 @@
                         headers,
                         lease,
                         backend,
+                        run,
                         ..
                     } = source;
+                    run.answered();
                     lease.give_back(&headers);
                     let end = self.complete(&backend, sender).await;
                     self.log_end(end);
@@ -507,8 +517,8 @@
         broken: Source,
         reason: &'static str,
     ) -> Result<Source, &'static str> {
-        let backend = broken.backend.clone();
-        drop(broken);
+        let Source { backend, run, .. } = broken;
+        run.broke().await;
         self.splitter.clear();
         self.last_event_at = None;
         if !self.inbound.route.resumable || self.resumptions >= MAX_RESUMPTIONS {
@@ -619,7 +629,9 @@
                 Err(failure) => failure,
             };
             self.move_watch.note_failed(failure);
-            let verdict = self.attempts.note_failure(&self.inbound, &to, failure);
+            let verdict = self
+                .attempts
+                .note_failure(&self.gateway, &self.inbound, &to, failure);
             verdict.map_err(|_| "not_moved")?;
             let next = next_replica(&self.gateway, &self.inbound, &mut self.attempts, None);
             to = next.await.map_err(|_| "nowhere_to_move")?;
@@ -638,6 +650,7 @@
             lease: answer.lease,
             backend: answer.backend,
             _replica_guard: answer.replica_guard,
+            run: answer.run,
         })
     }
 
--- a/crates/gateway-server/src/turn_client.rs
+++ b/crates/gateway-server/src/turn_client.rs
@@ -113,6 +113,41 @@
         self.replication.owners(&self.view.borrow(), &program.0)
     }
 
+    /// Returns the links to all stores of the view.
+    pub(crate) fn links(&self) -> Vec<(StoreName, Rc<StoreLink>)> {
+        let links = self.links.borrow();
+        let links = links.iter();
+        links
+            .map(|(name, link)| (name.clone(), Rc::clone(link)))
+            .collect()
+    }
+
+    /// Returns true if `link` is the present link to a store.
+    pub(crate) fn has_link(&self, name: &StoreName, link: &Rc<StoreLink>) -> bool {
+        let links = self.links.borrow();
+        let present = links.get(name);
+        present.is_some_and(|present| Rc::ptr_eq(present, link))
+    }
+
+    /// Returns the links to the stores that own the records of a key.
+    pub(crate) fn links_to(&self, key: &str) -> Vec<Rc<StoreLink>> {
+        let owners = self.replication.owners(&self.view.borrow(), key);
+        let links = self.links.borrow();
+        let links = owners.iter().filter_map(|owner| links.get(owner));
+        links.cloned().collect()
+    }
+
+    /// Returns the number of stores that must acknowledge a write.
+    pub(crate) fn quorum(&self) -> usize {
+        self.replication.quorum()
+    }
+
+    /// Returns true if `count` stores of the view must include one of any quorum.
+    pub(crate) fn is_certain(&self, count: usize) -> bool {
+        let stores = self.view.borrow().len();
+        stores > 0 && count + self.quorum() > stores
+    }
+
     /// Sends a request to one store.
     fn send(
         &self,
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -96,7 +96,7 @@
             }
             Some((_, Ok(response))) => return Ok(response),
             Some((backend, Err(failure))) => {
-                let verdict = attempts.note_failure(inbound, &backend, failure);
+                let verdict = attempts.note_failure(gateway, inbound, &backend, failure);
                 // While another replica is working on the request, its response decides.
                 if in_flight.is_empty() {
                     verdict?;
@@ -127,6 +127,7 @@
         lease,
         backend,
         replica_guard,
+        run,
     } = answer;
     let (mut head, incoming) = response.into_parts();
     let reading = actix_rt::time::timeout(inbound.remaining(), collect(inbound, incoming));
@@ -139,15 +140,21 @@
                 error = %source,
                 "response of a replica ended early"
             );
-            let mut pool = gateway.pool.borrow_mut();
-            if !pool.has_restarted(&backend) {
-                pool.failed(&backend.id, gateway.now());
-            }
+            note_cut(gateway, &backend);
+            run.broke().await;
+            return Err(Failure::CutAnswer);
+        }
+        Ok(Err(AnswerFailure::MemoryLimit)) => {
+            run.survived();
             return Err(Failure::CutAnswer);
         }
-        Ok(Err(AnswerFailure::MemoryLimit)) => return Err(Failure::CutAnswer),
         Err(_) => return Err(Failure::NoAnswerInTime),
     };
+    if head.status.is_success() {
+        run.answered();
+    } else {
+        run.survived();
+    }
     drop(replica_guard);
     lease.give_back(&head.headers);
     strip_hop_by_hop(&mut head.headers);
@@ -155,6 +162,14 @@
     Ok(Response::from_parts(head, full_body(body)))
 }
 
+/// Marks the replica of a response that ended early as failed, unless it has restarted since.
+fn note_cut(gateway: &Gateway, backend: &Backend) {
+    let mut pool = gateway.pool.borrow_mut();
+    if !pool.has_restarted(backend) {
+        pool.failed(&backend.id, gateway.now());
+    }
+}
+
 /// Reason why a response could not be read completely.
 enum AnswerFailure {
     Broken {
--- a/crates/gateway-server/src/upstream.rs
+++ b/crates/gateway-server/src/upstream.rs
@@ -33,11 +33,37 @@
     LimitReached,
 }
 
+impl AcquireError {
+    /// Returns true if no process listens at the replica's address.
+    pub(crate) fn is_refused(&self) -> bool {
+        match self {
+            Self::Unreachable { source } => source.is_refused(),
+            Self::LimitReached => false,
+        }
+    }
+}
+
+/// Connection that no request uses.
+#[derive(Debug)]
+struct IdleConnection {
+    connection: ClientConnection,
+    opened_at: Instant,
+    /// Time until which it may be reused.
+    reusable_until: Instant,
+}
+
+impl IdleConnection {
+    fn is_reusable(&self) -> bool {
+        let connection = &self.connection;
+        let is_open = connection.is_ready() && !connection.is_closed();
+        is_open && self.reusable_until > Instant::now()
+    }
+}
+
 /// Connections to one replica.
 #[derive(Debug, Default)]
 struct Connections {
-    /// Idle connections and the times until which they may be reused.
-    idle: RefCell<Vec<(ClientConnection, Instant)>>,
+    idle: RefCell<Vec<IdleConnection>>,
     open_count: Cell<u32>,
     /// Open connections, idle or not, and the times at which they were opened.
     opened: RefCell<Vec<(ConnectionState, Instant)>>,
@@ -59,6 +85,7 @@
     connection: Option<ClientConnection>,
     connections: Rc<Connections>,
     pub(crate) is_reused: bool,
+    pub(crate) opened_at: Instant,
 }
 
 impl Drop for Lease {
@@ -88,8 +115,12 @@
                 None => false,
             };
             if is_idle && let Some(connection) = self.connection.take() {
-                let until = Instant::now() + idle_limit;
-                self.connections.idle.borrow_mut().push((connection, until));
+                let idle = IdleConnection {
+                    connection,
+                    opened_at: self.opened_at,
+                    reusable_until: Instant::now() + idle_limit,
+                };
+                self.connections.idle.borrow_mut().push(idle);
                 self.connections.freed.notify_one();
             }
         });
@@ -151,9 +182,7 @@
         };
         let idle = connections.idle.borrow();
         let newest = idle.last();
-        newest.is_some_and(|(connection, until)| {
-            *until > Instant::now() && connection.is_ready() && !connection.is_closed()
-        })
+        newest.is_some_and(IdleConnection::is_reusable)
     }
 
     /// Returns true if a connection to a replica that was opened before `time` is still open. The
@@ -182,11 +211,12 @@
         };
         let deadline = Instant::now() + timeout;
         loop {
-            if let Some(connection) = take_idle(&connections) {
+            if let Some(idle) = take_idle(&connections) {
                 return Ok(Lease {
-                    connection: Some(connection),
+                    connection: Some(idle.connection),
                     connections,
                     is_reused: true,
+                    opened_at: idle.opened_at,
                 });
             }
             if connections.open_count.get() < limit {
@@ -218,6 +248,7 @@
             connection: Some(connection),
             connections,
             is_reused: false,
+            opened_at: Instant::now(),
         })
     }
 }
@@ -236,12 +267,11 @@
 
 /// Takes the most recently used idle connection. Connections that have expired, were closed by the
 /// replica or received unrequested data are closed.
-fn take_idle(connections: &Connections) -> Option<ClientConnection> {
-    let now = Instant::now();
+fn take_idle(connections: &Connections) -> Option<IdleConnection> {
     loop {
-        let (connection, until) = connections.idle.borrow_mut().pop()?;
-        if until > now && connection.is_ready() && !connection.is_closed() {
-            return Some(connection);
+        let newest = connections.idle.borrow_mut().pop()?;
+        if newest.is_reusable() {
+            return Some(newest);
         }
         connections.open_count.set(connections.open_count.get() - 1);
     }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -7,6 +7,7 @@
 use hyper_util::rt::TokioIo;
 use luglink_net::set_tcp_options;
 use snafu::{OptionExt, ResultExt, Snafu};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -39,6 +40,14 @@
     },
 }
 
+impl ConnectError {
+    /// Returns true if no process listens at the address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Io { source, .. } if source.kind() == ErrorKind::ConnectionRefused)
+    }
+}
+
 /// The request received no response.
 #[derive(Debug, Snafu)]
 pub enum SendError {
