Soak requests that end every replica that runs them

Two callers in twenty-two send requests that end each replica that runs them, before the head, in the body or in mid-stream, by exit, reset or silence; it comes back at once under the same identifier and address, later under another one, or never; gateways, stores and members are killed, frozen and reloaded meanwhile.

Runs lost with their gateway are counted apart: the first run of a request is not announced.

--- a/app/luglink/tests/stream_soak/callers.rs
+++ b/app/luglink/tests/stream_soak/callers.rs
@@ -163,6 +163,11 @@
         self.events.len() - before
     }
 
+    /// Drops the part of an event that the next attempt brings again.
+    pub fn discard_partial_event(&mut self) {
+        self.text.clear();
+    }
+
     fn version(&self) -> Option<usize> {
         self.events.first().map(|(_, version)| *version)
     }
@@ -238,7 +243,7 @@
         left: Duration,
         received: &mut Received,
     ) -> bool {
-        received.text.clear();
+        received.discard_partial_event();
         let gateway = self.random.below(self.fleet.addresses.len());
         let version = received.version();
         let was_judged = self.is_judged(gateway, version);
--- /dev/null
+++ b/app/luglink/tests/stream_soak/crashing.rs
@@ -0,0 +1,314 @@
+//! Requests that end every replica that runs them, beside others, while processes are disturbed.
+
+use crate::callers::{Received, message};
+use crate::chaos;
+use crate::crash_plan::CrashPlan;
+use crate::fleet::{CALL_PATH, Fleet, PATHS};
+use crate::random::Random;
+use crate::replicas::Faults;
+use crate::runs::MAX_ENDS;
+use http_body_util::BodyExt;
+use luglink_http::{ClientConnection, connect};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Seeds of every test run. One of them has many gateways.
+const DEFAULT_SEEDS: std::ops::Range<u64> = 9..12;
+
+/// Duration of the traffic of one seed.
+const TRAFFIC_DURATION: Duration = Duration::from_secs(14);
+
+/// Callers whose requests end their replicas.
+const BAD_CALLERS: usize = 2;
+
+const BYSTANDERS: usize = 20;
+
+const MAX_ATTEMPTS: usize = 9;
+
+/// Time that a caller has for one request, over all its attempts.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(6);
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Maximum time that a caller waits for the next bytes.
+const GAP_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Retry delay from which on a refusal says that the request itself is the reason, in seconds.
+const MIN_REFUSAL_SECONDS: f64 = 60.0;
+
+/// Minimum share of the innocent requests beside an end that are served.
+const MIN_SERVED_BESIDE_END: f64 = 0.9;
+
+/// Result of one attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Whole,
+    /// The request is refused because replicas ended while they ran it.
+    Refused,
+    Failed,
+}
+
+/// What one seed showed.
+#[derive(Clone, Debug, Default)]
+struct Report {
+    bad_requests: usize,
+    bad_runs: usize,
+    bad_ends: usize,
+    /// Runs of bad requests after the third end.
+    after_limit: usize,
+    /// Those after the third end that processes can know of, by name.
+    after_known_limit: Vec<String>,
+    bad_refused: usize,
+    whole: usize,
+    lost: usize,
+    /// Innocent requests under which a replica ended.
+    beside_ends: usize,
+    /// Those of them that were served.
+    beside_ends_whole: usize,
+    innocent_refused: usize,
+    /// Innocent requests that were refused although fewer replicas had ended, by name.
+    refused_early: Vec<String>,
+}
+
+impl Report {
+    fn add(&mut self, other: &Self) {
+        self.bad_requests += other.bad_requests;
+        self.bad_runs += other.bad_runs;
+        self.bad_ends += other.bad_ends;
+        self.after_limit += other.after_limit;
+        self.after_known_limit
+            .extend_from_slice(&other.after_known_limit);
+        self.bad_refused += other.bad_refused;
+        self.whole += other.whole;
+        self.lost += other.lost;
+        self.beside_ends += other.beside_ends;
+        self.beside_ends_whole += other.beside_ends_whole;
+        self.innocent_refused += other.innocent_refused;
+        self.refused_early.extend_from_slice(&other.refused_early);
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} bad: {} runs, {} ends, {} refused, after the third end {}, after the third known end \
+             {}; innocent: {} whole, {} lost, {} of {} beside an end whole, {} refused, of them \
+             before the third end {}",
+            self.bad_requests,
+            self.bad_runs,
+            self.bad_ends,
+            self.bad_refused,
+            self.after_limit,
+            self.after_known_limit.len(),
+            self.whole,
+            self.lost,
+            self.beside_ends_whole,
+            self.beside_ends,
+            self.innocent_refused,
+            self.refused_early.len(),
+        )
+    }
+}
+
+struct Caller {
+    number: usize,
+    is_bad: bool,
+    fleet: Fleet,
+    /// Idle connections by gateway.
+    connections: HashMap<usize, ClientConnection>,
+    random: Random,
+    report: Rc<RefCell<Report>>,
+}
+
+impl Caller {
+    async fn run(mut self, is_stopping: Rc<Cell<bool>>) {
+        let pause = if self.is_bad { 400..1_600 } else { 5..60 };
+        let mut request = 0;
+        while !is_stopping.get() {
+            let number = format!("{}-{request}", self.number);
+            if self.is_bad {
+                let name = CrashPlan::name(&mut self.random, &number);
+                self.insist(&name).await;
+                self.judge_bad(&name);
+            } else {
+                let name = format!("run-{number}");
+                let outcome = self.insist(&name).await;
+                self.judge_innocent(&name, outcome);
+            }
+            actix_rt::time::sleep(self.random.millis(pause.clone())).await;
+            request += 1;
+        }
+    }
+
+    /// Makes attempts until one succeeds or the time is over. Returns the last outcome. Callers of
+    /// bad requests come back although they were told not to.
+    async fn insist(&mut self, name: &str) -> Outcome {
+        let path = [PATHS[0], PATHS[1], CALL_PATH][self.random.below(3)];
+        let path = format!("{path}?{name}");
+        let deadline = Instant::now() + REQUEST_TIMEOUT;
+        let mut received = Received::default();
+        let mut outcome = Outcome::Failed;
+        for attempt in 0..MAX_ATTEMPTS {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            let request = format!("{name}-{attempt}");
+            outcome = self.attempt(&path, &request, left, &mut received).await;
+            let is_over = outcome == Outcome::Refused && !self.is_bad;
+            if is_over || outcome == Outcome::Whole {
+                break;
+            }
+            actix_rt::time::sleep(self.random.millis(0..150)).await;
+        }
+        outcome
+    }
+
+    async fn attempt(
+        &mut self,
+        path: &str,
+        request: &str,
+        left: Duration,
+        received: &mut Received,
+    ) -> Outcome {
+        received.discard_partial_event();
+        let gateway = self.random.below(self.fleet.addresses.len());
+        let name = path.split_once('?').map_or("", |(_, name)| name).to_owned();
+        let runs = self.fleet.replicas.runs.clone();
+        let process = Rc::clone(&self.fleet.gateways);
+        let (started_as, ends) = (process[gateway].pid(), runs.of(&name).ends());
+        let outcome = self.exchange(gateway, path, request, left, received).await;
+        if process[gateway].pid() != started_as {
+            runs.note_gateway_lost(&name, runs.of(&name).ends() - ends);
+        }
+        outcome
+    }
+
+    async fn exchange(
+        &mut self,
+        gateway: usize,
+        path: &str,
+        request: &str,
+        left: Duration,
+        received: &mut Received,
+    ) -> Outcome {
+        let Some(mut connection) = self.connection(gateway).await else {
+            return Outcome::Failed;
+        };
+        let sending = connection.send(message(path, request, left, received));
+        let Ok(Ok(answer)) = actix_rt::time::timeout(GAP_TIMEOUT, sending).await else {
+            return Outcome::Failed;
+        };
+        let is_success = answer.status().is_success();
+        let retry_after = answer.headers().get("retry-after");
+        let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
+        let mut body = answer.into_body();
+        loop {
+            match actix_rt::time::timeout(GAP_TIMEOUT, body.frame()).await {
+                Ok(Some(Ok(frame))) if is_success && !path.starts_with(CALL_PATH) => {
+                    received.add(request, &frame.into_data().unwrap_or_default());
+                }
+                Ok(Some(Ok(_))) => {}
+                Ok(None) => break,
+                Ok(Some(Err(_))) | Err(_) => return Outcome::Failed,
+            }
+        }
+        self.connections.insert(gateway, connection);
+        match retry_after {
+            _ if is_success => Outcome::Whole,
+            Some(delay) if delay >= MIN_REFUSAL_SECONDS => Outcome::Refused,
+            _ => Outcome::Failed,
+        }
+    }
+
+    /// Returns the open connection to a gateway, or a new one.
+    async fn connection(&mut self, gateway: usize) -> Option<ClientConnection> {
+        if let Some(mut open) = self.connections.remove(&gateway)
+            && open.wait_until_ready().await
+        {
+            return Some(open);
+        }
+        let address = self.fleet.addresses[gateway];
+        connect(address, CONNECT_TIMEOUT).await.ok()
+    }
+
+    fn judge_bad(&self, name: &str) {
+        let runs = self.fleet.replicas.runs.of(name);
+        let mut report = self.report.borrow_mut();
+        report.bad_requests += 1;
+        report.bad_runs += runs.runs;
+        report.bad_ends += runs.ends();
+        report.bad_refused += usize::from(runs.ends() >= MAX_ENDS);
+        report.after_limit += runs.runs_after_limit;
+        let sent_on = (0..runs.runs_after_known_limit).map(|_| name.to_owned());
+        report.after_known_limit.extend(sent_on);
+    }
+
+    fn judge_innocent(&self, name: &str, outcome: Outcome) {
+        let runs = self.fleet.replicas.runs.of(name);
+        let mut report = self.report.borrow_mut();
+        report.whole += usize::from(outcome == Outcome::Whole);
+        report.lost += usize::from(outcome == Outcome::Failed);
+        let is_beside_end = runs.ends() > 0;
+        report.beside_ends += usize::from(is_beside_end);
+        report.beside_ends_whole += usize::from(is_beside_end && outcome == Outcome::Whole);
+        if outcome == Outcome::Refused {
+            report.innocent_refused += 1;
+            if runs.ends() < MAX_ENDS {
+                report
+                    .refused_early
+                    .push(format!("{name} ({} ends)", runs.ends()));
+            }
+        }
+    }
+}
+
+/// Returns the report of one seed.
+async fn soak(seed: u64) -> Report {
+    let fleet = Fleet::start(seed, crate::gateways(seed), Faults::Random).await;
+    let report = Rc::new(RefCell::new(Report::default()));
+    let is_stopping = Rc::new(Cell::new(false));
+    let callers = (0..BAD_CALLERS + BYSTANDERS).map(|number| {
+        let caller = Caller {
+            number,
+            is_bad: number < BAD_CALLERS,
+            fleet: fleet.clone(),
+            connections: HashMap::new(),
+            random: Random::new(seed.wrapping_mul(1_000) + number as u64),
+            report: Rc::clone(&report),
+        };
+        actix_rt::spawn(caller.run(Rc::clone(&is_stopping)))
+    });
+    let callers: Vec<_> = callers.collect();
+    chaos::run(&fleet, seed, TRAFFIC_DURATION).await;
+    is_stopping.set(true);
+    for caller in callers {
+        caller.await.expect("a caller ends");
+    }
+    fleet.assert_all_gateways_serve().await;
+    let report = report.borrow().clone();
+    report
+}
+
+#[actix_rt::test]
+async fn no_replica_gets_a_request_after_the_third_end_under_it_while_processes_restart() {
+    let mut total = Report::default();
+    for seed in crate::seeds(DEFAULT_SEEDS) {
+        let report = soak(seed).await;
+        println!("seed {seed}: {report}");
+        for name in report.after_known_limit.iter().chain(&report.refused_early) {
+            println!("seed {seed}: {name}");
+        }
+        assert!(report.whole > 0, "seed {seed}: {report}");
+        total.add(&report);
+    }
+    println!("all seeds: {total}");
+    assert!(total.bad_refused > 0, "{total}");
+    assert_eq!(total.after_known_limit, Vec::<String>::new(), "{total}");
+    let served = total.beside_ends_whole as f64 / total.beside_ends.max(1) as f64;
+    assert!(served >= MIN_SERVED_BESIDE_END, "{total}");
+}
--- a/app/luglink/tests/stream_soak/fleet.rs
+++ b/app/luglink/tests/stream_soak/fleet.rs
@@ -3,7 +3,7 @@
 use crate::builds;
 use crate::replicas::{Faults, Replicas};
 use awc::Client;
-use luglink_edge::{Configuration, Limits, Route, RouteKind, Service, Target};
+use luglink_edge::{Configuration, Engine, Limits, Route, RouteKind, Service, Target};
 use rustix::process::{Pid, Signal, kill_process};
 use std::cell::{Cell, RefCell};
 use std::fs::File;
@@ -31,6 +31,9 @@
 /// Paths of the routes. Stalled streams of the second one move.
 pub const PATHS: [&str; 2] = ["/resumable/x", "/movable/x"];
 
+/// Path of the route of requests that are not streams.
+pub const CALL_PATH: &str = "/calls/x";
+
 static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
 
 /// Process that can be signalled and started again.
@@ -76,6 +79,11 @@
         self.disturbed_at.set(Instant::now());
     }
 
+    /// Returns the identifier of the process; `None` while it does not run.
+    pub fn pid(&self) -> Option<Pid> {
+        self.pid.get()
+    }
+
     /// Sends a signal to the process, if it runs.
     pub fn signal(&self, signal: Signal) {
         self.disturbed_at.set(Instant::now());
@@ -249,11 +257,11 @@
 }
 
 fn configuration(version: u64) -> Configuration {
-    let route = |path: &str, gap_aim_ms| Route {
+    let route = |path: &str, kind, gap_aim_ms| Route {
         name: path.trim_matches('/').replace('/', "-"),
         host: HOST.to_owned(),
         path_prefix: path.trim_end_matches('x').to_owned(),
-        kind: RouteKind::Streaming,
+        kind,
         // Changes with every version, so that each is a change in effect.
         timeout_ms: 4_000 + version % 2,
         target_latency_ms: 200,
@@ -265,18 +273,26 @@
         max_attempts: 3,
         keeps_history: false,
         retention_ms: 60_000,
-        resumable: true,
+        resumable: kind == RouteKind::Streaming,
         gap_aim_ms,
         public: false,
     };
     Configuration {
         version,
-        routes: vec![route(PATHS[0], None), route(PATHS[1], Some(300))],
+        routes: vec![
+            route(PATHS[0], RouteKind::Streaming, None),
+            route(PATHS[1], RouteKind::Streaming, Some(300)),
+            route(CALL_PATH, RouteKind::Safe, None),
+        ],
         services: vec![Service {
             name: "service".to_owned(),
             health_path: "/health".to_owned(),
             connection_limit: 500,
-            engine: None,
+            engine: Some(Engine {
+                slots: 16,
+                cache_tokens: 100_000,
+                tokens_per_event: 1,
+            }),
         }],
         limits: Limits {
             max_body_bytes: 1 << 20,
--- a/app/luglink/tests/stream_soak/main.rs
+++ b/app/luglink/tests/stream_soak/main.rs
@@ -6,9 +6,13 @@
 mod builds;
 mod callers;
 mod chaos;
+mod crash_plan;
+mod crashing;
 mod fleet;
+mod lost_runs;
 mod random;
 mod replicas;
+mod runs;
 mod takeover;
 
 use callers::{Callers, Report};
@@ -33,23 +37,27 @@
 /// Minimum number of resumed streams for their share to be judged.
 const MIN_RESUMED: u32 = 12;
 
-fn seeds() -> Range<u64> {
+/// Returns the seeds that the environment names, or else `default`.
+fn seeds(default: Range<u64>) -> Range<u64> {
     let Ok(text) = std::env::var("SOAK_SEEDS") else {
-        return DEFAULT_SEEDS;
+        return default;
     };
     let (first, end) = text.split_once("..").expect("a range such as 0..50");
     first.parse().expect("a number")..end.parse().expect("a number")
 }
 
-/// Returns the report of one seed.
-async fn soak(seed: u64) -> Report {
-    let is_crowded = seed.is_multiple_of(CROWDED_SEED_DIVISOR);
-    let gateways = if is_crowded {
+/// Returns the number of gateways of a seed.
+fn gateways(seed: u64) -> usize {
+    if seed.is_multiple_of(CROWDED_SEED_DIVISOR) {
         CROWDED_GATEWAYS
     } else {
         GATEWAYS
-    };
-    let fleet = Fleet::start(seed, gateways, Faults::Random).await;
+    }
+}
+
+/// Returns the report of one seed.
+async fn soak(seed: u64) -> Report {
+    let fleet = Fleet::start(seed, gateways(seed), Faults::Random).await;
     let callers = Callers::start(&fleet, seed);
     chaos::run(&fleet, seed, TRAFFIC_DURATION).await;
     let report = callers.stop().await;
@@ -60,7 +68,7 @@
 #[actix_rt::test]
 async fn resumed_streams_keep_their_software_version_while_processes_restart() {
     let mut total = Report::default();
-    for seed in seeds() {
+    for seed in seeds(DEFAULT_SEEDS) {
         let report = soak(seed).await;
         println!("seed {seed}: {report}");
         // Older gateways do not keep versions apart.
--- a/app/luglink/tests/stream_soak/replicas.rs
+++ b/app/luglink/tests/stream_soak/replicas.rs
@@ -1,6 +1,8 @@
 //! Stand-in replicas of several software versions, and the platform's list of them.
 
+use crate::crash_plan::{ComeBack, CrashPlan, End, Moment};
 use crate::random::Random;
+use crate::runs::{Runs, UnderWay};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -27,6 +29,19 @@
 /// Time for which a crashed replica stays in the list.
 const LIST_LAG: Duration = Duration::from_millis(500);
 
+/// Time after which a replica that never comes back is replaced.
+const REPLACEMENT_DELAY: Duration = Duration::from_secs(2);
+
+/// Start time of replicas that have not restarted.
+const FIRST_START_MS: u64 = 1;
+
+const BIND_ATTEMPTS: usize = 200;
+
+const BIND_RETRY_DELAY: Duration = Duration::from_millis(5);
+
+/// Key of the request target among the headers.
+const TARGET: &str = ":target";
+
 /// Time for which a draining replica goes on serving, longer than the fleet's `drain_ms`.
 const DRAIN_DURATION: Duration = Duration::from_millis(3_400);
 
@@ -41,10 +56,19 @@
 #[derive(Clone)]
 pub struct Replica {
     id: String,
+    /// Start time in its list entry.
+    started_ms: u64,
     version: usize,
     address: SocketAddr,
     is_draining: Rc<Cell<bool>>,
     end: CancellationToken,
+    /// Set once the replica does nothing more, although its connections stay open.
+    dark: CancellationToken,
+    /// True if its end resets its connections.
+    resets: Rc<Cell<bool>>,
+    /// Requests that it is running.
+    under_way: UnderWay,
+    replicas: Replicas,
     random: Rc<RefCell<Random>>,
     faults: Faults,
 }
@@ -56,6 +80,8 @@
     started: Rc<Cell<usize>>,
     seed: u64,
     faults: Faults,
+    /// What all replicas have run.
+    pub runs: Runs,
 }
 
 impl Replicas {
@@ -66,6 +92,7 @@
             started: Rc::default(),
             seed,
             faults,
+            runs: Runs::default(),
         };
         for version in [1, 2] {
             for _ in 0..count {
@@ -79,12 +106,22 @@
         let number = self.started.get();
         self.started.set(number + 1);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        self.add_at(listener, format!("r{number}"), FIRST_START_MS, version);
+    }
+
+    fn add_at(&self, listener: TcpListener, id: String, started_ms: u64, version: usize) {
+        let number = self.started.get();
         let replica = Replica {
-            id: format!("r{number}"),
+            id,
+            started_ms,
             version,
             address: listener.local_addr().unwrap(),
             is_draining: Rc::default(),
             end: CancellationToken::new(),
+            dark: CancellationToken::new(),
+            resets: Rc::default(),
+            under_way: UnderWay::default(),
+            replicas: self.clone(),
             faults: self.faults,
             random: Rc::new(RefCell::new(Random::new(self.seed ^ (number as u64) << 32))),
         };
@@ -99,19 +136,17 @@
     /// Returns the number of replicas of a version that take new streams.
     pub fn serving(&self, version: usize) -> usize {
         let listed = self.listed.borrow();
-        let serving = listed.iter().filter(|replica| {
-            let is_up = !replica.end.is_cancelled() && !replica.is_draining.get();
-            is_up && replica.version == version
-        });
+        let serving = listed
+            .iter()
+            .filter(|replica| replica.is_up() && replica.version == version);
         serving.count()
     }
 
     fn pick(&self, random: &mut Random) -> Option<Replica> {
         let listed = self.listed.borrow();
-        let up = listed.iter().filter(|replica| {
-            let is_up = !replica.end.is_cancelled() && !replica.is_draining.get();
-            is_up && self.serving(replica.version) > 1
-        });
+        let up = listed
+            .iter()
+            .filter(|replica| replica.is_up() && self.serving(replica.version) > 1);
         let up: Vec<&Replica> = up.collect();
         (!up.is_empty()).then(|| up[random.below(up.len())].clone())
     }
@@ -121,7 +156,7 @@
         let Some(replica) = self.pick(random) else {
             return;
         };
-        replica.end.cancel();
+        replica.finish();
         let replicas = self.clone();
         let delay = random.millis(50..400);
         actix_rt::spawn(async move {
@@ -132,11 +167,52 @@
         });
     }
 
+    /// Ends a replica that runs a request with a crash plan.
+    fn crash_as_planned(&self, replica: Replica, plan: CrashPlan) {
+        replica.finish_by(plan.end);
+        let replicas = self.clone();
+        actix_rt::spawn(async move {
+            match plan.come_back {
+                ComeBack::SameId => replicas.restart(&replica).await,
+                ComeBack::OtherId => {
+                    actix_rt::time::sleep(LIST_LAG).await;
+                    replicas.add(replica.version).await;
+                    replicas.remove(&replica.id);
+                }
+                ComeBack::Never => {
+                    actix_rt::time::sleep(LIST_LAG).await;
+                    replicas.remove(&replica.id);
+                    actix_rt::time::sleep(REPLACEMENT_DELAY).await;
+                    replicas.add(replica.version).await;
+                }
+            }
+            replica.end.cancel();
+        });
+    }
+
+    /// Starts a replica again under the same identifier and address.
+    async fn restart(&self, replica: &Replica) {
+        if replica.dark.is_cancelled() {
+            actix_rt::time::sleep(LIST_LAG).await;
+        }
+        replica.end.cancel();
+        for _ in 0..BIND_ATTEMPTS {
+            if let Ok(listener) = TcpListener::bind(replica.address).await {
+                self.remove(&replica.id);
+                let started_ms = replica.started_ms + 1;
+                self.add_at(listener, replica.id.clone(), started_ms, replica.version);
+                return;
+            }
+            actix_rt::time::sleep(BIND_RETRY_DELAY).await;
+        }
+        panic!("the address of a replica is in use");
+    }
+
     /// Ends a replica at once. One of the same version replaces it.
     pub async fn replace(&self, id: &str) {
         let listed = self.listed.borrow().clone();
         let replica = listed.iter().find(|listed| listed.id == id).unwrap();
-        replica.end.cancel();
+        replica.finish();
         self.remove(id);
         self.add(replica.version).await;
     }
@@ -153,7 +229,7 @@
         actix_rt::spawn(async move {
             actix_rt::time::sleep(DRAIN_DURATION).await;
             replicas.remove(&replica.id);
-            replica.end.cancel();
+            replica.finish();
         });
     }
 
@@ -163,7 +239,7 @@
             json!({
                 "id": replica.id, "service": "service", "address": replica.address,
                 "zone": "here", "slots": 16, "draining": replica.is_draining.get(),
-                "version": format!("v{}", replica.version),
+                "version": format!("v{}", replica.version), "started_ms": replica.started_ms,
             })
         });
         json!({"replicas": entries.collect::<Vec<_>>(), "next": null}).to_string()
@@ -195,30 +271,110 @@
 }
 
 impl Replica {
+    fn is_up(&self) -> bool {
+        let has_ended = self.end.is_cancelled() || self.dark.is_cancelled();
+        !has_ended && !self.is_draining.get()
+    }
+
+    fn note_end(&self) {
+        let replica = (self.id.as_str(), self.started_ms);
+        self.replicas.runs.note_end(replica, &self.under_way);
+    }
+
+    /// Ends the process, under all requests that it is running.
+    fn finish(&self) {
+        self.note_end();
+        self.end.cancel();
+    }
+
+    fn finish_by(&self, end: End) {
+        if end == End::Silence {
+            self.note_end();
+            self.dark.cancel();
+            return;
+        }
+        self.resets.set(end == End::Reset);
+        self.finish();
+    }
+
     async fn serve(self, listener: TcpListener) {
         let end = self.end.clone();
         let accepting = async {
             while let Ok((stream, _)) = listener.accept().await {
                 let replica = self.clone();
-                let end = self.end.clone();
-                actix_rt::spawn(async move {
-                    end.run_until_cancelled(replica.serve_connection(stream))
-                        .await;
-                });
+                actix_rt::spawn(replica.serve_until_end(stream));
             }
         };
         end.run_until_cancelled(accepting).await;
     }
 
-    async fn serve_connection(self, mut stream: TcpStream) {
+    async fn serve_until_end(self, mut stream: TcpStream) {
+        let (end, dark) = (self.end.clone(), self.dark.clone());
+        let serving = async {
+            let serving = self.serve_connection(&mut stream);
+            if dark.run_until_cancelled(serving).await.is_none() {
+                self.leave_unanswered(&mut stream).await;
+            }
+        };
+        let has_ended = end.run_until_cancelled(serving).await.is_none();
+        if has_ended && self.resets.get() {
+            stream.set_zero_linger().unwrap();
+        }
+    }
+
+    /// Counts the requests that are sent to a replica that has ended silently.
+    async fn leave_unanswered(&self, stream: &mut TcpStream) {
         let mut buffer = Vec::new();
-        while let Some(headers) = read_head(&mut stream, &mut buffer).await {
-            if !self.respond(&headers, &mut stream).await {
+        while let Some(headers) = read_head(stream, &mut buffer).await {
+            let run = self.replicas.runs.begin(name_of(&headers), &self.under_way);
+            self.note_end();
+            drop(run);
+        }
+        self.end.cancelled().await;
+    }
+
+    async fn serve_connection(&self, stream: &mut TcpStream) {
+        let mut buffer = Vec::new();
+        while let Some(headers) = read_head(stream, &mut buffer).await {
+            if headers[TARGET] == "/v1/report" {
+                if !self.report(stream).await {
+                    return;
+                }
+                continue;
+            }
+            if !self.respond(&headers, stream).await {
                 return;
             }
         }
     }
 
+    async fn report(&self, stream: &mut TcpStream) -> bool {
+        let body = json!({
+            "running": 0, "waiting": 0, "memory_used": 0, "memory_total": 1_000,
+            "started_ms": self.started_ms,
+        });
+        let body = body.to_string();
+        let length = body.len();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+        stream.write_all((head + &body).as_bytes()).await.is_ok()
+    }
+
+    /// Ends the replica if the plan says so at this moment. Returns true if it did. After a silent
+    /// end, does not return.
+    async fn crashes_at(&self, plan: Option<CrashPlan>, moment: Moment) -> bool {
+        let Some(plan) = plan.filter(|plan| plan.moment == moment) else {
+            return false;
+        };
+        if self.is_up() || self.is_draining.get() {
+            let replicas = self.replicas.clone();
+            replicas.crash_as_planned(self.clone(), plan);
+        }
+        if plan.end == End::Silence {
+            std::future::pending::<()>().await;
+        }
+        true
+    }
+
     /// Returns true if a fault of this probability happens now.
     fn has_fault(&self, percent: usize) -> bool {
         self.faults == Faults::Random && self.random.borrow_mut().percent(percent)
@@ -237,6 +393,17 @@
             );
             return stream.write_all(head.as_bytes()).await.is_ok();
         }
+        let target = headers.get(TARGET).map_or("", String::as_str);
+        let name = name_of(headers);
+        let plan = CrashPlan::parse(name);
+        let _run = self.replicas.runs.begin(name, &self.under_way);
+        actix_rt::time::sleep(EVENT_INTERVAL).await;
+        if self.crashes_at(plan, Moment::BeforeHead).await {
+            return false;
+        }
+        if target.starts_with("/calls/") {
+            return self.respond_to_call(&id, plan, stream).await;
+        }
         let head = format!(
             "HTTP/1.1 200 OK\r\nLuglink-Request-Id: {id}\r\nLuglink-Signature: by-{}\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -249,6 +416,14 @@
         }
         for number in from..EVENTS {
             actix_rt::time::sleep(EVENT_INTERVAL).await;
+            let moment = if number < EVENTS / 2 {
+                Moment::BeforeEvents
+            } else {
+                Moment::MidStream
+            };
+            if self.crashes_at(plan, moment).await {
+                return false;
+            }
             if self.has_fault(BREAK_PERCENT) {
                 return false;
             }
@@ -265,6 +440,40 @@
     }
 }
 
+impl Replica {
+    /// Responds to a request that is not a stream. Returns true if the connection stays open.
+    async fn respond_to_call(
+        &self,
+        id: &str,
+        plan: Option<CrashPlan>,
+        stream: &mut TcpStream,
+    ) -> bool {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nLuglink-Request-Id: {id}\r\nLuglink-Signature: by-{}\r\n\
+             Content-Length: 8\r\n\r\nhalf",
+            self.id
+        );
+        if stream.write_all(head.as_bytes()).await.is_err() {
+            return false;
+        }
+        for moment in [Moment::BeforeEvents, Moment::MidStream] {
+            if self.crashes_at(plan, moment).await {
+                return false;
+            }
+        }
+        if self.has_fault(BREAK_PERCENT) {
+            return false;
+        }
+        stream.write_all(b"half").await.is_ok()
+    }
+}
+
+/// Returns the name of a request, which is the query of its target.
+fn name_of(headers: &BTreeMap<String, String>) -> &str {
+    let target = headers.get(TARGET).map_or("", String::as_str);
+    target.split_once('?').map_or("", |(_, name)| name)
+}
+
 /// Reads the head of a request without a body. Returns its headers in lower case.
 async fn read_head(
     stream: &mut TcpStream,
@@ -281,7 +490,9 @@
         }
     };
     let head = String::from_utf8(buffer.drain(..end).collect()).unwrap();
+    let target = head.split(' ').nth(1).unwrap_or_default().to_owned();
     let headers = head.lines().filter_map(|line| line.split_once(": "));
     let headers = headers.map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()));
-    Some(headers.collect())
+    let target = (TARGET.to_owned(), target);
+    Some(headers.chain([target]).collect())
 }
--- /dev/null
+++ b/app/luglink/tests/stream_soak/runs.rs
@@ -0,0 +1,92 @@
+//! What the replicas have run, and under which requests they ended.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// Number of ends under a request after which no replica may get it.
+pub const MAX_ENDS: usize = 3;
+
+/// Runs of one request.
+#[derive(Clone, Debug, Default)]
+pub struct RequestRuns {
+    pub runs: usize,
+    /// Replicas that ended under the request, with their start times. A replica that has ended
+    /// silently counts for requests that are sent to it later too.
+    ended: BTreeSet<(String, u64)>,
+    /// Ends during attempts whose gateway was killed, which no other process can know of.
+    unknown_ends: usize,
+    pub runs_after_limit: usize,
+    /// Runs after the third end that processes can know of.
+    pub runs_after_known_limit: usize,
+}
+
+impl RequestRuns {
+    /// Returns the number of replicas that ended under the request.
+    pub fn ends(&self) -> usize {
+        self.ended.len()
+    }
+}
+
+/// Runs of all requests by their names. Requests without a name are not counted.
+#[derive(Clone, Debug, Default)]
+pub struct Runs(Rc<RefCell<BTreeMap<String, RequestRuns>>>);
+
+/// Numbers of runs under way at one replica, by request.
+pub type UnderWay = Rc<RefCell<BTreeMap<String, usize>>>;
+
+/// Counts a run as under way until it is dropped.
+pub struct RunGuard {
+    name: String,
+    under_way: UnderWay,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        if let Some(count) = self.under_way.borrow_mut().get_mut(&self.name) {
+            *count -= 1;
+        }
+    }
+}
+
+impl Runs {
+    pub fn begin(&self, name: &str, under_way: &UnderWay) -> RunGuard {
+        if !name.is_empty() {
+            let mut requests = self.0.borrow_mut();
+            let request = requests.entry(name.to_owned()).or_default();
+            request.runs += 1;
+            let ends = request.ends();
+            request.runs_after_limit += usize::from(ends >= MAX_ENDS);
+            let known_ends = ends - request.unknown_ends.min(ends);
+            request.runs_after_known_limit += usize::from(known_ends >= MAX_ENDS);
+        }
+        *under_way.borrow_mut().entry(name.to_owned()).or_default() += 1;
+        RunGuard {
+            name: name.to_owned(),
+            under_way: Rc::clone(under_way),
+        }
+    }
+
+    /// Records the end of a replica.
+    pub fn note_end(&self, replica: (&str, u64), under_way: &UnderWay) {
+        let mut requests = self.0.borrow_mut();
+        let ended = std::mem::take(&mut *under_way.borrow_mut());
+        for (name, _) in ended.into_iter().filter(|(_, count)| *count > 0) {
+            if let Some(request) = requests.get_mut(&name) {
+                request.ended.insert((replica.0.to_owned(), replica.1));
+            }
+        }
+    }
+
+    /// Records that the gateway of an attempt was killed during which `ends` replicas ended.
+    pub fn note_gateway_lost(&self, name: &str, ends: usize) {
+        if let Some(request) = self.0.borrow_mut().get_mut(name) {
+            request.unknown_ends += ends;
+        }
+    }
+
+    pub fn of(&self, name: &str) -> RequestRuns {
+        let requests = self.0.borrow();
+        requests.get(name).cloned().unwrap_or_default()
+    }
+}
