--- a/app/luglink/tests/stream_soak/crashing.rs
+++ b/app/luglink/tests/stream_soak/crashing.rs
@@ -290,8 +290,7 @@
         caller.await.expect("a caller ends");
     }
     fleet.assert_all_gateways_serve().await;
-    let report = report.borrow().clone();
-    report
+    report.take()
 }
 
 #[actix_rt::test]
