Start the move checks of a stream when its run begins

Change: the run begins before the checks do. A refusal for crashes no longer counts as a caller that left.

--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -86,6 +86,17 @@
     overrides: &SendOverrides,
 ) -> Result<Answer, Failure> {
     let run = Run::begin(gateway, inbound, backend).await?;
+    send_run(gateway, inbound, backend, overrides, run).await
+}
+
+/// Sends a request for a run that has begun.
+pub(crate) async fn send_run(
+    gateway: &Rc<Gateway>,
+    inbound: &InboundRequest,
+    backend: &Backend,
+    overrides: &SendOverrides,
+    run: Run,
+) -> Result<Answer, Failure> {
     let replica_guard = ReplicaGuard::begin(gateway, &backend.id);
     inbound.watch.note_sent(&backend.id);
     let result = send_with_reconnect(gateway, inbound, backend, overrides, &run).await;
--- a/crates/gateway-server/src/move_watch.rs
+++ b/crates/gateway-server/src/move_watch.rs
@@ -1,11 +1,12 @@
 //! Detection of streams whose replica is unusually slow, and their move to another replica.
 
 use crate::attempts::{Attempts, choose_excluding};
-use crate::exchange::{Answer, SendOverrides, send};
+use crate::exchange::{Answer, SendOverrides, send_run};
 use crate::failure::Failure;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::refusal::Refusal;
+use crate::run::Run;
 use luglink_edge::Route;
 use luglink_fleet::Backend;
 use luglink_scheduling::{
@@ -110,11 +111,16 @@
         overrides: &SendOverrides,
         attempts: &Attempts,
     ) -> SendResult {
-        self.note_sent(inbound, attempts);
         let gateway = Rc::clone(&self.gateway);
+        // A request that waits for other runs of it is not slow at the replica.
+        let run = match Run::begin(&gateway, inbound, backend).await {
+            Ok(run) => run,
+            Err(failure) => return SendResult::Failed(failure),
+        };
+        self.note_sent(inbound, attempts);
         // Dropping the future on return closes the connection before the request is sent to
         // another replica.
-        let sending = send(&gateway, inbound, backend, overrides);
+        let sending = send_run(&gateway, inbound, backend, overrides, run);
         tokio::pin!(sending);
         loop {
             tokio::select! {
--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -102,9 +102,11 @@
         ))?;
     let inbound = inbound::read(gateway, &in_force, request).await?;
     drop(in_force);
-    run::refuse_crashing(gateway, &inbound).await?;
     let watch = Rc::clone(&inbound.watch);
-    let result = if inbound.route.kind == RouteKind::Streaming {
+    let allowed = run::refuse_crashing(gateway, &inbound).await;
+    let result = if let Err(refusal) = allowed {
+        Err(refusal)
+    } else if inbound.route.kind == RouteKind::Streaming {
         stream::serve(gateway, inbound, in_flight).await
     } else {
         serve_unary(gateway, &inbound).await
