Ask the stores for crashes in a gateway that has stood still

Cause: it answered the caller's waiting request before it had read the reports that waited beside it. Evidence: a_gateway_that_was_frozen_learns_of_crashes_before_it_sends_a_request, 4 ends instead of 3 in three runs of three before. Change: a gateway without upkeep for 250 ms has stood still, and asks the owners before it sends, until each store has responded again. The test passes in three runs of three. Freezes below 250 ms are not noticed.

--- a/app/luglink/tests/stream_soak/lost_runs.rs
+++ b/app/luglink/tests/stream_soak/lost_runs.rs
@@ -1,15 +1,17 @@
-//! Requests whose gateway is lost while a replica ends under them.
+//! Requests whose gateway is killed or frozen while replicas end under them.
 
 use crate::callers::{Received, message};
 use crate::fleet::{Fleet, PATHS};
 use crate::replicas::Faults;
 use crate::runs::MAX_ENDS;
-use luglink_http::connect;
+use luglink_http::{ClientConnection, connect};
 use rustix::process::Signal;
 use std::time::Duration;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+const FREEZE_DURATION: Duration = Duration::from_millis(800);
+
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Attempts at another gateway, enough to end every replica.
@@ -19,13 +21,34 @@
 const NAME: &str = "crash-head-exit-other-1";
 
 async fn send(fleet: &Fleet, gateway: usize, request: &str) {
-    let path = format!("{}?{NAME}", PATHS[0]);
     let mut connection = connect(fleet.addresses[gateway], TIMEOUT).await.unwrap();
+    send_on(&mut connection, request).await;
+}
+
+async fn send_on(connection: &mut ClientConnection, request: &str) {
+    let path = format!("{}?{NAME}", PATHS[0]);
     let message = message(&path, request, TIMEOUT, &Received::default());
     // The gateway may be killed.
     let _ = connection.send(message).await;
 }
 
+#[actix_rt::test]
+async fn a_gateway_that_was_frozen_learns_of_crashes_before_it_sends_a_request() {
+    let fleet = Fleet::start(1, 2, Faults::None).await;
+    let mut open = connect(fleet.addresses[1], TIMEOUT).await.unwrap();
+    fleet.gateways[1].signal(Signal::STOP);
+    for attempt in 0..ATTEMPTS {
+        send(&fleet, 0, &format!("attempt-{attempt}")).await;
+    }
+    assert_eq!(fleet.replicas.runs.of(NAME).ends(), MAX_ENDS);
+    let waking = async {
+        actix_rt::time::sleep(FREEZE_DURATION).await;
+        fleet.gateways[1].signal(Signal::CONT);
+    };
+    tokio::join!(send_on(&mut open, "after"), waking);
+    assert_eq!(fleet.replicas.runs.of(NAME).ends(), MAX_ENDS);
+}
+
 #[actix_rt::test]
 async fn a_run_whose_gateway_was_lost_counts_among_the_crashes_under_its_request() {
     let fleet = Fleet::start(1, 2, Faults::None).await;
--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -22,6 +22,10 @@
 /// Maximum number of crashes to be reviewed.
 const MAX_REVIEWS: usize = 1 << 12;
 
+/// Time without upkeep after which the process must have stood still. Reports that arrived meanwhile
+/// may not have been read yet.
+const MAX_UPKEEP_GAP: Duration = Duration::from_millis(250);
+
 /// Time after the last response of a store after which its reports may be missing here. A store
 /// holds a request for new reports for less.
 const FOLLOW_TIMEOUT: Duration = Duration::from_secs(4);
@@ -44,6 +48,7 @@
     to_review: VecDeque<(RunReport, Instant)>,
     /// Time of the last response of each followed store.
     followed: HashMap<StoreName, Instant>,
+    last_upkeep: Instant,
 }
 
 impl Default for CrashLedger {
@@ -54,6 +59,7 @@
             crashed: Vec::new(),
             to_review: VecDeque::new(),
             followed: HashMap::new(),
+            last_upkeep: Instant::now(),
         }
     }
 }
@@ -163,8 +169,24 @@
         self.followed.remove(store);
     }
 
+    /// Records that the process is running. If it has stood still, no store counts as followed until
+    /// it responds again.
+    pub(crate) fn note_upkeep(&mut self) {
+        if self.has_stood_still() {
+            self.followed.clear();
+        }
+        self.last_upkeep = Instant::now();
+    }
+
+    fn has_stood_still(&self) -> bool {
+        self.last_upkeep.elapsed() > MAX_UPKEEP_GAP
+    }
+
     /// Returns the number of stores whose reports are known here.
     pub(crate) fn followed_count(&self) -> usize {
+        if self.has_stood_still() {
+            return 0;
+        }
         let followed = self.followed.values();
         followed
             .filter(|last| last.elapsed() < FOLLOW_TIMEOUT)
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -16,8 +16,8 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Interval at which the set of followed stores is compared with the view of the stores, and
-/// abandoned runs are checked for their age.
-const UPKEEP_INTERVAL: Duration = Duration::from_millis(200);
+/// abandoned runs are checked for their age. Far below the gap after which reports may be missing.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Delay before a store that did not respond is followed again.
 const FOLLOW_RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -173,6 +173,7 @@
             }
         }
         followed.retain(|name, link| gateway.turns.has_link(name, link));
+        gateway.crashes.borrow_mut().note_upkeep();
         gateway.report_abandoned();
         gateway.review_crashes();
         actix_rt::time::sleep(UPKEEP_INTERVAL).await;
