Watch the replica of every stream that moves

Cause: the silence of a run was measured from when the gateway read its last data. Change: a run whose request moves is always watched, because only silence makes it move.

--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -41,7 +41,8 @@
     report: RunReport,
     is_announced: Cell<bool>,
     is_over: Cell<bool>,
-    last_data: Cell<Instant>,
+    /// Time of the last data; `None` if the request moved because the replica sent none for long.
+    last_data: Cell<Option<Instant>>,
 }
 
 /// Refuses a request under which too many replicas have ended.
@@ -134,7 +135,7 @@
             gateway: Rc::clone(gateway),
             is_announced: Cell::new(false),
             is_over: Cell::new(false),
-            last_data: Cell::new(Instant::now()),
+            last_data: Cell::new(Some(Instant::now())),
         }
     }
 
@@ -154,7 +155,13 @@
 
     /// Records that the replica has sent something.
     pub(crate) fn note_data(&self) {
-        self.last_data.set(Instant::now());
+        self.last_data.set(Some(Instant::now()));
+    }
+
+    /// Records that the request moves because the replica has long sent nothing. A gateway that has
+    /// stood still may only just have read what it had sent before.
+    pub(crate) fn note_silent(&self) {
+        self.last_data.set(None);
     }
 
     /// Ends the run with the whole response of a request that succeeded.
@@ -201,8 +208,9 @@
 
     /// Gives up the run. If the replica has sent nothing for a while, it may have ended.
     fn abandon(&self) {
-        let is_silent = self.last_data.get().elapsed() >= MIN_SILENCE;
-        if !is_silent {
+        let last_data = self.last_data.get();
+        let has_sent = last_data.is_some_and(|last| last.elapsed() < MIN_SILENCE);
+        if has_sent {
             self.survived();
             return;
         }
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -619,6 +619,7 @@
     async fn move_to(&mut self, from: Source, mut to: Backend) -> Result<Source, &'static str> {
         self.attempts.note_moved(&from.backend);
         let previous = from.backend.clone();
+        from.run.note_silent();
         // Cancels the request at the previous replica before another one resumes it.
         drop(from);
         self.splitter.clear();
