Keep the lease of a run longer than the watch of its replica

Callers of a request that had been given up at silent replicas got 503 with a Retry-After of ten minutes, although no replica had ended. Cause: the lease of a run ended 2 s after its deadline, while the replica of a run that was given up is watched for 10 s; in between the run counted as a crash. Change: the lease covers the watch, and a run that cannot be watched is cleared.

--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -14,7 +14,7 @@
 
 /// Time for which the replica of an abandoned run is watched. The list shows the end of a replica
 /// some seconds late.
-const ABANDONED_RETENTION: Duration = Duration::from_secs(10);
+pub(crate) const ABANDONED_RETENTION: Duration = Duration::from_secs(10);
 
 /// Time after which the list shows whether a replica has restarted under the same identifier.
 const REVIEW_DELAY: Duration = Duration::from_secs(5);
@@ -82,12 +82,14 @@
         cleared
     }
 
-    /// Watches the replica of an abandoned run.
-    pub(crate) fn watch_abandoned(&mut self, report: RunReport) {
-        if self.abandoned.len() < MAX_ABANDONED {
+    /// Watches the replica of an abandoned run. Returns false if too many are watched.
+    pub(crate) fn watch_abandoned(&mut self, report: RunReport) -> bool {
+        let has_room = self.abandoned.len() < MAX_ABANDONED;
+        if has_room {
             let since = Instant::now();
             self.abandoned.push(AbandonedRun { report, since });
         }
+        has_room
     }
 
     /// Returns the abandoned runs at replicas that have ended, as crashed.
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -5,7 +5,7 @@
 //! under which [`MAX_CRASHES`] replicas have ended is sent to none again. From the second run on, a
 //! run is announced before it begins, so that it counts even if its gateway is lost with it.
 
-use crate::crash_ledger::in_state;
+use crate::crash_ledger::{ABANDONED_RETENTION, in_state};
 use crate::failure::Failure;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
@@ -32,8 +32,9 @@
 /// Interval at which it checks whether those runs have ended.
 const ANNOUNCED_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Time after the deadline of a run during which it still counts as under way.
-const LEASE_MARGIN: Duration = Duration::from_secs(2);
+/// Time after the deadline of a run during which it still counts as under way. Its gateway reports
+/// the outcome of a run that was given up at the end of the watch.
+const LEASE_MARGIN: Duration = Duration::from_secs(2).saturating_add(ABANDONED_RETENTION);
 
 /// Run of a request at a replica. Dropping it means that the request was given up.
 pub(crate) struct Run {
@@ -210,14 +211,16 @@
     fn abandon(&self) {
         let last_data = self.last_data.get();
         let has_sent = last_data.is_some_and(|last| last.elapsed() < MIN_SILENCE);
-        if has_sent {
+        let is_watched = !has_sent && {
+            let mut crashes = self.gateway.crashes.borrow_mut();
+            crashes.watch_abandoned(self.report.clone())
+        };
+        if is_watched {
+            let report = std::slice::from_ref(&self.report);
+            self.gateway.send_reports(report);
+        } else {
             self.survived();
-            return;
         }
-        self.gateway
-            .send_reports(std::slice::from_ref(&self.report));
-        let mut crashes = self.gateway.crashes.borrow_mut();
-        crashes.watch_abandoned(self.report.clone());
     }
 }
 
--- a/crates/gateway-server/tests/gateway/crashing_requests.rs
+++ b/crates/gateway-server/tests/gateway/crashing_requests.rs
@@ -6,6 +6,7 @@
 use luglink_edge::RouteKind;
 use luglink_gateway_server::GatewayServer;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Number of crashes under a request after which no replica gets it.
 const MAX_CRASHES: usize = 3;
@@ -192,6 +193,55 @@
     assert_eq!(request("answered").send(gateway).await.status, 200);
 }
 
+/// Sends a request that no replica answers until its own deadline.
+async fn give_up(fleet: &Fleet, id: &str) {
+    let request = TestRequest::get("/safe/silent", id).with("luglink-deadline-ms", 700);
+    assert_eq!(request.send(fleet.gateway_address).await.status, 504);
+}
+
+#[actix_rt::test]
+async fn runs_that_were_given_up_are_not_taken_for_crashes_while_their_replicas_are_watched() {
+    let (fleet, _replicas) = fleet(Script::Mute).await;
+    for number in 0..2 {
+        give_up(&fleet, &format!("silent-{number}")).await;
+    }
+    // Longer than the deadline of the requests, shorter than the watch.
+    actix_rt::time::sleep(Duration::from_millis(4_500)).await;
+    let response = TestRequest::get("/safe/silent", "later")
+        .send(fleet.gateway_address)
+        .await;
+    let retry_after = response.header("retry-after").unwrap_or("0");
+    assert!(retry_after.parse::<f64>().unwrap() < 1.0, "{response:?}");
+}
+
+#[actix_rt::test]
+async fn a_request_that_was_given_up_is_served_once_its_replicas_respond_again() {
+    let (fleet, replicas) = fleet(Script::Answer).await;
+    let gateway = fleet.gateway_address;
+    let others = |round: usize| {
+        let requests = (0..90).map(move |number| {
+            let id = format!("{round}-{number}");
+            TestRequest::get(&format!("/safe/{id}"), &id).send(gateway)
+        });
+        futures_util::future::join_all(requests)
+    };
+    others(0).await;
+    for replica in &replicas {
+        replica.set_script(Script::Mute);
+    }
+    for number in 0..2 {
+        give_up(&fleet, &format!("silent-{number}")).await;
+    }
+    for replica in &replicas {
+        replica.set_script(Script::Answer);
+    }
+    others(1).await;
+    let response = TestRequest::get("/safe/silent", "later")
+        .send(gateway)
+        .await;
+    assert_eq!(response.status, 200, "{response:?}");
+}
+
 #[actix_rt::test]
 async fn a_reset_of_the_only_connection_to_a_living_replica_is_no_crash() {
     let replicas = replicas(Script::ClosesOn("reset")).await;
