Ask silent engines whether they restarted before a request waits for its own runs

Callers whose request had been given up at three slow but living engines got 503 after up to a second, for ten seconds. Cause: such runs may still turn out as ends and fill the limit until the replica responds on an older connection. Evidence: a_request_that_silent_engines_have_survived_is_sent_again, 503 before. Change: before it waits, a request asks the engines of its own given-up runs for their reports; one with the same start time has survived. With it, tests of ways that had none: a turn with a budget at two gateways, another turn of its program, a program's call, a wave of crashes, and processes without stores or with restarted ones.

--- a/app/luglink/tests/stream_soak/lost_runs.rs
+++ b/app/luglink/tests/stream_soak/lost_runs.rs
@@ -49,6 +49,41 @@
     assert_eq!(fleet.replicas.runs.of(NAME).ends(), MAX_ENDS);
 }
 
+#[actix_rt::test]
+async fn without_stores_a_gateway_goes_by_the_crashes_that_it_has_seen() {
+    let fleet = Fleet::start(1, 2, Faults::None).await;
+    for store in fleet.stores.iter() {
+        store.signal(Signal::KILL);
+        store.wait_for_exit().await;
+    }
+    for attempt in 0..ATTEMPTS {
+        send(&fleet, 0, &format!("attempt-{attempt}")).await;
+    }
+    assert_eq!(fleet.replicas.runs.of(NAME).ends(), MAX_ENDS);
+    for store in fleet.stores.iter() {
+        store.start_again();
+    }
+    fleet.assert_all_gateways_serve().await;
+}
+
+#[actix_rt::test]
+async fn restarted_stores_do_not_make_gateways_forget_crashes() {
+    let fleet = Fleet::start(1, 2, Faults::None).await;
+    for attempt in 0..ATTEMPTS {
+        send(&fleet, 0, &format!("attempt-{attempt}")).await;
+    }
+    for store in fleet.stores.iter() {
+        store.signal(Signal::KILL);
+        store.wait_for_exit().await;
+        store.start_again();
+    }
+    fleet.assert_all_gateways_serve().await;
+    for attempt in 0..ATTEMPTS {
+        send(&fleet, attempt % 2, &format!("later-{attempt}")).await;
+    }
+    assert_eq!(fleet.replicas.runs.of(NAME).ends(), MAX_ENDS);
+}
+
 #[actix_rt::test]
 async fn a_run_whose_gateway_was_lost_counts_among_the_crashes_under_its_request() {
     let fleet = Fleet::start(1, 2, Faults::None).await;
--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -1,7 +1,7 @@
 //! What a gateway knows of replicas that ended under requests.
 
 use luglink_fleet::{BackendId, StoreName};
-use luglink_turns::{CrashTable, RequestFingerprint, RunReport, RunState};
+use luglink_turns::{CrashTable, RequestFingerprint, RunId, RunReport, RunState};
 use luglink_types::Timestamp;
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -142,6 +142,19 @@
         self.take(is_survived, RunState::Cleared)
     }
 
+    /// Returns the abandoned runs of a request.
+    pub(crate) fn abandoned_of(&self, request: RequestFingerprint) -> Vec<RunReport> {
+        let reports = self.abandoned.iter().map(|run| &run.report);
+        let of_request = reports.filter(|report| report.request == request);
+        of_request.cloned().collect()
+    }
+
+    /// Ends the watch of these runs. Returns them as cleared.
+    pub(crate) fn take_runs(&mut self, runs: &[RunId]) -> Vec<RunReport> {
+        let is_one = |run: &AbandonedRun| runs.contains(&run.report.run);
+        self.take(is_one, RunState::Cleared)
+    }
+
     /// Returns the abandoned runs whose replicas have not ended for so long that they are no longer
     /// watched, as cleared.
     pub(crate) fn take_expired(&mut self) -> Vec<RunReport> {
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -1,13 +1,15 @@
 //! Exchange of crash reports with the turn stores.
 
 use crate::gateway::Gateway;
+use crate::placement;
 use crate::store_link::StoreLink;
 use crate::turn_client::TurnClient;
 use futures_util::StreamExt;
+use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
 use luglink_fleet::{BackendId, Incarnation, StoreName};
 use luglink_telemetry::milliseconds;
-use luglink_turns::{CrashRequest, LogPosition, RequestFingerprint, RunReport, RunState};
+use luglink_turns::{CrashRequest, LogPosition, RequestFingerprint, RunId, RunReport, RunState};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -45,14 +47,28 @@
         }
     }
 
-    /// Gets the reports of a request from a quorum of its stores, if they respond.
+    /// Gets the reports of a request from a quorum of its stores, unless the reports of all stores
+    /// are known here.
     pub(crate) async fn look_up_crashes(self: &Rc<Self>, request: RequestFingerprint) {
-        self.ask_stores(request, CrashRequest::Find(request)).await;
+        if self.follows_crash_reports() {
+            return;
+        }
+        let links = self.turns.crash_owners(request);
+        self.ask(links, request, CrashRequest::Find(request)).await;
     }
 
     async fn ask_stores(self: &Rc<Self>, fingerprint: RequestFingerprint, request: CrashRequest) {
-        let request = Rc::new(request);
         let links = self.turns.crash_owners(fingerprint);
+        self.ask(links, fingerprint, request).await;
+    }
+
+    async fn ask(
+        self: &Rc<Self>,
+        links: Vec<Rc<StoreLink>>,
+        fingerprint: RequestFingerprint,
+        request: CrashRequest,
+    ) {
+        let request = Rc::new(request);
         let mut pending: FuturesUnordered<_> = links
             .into_iter()
             .map(|link| actix_rt::spawn(exchange(Rc::clone(self), link, Rc::clone(&request))))
@@ -79,7 +95,7 @@
     }
 
     /// Returns true if all reports that stores have acknowledged are known here.
-    pub(crate) fn follows_crash_reports(&self) -> bool {
+    fn follows_crash_reports(&self) -> bool {
         let followed = self.crashes.borrow().followed_count();
         self.turns.is_certain(followed)
     }
@@ -91,6 +107,21 @@
         self.send_reports(&survived);
     }
 
+    /// Clears the abandoned runs of a request at model engines whose reports show that they have not
+    /// restarted.
+    pub(crate) async fn query_abandoned(self: &Rc<Self>, request: RequestFingerprint) {
+        let abandoned = self.crashes.borrow().abandoned_of(request);
+        let queries = abandoned.into_iter().map(|report| async move {
+            let listed = self.pool.borrow().listed(&report.replica).cloned();
+            let reported = placement::query_incarnation(self, &listed?).await?;
+            let is_same = reported == report.incarnation && reported != Incarnation::UNKNOWN;
+            is_same.then_some(report.run)
+        });
+        let survived: Vec<RunId> = join_all(queries).await.into_iter().flatten().collect();
+        let cleared = self.crashes.borrow_mut().take_runs(&survived);
+        self.send_reports(&cleared);
+    }
+
     /// Reports the abandoned runs at replicas that the list shows as ended, and ends the watch of old
     /// ones.
     fn report_abandoned(self: &Rc<Self>) {
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -51,9 +51,7 @@
     gateway: &Rc<Gateway>,
     inbound: &InboundRequest,
 ) -> Result<(), Refusal> {
-    if !gateway.follows_crash_reports() {
-        gateway.look_up_crashes(inbound.fingerprint).await;
-    }
+    gateway.look_up_crashes(inbound.fingerprint).await;
     let crashes = gateway.crashes_under(inbound.fingerprint);
     if crashes < MAX_CRASHES {
         return Ok(());
@@ -96,6 +94,7 @@
     ) -> Result<Self, Failure> {
         let deadline = Instant::now() + MAX_ANNOUNCED_WAIT.min(inbound.remaining() / 2);
         let request = inbound.fingerprint;
+        let mut has_queried = false;
         loop {
             if gateway.crashes_under(request) >= MAX_CRASHES {
                 return Err(Failure::CrashLimit);
@@ -112,6 +111,10 @@
                 }
                 run.survived();
             }
+            if !std::mem::replace(&mut has_queried, true) {
+                gateway.query_abandoned(request).await;
+                continue;
+            }
             if Instant::now() >= deadline {
                 return Err(Failure::CrashLimit);
             }
--- a/crates/gateway-server/tests/gateway/crashing_requests.rs
+++ b/crates/gateway-server/tests/gateway/crashing_requests.rs
@@ -16,6 +16,9 @@
 
 const REPLICAS: usize = 9;
 
+/// Time between two crashes of a wave, about as long as a request takes.
+const WAVE_INTERVAL: Duration = Duration::from_millis(70);
+
 /// Part of the path of requests that crash their replicas.
 const CRASHING: &str = "crash";
 
@@ -242,6 +245,119 @@
     assert_eq!(response.status, 200, "{response:?}");
 }
 
+#[actix_rt::test]
+async fn a_request_that_silent_engines_have_survived_is_sent_again() {
+    let replicas = replicas(Script::Mute).await;
+    for replica in &replicas {
+        replica.running.set(Some(1));
+        replica.started_ms.set(5);
+    }
+    let fleet = fleet_of(&replicas).await;
+    for number in 0..2 {
+        give_up(&fleet, &format!("silent-{number}")).await;
+    }
+    for replica in &replicas {
+        replica.set_script(Script::Answer);
+    }
+    let response = TestRequest::get("/safe/silent", "later")
+        .send(fleet.gateway_address)
+        .await;
+    assert_eq!(response.status, 200, "{response:?}");
+}
+
+#[actix_rt::test]
+async fn a_turn_is_sent_to_no_replica_after_the_third_crash_under_it() {
+    let (fleet, replicas) = fleet(Script::StreamCrashes(1)).await;
+    let (_second, address) = second_gateway(&fleet).await;
+    let turn = |id: &str| {
+        TestRequest::post("/kept/x", id, "input")
+            .with("luglink-program", "p")
+            .with("luglink-token-budget", 5_000)
+            .with("luglink-token-usage", "100,50")
+    };
+    let last = insist(turn, &[fleet.gateway_address, address]).await;
+    assert_eq!(crashed(&replicas), MAX_CRASHES);
+    assert_refused(&last);
+}
+
+#[actix_rt::test]
+async fn another_turn_of_the_same_program_has_a_count_of_its_own() {
+    let (fleet, replicas) = fleet(Script::StreamCrashes(1)).await;
+    let turn = |id: &str, input: &'static str| {
+        TestRequest::post("/kept/x", id, input)
+            .with("luglink-program", "p")
+            .with("luglink-token-budget", 5_000)
+            .with("luglink-token-usage", "100,50")
+    };
+    insist(|id| turn(id, "input"), &[fleet.gateway_address]).await;
+    assert_eq!(crashed(&replicas), MAX_CRASHES);
+    for replica in &replicas {
+        replica.set_script(Script::Stream);
+    }
+    let response = turn("other", "other input")
+        .send(fleet.gateway_address)
+        .await;
+    assert_eq!((response.status, response.is_whole), (200, true));
+}
+
+#[actix_rt::test]
+async fn a_call_of_a_program_is_sent_to_no_replica_after_the_third_crash_under_it() {
+    let (fleet, replicas) = fleet(Script::CrashesOn(CRASHING)).await;
+    let call = |id: &str| call(id).with("luglink-program", "p");
+    let last = insist(call, &[fleet.gateway_address]).await;
+    assert_eq!(crashed(&replicas), MAX_CRASHES);
+    assert_refused(&last);
+}
+
+/// Returns the number of crashed replicas that received a request.
+fn crashed_with(replicas: &[Replica], path: &str) -> usize {
+    let has_seen = |replica: &&Replica| {
+        let seen = replica.seen.borrow();
+        seen.iter().any(|seen| seen.target.contains(path))
+    };
+    let crashed = replicas.iter().filter(|replica| replica.has_crashed());
+    crashed.filter(has_seen).count()
+}
+
+/// Sends attempts of a request until it is served. Returns false if none is.
+async fn serve(gateway: SocketAddr, path: &str) -> bool {
+    for attempt in 0..4 {
+        let request = TestRequest::get(path, &format!("{path}{attempt}"));
+        if request.send(gateway).await.status == 200 {
+            return true;
+        }
+    }
+    false
+}
+
+#[actix_rt::test]
+async fn requests_in_a_wave_of_crashes_are_served_unless_three_replicas_ended_under_them() {
+    let (fleet, replicas) = fleet(Script::ClosesOn("never")).await;
+    let gateway = fleet.gateway_address;
+    let wave = async {
+        for replica in replicas.iter().take(REPLICAS - 2) {
+            actix_rt::time::sleep(WAVE_INTERVAL).await;
+            replica.crash();
+        }
+    };
+    let caller = |number: usize| {
+        let replicas = replicas.clone();
+        async move {
+            for round in 0..10 {
+                let path = format!("/safe/{number}-{round}-");
+                let served = serve(gateway, &path).await;
+                assert!(
+                    served || crashed_with(&replicas, &path) >= MAX_CRASHES,
+                    "{path}"
+                );
+            }
+        }
+    };
+    let callers = futures_util::future::join_all((0..12).map(caller));
+    tokio::join!(callers, wave);
+    assert_eq!(crashed(&replicas), REPLICAS - 2);
+}
+
 #[actix_rt::test]
 async fn a_reset_of_the_only_connection_to_a_living_replica_is_no_crash() {
     let replicas = replicas(Script::ClosesOn("reset")).await;
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -167,6 +167,11 @@
         *self.script.borrow_mut() = script;
     }
 
+    /// Ends the replica with all its connections.
+    pub fn crash(&self) {
+        self.crash.cancel();
+    }
+
     /// Returns true if the replica has crashed.
     pub fn has_crashed(&self) -> bool {
         self.crash.is_cancelled()
