Look up crashes before every send of a gateway that may lack reports, at stores that answer

A gateway that was frozen while it served a request sent it on by what it had known before: only the arrival of a request asked the stores. And a gateway cut off from its stores made every request wait 150 ms for them. Change: each send asks too, and stores that did not answer lately are left out. Measured: all 96 gateway tests and without_stores_a_gateway_goes_by_the_crashes_that_it_has_seen pass; no run shows either case failing before.

--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -48,12 +48,13 @@
     }
 
     /// Gets the reports of a request from a quorum of its stores, unless the reports of all stores
-    /// are known here.
+    /// are known here. Stores that did not answer lately are left out, since the request waits.
     pub(crate) async fn look_up_crashes(self: &Rc<Self>, request: RequestFingerprint) {
         if self.follows_crash_reports() {
             return;
         }
-        let links = self.turns.crash_owners(request);
+        let mut links = self.turns.crash_owners(request);
+        links.retain(|link| !link.is_unresponsive());
         self.ask(links, request, CrashRequest::Find(request)).await;
     }
 
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -94,6 +94,7 @@
     ) -> Result<Self, Failure> {
         let deadline = Instant::now() + MAX_ANNOUNCED_WAIT.min(inbound.remaining() / 2);
         let request = inbound.fingerprint;
+        gateway.look_up_crashes(request).await;
         let mut has_queried = false;
         loop {
             if gateway.crashes_under(request) >= MAX_CRASHES {
