Bound the crash reports by what a gateway's memory and a frame can hold; share connections in tests

65,536 requests of 32 runs each could fill the memory of a gateway of 160 MB, and one message with all of them exceeded the limit of a frame, 64 MB. Change: 16,384 requests of 16 runs. The callers of both soaks and the tests with a second gateway share their connecting code.

--- a/app/luglink/tests/stream_soak/callers.rs
+++ b/app/luglink/tests/stream_soak/callers.rs
@@ -1,14 +1,14 @@
 //! Callers that keep their connections, resume broken streams at any gateway, and check what they
 //! receive.
 
+use crate::connections::Connections;
 use crate::fleet::{Fleet, HOST, PATHS};
 use crate::random::Random;
 use crate::replicas::EVENTS;
 use http::Request;
 use http_body_util::BodyExt;
-use luglink_http::{Body, ClientConnection, connect, empty_body};
+use luglink_http::{Body, empty_body};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,8 +18,6 @@
 /// Time that a caller has for one stream, over all its attempts.
 const STREAM_TIMEOUT: Duration = Duration::from_secs(4);
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Maximum time that a caller waits for the next bytes.
 const GAP_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -113,7 +111,7 @@
             let caller = Caller {
                 number,
                 fleet: fleet.clone(),
-                connections: HashMap::new(),
+                connections: Connections::default(),
                 random: Random::new(seed.wrapping_mul(1_000) + number as u64),
                 report: Rc::clone(&report),
             };
@@ -190,8 +188,7 @@
 struct Caller {
     number: usize,
     fleet: Fleet,
-    /// Idle connections by gateway.
-    connections: HashMap<usize, ClientConnection>,
+    connections: Connections,
     random: Random,
     report: Rc<RefCell<Report>>,
 }
@@ -282,7 +279,7 @@
         left: Duration,
         received: &mut Received,
     ) -> bool {
-        let Some(mut connection) = self.connection(gateway).await else {
+        let Some(mut connection) = self.connections.take(&self.fleet, gateway).await else {
             return false;
         };
         let message = message(path, request, left, received);
@@ -302,20 +299,9 @@
                 Ok(Some(Err(_))) | Err(_) => return false,
             }
         }
-        self.connections.insert(gateway, connection);
+        self.connections.give_back(gateway, connection);
         is_success
     }
-
-    /// Returns the open connection to a gateway, or a new one.
-    async fn connection(&mut self, gateway: usize) -> Option<ClientConnection> {
-        if let Some(mut open) = self.connections.remove(&gateway)
-            && open.wait_until_ready().await
-        {
-            return Some(open);
-        }
-        let address = self.fleet.addresses[gateway];
-        connect(address, CONNECT_TIMEOUT).await.ok()
-    }
 }
 
 /// Returns a request that begins a stream, or resumes the one that was received in part.
--- a/app/luglink/tests/stream_soak/crashing.rs
+++ b/app/luglink/tests/stream_soak/crashing.rs
@@ -2,15 +2,14 @@
 
 use crate::callers::{Received, message};
 use crate::chaos;
+use crate::connections::Connections;
 use crate::crash_plan::CrashPlan;
 use crate::fleet::{CALL_PATH, Fleet, PATHS};
 use crate::random::Random;
 use crate::replicas::Faults;
 use crate::runs::MAX_ENDS;
 use http_body_util::BodyExt;
-use luglink_http::{ClientConnection, connect};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -31,8 +30,6 @@
 /// Time that a caller has for one request, over all its attempts.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(6);
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Maximum time that a caller waits for the next bytes.
 const GAP_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -118,8 +115,7 @@
     number: usize,
     is_bad: bool,
     fleet: Fleet,
-    /// Idle connections by gateway.
-    connections: HashMap<usize, ClientConnection>,
+    connections: Connections,
     random: Random,
     report: Rc<RefCell<Report>>,
 }
@@ -196,7 +192,7 @@
         left: Duration,
         received: &mut Received,
     ) -> Outcome {
-        let Some(mut connection) = self.connection(gateway).await else {
+        let Some(mut connection) = self.connections.take(&self.fleet, gateway).await else {
             return Outcome::Failed;
         };
         let sending = connection.send(message(path, request, left, received));
@@ -217,7 +213,7 @@
                 Ok(Some(Err(_))) | Err(_) => return Outcome::Failed,
             }
         }
-        self.connections.insert(gateway, connection);
+        self.connections.give_back(gateway, connection);
         match retry_after {
             _ if is_success => Outcome::Whole,
             Some(delay) if delay >= MIN_REFUSAL_SECONDS => Outcome::Refused,
@@ -225,17 +221,6 @@
         }
     }
 
-    /// Returns the open connection to a gateway, or a new one.
-    async fn connection(&mut self, gateway: usize) -> Option<ClientConnection> {
-        if let Some(mut open) = self.connections.remove(&gateway)
-            && open.wait_until_ready().await
-        {
-            return Some(open);
-        }
-        let address = self.fleet.addresses[gateway];
-        connect(address, CONNECT_TIMEOUT).await.ok()
-    }
-
     fn judge_bad(&self, name: &str) {
         let runs = self.fleet.replicas.runs.of(name);
         let mut report = self.report.borrow_mut();
@@ -277,7 +262,7 @@
             number,
             is_bad: number < BAD_CALLERS,
             fleet: fleet.clone(),
-            connections: HashMap::new(),
+            connections: Connections::default(),
             random: Random::new(seed.wrapping_mul(1_000) + number as u64),
             report: Rc::clone(&report),
         };
--- a/app/luglink/tests/stream_soak/main.rs
+++ b/app/luglink/tests/stream_soak/main.rs
@@ -6,6 +6,7 @@
 mod builds;
 mod callers;
 mod chaos;
+mod connections;
 mod crash_plan;
 mod crashing;
 mod fleet;
--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 /// Maximum number of requests with reports.
-const MAX_REQUESTS: usize = 1 << 16;
+const MAX_REQUESTS: usize = 1 << 14;
 
 /// Maximum number of abandoned runs whose replicas are watched.
 const MAX_ABANDONED: usize = 1 << 10;
--- a/crates/gateway-server/tests/gateway/crashing_requests.rs
+++ b/crates/gateway-server/tests/gateway/crashing_requests.rs
@@ -4,7 +4,6 @@
 use crate::support::replica::{Replica, Script};
 use crate::support::{Fleet, configuration, wait_until};
 use luglink_edge::RouteKind;
-use luglink_gateway_server::GatewayServer;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -42,16 +41,6 @@
     (fleet, replicas)
 }
 
-async fn second_gateway(fleet: &Fleet) -> (GatewayServer, SocketAddr) {
-    let (gateway, address) = fleet.start_second_gateway().await;
-    let ready = SocketAddr::new(address.ip(), address.port() + 1);
-    wait_until("the second gateway is ready", || async {
-        get(ready, "/v1/ready").await.status == 200
-    })
-    .await;
-    (gateway, address)
-}
-
 fn crashed(replicas: &[Replica]) -> usize {
     let crashed = replicas.iter().filter(|replica| replica.has_crashed());
     crashed.count()
@@ -128,7 +117,7 @@
 #[actix_rt::test]
 async fn a_request_is_sent_by_no_gateway_after_the_third_crash_under_it() {
     let (fleet, replicas) = fleet(Script::CrashesOn(CRASHING)).await;
-    let (_second, address) = second_gateway(&fleet).await;
+    let (_second, address) = fleet.start_ready_second_gateway().await;
     let last = insist(call, &[fleet.gateway_address, address]).await;
     assert_eq!(crashed(&replicas), MAX_CRASHES);
     assert_refused(&last);
@@ -138,7 +127,7 @@
 async fn a_gateway_that_has_just_started_knows_the_crashes_under_a_request() {
     let (fleet, replicas) = fleet(Script::CrashesOn(CRASHING)).await;
     insist(call, &[fleet.gateway_address]).await;
-    let (_second, address) = second_gateway(&fleet).await;
+    let (_second, address) = fleet.start_ready_second_gateway().await;
     let last = insist(call, &[address]).await;
     assert_eq!(crashed(&replicas), MAX_CRASHES);
     assert_refused(&last);
@@ -268,7 +257,7 @@
 #[actix_rt::test]
 async fn a_turn_is_sent_to_no_replica_after_the_third_crash_under_it() {
     let (fleet, replicas) = fleet(Script::StreamCrashes(1)).await;
-    let (_second, address) = second_gateway(&fleet).await;
+    let (_second, address) = fleet.start_ready_second_gateway().await;
     let turn = |id: &str| {
         TestRequest::post("/kept/x", id, "input")
             .with("luglink-program", "p")
--- a/crates/gateway-server/tests/gateway/resumed_streams.rs
+++ b/crates/gateway-server/tests/gateway/resumed_streams.rs
@@ -5,8 +5,6 @@
 use crate::support::replica::{Replica, Script, event};
 use crate::support::{Fleet, configuration, route, wait_until};
 use luglink_edge::{Configuration, RouteKind};
-use luglink_gateway_server::GatewayServer;
-use std::net::SocketAddr;
 
 /// Maximum number of requests until one is sent to a given replica.
 const MAX_ROUNDS: usize = 40;
@@ -30,16 +28,6 @@
     fleet
 }
 
-async fn second_gateway(fleet: &Fleet) -> (GatewayServer, SocketAddr) {
-    let (gateway, address) = fleet.start_second_gateway().await;
-    let ready = SocketAddr::new(address.ip(), address.port() + 1);
-    wait_until("the second gateway is ready", || async {
-        get(ready, "/v1/ready").await.status == 200
-    })
-    .await;
-    (gateway, address)
-}
-
 fn events(numbers: std::ops::Range<usize>) -> String {
     numbers.map(event).collect()
 }
@@ -181,7 +169,7 @@
         replicas.push(Replica::start_version(&id, "v2", Script::Stream).await);
     }
     let fleet = fleet(&replicas).await;
-    let (_second, address) = second_gateway(&fleet).await;
+    let (_second, address) = fleet.start_ready_second_gateway().await;
     let began_as = abandoned_stream_at(&fleet, &first).await;
     first.set_script(Script::Stream);
     for number in 0..RESUMING_ATTEMPTS {
@@ -261,7 +249,7 @@
     let same = Replica::start_version("r1", "v1", Script::Stream).await;
     let other = Replica::start_version("r2", "v2", Script::Stream).await;
     let fleet = fleet(&[stalled.clone(), same.clone(), other.clone()]).await;
-    let (_second, address) = second_gateway(&fleet).await;
+    let (_second, address) = fleet.start_ready_second_gateway().await;
     let (began_as, response) = stream_at(&fleet, "/movable/x", &stalled).await;
     assert!(response.is_whole, "{response:?}");
     stalled.set_script(Script::Stream);
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -190,6 +190,17 @@
         (start(config, dialect).await.unwrap(), listen)
     }
 
+    /// Starts a second gateway in the same zone and waits until it is ready.
+    pub async fn start_ready_second_gateway(&self) -> (GatewayServer, SocketAddr) {
+        let (gateway, address) = self.start_second_gateway().await;
+        let ready = SocketAddr::new(address.ip(), address.port() + 1);
+        wait_until("the second gateway is ready", || async {
+            caller::get(ready, "/v1/ready").await.status == 200
+        })
+        .await;
+        (gateway, address)
+    }
+
     /// Applies a configuration and waits until the gateway is ready.
     pub async fn configure(&self, configuration: &Configuration) {
         let body = serde_json::to_vec(configuration).unwrap();
--- a/crates/turns/src/crash_log.rs
+++ b/crates/turns/src/crash_log.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 
 /// Maximum number of requests with reports.
-const MAX_REQUESTS: usize = 1 << 16;
+const MAX_REQUESTS: usize = 1 << 14;
 
 /// Maximum number of reports kept in order. A gateway that is further behind gets all reports.
 const MAX_LOG_REPORTS: usize = 1 << 12;
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -22,7 +22,7 @@
 
 /// Maximum number of runs kept for one request. Concurrent requests with the same content can be
 /// part of many runs.
-const MAX_RUNS: usize = 32;
+const MAX_RUNS: usize = 16;
 
 /// Identifier of one run of a request at a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
