review: case 2, a turn within its retention is answered with 404

Cause: a store that was briefly down keeps counting as complete, and the leader activates a store with an empty disk without the copies of a store that it has just marked as lost. Together they count as proof that a turn does not exist.

Change: a script on real processes. Nothing of the product is changed.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod http;
+mod lost;
 mod program;
 mod record;
 mod replaced;
@@ -21,6 +22,7 @@
     let repository = Path::new(repository);
     let code = match case.as_str() {
         "replaced" => replaced::run(repository, &record, has_trouble),
+        "lost" => lost::run(repository, &record, has_trouble),
         _ => 2,
     };
     std::process::exit(code);
