review: case 3, programs are given more tokens than their budget

Cause: the gateway counts the accounts of any two owners as a quorum, also that of a store whose disk is new and empty. Together with a store that was briefly down it knows nothing of what was spent.

Change: a script on real processes. Nothing of the product is changed.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and cases of the review. Uses the standard library only; `review/build.sh` builds it.
 
+mod budget;
 mod fleet;
 mod http;
 mod lost;
@@ -21,6 +22,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let repository = Path::new(repository);
     let code = match case.as_str() {
+        "budget" => budget::run(repository, &record, has_trouble),
         "replaced" => replaced::run(repository, &record, has_trouble),
         "lost" => lost::run(repository, &record, has_trouble),
         _ => 2,
