--- a/review/standin/budget.rs
+++ b/review/standin/budget.rs
@@ -58,13 +58,12 @@
             fleet.restart(restarted);
         }
     });
-    let spent = programs
-        .iter()
-        .filter(|program| program.given.load(Ordering::SeqCst) == BUDGET);
-    record.say(&format!(
-        "{} programs have spent their budget",
-        spent.count()
-    ));
+    let has_spent = |program: &&Arc<Program>| program.given.load(Ordering::SeqCst) == BUDGET;
+    let spent = programs.iter().filter(has_spent).count();
+    record.say(&format!("{spent} programs have spent their budget"));
+    if spent < PROGRAMS / 2 {
+        return 2;
+    }
     std::thread::sleep(Duration::from_secs(6));
     let refused = programs.iter().enumerate().filter(|(number, program)| {
         take_turn(program, fleet.front(number % 2), "s0", record) == 402
--- a/review/standin/lost.rs
+++ b/review/standin/lost.rs
@@ -59,6 +59,9 @@
         "{} of {PROGRAMS} first turns were answered whole",
         turns.len()
     ));
+    if turns.len() < PROGRAMS / 2 {
+        return 2;
+    }
     std::thread::sleep(Duration::from_secs(12));
     if has_trouble {
         record.say(&format!(
--- a/review/standin/replaced.rs
+++ b/review/standin/replaced.rs
@@ -60,6 +60,9 @@
         "{} of {PROGRAMS} first turns were answered whole",
         first.len()
     ));
+    if first.len() < PROGRAMS / 2 {
+        return 2;
+    }
     let mut running = vec![0, 1, 2, 3];
     if has_trouble {
         for replaced in [0, 2, 3] {
