Settle the configuration of the turn stores in one step that waits for no state of another store

Cause: the registry changed store by store, and each change was guarded by a state that only another change ends. The successor of the second lost store stayed Joining until all Active stores had handed over, also the second lost one; that one was not marked as lost while the first one was; the first one was not removed while a store was Joining.

Change: beside the states, a view has a settled configuration: the stores, each with its disk, that have all committed records. Joins, losses and retirements change the states at any time. The settled configuration follows as a whole once all but f of its stores have handed over for the current view (joint consensus). A lost store that is not in it any more prevents nothing. The planner is pure (fleet::StorePlanner). A retired store is removed once the configuration without it is settled; a disk that is gone for good, or silent for ten minutes, is no longer waited for.

--- a/crates/control-server/src/lib.rs
+++ b/crates/control-server/src/lib.rs
@@ -19,6 +19,7 @@
 mod releases;
 mod resolution;
 mod server;
+mod settlement_log;
 
 pub use errors::ControlServerError;
 pub use managed::{ManagedServer, ManagedServerConfig, start_managed};
--- a/crates/control-server/src/list.rs
+++ b/crates/control-server/src/list.rs
@@ -4,6 +4,7 @@
 use crate::actor::{ApplyBackendList, ControlActor, now};
 use crate::metrics::MemberMetrics;
 use crate::queries::{FleetStatus, GetFleetStatus};
+use crate::settlement_log::SettlementLog;
 use actix::Addr;
 use luglink_edge::Dialect;
 use luglink_fleet::{ListReadLimits, ListReadSchedule, ListReader};
@@ -40,6 +41,7 @@
 pub(crate) async fn poll(poller: Poller) {
     let mut client = ListClient::new(poller.config.address);
     let mut schedule = ListReadSchedule::new(poller.config.limits);
+    let mut settlement_log = SettlementLog::default();
     let mut is_failing = false;
     loop {
         actix_rt::time::sleep(CHECK_INTERVAL).await;
@@ -47,6 +49,7 @@
             return;
         };
         poller.update_gauges(&status);
+        settlement_log.update(status.settlement.as_ref(), &poller.metrics);
         let reader = match status.leads_configuration {
             true => ListReader::Leader,
             false => ListReader::Member(status.members),
--- a/crates/control-server/src/metrics.rs
+++ b/crates/control-server/src/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) gateways: Gauge,
     /// Age of the list of replicas, in seconds.
     pub(crate) list_age: Gauge,
+    /// Turn stores whose hand-over the leader waits for.
+    pub(crate) hand_overs_outstanding: Gauge,
 }
 
 impl MemberMetrics {
@@ -47,6 +49,10 @@
             version: registry.gauge("member_configuration_version", "Configuration applied")?,
             gateways: registry.gauge("member_ready_gateways", "Gateways that take callers")?,
             list_age: registry.gauge("member_list_age_seconds", "Age of the list of replicas")?,
+            hand_overs_outstanding: registry.gauge(
+                "member_hand_overs_outstanding",
+                "Turn stores whose hand-over the leader waits for",
+            )?,
             registry,
         })
     }
--- a/crates/control-server/src/queries.rs
+++ b/crates/control-server/src/queries.rs
@@ -5,7 +5,7 @@
 use luglink_control::CONFIGURATION_GROUP;
 use luglink_fleet::{
     AdvertisedCount, GatewayLocation, KnownIncarnations, KnownList, KnownReplicaVersions,
-    MemberStats, RelayedPresence,
+    MemberStats, RelayedPresence, SettlementProgress,
 };
 use luglink_raft::Peer;
 use std::net::Ipv4Addr;
@@ -39,6 +39,9 @@
     pub(crate) document_version: u64,
     /// True if this member leads and has committed an entry in its term.
     pub(crate) is_fresh_leader: bool,
+    /// Progress of the hand-over between turn stores; `None` if this member does not lead or nothing
+    /// is left to hand over.
+    pub(crate) settlement: Option<SettlementProgress>,
 }
 
 impl Handler<GetFleetStatus> for ControlActor {
@@ -60,6 +63,7 @@
             wants_to_join: node.wants_to_join(),
             document_version: node.document_version(),
             is_fresh_leader: node.leads(CONFIGURATION_GROUP) && node.is_fresh(),
+            settlement: node.settlement_progress(),
         }
     }
 }
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -1,6 +1,7 @@
 //! Configuration of a control member: cluster layout, timeouts and limits.
 
 use crate::errors::{ControlError, InvalidConfigSnafu};
+use luglink_fleet::StoreLimits;
 use luglink_program::RefundRule;
 use luglink_raft::RaftConfig;
 use luglink_storage::WalConfig;
@@ -22,6 +23,9 @@
     pub store_copies: usize,
     /// Time without a report after which a turn store counts as silent and may be marked as lost.
     pub store_timeout: Duration,
+    /// Time without a report after which the records of a turn store count as lost for good, so
+    /// that the other stores no longer wait for them.
+    pub store_abandon_timeout: Duration,
     /// Time without a report after which the state of a process is dropped.
     pub forget_timeout: Duration,
     /// Maximum time for which a member of a small fleet holds an observer's request open while
@@ -48,6 +52,16 @@
     pub fn tolerated_losses(&self) -> usize {
         self.store_copies.saturating_sub(1) / 2
     }
+
+    /// Returns the limits for the registry of turn stores.
+    pub(crate) fn store_limits(&self) -> StoreLimits {
+        StoreLimits {
+            copies: self.store_copies,
+            tolerated_losses: self.tolerated_losses(),
+            store_timeout: self.store_timeout,
+            abandon_timeout: self.store_abandon_timeout,
+        }
+    }
 }
 
 impl Default for ManagedConfig {
@@ -58,6 +72,7 @@
             join_timeout: Duration::from_millis(1_000),
             store_copies: 3,
             store_timeout: Duration::from_millis(2_000),
+            store_abandon_timeout: Duration::from_secs(600),
             forget_timeout: Duration::from_secs(10),
             observe_hold: Duration::from_millis(160),
             observe_hold_per_process: Duration::from_millis(2),
--- a/crates/control/src/errors.rs
+++ b/crates/control/src/errors.rs
@@ -2,6 +2,7 @@
 
 use luglink_storage::StorageError;
 use luglink_types::GroupId;
+use luglink_wire::WireError;
 use snafu::Snafu;
 
 /// A failure to start or run a member. After it the member must stop or be loaded from its disk
@@ -47,6 +48,12 @@
         /// Index of the last entry that the snapshot covers.
         index: u64,
     },
+    /// The parts of a snapshot cannot be encoded or decoded.
+    #[snafu(display("cannot encode or decode a snapshot's state: {source}"))]
+    SnapshotParts {
+        /// The encoding error.
+        source: WireError,
+    },
     /// The configuration violates a rule.
     #[snafu(display("invalid configuration: {rule}"))]
     InvalidConfig {
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -9,10 +9,10 @@
 use crate::observer_table::ObserverTable;
 use crate::protocol::Response;
 use luglink_fleet::{
-    AdvertisedCount, GatewayLoad, LastStorePresence, ListHistory, PresenceTable, RetireState,
-    StatsTable, StoreCommand, StoreMember, StoreName, StoreState, StoreView,
+    AdvertisedCount, GatewayLoad, ListHistory, PresenceTable, SettlementProgress, StatsTable,
+    StoreName, StorePlanner, StoreSituation, StoreState,
 };
-use luglink_raft::{MembershipChange, Peer};
+use luglink_raft::{LogIndex, MembershipChange, Peer, Term};
 use luglink_storage::Disk;
 use luglink_types::{MemberId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
@@ -38,6 +38,10 @@
     document_version: u64,
     /// Time at which this member applied that document.
     pub(crate) document_applied_at: Timestamp,
+    store_planner: StorePlanner,
+    /// Term in which this member last proposed changes of the registry of turn stores, and the end of
+    /// the log after them.
+    store_commands_end: Option<(Term, LogIndex)>,
 }
 
 /// Load of the gateways of a zone, and the number of them that are advertised to callers.
@@ -108,11 +112,10 @@
             return Ok(());
         }
         self.maintain_members(&managed);
-        for command in self.due_store_commands(&managed) {
-            let command = encode("a store command", &LoggedCommand::Store(command))?;
-            self.propose(CONFIGURATION_GROUP, command, None);
+        if self.has_uncommitted_store_commands() {
+            return Ok(());
         }
-        Ok(())
+        self.maintain_stores(&managed)
     }
 
     fn maintain_members(&mut self, managed: &ManagedConfig) {
@@ -192,150 +195,59 @@
         peers.any(|peer| Some(peer.member) == at_address)
     }
 
-    /// Returns the commands to propose in this round. All new stores join together; one per round
-    /// would leave a large fleet without most of its stores for longer than its start may take.
-    /// All other changes are made one at a time.
-    fn due_store_commands(&self, managed: &ManagedConfig) -> Vec<StoreCommand> {
-        let joins = self.join_commands(managed);
-        if !joins.is_empty() {
-            return joins;
+    /// Proposes the next changes of the registry of turn stores. While earlier ones are not
+    /// committed, they may still change the view, and nothing is proposed.
+    fn maintain_stores(&mut self, managed: &ManagedConfig) -> Result<(), ControlError> {
+        let mut planner = std::mem::take(&mut self.fleet.store_planner);
+        let commands = self
+            .store_situation(&|address| self.has_member_at(address))
+            .map(|situation| planner.commands(&situation, &managed.store_limits()));
+        self.fleet.store_planner = planner;
+        for command in commands.unwrap_or_default() {
+            let command = encode("a store command", &LoggedCommand::Store(command))?;
+            self.propose(CONFIGURATION_GROUP, command, None);
         }
-        self.next_store_command(managed).into_iter().collect()
+        let raft = self.configuration().map(|group| &group.raft);
+        self.fleet.store_commands_end = raft.map(|raft| (raft.term(), raft.log().last_index()));
+        Ok(())
     }
 
-    fn join_commands(&self, managed: &ManagedConfig) -> Vec<StoreCommand> {
-        let Some(state) = self
-            .configuration()
-            .and_then(|group| group.state_machine.state())
-        else {
-            return Vec::new();
+    fn has_uncommitted_store_commands(&self) -> bool {
+        let Some(group) = self.configuration() else {
+            return false;
         };
-        let view = state.stores.view();
-        let joins = self.fleet.presence.stores(self.now).filter_map(|presence| {
-            let LastStorePresence { zone, store, .. } = presence;
-            let name = StoreName(presence.name.to_owned());
-            if presence.silence >= managed.store_timeout
-                || state.stores.retirement(&name) == Some(RetireState::Completed)
-            {
-                return None;
-            }
-            let member = view.members.get(&name);
-            let known = member.is_some_and(|member| {
-                member.incarnation == store.incarnation
-                    && member.address == store.address
-                    && member.state != StoreState::Lost
-            });
-            (!known).then_some(StoreCommand::Join {
-                name,
-                address: store.address,
-                zone: zone.to_owned(),
-                incarnation: store.incarnation,
-                founding: store.founding,
-            })
-        });
-        joins.collect()
-    }
-
-    fn next_store_command(&self, managed: &ManagedConfig) -> Option<StoreCommand> {
-        let view = self.configuration()?.state_machine.state()?.stores.view();
-        self.next_activation(view)
-            .or_else(|| self.next_retired_removal(view))
-            .or_else(|| self.next_loss(view, managed))
-            .or_else(|| self.next_lost_removal(view))
-    }
-
-    /// Returns the last presence of a store; `None` if this member has none.
-    fn last_store_presence(&self, name: &StoreName) -> Option<LastStorePresence<'_>> {
-        let mut stores = self.fleet.presence.stores(self.now);
-        stores.find(|presence| presence.name == name.0)
-    }
-
-    /// Returns true if every store that may hold data, other than `except`, has completed its
-    /// handover for the view of `epoch` or of a later one.
-    fn all_handed_over(&self, view: &StoreView, epoch: u64, except: &StoreName) -> bool {
-        let holds = |state| matches!(state, StoreState::Active | StoreState::Leaving);
-        view.members
-            .iter()
-            .filter(|(name, member)| *name != except && holds(member.state))
-            .all(|(name, _)| {
-                self.last_store_presence(name)
-                    .is_some_and(|presence| presence.store.handed_over_epoch >= epoch)
-            })
-    }
-
-    /// Returns the removal of a lost store whose presence has expired and whose share the other
-    /// stores have taken over. While a lost store is in the view, no lookup can conclude that a
-    /// turn does not exist. A removed store that reports again joins again.
-    fn next_lost_removal(&self, view: &StoreView) -> Option<StoreCommand> {
-        if view.members.values().any(is_joining) {
-            return None;
-        }
-        view.members
-            .iter()
-            .filter(|(_, member)| member.state == StoreState::Lost)
-            .filter(|(name, _)| self.last_store_presence(name).is_none())
-            .find(|(name, member)| self.all_handed_over(view, member.since_epoch, name))
-            .map(|(name, _)| StoreCommand::Remove { name: name.clone() })
-    }
-
-    /// Returns the activation of a joining store to which the other stores have handed over its
-    /// share.
-    fn next_activation(&self, view: &StoreView) -> Option<StoreCommand> {
-        view.members
-            .iter()
-            .filter(|(_, member)| is_joining(member))
-            .find(|(name, member)| self.all_handed_over(view, member.since_epoch, name))
-            .map(|(name, member)| StoreCommand::Activate {
-                name: name.clone(),
-                incarnation: member.incarnation,
-            })
+        let end = self.fleet.store_commands_end;
+        end.is_some_and(|(term, index)| {
+            term == group.raft.term() && group.raft.commit_index() < index
+        })
     }
 
-    /// Returns the removal of a leaving store whose share the other stores have taken over and
-    /// whose machine runs no member of the group. After the removal the store is reported as
-    /// empty, and its machine and disk are discarded.
-    fn next_retired_removal(&self, view: &StoreView) -> Option<StoreCommand> {
-        if view.members.values().any(is_joining) {
-            return None;
-        }
-        let no_exception = StoreName::default();
-        view.members
-            .iter()
-            .filter(|(_, member)| member.state == StoreState::Leaving)
-            .filter(|(_, member)| !self.has_member_at(member.address))
-            .find(|(_, member)| self.all_handed_over(view, member.since_epoch, &no_exception))
-            .map(|(name, _)| StoreCommand::Remove { name: name.clone() })
+    /// Returns what this member knows about the turn stores, if it leads.
+    fn store_situation<'node>(
+        &'node self,
+        hosts_member: &'node dyn Fn(SocketAddr) -> bool,
+    ) -> Option<StoreSituation<'node>> {
+        Some(StoreSituation {
+            registry: &self.configuration()?.state_machine.state()?.stores,
+            presence: &self.fleet.presence,
+            hosts_member,
+            leads_since: self.leads_since?,
+            now: self.now,
+        })
     }
 
-    /// Returns the command that marks a silent store as lost, if more than `store_copies` stores
-    /// are writable and fewer than `tolerated_losses` are lost. If more stores are silent, the
-    /// leader is probably partitioned from them: gateways may still reach these stores, and the
-    /// other stores could not take over their data.
-    fn next_loss(&self, view: &StoreView, managed: &ManagedConfig) -> Option<StoreCommand> {
-        let members = view.members.values();
-        let lost = members.filter(|member| member.state == StoreState::Lost);
-        let may_lose = lost.count() < managed.tolerated_losses();
-        if !may_lose || view.writable().count() <= managed.store_copies {
-            return None;
-        }
-        // A store without a report counts as silent from the time this member became leader.
-        let leading_long = self
-            .leads_since
-            .is_some_and(|since| self.now.since(since) >= managed.store_timeout);
-        view.writable()
-            .find(|(name, _)| match self.last_store_presence(name) {
-                Some(presence) => presence.silence >= managed.store_timeout,
-                None => leading_long,
-            })
-            .map(|(name, _)| StoreCommand::Lose { name: name.clone() })
+    /// Returns the progress of the hand-over between turn stores; `None` if this member does not
+    /// lead or the configuration of the stores is settled.
+    #[must_use]
+    pub fn settlement_progress(&self) -> Option<SettlementProgress> {
+        let managed = self.config.managed.as_ref()?;
+        let hosts_member = |address| self.has_member_at(address);
+        let situation = self.store_situation(&hosts_member)?;
+        let planner = &self.fleet.store_planner;
+        planner.progress(&situation, &managed.store_limits())
     }
 }
 
-/// Returns true if the store still receives its share from the other stores.
-fn is_joining(member: &StoreMember) -> bool {
-    member.state == StoreState::Joining
-}
-
 /// Returns the member on the machine with this address. The id of a member is its IPv4 address.
 fn member_at(ip: IpAddr) -> Option<MemberId> {
     match ip {
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -1,7 +1,7 @@
 //! One replication group at one member.
 
 use crate::errors::ControlError;
-use crate::machine::{Applied, LoggedCommand, StateMachine, decode};
+use crate::machine::{Applied, LoggedCommand, StateMachine, decode, decode_snapshot};
 use crate::protocol::{GroupStatus, Request, RequestToken, Response};
 use luglink_fleet::RetireResponse;
 use luglink_program::Release;
@@ -178,7 +178,7 @@
     /// Replaces the state with that of a received snapshot.
     pub(crate) fn install(&mut self, snapshot: &Snapshot) -> Result<(), ControlError> {
         if !snapshot.state.is_empty() {
-            self.state_machine = decode("a snapshot's state", &snapshot.state)?;
+            self.state_machine = decode_snapshot(&snapshot.state)?;
         }
         Ok(())
     }
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -1,12 +1,13 @@
 //! State machines that replication groups apply their entries to.
 
-use crate::errors::{ControlError, DecodeSnafu, EncodeSnafu};
+use crate::errors::{ControlError, DecodeSnafu, EncodeSnafu, SnapshotPartsSnafu};
 use luglink_fleet::{
     DocumentStore, RetireResponse, StoreCommand, StoreRegistry, VersionedDocument,
 };
 use luglink_program::{Command, ProgramStore, RefundRule, Reply};
 use luglink_resources::{Change, ChangeResponse, ResourceStore};
 use luglink_types::{GroupId, Timestamp};
+use luglink_wire::{PartNumber, Parts, decode_with_parts, encode_with_parts};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
@@ -108,6 +109,31 @@
     }
 }
 
+/// Snapshot part: state of the registry of turn stores that its encoding does not contain.
+const STORE_SETTLEMENT: PartNumber = PartNumber(1);
+
+/// Encodes the state of a group for a snapshot.
+pub(crate) fn encode_snapshot(machine: &StateMachine) -> Result<Vec<u8>, ControlError> {
+    let mut parts = Parts::default();
+    if let Some(state) = machine.state() {
+        parts
+            .put(STORE_SETTLEMENT, &state.stores.settlement())
+            .context(SnapshotPartsSnafu)?;
+    }
+    encode_with_parts(machine, &parts).context(SnapshotPartsSnafu)
+}
+
+/// Decodes the state of a group from a snapshot, which may be of a build without parts.
+pub(crate) fn decode_snapshot(bytes: &[u8]) -> Result<StateMachine, ControlError> {
+    let (mut machine, parts): (StateMachine, Parts) =
+        decode_with_parts(bytes).context(SnapshotPartsSnafu)?;
+    let settlement = parts.get(STORE_SETTLEMENT).context(SnapshotPartsSnafu)?;
+    if let (StateMachine::Configuration(state), Some(settlement)) = (&mut machine, settlement) {
+        state.stores.restore_settlement(settlement);
+    }
+    Ok(machine)
+}
+
 pub(crate) fn encode<T: Serialize>(what: &'static str, value: &T) -> Result<Vec<u8>, ControlError> {
     postcard::to_stdvec(value).context(EncodeSnafu { what })
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -5,7 +5,7 @@
 use crate::fleet::FleetState;
 use crate::group::Group;
 use crate::identity::Identity;
-use crate::machine::{CONFIGURATION_GROUP, LoggedCommand, StateMachine, decode, encode};
+use crate::machine::{CONFIGURATION_GROUP, LoggedCommand, StateMachine, decode_snapshot, encode};
 use crate::parts::{RequestParts, ResponseParts};
 use crate::placement::initial_membership;
 use crate::protocol::{Fence, MemberStatus, ReleaseOrder, Request, RequestToken, Response};
@@ -636,7 +636,7 @@
     let state_machine = if state.snapshot.state.is_empty() {
         StateMachine::new(id, config.refund)
     } else {
-        decode("a snapshot's state", &state.snapshot.state)?
+        decode_snapshot(&state.snapshot.state)?
     };
     let group_seed = seed ^ u64::from(id.0 + 1).wrapping_mul(SEED_MIX);
     let raft = RaftNode::new(identity.peer, config.raft.clone(), state, group_seed, now);
--- a/crates/control/src/observers.rs
+++ b/crates/control/src/observers.rs
@@ -214,6 +214,7 @@
                 .stats_zone
                 .as_ref()
                 .map(|zone| self.zone_stats(zone)),
+            settled_stores: update.stores.as_ref().and_then(|view| view.settled.clone()),
         }
     }
 
--- a/crates/control/src/parts.rs
+++ b/crates/control/src/parts.rs
@@ -6,7 +6,7 @@
 
 use luglink_fleet::{
     KnownIncarnations, KnownReplicaVersions, MemberStats, ReplicaIncarnation, ReplicaVersion,
-    StatsReport, ZoneStats,
+    SettledStores, StatsReport, ZoneStats,
 };
 use luglink_wire::{PartNumber, Parts, WireError};
 
@@ -32,6 +32,9 @@
 /// Response part: software versions of replicas that the observer lacks.
 const REPLICA_VERSIONS: PartNumber = PartNumber(7);
 
+/// Response part: settled configuration of the turn stores in the view that the response carries.
+const SETTLED_STORES: PartNumber = PartNumber(8);
+
 /// Optional parts of a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestParts {
@@ -90,6 +93,9 @@
     pub replica_versions: Vec<ReplicaVersion>,
     /// Statistics of the replicas, aggregated over the gateways of the observer's zone.
     pub zone_stats: Option<ZoneStats>,
+    /// Settled configuration of the turn stores, if the response carries a view of the stores and
+    /// their states do not tell it.
+    pub settled_stores: Option<SettledStores>,
 }
 
 impl ResponseParts {
@@ -108,6 +114,9 @@
         if let Some(zone_stats) = &self.zone_stats {
             parts.put(ZONE_STATS, zone_stats)?;
         }
+        if let Some(settled_stores) = &self.settled_stores {
+            parts.put(SETTLED_STORES, settled_stores)?;
+        }
         Ok(parts)
     }
 
@@ -120,6 +129,7 @@
             incarnations: parts.get(INCARNATIONS)?.unwrap_or_default(),
             replica_versions: parts.get(REPLICA_VERSIONS)?.unwrap_or_default(),
             zone_stats: parts.get(ZONE_STATS)?,
+            settled_stores: parts.get(SETTLED_STORES)?,
         })
     }
 }
--- a/crates/control/src/persistence.rs
+++ b/crates/control/src/persistence.rs
@@ -2,7 +2,7 @@
 //! entries.
 
 use crate::errors::ControlError;
-use crate::machine::encode;
+use crate::machine::encode_snapshot;
 use crate::node::{ControlNode, Output};
 use crate::store::Record;
 use luglink_raft::{Envelope, LogIndex, Message, Ready, Snapshot};
@@ -95,7 +95,7 @@
             index,
             term: group.raft.log().term_at(index).unwrap_or(0),
             membership: group.raft.log().membership_at(index).clone(),
-            state: encode("a group's state", &group.state_machine)?,
+            state: encode_snapshot(&group.state_machine)?,
         };
         self.store.save_snapshot(id, &snapshot)?;
         group.raft.compact(index);
--- a/crates/control/tests/managed/stores.rs
+++ b/crates/control/tests/managed/stores.rs
@@ -188,6 +188,43 @@
     assert_eq!(fleet.store_states()["a"], StoreState::Joining);
 }
 
+/// Lets the present stores complete the hand-over for each view for some time.
+fn run_with_hand_overs(fleet: &mut Fleet, seconds: f64) {
+    let rounds = (seconds / 0.3).ceil() as u64;
+    for _ in 0..rounds {
+        let known = KnownVersions::default();
+        let update = fleet.ask(observe("watcher", gateway(), known));
+        let Response::ObserverUpdate(update) = update else {
+            panic!("expected an update");
+        };
+        let epoch = update.stores.map_or(0, |view| view.epoch);
+        for store in fleet.stores.values_mut() {
+            store.handed_over_epoch = epoch;
+        }
+        fleet.run(0.1);
+    }
+}
+
+/// Replacements must not wait for each other: the removal of one lost store for the fill of a second
+/// one, and that one for the hand-over of a third.
+#[test]
+fn stores_that_are_replaced_in_short_succession_do_not_stop_the_registry() {
+    let mut fleet = Fleet::bootstrapped();
+    for name in ["a", "b", "c", "d"] {
+        fleet.stores.insert(name.to_owned(), store(1, true));
+    }
+    run_with_hand_overs(&mut fleet, 3.0);
+    for (lost, new) in [("a", "e"), ("c", "f"), ("d", "g")] {
+        fleet.stores.remove(lost);
+        fleet.run(0.3);
+        fleet.stores.insert(new.to_owned(), store(1, false));
+        run_with_hand_overs(&mut fleet, 7.5);
+    }
+    let active = |name: &str| (name.to_owned(), StoreState::Active);
+    let expected: BTreeMap<String, StoreState> = ["b", "e", "f", "g"].map(active).into();
+    assert_eq!(fleet.store_states(), expected);
+}
+
 #[test]
 fn snapshots_contain_the_document_and_the_store_registry() {
     let mut fleet = Fleet::bootstrapped();
--- a/crates/control/tests/mixed_builds.rs
+++ b/crates/control/tests/mixed_builds.rs
@@ -2,9 +2,9 @@
 
 use luglink_control::{Request, RequestParts, Response, ResponseParts};
 use luglink_fleet::{
-    Backend, BackendId, BackendList, Incarnation, KnownIncarnations, KnownReplicaVersions,
+    Backend, BackendId, BackendList, DiskId, Incarnation, KnownIncarnations, KnownReplicaVersions,
     MAX_REPLICA_STATS, MemberStats, ObserverUpdate, ReplicaIncarnation, ReplicaKey, ReplicaStats,
-    ReplicaVersion, SoftwareVersion, StatsReport, ZoneStats,
+    ReplicaVersion, SettledStores, SoftwareVersion, StatsReport, StoreName, ZoneStats,
 };
 use luglink_wire::{decode_body, decode_with_parts, encode_body, encode_with_parts};
 use serde::{Deserialize, Serialize};
@@ -88,6 +88,13 @@
             version: SoftwareVersion("v2".to_owned()),
         }],
         zone_stats: Some(zone_stats()),
+        settled_stores: Some(SettledStores(
+            [
+                (StoreName("s-1".to_owned()), DiskId::Known(4)),
+                (StoreName("s-2".to_owned()), DiskId::Unknown),
+            ]
+            .into(),
+        )),
     }
 }
 
--- a/crates/fleet-client/src/observer.rs
+++ b/crates/fleet-client/src/observer.rs
@@ -270,7 +270,14 @@
         let reply = client.request(body, timeout).await.ok()?;
         let (response, parts) = decode_with_parts(&reply).ok()?;
         match response {
-            Response::ObserverUpdate(update) => Some((*update, decode_parts(&parts))),
+            Response::ObserverUpdate(update) => {
+                let mut parts = decode_parts(&parts);
+                let mut update = *update;
+                if let Some(view) = &mut update.stores {
+                    view.settled = parts.settled_stores.take();
+                }
+                Some((update, parts))
+            }
             _ => None,
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 mod registry;
 mod replica_stats;
 mod software_version;
+mod store_plan;
 mod stream_origin;
 mod view;
 mod zone_load;
@@ -42,15 +43,16 @@
     MembersStamp, ObserverInfo,
 };
 pub use observer_protocol::{KnownVersions, ObserverRequest, ObserverUpdate};
-pub use placement::owners;
+pub use placement::{owners, settled_owners};
 pub use presence::{
     GatewayPresence, LastStorePresence, MemberPresence, Presence, PresenceTable, RelayedPresence,
     Role, StorePresence,
 };
-pub use registry::{RetireResponse, RetireState, StoreCommand, StoreRegistry};
+pub use registry::{RetireResponse, RetireState, SettlementState, StoreCommand, StoreRegistry};
 pub use replica_stats::{MAX_REPLICA_STATS, ReplicaKey, ReplicaStats, StatsReport};
 pub use software_version::{KnownReplicaVersions, ReplicaVersion, SoftwareVersion};
+pub use store_plan::{SettlementProgress, StoreLimits, StorePlanner, StoreSituation};
 pub use stream_origin::StreamOrigin;
-pub use view::{StoreMember, StoreName, StoreState, StoreView};
+pub use view::{DiskId, SettledStores, StoreMember, StoreName, StoreState, StoreView};
 pub use zone_load::{GatewayLoad, ServiceLoad};
 pub use zone_stats::{MemberStats, StatsSource, StatsTable, ZoneStats};
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -4,15 +4,28 @@
 use crate::view::{StoreName, StoreView};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Returns the stores that hold the state of `key`, highest weight first: `copies` of them, or all
-/// if there are fewer. Adding or removing a store moves only the keys that this store gains or
-/// loses.
+/// Returns the writable stores that own `key`, highest weight first: `copies` of them, or all if
+/// there are fewer. Adding or removing a store moves only the keys that this store gains or loses.
 #[must_use]
 pub fn owners(view: &StoreView, key: &str, copies: usize) -> Vec<StoreName> {
+    highest_ranked(view.writable().map(|(name, _)| name), key, copies)
+}
+
+/// Returns the stores that own `key` in the settled configuration of the view, highest weight first.
+/// Their present disks may not belong to it ([`StoreView::is_settled`]).
+#[must_use]
+pub fn settled_owners(view: &StoreView, key: &str, copies: usize) -> Vec<StoreName> {
+    highest_ranked(view.settled_stores().0.keys(), key, copies)
+}
+
+fn highest_ranked<'name>(
+    stores: impl Iterator<Item = &'name StoreName>,
+    key: &str,
+    copies: usize,
+) -> Vec<StoreName> {
     let seed = xxh3_64_with_seed(key.as_bytes(), 0);
-    let mut ranked: Vec<(u64, &StoreName)> = view
-        .writable()
-        .map(|(name, _)| (xxh3_64_with_seed(name.0.as_bytes(), seed), name))
+    let mut ranked: Vec<(u64, &StoreName)> = stores
+        .map(|name| (xxh3_64_with_seed(name.0.as_bytes(), seed), name))
         .collect();
     ranked.sort_unstable_by(|left, right| right.cmp(left));
     ranked
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -1,6 +1,6 @@
 //! Replicated registry of turn stores.
 
-use crate::view::{StoreMember, StoreName, StoreState, StoreView};
+use crate::view::{DiskId, SettledStores, StoreMember, StoreName, StoreState, StoreView};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -84,6 +84,42 @@
     /// True once any store has changed its state, changed its disk or been removed. From then on a
     /// founding store that joins may lack state and must be filled.
     is_past_founding: bool,
+    /// Epoch of the view whose configuration the next activation or removal settles, if that view is
+    /// still the current one.
+    #[serde(skip)]
+    announced_settlement: Option<u64>,
+}
+
+/// State of the registry that is not part of its encoding.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettlementState {
+    /// The settled configuration.
+    pub settled: SettledStores,
+    /// Epoch of the view whose configuration the next activation or removal settles.
+    pub announced: Option<u64>,
+}
+
+impl StoreCommand {
+    /// Announces that the next activation or removal settles the configuration of the view `epoch`.
+    /// It is encoded as the activation of a store without a name, which builds that know no settled
+    /// configuration ignore.
+    #[must_use]
+    pub fn settle(epoch: u64) -> Self {
+        Self::Activate {
+            name: StoreName::default(),
+            incarnation: epoch,
+        }
+    }
+
+    /// Returns the epoch if this command announces that a configuration is settled.
+    fn settled_epoch(&self) -> Option<u64> {
+        match self {
+            Self::Activate { name, incarnation } if *name == StoreName::default() => {
+                Some(*incarnation)
+            }
+            _ => None,
+        }
+    }
 }
 
 impl StoreRegistry {
@@ -99,8 +135,82 @@
         self.retirements.get(name).copied()
     }
 
+    /// Returns the state that is encoded separately.
+    #[must_use]
+    pub fn settlement(&self) -> SettlementState {
+        SettlementState {
+            settled: self.view.settled_stores().into_owned(),
+            announced: self.announced_settlement,
+        }
+    }
+
+    /// Restores the state that is encoded separately.
+    pub fn restore_settlement(&mut self, state: SettlementState) {
+        self.view.set_settled_stores(state.settled);
+        self.announced_settlement = state.announced;
+    }
+
     /// Applies a change. Repeating a change has no effect.
     pub fn apply(&mut self, command: &StoreCommand) -> RetireResponse {
+        if let Some(epoch) = command.settled_epoch() {
+            self.announced_settlement = Some(epoch);
+            return RetireResponse::State(RetireState::Running);
+        }
+        let mut settled = self.view.settled_stores().into_owned();
+        let epoch = self.view.epoch;
+        let known = self.view.members.len();
+        let response = self.apply_to_members(command);
+        if self.view.epoch != epoch {
+            let is_new = self.view.members.len() > known;
+            self.update_settled(&mut settled, command, epoch, is_new);
+        }
+        self.view.set_settled_stores(settled);
+        response
+    }
+
+    /// Updates the settled configuration after a command that changed the view of `epoch`. A leader
+    /// of a build without settled configurations announces nothing; its activations and removals
+    /// change them store by store.
+    fn update_settled(
+        &mut self,
+        settled: &mut SettledStores,
+        command: &StoreCommand,
+        epoch: u64,
+        is_new: bool,
+    ) {
+        let announced = match command {
+            StoreCommand::Activate { .. } | StoreCommand::Remove { .. } => {
+                self.announced_settlement.take()
+            }
+            _ => None,
+        };
+        match (announced, command) {
+            (Some(announced), _) => {
+                // A view that changed since the announcement may need another hand-over.
+                if announced == epoch {
+                    *settled = self.view.next_settled_stores();
+                }
+            }
+            (None, StoreCommand::Activate { name, incarnation }) => {
+                settled.0.insert(name.clone(), DiskId::Known(*incarnation));
+            }
+            (None, StoreCommand::Remove { name }) => {
+                settled.0.remove(name);
+            }
+            (None, StoreCommand::Join { name, .. }) => {
+                let member = self.view.members.get(name);
+                if let Some(founder) =
+                    member.filter(|member| is_new && member.state == StoreState::Active)
+                {
+                    let disk = DiskId::Known(founder.incarnation);
+                    settled.0.insert(name.clone(), disk);
+                }
+            }
+            (None, StoreCommand::Lose { .. } | StoreCommand::Retire { .. }) => {}
+        }
+    }
+
+    fn apply_to_members(&mut self, command: &StoreCommand) -> RetireResponse {
         match command {
             StoreCommand::Join {
                 name,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,6 +1,7 @@
 //! Numbered views of the turn stores.
 
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -49,9 +50,79 @@
     pub epoch: u64,
     /// Stores by name.
     pub members: BTreeMap<StoreName, StoreMember>,
+    /// The settled configuration, if it is known and differs from the one that the states of the
+    /// stores suggest. It is not part of the encoding and is sent beside it.
+    #[serde(skip)]
+    pub settled: Option<SettledStores>,
+}
+
+/// The last settled configuration: the stores that own the committed records, each with the disk
+/// that holds them.
+///
+/// Together with the writable stores of the view it forms a joint configuration (Ongaro and
+/// Ousterhout, 2014): until the next one is settled, a quorum of the owners in each of the two is
+/// needed, and only the disks listed here count towards the quorum of the settled one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettledStores(pub BTreeMap<StoreName, DiskId>);
+
+/// Disk of a store in the settled configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DiskId {
+    /// Disk with this incarnation.
+    Known(u64),
+    /// Unknown disk, which never counts. The store keeps its place in the configuration.
+    Unknown,
 }
 
 impl StoreView {
+    /// Returns the settled configuration. If it is not known, all stores have a place in it, and the
+    /// disks of those that are not joining count. Every quorum of that configuration intersects
+    /// every quorum of the real one.
+    #[must_use]
+    pub fn settled_stores(&self) -> Cow<'_, SettledStores> {
+        match &self.settled {
+            Some(settled) => Cow::Borrowed(settled),
+            None => Cow::Owned(self.derived_settled_stores()),
+        }
+    }
+
+    /// Sets the settled configuration.
+    pub fn set_settled_stores(&mut self, settled: SettledStores) {
+        let is_derived = settled == self.derived_settled_stores();
+        self.settled = (!is_derived).then_some(settled);
+    }
+
+    /// Returns the settled configuration that the states of the stores suggest.
+    #[must_use]
+    pub fn derived_settled_stores(&self) -> SettledStores {
+        let members = self.members.iter();
+        let disks = members.map(|(name, member)| {
+            let disk = match member.state {
+                StoreState::Joining => DiskId::Unknown,
+                _ => DiskId::Known(member.incarnation),
+            };
+            (name.clone(), disk)
+        });
+        SettledStores(disks.collect())
+    }
+
+    /// Returns the configuration that is settled once the hand-over for this view is complete: the
+    /// writable stores with their present disks.
+    #[must_use]
+    pub fn next_settled_stores(&self) -> SettledStores {
+        let writable = self.writable();
+        let disks =
+            writable.map(|(name, member)| (name.clone(), DiskId::Known(member.incarnation)));
+        SettledStores(disks.collect())
+    }
+
+    /// Returns true if the present disk of a store belongs to the settled configuration.
+    #[must_use]
+    pub fn is_settled(&self, name: &StoreName) -> bool {
+        let member = self.members.get(name);
+        member.is_some_and(|member| self.is_authoritative(name, member.incarnation))
+    }
+
     /// Returns the stores that accept writes: active and joining ones.
     pub fn writable(&self) -> impl Iterator<Item = (&StoreName, &StoreMember)> {
         self.members
@@ -59,14 +130,18 @@
             .filter(|(_, member)| matches!(member.state, StoreState::Active | StoreState::Joining))
     }
 
-    /// Returns true if the store with the disk `incarnation` holds all records that it owns, so
-    /// that its response that a record does not exist can be trusted.
+    /// Returns true if the disk `incarnation` of a store belongs to the settled configuration, so
+    /// that the store's response counts in a quorum of it.
     #[must_use]
     pub fn is_authoritative(&self, name: &StoreName, incarnation: u64) -> bool {
-        self.members.get(name).is_some_and(|member| {
-            member.incarnation == incarnation
-                && matches!(member.state, StoreState::Active | StoreState::Leaving)
-        })
+        let disk = match &self.settled {
+            Some(settled) => settled.0.get(name).copied(),
+            None => self.members.get(name).map(|member| match member.state {
+                StoreState::Joining => DiskId::Unknown,
+                _ => DiskId::Known(member.incarnation),
+            }),
+        };
+        disk == Some(DiskId::Known(incarnation))
     }
 
     /// Returns the number of stores that may hold a record, including lost ones.
--- a/crates/quota/tests/invariant.rs
+++ b/crates/quota/tests/invariant.rs
@@ -60,6 +60,7 @@
     StoreView {
         epoch,
         members: members.collect(),
+        ..StoreView::default()
     }
 }
 
