Count a turn store towards a quorum only if its present disk has the program's records

Cause: a copy that lacks records counted as one that has them. A gateway took the answers of any two owners for a quorum: of a store with a new disk, of one that was still being filled, and of one that had just become an owner by a change of the view. A hand-over was compared with the store's own last completed view, in which a store that was lost and came back looked unchanged. Writes that were handled but not yet on disk when a view came were left out of its hand-over, and a store reported a hand-over as complete before that was on its disk.

Change, in one place each: turns::JointQuorum says what is a quorum: f+1 owners of the settled configuration with the disks that it lists, and f+1 writable owners. Requests carry the view's epoch and the expected disk; a store refuses them if its disk is another one, or if the program's owners have changed since. An absence counts only from disks of the settled configuration. Stores hand over to every owner that is not in it with its present disk. A store that missed writes in a restart needs no repair: every quorum contains a store that has them, and a new disk counts only after all but f of the others have handed over.

If too few disks are left for a quorum of a program, its turns are refused at once, with a line that says so.

Compatibility: gateways of older builds send no view; only owners in the settled configuration answer them. Older stores ignore the new part and answer as before. The test of a store that rejects an unknown request first waits until the store has a view, since it sends none itself; what it asserts is unchanged.

--- a/crates/gateway-server/src/store_link.rs
+++ b/crates/gateway-server/src/store_link.rs
@@ -3,8 +3,8 @@
 use luglink_fleet::{StoreName, StreamOrigin};
 use luglink_net::RequestClient;
 use luglink_turns::{
-    CrashRequest, CrashResponse, LogPosition, OriginRecord, OriginRequest, OriginResponse,
-    StoreRequest, StoreResponse, TurnId, hint_query, hint_request, hinted_origin,
+    ClientView, CrashRequest, CrashResponse, LogPosition, OriginRecord, OriginRequest,
+    OriginResponse, StoreRequest, StoreResponse, TurnId, hint_query, hint_request, hinted_origin,
 };
 use luglink_wire::{
     ClientRole, Hello, PROTOCOL_VERSION, WireError, decode_body, decode_with_parts, encode_body,
@@ -65,8 +65,19 @@
         (self.response_ms.get() * 1_000.0) as u64
     }
 
-    /// Sends a request; `None` if the store does not answer in time. The request is sent when the
-    /// future is first polled, and dropping the future does not cancel it.
+    /// Sends a request under a view of the stores; `None` if the store does not answer in time. The
+    /// request is sent when the future is first polled, and dropping the future does not cancel it.
+    pub(crate) fn send_under(
+        self: Rc<Self>,
+        view: ClientView,
+        request: &StoreRequest,
+    ) -> impl Future<Output = Option<StoreResponse>> + use<> {
+        let parts = view.encode();
+        let body = parts.and_then(|parts| encode_with_parts(request, &parts));
+        async move { self.exchange(body.ok()?, decode_body).await }
+    }
+
+    /// Sends a request like [`StoreLink::send_under`], but without a view.
     pub(crate) fn send(
         self: Rc<Self>,
         request: &StoreRequest,
--- a/crates/gateway-server/src/turn_client.rs
+++ b/crates/gateway-server/src/turn_client.rs
@@ -4,11 +4,11 @@
 use crate::store_link::StoreLink;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use luglink_fleet::{BackendId, StoreName, StoreState, StoreView, StreamOrigin};
+use luglink_fleet::{BackendId, StoreName, StoreView, StreamOrigin};
 use luglink_quota::{QuotaOwner, QuotaRequest, QuotaResponse};
 use luglink_turns::{
-    Account, ChainQuery, OriginRecord, ProgramName, Replication, Spend, StoreRequest,
-    StoreResponse, TurnId, TurnRecord,
+    Account, ChainQuery, ClientView, JointQuorum, OriginRecord, ProgramName, Replication, Spend,
+    StoreRequest, StoreResponse, TurnId, TurnRecord,
 };
 use luglink_types::TenantName;
 use snafu::Snafu;
@@ -109,8 +109,9 @@
         *self.view.borrow_mut() = view;
     }
 
-    fn owners(&self, program: &ProgramName) -> Vec<StoreName> {
-        self.replication.owners(&self.view.borrow(), &program.0)
+    fn joint_quorum(&self, program: &ProgramName) -> JointQuorum {
+        self.replication
+            .joint_quorum(&self.view.borrow(), &program.0)
     }
 
     /// Returns the links to all stores of the view.
@@ -155,7 +156,9 @@
         request: &StoreRequest,
     ) -> impl Future<Output = Reply> + use<> {
         let link = self.links.borrow().get(name).cloned();
-        let sending = link.map(|link| link.send(request));
+        let sending = link
+            .zip(self.client_view(name))
+            .map(|(link, view)| link.send_under(view, request));
         let name = name.clone();
         async move {
             let response = match sending {
@@ -166,6 +169,15 @@
         }
     }
 
+    fn client_view(&self, store: &StoreName) -> Option<ClientView> {
+        let view = self.view.borrow();
+        let member = view.members.get(store)?;
+        Some(ClientView {
+            epoch: view.epoch,
+            incarnation: member.incarnation,
+        })
+    }
+
     /// Sends a request to the owners of a program and returns once `accept` has accepted the
     /// responses of a quorum.
     async fn send_to_quorum(
@@ -174,29 +186,33 @@
         request: &StoreRequest,
         mut accept: impl FnMut(StoreResponse) -> bool,
     ) -> Result<(), StoresUnavailable> {
-        let owners = self.owners(program);
-        let mut pending: FuturesUnordered<_> = owners
+        let mut quorum = self.joint_quorum(program);
+        let mut pending: FuturesUnordered<_> = quorum
+            .stores()
             .iter()
-            .map(|owner| self.send(owner, request))
+            .map(|store| self.send(store, request))
             .collect();
-        let needed = self.replication.quorum();
-        let mut acknowledged = 0;
-        while let Some((_, response)) = pending.next().await {
+        while let Some((name, response)) = pending.next().await {
             if response.is_some_and(&mut accept) {
-                acknowledged += 1;
+                quorum.record(&name);
             }
-            if acknowledged >= needed {
+            if quorum.is_complete() {
                 return Ok(());
             }
         }
-        Err(StoresUnavailable {
-            acknowledged,
-            needed,
-        })
+        Err(self.unavailable(&quorum))
+    }
+
+    fn unavailable(&self, quorum: &JointQuorum) -> StoresUnavailable {
+        StoresUnavailable {
+            acknowledged: quorum.acknowledged(),
+            needed: self.replication.quorum(),
+        }
     }
 
     /// Reserves tokens for a turn and looks up its chain. Retries while too few stores answer, so
     /// that a connection that is being established or a store that restarts only delays the turn.
+    /// Fails at once if too few stores of the view have the program's records.
     pub(crate) async fn begin(
         &self,
         program: &ProgramName,
@@ -205,6 +221,15 @@
         retention_ms: u64,
         previous: Option<&TurnId>,
     ) -> Result<BeginResponse, StoresUnavailable> {
+        let quorum = self.joint_quorum(program);
+        if self.epoch() > 0 && !quorum.is_possible() {
+            tracing::warn!(
+                program = %program,
+                epoch = self.epoch(),
+                "more stores were lost than tolerated: too few have the records of a program"
+            );
+            return Err(self.unavailable(&quorum));
+        }
         let deadline = Instant::now() + BEGIN_TIMEOUT;
         let attempt = || self.begin_once(program, turn, ceiling, retention_ms, previous);
         retry_until(deadline, BEGIN_RETRY_DELAY, attempt).await
@@ -220,7 +245,8 @@
         retention_ms: u64,
         previous: Option<&TurnId>,
     ) -> Result<BeginResponse, StoresUnavailable> {
-        let owners = self.owners(program);
+        let mut quorum = self.joint_quorum(program);
+        let owners = quorum.stores();
         let fastest = self.fastest(&owners);
         let wish = previous.map(|turn| ChainQuery { turn: turn.clone() });
         let mut pending = FuturesUnordered::new();
@@ -239,7 +265,6 @@
         }
         let mut search = ChainSearch::default();
         let mut account = Account::default();
-        let mut acknowledged = 0;
         let mut latest_replica = None;
         while let Some((name, response)) = pending.next().await {
             if let Some(StoreResponse::Spent {
@@ -248,22 +273,19 @@
                 served_by,
             }) = response
             {
-                acknowledged += 1;
+                quorum.record(&name);
                 latest_replica = latest_replica.or(served_by);
                 account.merge(&copy);
                 if let Some(chain) = chain {
                     search.add_response(&self.view.borrow(), &name, chain);
                 }
             }
-            if acknowledged >= self.replication.quorum() {
+            if quorum.is_complete() {
                 break;
             }
         }
-        if acknowledged < self.replication.quorum() {
-            return Err(StoresUnavailable {
-                acknowledged,
-                needed: self.replication.quorum(),
-            });
+        if !quorum.is_complete() {
+            return Err(self.unavailable(&quorum));
         }
         let chain = match wish {
             None => None,
@@ -482,17 +504,11 @@
         }
     }
 
-    /// Returns the fastest of the owners, preferring active stores, which hold all data that they
-    /// should.
+    /// Returns the fastest of the owners, preferring those in the settled configuration, which hold all
+    /// data that they should.
     fn fastest(&self, owners: &[StoreName]) -> Option<StoreName> {
         let view = self.view.borrow();
-        let rank = |name: &&StoreName| {
-            let is_active = view
-                .members
-                .get(*name)
-                .is_some_and(|member| member.state == StoreState::Active);
-            (!is_active, self.response_rank(name))
-        };
+        let rank = |name: &&StoreName| (!view.is_settled(name), self.response_rank(name));
         owners.iter().min_by_key(rank).cloned()
     }
 
--- a/crates/gateway-server/tests/gateway/mixed_builds.rs
+++ b/crates/gateway-server/tests/gateway/mixed_builds.rs
@@ -2,10 +2,14 @@
 
 use crate::support::{Fleet, wait_until};
 use luglink_control::{Request, Response};
+use luglink_fleet_client::ObserverConfig;
 use luglink_net::RequestClient;
-use luglink_turns::{StoreRequest, StoreResponse};
+use luglink_quota::Tolerance;
+use luglink_store_server::StoreServerConfig;
+use luglink_turns::{ProgramName, Replication, Spend, StoreRequest, StoreResponse, TurnId};
 use luglink_wire::{ClientRole, Hello, PROTOCOL_VERSION, decode_body, encode_body};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 const LIMIT: Duration = Duration::from_secs(5);
@@ -55,8 +59,15 @@
 async fn a_store_rejects_an_unknown_request_and_keeps_the_connection() {
     let fleet = Fleet::start(Vec::new()).await;
     let store = client(fleet.stores[0].address, ClientRole::StoreClient);
-    let account = StoreRequest::Account(luglink_turns::ProgramName("p".to_owned()));
+    let account = StoreRequest::Account(ProgramName("p".to_owned()));
     let account = encode_body(&account).unwrap();
+    // A store without a view of the stores refuses clients that send none.
+    wait_until("the store has received a view", || async {
+        let answer = store.request(account.clone(), LIMIT).await;
+        let answer = answer.ok().and_then(|answer| decode_body(&answer).ok());
+        matches!(answer, Some(StoreResponse::Account(_)))
+    })
+    .await;
     let (before, unknown, after) = tokio::join!(
         store.request(account.clone(), LIMIT),
         store.request(UNKNOWN_REQUEST.to_vec(), LIMIT),
@@ -72,3 +83,50 @@
         assert!(matches!(answer, StoreResponse::Account(_)), "{answer:?}");
     }
 }
+
+/// A store whose disk is empty must not count towards a quorum of a gateway that sends no view.
+#[actix_rt::test]
+async fn a_store_with_an_empty_disk_does_not_answer_for_a_program() {
+    let folder = tempfile::tempdir().unwrap();
+    let store = luglink_store_server::start(store_without_members(folder.path())).await;
+    let store = store.unwrap();
+    let client = client(store.address, ClientRole::StoreClient);
+    let program = ProgramName("p".to_owned());
+    let reservation = StoreRequest::Spend {
+        epoch: 4,
+        program: program.clone(),
+        turn: TurnId("t".to_owned()),
+        spend: Spend::Reserved(10),
+        retention_ms: 60_000,
+        chain: None,
+        served_by: None,
+    };
+    for request in [reservation, StoreRequest::Account(program)] {
+        let body = encode_body(&request).unwrap();
+        let answer = client.request(body, LIMIT).await.unwrap();
+        let answer: StoreResponse = decode_body(&answer).unwrap();
+        assert!(matches!(answer, StoreResponse::Failed { .. }), "{answer:?}");
+    }
+}
+
+fn store_without_members(folder: &Path) -> StoreServerConfig {
+    StoreServerConfig {
+        name: "s".to_owned(),
+        zone: "z".to_owned(),
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        data_folder: folder.to_owned(),
+        first_start: false,
+        replication: Replication::surviving(1),
+        segment_bytes: 1 << 20,
+        quota_tolerance: Tolerance {
+            window: Duration::from_secs(5),
+            overage: 0.0,
+            slack: 0.0,
+        },
+        observer: ObserverConfig {
+            seeds: Vec::new(),
+            member_port: 1,
+        },
+        metrics_listen: None,
+    }
+}
--- a/crates/store-server/src/metrics.rs
+++ b/crates/store-server/src/metrics.rs
@@ -13,6 +13,8 @@
     pub(crate) requests: IntCounterVec,
     /// Requests that failed because of a disk error or because they were malformed.
     pub(crate) failures: IntCounter,
+    /// Requests that were refused because their responses could not count, by reason.
+    pub(crate) refusals: IntCounterVec,
     /// Time to make a batch of requests durable.
     pub(crate) flush_seconds: Histogram,
     /// Stored turns.
@@ -32,9 +34,15 @@
         let registry = Metrics::new();
         let requests = registry.labelled_counter("store_requests_total", "Requests", "kind")?;
         let failures = registry.counter("store_failures_total", "Requests that failed")?;
+        let refusals = registry.labelled_counter(
+            "store_refusals_total",
+            "Requests that were refused because their responses could not count",
+            "reason",
+        )?;
         Ok(Self {
             requests,
             failures,
+            refusals,
             flush_seconds: registry
                 .seconds_histogram("store_flush_seconds", "Time to make a batch durable")?,
             turns: registry.gauge("store_turns", "Stored turns")?,
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -11,8 +11,8 @@
 use luglink_quota::Tolerance;
 use luglink_storage::{FileDisk, WalConfig};
 use luglink_turns::{
-    Chain, CrashRequest, CrashResponse, OriginRequest, OriginResponse, Output, Replication,
-    RequestToken, StoreConfig, StoreNode, StoreRequest, StoreResponse,
+    Chain, ClientView, CrashRequest, CrashResponse, OriginRequest, OriginResponse, Output,
+    Replication, RequestToken, StoreConfig, StoreNode, StoreRequest, StoreResponse,
 };
 use luglink_wire::{Frame, Parts, WireError, decode_with_parts, encode_body, encode_with_parts};
 use rand::RngCore;
@@ -180,7 +180,7 @@
 
 /// Request of a client by the part that it carries.
 enum ClientRequest {
-    Store(StoreRequest),
+    Store(Option<ClientView>, StoreRequest),
     Origin(OriginRequest),
     Crash(CrashRequest),
 }
@@ -192,7 +192,7 @@
     }
     Ok(match CrashRequest::decode(&parts)? {
         Some(request) => ClientRequest::Crash(request),
-        None => ClientRequest::Store(request),
+        None => ClientRequest::Store(ClientView::decode(&parts)?, request),
     })
 }
 
@@ -256,10 +256,10 @@
         match decode_request(body) {
             Ok(ClientRequest::Origin(request)) => self.on_origin_request(token, &request),
             Ok(ClientRequest::Crash(request)) => self.on_crash_request(token, &request),
-            Ok(ClientRequest::Store(request)) => {
+            Ok(ClientRequest::Store(client_view, request)) => {
                 let requests = &self.metrics.requests;
                 requests.with_label_values(&[request_kind(&request)]).inc();
-                self.node.borrow_mut().handle(token, request, now());
+                self.handle(client_view, token, request);
                 self.unflushed_requests
                     .set(self.unflushed_requests.get() + 1);
                 if self.unflushed_requests.get() >= MAX_BATCH_REQUESTS {
@@ -277,6 +277,21 @@
         }
     }
 
+    fn handle(&self, client_view: Option<ClientView>, token: RequestToken, request: StoreRequest) {
+        let mut node = self.node.borrow_mut();
+        let refusal = node.handle_under(client_view, token, request, now());
+        if let Some(refusal) = refusal {
+            let reason = refusal.label();
+            tracing::info!(
+                reason,
+                client_epoch = client_view.map(|view| view.epoch),
+                epoch = node.epoch(),
+                "refused a request whose response could not count"
+            );
+            self.metrics.refusals.with_label_values(&[reason]).inc();
+        }
+    }
+
     fn on_origin_request(&self, token: RequestToken, request: &OriginRequest) {
         let requests = &self.metrics.requests;
         requests
--- a/crates/turns/src/hand_over.rs
+++ b/crates/turns/src/hand_over.rs
@@ -3,7 +3,7 @@
 use crate::protocol::StoreRequest;
 use crate::record::TurnId;
 use crate::state::State;
-use luglink_fleet::{StoreName, StoreView, owners};
+use luglink_fleet::{StoreName, StoreView, owners, settled_owners};
 use luglink_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -22,7 +22,7 @@
     sent: Option<(u64, Timestamp)>,
 }
 
-/// Turns that a store has acknowledged since the last completed view.
+/// Turns that a store has acknowledged since the configuration was last settled.
 #[derive(Debug, Default)]
 struct AcknowledgedTurns {
     /// Identifies the disk of the store.
@@ -30,6 +30,9 @@
     turns: BTreeSet<TurnId>,
 }
 
+/// Number of earlier views that are kept to tell whether the owners of a program have changed since.
+const MAX_EARLIER_VIEWS: usize = 16;
+
 /// Message that is to be sent now.
 pub(crate) struct DueMessage {
     pub(crate) to: StoreName,
@@ -42,10 +45,12 @@
 #[derive(Debug, Default)]
 pub(crate) struct HandOver {
     view: StoreView,
-    /// Newest view for which the hand-over is complete.
-    completed_view: StoreView,
+    /// Views before the present one, oldest first.
+    earlier_views: VecDeque<StoreView>,
+    /// Epoch of the newest view for which the hand-over is complete.
+    completed_epoch: u64,
     queues: BTreeMap<StoreName, Queue>,
-    /// Turns that are not sent again if the view changes before the hand-over is complete.
+    /// Turns that are not sent again if the view changes before the configuration is settled.
     acknowledged: BTreeMap<StoreName, AcknowledgedTurns>,
     last_number: u64,
 }
@@ -53,8 +58,9 @@
 impl HandOver {
     pub(crate) fn new(completed_view: StoreView) -> Self {
         Self {
-            view: completed_view.clone(),
-            completed_view,
+            completed_epoch: completed_view.epoch,
+            view: completed_view,
+            earlier_views: VecDeque::new(),
             queues: BTreeMap::new(),
             acknowledged: BTreeMap::new(),
             last_number: 0,
@@ -66,7 +72,35 @@
     }
 
     pub(crate) fn completed_epoch(&self) -> u64 {
-        self.completed_view.epoch
+        self.completed_epoch
+    }
+
+    /// Returns true if some program, or the given one, has had other owners at any time since the
+    /// view of `epoch`, as far as this store knows. Owners under a newer view are unknown.
+    pub(crate) fn owners_changed_since(
+        &self,
+        epoch: u64,
+        program: Option<&str>,
+        copies: usize,
+    ) -> bool {
+        if epoch >= self.view.epoch {
+            return false;
+        }
+        let is_known = self.earlier_views.iter().any(|view| view.epoch == epoch);
+        let since = self.earlier_views.iter().filter(|view| view.epoch >= epoch);
+        !is_known
+            || since
+                .into_iter()
+                .any(|view| self.has_other_owners(view, program, copies))
+    }
+
+    fn has_other_owners(&self, earlier: &StoreView, program: Option<&str>, copies: usize) -> bool {
+        match program {
+            Some(program) => {
+                owners(earlier, program, copies) != owners(&self.view, program, copies)
+            }
+            None => !writable_names(earlier).eq(writable_names(&self.view)),
+        }
     }
 
     /// Sets a newer view and queues the records that its stores own and may not have yet.
@@ -80,7 +114,11 @@
         if view.epoch <= self.view.epoch {
             return;
         }
-        self.view = view;
+        let earlier = std::mem::replace(&mut self.view, view);
+        self.earlier_views.push_back(earlier);
+        if self.earlier_views.len() > MAX_EARLIER_VIEWS {
+            self.earlier_views.pop_front();
+        }
         self.queues.clear();
         self.discard_lost_disks();
         let mut transfers: BTreeMap<StoreName, Transfer> = BTreeMap::new();
@@ -136,19 +174,14 @@
             .extend(turns.iter().map(|turn| turn.id.clone()));
     }
 
-    /// Returns the other owners of a key that did not own it with their present disk in the last
-    /// completed view.
+    /// Returns the other owners of a key that may lack its records: those that do not own it in the
+    /// settled configuration with their present disk.
     fn new_owners(&self, key: &str, own_name: &StoreName, copies: usize) -> Vec<StoreName> {
-        let before = owners(&self.completed_view, key, copies);
-        let disk = |view: &StoreView, name: &StoreName| {
-            view.members.get(name).map(|member| member.incarnation)
-        };
+        let settled = settled_owners(&self.view, key, copies);
         owners(&self.view, key, copies)
             .into_iter()
             .filter(|name| name != own_name)
-            .filter(|name| {
-                !before.contains(name) || disk(&self.completed_view, name) != disk(&self.view, name)
-            })
+            .filter(|name| !settled.contains(name) || !self.view.is_settled(name))
             .collect()
     }
 
@@ -200,18 +233,25 @@
         }
     }
 
-    /// Marks the current view as completed if no message is left to send. Returns the view if it
-    /// was not completed before.
-    pub(crate) fn complete_view(&mut self) -> Option<StoreView> {
-        if !self.queues.is_empty() || self.completed_view.epoch >= self.view.epoch {
-            return None;
+    /// Returns the current view if no message is left to send and the view was not completed before.
+    pub(crate) fn completable_view(&self) -> Option<&StoreView> {
+        let is_due = self.queues.is_empty() && self.completed_epoch < self.view.epoch;
+        is_due.then_some(&self.view)
+    }
+
+    /// Records that the completion of the current view is on disk.
+    pub(crate) fn complete_view(&mut self) {
+        self.completed_epoch = self.view.epoch;
+        if *self.view.settled_stores() == self.view.next_settled_stores() {
+            self.acknowledged.clear();
         }
-        self.completed_view = self.view.clone();
-        self.acknowledged.clear();
-        Some(self.completed_view.clone())
     }
 }
 
+fn writable_names(view: &StoreView) -> impl Iterator<Item = &StoreName> {
+    view.writable().map(|(name, _)| name)
+}
+
 /// Turns and accounts to be transferred to one store, with the turns divided into batches.
 #[derive(Default)]
 struct Transfer {
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -27,6 +27,7 @@
 mod parts;
 mod protocol;
 mod record;
+mod refusal;
 mod replication;
 mod state;
 
@@ -40,7 +41,8 @@
 pub use node::{Output, RequestToken, StoreConfig, StoreNode};
 pub use origin_hints::{hint_query, hint_request, hinted_origin};
 pub use origins::OriginTable;
-pub use parts::{OriginRecord, OriginRequest, OriginResponse};
+pub use parts::{ClientView, OriginRecord, OriginRequest, OriginResponse};
 pub use protocol::{Chain, ChainQuery, StoreRequest, StoreResponse};
 pub use record::{ProgramName, TurnId, TurnRecord};
-pub use replication::{AbsenceProof, Replication};
+pub use refusal::Refusal;
+pub use replication::{AbsenceProof, JointQuorum, Replication};
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -7,9 +7,10 @@
 use crate::hand_over::HandOver;
 use crate::journal::{Entry, Journal};
 use crate::origins::OriginTable;
-use crate::parts::OriginRequest;
+use crate::parts::{ClientView, OriginRequest};
 use crate::protocol::{Chain, ChainQuery, StoreRequest, StoreResponse};
 use crate::record::{ProgramName, TurnId, TurnRecord};
+use crate::refusal::{Refusal, RequestCheck};
 use crate::replication::Replication;
 use crate::state::State;
 use luglink_fleet::{BackendId, StoreName, StoreView, StreamOrigin};
@@ -188,9 +189,14 @@
         self.journal.into_disk()
     }
 
-    /// Sets a newer view of the stores.
+    /// Sets a newer view of the stores. Requests that were handled before belong to the earlier view,
+    /// so they are made durable first and are part of the hand-over.
     pub fn set_view(&mut self, view: StoreView, now: Timestamp) {
         self.now = self.now.max(now);
+        if view.epoch <= self.epoch() {
+            return;
+        }
+        self.commit_requests();
         let copies = self.config.replication.copies();
         self.quota.set_view(view.clone(), self.now);
         self.hand_over
@@ -203,6 +209,40 @@
         self.quota.note_leader_contact(self.now);
     }
 
+    /// Handles a request of a client under its view of the stores, or of another store. A request
+    /// whose response could not count is refused and not recorded; the reason is returned.
+    pub fn handle_under(
+        &mut self,
+        client_view: Option<ClientView>,
+        token: RequestToken,
+        request: StoreRequest,
+        now: Timestamp,
+    ) -> Option<Refusal> {
+        self.now = self.now.max(now);
+        let refusal = self.request_check().refusal(client_view, &request);
+        match &refusal {
+            Some(refusal) => {
+                let reason = refusal.to_string();
+                self.reply(token, StoreResponse::Failed { reason });
+            }
+            None => {
+                let request = self.request_check().accepted(client_view, request);
+                self.handle(token, request, now);
+            }
+        }
+        refusal
+    }
+
+    fn request_check(&self) -> RequestCheck<'_> {
+        RequestCheck {
+            name: &self.config.name,
+            incarnation: self.incarnation,
+            copies: self.config.replication.copies(),
+            hand_over: &self.hand_over,
+            state: &self.state,
+        }
+    }
+
     /// Handles a request. The next [`StoreNode::flush`] returns the reply.
     pub fn handle(&mut self, token: RequestToken, request: StoreRequest, now: Timestamp) {
         self.now = self.now.max(now);
@@ -328,14 +368,12 @@
 
     /// Makes all collected entries durable with one sync and returns the actions to perform.
     pub fn flush(&mut self) -> Vec<Output> {
-        if let Some(view) = self.hand_over.complete_view() {
-            self.entries.push(Entry::HandedOver(view));
-        }
-        let entries = std::mem::take(&mut self.entries);
-        let pending = std::mem::take(&mut self.pending);
-        match self.persist(&entries) {
-            Ok(()) => self.complete_pending(pending),
-            Err(error) => self.fail_pending(pending, &error.to_string()),
+        let completed_view = self.hand_over.completable_view();
+        let completed_view = completed_view.cloned().map(Entry::HandedOver);
+        let completes_view = completed_view.is_some();
+        self.entries.extend(completed_view);
+        if self.commit_requests() && completes_view {
+            self.hand_over.complete_view();
         }
         for due in self.hand_over.due(self.now) {
             self.outputs.push(Output::HandOver {
@@ -347,6 +385,22 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Makes all collected entries durable and queues the replies. Returns true on success.
+    fn commit_requests(&mut self) -> bool {
+        let entries = std::mem::take(&mut self.entries);
+        let pending = std::mem::take(&mut self.pending);
+        match self.persist(&entries) {
+            Ok(()) => {
+                self.complete_pending(pending);
+                true
+            }
+            Err(error) => {
+                self.fail_pending(pending, &error.to_string());
+                false
+            }
+        }
+    }
+
     fn keep(
         &mut self,
         token: RequestToken,
@@ -387,10 +441,10 @@
         });
     }
 
-    /// Queues entries for the disk. A writer with an older view may not know all current owners,
-    /// so this store forwards the entries to the other owners.
+    /// Queues entries for the disk. A writer of an older build with an older view may not know all
+    /// current owners, so this store forwards the entries to the other owners.
     fn write(&mut self, epoch: u64, program: &ProgramName, entries: Vec<Entry>) {
-        if epoch < self.hand_over.view().epoch {
+        if self.request_check().owners_changed(epoch, Some(program)) {
             let owners = self
                 .config
                 .replication
--- a/crates/turns/src/parts.rs
+++ b/crates/turns/src/parts.rs
@@ -21,6 +21,39 @@
 /// Response part: result of either request.
 const ORIGIN_RESPONSE: PartNumber = PartNumber(3);
 
+/// Request part: what the client knows about the store.
+const CLIENT_VIEW: PartNumber = PartNumber(8);
+
+/// The view under which a client chose a store. A store does not answer a client whose view is too
+/// old for the response to count. Clients of older builds do not send it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClientView {
+    /// Epoch of the view.
+    pub epoch: u64,
+    /// Incarnation of the store's disk in the view.
+    pub incarnation: u64,
+}
+
+impl ClientView {
+    /// Encodes the part for the wire.
+    ///
+    /// # Errors
+    /// Fails if the part cannot be encoded.
+    pub fn encode(&self) -> Result<Parts, WireError> {
+        let mut parts = Parts::default();
+        parts.put(CLIENT_VIEW, self)?;
+        Ok(parts)
+    }
+
+    /// Decodes the part from the wire; `None` if the request has none.
+    ///
+    /// # Errors
+    /// Fails if the part cannot be decoded.
+    pub fn decode(parts: &Parts) -> Result<Option<Self>, WireError> {
+        parts.get(CLIENT_VIEW)
+    }
+}
+
 /// Origin of a stream that a store keeps in memory.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginRecord {
--- a/crates/turns/src/replication.rs
+++ b/crates/turns/src/replication.rs
@@ -1,7 +1,7 @@
 //! Quorum rules for clients that write to and read from several stores.
 
 use crate::protocol::Chain;
-use luglink_fleet::{StoreName, StoreView, owners};
+use luglink_fleet::{StoreName, StoreView, owners, settled_owners};
 use std::collections::BTreeSet;
 
 /// Number of copies, derived from the number of simultaneous losses that a deployment tolerates.
@@ -41,6 +41,77 @@
     pub fn owners(&self, view: &StoreView, program: &str) -> Vec<StoreName> {
         owners(view, program, self.copies())
     }
+
+    /// Returns the quorum that a request about a program needs under a view.
+    #[must_use]
+    pub fn joint_quorum(&self, view: &StoreView, program: &str) -> JointQuorum {
+        let settled = settled_owners(view, program, self.copies());
+        JointQuorum {
+            counting: settled
+                .iter()
+                .filter(|name| view.is_settled(name))
+                .cloned()
+                .collect(),
+            settled,
+            next: self.owners(view, program),
+            needed: self.quorum(),
+            acknowledged: BTreeSet::new(),
+        }
+    }
+}
+
+/// Collects the stores that acknowledged a request until they are a quorum of the program's owners
+/// both in the settled configuration and in the one that follows it.
+///
+/// All requests about a program under views with the same settled configuration therefore meet in a
+/// store that has its present disk since before that configuration was settled, and all requests
+/// under later views meet in the configuration that follows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JointQuorum {
+    settled: Vec<StoreName>,
+    /// Owners in the settled configuration whose present disks belong to it.
+    counting: Vec<StoreName>,
+    next: Vec<StoreName>,
+    needed: usize,
+    acknowledged: BTreeSet<StoreName>,
+}
+
+impl JointQuorum {
+    /// Returns the stores to send the request to.
+    #[must_use]
+    pub fn stores(&self) -> Vec<StoreName> {
+        let others = self.settled.iter().filter(|name| !self.next.contains(name));
+        self.next.iter().chain(others).cloned().collect()
+    }
+
+    /// Records that a store acknowledged the request.
+    pub fn record(&mut self, store: &StoreName) {
+        self.acknowledged.insert(store.clone());
+    }
+
+    /// Returns the number of stores that have acknowledged the request.
+    #[must_use]
+    pub fn acknowledged(&self) -> usize {
+        self.acknowledged.len()
+    }
+
+    /// Returns true if enough stores have acknowledged the request.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        let is_quorum = |stores: &[StoreName]| {
+            let acknowledged = stores
+                .iter()
+                .filter(|name| self.acknowledged.contains(*name));
+            acknowledged.count() >= self.needed
+        };
+        is_quorum(&self.counting) && is_quorum(&self.next)
+    }
+
+    /// Returns true if enough stores could acknowledge the request under this view.
+    #[must_use]
+    pub fn is_possible(&self) -> bool {
+        self.counting.len() >= self.needed && self.next.len() >= self.needed
+    }
 }
 
 /// Collects stores that do not have a turn until their number proves that no store has it.
@@ -50,8 +121,8 @@
 }
 
 impl AbsenceProof {
-    /// Records a store's response. The response counts only if the store has the same disk as in
-    /// the view and has received all records that it owns ([`StoreView::is_authoritative`]).
+    /// Records a store's response. The response counts only if the store's disk belongs to the
+    /// settled configuration ([`StoreView::is_authoritative`]).
     pub fn record(&mut self, view: &StoreView, store: &StoreName, chain: &Chain) {
         if let Chain::Absent { incarnation } = chain
             && view.is_authoritative(store, *incarnation)
@@ -61,11 +132,13 @@
     }
 
     /// Returns true if no store can have the turn. A committed turn was written to at least a
-    /// quorum of the view's stores, including lost ones. It therefore cannot exist if fewer stores
-    /// than a quorum have not been recorded as lacking it.
+    /// quorum of the stores in the settled configuration, including those that have lost their disk
+    /// since. It therefore cannot exist if fewer of these stores than a quorum have not been recorded
+    /// as lacking it.
     #[must_use]
     pub fn is_certain(&self, view: &StoreView, replication: Replication) -> bool {
-        let remaining = view.len() - self.stores_without_turn.len().min(view.len());
-        !view.is_empty() && remaining < replication.quorum()
+        let stores = view.settled_stores().0.len();
+        let remaining = stores - self.stores_without_turn.len().min(stores);
+        stores > 0 && remaining < replication.quorum()
     }
 }
