Soak programs with budgets and history beside stores that are lost, replaced and retired

Callers keep their connections, continue from turns that were answered whole, spend their budgets, and come back with programs whose budget is spent. No such turn may get 404, no program may get more than its budget and a turn, and every turn can be continued within 12 s of the final fault.

--- a/app/luglink/tests/stream_soak/chaos.rs
+++ b/app/luglink/tests/stream_soak/chaos.rs
@@ -71,7 +71,7 @@
 
 /// Ends a process by a signal and starts it again after a pause. Does nothing if the process is
 /// being restarted already.
-async fn restart(process: &Process, signal: Signal, pause: Duration) {
+pub async fn restart(process: &Process, signal: Signal, pause: Duration) {
     process.signal(signal);
     if process.wait_for_exit().await {
         actix_rt::time::sleep(pause).await;
@@ -79,7 +79,7 @@
     }
 }
 
-async fn freeze(process: &Process, duration: Duration) {
+pub async fn freeze(process: &Process, duration: Duration) {
     process.signal(Signal::STOP);
     actix_rt::time::sleep(duration).await;
     process.signal(Signal::CONT);
--- a/app/luglink/tests/stream_soak/fleet.rs
+++ b/app/luglink/tests/stream_soak/fleet.rs
@@ -31,6 +31,9 @@
 /// Paths of the routes. Stalled streams of the second one move.
 pub const PATHS: [&str; 2] = ["/resumable/x", "/movable/x"];
 
+/// Path of the route of turns whose history the stores keep.
+pub const KEPT_PATH: &str = "/kept/x";
+
 /// Path of the route of requests that are not streams.
 pub const CALL_PATH: &str = "/calls/x";
 
@@ -51,7 +54,14 @@
 
 impl Process {
     fn start(role: &'static str, settings: PathBuf) -> Self {
-        let process = Self {
+        let process = Self::prepare(role, settings);
+        process.start_again();
+        process
+    }
+
+    /// Creates a process that does not run yet.
+    fn prepare(role: &'static str, settings: PathBuf) -> Self {
+        Self {
             role,
             log: settings.with_extension("log"),
             settings,
@@ -59,9 +69,28 @@
             pid: Cell::default(),
             kills: Cell::default(),
             disturbed_at: Cell::new(Instant::now()),
-        };
-        process.start_again();
-        process
+        }
+    }
+
+    /// Returns the name of the machine.
+    pub fn name(&self) -> &str {
+        let name = self.settings.file_stem().and_then(|name| name.to_str());
+        name.expect("the settings are named after the machine")
+    }
+
+    /// Removes the records of a store that does not run.
+    pub fn wipe_store(&self) {
+        let folder = self
+            .settings
+            .with_file_name(format!("{}-store", self.name()));
+        std::fs::remove_dir_all(folder).expect("the folder is removed");
+    }
+
+    /// Lets the next start of the process be one in a running deployment.
+    pub fn end_first_start(&self) {
+        let settings = std::fs::read_to_string(&self.settings).unwrap();
+        let settings = settings.replace("first_start = true", "first_start = false");
+        std::fs::write(&self.settings, settings).unwrap();
     }
 
     pub fn start_again(&self) {
@@ -97,6 +126,11 @@
         }
     }
 
+    /// Returns true if the process runs or its end is awaited.
+    pub fn is_running(&self) -> bool {
+        self.pid.get().is_some()
+    }
+
     /// Waits for the end of the process. Returns false if another task has done so.
     pub async fn wait_for_exit(&self) -> bool {
         let Some(mut child) = self.child.borrow_mut().take() else {
@@ -127,6 +161,8 @@
 pub struct Fleet {
     pub members: Rc<Vec<Process>>,
     pub stores: Rc<Vec<Process>>,
+    /// Stores that do not run at the start.
+    pub spare_stores: Rc<Vec<Process>>,
     pub gateways: Rc<Vec<Process>>,
     pub addresses: Rc<Vec<SocketAddr>>,
     pub replicas: Replicas,
@@ -150,6 +186,16 @@
 impl Fleet {
     /// Starts all processes and waits until all gateways serve.
     pub async fn start(seed: u64, gateways: usize, faults: Faults) -> Self {
+        Self::start_with_spares(seed, gateways, faults, 0).await
+    }
+
+    /// Starts all processes but `spares` stores, and waits until all gateways serve.
+    pub async fn start_with_spares(
+        seed: u64,
+        gateways: usize,
+        faults: Faults,
+        spares: usize,
+    ) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let replicas = Replicas::start(seed, REPLICAS_PER_VERSION, faults).await;
         let list = replicas.serve_list().await;
@@ -165,10 +211,17 @@
         let hosts = MEMBERS..MEMBERS + gateways;
         let started = hosts.clone().map(|host| start("gateway", host));
         let gateways: Vec<Process> = started.collect();
+        let spare_hosts = (hosts.end..hosts.end + spares).map(|host| {
+            let spare = Process::prepare("store", settings(host));
+            spare.end_first_start();
+            spare
+        });
+        let spare_stores: Vec<Process> = spare_hosts.collect();
         let address = |host, port| format!("{}:{port}", ip(host)).parse().unwrap();
         let fleet = Self {
             members: Rc::new(members),
             stores: Rc::new(stores),
+            spare_stores: Rc::new(spare_stores),
             gateways: Rc::new(gateways),
             addresses: Rc::new(hosts.map(|host| address(host, 7400)).collect()),
             replicas,
@@ -189,10 +242,22 @@
     pub async fn configure(&self) -> bool {
         self.version.set(self.version.get() + 1);
         let body = configuration(self.version.get());
+        let body = serde_json::to_value(&body).unwrap();
+        self.order("/v1/configuration", body).await
+    }
+
+    /// Starts the retirement of a store. Returns true if it is accepted.
+    pub async fn retire(&self, store: &str) -> bool {
+        let path = format!("/v1/stores/{store}/retirement");
+        self.order(&path, serde_json::json!({})).await
+    }
+
+    /// Sends an operator's request to the leader. Returns true if it is acknowledged.
+    async fn order(&self, path: &str, body: serde_json::Value) -> bool {
         let client = Client::default();
         let mut address = self.operator.to_string();
         for _ in 0..2 {
-            let url = format!("http://{address}/v1/configuration");
+            let url = format!("http://{address}{path}");
             let Ok(answer) = client.post(url).send_json(&body).await else {
                 return false;
             };
@@ -287,6 +352,10 @@
         routes: vec![
             route(PATHS[0], RouteKind::Streaming, None),
             route(PATHS[1], RouteKind::Streaming, Some(300)),
+            Route {
+                keeps_history: true,
+                ..route(KEPT_PATH, RouteKind::Streaming, None)
+            },
             route(CALL_PATH, RouteKind::Safe, None),
         ],
         services: vec![Service {
--- a/app/luglink/tests/stream_soak/main.rs
+++ b/app/luglink/tests/stream_soak/main.rs
@@ -11,9 +11,11 @@
 mod crashing;
 mod fleet;
 mod lost_runs;
+mod programs;
 mod random;
 mod replicas;
 mod runs;
+mod store_chaos;
 mod takeover;
 
 use callers::{Callers, Report};
--- a/app/luglink/tests/stream_soak/replicas.rs
+++ b/app/luglink/tests/stream_soak/replicas.rs
@@ -474,7 +474,7 @@
     target.split_once('?').map_or("", |(_, name)| name)
 }
 
-/// Reads the head of a request without a body. Returns its headers in lower case.
+/// Reads the head of a request and discards its body. Returns its headers in lower case.
 async fn read_head(
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
@@ -494,5 +494,18 @@
     let headers = head.lines().filter_map(|line| line.split_once(": "));
     let headers = headers.map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()));
     let target = (TARGET.to_owned(), target);
-    Some(headers.chain([target]).collect())
+    let headers: BTreeMap<String, String> = headers.chain([target]).collect();
+    let length = headers.get("content-length");
+    let mut left = length.map_or(0, |length| length.parse::<usize>().unwrap());
+    while left > buffer.len() {
+        left -= buffer.len();
+        buffer.clear();
+        let mut part = [0; 2_048];
+        match stream.read(&mut part).await {
+            Ok(count) if count > 0 => buffer.extend_from_slice(&part[..count]),
+            _ => return None,
+        }
+    }
+    buffer.drain(..left);
+    Some(headers)
 }
