--- a/crates/turns/tests/store.rs
+++ b/crates/turns/tests/store.rs
@@ -4,8 +4,9 @@
 use luglink_quota::Tolerance;
 use luglink_storage::{CrashDamage, MemoryDisk, WalConfig};
 use luglink_turns::{
-    AbsenceProof, Account, Chain, ChainQuery, Output, ProgramName, Replication, RequestToken,
-    Spend, StoreConfig, StoreNode, StoreRequest, StoreResponse, TurnId, TurnRecord,
+    AbsenceProof, Account, Chain, ChainQuery, ClientView, Output, ProgramName, Refusal,
+    Replication, RequestToken, Spend, StoreConfig, StoreNode, StoreRequest, StoreResponse, TurnId,
+    TurnRecord,
 };
 use luglink_types::Timestamp;
 use std::collections::BTreeMap;
@@ -470,3 +471,71 @@
     let empty_view = StoreView::default();
     assert!(!AbsenceProof::default().is_certain(&empty_view, replication));
 }
+
+/// Requests that were handled but not written when a view arrived belong to the view before it.
+#[test]
+fn requests_handled_before_a_view_are_part_of_its_hand_over() {
+    let mut registry = view_of(&[("a", 1), ("b", 2), ("c", 3)]);
+    let mut node = start("a", MemoryDisk::default(), 1);
+    node.set_view(registry.view().clone(), at(1));
+    let token = RequestToken {
+        client: 1,
+        request: 1,
+    };
+    node.handle(token, keep(record("t1", "p", &[]), 1), at(1));
+    registry.apply(&join("b", 9, false));
+    node.set_view(registry.view().clone(), at(2));
+    let handed_over = node.flush().into_iter().any(|output| match output {
+        Output::HandOver { request, .. } => match *request {
+            StoreRequest::HandOver { turns, .. } => !turns.is_empty(),
+            _ => false,
+        },
+        Output::Reply { .. } => false,
+    });
+    assert!(handed_over, "the turn is not handed over");
+}
+
+/// A store that reported a completion and forgot it in a crash would accept requests again under the
+/// view before.
+#[test]
+fn a_hand_over_is_reported_as_complete_only_once_that_is_on_disk() {
+    let registry = view_of(&[("a", 1), ("b", 2), ("c", 3)]);
+    let mut node = start("a", MemoryDisk::default(), 1);
+    node.disk_mut().set_full(true);
+    node.set_view(registry.view().clone(), at(1));
+    node.flush();
+    assert_eq!(node.handed_over_epoch(), 0);
+    node.disk_mut().set_full(false);
+    node.flush();
+    assert_eq!(node.handed_over_epoch(), registry.view().epoch);
+    let node = start("a", node.into_disk(), 2);
+    assert_eq!(node.handed_over_epoch(), registry.view().epoch);
+}
+
+/// A client whose view names another disk, or other owners, must not count the response.
+#[test]
+fn requests_under_a_view_with_another_disk_or_other_owners_are_refused() {
+    let mut registry = view_of(&[("a", 1), ("b", 2), ("c", 3)]);
+    let mut node = start("a", MemoryDisk::default(), 1);
+    node.set_view(registry.view().clone(), at(1));
+    let token = RequestToken {
+        client: 1,
+        request: 1,
+    };
+    let refusal = |node: &mut StoreNode<MemoryDisk>, epoch, incarnation| {
+        let client_view = ClientView { epoch, incarnation };
+        node.handle_under(Some(client_view), token, reserve("p", "t", 1), at(2))
+    };
+    let epoch = registry.view().epoch;
+    assert_eq!(refusal(&mut node, epoch, 1), None);
+    assert_eq!(refusal(&mut node, epoch, 7), Some(Refusal::UnexpectedDisk));
+    // The loss of another store's disk does not change the owners, its replacement does.
+    registry.apply(&join("b", 9, false));
+    node.set_view(registry.view().clone(), at(3));
+    assert_eq!(refusal(&mut node, epoch, 1), None);
+    registry.apply(&join("d", 4, false));
+    registry.apply(&StoreCommand::Lose { name: name("b") });
+    node.set_view(registry.view().clone(), at(4));
+    assert_eq!(refusal(&mut node, epoch, 1), Some(Refusal::OutdatedView));
+    assert_eq!(refusal(&mut node, registry.view().epoch, 1), None);
+}
