Settle the configuration of the stores without a store that is about to be lost

A replaced store counted until it was removed, some 4.5 s after its loss, because its successor had been filled, and the configuration settled, before it was silent for 2 s. Change: while a store that may be lost has not handed over and is silent for a quarter of the timeout, the configuration waits until it is lost or back, and is then settled once without it.

--- a/crates/fleet/src/store_plan.rs
+++ b/crates/fleet/src/store_plan.rs
@@ -165,7 +165,9 @@
         limits: &StoreLimits,
     ) -> Vec<StoreCommand> {
         let progress = self.progress(situation, limits);
-        if progress.is_none_or(|progress| progress.outstanding() > 0) {
+        if progress.is_none_or(|progress| progress.outstanding() > 0)
+            || situation.expects_loss(limits)
+        {
             return Vec::new();
         }
         let view = situation.view();
@@ -285,22 +287,40 @@
     /// if more are silent, this leader is probably partitioned from them, or the others could not
     /// take over their records.
     fn loss(&self, limits: &StoreLimits) -> Option<StoreCommand> {
+        let mut silent = self
+            .losable(limits)
+            .filter(|name| self.silence(name) >= limits.store_timeout);
+        let name = silent.next()?.clone();
+        Some(StoreCommand::Lose { name })
+    }
+
+    /// Returns true if a store that has not completed the hand-over is likely to be marked as lost
+    /// soon. The configuration is then settled once without it, rather than first with it.
+    fn expects_loss(&self, limits: &StoreLimits) -> bool {
+        self.losable(limits).any(|name| {
+            !self.has_handed_over(name) && self.silence(name) >= limits.store_timeout / 4
+        })
+    }
+
+    /// Returns the writable stores that may be marked as lost if they are silent.
+    fn losable(&self, limits: &StoreLimits) -> impl Iterator<Item = &StoreName> {
         let view = self.view();
-        if view.writable().count() <= limits.copies {
-            return None;
-        }
         let members = view.members.iter();
         let lost = members
             .filter(|(name, member)| member.state == StoreState::Lost && view.is_settled(name));
         let may_lose_settled = lost.count() < limits.tolerated_losses;
-        let leading_long = self.now.since(self.leads_since) >= limits.store_timeout;
+        let may_lose_any = view.writable().count() > limits.copies;
         view.writable()
-            .filter(|(name, _)| may_lose_settled || !view.is_settled(name))
-            .find(|(name, _)| match self.last_presence(name) {
-                Some(presence) => presence.silence >= limits.store_timeout,
-                None => leading_long,
-            })
-            .map(|(name, _)| StoreCommand::Lose { name: name.clone() })
+            .map(|(name, _)| name)
+            .filter(move |name| may_lose_any && (may_lose_settled || !view.is_settled(name)))
+    }
+
+    /// Returns the time since the last heartbeat of a store, or since this member leads.
+    fn silence(&self, name: &StoreName) -> Duration {
+        let presence = self.last_presence(name);
+        presence.map_or(self.now.since(self.leads_since), |presence| {
+            presence.silence
+        })
     }
 
     /// Returns a command that makes a store join again if all stores are active, because a
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -75,9 +75,8 @@
 }
 
 impl StoreView {
-    /// Returns the settled configuration. If it is not known, all stores have a place in it, and the
-    /// disks of those that are not joining count. Every quorum of that configuration intersects
-    /// every quorum of the real one.
+    /// Returns the settled configuration. If it is not known, it is derived from the states of the
+    /// stores: all have a place in it, and the disks of those that are not joining count.
     #[must_use]
     pub fn settled_stores(&self) -> Cow<'_, SettledStores> {
         match &self.settled {
--- a/crates/fleet/tests/store_plan.rs
+++ b/crates/fleet/tests/store_plan.rs
@@ -422,3 +422,25 @@
     );
     assert!(model.is_at_rest());
 }
+
+/// A new store that disappears while it is filled must not stop the takeover of a lost one.
+#[test]
+fn a_new_store_that_disappears_does_not_block_the_takeover_of_a_lost_one() {
+    let mut model = Model::new(7, 4);
+    let lost = model.stores.keys().next().expect("stores").clone();
+    model.stores.remove(&lost);
+    for _ in 0..30 {
+        model.advance();
+    }
+    assert_eq!(model.registry.view().members[&lost].state, StoreState::Lost);
+    model.add_store();
+    let new = model.stores.keys().last().expect("stores").clone();
+    while !model.registry.view().members.contains_key(&new) {
+        model.advance();
+    }
+    model.stores.remove(&new);
+    for _ in 0..REST_STEPS {
+        model.advance();
+    }
+    assert!(model.is_at_rest(), "{:?}", model.registry.view());
+}
--- a/crates/turns/tests/store_cluster/main.rs
+++ b/crates/turns/tests/store_cluster/main.rs
@@ -215,8 +215,12 @@
         let steps = model.cluster.random.between(1, 8);
         let step = model.cluster.step;
         let began = step;
+        let mut returned = step;
         match model.cluster.random.below(4) {
-            0 => model.lose_disk(&name, steps),
+            0 => {
+                model.lose_disk(&name, steps);
+                returned = step + steps;
+            }
             1 | 2 => {
                 model.cluster.machines.remove(&name);
                 model.lost_disks.push(name);
@@ -224,6 +228,7 @@
                     model.advance();
                 }
                 model.add();
+                returned = model.cluster.step;
             }
             _ => {
                 let machine = model.cluster.machines.get_mut(&name).expect("it exists");
@@ -248,7 +253,7 @@
                     model.cluster.step
                 );
             }
-            if model.cluster.step == began + 3 + 8 + CATCH_UP_STEPS {
+            if model.cluster.step == returned + CATCH_UP_STEPS {
                 assert!(
                     model.lost_disks.is_empty(),
                     "seed {seed}: {:?} counts as lost at step {}: {:?}",
