Begin the planner's periods anew with each leadership; skip the hand-over when all owners have all records

A member that lost the lead and got it back kept the times since which stores were missing, and would have counted them as gone for good although they had reported to another leader meanwhile. Found by reading; the new test a_store_counts_as_gone_for_good_only_after_a_long_absence_under_one_leader fails without the change. The models now change only the time of the leadership. Rounds without commands no longer wait for entries of others to be committed.

A view whose configuration is settled needs no hand-over: stores no longer rank the owners of every turn and account for it.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -203,7 +203,11 @@
             .store_situation(&|address| self.has_member_at(address))
             .map(|situation| planner.commands(&situation, &managed.store_limits()));
         self.fleet.store_planner = planner;
-        for command in commands.unwrap_or_default() {
+        let commands = commands.unwrap_or_default();
+        if commands.is_empty() {
+            return Ok(());
+        }
+        for command in commands {
             let command = encode("a store command", &LoggedCommand::Store(command))?;
             self.propose(CONFIGURATION_GROUP, command, None);
         }
--- a/crates/fleet/src/store_plan.rs
+++ b/crates/fleet/src/store_plan.rs
@@ -70,10 +70,12 @@
     }
 }
 
-/// Decides which changes of the registry the leader proposes. Its own state is soft: after a change
-/// of the leader, its periods begin again.
+/// Decides which changes of the registry the leader proposes. Its own state is soft: with each
+/// leadership, its periods begin again.
 #[derive(Clone, Debug, Default)]
 pub struct StorePlanner {
+    /// Begin of the leadership in which the periods below were observed.
+    leads_since: Timestamp,
     lost_since: BTreeMap<StoreName, Timestamp>,
     missing_since: BTreeMap<StoreName, Timestamp>,
 }
@@ -143,6 +145,12 @@
     }
 
     fn update_periods(&mut self, situation: &StoreSituation<'_>) {
+        if self.leads_since != situation.leads_since {
+            *self = Self {
+                leads_since: situation.leads_since,
+                ..Self::default()
+            };
+        }
         let view = situation.view();
         let lost = view.members.iter();
         let lost = lost.filter(|(_, member)| member.state == StoreState::Lost);
--- a/crates/fleet/tests/store_plan.rs
+++ b/crates/fleet/tests/store_plan.rs
@@ -228,7 +228,6 @@
                 self.propose(StoreCommand::Retire { name, minimum: 3 });
             }
             7 => {
-                self.planner = StorePlanner::default();
                 self.presence = PresenceTable::default();
                 self.leads_since = step;
             }
@@ -444,3 +443,30 @@
     }
     assert!(model.is_at_rest(), "{:?}", model.registry.view());
 }
+
+/// A member that leads again must not count the time of its earlier leadership as absence.
+#[test]
+fn a_store_counts_as_gone_for_good_only_after_a_long_absence_under_one_leader() {
+    let mut model = Model::new(9, 3);
+    let names: Vec<StoreName> = model.stores.keys().cloned().collect();
+    // Two of three stores are silent, more than tolerated, and a new one waits for their records.
+    for name in &names[..2] {
+        model.store(name).silent_until = u64::MAX;
+    }
+    model.add_store();
+    for _ in 0..5_900 {
+        model.advance();
+    }
+    model.leads_since = model.step;
+    for _ in 0..5_900 {
+        model.advance();
+    }
+    let view = model.registry.view();
+    assert_ne!(*view.settled_stores(), view.next_settled_stores());
+    for _ in 0..300 {
+        model.advance();
+    }
+    let view = model.registry.view();
+    assert_eq!(*view.settled_stores(), view.next_settled_stores());
+    assert!(view.is_settled(&StoreName("s04".to_owned())));
+}
--- a/crates/turns/src/hand_over.rs
+++ b/crates/turns/src/hand_over.rs
@@ -121,6 +121,9 @@
         }
         self.queues.clear();
         self.discard_lost_disks();
+        if self.is_settled() {
+            return;
+        }
         let mut transfers: BTreeMap<StoreName, Transfer> = BTreeMap::new();
         for turn in state.turns.values() {
             let new_owners = self.new_owners(&turn.record.program.0, own_name, copies);
@@ -242,10 +245,15 @@
     /// Records that the completion of the current view is on disk.
     pub(crate) fn complete_view(&mut self) {
         self.completed_epoch = self.view.epoch;
-        if *self.view.settled_stores() == self.view.next_settled_stores() {
+        if self.is_settled() {
             self.acknowledged.clear();
         }
     }
+
+    /// Returns true if all owners have all records.
+    fn is_settled(&self) -> bool {
+        *self.view.settled_stores() == self.view.next_settled_stores()
+    }
 }
 
 fn writable_names(view: &StoreView) -> impl Iterator<Item = &StoreName> {
--- a/crates/turns/tests/store_cluster/cluster.rs
+++ b/crates/turns/tests/store_cluster/cluster.rs
@@ -148,7 +148,6 @@
 
     /// Another member becomes the leader. It knows the log, but has no reports.
     pub fn change_leader(&mut self) {
-        self.planner = StorePlanner::default();
         self.presence = PresenceTable::default();
         self.leads_since = self.step;
     }
