--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -280,15 +280,19 @@
     fn handle(&self, client_view: Option<ClientView>, token: RequestToken, request: StoreRequest) {
         let mut node = self.node.borrow_mut();
         let refusal = node.handle_under(client_view, token, request, now());
+        let epoch = node.epoch();
+        drop(node);
         if let Some(refusal) = refusal {
             let reason = refusal.label();
             tracing::info!(
                 reason,
                 client_epoch = client_view.map(|view| view.epoch),
-                epoch = node.epoch(),
+                epoch,
                 "refused a request whose response could not count"
             );
             self.metrics.refusals.with_label_values(&[reason]).inc();
+            let reason = refusal.to_string();
+            self.reply(token, &StoreResponse::Failed { reason });
         }
     }
 
--- a/crates/turns/src/hand_over.rs
+++ b/crates/turns/src/hand_over.rs
@@ -47,8 +47,8 @@
     view: StoreView,
     /// Views before the present one, oldest first.
     earlier_views: VecDeque<StoreView>,
-    /// Epoch of the newest view for which the hand-over is complete.
-    completed_epoch: u64,
+    /// Newest view for which the hand-over is complete.
+    completed_view: StoreView,
     queues: BTreeMap<StoreName, Queue>,
     /// Turns that are not sent again if the view changes before the configuration is settled.
     acknowledged: BTreeMap<StoreName, AcknowledgedTurns>,
@@ -58,8 +58,8 @@
 impl HandOver {
     pub(crate) fn new(completed_view: StoreView) -> Self {
         Self {
-            completed_epoch: completed_view.epoch,
-            view: completed_view,
+            view: completed_view.clone(),
+            completed_view,
             earlier_views: VecDeque::new(),
             queues: BTreeMap::new(),
             acknowledged: BTreeMap::new(),
@@ -71,8 +71,8 @@
         &self.view
     }
 
-    pub(crate) fn completed_epoch(&self) -> u64 {
-        self.completed_epoch
+    pub(crate) fn completed_view(&self) -> &StoreView {
+        &self.completed_view
     }
 
     /// Returns true if some program, or the given one, has had other owners at any time since the
@@ -238,13 +238,13 @@
 
     /// Returns the current view if no message is left to send and the view was not completed before.
     pub(crate) fn completable_view(&self) -> Option<&StoreView> {
-        let is_due = self.queues.is_empty() && self.completed_epoch < self.view.epoch;
+        let is_due = self.queues.is_empty() && self.completed_view.epoch < self.view.epoch;
         is_due.then_some(&self.view)
     }
 
     /// Records that the completion of the current view is on disk.
     pub(crate) fn complete_view(&mut self) {
-        self.completed_epoch = self.view.epoch;
+        self.completed_view = self.view.clone();
         if self.is_settled() {
             self.acknowledged.clear();
         }
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -164,7 +164,7 @@
     /// Epoch of the newest view for which the hand-over to the other owners is complete.
     #[must_use]
     pub fn handed_over_epoch(&self) -> u64 {
-        self.hand_over.completed_epoch()
+        self.hand_over.completed_view().epoch
     }
 
     /// Epoch of the current view of the stores.
@@ -210,7 +210,7 @@
     }
 
     /// Handles a request of a client under its view of the stores, or of another store. A request
-    /// whose response could not count is refused and not recorded; the reason is returned.
+    /// whose response could not count is not recorded; the caller replies that it was refused.
     pub fn handle_under(
         &mut self,
         client_view: Option<ClientView>,
@@ -220,15 +220,9 @@
     ) -> Option<Refusal> {
         self.now = self.now.max(now);
         let refusal = self.request_check().refusal(client_view, &request);
-        match &refusal {
-            Some(refusal) => {
-                let reason = refusal.to_string();
-                self.reply(token, StoreResponse::Failed { reason });
-            }
-            None => {
-                let request = self.request_check().accepted(client_view, request);
-                self.handle(token, request, now);
-            }
+        if refusal.is_none() {
+            let request = self.request_check().accepted(client_view, request);
+            self.handle(token, request, now);
         }
         refusal
     }
@@ -526,11 +520,11 @@
                 let spends = held.account.spends();
                 spends.map(|(turn, spend)| spend_entry(program, turn, spend, held.retention_ms))
             });
-        let handed_over = Entry::HandedOver(self.hand_over.view().clone());
-        let is_completed = self.hand_over.completed_epoch() == self.hand_over.view().epoch;
+        let completed_view = self.hand_over.completed_view();
+        let handed_over = Entry::HandedOver(completed_view.clone());
         turns
             .chain(accounts)
-            .chain(is_completed.then_some(handed_over))
+            .chain((completed_view.epoch > 0).then_some(handed_over))
             .collect()
     }
 
--- a/crates/turns/tests/store.rs
+++ b/crates/turns/tests/store.rs
@@ -539,3 +539,24 @@
     assert_eq!(refusal(&mut node, epoch, 1), Some(Refusal::OutdatedView));
     assert_eq!(refusal(&mut node, registry.view().epoch, 1), None);
 }
+
+/// After a restart, a store must still refuse the views before the one for which it has reported its
+/// hand-over, also if the journal was compacted during the next hand-over.
+#[test]
+fn compaction_keeps_the_view_of_the_last_completed_hand_over() {
+    let mut registry = view_of(&[("a", 1), ("b", 2), ("c", 3)]);
+    let mut node = start_with("a", MemoryDisk::default(), 1, 2_000);
+    node.set_view(registry.view().clone(), at(1));
+    node.flush();
+    let completed = registry.view().epoch;
+    assert_eq!(node.handed_over_epoch(), completed);
+    send(&mut node, keep(record("t", "p", &[]), 1), at(1));
+    registry.apply(&join("b", 9, false));
+    node.set_view(registry.view().clone(), at(2));
+    for number in 0..200 {
+        let id = format!("t{number}");
+        send(&mut node, keep(record(&id, "p", &[]), 1), at(2));
+    }
+    let node = start_with("a", node.into_disk(), 2, 2_000);
+    assert_eq!(node.handed_over_epoch(), completed);
+}
--- a/crates/turns/tests/store_cluster/cluster.rs
+++ b/crates/turns/tests/store_cluster/cluster.rs
@@ -308,7 +308,10 @@
             client: 1,
             request: 1,
         };
-        node.handle_under(client_view, token, request, now);
+        let refusal = node.handle_under(client_view, token, request, now);
+        if refusal.is_some() {
+            return None;
+        }
         let mut reply = None;
         for output in node.flush() {
             match output {
