Let the soak of programs come back with spent budgets while a wiped store and another one are up alone

Programs now spend their budgets faster, stores are down for up to 1.8 s, programs with spent budgets come back from the beginning of the final fault on, and the wiped store comes back together with one other before the rest. All checks stay as they were.

--- a/app/luglink/tests/stream_soak/programs.rs
+++ b/app/luglink/tests/stream_soak/programs.rs
@@ -38,6 +38,12 @@
 /// Maximum time that a caller waits for the next bytes.
 const GAP_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum number of programs with spent budgets that a caller continues after the final fault.
+const MAX_RETURNING: usize = 8;
+
+/// Time after the final fault for which they come back.
+const RETURNING_DURATION: Duration = Duration::from_secs(1);
+
 const DEADLINE_MS: u64 = 3_000;
 
 /// What the callers of one seed received.
@@ -90,12 +96,28 @@
     Failed,
 }
 
+/// Progress of the final fault.
+#[derive(Default)]
+struct FinalFault {
+    has_begun: Cell<bool>,
+    ended_at: Cell<Option<Instant>>,
+}
+
+impl FinalFault {
+    /// Returns true if all processes have been back for longer than `duration`.
+    fn is_over_for(&self, duration: Duration) -> bool {
+        let ended_at = self.ended_at.get();
+        ended_at.is_some_and(|ended_at| ended_at.elapsed() > duration)
+    }
+}
+
 struct Caller {
     number: usize,
     fleet: Fleet,
     connections: Connections,
     random: Random,
     report: Rc<RefCell<Report>>,
+    fault: Rc<FinalFault>,
     /// Programs whose budgets are spent.
     exhausted: Vec<Program>,
     /// Last turns of programs that were answered whole.
@@ -105,11 +127,13 @@
 
 impl Caller {
     /// Runs programs until the final fault, then continues all of them.
-    async fn run(mut self, has_ended: Rc<Cell<bool>>) {
-        while !has_ended.get() {
+    async fn run(mut self) {
+        while !self.fault.has_begun.get() {
             let mut program = self.next_program();
-            while !has_ended.get() && self.take_turn(&mut program).await != Outcome::Exhausted {
-                let pause = self.random.millis(5..120);
+            while !self.fault.has_begun.get()
+                && self.take_turn(&mut program).await != Outcome::Exhausted
+            {
+                let pause = self.random.millis(5..40);
                 actix_rt::time::sleep(pause).await;
             }
             self.finish(program).await;
@@ -139,23 +163,24 @@
     /// Continues every program after the final fault: those with spent budgets must not get more,
     /// and a new program must be able to continue each turn.
     async fn continue_all(&mut self) {
-        let deadline = Instant::now() + RECOVERY;
+        let exhausted = std::mem::take(&mut self.exhausted).into_iter();
+        let mut returning: Vec<Program> = exhausted.rev().take(MAX_RETURNING).collect();
+        while !self.fault.is_over_for(RETURNING_DURATION) {
+            for program in &mut returning {
+                self.take_turn(program).await;
+            }
+        }
         for previous in std::mem::take(&mut self.answered) {
             let mut program = self.next_program();
             program.previous = Some(previous.clone());
             while self.take_turn(&mut program).await != Outcome::Whole {
-                if Instant::now() > deadline {
+                if self.fault.is_over_for(RECOVERY) {
                     self.report.borrow_mut().unserved.push(previous);
                     break;
                 }
                 actix_rt::time::sleep(self.random.millis(50..150)).await;
             }
         }
-        for mut program in std::mem::take(&mut self.exhausted) {
-            for _ in 0..2 {
-                self.take_turn(&mut program).await;
-            }
-        }
     }
 
     /// Sends the next turn of a program to any gateway.
@@ -235,7 +260,7 @@
 async fn soak(seed: u64) -> Report {
     let fleet = Fleet::start_with_spares(seed, 4, Faults::None, SPARES).await;
     let report = Rc::new(RefCell::new(Report::default()));
-    let has_ended = Rc::new(Cell::new(false));
+    let fault = Rc::new(FinalFault::default());
     let callers = (0..CALLERS).map(|number| {
         let caller = Caller {
             number,
@@ -243,17 +268,19 @@
             connections: Connections::default(),
             random: Random::new(seed.wrapping_mul(1_000) + number as u64),
             report: Rc::clone(&report),
+            fault: Rc::clone(&fault),
             exhausted: Vec::new(),
             answered: Vec::new(),
             started: 0,
         };
-        actix_rt::spawn(caller.run(Rc::clone(&has_ended)))
+        actix_rt::spawn(caller.run())
     });
     let callers: Vec<_> = callers.collect();
     let mut chaos = StoreChaos::new(&fleet, seed);
     chaos.run(ROUNDS).await;
+    fault.has_begun.set(true);
     chaos.final_fault().await;
-    has_ended.set(true);
+    fault.ended_at.set(Some(Instant::now()));
     for caller in callers {
         caller.await.expect("a caller ends");
     }
--- a/app/luglink/tests/stream_soak/store_chaos.rs
+++ b/app/luglink/tests/stream_soak/store_chaos.rs
@@ -60,13 +60,17 @@
         }
     }
 
-    /// Kills all stores and members at once; one of the stores may lose its disk. Returns once all
-    /// were started again.
+    /// Kills all stores and members at once; one of the stores may lose its disk and comes back first
+    /// together with another one. Returns once all were started again.
     pub async fn final_fault(&mut self) {
-        let wiped = self.random.percent(70).then(|| self.any_running());
+        let wiped = self.random.percent(80).then(|| self.any_running());
+        let companion = self.any_running();
         for number in self.running.clone() {
             let is_wiped = wiped == Some(number);
-            let pause = self.random.millis(100..900);
+            let pause = match is_wiped || number == companion {
+                true => self.random.millis(100..300),
+                false => self.random.millis(900..1_300),
+            };
             let disturbance = self.restart_store(number, Signal::KILL, pause, is_wiped);
             self.pending.push(disturbance);
         }
@@ -94,7 +98,8 @@
 
     fn disturb(&mut self, may_lose_disk: &mut bool) -> Option<Disturbance> {
         let number = self.any_running();
-        let pause = self.random.millis(100..900);
+        // Shorter than the time after which a silent store is marked as lost.
+        let pause = self.random.millis(100..1_800);
         match self.random.below(100) {
             0..20 => Some(self.restart_store(number, Signal::TERM, pause, false)),
             20..35 => Some(self.restart_store(number, Signal::KILL, pause, false)),
