--- a/app/luglink/tests/stream_soak/programs.rs
+++ b/app/luglink/tests/stream_soak/programs.rs
@@ -258,7 +258,7 @@
 
 /// Returns the report of one seed.
 async fn soak(seed: u64) -> Report {
-    let fleet = Fleet::start_with_spares(seed, 4, Faults::None, SPARES).await;
+    let fleet = Fleet::start_with_spares(seed, crate::gateways(seed), Faults::None, SPARES).await;
     let report = Rc::new(RefCell::new(Report::default()));
     let fault = Rc::new(FinalFault::default());
     let callers = (0..CALLERS).map(|number| {
