--- a/crates/turns/tests/store.rs
+++ b/crates/turns/tests/store.rs
@@ -560,3 +560,30 @@
     let node = start_with("a", node.into_disk(), 2, 2_000);
     assert_eq!(node.handed_over_epoch(), completed);
 }
+
+/// The absence of a turn must not be reported to a client that may not know all stores.
+#[test]
+fn an_absence_is_not_reported_under_a_view_with_other_stores() {
+    let mut registry = view_of(&[("a", 1), ("b", 2), ("c", 3)]);
+    let mut node = start("a", MemoryDisk::default(), 1);
+    node.set_view(registry.view().clone(), at(1));
+    send(&mut node, keep(record("t1", "p", &[]), 1), at(1));
+    let client_view = ClientView {
+        epoch: registry.view().epoch,
+        incarnation: 1,
+    };
+    let token = RequestToken {
+        client: 1,
+        request: 1,
+    };
+    registry.apply(&join("d", 4, false));
+    node.set_view(registry.view().clone(), at(2));
+    let refusal = |node: &mut StoreNode<MemoryDisk>, id: &str| {
+        let query = ChainQuery {
+            turn: TurnId(id.to_owned()),
+        };
+        node.handle_under(Some(client_view), token, StoreRequest::Lookup(query), at(2))
+    };
+    assert_eq!(refusal(&mut node, "other"), Some(Refusal::OutdatedView));
+    assert_eq!(refusal(&mut node, "t1"), None);
+}
