--- a/app/luglink/tests/stream_soak/programs.rs
+++ b/app/luglink/tests/stream_soak/programs.rs
@@ -38,7 +38,7 @@
 /// Maximum time that a caller waits for the next bytes.
 const GAP_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum number of programs with spent budgets that a caller continues after the final fault.
+/// Maximum number of programs with spent budgets that a caller continues during the final fault.
 const MAX_RETURNING: usize = 8;
 
 /// Time after the final fault for which they come back.
@@ -163,10 +163,9 @@
     /// Continues every program after the final fault: those with spent budgets must not get more,
     /// and a new program must be able to continue each turn.
     async fn continue_all(&mut self) {
-        let exhausted = std::mem::take(&mut self.exhausted).into_iter();
-        let mut returning: Vec<Program> = exhausted.rev().take(MAX_RETURNING).collect();
+        let mut exhausted = std::mem::take(&mut self.exhausted);
         while !self.fault.is_over_for(RETURNING_DURATION) {
-            for program in &mut returning {
+            for program in exhausted.iter_mut().rev().take(MAX_RETURNING) {
                 self.take_turn(program).await;
             }
         }
@@ -181,6 +180,11 @@
                 actix_rt::time::sleep(self.random.millis(50..150)).await;
             }
         }
+        for program in &mut exhausted {
+            for _ in 0..2 {
+                self.take_turn(program).await;
+            }
+        }
     }
 
     /// Sends the next turn of a program to any gateway.
