--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -1,21 +1,17 @@
 //! What a gateway knows of replicas that ended under requests.
 
+use crate::doubtful_runs::DoubtfulRuns;
 use luglink_fleet::{BackendId, StoreName};
-use luglink_turns::{CrashTable, RequestFingerprint, RunId, RunReport, RunState};
+use luglink_turns::{CrashTable, RequestFingerprint, RunReport, RunState};
 use luglink_types::Timestamp;
+use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Maximum number of requests with reports.
 const MAX_REQUESTS: usize = 1 << 14;
 
-/// Maximum number of abandoned runs whose replicas are watched.
-const MAX_ABANDONED: usize = 1 << 10;
-
-/// Time for which the replica of an abandoned run is watched. The list shows the end of a replica
-/// some seconds late.
-pub(crate) const ABANDONED_RETENTION: Duration = Duration::from_secs(10);
-
 /// Time after which the list shows whether a replica has restarted under the same identifier.
 const REVIEW_DELAY: Duration = Duration::from_secs(5);
 
@@ -30,19 +26,20 @@
 /// holds a request for new reports for less.
 const FOLLOW_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Run that was given up while its replica sent nothing.
+/// Run that is under way and that other processes may not know of.
 #[derive(Clone, Debug)]
-struct AbandonedRun {
+struct RunInFlight {
     report: RunReport,
-    since: Instant,
+    is_announced: Rc<Cell<bool>>,
 }
 
 /// Crash reports of this gateway and of the stores that it follows.
 #[derive(Debug)]
 pub(crate) struct CrashLedger {
     pub(crate) table: CrashTable,
-    abandoned: Vec<AbandonedRun>,
-    /// Abandoned runs whose replicas have ended according to the list, not reported yet.
+    pub(crate) doubtful: DoubtfulRuns,
+    in_flight: HashMap<RequestFingerprint, Vec<RunInFlight>>,
+    /// Doubtful runs whose replicas have ended according to the list, not reported yet.
     crashed: Vec<RunReport>,
     /// Crashes that this gateway has reported, oldest first, until they are compared with the list.
     to_review: VecDeque<(RunReport, Instant)>,
@@ -55,7 +52,8 @@
     fn default() -> Self {
         Self {
             table: CrashTable::new(MAX_REQUESTS),
-            abandoned: Vec::new(),
+            doubtful: DoubtfulRuns::default(),
+            in_flight: HashMap::new(),
             crashed: Vec::new(),
             to_review: VecDeque::new(),
             followed: HashMap::new(),
@@ -82,29 +80,38 @@
         cleared
     }
 
-    /// Watches the replica of an abandoned run. Returns false if too many are watched.
-    pub(crate) fn watch_abandoned(&mut self, report: RunReport) -> bool {
-        let has_room = self.abandoned.len() < MAX_ABANDONED;
-        if has_room {
-            let since = Instant::now();
-            self.abandoned.push(AbandonedRun { report, since });
+    /// Records that a run has begun.
+    pub(crate) fn begin(&mut self, report: &RunReport, is_announced: &Rc<Cell<bool>>) {
+        let runs = self.in_flight.entry(report.request).or_default();
+        runs.push(RunInFlight {
+            report: report.clone(),
+            is_announced: Rc::clone(is_announced),
+        });
+    }
+
+    /// Records that a run is no longer under way.
+    pub(crate) fn end(&mut self, report: &RunReport) {
+        let Some(runs) = self.in_flight.get_mut(&report.request) else {
+            return;
+        };
+        runs.retain(|run| run.report.run != report.run);
+        if runs.is_empty() {
+            self.in_flight.remove(&report.request);
         }
-        has_room
     }
 
-    /// Returns the abandoned runs at replicas that have ended, as crashed.
-    pub(crate) fn take_crashed(&mut self, ended: &[BackendId]) -> Vec<RunReport> {
-        let is_at_ended = |run: &AbandonedRun| ended.contains(&run.report.replica);
-        self.take(is_at_ended, RunState::Crashed)
+    /// Returns the runs under way of a request that were not announced. They count as announced from
+    /// then on.
+    pub(crate) fn take_unannounced(&mut self, request: RequestFingerprint) -> Vec<RunReport> {
+        let runs = self.in_flight.get(&request).into_iter().flatten();
+        let unannounced = runs.filter(|run| !run.is_announced.replace(true));
+        unannounced.map(|run| run.report.clone()).collect()
     }
 
-    /// Marks the abandoned runs at replicas that have ended according to the list as crashed.
+    /// Marks the doubtful runs at replicas that have ended according to the list as crashed.
     pub(crate) fn mark_ended<'ended>(&mut self, ended: impl Iterator<Item = &'ended BackendId>) {
-        if self.abandoned.is_empty() {
-            return;
-        }
         let ended: Vec<BackendId> = ended.cloned().collect();
-        let crashed = self.take_crashed(&ended);
+        let crashed = self.doubtful.take_at(&ended);
         self.crashed.extend(crashed);
     }
 
@@ -130,50 +137,6 @@
         std::mem::take(&mut self.crashed)
     }
 
-    /// Returns the abandoned runs that a replica has survived, as cleared. It has just responded on
-    /// a connection opened at `opened_at`.
-    pub(crate) fn take_survived(
-        &mut self,
-        replica: &BackendId,
-        opened_at: Instant,
-    ) -> Vec<RunReport> {
-        let is_survived =
-            |run: &AbandonedRun| run.report.replica == *replica && opened_at < run.since;
-        self.take(is_survived, RunState::Cleared)
-    }
-
-    /// Returns the abandoned runs of a request.
-    pub(crate) fn abandoned_of(&self, request: RequestFingerprint) -> Vec<RunReport> {
-        let reports = self.abandoned.iter().map(|run| &run.report);
-        let of_request = reports.filter(|report| report.request == request);
-        of_request.cloned().collect()
-    }
-
-    /// Ends the watch of these runs. Returns them as cleared.
-    pub(crate) fn take_runs(&mut self, runs: &[RunId]) -> Vec<RunReport> {
-        let is_one = |run: &AbandonedRun| runs.contains(&run.report.run);
-        self.take(is_one, RunState::Cleared)
-    }
-
-    /// Returns the abandoned runs whose replicas have not ended for so long that they are no longer
-    /// watched, as cleared.
-    pub(crate) fn take_expired(&mut self) -> Vec<RunReport> {
-        let is_expired = |run: &AbandonedRun| run.since.elapsed() >= ABANDONED_RETENTION;
-        self.take(is_expired, RunState::Cleared)
-    }
-
-    fn take(
-        &mut self,
-        is_taken: impl Fn(&AbandonedRun) -> bool,
-        state: RunState,
-    ) -> Vec<RunReport> {
-        if self.abandoned.is_empty() {
-            return Vec::new();
-        }
-        let taken = self.abandoned.extract_if(.., |run| is_taken(run));
-        taken.map(|run| in_state(&run.report, state)).collect()
-    }
-
     /// Records a response of a followed store.
     pub(crate) fn note_followed(&mut self, store: &StoreName) {
         self.followed.insert(store.clone(), Instant::now());
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -1,15 +1,15 @@
 //! Exchange of crash reports with the turn stores.
 
+use crate::crash_ledger::in_state;
 use crate::gateway::Gateway;
-use crate::placement;
 use crate::store_link::StoreLink;
+use crate::survival;
 use crate::turn_client::TurnClient;
 use futures_util::StreamExt;
-use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
-use luglink_fleet::{BackendId, Incarnation, StoreName};
+use luglink_fleet::{Incarnation, StoreName};
 use luglink_telemetry::milliseconds;
-use luglink_turns::{CrashRequest, LogPosition, RequestFingerprint, RunId, RunReport, RunState};
+use luglink_turns::{CrashRequest, LogPosition, RequestFingerprint, RunReport, RunState};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,7 +18,7 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Interval at which the set of followed stores is compared with the view of the stores, and
-/// abandoned runs are checked for their age. Far below the gap after which reports may be missing.
+/// doubtful runs are reviewed. Far below the gap after which reports may be missing.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Delay before a store that did not respond is followed again.
@@ -90,9 +90,21 @@
         }
     }
 
-    fn merge_reports(&self, reports: &[RunReport]) {
+    /// Merges reports. Runs under way here of requests that may end their replicas are announced.
+    fn merge_reports(self: &Rc<Self>, reports: &[RunReport]) {
         let now = self.now();
-        self.crashes.borrow_mut().merge_all(reports, now);
+        let mut crashes = self.crashes.borrow_mut();
+        crashes.merge_all(reports, now);
+        let counted = reports
+            .iter()
+            .filter(|report| report.state != RunState::Cleared);
+        let unannounced: Vec<RunReport> = counted
+            .flat_map(|report| crashes.take_unannounced(report.request))
+            .collect();
+        drop(crashes);
+        if !unannounced.is_empty() {
+            self.send_reports(&unannounced);
+        }
     }
 
     /// Returns true if all reports that stores have acknowledged are known here.
@@ -101,35 +113,17 @@
         self.turns.is_certain(followed)
     }
 
-    /// Clears the abandoned runs that a replica has survived. It has responded on a connection opened
-    /// at `opened_at`.
-    pub(crate) fn note_responding(self: &Rc<Self>, replica: &BackendId, opened_at: Instant) {
-        let survived = self.crashes.borrow_mut().take_survived(replica, opened_at);
-        self.send_reports(&survived);
-    }
-
-    /// Clears the abandoned runs of a request at model engines whose reports show that they have not
-    /// restarted.
-    pub(crate) async fn query_abandoned(self: &Rc<Self>, request: RequestFingerprint) {
-        let abandoned = self.crashes.borrow().abandoned_of(request);
-        let queries = abandoned.into_iter().map(|report| async move {
-            let listed = self.pool.borrow().listed(&report.replica).cloned();
-            let reported = placement::query_incarnation(self, &listed?).await?;
-            let is_same = reported == report.incarnation && reported != Incarnation::UNKNOWN;
-            is_same.then_some(report.run)
-        });
-        let survived: Vec<RunId> = join_all(queries).await.into_iter().flatten().collect();
-        let cleared = self.crashes.borrow_mut().take_runs(&survived);
-        self.send_reports(&cleared);
-    }
-
-    /// Reports the abandoned runs at replicas that the list shows as ended, and ends the watch of old
-    /// ones.
-    fn report_abandoned(self: &Rc<Self>) {
+    /// Reports the doubtful runs at replicas that the list shows as ended, and probes replicas that
+    /// have given no sign since.
+    fn review_doubtful_runs(self: &Rc<Self>) {
         let crashed = self.crashes.borrow_mut().take_marked();
         self.report_ended(&crashed);
-        let expired = self.crashes.borrow_mut().take_expired();
-        self.send_reports(&expired);
+        let due = self.crashes.borrow_mut().doubtful.due_probes();
+        let doubtful = self.crashes.borrow().doubtful.len();
+        self.metrics.doubtful_runs.set(doubtful as f64);
+        for replica in due {
+            actix_rt::spawn(survival::probe(Rc::clone(self), replica));
+        }
     }
 
     /// Clears the crashes at replicas that are connected and that the list still shows in the same
@@ -161,23 +155,22 @@
         self.send_reports(&survived);
     }
 
-    /// Counts the abandoned runs at replicas that have ended as crashes.
-    pub(crate) fn note_ended(self: &Rc<Self>, replicas: &[BackendId]) {
-        let crashed = self.crashes.borrow_mut().take_crashed(replicas);
-        self.report_ended(&crashed);
-    }
-
-    fn report_ended(self: &Rc<Self>, crashed: &[RunReport]) {
-        for report in crashed {
+    /// Records and reports runs at replicas that have ended, which were in doubt.
+    pub(crate) fn report_ended(self: &Rc<Self>, ended: &[RunReport]) {
+        for report in ended {
             self.metrics.crashes.inc();
             tracing::info!(
                 request = %report.request,
                 replica = %report.replica,
                 started_ms = report.incarnation.0,
-                "replica ended after a request was given up there"
+                "replica ended after a run that was in doubt"
             );
         }
-        self.send_reports(crashed);
+        let crashed: Vec<RunReport> = ended
+            .iter()
+            .map(|report| in_state(report, RunState::Crashed))
+            .collect();
+        self.send_reports(&crashed);
     }
 }
 
@@ -206,7 +199,7 @@
         }
         followed.retain(|name, link| gateway.turns.has_link(name, link));
         gateway.crashes.borrow_mut().note_upkeep();
-        gateway.report_abandoned();
+        gateway.review_doubtful_runs();
         gateway.review_crashes();
         actix_rt::time::sleep(UPKEEP_INTERVAL).await;
     }
--- /dev/null
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -0,0 +1,250 @@
+//! Runs of which it is not known yet whether they ended their replica.
+//!
+//! A run that ends in any other way than with a response that shows the replica in order stays
+//! doubtful until the replica gives a sign, either of life well after the run or of its end. Until
+//! then the run counts as one that may still end its replica.
+
+use crate::failure::Failure;
+use luglink_fleet::{BackendId, Incarnation};
+use luglink_http::ConnectionState;
+use luglink_turns::{CRASH_RETENTION, RequestFingerprint, RunReport};
+use std::time::{Duration, Instant};
+
+/// Maximum number of doubtful runs. Those beyond it count as crashes after their lease.
+const MAX_RUNS: usize = 1 << 12;
+
+/// Time after a response or a break from which on a sign of life of the replica shows that the run
+/// did not end it. A process can end some time after its connections break.
+const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+
+/// The same for a run that was given up. The replica may go on with it.
+const GIVEN_UP_SURVIVAL_TIME: Duration = Duration::from_secs(1);
+
+/// Delay from then on before a replica is probed. Busy replicas give a sign by themselves.
+const PROBE_MARGIN: Duration = Duration::from_millis(100);
+
+/// Maximum delay before a replica that did not respond to a probe is probed again.
+const MAX_PROBE_DELAY: Duration = Duration::from_secs(8);
+
+/// Run that may have ended its replica.
+#[derive(Clone, Debug)]
+struct DoubtfulRun {
+    report: RunReport,
+    /// Time at which the run ended for the gateway.
+    since: Instant,
+    /// Connections to the replica that were open then.
+    witnesses: Vec<ConnectionState>,
+    /// Time from which on a sign of life shows that the replica has survived.
+    survived_from: Instant,
+    next_probe: Instant,
+    probe_delay: Duration,
+}
+
+impl DoubtfulRun {
+    /// Returns true if the replica was alive after the run, given that a process was alive at its
+    /// address at `alive_at` that has had a connection since `opened_at`.
+    fn is_survived(&self, opened_at: Instant, alive_at: Instant) -> bool {
+        opened_at < self.since && alive_at >= self.survived_from
+    }
+
+    /// Returns true if the server ended all connections that were open after the run, as far as
+    /// they were not closed here.
+    fn have_witnesses_ended(&self) -> bool {
+        let is_any_open = self.witnesses.iter().any(ConnectionState::is_open);
+        let mut ends = self.witnesses.iter().map(ConnectionState::ended_by_server);
+        !is_any_open && ends.any(|end| end.is_some())
+    }
+
+    fn is_at(&self, replica: &BackendId) -> bool {
+        self.report.replica == *replica
+    }
+}
+
+/// Why a run may have ended its replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DoubtReason {
+    /// The send failed after the request was sent.
+    Failed(Failure),
+    /// The connection broke.
+    Broken,
+    /// The response is a server error.
+    ServerError,
+    /// Data that belongs to no response followed the response.
+    Surplus,
+    /// The response was longer than the gateway holds.
+    TooLong,
+    /// The gateway gave up the run.
+    GivenUp,
+}
+
+impl DoubtReason {
+    fn survival_time(self) -> Duration {
+        match self {
+            Self::GivenUp => GIVEN_UP_SURVIVAL_TIME,
+            _ => SURVIVAL_TIME,
+        }
+    }
+
+    /// Returns the name used in logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Failed(failure) => failure.as_str(),
+            Self::Broken => "broken",
+            Self::ServerError => "server_error",
+            Self::Surplus => "surplus",
+            Self::TooLong => "too_long",
+            Self::GivenUp => "given_up",
+        }
+    }
+}
+
+/// What a probe of a replica showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProbeResult {
+    /// A process responded on a connection that was opened at this time.
+    Responded {
+        opened_at: Instant,
+        incarnation: Incarnation,
+    },
+    /// A process accepted a connection.
+    Accepted,
+    /// A process accepted a connection, but did not tell its incarnation as it should.
+    Unidentified,
+    /// No process listens at the address, or the replica is no longer listed.
+    Gone,
+    /// The probe had no result.
+    Unknown,
+}
+
+/// Runs whose doubt a sign has settled.
+#[derive(Debug, Default)]
+pub(crate) struct Settled {
+    pub(crate) survived: Vec<RunReport>,
+    pub(crate) crashed: Vec<RunReport>,
+}
+
+/// Doubtful runs of one gateway.
+#[derive(Debug, Default)]
+pub(crate) struct DoubtfulRuns(Vec<DoubtfulRun>);
+
+impl DoubtfulRuns {
+    /// Adds a run that has just ended, with the connections to its replica that are open now.
+    /// Returns false if there are too many.
+    pub(crate) fn add(
+        &mut self,
+        report: RunReport,
+        reason: DoubtReason,
+        witnesses: Vec<ConnectionState>,
+    ) -> bool {
+        let has_room = self.0.len() < MAX_RUNS;
+        if has_room {
+            let since = Instant::now();
+            let survived_from = since + reason.survival_time();
+            self.0.push(DoubtfulRun {
+                report,
+                since,
+                witnesses,
+                survived_from,
+                next_probe: survived_from + PROBE_MARGIN,
+                probe_delay: reason.survival_time(),
+            });
+        }
+        has_room
+    }
+
+    /// Number of doubtful runs.
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Returns true if a run of this request is in doubt.
+    pub(crate) fn has_any_of(&self, request: RequestFingerprint) -> bool {
+        self.0.iter().any(|run| run.report.request == request)
+    }
+
+    /// Removes and returns the runs at replicas that have ended.
+    pub(crate) fn take_at(&mut self, ended: &[BackendId]) -> Vec<RunReport> {
+        self.take(|run| ended.contains(&run.report.replica))
+    }
+
+    /// Removes and returns the runs that a replica has survived. It has just responded to a request
+    /// sent at `sent_at` on a connection opened at `opened_at`.
+    pub(crate) fn take_survived(
+        &mut self,
+        replica: &BackendId,
+        opened_at: Instant,
+        sent_at: Instant,
+    ) -> Vec<RunReport> {
+        self.take(|run| run.is_at(replica) && run.is_survived(opened_at, sent_at))
+    }
+
+    /// Returns the replicas that are due to be probed, and schedules the next probe.
+    pub(crate) fn due_probes(&mut self) -> Vec<BackendId> {
+        let now = Instant::now();
+        self.0
+            .retain(|run| now.duration_since(run.since) < CRASH_RETENTION);
+        let mut due = Vec::new();
+        for run in self.0.iter_mut().filter(|run| run.next_probe <= now) {
+            run.probe_delay = (run.probe_delay * 2).min(MAX_PROBE_DELAY);
+            run.next_probe = now + run.probe_delay;
+            due.push(run.report.replica.clone());
+        }
+        due.sort();
+        due.dedup();
+        due
+    }
+
+    /// Removes and returns the runs at a replica that a probe, begun at `began`, has settled.
+    pub(crate) fn settle(
+        &mut self,
+        replica: &BackendId,
+        began: Instant,
+        result: ProbeResult,
+    ) -> Settled {
+        let mut settled = Settled::default();
+        self.0.retain(|run| {
+            if !run.is_at(replica) || began < run.since {
+                return true;
+            }
+            match outcome(run, began, result) {
+                Some(true) => settled.survived.push(run.report.clone()),
+                Some(false) => settled.crashed.push(run.report.clone()),
+                None => return true,
+            }
+            false
+        });
+        settled
+    }
+
+    fn take(&mut self, is_taken: impl Fn(&DoubtfulRun) -> bool) -> Vec<RunReport> {
+        let taken = self.0.extract_if(.., |run| is_taken(run));
+        taken.map(|run| run.report).collect()
+    }
+}
+
+/// Returns whether the replica has survived a run; `None` if the probe does not tell.
+fn outcome(run: &DoubtfulRun, began: Instant, result: ProbeResult) -> Option<bool> {
+    let is_late = began >= run.survived_from;
+    match result {
+        ProbeResult::Gone => Some(false),
+        ProbeResult::Unknown => None,
+        ProbeResult::Responded {
+            opened_at,
+            incarnation,
+        } => {
+            let known = run.report.incarnation;
+            let is_comparable =
+                known != Incarnation::UNKNOWN && incarnation != Incarnation::UNKNOWN;
+            if is_comparable && known != incarnation {
+                return Some(false);
+            }
+            let is_same = is_comparable || opened_at < run.since;
+            is_late.then(|| is_same || !run.have_witnesses_ended())
+        }
+        ProbeResult::Unidentified => {
+            let is_any_open = run.witnesses.iter().any(ConnectionState::is_open);
+            (is_late && is_any_open).then_some(true)
+        }
+        ProbeResult::Accepted => is_late.then(|| !run.have_witnesses_ended()),
+    }
+}
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -99,6 +99,7 @@
 ) -> Result<Answer, Failure> {
     let replica_guard = ReplicaGuard::begin(gateway, &backend.id);
     inbound.watch.note_sent(&backend.id);
+    let sent_at = Instant::now();
     let result = send_with_reconnect(gateway, inbound, backend, overrides, &run).await;
     let end = match &result {
         Ok(_) => "answered",
@@ -113,8 +114,7 @@
             return Err(failure);
         }
     };
-    run.note_data();
-    gateway.note_responding(&backend.id, lease.opened_at);
+    gateway.note_responding(&backend.id, lease.opened_at, sent_at);
     Ok(Answer {
         response,
         lease,
@@ -169,13 +169,14 @@
             .await;
         let mut lease = acquired.map_err(|error| {
             if error.is_refused() {
-                gateway.note_ended(std::slice::from_ref(&backend.id));
+                gateway.note_ended(&backend.id);
             }
             unreachable(&error)
         })?;
         let request = build_request(gateway, inbound, backend, overrides)?;
         let was_reused = lease.is_reused;
         let stall_reports = report_stalls(gateway, backend, run);
+        run.note_sent();
         let sending = send_on_connection(&mut lease, inbound, request);
         match with_stall_reports(sending, stall_reports).await {
             Ok(response) => return validate_head(gateway, inbound, response, lease),
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -62,7 +62,11 @@
     /// Requests refused because replicas ended while they ran them.
     pub(crate) crashing_requests: IntCounter,
     /// Replicas that ended during a run of a request, as this gateway saw them.
+    /// Requests refused because runs of them are in doubt or under way.
+    pub(crate) doubtful_requests: IntCounter,
     pub(crate) crashes: IntCounter,
+    /// Runs of which it is not known yet whether they ended their replica.
+    pub(crate) doubtful_runs: Gauge,
     /// Callers that disconnected before their answer, by what they were waiting for.
     pub(crate) callers_gone: IntCounterVec,
     /// Bytes buffered for callers and replicas.
@@ -167,10 +171,18 @@
                 "crashing_requests_total",
                 "Requests refused because replicas ended while they ran them",
             )?,
+            doubtful_requests: registry.counter(
+                "doubtful_requests_total",
+                "Requests refused because replicas may have ended while they ran them",
+            )?,
             crashes: registry.counter(
                 "crashes_total",
                 "Replicas that ended during a run of a request",
             )?,
+            doubtful_runs: registry.gauge(
+                "doubtful_runs",
+                "Runs of which it is not known yet whether they ended their replica",
+            )?,
             callers_gone: registry.labelled_counter(
                 "callers_gone_total",
                 "Callers that disconnected before their answer",
--- a/crates/gateway-server/src/placement.rs
+++ b/crates/gateway-server/src/placement.rs
@@ -18,7 +18,7 @@
 use luglink_http::empty_body;
 use luglink_scheduling::{CandidateScope, Placement, Work, place, place_soonest};
 use luglink_telemetry::milliseconds;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Number of replicas that are queried within each scope.
 const CANDIDATES_PER_SCOPE: usize = 2;
@@ -178,14 +178,16 @@
     (candidates, fullness)
 }
 
+/// Report of a replica with the time at which its connection was opened.
+pub(crate) struct Reported {
+    pub(crate) report: ReplicaReport,
+    pub(crate) opened_at: Instant,
+}
+
 /// Queries the fullness of a replica; `None` if it does not report in time.
 async fn query_fullness(gateway: &Gateway, backend: &Backend) -> Option<f64> {
-    let reading = read_report(gateway, backend);
-    let report = actix_rt::time::timeout(REPORT_TIMEOUT, reading)
-        .await
-        .ok()??;
-    gateway.record_incarnation(&backend.id, report.incarnation);
-    Some(report.fullness(backend.slots))
+    let reported = query_report(gateway, backend, REPORT_TIMEOUT).await?;
+    Some(reported.report.fullness(backend.slots))
 }
 
 /// Queries the incarnation of a replica; `None` if it is not a model engine or does not report in
@@ -195,15 +197,23 @@
     if is_engine != Some(true) {
         return None;
     }
+    let reported = query_report(gateway, backend, REPORT_TIMEOUT).await?;
+    Some(reported.report.incarnation)
+}
+
+/// Queries the report of a model engine; `None` if it does not report in time.
+pub(crate) async fn query_report(
+    gateway: &Gateway,
+    backend: &Backend,
+    timeout: Duration,
+) -> Option<Reported> {
     let reading = read_report(gateway, backend);
-    let report = actix_rt::time::timeout(REPORT_TIMEOUT, reading)
-        .await
-        .ok()??;
-    gateway.record_incarnation(&backend.id, report.incarnation);
-    Some(report.incarnation)
+    let reported = actix_rt::time::timeout(timeout, reading).await.ok()??;
+    gateway.record_incarnation(&backend.id, reported.report.incarnation);
+    Some(reported)
 }
 
-async fn read_report(gateway: &Gateway, backend: &Backend) -> Option<ReplicaReport> {
+async fn read_report(gateway: &Gateway, backend: &Backend) -> Option<Reported> {
     let limit = connection_limit(gateway, &backend.service);
     let acquiring = gateway.upstream.acquire(backend, limit, REPORT_TIMEOUT);
     let mut lease = acquiring.await.ok()?;
@@ -216,9 +226,10 @@
     let (head, incoming) = response.into_parts();
     let body = Limited::new(incoming, MAX_REPORT_BYTES).collect().await;
     let report = gateway.dialect.replica_report(&body.ok()?.to_bytes());
+    let opened_at = lease.opened_at;
     lease.give_back(&head.headers);
     match report {
-        Ok(report) => Some(report),
+        Ok(report) => Some(Reported { report, opened_at }),
         Err(error) => {
             tracing::warn!(replica = %backend.id, %error, "cannot parse the report of a replica");
             None
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -2,48 +2,52 @@
 //!
 //! Every send of a request to a replica is a [`Run`]. When the replica ends during a run, the turn
 //! stores and all gateways learn of it before the caller can make its next attempt, and a request
-//! under which [`MAX_CRASHES`] replicas have ended is sent to none again. From the second run on, a
-//! run is announced before it begins, so that it counts even if its gateway is lost with it.
+//! under which [`MAX_CRASHES`] replicas have ended is sent to none again. A run that ends without a
+//! response that shows the replica in order is in doubt, and counts as one that may still end it,
+//! until the replica gives a sign of life. From the second run on, a run is announced before it
+//! begins, so that it counts even if its gateway is lost with it.
 
-use crate::crash_ledger::{ABANDONED_RETENTION, in_state};
+use crate::crash_ledger::in_state;
+use crate::doubtful_runs::DoubtReason;
 use crate::failure::Failure;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::placement;
 use crate::refusal::Refusal;
+use luglink_edge::SendOutcome;
 use luglink_fleet::{Backend, Incarnation};
+use luglink_http::ConnectionState;
 use luglink_telemetry::milliseconds;
 use luglink_turns::{CRASH_RETENTION, MAX_CRASHES, RequestFingerprint, RunId, RunReport, RunState};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Time after which the connections of a process that has ended are closed here too.
+/// Time after which the connections of a process that has ended are usually closed here too.
 const CONFIRMATION_DELAY: Duration = Duration::from_millis(10);
 
-/// Silence of a replica from which on it may have ended, if its request is given up. Requests move
-/// and are hedged after little more.
-const MIN_SILENCE: Duration = Duration::from_millis(50);
-
 /// Maximum time for which a request waits while other runs of it could end the last replicas that
 /// it may end.
 const MAX_ANNOUNCED_WAIT: Duration = Duration::from_secs(1);
 
-/// Interval at which it checks whether those runs have ended.
+/// Interval at which it checks whether those runs have ended. Other gateways announce their runs of
+/// the request within it.
 const ANNOUNCED_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Time after the deadline of a run during which it still counts as under way. Its gateway reports
-/// the outcome of a run that was given up at the end of the watch.
-const LEASE_MARGIN: Duration = Duration::from_secs(2).saturating_add(ABANDONED_RETENTION);
+/// Retry delay of a request that other runs keep waiting, within which doubts are settled.
+const ANNOUNCED_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Time after the deadline of a run during which it still counts as under way. Its gateway usually
+/// settles a doubt within it.
+const LEASE_MARGIN: Duration = Duration::from_secs(12);
 
 /// Run of a request at a replica. Dropping it means that the request was given up.
 pub(crate) struct Run {
     gateway: Rc<Gateway>,
     report: RunReport,
-    is_announced: Cell<bool>,
+    is_announced: Rc<Cell<bool>>,
+    is_sent: Cell<bool>,
     is_over: Cell<bool>,
-    /// Time of the last data; `None` if the request moved because the replica sent none for long.
-    last_data: Cell<Option<Instant>>,
 }
 
 /// Refuses a request under which too many replicas have ended.
@@ -61,8 +65,19 @@
 
 /// Returns the refusal of a request that has not run in this attempt and may not run now.
 pub(crate) fn refusal(gateway: &Gateway, inbound: &InboundRequest, crashes: usize) -> Refusal {
-    if crashes < MAX_CRASHES {
-        return Refusal::not_run("other attempts of the request must end first");
+    if crashes < MAX_CRASHES || gateway.may_settle_below_limit(inbound.fingerprint) {
+        let retry_delay = ANNOUNCED_RETRY_DELAY;
+        gateway.metrics.doubtful_requests.inc();
+        tracing::info!(
+            id = inbound.id,
+            request = %inbound.fingerprint,
+            route = inbound.route.name,
+            crashes,
+            retry_after_ms = milliseconds(retry_delay),
+            "request refused: replicas may have ended while they ran it"
+        );
+        let detail = "other attempts of the request must end first";
+        return Refusal::not_run_retry_after(detail, retry_delay);
     }
     let expires_at = gateway
         .crashes
@@ -95,7 +110,6 @@
         let deadline = Instant::now() + MAX_ANNOUNCED_WAIT.min(inbound.remaining() / 2);
         let request = inbound.fingerprint;
         gateway.look_up_crashes(request).await;
-        let mut has_queried = false;
         loop {
             if gateway.crashes_under(request) >= MAX_CRASHES {
                 return Err(Failure::CrashLimit);
@@ -103,19 +117,16 @@
             let run = Self::new(gateway, inbound, backend);
             let others = gateway.possible_crashes(request, run.report.run);
             if others == 0 {
-                return Ok(run);
+                return Ok(run.begun());
             }
             if others < MAX_CRASHES {
                 run.announce().await;
+                actix_rt::time::sleep(ANNOUNCED_CHECK_INTERVAL).await;
                 if gateway.possible_crashes(request, run.report.run) < MAX_CRASHES {
-                    return Ok(run);
+                    return Ok(run.begun());
                 }
                 run.survived();
             }
-            if !std::mem::replace(&mut has_queried, true) {
-                gateway.query_abandoned(request).await;
-                continue;
-            }
             if Instant::now() >= deadline {
                 return Err(Failure::CrashLimit);
             }
@@ -138,12 +149,19 @@
                 state: RunState::Started,
             },
             gateway: Rc::clone(gateway),
-            is_announced: Cell::new(false),
+            is_announced: Rc::default(),
+            is_sent: Cell::new(false),
             is_over: Cell::new(false),
-            last_data: Cell::new(Some(Instant::now())),
         }
     }
 
+    fn begun(self) -> Self {
+        let mut crashes = self.gateway.crashes.borrow_mut();
+        crashes.begin(&self.report, &self.is_announced);
+        drop(crashes);
+        self
+    }
+
     async fn announce(&self) {
         self.is_announced.set(true);
         self.gateway.report_run(&self.report).await;
@@ -158,44 +176,53 @@
         }
     }
 
-    /// Records that the replica has sent something.
-    pub(crate) fn note_data(&self) {
-        self.last_data.set(Some(Instant::now()));
-    }
-
-    /// Records that the request moves because the replica has long sent nothing. A gateway that has
-    /// stood still may only just have read what it had sent before.
-    pub(crate) fn note_silent(&self) {
-        self.last_data.set(None);
+    /// Records that the request is being sent.
+    pub(crate) fn note_sent(&self) {
+        self.is_sent.set(true);
     }
 
     /// Ends the run with the whole response of a request that succeeded.
     pub(crate) fn answered(&self) {
-        self.is_over.set(true);
+        self.end();
         let request = self.report.request;
         let now = self.gateway.now();
         let cleared = self.gateway.crashes.borrow_mut().clear(request, now);
         self.gateway.send_reports(&cleared);
     }
 
-    /// Ends a run that the replica has survived, or that did not begin.
+    /// Ends a run that did not begin, or after which the replica is in order.
     pub(crate) fn survived(&self) {
-        self.is_over.set(true);
+        self.end();
         if self.is_announced.get() {
             self.gateway
                 .send_reports(&[in_state(&self.report, RunState::Cleared)]);
         }
     }
 
-    /// Ends a run whose connection broke. Returns once the turn stores know whether the replica
-    /// has ended, or do not respond.
+    /// Ends a run after which the replica may end. Returns once the turn stores know of the doubt, or
+    /// do not respond.
+    pub(crate) async fn doubted(&self, reason: DoubtReason) {
+        self.end();
+        let gateway = Rc::clone(&self.gateway);
+        let report = self.report.clone();
+        // The task goes on if the caller disconnects.
+        let reporting = actix_rt::spawn(async move {
+            gateway.doubt(&report, reason);
+            gateway.report_run(&report).await;
+        });
+        if let Err(error) = reporting.await {
+            tracing::error!(%error, "recording a run in doubt failed");
+        }
+    }
+
+    /// Ends a run whose connection broke. Returns once the turn stores know whether the replica has
+    /// ended or may have, or do not respond.
     pub(crate) async fn broke(&self) {
-        self.is_over.set(true);
+        self.end();
         let gateway = Rc::clone(&self.gateway);
         let report = self.report.clone();
-        let is_announced = self.is_announced.get();
         // The task goes on if the caller disconnects.
-        let confirming = actix_rt::spawn(confirm_crash(gateway, report, is_announced));
+        let confirming = actix_rt::spawn(confirm_crash(gateway, report));
         if let Err(error) = confirming.await {
             tracing::error!(%error, "recording the end of a replica failed");
         }
@@ -203,28 +230,29 @@
 
     /// Ends the run of a failed send.
     pub(crate) async fn failed(&self, failure: Failure) {
-        match failure {
-            Failure::Broken => self.broke().await,
-            // The replica may have ended silently.
-            Failure::NoAnswerInTime => {}
-            _ => self.survived(),
+        match failure.outcome() {
+            SendOutcome::NotSent | SendOutcome::Declined => self.survived(),
+            _ if failure == Failure::Broken => self.broke().await,
+            // The caller has no time left to wait for the stores.
+            _ if failure == Failure::NoAnswerInTime => {}
+            _ => self.doubted(DoubtReason::Failed(failure)).await,
         }
     }
 
-    /// Gives up the run. If the replica has sent nothing for a while, it may have ended.
+    fn end(&self) {
+        self.is_over.set(true);
+        self.gateway.crashes.borrow_mut().end(&self.report);
+    }
+
+    /// Gives up the run. The replica may go on with it.
     fn abandon(&self) {
-        let last_data = self.last_data.get();
-        let has_sent = last_data.is_some_and(|last| last.elapsed() < MIN_SILENCE);
-        let is_watched = !has_sent && {
-            let mut crashes = self.gateway.crashes.borrow_mut();
-            crashes.watch_abandoned(self.report.clone())
-        };
-        if is_watched {
-            let report = std::slice::from_ref(&self.report);
-            self.gateway.send_reports(report);
-        } else {
-            self.survived();
+        if !self.is_sent.get() {
+            return self.survived();
         }
+        self.end();
+        self.gateway.doubt(&self.report, DoubtReason::GivenUp);
+        self.gateway
+            .send_reports(std::slice::from_ref(&self.report));
     }
 }
 
@@ -236,42 +264,64 @@
     }
 }
 
+/// Result of looking at a replica just after a connection to it broke.
+enum BreakCause {
+    /// No other connection to the replica is open, and it does not report the same incarnation.
+    Ended,
+    /// It may have ended, or end soon. These connections to it are open.
+    InDoubt(Vec<ConnectionState>),
+}
+
 /// Records whether a replica ended when a connection to it broke.
-async fn confirm_crash(gateway: Rc<Gateway>, report: RunReport, is_announced: bool) {
-    let has_ended = has_ended(&gateway, &report).await;
-    if has_ended {
-        gateway.metrics.crashes.inc();
-        let crashed = in_state(&report, RunState::Crashed);
-        gateway.crashes.borrow_mut().review_later(crashed.clone());
-        gateway.report_run(&crashed).await;
-    } else if is_announced {
-        gateway.send_reports(&[in_state(&report, RunState::Cleared)]);
-    }
+async fn confirm_crash(gateway: Rc<Gateway>, report: RunReport) {
+    let cause = find_break_cause(&gateway, &report).await;
+    let has_ended = matches!(cause, BreakCause::Ended);
+    let open_connections = match cause {
+        BreakCause::Ended => {
+            gateway.metrics.crashes.inc();
+            let crashed = in_state(&report, RunState::Crashed);
+            gateway.crashes.borrow_mut().review_later(crashed.clone());
+            gateway.report_run(&crashed).await;
+            0
+        }
+        BreakCause::InDoubt(witnesses) => {
+            let open_connections = witnesses.len();
+            gateway.doubt_with(&report, DoubtReason::Broken, witnesses);
+            gateway.report_run(&report).await;
+            open_connections
+        }
+    };
     tracing::info!(
         request = %report.request,
         replica = %report.replica,
         started_ms = report.incarnation.0,
         has_ended,
+        open_connections,
         crashes = gateway.crashes_under(report.request),
         "connection to a replica broke during a run"
     );
 }
 
-/// Returns true if a replica whose connection has just broken has ended: then all connections to it
-/// close. If none was open, its report shows whether it has restarted since. Without a report, it
-/// counts as ended.
-async fn has_ended(gateway: &Gateway, report: &RunReport) -> bool {
+/// Looks at a replica whose connection has just broken. If it has ended, all connections to it
+/// usually close. If none was open, its report shows whether it has restarted since. Without a
+/// report, it counts as ended.
+async fn find_break_cause(gateway: &Gateway, report: &RunReport) -> BreakCause {
     let broke_at = Instant::now();
     actix_rt::time::sleep(CONFIRMATION_DELAY).await;
-    if gateway.upstream.has_open_since(&report.replica, broke_at) {
-        return false;
+    let open = gateway.upstream.open_since(&report.replica, broke_at);
+    if !open.is_empty() {
+        return BreakCause::InDoubt(open);
     }
     let listed = gateway.pool.borrow().listed(&report.replica).cloned();
     let Some(replica) = listed.filter(|_| report.incarnation != Incarnation::UNKNOWN) else {
-        return true;
+        return BreakCause::Ended;
     };
     let reported = placement::query_incarnation(gateway, &replica).await;
-    reported != Some(report.incarnation)
+    if reported == Some(report.incarnation) {
+        BreakCause::InDoubt(Vec::new())
+    } else {
+        BreakCause::Ended
+    }
 }
 
 impl Gateway {
@@ -280,6 +330,36 @@
         self.crashes.borrow().table.crashes(request, self.now())
     }
 
+    /// Puts a run that has just ended in doubt.
+    fn doubt(&self, report: &RunReport, reason: DoubtReason) {
+        let now = Instant::now();
+        let witnesses = self.upstream.open_since(&report.replica, now);
+        self.doubt_with(report, reason, witnesses);
+    }
+
+    fn doubt_with(&self, report: &RunReport, reason: DoubtReason, witnesses: Vec<ConnectionState>) {
+        let open_connections = witnesses.len();
+        let mut crashes = self.crashes.borrow_mut();
+        let is_watched = crashes.doubtful.add(report.clone(), reason, witnesses);
+        drop(crashes);
+        tracing::info!(
+            request = %report.request,
+            replica = %report.replica,
+            started_ms = report.incarnation.0,
+            reason = reason.as_str(),
+            open_connections,
+            is_watched,
+            "replica may end after a run"
+        );
+    }
+
+    /// Returns true if the crashes under a request may yet turn out to be fewer than the limit.
+    fn may_settle_below_limit(&self, request: RequestFingerprint) -> bool {
+        let crashes = self.crashes.borrow();
+        let is_confirmed = crashes.table.confirmed_crashes(request) >= MAX_CRASHES;
+        !is_confirmed && crashes.doubtful.has_any_of(request)
+    }
+
     /// Returns the number of replicas that ended under a request, or still may in a run other than
     /// `run`.
     fn possible_crashes(&self, request: RequestFingerprint, run: RunId) -> usize {
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -1,6 +1,7 @@
 //! Requests whose response is a stream of events.
 
 use crate::attempts::{Attempts, choose, next_replica};
+use crate::doubtful_runs::DoubtReason;
 use crate::exchange::{Answer, ReplicaGuard, SendOverrides, send};
 use crate::failure::Failure;
 use crate::first_event::FirstEventWait;
@@ -267,7 +268,6 @@
         let end = loop {
             match self.next_step(&mut source, &sender).await {
                 Step::Data(bytes) => {
-                    source.run.note_data();
                     self.splitter.push(&bytes);
                     if let Err(reason) = self.forward_events(&source, &sender).await {
                         break self.log_end(reason);
@@ -287,7 +287,11 @@
                         run,
                         ..
                     } = source;
-                    run.answered();
+                    if lease.has_surplus().await {
+                        run.doubted(DoubtReason::Surplus).await;
+                    } else {
+                        run.answered();
+                    }
                     lease.give_back(&headers);
                     let end = self.complete(&backend, sender).await;
                     self.log_end(end);
@@ -619,7 +623,6 @@
     async fn move_to(&mut self, from: Source, mut to: Backend) -> Result<Source, &'static str> {
         self.attempts.note_moved(&from.backend);
         let previous = from.backend.clone();
-        from.run.note_silent();
         // Cancels the request at the previous replica before another one resumes it.
         drop(from);
         self.splitter.clear();
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -1,6 +1,7 @@
 //! Requests whose response is a single body.
 
 use crate::attempts::{Attempts, choose, next_replica};
+use crate::doubtful_runs::DoubtReason;
 use crate::exchange::{Answer, SendOverrides, send};
 use crate::failure::Failure;
 use crate::gateway::Gateway;
@@ -145,12 +146,16 @@
             return Err(Failure::CutAnswer);
         }
         Ok(Err(AnswerFailure::MemoryLimit)) => {
-            run.survived();
+            run.doubted(DoubtReason::TooLong).await;
             return Err(Failure::CutAnswer);
         }
         Err(_) => return Err(Failure::NoAnswerInTime),
     };
-    if head.status.is_success() {
+    if lease.has_surplus().await {
+        run.doubted(DoubtReason::Surplus).await;
+    } else if head.status.is_server_error() {
+        run.doubted(DoubtReason::ServerError).await;
+    } else if head.status.is_success() {
         run.answered();
     } else {
         run.survived();
--- a/crates/gateway-server/src/upstream.rs
+++ b/crates/gateway-server/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderMap, header};
 use luglink_fleet::{Backend, BackendId};
-use luglink_http::{ClientConnection, ConnectError, ConnectionState, connect};
+use luglink_http::{ClientConnection, ConnectError, ConnectionEnd, ConnectionState, connect};
 use prometheus::IntCounter;
 use snafu::Snafu;
 use std::cell::{Cell, RefCell};
@@ -104,6 +104,15 @@
         self.connection.as_mut()
     }
 
+    /// Returns true if the replica has sent data beyond its response.
+    pub(crate) async fn has_surplus(&self) -> bool {
+        // Lets the connection read what follows the response.
+        tokio::task::yield_now().await;
+        let state = self.connection.as_ref().map(ClientConnection::state);
+        let end = state.and_then(|state| state.ended_by_server());
+        end == Some(ConnectionEnd::UnexpectedData)
+    }
+
     /// Returns the connection to the pool once it is idle, unless the response headers forbid it.
     pub(crate) fn give_back(mut self, headers: &HeaderMap) {
         let Some(idle_limit) = idle_timeout(headers) else {
@@ -188,13 +197,19 @@
     /// Returns true if a connection to a replica that was opened before `time` is still open. The
     /// process that had it then is still running.
     pub(crate) fn has_open_since(&self, replica: &BackendId, time: Instant) -> bool {
+        !self.open_since(replica, time).is_empty()
+    }
+
+    /// Returns the connections to a replica that were opened before `time` and are still open.
+    pub(crate) fn open_since(&self, replica: &BackendId, time: Instant) -> Vec<ConnectionState> {
         let replicas = self.replicas.borrow();
         let Some(connections) = replicas.get(replica) else {
-            return false;
+            return Vec::new();
         };
         let opened = connections.opened.borrow();
-        let mut earlier = opened.iter().filter(|(_, opened_at)| *opened_at < time);
-        earlier.any(|(state, _)| state.is_open())
+        let earlier = opened.iter().filter(|(_, opened_at)| *opened_at < time);
+        let states = earlier.map(|(state, _)| state);
+        states.filter(|state| state.is_open()).cloned().collect()
     }
 
     /// Leases a connection to a replica, preferably an idle one, and waits up to `timeout` while
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -14,3 +14,4 @@
 mod resumed_streams;
 mod support;
 mod tenants;
+mod unseen_ends;
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -20,6 +20,44 @@
 /// Time that a request takes in [`Script::CrashesOn`] and [`Script::ClosesOn`].
 const RUN_DURATION: Duration = Duration::from_millis(60);
 
+/// Time between the close of a request's connection and that of the others, in
+/// [`Ending::ConnectionsInTurn`].
+const CLOSE_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Time between a response or the close of a request's connection and the end of the process.
+const END_DELAY: Duration = Duration::from_millis(200);
+
+/// Number of events of a stream before the replica ends.
+const EVENTS_BEFORE_END: usize = 2;
+
+/// How the end of a replica shows at its connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// All connections close at once.
+    AtOnce,
+    /// The request's connection closes, the others [`CLOSE_INTERVAL`] later.
+    ConnectionsInTurn,
+    /// The request's connection closes, the process ends [`END_DELAY`] later.
+    AfterBreak,
+    /// All connections stay open and silent. New ones are refused.
+    Silent,
+    /// Sends a whole response with status 500. The process ends [`END_DELAY`] later.
+    AfterError,
+    /// Sends a whole response and bytes beyond its length. The process ends [`END_DELAY`] later.
+    AfterSurplus,
+    /// Sends bytes that are no HTTP. The process ends [`END_DELAY`] later.
+    AfterNoise,
+    /// Sends a part of a response. The process ends [`END_DELAY`] later.
+    AfterCut,
+    /// Sends a response to another request. The process ends [`END_DELAY`] later.
+    AfterForeign,
+    /// Sends nothing until the gateway closes the connection. The process ends [`END_DELAY`] later.
+    AfterGivenUp,
+    /// The request's connection closes, the others [`CLOSE_INTERVAL`] later. The process starts
+    /// again at once under the same identifier and address, which its list entry does not show.
+    Restart,
+}
+
 /// Behaviour of a replica on each request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Script {
@@ -60,6 +98,9 @@
     /// Crashes on a request whose target contains this text. Responds to the others after
     /// [`RUN_DURATION`].
     CrashesOn(&'static str),
+    /// Ends in this way under a request whose target contains this text. Responds to the others
+    /// after [`RUN_DURATION`].
+    EndsOn(&'static str, Ending),
     /// Closes the connection of a request whose target contains this text, without a response.
     /// Responds to the others after [`RUN_DURATION`].
     ClosesOn(&'static str),
@@ -119,6 +160,14 @@
     pub reset: Rc<Notify>,
     /// Set once the replica has crashed.
     crash: CancellationToken,
+    /// Set once the replica does nothing more, although its connections stay open.
+    dark: CancellationToken,
+    /// Ends the connections of the running process.
+    process: Rc<RefCell<CancellationToken>>,
+    /// Times at which the replica has ended.
+    pub ends: Rc<RefCell<Vec<Instant>>>,
+    /// Times at which it received requests under which it ends.
+    pub bad_requests: Rc<RefCell<Vec<Instant>>>,
 }
 
 impl Replica {
@@ -137,20 +186,21 @@
             version: Rc::default(),
             reset: Rc::default(),
             crash: CancellationToken::new(),
+            dark: CancellationToken::new(),
+            process: Rc::default(),
+            ends: Rc::default(),
+            bad_requests: Rc::default(),
         };
         let serving = replica.clone();
         let accepting = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 serving.accepted.set(serving.accepted.get() + 1);
-                let serving = serving.clone();
-                let crash = serving.crash.clone();
-                actix_rt::spawn(async move {
-                    crash.run_until_cancelled(serving.serve(stream)).await;
-                });
+                actix_rt::spawn(serving.clone().serve_until_end(stream));
             }
         };
-        let crash = replica.crash.clone();
+        let (crash, dark) = (replica.crash.clone(), replica.dark.clone());
         actix_rt::spawn(async move {
+            let accepting = dark.run_until_cancelled(accepting);
             crash.run_until_cancelled(accepting).await;
         });
         replica
@@ -169,6 +219,9 @@
 
     /// Ends the replica with all its connections.
     pub fn crash(&self) {
+        if !self.has_crashed() {
+            self.note_end();
+        }
         self.crash.cancel();
     }
 
@@ -177,6 +230,10 @@
         self.crash.is_cancelled()
     }
 
+    fn note_end(&self) {
+        self.ends.borrow_mut().push(Instant::now());
+    }
+
     pub fn requests(&self) -> usize {
         self.seen.borrow().len()
     }
@@ -185,23 +242,35 @@
         self.seen.borrow().last().cloned().expect("a request")
     }
 
-    async fn serve(self, mut stream: TcpStream) {
+    async fn serve_until_end(self, mut stream: TcpStream) {
+        let (crash, dark) = (self.crash.clone(), self.dark.clone());
+        let process = self.process.borrow().clone();
+        let serving = async {
+            let serving = process.run_until_cancelled(self.serve(&mut stream));
+            if dark.run_until_cancelled(serving).await.is_none() {
+                crash.cancelled().await;
+            }
+        };
+        crash.run_until_cancelled(serving).await;
+    }
+
+    async fn serve(&self, stream: &mut TcpStream) {
         let mut buffer = Vec::new();
         loop {
             let skips_body = matches!(*self.script.borrow(), Script::Early | Script::Unread);
-            let Some(seen) = read_request(&mut stream, &mut buffer, skips_body).await else {
+            let Some(seen) = read_request(stream, &mut buffer, skips_body).await else {
                 self.closed.set(self.closed.get() + 1);
                 return;
             };
             if seen.target.starts_with("GET /v1/report ") {
-                if !self.report(&mut stream).await {
+                if !self.report(stream).await {
                     return;
                 }
                 continue;
             }
             self.seen.borrow_mut().push(seen.clone());
             let script = self.script.borrow().clone();
-            if !self.respond(&script, &seen, &mut stream, &mut buffer).await {
+            if !self.respond(&script, &seen, stream, &mut buffer).await {
                 return;
             }
         }
@@ -287,11 +356,21 @@
                     (self.whole(&id, &body), true)
                 } else {
                     if matches!(script, Script::CrashesOn(_)) {
-                        self.crash.cancel();
+                        self.crash();
                     }
                     return false;
                 }
             }
+            Script::EndsOn(text, ending) => {
+                actix_rt::time::sleep(RUN_DURATION).await;
+                if seen.target.contains(text) {
+                    return self.end_as(*ending, seen, stream).await;
+                }
+                match seen.target.contains("/resumable/") {
+                    true => return self.stream(seen, stream, None).await,
+                    false => (self.whole(&id, &body), true),
+                }
+            }
             Script::Mute => {
                 let mut rest = [0];
                 let _ = stream.read(&mut rest).await;
@@ -310,7 +389,7 @@
             }
             Script::StreamCrashes(events) => {
                 self.stream(seen, stream, Some((*events, "", ""))).await;
-                self.crash.cancel();
+                self.crash();
                 return false;
             }
             Script::StreamReplaced(events) => {
@@ -329,6 +408,71 @@
         stream.write_all(text.as_bytes()).await.is_ok() && goes_on
     }
 
+    /// Ends the replica under a request. Returns true if the request's connection stays open.
+    async fn end_as(&self, ending: Ending, seen: &ReceivedRequest, stream: &mut TcpStream) -> bool {
+        self.bad_requests.borrow_mut().push(Instant::now());
+        let id = seen.id();
+        let is_stream = seen.target.contains("/resumable/");
+        let text = match ending {
+            Ending::AfterError => {
+                let rest = format!("Luglink-Signature: of-{id}\r\nContent-Length: 4\r\n");
+                self.head("500 Internal Server Error", id, &rest) + "oops"
+            }
+            Ending::AfterSurplus => self.whole(id, "whole") + "surplus",
+            Ending::AfterNoise => "this is no answer\r\n\r\n".to_owned(),
+            Ending::AfterForeign => self.whole("somebody-else", "whole"),
+            Ending::AfterCut => {
+                let rest = format!("Luglink-Signature: of-{id}\r\nContent-Length: 100\r\n");
+                self.head("200 OK", id, &rest) + "short"
+            }
+            _ if is_stream => {
+                let part = Some((EVENTS_BEFORE_END, "", ""));
+                self.stream(seen, stream, part).await;
+                String::new()
+            }
+            _ => String::new(),
+        };
+        let is_sent = stream.write_all(text.as_bytes()).await.is_ok();
+        let replica = self.clone();
+        let delay = match ending {
+            Ending::AtOnce | Ending::Silent => Duration::ZERO,
+            Ending::ConnectionsInTurn | Ending::Restart => CLOSE_INTERVAL,
+            _ => END_DELAY,
+        };
+        if ending == Ending::AfterGivenUp {
+            let mut rest = [0];
+            let _ = stream.read(&mut rest).await;
+        }
+        actix_rt::spawn(async move {
+            if !delay.is_zero() {
+                actix_rt::time::sleep(delay).await;
+            }
+            replica.end(ending);
+        });
+        if ending == Ending::Silent {
+            std::future::pending::<()>().await;
+        }
+        let keeps_open = matches!(ending, Ending::AfterError | Ending::AfterSurplus);
+        is_sent && keeps_open
+    }
+
+    fn end(&self, ending: Ending) {
+        match ending {
+            Ending::Restart => {
+                self.note_end();
+                let process = self.process.replace(CancellationToken::new());
+                process.cancel();
+            }
+            Ending::Silent => {
+                if !self.dark.is_cancelled() {
+                    self.note_end();
+                }
+                self.dark.cancel();
+            }
+            _ => self.crash(),
+        }
+    }
+
     fn stream_head(&self, seen: &ReceivedRequest) -> String {
         let rest = format!(
             "Luglink-Signature: of-{}-by-{}\r\nContent-Type: text/event-stream\r\n\
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -7,8 +7,11 @@
 use hyper_util::rt::TokioIo;
 use luglink_net::set_tcp_options;
 use snafu::{OptionExt, ResultExt, Snafu};
+use std::cell::Cell;
+use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -65,15 +68,43 @@
     },
 }
 
+/// How the server ended a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// It closed or reset the connection.
+    Closed,
+    /// It sent data that belongs to no response.
+    UnexpectedData,
+}
+
 /// Tells whether a connection is open, without keeping it open.
 #[derive(Clone, Debug)]
-pub struct ConnectionState(AbortHandle);
+pub struct ConnectionState {
+    task: AbortHandle,
+    ended_by_server: Rc<Cell<Option<ConnectionEnd>>>,
+}
 
 impl ConnectionState {
     /// Returns true until either side has closed the connection.
     #[must_use]
     pub fn is_open(&self) -> bool {
-        !self.0.is_finished()
+        !self.task.is_finished()
+    }
+
+    /// Returns how the server ended the connection; `None` if it did not.
+    #[must_use]
+    pub fn ended_by_server(&self) -> Option<ConnectionEnd> {
+        self.ended_by_server.get()
+    }
+}
+
+/// Classifies the error with which a connection ended. Errors of the operating system have a source.
+fn classify_end(error: &hyper::Error) -> ConnectionEnd {
+    let is_data = error.is_parse() || (error.source().is_none() && !error.is_incomplete_message());
+    if is_data {
+        ConnectionEnd::UnexpectedData
+    } else {
+        ConnectionEnd::Closed
     }
 }
 
@@ -82,6 +113,7 @@
 pub struct ClientConnection {
     sender: SendRequest<Body>,
     task: actix_rt::task::JoinHandle<()>,
+    ended_by_server: Rc<Cell<Option<ConnectionEnd>>>,
 }
 
 impl Drop for ClientConnection {
@@ -108,12 +140,23 @@
         .handshake(TokioIo::new(stream))
         .await
         .context(HandshakeSnafu)?;
+    let ended_by_server = Rc::new(Cell::new(None));
+    let end = Rc::clone(&ended_by_server);
     let task = actix_rt::spawn(async move {
-        if let Err(error) = connection.await {
+        let result = connection.await;
+        if let Err(error) = &result {
             tracing::debug!(%error, "HTTP client connection failed");
         }
+        end.set(Some(match result {
+            Ok(()) => ConnectionEnd::Closed,
+            Err(error) => classify_end(&error),
+        }));
     });
-    Ok(ClientConnection { sender, task })
+    Ok(ClientConnection {
+        sender,
+        task,
+        ended_by_server,
+    })
 }
 
 impl ClientConnection {
@@ -126,7 +169,10 @@
     /// Returns a handle that tells whether the connection is still open.
     #[must_use]
     pub fn state(&self) -> ConnectionState {
-        ConnectionState(self.task.abort_handle())
+        ConnectionState {
+            task: self.task.abort_handle(),
+            ended_by_server: Rc::clone(&self.ended_by_server),
+        }
     }
 
     /// Returns true if the next request can be sent now.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,5 +13,7 @@
 mod write_stall;
 
 pub use body::{Body, BodyError, BodySender, empty_body, full_body, stream_body};
-pub use client::{ClientConnection, ConnectError, ConnectionState, SendError, connect};
+pub use client::{
+    ClientConnection, ConnectError, ConnectionEnd, ConnectionState, SendError, connect,
+};
 pub use server::{Abort, ServeOptions, StopHandle, StopSignal, serve, stop_channel};
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -176,6 +176,13 @@
         self.ends(request, |run| run.has_crashed(now))
     }
 
+    /// Returns the number of replicas that are known to have ended while they ran the request, not
+    /// only assumed to because the lease of a run has ended.
+    #[must_use]
+    pub fn confirmed_crashes(&self, request: RequestFingerprint) -> usize {
+        self.ends(request, |run| run.report.state == RunState::Crashed)
+    }
+
     /// Returns the number of replicas that ended while they ran the request, or still may in runs
     /// other than `except`.
     #[must_use]
