Limit the bytes received before a response head is complete

Callers saw: a replica that sends interim responses without end was read until the caller's deadline, as fast as the link bore, and the caller got no answer; other requests on that gateway failed meanwhile. Cause: the HTTP library limits one head, but discards interim responses one by one without a limit. The class: a limit on a part of what is received, not on the whole.

Change: a connection fails with an error once more than 1 MiB has arrived between the request and the end of its response head, whatever the bytes are. It holds for every client of `luglink-http`: requests, reports, probes and the list. The outcome is that of any broken connection, so the run is in doubt.

Evidence: `endless_interim_responses_are_cut` fails with the limit removed (bytes beyond the bound of the test were read) and passes now, at full speed and slowly, for safe and unsafe calls and streams.

--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -1,6 +1,7 @@
 //! Fleet of real servers in one process, on its own loopback addresses, with scripted replicas.
 
 pub mod caller;
+pub mod endless;
 pub mod replica;
 
 use luglink_control_server::{ManagedServer, ManagedServerConfig, start_managed};
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -1,5 +1,6 @@
 //! Replicas that write scripted bytes to their connections.
 
+use super::endless::{Endless, Pace};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -119,6 +120,9 @@
     Flood,
     /// Reads only the head of a request, and closes much later.
     Unread,
+    /// Sends bytes without end in response to a request whose target contains `endless`. Answers the
+    /// others.
+    Endless(Endless, Pace),
 }
 
 /// Request that a replica has received.
@@ -158,6 +162,8 @@
     pub version: Rc<RefCell<Option<String>>>,
     /// Closes the connections of [`Script::StreamStalled`] when notified.
     pub reset: Rc<Notify>,
+    /// Number of bytes sent by [`Script::Endless`] on connections that are closed.
+    pub endless_bytes: Rc<Cell<usize>>,
     /// Set once the replica has crashed.
     crash: CancellationToken,
     /// Set once the replica does nothing more, although its connections stay open.
@@ -185,6 +191,7 @@
             running: Rc::default(),
             version: Rc::default(),
             reset: Rc::default(),
+            endless_bytes: Rc::default(),
             crash: CancellationToken::new(),
             dark: CancellationToken::new(),
             process: Rc::default(),
@@ -403,6 +410,14 @@
             Script::Flood if seen.target.contains("/safe/") => (self.whole(&id, &body), true),
             Script::Flood => return self.flood(seen, stream).await,
             Script::Unread => return self.leave_unread().await,
+            Script::Endless(part, pace) if seen.target.contains("endless") => {
+                let is_stream = seen.target.contains("/resumable/");
+                let sent = part.send(*pace, &id, is_stream, stream).await;
+                self.endless_bytes.set(self.endless_bytes.get() + sent);
+                self.closed.set(self.closed.get() + 1);
+                return false;
+            }
+            Script::Endless(..) => (self.whole(&id, &body), true),
             Script::StreamEndless => return self.stream_endless(seen, stream).await,
         };
         stream.write_all(text.as_bytes()).await.is_ok() && goes_on
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client connections, with one request at a time.
 
 use crate::body::Body;
+use crate::head_limit::{HeadBudget, HeadLimitedStream};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response};
@@ -114,6 +115,7 @@
     sender: SendRequest<Body>,
     task: actix_rt::task::JoinHandle<()>,
     ended_by_server: Rc<Cell<Option<ConnectionEnd>>>,
+    head_budget: HeadBudget,
 }
 
 impl Drop for ClientConnection {
@@ -136,6 +138,8 @@
         .context(TimeoutSnafu { address, limit })?
         .context(IoSnafu { address })?;
     set_tcp_options(&stream).context(IoSnafu { address })?;
+    let head_budget = HeadBudget::default();
+    let stream = HeadLimitedStream::new(stream, head_budget.clone());
     let (sender, connection) = hyper::client::conn::http1::Builder::new()
         .handshake(TokioIo::new(stream))
         .await
@@ -156,6 +160,7 @@
         sender,
         task,
         ended_by_server,
+        head_budget,
     })
 }
 
@@ -181,12 +186,16 @@
         self.sender.is_ready()
     }
 
-    /// Sends a request and waits for the head of its response.
+    /// Sends a request and waits for the head of its response. Fails if the head, with any interim
+    /// responses before it, is longer than 1 MiB.
     ///
     /// # Errors
     /// The error states whether the server may have received the request.
     pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, SendError> {
-        match self.sender.try_send_request(request).await {
+        self.head_budget.begin();
+        let result = self.sender.try_send_request(request).await;
+        self.head_budget.end();
+        match result {
             Ok(response) => Ok(response),
             Err(mut error) => Err(match error.take_message() {
                 Some(request) => SendError::NotSent {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod body;
 mod client;
+mod head_limit;
 mod server;
 mod write_stall;
 
