Limit the size of one event of a stream

Callers saw: gateways grew by hundreds of megabytes within seconds when a replica sent a stream's body without end. Cause: an event is buffered until its empty line, and neither its size was limited nor the buffer counted among the bytes held for callers. Only complete events were.

Change: a stream ends with `event_too_long` once 1 MiB of an incomplete event is buffered, and the buffer counts as held. The connection is closed, the replica marked as failed, the run in doubt.

Evidence: `an_endless_event_is_cut` and `an_endless_body_is_cut` fail without the limit (the caller has no answer within its time) and pass now.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -35,6 +35,12 @@
         Some(parse(raw))
     }
 
+    /// Returns the number of bytes of an incomplete event.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns true if there are bytes of an incomplete event.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -168,7 +168,7 @@
 }
 
 /// Marks the replica of a response that ended early as failed, unless it has restarted since.
-fn note_cut(gateway: &Gateway, backend: &Backend) {
+pub(crate) fn note_cut(gateway: &Gateway, backend: &Backend) {
     let mut pool = gateway.pool.borrow_mut();
     if !pool.has_restarted(backend) {
         pool.failed(&backend.id, gateway.now());
--- a/crates/gateway-server/tests/gateway/endless_bytes.rs
+++ b/crates/gateway-server/tests/gateway/endless_bytes.rs
@@ -85,6 +85,8 @@
     an_endless_chunk_size_is_cut: ChunkSize;
     an_endless_chunk_extension_is_cut: ChunkExtension;
     endless_trailers_are_cut: Trailers;
+    an_endless_event_is_cut: Event;
+    an_endless_body_is_cut: Body;
 }
 
 #[actix_rt::test]
