Count runs one after the other at one replica as ends of their own

Callers saw: more than three ends where replicas restart at once under their identifier. Cause: ends were told apart by the incarnation that the gateway knew and by the number of confirmed crashes. A run that is resumed at the same address while the list still shows the old incarnation, before the earlier run is settled, had the same key as that run, so two ends counted as one.

Change: the number that a run carries counts possible ends too. Runs that begin together still share one; a run that begins after another one came into doubt has a key of its own.

--- a/app/luglink/tests/stream_soak/crash_plan.rs
+++ b/app/luglink/tests/stream_soak/crash_plan.rs
@@ -1,6 +1,13 @@
 //! How a request ends every replica that runs it.
 
 use crate::random::Random;
+use std::time::Duration;
+
+/// Time between the close of a request's connection and that of the others.
+const CLOSE_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Time between what the gateway receives and the end of the process.
+const END_DELAY: Duration = Duration::from_millis(200);
 
 /// Moment of a run at which the replica ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,6 +24,39 @@
     Exit,
     Reset,
     Silence,
+    /// The connections stay open and silent, and new ones are refused.
+    Deaf,
+    /// The connection of the request closes, the others a little later.
+    InTurn,
+    /// The connection of the request closes, the process ends later.
+    Late,
+    /// A whole server error, then the process ends.
+    Error,
+    /// Bytes that are no response, then the process ends.
+    Noise,
+    /// A whole response and bytes beyond its length, then the process ends.
+    Surplus,
+}
+
+impl End {
+    /// Returns the time between what the gateway receives and the end of the process.
+    pub fn delay(self) -> Duration {
+        match self {
+            Self::Exit | Self::Reset | Self::Silence | Self::Deaf => Duration::ZERO,
+            Self::InTurn => CLOSE_INTERVAL,
+            Self::Late | Self::Error | Self::Noise | Self::Surplus => END_DELAY,
+        }
+    }
+
+    /// Returns true if all connections stay open.
+    pub fn is_silent(self) -> bool {
+        matches!(self, Self::Silence | Self::Deaf)
+    }
+
+    /// Returns true if the request's connection stays open.
+    pub fn keeps_connection(self) -> bool {
+        self.is_silent() || matches!(self, Self::Error | Self::Surplus)
+    }
 }
 
 /// How the replica comes back.
@@ -41,12 +81,29 @@
     ("silence", End::Silence),
 ];
 
+/// Ends that do not close all connections at once.
+const GRADUAL_ENDS: [(&str, End); 6] = [
+    ("deaf", End::Deaf),
+    ("turn", End::InTurn),
+    ("late", End::Late),
+    ("error", End::Error),
+    ("noise", End::Noise),
+    ("surplus", End::Surplus),
+];
+
 const COME_BACKS: [(&str, ComeBack); 3] = [
     ("same", ComeBack::SameId),
     ("other", ComeBack::OtherId),
     ("never", ComeBack::Never),
 ];
 
+/// Which ends a soak plays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ends {
+    AtOnce,
+    Gradual,
+}
+
 /// What a request does to every replica that runs it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashPlan {
@@ -57,9 +114,12 @@
 
 impl CrashPlan {
     /// Returns the name of a request with a random plan.
-    pub fn name(random: &mut Random, number: &str) -> String {
+    pub fn name(random: &mut Random, number: &str, ends: Ends) -> String {
         let moment = MOMENTS[random.below(3)].0;
-        let end = ENDS[random.below(3)].0;
+        let end = match ends {
+            Ends::AtOnce => ENDS[random.below(ENDS.len())].0,
+            Ends::Gradual => GRADUAL_ENDS[random.below(GRADUAL_ENDS.len())].0,
+        };
         let come_back = COME_BACKS[random.below(3)].0;
         format!("crash-{moment}-{end}-{come_back}-{number}")
     }
@@ -71,7 +131,8 @@
             return None;
         }
         let moment = find(&MOMENTS, parts.next()?);
-        let end = find(&ENDS, parts.next()?);
+        let end = parts.next()?;
+        let end = find(&[&ENDS[..], &GRADUAL_ENDS[..]].concat(), end);
         let come_back = find(&COME_BACKS, parts.next()?);
         Some(Self {
             moment,
--- a/app/luglink/tests/stream_soak/crashing.rs
+++ b/app/luglink/tests/stream_soak/crashing.rs
@@ -3,7 +3,7 @@
 use crate::callers::{Received, message};
 use crate::chaos;
 use crate::connections::Connections;
-use crate::crash_plan::CrashPlan;
+use crate::crash_plan::{CrashPlan, Ends};
 use crate::fleet::{CALL_PATH, Fleet, PATHS};
 use crate::random::Random;
 use crate::replicas::Faults;
@@ -114,6 +114,7 @@
 struct Caller {
     number: usize,
     is_bad: bool,
+    ends: Ends,
     fleet: Fleet,
     connections: Connections,
     random: Random,
@@ -127,7 +128,7 @@
         while !is_stopping.get() {
             let number = format!("{}-{request}", self.number);
             if self.is_bad {
-                let name = CrashPlan::name(&mut self.random, &number);
+                let name = CrashPlan::name(&mut self.random, &number, self.ends);
                 self.insist(&name).await;
                 self.judge_bad(&name);
             } else {
@@ -156,7 +157,8 @@
             let request = format!("{name}-{attempt}");
             outcome = self.attempt(&path, &request, left, &mut received).await;
             let is_over = outcome == Outcome::Refused && !self.is_bad;
-            if is_over || outcome == Outcome::Whole {
+            // Replicas can end after a whole response too.
+            if is_over || (outcome == Outcome::Whole && !self.is_bad) {
                 break;
             }
             actix_rt::time::sleep(self.random.millis(0..150)).await;
@@ -253,7 +255,7 @@
 }
 
 /// Returns the report of one seed.
-async fn soak(seed: u64) -> Report {
+async fn soak(seed: u64, ends: Ends) -> Report {
     let fleet = Fleet::start(seed, crate::gateways(seed), Faults::Random).await;
     let report = Rc::new(RefCell::new(Report::default()));
     let is_stopping = Rc::new(Cell::new(false));
@@ -261,6 +263,7 @@
         let caller = Caller {
             number,
             is_bad: number < BAD_CALLERS,
+            ends,
             fleet: fleet.clone(),
             connections: Connections::default(),
             random: Random::new(seed.wrapping_mul(1_000) + number as u64),
@@ -278,11 +281,11 @@
     report.take()
 }
 
-#[actix_rt::test]
-async fn no_replica_gets_a_request_after_the_third_end_under_it_while_processes_restart() {
+/// Plays the seeds with these ends and asserts that no replica gets a request after the third one.
+async fn assert_limited(ends: Ends) {
     let mut total = Report::default();
     for seed in crate::seeds(DEFAULT_SEEDS) {
-        let report = soak(seed).await;
+        let report = soak(seed, ends).await;
         println!("seed {seed}: {report}");
         for name in report.after_known_limit.iter().chain(&report.refused_early) {
             println!("seed {seed}: {name}");
@@ -296,3 +299,13 @@
     let refused = total.innocent_refused as f64 / total.beside_ends.max(1) as f64;
     assert!(refused <= MAX_REFUSED_BESIDE_END, "{total}");
 }
+
+#[actix_rt::test]
+async fn no_replica_gets_a_request_after_the_third_end_under_it_while_processes_restart() {
+    assert_limited(Ends::AtOnce).await;
+}
+
+#[actix_rt::test]
+async fn no_replica_gets_a_request_after_the_third_gradual_end_under_it_while_processes_restart() {
+    assert_limited(Ends::Gradual).await;
+}
--- a/app/luglink/tests/stream_soak/replicas.rs
+++ b/app/luglink/tests/stream_soak/replicas.rs
@@ -64,6 +64,8 @@
     end: CancellationToken,
     /// Set once the replica does nothing more, although its connections stay open.
     dark: CancellationToken,
+    /// Set once the replica accepts no connections.
+    deaf: CancellationToken,
     /// True if its end resets its connections.
     resets: Rc<Cell<bool>>,
     /// Requests that it is running.
@@ -119,6 +121,7 @@
             is_draining: Rc::default(),
             end: CancellationToken::new(),
             dark: CancellationToken::new(),
+            deaf: CancellationToken::new(),
             resets: Rc::default(),
             under_way: UnderWay::default(),
             replicas: self.clone(),
@@ -288,8 +291,11 @@
     }
 
     fn finish_by(&self, end: End) {
-        if end == End::Silence {
+        if end.is_silent() {
             self.note_end();
+            if end == End::Deaf {
+                self.deaf.cancel();
+            }
             self.dark.cancel();
             return;
         }
@@ -298,14 +304,15 @@
     }
 
     async fn serve(self, listener: TcpListener) {
-        let end = self.end.clone();
+        let (end, deaf) = (self.end.clone(), self.deaf.clone());
         let accepting = async {
             while let Ok((stream, _)) = listener.accept().await {
                 let replica = self.clone();
                 actix_rt::spawn(replica.serve_until_end(stream));
             }
         };
-        end.run_until_cancelled(accepting).await;
+        end.run_until_cancelled(deaf.run_until_cancelled(accepting))
+            .await;
     }
 
     async fn serve_until_end(self, mut stream: TcpStream) {
@@ -361,20 +368,61 @@
 
     /// Ends the replica if the plan says so at this moment. Returns true if it did. After a silent
     /// end, does not return.
-    async fn crashes_at(&self, plan: Option<CrashPlan>, moment: Moment) -> bool {
+    async fn crashes_at(&self, name: &str, plan: Option<CrashPlan>, moment: Moment) -> bool {
         let Some(plan) = plan.filter(|plan| plan.moment == moment) else {
             return false;
         };
         if self.is_up() || self.is_draining.get() {
-            let replicas = self.replicas.clone();
-            replicas.crash_as_planned(self.clone(), plan);
+            self.crash_after(plan, name.to_owned());
         }
-        if plan.end == End::Silence {
+        if plan.end.is_silent() {
             std::future::pending::<()>().await;
         }
         true
     }
 
+    /// Ends the replica under a request, after the delay of its plan.
+    fn crash_after(&self, plan: CrashPlan, name: String) {
+        let replica = self.clone();
+        let delay = plan.end.delay();
+        if delay.is_zero() {
+            self.replicas.crash_as_planned(replica, plan);
+            return;
+        }
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(delay).await;
+            if replica.end.is_cancelled() || replica.dark.is_cancelled() {
+                return;
+            }
+            let identity = (replica.id.as_str(), replica.started_ms);
+            replica.replicas.runs.note_end_under(&name, identity);
+            let replicas = replica.replicas.clone();
+            replicas.crash_as_planned(replica, plan);
+        });
+    }
+
+    /// Sends what the gateway receives before the end of the replica. Returns true if the connection
+    /// stays open.
+    async fn send_last(&self, id: &str, plan: Option<CrashPlan>, stream: &mut TcpStream) -> bool {
+        let Some(end) = plan.map(|plan| plan.end) else {
+            return false;
+        };
+        let head = |status: &str| {
+            format!(
+                "HTTP/1.1 {status}\r\nLuglink-Request-Id: {id}\r\nLuglink-Signature: by-{}\r\n\
+                 Content-Length: 4\r\n\r\nlast",
+                self.id
+            )
+        };
+        let text = match end {
+            End::Error => head("500 Internal Server Error"),
+            End::Surplus => head("200 OK") + "surplus",
+            End::Noise => "no response\r\n\r\n".to_owned(),
+            _ => return false,
+        };
+        stream.write_all(text.as_bytes()).await.is_ok() && end.keeps_connection()
+    }
+
     /// Returns true if a fault of this probability happens now.
     fn has_fault(&self, percent: usize) -> bool {
         self.faults == Faults::Random && self.random.borrow_mut().percent(percent)
@@ -398,11 +446,11 @@
         let plan = CrashPlan::parse(name);
         let _run = self.replicas.runs.begin(name, &self.under_way);
         actix_rt::time::sleep(EVENT_INTERVAL).await;
-        if self.crashes_at(plan, Moment::BeforeHead).await {
-            return false;
+        if self.crashes_at(name, plan, Moment::BeforeHead).await {
+            return self.send_last(&id, plan, stream).await;
         }
         if target.starts_with("/calls/") {
-            return self.respond_to_call(&id, plan, stream).await;
+            return self.respond_to_call(&id, name, plan, stream).await;
         }
         let head = format!(
             "HTTP/1.1 200 OK\r\nLuglink-Request-Id: {id}\r\nLuglink-Signature: by-{}\r\n\
@@ -421,7 +469,7 @@
             } else {
                 Moment::MidStream
             };
-            if self.crashes_at(plan, moment).await {
+            if self.crashes_at(name, plan, moment).await {
                 return false;
             }
             if self.has_fault(BREAK_PERCENT) {
@@ -445,6 +493,7 @@
     async fn respond_to_call(
         &self,
         id: &str,
+        name: &str,
         plan: Option<CrashPlan>,
         stream: &mut TcpStream,
     ) -> bool {
@@ -457,7 +506,7 @@
             return false;
         }
         for moment in [Moment::BeforeEvents, Moment::MidStream] {
-            if self.crashes_at(plan, moment).await {
+            if self.crashes_at(name, plan, moment).await {
                 return false;
             }
         }
--- a/app/luglink/tests/stream_soak/runs.rs
+++ b/app/luglink/tests/stream_soak/runs.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Records the end of a replica that one request has caused after its run.
+    pub fn note_end_under(&self, name: &str, replica: (&str, u64)) {
+        if let Some(request) = self.0.borrow_mut().get_mut(name) {
+            request.ended.insert((replica.0.to_owned(), replica.1));
+        }
+    }
+
     /// Records that the gateway of an attempt was killed during which `ends` replicas ended.
     pub fn note_gateway_lost(&self, name: &str, ends: usize) {
         if let Some(request) = self.0.borrow_mut().get_mut(name) {
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -136,12 +136,13 @@
     }
 
     fn new(gateway: &Rc<Gateway>, inbound: &InboundRequest, backend: &Backend) -> Self {
-        let known_crashes = gateway.crashes_under(inbound.fingerprint);
+        let run = RunId(gateway.draw());
+        let known_crashes = gateway.possible_crashes(inbound.fingerprint, run);
         let lease = inbound.remaining() + LEASE_MARGIN;
         Self {
             report: RunReport {
                 request: inbound.fingerprint,
-                run: RunId(gateway.draw()),
+                run,
                 replica: backend.id.clone(),
                 incarnation: backend.incarnation,
                 known_crashes: u32::try_from(known_crashes).unwrap_or(u32::MAX),
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -50,8 +50,8 @@
     pub replica: BackendId,
     /// Its incarnation, as far as the gateway knew it.
     pub incarnation: Incarnation,
-    /// Number of crashes of the request that were known when the run began. It tells two ends of a
-    /// replica apart that restarts under the same identifier.
+    /// Number of crashes of the request, known or possible ones, when the run began. It tells two
+    /// ends of a replica apart that restarts under the same identifier.
     pub known_crashes: u32,
     /// Time from its first report for which the run may be under way, in milliseconds. After it, a
     /// run that was not reported as ended counts as a crash.
