Send the crash reports known to gateways to stores that have started

Callers saw: a request is sent on after its third end by a gateway that started after all stores had restarted. Cause: reports are kept in memory; a store that has started holds none, yet its empty answer counts towards the quorum that a new gateway asks. Nothing filled it again.

Change: each gateway that follows a store sees by the epoch that the store has started (or is followed for the first time) and sends it the reports that count and that it owns. Copies merge, so it does not matter how many gateways do so.

--- a/app/luglink/tests/stream_soak/lost_runs.rs
+++ b/app/luglink/tests/stream_soak/lost_runs.rs
@@ -12,6 +12,9 @@
 
 const FREEZE_DURATION: Duration = Duration::from_millis(800);
 
+/// Time within which gateways follow a store that has started.
+const REFILL_DURATION: Duration = Duration::from_secs(2);
+
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Attempts at another gateway, enough to end every replica.
@@ -84,6 +87,28 @@
     assert_eq!(fleet.replicas.runs.of(NAME).ends(), MAX_ENDS);
 }
 
+#[actix_rt::test]
+async fn a_gateway_that_starts_after_all_stores_restarted_knows_the_crashes_under_a_request() {
+    let fleet = Fleet::start(1, 2, Faults::None).await;
+    for attempt in 0..ATTEMPTS {
+        send(&fleet, 0, &format!("attempt-{attempt}")).await;
+    }
+    for store in fleet.stores.iter() {
+        store.signal(Signal::KILL);
+        store.wait_for_exit().await;
+        store.start_again();
+        actix_rt::time::sleep(REFILL_DURATION).await;
+    }
+    fleet.gateways[1].signal(Signal::KILL);
+    fleet.gateways[1].wait_for_exit().await;
+    fleet.gateways[1].start_again();
+    fleet.assert_all_gateways_serve().await;
+    for attempt in 0..ATTEMPTS {
+        send(&fleet, 1, &format!("later-{attempt}")).await;
+    }
+    assert_eq!(fleet.replicas.runs.of(NAME).ends(), MAX_ENDS);
+}
+
 #[actix_rt::test]
 async fn a_run_whose_gateway_was_lost_counts_among_the_crashes_under_its_request() {
     let fleet = Fleet::start(1, 2, Faults::None).await;
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -213,6 +213,9 @@
             Some(Some(response)) => {
                 gateway.merge_reports(&response.reports);
                 gateway.crashes.borrow_mut().note_followed(&name);
+                if response.position.epoch != position.epoch {
+                    actix_rt::spawn(refill(Rc::clone(&gateway), name.clone(), Rc::clone(&link)));
+                }
                 position = response.position;
             }
             Some(None) => {
@@ -228,6 +231,30 @@
     gateway.crashes.borrow_mut().note_lost(&name);
 }
 
+/// Sends the reports known here to a store that owns their requests. It has just started, or was not
+/// followed before, and may lack them.
+async fn refill(gateway: Rc<Gateway>, name: StoreName, link: Rc<StoreLink>) {
+    let counted: Vec<RunReport> = {
+        let crashes = gateway.crashes.borrow();
+        crashes.table.counted_reports().cloned().collect()
+    };
+    let is_owner = |request| {
+        let owners = gateway.turns.crash_owners(request);
+        owners.iter().any(|owner| Rc::ptr_eq(owner, &link))
+    };
+    let mut sent: u32 = 0;
+    for report in counted.iter().filter(|report| is_owner(report.request)) {
+        let request = CrashRequest::Record(report.clone());
+        if link.exchange_crashes(&request).await.is_none() {
+            break;
+        }
+        sent += 1;
+    }
+    if sent > 0 {
+        tracing::info!(store = %name, sent, "sent crash reports to a store that may lack them");
+    }
+}
+
 impl TurnClient {
     /// Returns the links to the stores that own the crash reports of a request.
     fn crash_owners(&self, request: RequestFingerprint) -> Vec<Rc<StoreLink>> {
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -219,6 +219,12 @@
         runs.map(|run| &run.report)
     }
 
+    /// Returns the reports that count.
+    pub fn counted_reports(&self) -> impl Iterator<Item = &RunReport> {
+        self.all_reports()
+            .filter(|report| report.state != RunState::Cleared)
+    }
+
     /// Returns the replicas that other requests with earlier crashes are running at.
     pub fn replicas_with_other_suspects(
         &self,
