Tell runs that see one end of a replica from runs that see two

Callers saw: a request refused for good after one or two ends, where several runs of it were at a replica that ended later. Cause: since possible ends are counted too, each run one after the other had a key of its own, also at a process that had ended only once.

Change: a run shares the number of a run that is under way or in doubt at the same replica and incarnation, unless this gateway has seen a break there and no connection from before it is open: then the process may have been replaced.

--- a/crates/gateway-server/src/doubtful_runs.rs
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -30,6 +30,7 @@
 #[derive(Clone, Debug)]
 struct DoubtfulRun {
     report: RunReport,
+    reason: DoubtReason,
     /// Time at which the run ended for the gateway.
     since: Instant,
     /// Connections to the replica that were open then.
@@ -142,6 +143,7 @@
             let survived_from = since + reason.survival_time();
             self.0.push(DoubtfulRun {
                 report,
+                reason,
                 since,
                 witnesses,
                 survived_from,
@@ -162,6 +164,21 @@
         self.0.iter().any(|run| run.report.request == request)
     }
 
+    /// Returns true if the process that a run of this request was at, which is in doubt, may have been
+    /// replaced by another one of the same replica. `is_open_since` tells whether a connection
+    /// opened before a time is still open.
+    pub(crate) fn may_be_replaced(
+        &self,
+        request: RequestFingerprint,
+        replica: &BackendId,
+        is_open_since: impl Fn(Instant) -> bool,
+    ) -> bool {
+        let mut latest_first = self.0.iter().rev();
+        let latest = latest_first.find(|run| run.report.request == request && run.is_at(replica));
+        // Nothing but a break suggests that the process has ended meanwhile.
+        latest.is_some_and(|run| run.reason != DoubtReason::GivenUp && !is_open_since(run.since))
+    }
+
     /// Removes and returns the runs at replicas that have ended.
     pub(crate) fn take_at(&mut self, ended: &[BackendId]) -> Vec<RunReport> {
         self.take(|run| ended.contains(&run.report.replica))
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -137,7 +137,7 @@
 
     fn new(gateway: &Rc<Gateway>, inbound: &InboundRequest, backend: &Backend) -> Self {
         let run = RunId(gateway.draw());
-        let known_crashes = gateway.possible_crashes(inbound.fingerprint, run);
+        let known_crashes = gateway.known_crashes(inbound.fingerprint, run, backend);
         let lease = inbound.remaining() + LEASE_MARGIN;
         Self {
             report: RunReport {
@@ -145,7 +145,7 @@
                 run,
                 replica: backend.id.clone(),
                 incarnation: backend.incarnation,
-                known_crashes: u32::try_from(known_crashes).unwrap_or(u32::MAX),
+                known_crashes,
                 lease_ms: milliseconds(lease),
                 state: RunState::Started,
             },
@@ -354,6 +354,25 @@
         );
     }
 
+    /// Returns the number of crashes, known or possible ones, before the process that a new run is
+    /// sent to started. It is the same for all runs that would see one end of that process.
+    fn known_crashes(&self, request: RequestFingerprint, run: RunId, backend: &Backend) -> u32 {
+        let crashes = self.crashes.borrow();
+        let is_open_since = |time| self.upstream.has_open_since(&backend.id, time);
+        let doubtful = &crashes.doubtful;
+        let may_be_replaced = doubtful.may_be_replaced(request, &backend.id, is_open_since);
+        let under_way = crashes
+            .table
+            .run_under_way(request, &backend.id, backend.incarnation);
+        match under_way.filter(|_| !may_be_replaced) {
+            Some(earlier) => earlier.known_crashes,
+            None => {
+                let possible = crashes.table.possible_crashes(request, run);
+                u32::try_from(possible).unwrap_or(u32::MAX)
+            }
+        }
+    }
+
     /// Returns true if the crashes under a request may yet turn out to be fewer than the limit.
     fn may_settle_below_limit(&self, request: RequestFingerprint) -> bool {
         let crashes = self.crashes.borrow();
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -50,8 +50,8 @@
     pub replica: BackendId,
     /// Its incarnation, as far as the gateway knew it.
     pub incarnation: Incarnation,
-    /// Number of crashes of the request, known or possible ones, when the run began. It tells two
-    /// ends of a replica apart that restarts under the same identifier.
+    /// Number of crashes of the request, known or possible ones, before the replica's process started.
+    /// It tells two ends of a replica apart that restarts under the same identifier.
     pub known_crashes: u32,
     /// Time from its first report for which the run may be under way, in milliseconds. After it, a
     /// run that was not reported as ended counts as a crash.
@@ -219,6 +219,21 @@
         runs.map(|run| &run.report)
     }
 
+    /// Returns a run of a request at a replica that may still be under way or in doubt.
+    #[must_use]
+    pub fn run_under_way(
+        &self,
+        request: RequestFingerprint,
+        replica: &BackendId,
+        incarnation: Incarnation,
+    ) -> Option<&RunReport> {
+        let mut reports = self.reports(request);
+        reports.find(|report| {
+            let is_at_replica = report.replica == *replica && report.incarnation == incarnation;
+            report.state == RunState::Started && is_at_replica
+        })
+    }
+
     /// Returns the reports that count.
     pub fn counted_reports(&self) -> impl Iterator<Item = &RunReport> {
         self.all_reports()
