Look at the process of a run when it is sent, not when it begins

Callers saw: one send after the third end, where a replica restarts at once under its identifier between the decision on a resumption and its send. Cause: whether a run is at the process of an earlier one was decided when the run began; the pooled connection that showed it was closed before the send, which went over a new connection to the next process. Both ends then had one key.

Change: the number is determined again each time the request is sent over a connection.

--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -19,7 +19,7 @@
 use luglink_http::ConnectionState;
 use luglink_telemetry::milliseconds;
 use luglink_turns::{CRASH_RETENTION, MAX_CRASHES, RequestFingerprint, RunId, RunReport, RunState};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -44,7 +44,8 @@
 /// Run of a request at a replica. Dropping it means that the request was given up.
 pub(crate) struct Run {
     gateway: Rc<Gateway>,
-    report: RunReport,
+    backend: Backend,
+    report: RefCell<RunReport>,
     is_announced: Rc<Cell<bool>>,
     is_sent: Cell<bool>,
     is_over: Cell<bool>,
@@ -115,14 +116,15 @@
                 return Err(Failure::CrashLimit);
             }
             let run = Self::new(gateway, inbound, backend);
-            let others = gateway.possible_crashes(request, run.report.run);
+            let id = run.report.borrow().run;
+            let others = gateway.possible_crashes(request, id);
             if others == 0 {
                 return Ok(run.begun());
             }
             if others < MAX_CRASHES {
                 run.announce().await;
                 actix_rt::time::sleep(ANNOUNCED_CHECK_INTERVAL).await;
-                if gateway.possible_crashes(request, run.report.run) < MAX_CRASHES {
+                if gateway.possible_crashes(request, id) < MAX_CRASHES {
                     return Ok(run.begun());
                 }
                 run.survived();
@@ -140,7 +142,7 @@
         let known_crashes = gateway.known_crashes(inbound.fingerprint, run, backend);
         let lease = inbound.remaining() + LEASE_MARGIN;
         Self {
-            report: RunReport {
+            report: RefCell::new(RunReport {
                 request: inbound.fingerprint,
                 run,
                 replica: backend.id.clone(),
@@ -148,7 +150,8 @@
                 known_crashes,
                 lease_ms: milliseconds(lease),
                 state: RunState::Started,
-            },
+            }),
+            backend: backend.clone(),
             gateway: Rc::clone(gateway),
             is_announced: Rc::default(),
             is_sent: Cell::new(false),
@@ -158,34 +161,40 @@
 
     fn begun(self) -> Self {
         let mut crashes = self.gateway.crashes.borrow_mut();
-        crashes.begin(&self.report, &self.is_announced);
+        crashes.begin(&self.report.borrow(), &self.is_announced);
         drop(crashes);
         self
     }
 
     async fn announce(&self) {
         self.is_announced.set(true);
-        self.gateway.report_run(&self.report).await;
+        let report = self.report.borrow().clone();
+        self.gateway.report_run(&report).await;
     }
 
     /// Announces the run at a replica that has long sent nothing, so that it counts if the gateway is
     /// lost too.
     pub(crate) fn note_stalled(&self) {
         if !self.is_announced.replace(true) {
-            self.gateway
-                .send_reports(std::slice::from_ref(&self.report));
+            let report = self.report.borrow();
+            self.gateway.send_reports(std::slice::from_ref(&report));
         }
     }
 
-    /// Records that the request is being sent.
+    /// Records that the request is being sent. The connection may be a new one, to another process
+    /// than an earlier run was at.
     pub(crate) fn note_sent(&self) {
         self.is_sent.set(true);
+        let mut report = self.report.borrow_mut();
+        report.known_crashes =
+            self.gateway
+                .known_crashes(report.request, report.run, &self.backend);
     }
 
     /// Ends the run with the whole response of a request that succeeded.
     pub(crate) fn answered(&self) {
         self.end();
-        let request = self.report.request;
+        let request = self.report.borrow().request;
         let now = self.gateway.now();
         let cleared = self.gateway.crashes.borrow_mut().clear(request, now);
         self.gateway.send_reports(&cleared);
@@ -196,7 +205,7 @@
         self.end();
         if self.is_announced.get() {
             self.gateway
-                .send_reports(&[in_state(&self.report, RunState::Cleared)]);
+                .send_reports(&[in_state(&self.report.borrow(), RunState::Cleared)]);
         }
     }
 
@@ -205,7 +214,7 @@
     pub(crate) async fn doubted(&self, reason: DoubtReason) {
         self.end();
         let gateway = Rc::clone(&self.gateway);
-        let report = self.report.clone();
+        let report = self.report.borrow().clone();
         // The task goes on if the caller disconnects.
         let reporting = actix_rt::spawn(async move {
             gateway.doubt(&report, reason);
@@ -221,7 +230,7 @@
     pub(crate) async fn broke(&self) {
         self.end();
         let gateway = Rc::clone(&self.gateway);
-        let report = self.report.clone();
+        let report = self.report.borrow().clone();
         // The task goes on if the caller disconnects.
         let confirming = actix_rt::spawn(confirm_crash(gateway, report));
         if let Err(error) = confirming.await {
@@ -242,7 +251,7 @@
 
     fn end(&self) {
         self.is_over.set(true);
-        self.gateway.crashes.borrow_mut().end(&self.report);
+        self.gateway.crashes.borrow_mut().end(&self.report.borrow());
     }
 
     /// Gives up the run. The replica may go on with it.
@@ -251,9 +260,9 @@
             return self.survived();
         }
         self.end();
-        self.gateway.doubt(&self.report, DoubtReason::GivenUp);
-        self.gateway
-            .send_reports(std::slice::from_ref(&self.report));
+        let report = self.report.borrow();
+        self.gateway.doubt(&report, DoubtReason::GivenUp);
+        self.gateway.send_reports(std::slice::from_ref(&report));
     }
 }
 
@@ -361,9 +370,10 @@
         let is_open_since = |time| self.upstream.has_open_since(&backend.id, time);
         let doubtful = &crashes.doubtful;
         let may_be_replaced = doubtful.may_be_replaced(request, &backend.id, is_open_since);
-        let under_way = crashes
-            .table
-            .run_under_way(request, &backend.id, backend.incarnation);
+        let under_way =
+            crashes
+                .table
+                .run_under_way(request, run, (&backend.id, backend.incarnation));
         match under_way.filter(|_| !may_be_replaced) {
             Some(earlier) => earlier.known_crashes,
             None => {
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -219,17 +219,18 @@
         runs.map(|run| &run.report)
     }
 
-    /// Returns a run of a request at a replica that may still be under way or in doubt.
+    /// Returns a run of a request, other than `except`, at a replica that may still be under way or in
+    /// doubt.
     #[must_use]
     pub fn run_under_way(
         &self,
         request: RequestFingerprint,
-        replica: &BackendId,
-        incarnation: Incarnation,
+        except: RunId,
+        replica: (&BackendId, Incarnation),
     ) -> Option<&RunReport> {
-        let mut reports = self.reports(request);
-        reports.find(|report| {
-            let is_at_replica = report.replica == *replica && report.incarnation == incarnation;
+        let mut others = self.reports(request).filter(|report| report.run != except);
+        others.find(|report| {
+            let is_at_replica = (&report.replica, report.incarnation) == replica;
             report.state == RunState::Started && is_at_replica
         })
     }
