Wait for the record of a doubt only while the caller has time left

Change: that wait ends with the caller's time. The record is still sent, and a caller without time left makes no next attempt that could be ahead of it.

--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -110,7 +110,7 @@
         Ok(answered) => answered,
         Err(failure) => {
             note_failure(gateway, backend, failure);
-            run.failed(failure).await;
+            run.failed(failure, inbound).await;
             return Err(failure);
         }
     };
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -210,8 +210,8 @@
     }
 
     /// Ends a run after which the replica may end. Returns once the turn stores know of the doubt, or
-    /// do not respond.
-    pub(crate) async fn doubted(&self, reason: DoubtReason) {
+    /// do not respond, or the caller's time is over.
+    pub(crate) async fn doubted(&self, reason: DoubtReason, inbound: &InboundRequest) {
         self.end();
         let gateway = Rc::clone(&self.gateway);
         let report = self.report.borrow().clone();
@@ -220,7 +220,8 @@
             gateway.doubt(&report, reason);
             gateway.report_run(&report).await;
         });
-        if let Err(error) = reporting.await {
+        let reporting = actix_rt::time::timeout(inbound.remaining(), reporting);
+        if let Ok(Err(error)) = reporting.await {
             tracing::error!(%error, "recording a run in doubt failed");
         }
     }
@@ -239,13 +240,13 @@
     }
 
     /// Ends the run of a failed send.
-    pub(crate) async fn failed(&self, failure: Failure) {
+    pub(crate) async fn failed(&self, failure: Failure, inbound: &InboundRequest) {
         match failure.outcome() {
             SendOutcome::NotSent | SendOutcome::Declined => self.survived(),
             _ if failure == Failure::Broken => self.broke().await,
             // The caller has no time left to wait for the stores.
             _ if failure == Failure::NoAnswerInTime => {}
-            _ => self.doubted(DoubtReason::Failed(failure)).await,
+            _ => self.doubted(DoubtReason::Failed(failure), inbound).await,
         }
     }
 
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -279,7 +279,7 @@
                         ..
                     } = source;
                     if lease.has_surplus().await {
-                        run.doubted(DoubtReason::Surplus).await;
+                        run.doubted(DoubtReason::Surplus, &self.inbound).await;
                     } else {
                         run.answered();
                     }
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -146,15 +146,15 @@
             return Err(Failure::CutAnswer);
         }
         Ok(Err(AnswerFailure::MemoryLimit)) => {
-            run.doubted(DoubtReason::TooLong).await;
+            run.doubted(DoubtReason::TooLong, inbound).await;
             return Err(Failure::CutAnswer);
         }
         Err(_) => return Err(Failure::NoAnswerInTime),
     };
     if lease.has_surplus().await {
-        run.doubted(DoubtReason::Surplus).await;
+        run.doubted(DoubtReason::Surplus, inbound).await;
     } else if head.status.is_server_error() {
-        run.doubted(DoubtReason::ServerError).await;
+        run.doubted(DoubtReason::ServerError, inbound).await;
     } else if head.status.is_success() {
         run.answered();
     } else {
