Do not take a connection that a probe has ended for an end of its replica

Callers saw: requests that only timed out at a living replica were refused for ten minutes. Cause: a probe asks for a report over a pooled connection. A replica that answers it by closing the connection ended the last witness of the run in doubt, and the probe then counted all witnesses as ended.

Change: the witnesses are looked at before the first probe.

--- a/crates/gateway-server/src/doubtful_runs.rs
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -39,6 +39,8 @@
     survived_from: Instant,
     next_probe: Instant,
     probe_delay: Duration,
+    /// True if the witnesses had ended before the first probe, which can end one itself.
+    had_witnesses_ended: Option<bool>,
 }
 
 impl DoubtfulRun {
@@ -48,8 +50,8 @@
         opened_at < self.since && alive_at >= self.survived_from
     }
 
-    /// Returns true if the server ended all connections that were open after the run, as far as
-    /// they were not closed here.
+    /// Returns true if the server ended the connections that were open after the run, as far as they
+    /// were not closed here.
     fn have_witnesses_ended(&self) -> bool {
         let is_any_open = self.witnesses.iter().any(ConnectionState::is_open);
         let mut ends = self.witnesses.iter().map(ConnectionState::ended_by_server);
@@ -162,6 +164,7 @@
                 survived_from,
                 next_probe: survived_from + PROBE_MARGIN,
                 probe_delay: reason.survival_time(),
+                had_witnesses_ended: None,
             });
         }
         has_room
@@ -215,6 +218,9 @@
             .retain(|run| now.duration_since(run.since) < CRASH_RETENTION);
         let mut due = Vec::new();
         for run in self.0.iter_mut().filter(|run| run.next_probe <= now) {
+            if run.had_witnesses_ended.is_none() {
+                run.had_witnesses_ended = Some(run.have_witnesses_ended());
+            }
             run.probe_delay = (run.probe_delay * 2).min(MAX_PROBE_DELAY);
             run.next_probe = now + run.probe_delay;
             due.push(run.report.replica.clone());
@@ -269,12 +275,12 @@
                 return Some(false);
             }
             let is_same = is_comparable || opened_at < run.since;
-            is_late.then(|| is_same || !run.have_witnesses_ended())
+            is_late.then_some(is_same || run.had_witnesses_ended != Some(true))
         }
         ProbeResult::Unidentified => {
             let is_any_open = run.witnesses.iter().any(ConnectionState::is_open);
             (is_late && is_any_open).then_some(true)
         }
-        ProbeResult::Accepted => is_late.then(|| !run.have_witnesses_ended()),
+        ProbeResult::Accepted => is_late.then_some(run.had_witnesses_ended != Some(true)),
     }
 }
--- a/crates/gateway-server/tests/gateway/unseen_ends.rs
+++ b/crates/gateway-server/tests/gateway/unseen_ends.rs
@@ -229,3 +229,34 @@
     a_call_is_served_after_unsigned_responses_of_living_replicas: Unsigned;
     a_call_is_served_after_silence_of_living_replicas: Mute;
 }
+
+/// Number of requests that time out one after the other.
+const TIMEOUTS: usize = 6;
+
+#[actix_rt::test]
+async fn a_probe_that_ends_the_only_connection_to_a_living_replica_is_no_end_of_it() {
+    let replica = Replica::start("r0", Script::Answer).await;
+    let fleet = Fleet::start(vec![replica.clone()]).await;
+    fleet.configure(&configuration(1)).await;
+    let gateway = fleet.gateway_address;
+    for number in 0..TIMEOUTS {
+        replica.set_script(Script::Answer);
+        let (one, two) = (format!("one-{number}"), format!("two-{number}"));
+        // Leaves an idle connection beside the one of the request that times out.
+        let idle = TestRequest::get("/safe/idle", &one).send(gateway);
+        let other = TestRequest::get("/safe/idle", &two).send(gateway);
+        tokio::join!(idle, other);
+        replica.set_script(Script::Mute);
+        let response = call(&format!("late-{number}")).send(gateway).await;
+        assert!(!is_refused_for_good(&response), "{number}: {response:?}");
+        actix_rt::time::sleep(PROBE_DURATION).await;
+    }
+    replica.set_script(Script::Answer);
+    wait_until("the request is served", || async {
+        call("served").send(gateway).await.status == 200
+    })
+    .await;
+}
+
+/// Time within which a replica that gives no sign is probed.
+const PROBE_DURATION: Duration = Duration::from_millis(1_500);
