Give a run a number of its own once the end of its replica's process is known

Callers saw: a fourth end where replicas restart at once under their identifier. Cause: a run shared the number of another run in doubt at the same replica, although that end had been confirmed by a third run in the meantime; the replica was a new process then, and its end counted as the known one.

--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -220,7 +220,7 @@
     }
 
     /// Returns a run of a request, other than `except`, at a replica that may still be under way or in
-    /// doubt.
+    /// doubt, unless the end that it would see is known already.
     #[must_use]
     pub fn run_under_way(
         &self,
@@ -228,11 +228,18 @@
         except: RunId,
         replica: (&BackendId, Incarnation),
     ) -> Option<&RunReport> {
-        let mut others = self.reports(request).filter(|report| report.run != except);
-        others.find(|report| {
-            let is_at_replica = (&report.replica, report.incarnation) == replica;
-            report.state == RunState::Started && is_at_replica
-        })
+        let at_replica: Vec<&RunReport> = self
+            .reports(request)
+            .filter(|report| (&report.replica, report.incarnation) == replica)
+            .collect();
+        let is_end_known = |run: &RunReport| {
+            at_replica.iter().any(|other| {
+                other.state == RunState::Crashed && other.known_crashes == run.known_crashes
+            })
+        };
+        let mut others = at_replica.iter().filter(|report| report.run != except);
+        let under_way = others.find(|run| run.state == RunState::Started && !is_end_known(run));
+        under_way.copied()
     }
 
     /// Returns the reports that count.
