--- a/app/luglink/tests/stream_soak/crash_plan.rs
+++ b/app/luglink/tests/stream_soak/crash_plan.rs
@@ -9,6 +9,9 @@
 /// Time between what the gateway receives and the end of the process.
 const END_DELAY: Duration = Duration::from_millis(200);
 
+/// The same for an end that comes later than the time after which a replica first counts as in order.
+pub const LATE_END_DELAY: Duration = Duration::from_millis(700);
+
 /// Moment of a run at which the replica ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Moment {
@@ -30,6 +33,8 @@
     InTurn,
     /// The connection of the request closes, the process ends later.
     Late,
+    /// The same, but the process ends later still.
+    Later,
     /// A whole server error, then the process ends.
     Error,
     /// Bytes that are no response, then the process ends.
@@ -44,6 +49,7 @@
         match self {
             Self::Exit | Self::Reset | Self::Silence | Self::Deaf => Duration::ZERO,
             Self::InTurn => CLOSE_INTERVAL,
+            Self::Later => LATE_END_DELAY,
             Self::Late | Self::Error | Self::Noise | Self::Surplus => END_DELAY,
         }
     }
@@ -82,10 +88,11 @@
 ];
 
 /// Ends that do not close all connections at once.
-const GRADUAL_ENDS: [(&str, End); 6] = [
+const GRADUAL_ENDS: [(&str, End); 7] = [
     ("deaf", End::Deaf),
     ("turn", End::InTurn),
     ("late", End::Late),
+    ("later", End::Later),
     ("error", End::Error),
     ("noise", End::Noise),
     ("surplus", End::Surplus),
--- a/app/luglink/tests/stream_soak/crashing.rs
+++ b/app/luglink/tests/stream_soak/crashing.rs
@@ -9,10 +9,12 @@
 use crate::replicas::Faults;
 use crate::runs::MAX_ENDS;
 use http_body_util::BodyExt;
+use rustix::process::Signal;
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
 
 /// Seeds of every test run. One of them has many gateways.
 const DEFAULT_SEEDS: std::ops::Range<u64> = 9..12;
@@ -39,6 +41,15 @@
 /// Maximum number of innocent requests that are refused as crashing, of all beside an end.
 const MAX_REFUSED_BESIDE_END: f64 = 0.1;
 
+/// Probability that the gateway of an attempt at a bad request is killed with the next replica, in
+/// percent.
+const AIMED_KILL_PERCENT: usize = 15;
+
+/// Time for which such a gateway stays away.
+const AIMED_KILL_PAUSE: Duration = Duration::from_millis(300);
+
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Result of one attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
@@ -54,10 +65,8 @@
     bad_requests: usize,
     bad_runs: usize,
     bad_ends: usize,
-    /// Runs of bad requests after the third end.
-    after_limit: usize,
-    /// Those after the third end that processes can know of, by name.
-    after_known_limit: Vec<String>,
+    /// Requests of the runs after the third end, by name.
+    after_limit: Vec<String>,
     bad_refused: usize,
     whole: usize,
     lost: usize,
@@ -75,9 +84,7 @@
         self.bad_requests += other.bad_requests;
         self.bad_runs += other.bad_runs;
         self.bad_ends += other.bad_ends;
-        self.after_limit += other.after_limit;
-        self.after_known_limit
-            .extend_from_slice(&other.after_known_limit);
+        self.after_limit.extend_from_slice(&other.after_limit);
         self.bad_refused += other.bad_refused;
         self.whole += other.whole;
         self.lost += other.lost;
@@ -92,15 +99,13 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "{} bad: {} runs, {} ends, {} refused, after the third end {}, after the third known end \
-             {}; innocent: {} whole, {} lost, {} of {} beside an end whole, {} refused, of them \
+            "{} bad: {} runs, {} ends, {} refused, after the third end {}; innocent: {} whole, {} lost, {} of {} beside an end whole, {} refused, of them \
              before the third end {}",
             self.bad_requests,
             self.bad_runs,
             self.bad_ends,
             self.bad_refused,
-            self.after_limit,
-            self.after_known_limit.len(),
+            self.after_limit.len(),
             self.whole,
             self.lost,
             self.beside_ends_whole,
@@ -176,14 +181,15 @@
         received.discard_partial_event();
         let gateway = self.random.below(self.fleet.addresses.len());
         let name = path.split_once('?').map_or("", |(_, name)| name).to_owned();
-        let runs = self.fleet.replicas.runs.clone();
-        let processes = Rc::clone(&self.fleet.gateways);
-        let (kills, ends) = (processes[gateway].kills(), runs.of(&name).ends());
-        let outcome = self.exchange(gateway, path, request, left, received).await;
-        if processes[gateway].kills() != kills {
-            runs.note_gateway_lost(&name, runs.of(&name).ends() - ends);
+        let is_aimed = self.is_bad && self.random.percent(AIMED_KILL_PERCENT);
+        let over = CancellationToken::new();
+        if is_aimed {
+            let killing = kill_with_replica(self.fleet.clone(), gateway, name);
+            let over = over.clone();
+            actix_rt::spawn(async move { over.run_until_cancelled_owned(killing).await });
         }
-        outcome
+        let _over = over.drop_guard();
+        self.exchange(gateway, path, request, left, received).await
     }
 
     async fn exchange(
@@ -230,9 +236,8 @@
         report.bad_runs += runs.runs;
         report.bad_ends += runs.ends();
         report.bad_refused += usize::from(runs.ends() >= MAX_ENDS);
-        report.after_limit += runs.runs_after_limit;
-        let sent_on = (0..runs.runs_after_known_limit).map(|_| name.to_owned());
-        report.after_known_limit.extend(sent_on);
+        let sent_on = (0..runs.runs_after_limit).map(|_| name.to_owned());
+        report.after_limit.extend(sent_on);
     }
 
     fn judge_innocent(&self, name: &str, outcome: Outcome) {
@@ -254,6 +259,17 @@
     }
 }
 
+/// Kills a gateway as soon as the next replica ends under a request, and starts it again.
+async fn kill_with_replica(fleet: Fleet, gateway: usize, name: String) {
+    let ends = fleet.replicas.runs.of(&name).ends();
+    while fleet.replicas.runs.of(&name).ends() == ends {
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
+    actix_rt::spawn(async move {
+        chaos::restart(&fleet.gateways[gateway], Signal::KILL, AIMED_KILL_PAUSE).await;
+    });
+}
+
 /// Returns the report of one seed.
 async fn soak(seed: u64, ends: Ends) -> Report {
     let fleet = Fleet::start(seed, crate::gateways(seed), Faults::Random).await;
@@ -287,7 +303,7 @@
     for seed in crate::seeds(DEFAULT_SEEDS) {
         let report = soak(seed, ends).await;
         println!("seed {seed}: {report}");
-        for name in report.after_known_limit.iter().chain(&report.refused_early) {
+        for name in report.after_limit.iter().chain(&report.refused_early) {
             println!("seed {seed}: {name}");
         }
         assert!(report.whole > 0, "seed {seed}: {report}");
@@ -295,7 +311,7 @@
     }
     println!("all seeds: {total}");
     assert!(total.bad_refused > 0, "{total}");
-    assert_eq!(total.after_known_limit, Vec::<String>::new(), "{total}");
+    assert_eq!(total.after_limit, Vec::<String>::new(), "{total}");
     let refused = total.innocent_refused as f64 / total.beside_ends.max(1) as f64;
     assert!(refused <= MAX_REFUSED_BESIDE_END, "{total}");
 }
--- a/app/luglink/tests/stream_soak/fleet.rs
+++ b/app/luglink/tests/stream_soak/fleet.rs
@@ -47,7 +47,6 @@
     child: RefCell<Option<Child>>,
     /// Identifier of the process while it runs, also while its end is awaited.
     pid: Cell<Option<Pid>>,
-    kills: Cell<u32>,
     /// Time of the latest signal to the process, or of its latest start.
     pub disturbed_at: Cell<Instant>,
 }
@@ -67,7 +66,6 @@
             settings,
             child: RefCell::default(),
             pid: Cell::default(),
-            kills: Cell::default(),
             disturbed_at: Cell::new(Instant::now()),
         }
     }
@@ -110,17 +108,9 @@
         self.disturbed_at.set(Instant::now());
     }
 
-    /// Returns how often the process was killed.
-    pub fn kills(&self) -> u32 {
-        self.kills.get()
-    }
-
     /// Sends a signal to the process, if it runs.
     pub fn signal(&self, signal: Signal) {
         self.disturbed_at.set(Instant::now());
-        if signal == Signal::KILL {
-            self.kills.set(self.kills.get() + 1);
-        }
         if let Some(pid) = self.pid.get() {
             kill_process(pid, signal).expect("the signal is sent");
         }
--- a/app/luglink/tests/stream_soak/runs.rs
+++ b/app/luglink/tests/stream_soak/runs.rs
@@ -14,11 +14,8 @@
     /// Replicas that ended under the request, with their start times. A replica that has ended
     /// silently counts for requests that are sent to it later too.
     ended: BTreeSet<(String, u64)>,
-    /// Ends during attempts whose gateway was killed, which no other process can know of.
-    unknown_ends: usize,
+    /// Runs that began after the third end.
     pub runs_after_limit: usize,
-    /// Runs after the third end that processes can know of.
-    pub runs_after_known_limit: usize,
 }
 
 impl RequestRuns {
@@ -55,10 +52,7 @@
             let mut requests = self.0.borrow_mut();
             let request = requests.entry(name.to_owned()).or_default();
             request.runs += 1;
-            let ends = request.ends();
-            request.runs_after_limit += usize::from(ends >= MAX_ENDS);
-            let known_ends = ends - request.unknown_ends.min(ends);
-            request.runs_after_known_limit += usize::from(known_ends >= MAX_ENDS);
+            request.runs_after_limit += usize::from(request.ends() >= MAX_ENDS);
         }
         *under_way.borrow_mut().entry(name.to_owned()).or_default() += 1;
         RunGuard {
@@ -85,13 +79,6 @@
         }
     }
 
-    /// Records that the gateway of an attempt was killed during which `ends` replicas ended.
-    pub fn note_gateway_lost(&self, name: &str, ends: usize) {
-        if let Some(request) = self.0.borrow_mut().get_mut(name) {
-            request.unknown_ends += ends;
-        }
-    }
-
     pub fn of(&self, name: &str) -> RequestRuns {
         let requests = self.0.borrow();
         requests.get(name).cloned().unwrap_or_default()
