Count runs under way at a replica of the soak one by one

Cause: the soak counted the runs of a request at a replica by its name, and the end of the replica took the whole count away, so the end of an older run took away one of a newer run, below zero in the end.

Change: each run is kept by a number of its own.

--- a/app/luglink/tests/stream_soak/runs.rs
+++ b/app/luglink/tests/stream_soak/runs.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Number of ends under a request after which no replica may get it.
 pub const MAX_ENDS: usize = 3;
@@ -29,20 +30,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct Runs(Rc<RefCell<BTreeMap<String, RequestRuns>>>);
 
-/// Numbers of runs under way at one replica, by request.
-pub type UnderWay = Rc<RefCell<BTreeMap<String, usize>>>;
+/// Requests of the runs under way at one replica, by the number of the run.
+pub type UnderWay = Rc<RefCell<BTreeMap<u64, String>>>;
+
+static NEXT_RUN: AtomicU64 = AtomicU64::new(0);
 
 /// Counts a run as under way until it is dropped.
 pub struct RunGuard {
-    name: String,
+    run: u64,
     under_way: UnderWay,
 }
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        if let Some(count) = self.under_way.borrow_mut().get_mut(&self.name) {
-            *count -= 1;
-        }
+        self.under_way.borrow_mut().remove(&self.run);
     }
 }
 
@@ -54,9 +55,10 @@
             request.runs += 1;
             request.runs_after_limit += usize::from(request.ends() >= MAX_ENDS);
         }
-        *under_way.borrow_mut().entry(name.to_owned()).or_default() += 1;
+        let run = NEXT_RUN.fetch_add(1, Ordering::Relaxed);
+        under_way.borrow_mut().insert(run, name.to_owned());
         RunGuard {
-            name: name.to_owned(),
+            run,
             under_way: Rc::clone(under_way),
         }
     }
@@ -65,8 +67,8 @@
     pub fn note_end(&self, replica: (&str, u64), under_way: &UnderWay) {
         let mut requests = self.0.borrow_mut();
         let ended = std::mem::take(&mut *under_way.borrow_mut());
-        for (name, _) in ended.into_iter().filter(|(_, count)| *count > 0) {
-            if let Some(request) = requests.get_mut(&name) {
+        for name in ended.values() {
+            if let Some(request) = requests.get_mut(name) {
                 request.ended.insert((replica.0.to_owned(), replica.1));
             }
         }
