Keep the runs under way of each gateway at turn stores, and reports of runs on disk

Cause: a store held only reports of runs that had failed or followed a crash, in memory. A first run that was lost with its gateway, and every report after a restart of all stores and gateways, was known to nobody.

Change: a gateway tells a store which runs it has begun and ended, several in one message. The parts 9 to 12 of the messages are new; older builds do not read them.

Gateways do not send announcements yet.

--- a/crates/store-server/src/metrics.rs
+++ b/crates/store-server/src/metrics.rs
@@ -27,6 +27,10 @@
     pub(crate) origins: Gauge,
     /// Requests with reports of replicas that ended while running them.
     pub(crate) crash_reports: Gauge,
+    /// Runs under way at gateways.
+    pub(crate) runs_under_way: Gauge,
+    /// Runs in doubt because their gateways were lost.
+    pub(crate) lost_runs: IntCounter,
 }
 
 impl StoreMetrics {
@@ -56,6 +60,11 @@
                 "store_crash_reports",
                 "Requests with reports of replicas that ended while running them",
             )?,
+            runs_under_way: registry.gauge("store_runs_under_way", "Runs under way at gateways")?,
+            lost_runs: registry.counter(
+                "store_lost_runs_total",
+                "Runs in doubt because their gateways were lost",
+            )?,
             registry,
         })
     }
@@ -85,6 +94,8 @@
 pub(crate) fn crash_request_kind(request: &CrashRequest) -> &'static str {
     match request {
         CrashRequest::Record(_) => "record_crash",
+        CrashRequest::RecordDoubt(_) => "record_doubt",
+        CrashRequest::Update(_) => "update_runs",
         CrashRequest::Find(_) => "find_crashes",
         CrashRequest::Follow(_) => "follow_crashes",
     }
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -70,6 +70,8 @@
     peers: Peers,
     /// Gateways that wait for crash reports.
     followers: RefCell<Followers>,
+    /// Clients that the latest update of each gateway's session came from.
+    sessions: RefCell<BTreeMap<u64, u64>>,
     /// Requests handled since the last flush.
     unflushed_requests: Cell<u32>,
     /// Wakes the task that flushes.
@@ -119,6 +121,7 @@
         clients: RefCell::default(),
         peers: Peers::default(),
         followers: RefCell::default(),
+        sessions: RefCell::default(),
         unflushed_requests: Cell::new(0),
         flush_needed: Notify::new(),
         metrics,
@@ -210,6 +213,7 @@
     loop {
         actix_rt::time::sleep(TICK_INTERVAL).await;
         shared.node.borrow_mut().tick(now());
+        shared.note_run_events();
         shared.update_gauges();
         shared.answer_followers();
         shared.flush_needed.notify_one();
@@ -226,6 +230,7 @@
         self.metrics.origins.set(node.origin_count() as f64);
         let crash_reports = node.crash_report_count();
         self.metrics.crash_reports.set(crash_reports as f64);
+        self.metrics.runs_under_way.set(node.run_count() as f64);
     }
 
     fn on_socket(self: &Rc<Self>, event: ListenerEvent) {
@@ -247,6 +252,7 @@
             ListenerEvent::Closed { connection } => {
                 self.clients.borrow_mut().remove(&connection);
                 self.followers.borrow_mut().remove(connection);
+                self.end_session_of(connection);
             }
         }
     }
@@ -315,8 +321,13 @@
         let before = node.crash_position();
         let response = node.handle_crash_request(request, now());
         drop(node);
+        let is_complete = self.node.borrow().has_complete_crash_reports();
+        if let CrashRequest::Update(update) = request {
+            let mut sessions = self.sessions.borrow_mut();
+            sessions.insert(update.session, token.client);
+        }
         match request {
-            CrashRequest::Follow(position) if *position == response.position => {
+            CrashRequest::Follow(position) if *position == response.position || !is_complete => {
                 let follower = Follower::new(token, *position);
                 self.followers.borrow_mut().add(follower);
             }
@@ -327,10 +338,44 @@
         }
     }
 
+    /// Puts the runs of a gateway in doubt whose connection has ended, unless it has another one.
+    fn end_session_of(&self, client: u64) {
+        let mut sessions = self.sessions.borrow_mut();
+        let ended = sessions.iter().find(|(_, latest)| **latest == client);
+        let Some(session) = ended.map(|(session, _)| *session) else {
+            return;
+        };
+        sessions.remove(&session);
+        drop(sessions);
+        self.node.borrow_mut().end_session(session, now());
+        self.note_run_events();
+        self.answer_followers();
+    }
+
+    fn note_run_events(&self) {
+        let mut node = self.node.borrow_mut();
+        let events = node.take_run_events();
+        if events.lost_runs > 0 {
+            self.metrics.lost_runs.inc_by(events.lost_runs as u64);
+            tracing::info!(
+                runs = events.lost_runs,
+                under_way = node.run_count(),
+                "runs of a lost gateway are in doubt"
+            );
+        }
+        if let Some(error) = events.write_failure {
+            self.metrics.failures.inc();
+            tracing::error!(error, "cannot write reports of runs");
+        }
+    }
+
     /// Sends new crash reports to the gateways that wait for them, and an empty response to those
     /// that have waited long enough.
     fn answer_followers(&self) {
         let mut node = self.node.borrow_mut();
+        if !node.has_complete_crash_reports() {
+            return;
+        }
         let due = self.followers.borrow_mut().take_due(node.crash_position());
         for follower in due {
             let request = CrashRequest::Follow(follower.position);
--- a/crates/turns/src/crash_log.rs
+++ b/crates/turns/src/crash_log.rs
@@ -1,7 +1,7 @@
 //! Crash reports of a store in the order in which it received them, for the gateways that follow it.
 
 use crate::crash_parts::LogPosition;
-use crate::crash_reports::{CrashTable, RunReport};
+use crate::crash_reports::{CrashTable, RunId, RunReport};
 use crate::fingerprint::RequestFingerprint;
 use luglink_types::Timestamp;
 use std::collections::VecDeque;
@@ -37,9 +37,17 @@
 
     /// Merges a report. Returns true if it was new.
     pub fn record(&mut self, report: &RunReport, now: Timestamp) -> bool {
-        if !self.table.merge(report, now) {
-            return false;
-        }
+        self.table.merge(report, now) && self.append(report)
+    }
+
+    /// Merges a report of a run that is in doubt. Returns true if that was new.
+    pub fn record_doubt(&mut self, report: &RunReport, now: Timestamp) -> bool {
+        let is_new = self.table.merge(report, now);
+        let is_doubt_new = self.table.mark_in_doubt(report.request, report.run);
+        (is_new || is_doubt_new) && self.append(report)
+    }
+
+    fn append(&mut self, report: &RunReport) -> bool {
         self.latest.push_back(report.clone());
         self.next += 1;
         if self.latest.len() > MAX_LOG_REPORTS {
@@ -75,6 +83,23 @@
         self.latest.iter().skip(skipped).cloned().collect()
     }
 
+    /// Returns those of the reports that are of runs in doubt.
+    #[must_use]
+    pub fn doubts_among(&self, reports: &[RunReport]) -> Vec<(RequestFingerprint, RunId)> {
+        let in_doubt = reports
+            .iter()
+            .filter(|report| self.table.is_in_doubt(report));
+        in_doubt
+            .map(|report| (report.request, report.run))
+            .collect()
+    }
+
+    /// Returns the reports that count, each with whether its run is in doubt.
+    pub fn counted_reports(&self) -> impl Iterator<Item = (&RunReport, bool)> {
+        let counted = self.table.counted_reports();
+        counted.map(|report| (report, self.table.is_in_doubt(report)))
+    }
+
     /// Number of requests with reports.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/turns/src/crash_parts.rs
+++ b/crates/turns/src/crash_parts.rs
@@ -5,7 +5,7 @@
 //!
 //! [`StoreRequest::Lookup`]: crate::StoreRequest::Lookup
 
-use crate::crash_reports::RunReport;
+use crate::crash_reports::{RunId, RunReport};
 use crate::fingerprint::RequestFingerprint;
 use luglink_wire::{PartNumber, Parts, WireError};
 use serde::{Deserialize, Serialize};
@@ -22,6 +22,18 @@
 /// Response part: result of any of these requests.
 const CRASH_RESPONSE: PartNumber = PartNumber(7);
 
+/// Request part: the run of the report is in doubt.
+const IS_IN_DOUBT: PartNumber = PartNumber(9);
+
+/// Request part: changes of the runs under way at a gateway.
+const UPDATE_RUNS: PartNumber = PartNumber(10);
+
+/// Response part: runs among the reports that are in doubt.
+const DOUBTS: PartNumber = PartNumber(11);
+
+/// Response part: the store did not know the gateway's session.
+const IS_NEW_SESSION: PartNumber = PartNumber(12);
+
 /// Position in the reports of one store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogPosition {
@@ -31,11 +43,27 @@
     pub next: u64,
 }
 
+/// Changes of the runs under way at one gateway.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunUpdate {
+    /// Distinguishes the processes of gateways.
+    pub session: u64,
+    /// Runs that have begun.
+    pub begun: Vec<RunReport>,
+    /// Runs that are no longer under way. Those in doubt are reported.
+    pub ended: Vec<RunId>,
+}
+
 /// Request about crash reports.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CrashRequest {
     /// Keeps a report, and returns all reports of its request.
     Record(RunReport),
+    /// The same for a run that is in doubt: no longer under way, and it is not known whether its
+    /// replica ended.
+    RecordDoubt(RunReport),
+    /// Keeps the changes of the runs under way at a gateway, in case that it is lost.
+    Update(RunUpdate),
     /// Returns the reports of a request.
     Find(RequestFingerprint),
     /// Returns the reports from a position on, as soon as there are any or after a timeout.
@@ -51,6 +79,11 @@
         let mut parts = Parts::default();
         match self {
             Self::Record(report) => parts.put(RECORD_RUN, report)?,
+            Self::RecordDoubt(report) => {
+                parts.put(RECORD_RUN, report)?;
+                parts.put(IS_IN_DOUBT, &true)?;
+            }
+            Self::Update(update) => parts.put(UPDATE_RUNS, update)?,
             Self::Find(request) => parts.put(FIND_RUNS, request)?,
             Self::Follow(position) => parts.put(FOLLOW_RUNS, position)?,
         }
@@ -63,7 +96,15 @@
     /// Fails if the part cannot be decoded.
     pub fn decode(parts: &Parts) -> Result<Option<Self>, WireError> {
         if let Some(report) = parts.get(RECORD_RUN)? {
-            return Ok(Some(Self::Record(report)));
+            let is_in_doubt = parts.get(IS_IN_DOUBT)?.unwrap_or(false);
+            return Ok(Some(if is_in_doubt {
+                Self::RecordDoubt(report)
+            } else {
+                Self::Record(report)
+            }));
+        }
+        if let Some(update) = parts.get(UPDATE_RUNS)? {
+            return Ok(Some(Self::Update(update)));
         }
         if let Some(request) = parts.get(FIND_RUNS)? {
             return Ok(Some(Self::Find(request)));
@@ -73,30 +114,48 @@
 }
 
 /// Response to a request about crash reports.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashResponse {
     /// Position after the latest report of the store.
     pub position: LogPosition,
     /// Reports that the request asked for.
     pub reports: Vec<RunReport>,
+    /// Runs among them that are in doubt.
+    pub doubts: Vec<(RequestFingerprint, RunId)>,
+    /// True if the store did not know the session of an update, so it may lack earlier runs.
+    pub is_new_session: bool,
 }
 
 impl CrashResponse {
-    /// Encodes the part for the wire.
+    /// Encodes the parts for the wire.
     ///
     /// # Errors
-    /// Fails if the part cannot be encoded.
+    /// Fails if a part cannot be encoded.
     pub fn encode(&self) -> Result<Parts, WireError> {
         let mut parts = Parts::default();
-        parts.put(CRASH_RESPONSE, self)?;
+        parts.put(CRASH_RESPONSE, &(&self.position, &self.reports))?;
+        if !self.doubts.is_empty() {
+            parts.put(DOUBTS, &self.doubts)?;
+        }
+        if self.is_new_session {
+            parts.put(IS_NEW_SESSION, &true)?;
+        }
         Ok(parts)
     }
 
-    /// Decodes the part from the wire; `None` if the store is of a build without crash reports.
+    /// Decodes the parts from the wire; `None` if the store is of a build without crash reports.
     ///
     /// # Errors
-    /// Fails if the part cannot be decoded.
+    /// Fails if a part cannot be decoded.
     pub fn decode(parts: &Parts) -> Result<Option<Self>, WireError> {
-        parts.get(CRASH_RESPONSE)
+        let Some((position, reports)) = parts.get(CRASH_RESPONSE)? else {
+            return Ok(None);
+        };
+        Ok(Some(Self {
+            position,
+            reports,
+            doubts: parts.get(DOUBTS)?.unwrap_or_default(),
+            is_new_session: parts.get(IS_NEW_SESSION)?.unwrap_or(false),
+        }))
     }
 }
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -65,10 +65,15 @@
 struct KnownRun {
     report: RunReport,
     lease_ends_at: Timestamp,
+    /// True if the run is no longer under way, but it is not known whether its replica ended. Any
+    /// process may find out.
+    is_in_doubt: bool,
+    /// True if the replica was reported to have ended, also if the run was cleared afterwards.
+    has_crashed: bool,
 }
 
 impl KnownRun {
-    fn has_crashed(&self, now: Timestamp) -> bool {
+    fn is_crash(&self, now: Timestamp) -> bool {
         match self.report.state {
             RunState::Started => self.lease_ends_at <= now,
             RunState::Crashed => true,
@@ -97,14 +102,16 @@
     /// end.
     fn ends(&self, counts: impl Fn(&KnownRun) -> bool) -> usize {
         let counted = self.runs.values().filter(|run| counts(run));
-        let ends: BTreeSet<(&BackendId, Incarnation, u32)> = counted
-            .map(|run| &run.report)
-            .map(|report| (&report.replica, report.incarnation, report.known_crashes))
-            .collect();
+        let ends: BTreeSet<_> = counted.map(|run| end_of(&run.report)).collect();
         ends.len()
     }
 }
 
+/// Returns what identifies the end of a replica that a run sees, if there is one.
+fn end_of(report: &RunReport) -> (&BackendId, Incarnation, u32) {
+    (&report.replica, report.incarnation, report.known_crashes)
+}
+
 /// Reports of the runs of recent requests.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
@@ -143,12 +150,16 @@
             |known| known.lease_ends_at,
         );
         let is_full = known.is_none() && request.runs.len() >= MAX_RUNS;
+        let is_in_doubt = known.is_some_and(|known| known.is_in_doubt);
+        let had_crashed = known.is_some_and(|known| known.has_crashed);
         if is_full && !request.drop_cleared() {
             return false;
         }
         let run = KnownRun {
             report: report.clone(),
             lease_ends_at,
+            is_in_doubt,
+            has_crashed: had_crashed || report.state == RunState::Crashed,
         };
         request.runs.insert(report.run, run);
         self.expiries.remove(&(request.expires_at, report.request));
@@ -157,6 +168,50 @@
         true
     }
 
+    /// Records that a run is no longer under way and that its outcome is unknown. Returns true if that
+    /// was new.
+    pub fn mark_in_doubt(&mut self, request: RequestFingerprint, run: RunId) -> bool {
+        let request = self.requests.get_mut(&request);
+        let known = request.and_then(|request| request.runs.get_mut(&run));
+        known.is_some_and(|known| {
+            let is_open = known.report.state == RunState::Started;
+            is_open && !std::mem::replace(&mut known.is_in_doubt, true)
+        })
+    }
+
+    /// Returns the runs of a request that are in doubt.
+    pub fn in_doubt(&self, request: RequestFingerprint) -> impl Iterator<Item = &RunReport> {
+        let request = self.requests.get(&request).into_iter();
+        let runs = request.flat_map(|request| request.runs.values());
+        runs.filter(|run| run.is_in_doubt && run.report.state == RunState::Started)
+            .map(|run| &run.report)
+    }
+
+    /// Returns true if a run is in doubt.
+    #[must_use]
+    pub fn is_in_doubt(&self, report: &RunReport) -> bool {
+        self.in_doubt(report.request)
+            .any(|doubtful| doubtful.run == report.run)
+    }
+
+    /// Returns true if a run counts as one that ended its replica or may have.
+    #[must_use]
+    pub fn counts(&self, report: &RunReport) -> bool {
+        let known = self.known(report);
+        known.is_some_and(|known| known.report.state != RunState::Cleared)
+    }
+
+    /// Returns true if a run was cleared before its end was known.
+    #[must_use]
+    pub fn is_cleared_early(&self, report: &RunReport) -> bool {
+        let known = self.known(report);
+        known.is_some_and(|known| known.report.state == RunState::Cleared && !known.has_crashed)
+    }
+
+    fn known(&self, report: &RunReport) -> Option<&KnownRun> {
+        self.requests.get(&report.request)?.runs.get(&report.run)
+    }
+
     fn drop_first(&mut self) {
         if let Some((_, dropped)) = self.expiries.pop_first() {
             self.requests.remove(&dropped);
@@ -173,7 +228,7 @@
     /// Returns the number of replicas that ended while they ran the request.
     #[must_use]
     pub fn crashes(&self, request: RequestFingerprint, now: Timestamp) -> usize {
-        self.ends(request, |run| run.has_crashed(now))
+        self.ends(request, |run| run.is_crash(now))
     }
 
     /// Returns the number of replicas that are known to have ended while they ran the request, not
@@ -183,6 +238,17 @@
         self.ends(request, |run| run.report.state == RunState::Crashed)
     }
 
+    /// Returns the number of replicas that ended while they ran the request, or may have in runs that
+    /// are in doubt.
+    #[must_use]
+    pub fn suspected_crashes(&self, request: RequestFingerprint) -> usize {
+        self.ends(request, |run| match run.report.state {
+            RunState::Started => run.is_in_doubt,
+            RunState::Crashed => true,
+            RunState::Cleared => false,
+        })
+    }
+
     /// Returns the number of replicas that ended while they ran the request, or still may in runs
     /// other than `except`.
     #[must_use]
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod account;
 mod admission;
+mod crash_keeper;
 mod crash_log;
 mod crash_parts;
 mod crash_reports;
@@ -29,12 +30,15 @@
 mod record;
 mod refusal;
 mod replication;
+mod run_journal;
+mod runs_under_way;
 mod state;
 
 pub use account::{Account, Spend};
 pub use admission::BudgetDecision;
+pub use crash_keeper::RunEvents;
 pub use crash_log::CrashLog;
-pub use crash_parts::{CrashRequest, CrashResponse, LogPosition};
+pub use crash_parts::{CrashRequest, CrashResponse, LogPosition, RunUpdate};
 pub use crash_reports::{CRASH_RETENTION, CrashTable, MAX_CRASHES, RunId, RunReport, RunState};
 pub use errors::TurnsError;
 pub use fingerprint::RequestFingerprint;
@@ -46,3 +50,4 @@
 pub use record::{ProgramName, TurnId, TurnRecord};
 pub use refusal::Refusal;
 pub use replication::{AbsenceProof, JointQuorum, Replication};
+pub use runs_under_way::{RunsUnderWay, SESSION_TIMEOUT};
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -1,7 +1,7 @@
 //! Logic of a store: collects requests, makes them durable in batches, and replies to them.
 
 use crate::account::{Account, Spend};
-use crate::crash_log::CrashLog;
+use crate::crash_keeper::{CrashKeeper, RunEvents};
 use crate::crash_parts::{CrashRequest, CrashResponse, LogPosition};
 use crate::errors::TurnsError;
 use crate::hand_over::HandOver;
@@ -100,7 +100,7 @@
     hand_over: HandOver,
     quota: QuotaOwner,
     origins: OriginTable,
-    crashes: CrashLog,
+    crashes: CrashKeeper,
     entries: Vec<Entry>,
     pending: Vec<PendingReply>,
     outputs: Vec<Output>,
@@ -121,7 +121,8 @@
         new_incarnation: u64,
         now: Timestamp,
     ) -> Result<Self, TurnsError> {
-        let (journal, recovered) = Journal::open(disk, config.wal, new_incarnation)?;
+        let (mut journal, recovered) = Journal::open(disk, config.wal, new_incarnation)?;
+        let crashes = CrashKeeper::open(journal.disk_mut(), new_incarnation, now)?;
         let mut state = State::default();
         let mut completed_view = StoreView::default();
         for (segment, entry) in &recovered.entries {
@@ -145,7 +146,7 @@
             state,
             hand_over: HandOver::new(completed_view),
             origins: OriginTable::new(MAX_ORIGINS),
-            crashes: CrashLog::new(new_incarnation),
+            crashes,
             entries: Vec::new(),
             pending: Vec::new(),
             outputs: Vec::new(),
@@ -310,25 +311,40 @@
         self.origins.len()
     }
 
-    /// Keeps or returns crash reports. They are not written to disk either.
+    /// Keeps or returns crash reports.
     pub fn handle_crash_request(
         &mut self,
         request: &CrashRequest,
         now: Timestamp,
     ) -> CrashResponse {
         self.now = self.now.max(now);
-        let reports = match request {
-            CrashRequest::Record(report) => {
-                self.crashes.record(report, self.now);
-                self.crashes.find(report.request)
-            }
-            CrashRequest::Find(request) => self.crashes.find(*request),
-            CrashRequest::Follow(position) => self.crashes.reports_from(*position),
-        };
-        CrashResponse {
-            position: self.crashes.position(),
-            reports,
-        }
+        let disk = self.journal.disk_mut();
+        self.crashes.handle(disk, request, self.now)
+    }
+
+    /// Puts the runs under way of a gateway's process in doubt, to which the connection has ended.
+    pub fn end_session(&mut self, session: u64, now: Timestamp) {
+        self.now = self.now.max(now);
+        let disk = self.journal.disk_mut();
+        self.crashes.end_session(disk, session, self.now);
+    }
+
+    /// Returns true if the crash reports include the runs that were under way when the store ended, at
+    /// gateways that were not heard of since.
+    #[must_use]
+    pub fn has_complete_crash_reports(&self) -> bool {
+        self.crashes.is_complete(self.now)
+    }
+
+    /// Returns what was observed about runs since the last call.
+    pub fn take_run_events(&mut self) -> RunEvents {
+        self.crashes.take_events()
+    }
+
+    /// Number of runs under way at gateways.
+    #[must_use]
+    pub fn run_count(&self) -> usize {
+        self.crashes.under_way()
     }
 
     /// Position after the latest crash report.
@@ -352,6 +368,7 @@
     /// Advances the time and removes expired turns and accounts.
     pub fn tick(&mut self, now: Timestamp) {
         self.now = self.now.max(now);
+        self.crashes.tick(self.journal.disk_mut(), self.now);
         if self.now >= self.expiry_due {
             self.expiry_due = self.now.plus(EXPIRY_INTERVAL);
             self.state.expire(self.now);
--- a/crates/turns/tests/crashes.rs
+++ b/crates/turns/tests/crashes.rs
@@ -3,7 +3,7 @@
 use luglink_fleet::{BackendId, Incarnation};
 use luglink_turns::{
     CRASH_RETENTION, Chain, CrashLog, CrashRequest, CrashResponse, CrashTable, LogPosition,
-    OriginRequest, RequestFingerprint, RunId, RunReport, RunState, StoreResponse,
+    OriginRequest, RequestFingerprint, RunId, RunReport, RunState, RunUpdate, StoreResponse,
 };
 use luglink_types::Timestamp;
 use luglink_wire::{Parts, decode_body, decode_with_parts, encode_body, encode_with_parts};
@@ -115,6 +115,29 @@
     assert!(table.reports(REQUEST).count() <= 32);
 }
 
+#[test]
+fn a_run_that_was_cleared_before_its_end_is_told_from_one_that_was_cleared_after() {
+    let run = report(1, "a", 0, RunState::Started);
+    let cleared = report(1, "a", 0, RunState::Cleared);
+    let early = table(&[run.clone(), cleared.clone()]);
+    assert!(early.is_cleared_early(&run));
+    let late = table(&[run.clone(), crash(1, "a", 0), cleared]);
+    assert!(!late.is_cleared_early(&run));
+}
+
+#[test]
+fn a_run_in_doubt_stays_so_until_its_outcome_is_known() {
+    let run = report(1, "a", 0, RunState::Started);
+    let mut table = table(std::slice::from_ref(&run));
+    assert_eq!(table.suspected_crashes(REQUEST), 0);
+    assert!(table.mark_in_doubt(REQUEST, RunId(1)));
+    assert!(!table.mark_in_doubt(REQUEST, RunId(1)));
+    assert_eq!(table.suspected_crashes(REQUEST), 1);
+    table.merge(&report(1, "a", 0, RunState::Cleared), at(1));
+    assert_eq!(table.suspected_crashes(REQUEST), 0);
+    assert!(!table.is_in_doubt(&run));
+}
+
 #[test]
 fn only_runs_of_other_requests_that_may_be_under_way_are_kept_apart() {
     let mut table = table(&[report(1, "own", 1, RunState::Started)]);
@@ -163,6 +186,12 @@
 fn messages_about_crash_reports_survive_the_wire() {
     let requests = [
         CrashRequest::Record(crash(1, "a", 0)),
+        CrashRequest::RecordDoubt(report(2, "b", 1, RunState::Started)),
+        CrashRequest::Update(RunUpdate {
+            session: 3,
+            begun: vec![report(4, "b", 1, RunState::Started)],
+            ended: vec![RunId(5)],
+        }),
         CrashRequest::Find(REQUEST),
         CrashRequest::Follow(LogPosition { epoch: 7, next: 9 }),
     ];
@@ -175,6 +204,8 @@
     let response = CrashResponse {
         position: LogPosition { epoch: 7, next: 9 },
         reports: vec![crash(1, "a", 0)],
+        doubts: vec![(REQUEST, RunId(1))],
+        is_new_session: true,
     };
     let parts = response.encode().unwrap();
     assert_eq!(CrashResponse::decode(&parts).unwrap(), Some(response));
