Count ends of replicas beside many other runs of the same request

Cause: sixteen runs of a request were kept, and another one only in place of a cleared one. With twenty callers of the same bytes under way, or twenty runs that saw one end, the ends of further replicas were dropped.

Change: the report of a crash takes the place of a run that may still be under way, or of one of several that saw the same end.

--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -90,14 +90,30 @@
 }
 
 impl RequestRuns {
-    /// Drops one run that does not count. Returns false if there is none.
-    fn drop_cleared(&mut self) -> bool {
-        let mut runs = self.runs.values();
-        let cleared = runs.find(|run| run.report.state == RunState::Cleared);
-        let run = cleared.map(|run| run.report.run);
+    /// Drops one run to make room for a report in `state`: one that does not count, or one of several
+    /// that saw the same end, or, for a crash, one that may be under way. Returns false if there is
+    /// none.
+    fn drop_one_for(&mut self, state: RunState) -> bool {
+        let in_state = |state| {
+            let mut runs = self.runs.values();
+            let run = runs.find(|run| run.report.state == state);
+            run.map(|run| run.report.run)
+        };
+        let run = in_state(RunState::Cleared)
+            .or_else(|| self.repeated_crash())
+            .or_else(|| in_state(RunState::Started).filter(|_| state == RunState::Crashed));
         run.is_some_and(|run| self.runs.remove(&run).is_some())
     }
 
+    /// Returns a run that saw an end that another run saw too.
+    fn repeated_crash(&self) -> Option<RunId> {
+        let mut ends = BTreeSet::new();
+        let runs = self.runs.values().map(|run| &run.report);
+        let mut crashed = runs.filter(|report| report.state == RunState::Crashed);
+        let repeated = crashed.find(|report| !ends.insert(end_of(report)));
+        repeated.map(|report| report.run)
+    }
+
     /// Returns the number of ends of replicas in the runs that count. Several runs can see the same
     /// end.
     fn ends(&self, counts: impl Fn(&KnownRun) -> bool) -> usize {
@@ -152,7 +168,7 @@
         let is_full = known.is_none() && request.runs.len() >= MAX_RUNS;
         let is_in_doubt = known.is_some_and(|known| known.is_in_doubt);
         let had_crashed = known.is_some_and(|known| known.has_crashed);
-        if is_full && !request.drop_cleared() {
+        if is_full && !request.drop_one_for(report.state) {
             return false;
         }
         let run = KnownRun {
--- a/crates/turns/tests/crashes.rs
+++ b/crates/turns/tests/crashes.rs
@@ -115,6 +115,25 @@
     assert!(table.reports(REQUEST).count() <= 32);
 }
 
+#[test]
+fn ends_are_counted_among_many_runs_under_way() {
+    let started = |run| report(run, "same", 0, RunState::Started);
+    let mut table = table(&(0..20).map(started).collect::<Vec<_>>());
+    for run in 17..20 {
+        table.merge(&crash(run, &format!("r{run}"), 0), at(1));
+    }
+    assert_eq!(table.crashes(REQUEST, at(1)), 3);
+}
+
+#[test]
+fn ends_are_counted_among_many_runs_that_saw_the_same_end() {
+    let mut table = table(&(0..20).map(|run| crash(run, "same", 0)).collect::<Vec<_>>());
+    for run in 20..22 {
+        table.merge(&crash(run, &format!("r{run}"), 0), at(1));
+    }
+    assert_eq!(table.crashes(REQUEST, at(1)), 3);
+}
+
 #[test]
 fn a_run_that_was_cleared_before_its_end_is_told_from_one_that_was_cleared_after() {
     let run = report(1, "a", 0, RunState::Started);
