Announce every run, and let every gateway settle the doubts that it meets

What callers saw: with each gateway that was lost together with a replica, a request ended one replica more: 4 ends with one lost gateway, 6 with three. A frozen gateway kept its doubts to itself, and the others refused the same content until it woke.

Cause: what only one process knows or can settle. A run was known to its gateway alone until it failed, and only the gateway that had the run could find out whether the replica had ended.

Change: a run is announced to a quorum of the stores that own its request as it is sent; the request does not wait. Stores put runs of lost or silent gateways in doubt. A gateway that refuses a request, or lets it wait, probes the replicas of the runs in doubt at others itself. The report of a run tells whether it is under way or in doubt. Retry-After is the time in which the first doubt is due to be settled.

--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -1,8 +1,8 @@
 //! What a gateway knows of replicas that ended under requests.
 
-use crate::doubtful_runs::DoubtfulRuns;
+use crate::doubtful_runs::{DoubtReason, DoubtfulRuns, EndedRuns};
 use luglink_fleet::{BackendId, StoreName};
-use luglink_turns::{CrashTable, RequestFingerprint, RunReport, RunState};
+use luglink_turns::{CrashTable, RequestFingerprint, RunId, RunReport, RunState};
 use luglink_types::Timestamp;
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
@@ -26,6 +26,10 @@
 /// holds a request for new reports for less.
 const FOLLOW_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Maximum number of runs that are remembered after replicas have survived them. It covers the runs
+/// that end within the time in which stores learn of it.
+const MAX_SURVIVED_RUNS: usize = 1 << 10;
+
 /// Run that is under way and that other processes may not know of.
 #[derive(Clone, Debug)]
 struct RunInFlight {
@@ -39,13 +43,15 @@
     pub(crate) table: CrashTable,
     pub(crate) doubtful: DoubtfulRuns,
     in_flight: HashMap<RequestFingerprint, Vec<RunInFlight>>,
-    /// Doubtful runs whose replicas have ended according to the list, not reported yet.
-    crashed: Vec<RunReport>,
+    /// Runs whose replicas have ended according to the list, not reported yet.
+    ended: EndedRuns,
     /// Crashes that this gateway has reported, oldest first, until they are compared with the list.
     to_review: VecDeque<(RunReport, Instant)>,
     /// Time of the last response of each followed store.
     followed: HashMap<StoreName, Instant>,
     last_upkeep: Instant,
+    /// Latest runs here that replicas have survived, oldest first.
+    survived: VecDeque<RunId>,
 }
 
 impl Default for CrashLedger {
@@ -54,10 +60,11 @@
             table: CrashTable::new(MAX_REQUESTS),
             doubtful: DoubtfulRuns::default(),
             in_flight: HashMap::new(),
-            crashed: Vec::new(),
+            ended: EndedRuns::default(),
             to_review: VecDeque::new(),
             followed: HashMap::new(),
             last_upkeep: Instant::now(),
+            survived: VecDeque::new(),
         }
     }
 }
@@ -77,6 +84,7 @@
             .map(|run| in_state(run, RunState::Cleared))
             .collect();
         self.merge_all(&cleared, now);
+        self.doubtful.forget(request);
         cleared
     }
 
@@ -100,6 +108,27 @@
         }
     }
 
+    /// Remembers a run that the replica has survived. A store may not know that yet.
+    pub(crate) fn note_survived(&mut self, run: RunId) {
+        if self.survived.len() >= MAX_SURVIVED_RUNS {
+            self.survived.pop_front();
+        }
+        self.survived.push_back(run);
+    }
+
+    /// Marks runs as in doubt. Returns those of them that replicas are known to have survived.
+    pub(crate) fn mark_in_doubt(&mut self, runs: &[(RequestFingerprint, RunId)]) -> Vec<RunReport> {
+        let mut survived = Vec::new();
+        for (request, run) in runs {
+            self.table.mark_in_doubt(*request, *run);
+            if self.survived.contains(run) {
+                let reports = self.table.reports(*request);
+                survived.extend(reports.filter(|report| report.run == *run).cloned());
+            }
+        }
+        survived
+    }
+
     /// Returns the runs under way of a request that were not announced. They count as announced from
     /// then on.
     pub(crate) fn take_unannounced(&mut self, request: RequestFingerprint) -> Vec<RunReport> {
@@ -111,8 +140,9 @@
     /// Marks the doubtful runs at replicas that have ended according to the list as crashed.
     pub(crate) fn mark_ended<'ended>(&mut self, ended: impl Iterator<Item = &'ended BackendId>) {
         let ended: Vec<BackendId> = ended.cloned().collect();
-        let crashed = self.doubtful.take_at(&ended);
-        self.crashed.extend(crashed);
+        let taken = self.doubtful.take_at(&ended);
+        self.ended.crashed.extend(taken.crashed);
+        self.ended.late.extend(taken.late);
     }
 
     /// Compares a crash with the list later. A reset connection looks like a replica that has
@@ -133,8 +163,35 @@
     }
 
     /// Returns the runs marked as crashed since the last call.
-    pub(crate) fn take_marked(&mut self) -> Vec<RunReport> {
-        std::mem::take(&mut self.crashed)
+    pub(crate) fn take_marked(&mut self) -> EndedRuns {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Returns the replicas that are due to be probed.
+    pub(crate) fn due_probes(&mut self) -> Vec<BackendId> {
+        let table = &self.table;
+        let suspected = |request| table.suspected_crashes(request);
+        self.doubtful.update_survival_times(suspected);
+        self.doubtful.due_probes()
+    }
+
+    /// Adds the runs of a request that are in doubt at other gateways to those that are settled here.
+    /// Returns the new ones.
+    pub(crate) fn adopt_doubts(&mut self, request: RequestFingerprint) -> Vec<RunReport> {
+        let in_doubt = self.table.in_doubt(request);
+        let runs = self.in_flight.get(&request);
+        let is_under_way = |run| {
+            let mut runs = runs.into_iter().flatten();
+            runs.any(|in_flight| in_flight.report.run == run)
+        };
+        let foreign =
+            in_doubt.filter(|report| !self.doubtful.has(report.run) && !is_under_way(report.run));
+        let foreign: Vec<RunReport> = foreign.cloned().collect();
+        for report in &foreign {
+            let reason = DoubtReason::Adopted;
+            self.doubtful.add(report.clone(), reason, Vec::new());
+        }
+        foreign
     }
 
     /// Records a response of a followed store.
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -1,5 +1,6 @@
 //! Exchange of crash reports with the turn stores.
 
+use crate::announcements::announce;
 use crate::crash_ledger::in_state;
 use crate::gateway::Gateway;
 use crate::store_link::StoreLink;
@@ -9,7 +10,9 @@
 use futures_util::stream::FuturesUnordered;
 use luglink_fleet::{Incarnation, StoreName};
 use luglink_telemetry::milliseconds;
-use luglink_turns::{CrashRequest, LogPosition, RequestFingerprint, RunReport, RunState};
+use luglink_turns::{
+    CrashRequest, CrashResponse, LogPosition, RequestFingerprint, RunId, RunReport, RunState,
+};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,6 +39,39 @@
         self.ask_stores(report.request, request).await;
     }
 
+    /// Records a run in doubt like [`Gateway::report_run`].
+    pub(crate) async fn report_doubt(self: &Rc<Self>, report: &RunReport) {
+        self.merge_doubt(report);
+        let request = CrashRequest::RecordDoubt(report.clone());
+        self.ask_stores(report.request, request).await;
+    }
+
+    /// Records a run in doubt here, and at the stores without waiting for them.
+    pub(crate) fn send_doubt(self: &Rc<Self>, report: &RunReport) {
+        let gateway = Rc::clone(self);
+        let report = report.clone();
+        self.merge_doubt(&report);
+        actix_rt::spawn(async move { gateway.report_doubt(&report).await });
+    }
+
+    fn merge_doubt(self: &Rc<Self>, report: &RunReport) {
+        self.merge_reports(std::slice::from_ref(report));
+        let mut crashes = self.crashes.borrow_mut();
+        crashes.table.mark_in_doubt(report.request, report.run);
+    }
+
+    /// Announces a run to a quorum of the stores that own its request. Returns the links to those.
+    pub(crate) fn announce_run(&self, report: &RunReport) -> Vec<Rc<StoreLink>> {
+        let mut links = self.turns.crash_owners(report.request);
+        // Owners that do not respond come last.
+        links.sort_by_key(|link| link.is_unresponsive());
+        links.truncate(self.turns.quorum());
+        for link in &links {
+            link.announcements.begin(report);
+        }
+        links
+    }
+
     /// Records reports here, and at the stores without waiting for them.
     pub(crate) fn send_reports(self: &Rc<Self>, reports: &[RunReport]) {
         self.merge_reports(reports);
@@ -49,13 +85,14 @@
 
     /// Gets the reports of a request from a quorum of its stores, unless the reports of all stores
     /// are known here. Stores that did not answer lately are left out, since the request waits.
-    pub(crate) async fn look_up_crashes(self: &Rc<Self>, request: RequestFingerprint) {
+    /// Returns false if reports may be missing.
+    pub(crate) async fn look_up_crashes(self: &Rc<Self>, request: RequestFingerprint) -> bool {
         if self.follows_crash_reports() {
-            return;
+            return true;
         }
         let mut links = self.turns.crash_owners(request);
         links.retain(|link| !link.is_unresponsive());
-        self.ask(links, request, CrashRequest::Find(request)).await;
+        self.ask(links, request, CrashRequest::Find(request)).await
     }
 
     async fn ask_stores(self: &Rc<Self>, fingerprint: RequestFingerprint, request: CrashRequest) {
@@ -68,7 +105,7 @@
         links: Vec<Rc<StoreLink>>,
         fingerprint: RequestFingerprint,
         request: CrashRequest,
-    ) {
+    ) -> bool {
         let request = Rc::new(request);
         let mut pending: FuturesUnordered<_> = links
             .into_iter()
@@ -85,9 +122,19 @@
             answers
         };
         let answers = actix_rt::time::timeout(REPORT_TIMEOUT, answers).await;
-        if answers.is_err() {
+        let is_answered = answers.is_ok_and(|answers| answers >= needed);
+        if !is_answered {
             tracing::warn!(request = %fingerprint, "turn stores did not respond about crash reports");
         }
+        is_answered
+    }
+
+    fn merge_response(self: &Rc<Self>, response: &CrashResponse) {
+        self.merge_reports(&response.reports);
+        let survived = self.crashes.borrow_mut().mark_in_doubt(&response.doubts);
+        if !survived.is_empty() {
+            self.report_survived(&survived);
+        }
     }
 
     /// Merges reports. Runs under way here of requests that may end their replicas are announced.
@@ -116,9 +163,10 @@
     /// Reports the doubtful runs at replicas that the list shows as ended, and probes replicas that
     /// have given no sign since.
     fn review_doubtful_runs(self: &Rc<Self>) {
-        let crashed = self.crashes.borrow_mut().take_marked();
-        self.report_ended(&crashed);
-        let due = self.crashes.borrow_mut().doubtful.due_probes();
+        let ended = self.crashes.borrow_mut().take_marked();
+        self.report_ended(&ended.crashed);
+        self.report_late_ends(ended.late);
+        let due = self.crashes.borrow_mut().due_probes();
         let doubtful = self.crashes.borrow().doubtful.len();
         self.metrics.doubtful_runs.set(doubtful as f64);
         for replica in due {
@@ -155,6 +203,37 @@
         self.send_reports(&survived);
     }
 
+    /// Records and reports runs after which a replica counted as in order and has ended since. The
+    /// report of such a run can no longer change, so each is reported as another run.
+    pub(crate) fn report_late_ends(self: &Rc<Self>, ended: Vec<RunReport>) {
+        for mut report in ended {
+            report.run = RunId(self.draw());
+            report.state = RunState::Crashed;
+            self.metrics.crashes.inc();
+            tracing::info!(
+                request = %report.request,
+                replica = %report.replica,
+                started_ms = report.incarnation.0,
+                "replica ended after a run that it seemed to have survived"
+            );
+            self.send_reports(std::slice::from_ref(&report));
+        }
+    }
+
+    /// Lets this gateway settle the runs of a request that are in doubt at others too. Those may be
+    /// lost, or not run for a while.
+    pub(crate) fn adopt_doubts(&self, request: RequestFingerprint) {
+        let mut crashes = self.crashes.borrow_mut();
+        for report in crashes.adopt_doubts(request) {
+            tracing::info!(
+                request = %report.request,
+                replica = %report.replica,
+                started_ms = report.incarnation.0,
+                "settling a run in doubt of another gateway"
+            );
+        }
+    }
+
     /// Records and reports runs at replicas that have ended, which were in doubt.
     pub(crate) fn report_ended(self: &Rc<Self>, ended: &[RunReport]) {
         for report in ended {
@@ -181,7 +260,7 @@
         return false;
     };
     if let Some(response) = response {
-        gateway.merge_reports(&response.reports);
+        gateway.merge_response(&response);
     }
     true
 }
@@ -194,6 +273,8 @@
             let is_followed = |known: &Rc<StoreLink>| Rc::ptr_eq(known, &link);
             if !followed.get(&name).is_some_and(is_followed) {
                 followed.insert(name.clone(), Rc::clone(&link));
+                let announcing = announce(Rc::clone(&gateway), name.clone(), Rc::clone(&link));
+                actix_rt::spawn(announcing);
                 actix_rt::spawn(follow_store(Rc::clone(&gateway), name, link));
             }
         }
@@ -211,7 +292,7 @@
     while gateway.turns.has_link(&name, &link) {
         match link.follow_crashes(position).await {
             Some(Some(response)) => {
-                gateway.merge_reports(&response.reports);
+                gateway.merge_response(&response);
                 gateway.crashes.borrow_mut().note_followed(&name);
                 if response.position.epoch != position.epoch {
                     actix_rt::spawn(refill(Rc::clone(&gateway), name.clone(), Rc::clone(&link)));
@@ -234,17 +315,24 @@
 /// Sends the reports known here to a store that owns their requests. It has just started, or was not
 /// followed before, and may lack them.
 async fn refill(gateway: Rc<Gateway>, name: StoreName, link: Rc<StoreLink>) {
-    let counted: Vec<RunReport> = {
-        let crashes = gateway.crashes.borrow();
-        crashes.table.counted_reports().cloned().collect()
+    let counted: Vec<(RunReport, bool)> = {
+        let table = &gateway.crashes.borrow().table;
+        let counted = table.counted_reports();
+        counted
+            .map(|report| (report.clone(), table.is_in_doubt(report)))
+            .collect()
     };
     let is_owner = |request| {
         let owners = gateway.turns.crash_owners(request);
         owners.iter().any(|owner| Rc::ptr_eq(owner, &link))
     };
     let mut sent: u32 = 0;
-    for report in counted.iter().filter(|report| is_owner(report.request)) {
-        let request = CrashRequest::Record(report.clone());
+    let owned = counted.into_iter();
+    for (report, is_in_doubt) in owned.filter(|(report, _)| is_owner(report.request)) {
+        let request = match is_in_doubt {
+            true => CrashRequest::RecordDoubt(report),
+            false => CrashRequest::Record(report),
+        };
         if link.exchange_crashes(&request).await.is_none() {
             break;
         }
--- a/crates/gateway-server/src/doubtful_runs.rs
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -7,7 +7,7 @@
 use crate::failure::Failure;
 use luglink_fleet::{BackendId, Incarnation};
 use luglink_http::ConnectionState;
-use luglink_turns::{CRASH_RETENTION, RequestFingerprint, RunReport};
+use luglink_turns::{CRASH_RETENTION, RequestFingerprint, RunId, RunReport};
 use std::time::{Duration, Instant};
 
 /// Maximum number of doubtful runs. Those beyond it count as crashes after their lease.
@@ -20,9 +20,19 @@
 /// The same for a run that was given up. The replica may go on with it.
 const GIVEN_UP_SURVIVAL_TIME: Duration = Duration::from_secs(1);
 
+/// The same if several replicas may have ended under the request.
+const SUSPECT_SURVIVAL_TIME: Duration = SURVIVAL_TIME;
+
+/// Time after a run within which the end of its replica still counts as caused by it, although the
+/// replica seemed to have survived.
+const LATE_END_TIME: Duration = Duration::ZERO;
+
 /// Delay from then on before a replica is probed. Busy replicas give a sign by themselves.
 const PROBE_MARGIN: Duration = Duration::from_millis(100);
 
+/// Delay before a replica is probed first after a run of another gateway.
+const ADOPTED_PROBE_DELAY: Duration = Duration::from_millis(300);
+
 /// Maximum delay before a replica that did not respond to a probe is probed again.
 const MAX_PROBE_DELAY: Duration = Duration::from_secs(8);
 
@@ -41,13 +51,22 @@
     probe_delay: Duration,
     /// True if the witnesses had ended before the first probe, which can end one itself.
     had_witnesses_ended: Option<bool>,
+    /// True if the replica seems to have survived. It is still watched for a while.
+    is_survived: bool,
 }
 
 impl DoubtfulRun {
     /// Returns true if the replica was alive after the run, given that a process was alive at its
     /// address at `alive_at` that has had a connection since `opened_at`.
-    fn is_survived(&self, opened_at: Instant, alive_at: Instant) -> bool {
-        opened_at < self.since && alive_at >= self.survived_from
+    fn shows_survival(&self, opened_at: Instant, alive_at: Instant) -> bool {
+        // When another gateway's run ended is not known here.
+        let is_own = self.reason != DoubtReason::Adopted;
+        is_own && opened_at < self.since && alive_at >= self.survived_from
+    }
+
+    /// Returns true if an end of the replica would still count although it seems to have survived.
+    fn is_watched(&self) -> bool {
+        self.reason.suggests_end() && self.since.elapsed() < LATE_END_TIME
     }
 
     /// Returns true if the server ended the connections that were open after the run, as far as they
@@ -78,6 +97,8 @@
     TooLong,
     /// The gateway gave up the run.
     GivenUp,
+    /// The run is in doubt at another gateway.
+    Adopted,
 }
 
 impl DoubtReason {
@@ -88,6 +109,12 @@
         }
     }
 
+    /// Returns true if the replica is a likely cause. Runs are given up, and gateways lost, mostly for
+    /// other reasons.
+    fn suggests_end(self) -> bool {
+        !matches!(self, Self::GivenUp | Self::Adopted)
+    }
+
     /// Returns the name used in logs.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
@@ -97,6 +124,7 @@
             Self::Surplus => "surplus",
             Self::TooLong => "too_long",
             Self::GivenUp => "given_up",
+            Self::Adopted => "adopted",
         }
     }
 }
@@ -132,11 +160,29 @@
     }
 }
 
+/// Runs whose replicas have ended.
+#[derive(Debug, Default)]
+pub(crate) struct EndedRuns {
+    pub(crate) crashed: Vec<RunReport>,
+    /// Runs that the replica seemed to have survived.
+    pub(crate) late: Vec<RunReport>,
+}
+
+impl EndedRuns {
+    fn add(&mut self, run: &DoubtfulRun) {
+        let runs = match run.is_survived {
+            true => &mut self.late,
+            false => &mut self.crashed,
+        };
+        runs.push(run.report.clone());
+    }
+}
+
 /// Runs whose doubt a sign has settled.
 #[derive(Debug, Default)]
 pub(crate) struct Settled {
     pub(crate) survived: Vec<RunReport>,
-    pub(crate) crashed: Vec<RunReport>,
+    pub(crate) ended: EndedRuns,
 }
 
 /// Doubtful runs of one gateway.
@@ -152,32 +198,85 @@
         reason: DoubtReason,
         witnesses: Vec<ConnectionState>,
     ) -> bool {
+        if self.0.len() >= MAX_RUNS {
+            self.forget_one_survived();
+        }
         let has_room = self.0.len() < MAX_RUNS;
         if has_room {
             let since = Instant::now();
             let survived_from = since + reason.survival_time();
+            let (next_probe, probe_delay) = match reason {
+                DoubtReason::Adopted => (since, ADOPTED_PROBE_DELAY),
+                _ => (survived_from + PROBE_MARGIN, reason.survival_time()),
+            };
             self.0.push(DoubtfulRun {
                 report,
                 reason,
                 since,
                 witnesses,
                 survived_from,
-                next_probe: survived_from + PROBE_MARGIN,
-                probe_delay: reason.survival_time(),
+                next_probe,
+                probe_delay,
                 had_witnesses_ended: None,
+                is_survived: false,
             });
         }
         has_room
     }
 
+    fn forget_one_survived(&mut self) {
+        if let Some(oldest) = self.0.iter().position(|run| run.is_survived) {
+            self.0.remove(oldest);
+        }
+    }
+
     /// Number of doubtful runs.
     pub(crate) fn len(&self) -> usize {
-        self.0.len()
+        self.unsettled().count()
+    }
+
+    fn unsettled(&self) -> impl DoubleEndedIterator<Item = &DoubtfulRun> {
+        self.0.iter().filter(|run| !run.is_survived)
+    }
+
+    /// Returns true if a run is in doubt here.
+    pub(crate) fn has(&self, run: RunId) -> bool {
+        self.unsettled().any(|doubtful| doubtful.report.run == run)
     }
 
     /// Returns true if a run of this request is in doubt.
     pub(crate) fn has_any_of(&self, request: RequestFingerprint) -> bool {
-        self.0.iter().any(|run| run.report.request == request)
+        self.unsettled().any(|run| run.report.request == request)
+    }
+
+    /// Returns the time until the first doubt about a request is due to be settled; `None` if none is
+    /// in doubt or all are overdue.
+    pub(crate) fn settles_in(&self, request: RequestFingerprint) -> Option<Duration> {
+        let runs = self.unsettled().filter(|run| run.report.request == request);
+        let due = runs.map(|run| run.survived_from + PROBE_MARGIN).min()?;
+        due.checked_duration_since(Instant::now())
+    }
+
+    /// Sets the times from which on replicas count as in order. If several may have ended under the
+    /// same request, chance is a less likely cause.
+    pub(crate) fn update_survival_times(
+        &mut self,
+        suspected: impl Fn(RequestFingerprint) -> usize,
+    ) {
+        let is_scaled = |run: &&mut DoubtfulRun| !run.is_survived && run.reason.suggests_end();
+        for run in self.0.iter_mut().filter(is_scaled) {
+            let is_suspect = suspected(run.report.request) > 1;
+            let time = match is_suspect {
+                true => SUSPECT_SURVIVAL_TIME.max(run.reason.survival_time()),
+                false => run.reason.survival_time(),
+            };
+            run.survived_from = run.since + time;
+        }
+    }
+
+    /// Forgets the runs of a request, which has been answered.
+    pub(crate) fn forget(&mut self, request: RequestFingerprint) {
+        self.0.retain(|run| run.report.request != request);
     }
 
     /// Returns true if the process that a run of this request was at, which is in doubt, may have been
@@ -189,33 +288,50 @@
         replica: &BackendId,
         is_open_since: impl Fn(Instant) -> bool,
     ) -> bool {
-        let mut latest_first = self.0.iter().rev();
+        let mut latest_first = self.unsettled().rev();
         let latest = latest_first.find(|run| run.report.request == request && run.is_at(replica));
         // Nothing but a break suggests that the process has ended meanwhile.
         latest.is_some_and(|run| run.reason != DoubtReason::GivenUp && !is_open_since(run.since))
     }
 
     /// Removes and returns the runs at replicas that have ended.
-    pub(crate) fn take_at(&mut self, ended: &[BackendId]) -> Vec<RunReport> {
-        self.take(|run| ended.contains(&run.report.replica))
+    pub(crate) fn take_at(&mut self, ended: &[BackendId]) -> EndedRuns {
+        let mut taken = EndedRuns::default();
+        self.0.retain(|run| {
+            let has_ended = ended.contains(&run.report.replica);
+            if has_ended && (!run.is_survived || run.is_watched()) {
+                taken.add(run);
+            }
+            !has_ended
+        });
+        taken
     }
 
-    /// Removes and returns the runs that a replica has survived. It has just responded to a request
-    /// sent at `sent_at` on a connection opened at `opened_at`.
+    /// Returns the runs that a replica has survived. It has just responded to a request sent at
+    /// `sent_at` on a connection opened at `opened_at`.
     pub(crate) fn take_survived(
         &mut self,
         replica: &BackendId,
         opened_at: Instant,
         sent_at: Instant,
     ) -> Vec<RunReport> {
-        self.take(|run| run.is_at(replica) && run.is_survived(opened_at, sent_at))
+        let mut survived = Vec::new();
+        for run in self.0.iter_mut().filter(|run| !run.is_survived) {
+            if run.is_at(replica) && run.shows_survival(opened_at, sent_at) {
+                run.is_survived = true;
+                survived.push(run.report.clone());
+            }
+        }
+        survived
     }
 
     /// Returns the replicas that are due to be probed, and schedules the next probe.
     pub(crate) fn due_probes(&mut self) -> Vec<BackendId> {
         let now = Instant::now();
-        self.0
-            .retain(|run| now.duration_since(run.since) < CRASH_RETENTION);
+        self.0.retain(|run| match run.is_survived {
+            true => run.is_watched(),
+            false => now.duration_since(run.since) < CRASH_RETENTION,
+        });
         let mut due = Vec::new();
         for run in self.0.iter_mut().filter(|run| run.next_probe <= now) {
             if run.had_witnesses_ended.is_none() {
@@ -223,6 +339,9 @@
             }
             run.probe_delay = (run.probe_delay * 2).min(MAX_PROBE_DELAY);
             run.next_probe = now + run.probe_delay;
+            if !run.is_survived && run.survived_from > now {
+                run.next_probe = run.next_probe.min(run.survived_from + PROBE_MARGIN);
+            }
             due.push(run.report.replica.clone());
         }
         due.sort();
@@ -238,29 +357,31 @@
         result: ProbeResult,
     ) -> Settled {
         let mut settled = Settled::default();
-        self.0.retain(|run| {
+        self.0.retain_mut(|run| {
             if !run.is_at(replica) || began < run.since {
                 return true;
             }
             match outcome(run, began, result) {
-                Some(true) => settled.survived.push(run.report.clone()),
-                Some(false) => settled.crashed.push(run.report.clone()),
-                None => return true,
+                Some(true) if !run.is_survived => {
+                    run.is_survived = true;
+                    settled.survived.push(run.report.clone());
+                }
+                Some(false) => {
+                    settled.ended.add(run);
+                    return false;
+                }
+                _ => {}
             }
-            false
+            true
         });
         settled
     }
-
-    fn take(&mut self, is_taken: impl Fn(&DoubtfulRun) -> bool) -> Vec<RunReport> {
-        let taken = self.0.extract_if(.., |run| is_taken(run));
-        taken.map(|run| run.report).collect()
-    }
 }
 
 /// Returns whether the replica has survived a run; `None` if the probe does not tell.
 fn outcome(run: &DoubtfulRun, began: Instant, result: ProbeResult) -> Option<bool> {
     let is_late = began >= run.survived_from;
+    let is_own = run.reason != DoubtReason::Adopted;
     match result {
         ProbeResult::Gone => Some(false),
         ProbeResult::Unknown => None,
@@ -274,6 +395,9 @@
             if is_comparable && known != incarnation {
                 return Some(false);
             }
+            if !is_comparable && !is_own {
+                return None;
+            }
             let is_same = is_comparable || opened_at < run.since;
             is_late.then_some(is_same || run.had_witnesses_ended != Some(true))
         }
@@ -281,6 +405,7 @@
             let is_any_open = run.witnesses.iter().any(ConnectionState::is_open);
             (is_late && is_any_open).then_some(true)
         }
+        ProbeResult::Accepted if !is_own => None,
         ProbeResult::Accepted => is_late.then_some(run.had_witnesses_ended != Some(true)),
     }
 }
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -75,6 +75,8 @@
     /// Age and size of the zone's latest load view.
     pub(crate) last_view: LastView,
     pub(crate) random_state: Cell<u64>,
+    /// Distinguishes this process among those of all gateways.
+    pub(crate) session: u64,
     start: Instant,
 }
 
@@ -125,6 +127,7 @@
             load_meter: RefCell::default(),
             last_view: LastView::default(),
             random_state: Cell::new(seed),
+            session: xxhash_rust::xxh3::xxh3_64(&seed.to_be_bytes()),
             start: Instant::now(),
         }
     }
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs)]
 
 mod admission;
+mod announcements;
 mod attempts;
 mod caller_watch;
 mod chain_search;
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -4,8 +4,8 @@
 //! stores and all gateways learn of it before the caller can make its next attempt, and a request
 //! under which [`MAX_CRASHES`] replicas have ended is sent to none again. A run that ends without a
 //! response that shows the replica in order is in doubt, and counts as one that may still end it,
-//! until the replica gives a sign of life. From the second run on, a run is announced before it
-//! begins, so that it counts even if its gateway is lost with it.
+//! until the replica gives a sign of life. Every run is announced to turn stores as it is sent, and
+//! from the second run on before it begins, so that it counts even if its gateway is lost with it.
 
 use crate::crash_ledger::in_state;
 use crate::doubtful_runs::DoubtReason;
@@ -14,6 +14,7 @@
 use crate::inbound::InboundRequest;
 use crate::placement;
 use crate::refusal::Refusal;
+use crate::store_link::StoreLink;
 use luglink_edge::SendOutcome;
 use luglink_fleet::{Backend, Incarnation};
 use luglink_http::ConnectionState;
@@ -28,7 +29,7 @@
 
 /// Maximum time for which a request waits while other runs of it could end the last replicas that
 /// it may end.
-const MAX_ANNOUNCED_WAIT: Duration = Duration::from_secs(1);
+const MAX_ANNOUNCED_WAIT: Duration = Duration::from_secs(2);
 
 /// Interval at which it checks whether those runs have ended. Other gateways announce their runs of
 /// the request within it.
@@ -47,6 +48,8 @@
     backend: Backend,
     report: RefCell<RunReport>,
     is_announced: Rc<Cell<bool>>,
+    /// Links to the stores that know that the run is under way.
+    announced_to: RefCell<Vec<Rc<StoreLink>>>,
     is_sent: Cell<bool>,
     is_over: Cell<bool>,
 }
@@ -61,13 +64,15 @@
     if crashes < MAX_CRASHES {
         return Ok(());
     }
+    gateway.adopt_doubts(inbound.fingerprint);
     Err(refusal(gateway, inbound, crashes))
 }
 
 /// Returns the refusal of a request that has not run in this attempt and may not run now.
 pub(crate) fn refusal(gateway: &Gateway, inbound: &InboundRequest, crashes: usize) -> Refusal {
     if crashes < MAX_CRASHES || gateway.may_settle_below_limit(inbound.fingerprint) {
-        let retry_delay = ANNOUNCED_RETRY_DELAY;
+        let settles_in = gateway.doubts_settle_in(inbound.fingerprint);
+        let retry_delay = settles_in.unwrap_or_default().max(ANNOUNCED_RETRY_DELAY);
         gateway.metrics.doubtful_requests.inc();
         tracing::info!(
             id = inbound.id,
@@ -116,19 +121,10 @@
                 return Err(Failure::CrashLimit);
             }
             let run = Self::new(gateway, inbound, backend);
-            let id = run.report.borrow().run;
-            let others = gateway.possible_crashes(request, id);
-            if others == 0 {
-                return Ok(run.begun());
-            }
-            if others < MAX_CRASHES {
-                run.announce().await;
-                actix_rt::time::sleep(ANNOUNCED_CHECK_INTERVAL).await;
-                if gateway.possible_crashes(request, id) < MAX_CRASHES {
-                    return Ok(run.begun());
-                }
-                run.survived();
+            if let Some(run) = run.begin_within_limit().await {
+                return Ok(run);
             }
+            gateway.adopt_doubts(request);
             if Instant::now() >= deadline {
                 return Err(Failure::CrashLimit);
             }
@@ -137,6 +133,31 @@
         }
     }
 
+    /// Begins the run unless the last replicas that may end are running the request already. Where
+    /// any may have ended, the run is announced first.
+    async fn begin_within_limit(self) -> Option<Self> {
+        let (request, id) = {
+            let report = self.report.borrow();
+            (report.request, report.run)
+        };
+        let others = |gateway: &Gateway| gateway.possible_crashes(request, id);
+        match others(&self.gateway) {
+            0 => return Some(self.begun()),
+            MAX_CRASHES.. => {
+                self.is_over.set(true);
+                return None;
+            }
+            _ => {}
+        }
+        self.announce().await;
+        actix_rt::time::sleep(ANNOUNCED_CHECK_INTERVAL).await;
+        if others(&self.gateway) < MAX_CRASHES {
+            return Some(self.begun());
+        }
+        self.survived();
+        None
+    }
+
     fn new(gateway: &Rc<Gateway>, inbound: &InboundRequest, backend: &Backend) -> Self {
         let run = RunId(gateway.draw());
         let known_crashes = gateway.known_crashes(inbound.fingerprint, run, backend);
@@ -154,6 +175,7 @@
             backend: backend.clone(),
             gateway: Rc::clone(gateway),
             is_announced: Rc::default(),
+            announced_to: RefCell::default(),
             is_sent: Cell::new(false),
             is_over: Cell::new(false),
         }
@@ -189,11 +211,16 @@
         report.known_crashes =
             self.gateway
                 .known_crashes(report.request, report.run, &self.backend);
+        let mut announced_to = self.announced_to.borrow_mut();
+        if announced_to.is_empty() {
+            *announced_to = self.gateway.announce_run(&report);
+        }
     }
 
     /// Ends the run with the whole response of a request that succeeded.
     pub(crate) fn answered(&self) {
         self.end();
+        self.note_survived();
         let request = self.report.borrow().request;
         let now = self.gateway.now();
         let cleared = self.gateway.crashes.borrow_mut().clear(request, now);
@@ -203,9 +230,11 @@
     /// Ends a run that did not begin, or after which the replica is in order.
     pub(crate) fn survived(&self) {
         self.end();
-        if self.is_announced.get() {
+        self.note_survived();
+        let report = self.report.borrow();
+        if self.is_announced.get() || self.gateway.crashes.borrow().table.counts(&report) {
             self.gateway
-                .send_reports(&[in_state(&self.report.borrow(), RunState::Cleared)]);
+                .send_reports(&[in_state(&report, RunState::Cleared)]);
         }
     }
 
@@ -215,10 +244,12 @@
         self.end();
         let gateway = Rc::clone(&self.gateway);
         let report = self.report.borrow().clone();
+        let announced = self.announced();
         // The task goes on if the caller disconnects.
         let reporting = actix_rt::spawn(async move {
             gateway.doubt(&report, reason);
-            gateway.report_run(&report).await;
+            gateway.report_doubt(&report).await;
+            announced.end();
         });
         let reporting = actix_rt::time::timeout(inbound.remaining(), reporting);
         if let Ok(Err(error)) = reporting.await {
@@ -232,8 +263,12 @@
         self.end();
         let gateway = Rc::clone(&self.gateway);
         let report = self.report.borrow().clone();
+        let announced = self.announced();
         // The task goes on if the caller disconnects.
-        let confirming = actix_rt::spawn(confirm_crash(gateway, report));
+        let confirming = actix_rt::spawn(async move {
+            confirm_crash(gateway, report).await;
+            announced.end();
+        });
         if let Err(error) = confirming.await {
             tracing::error!(%error, "recording the end of a replica failed");
         }
@@ -261,9 +296,39 @@
             return self.survived();
         }
         self.end();
-        let report = self.report.borrow();
+        let report = self.report.borrow().clone();
         self.gateway.doubt(&report, DoubtReason::GivenUp);
-        self.gateway.send_reports(std::slice::from_ref(&report));
+        self.gateway.send_doubt(&report);
+        self.announced().end();
+    }
+
+    fn note_survived(&self) {
+        let mut crashes = self.gateway.crashes.borrow_mut();
+        crashes.note_survived(self.report.borrow().run);
+        drop(crashes);
+        self.announced().end();
+    }
+
+    fn announced(&self) -> AnnouncedRun {
+        AnnouncedRun {
+            run: self.report.borrow().run,
+            links: self.announced_to.take(),
+        }
+    }
+}
+
+/// Run that stores know to be under way.
+struct AnnouncedRun {
+    run: RunId,
+    links: Vec<Rc<StoreLink>>,
+}
+
+impl AnnouncedRun {
+    /// Tells the stores that the run is no longer under way.
+    fn end(self) {
+        for link in self.links {
+            link.announcements.end(self.run);
+        }
     }
 }
 
@@ -298,7 +363,7 @@
         BreakCause::InDoubt(witnesses) => {
             let open_connections = witnesses.len();
             gateway.doubt_with(&report, DoubtReason::Broken, witnesses);
-            gateway.report_run(&report).await;
+            gateway.report_doubt(&report).await;
             open_connections
         }
     };
@@ -341,6 +406,11 @@
         self.crashes.borrow().table.crashes(request, self.now())
     }
 
+    /// Returns the time until a doubt about a request is due to be settled here.
+    fn doubts_settle_in(&self, request: RequestFingerprint) -> Option<Duration> {
+        self.crashes.borrow().doubtful.settles_in(request)
+    }
+
     /// Puts a run that has just ended in doubt.
     fn doubt(&self, report: &RunReport, reason: DoubtReason) {
         let now = Instant::now();
--- a/crates/gateway-server/src/store_link.rs
+++ b/crates/gateway-server/src/store_link.rs
@@ -1,5 +1,6 @@
 //! Client of one turn store.
 
+use crate::announcements::Announcements;
 use luglink_fleet::{StoreName, StreamOrigin};
 use luglink_net::RequestClient;
 use luglink_turns::{
@@ -33,6 +34,8 @@
     /// Moving average of the response time, in milliseconds.
     response_ms: Cell<f64>,
     is_unresponsive: Cell<bool>,
+    /// Runs under way that the store is told of.
+    pub(crate) announcements: Announcements,
 }
 
 impl StoreLink {
@@ -48,6 +51,7 @@
             client: RequestClient::open(address, hello),
             response_ms: Cell::new(0.0),
             is_unresponsive: Cell::new(false),
+            announcements: Announcements::default(),
         }
     }
 
--- a/crates/gateway-server/src/survival.rs
+++ b/crates/gateway-server/src/survival.rs
@@ -35,12 +35,14 @@
     /// Settles the doubtful runs at a replica that has ended.
     pub(crate) fn note_ended(self: &Rc<Self>, replica: &BackendId) {
         let mut crashes = self.crashes.borrow_mut();
-        let crashed = crashes.doubtful.take_at(std::slice::from_ref(replica));
+        let ended = crashes.doubtful.take_at(std::slice::from_ref(replica));
         drop(crashes);
-        self.report_ended(&crashed);
+        self.report_ended(&ended.crashed);
+        self.report_late_ends(ended.late);
     }
 
-    fn report_survived(self: &Rc<Self>, survived: &[RunReport]) {
+    /// Records and reports runs that replicas have survived.
+    pub(crate) fn report_survived(self: &Rc<Self>, survived: &[RunReport]) {
         let cleared: Vec<RunReport> = survived
             .iter()
             .map(|report| in_state(report, RunState::Cleared))
@@ -62,12 +64,14 @@
         result = result.as_str(),
         ms = milliseconds(began.elapsed()),
         survived = settled.survived.len(),
-        crashed = settled.crashed.len(),
+        crashed = settled.ended.crashed.len(),
+        late = settled.ended.late.len(),
         list_age_ms = gateway.list_age().map(milliseconds),
         "probed a replica with doubtful runs"
     );
     gateway.report_survived(&settled.survived);
-    gateway.report_ended(&settled.crashed);
+    gateway.report_ended(&settled.ended.crashed);
+    gateway.report_late_ends(settled.ended.late);
 }
 
 async fn query(gateway: &Gateway, replica: &BackendId) -> ProbeResult {
