Count an end that comes after a replica seemed to have survived

Cause: one sign of life half a second after the break settled a run as survived for good.

If several replicas may have ended under a request, a sign of life counts after one second instead of a half.

--- a/crates/gateway-server/src/doubtful_runs.rs
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -21,11 +21,11 @@
 const GIVEN_UP_SURVIVAL_TIME: Duration = Duration::from_secs(1);
 
 /// The same if several replicas may have ended under the request.
-const SUSPECT_SURVIVAL_TIME: Duration = SURVIVAL_TIME;
+const SUSPECT_SURVIVAL_TIME: Duration = Duration::from_secs(1);
 
 /// Time after a run within which the end of its replica still counts as caused by it, although the
 /// replica seemed to have survived.
-const LATE_END_TIME: Duration = Duration::ZERO;
+const LATE_END_TIME: Duration = Duration::from_secs(5);
 
 /// Delay from then on before a replica is probed. Busy replicas give a sign by themselves.
 const PROBE_MARGIN: Duration = Duration::from_millis(100);
