Take a stream for answered whose caller leaves after its last event

What callers saw: resumed streams of a popular content were refused while replicas ended beside them, although each was received whole.

Cause: a caller that has all events often closes before the gateway has read the end of the body. The run then counted as given up, and the success did not end the count of crashes.

Change: the gateway reads on for up to 20 ms; if the body ends without another event, the run is answered.

--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -215,6 +215,9 @@
     run: Run,
 }
 
+/// Time within which the end of a response arrives after its last event.
+const END_OF_RESPONSE_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// Outcome of waiting for the replica, the caller or a timer of a stream.
 enum Step {
     Data(Bytes),
@@ -297,7 +300,10 @@
                     Err(reason) => break self.log_end(reason),
                 },
                 Step::ReplicaStalled => self.report_stall(&source),
-                Step::CallerDisconnected => break self.log_end("caller_gone"),
+                Step::CallerDisconnected => {
+                    self.note_whole(source).await;
+                    break self.log_end("caller_gone");
+                }
                 Step::OutOfTime => break self.log_end("out_of_time"),
                 Step::Aborted(bound) => break self.log_end(bound.as_str()),
             }
@@ -307,6 +313,19 @@
         tracing::debug!(id = self.inbound.id, end, "stream ended before completion");
     }
 
+    /// Ends the run as answered if nothing but the end of the response was missing when the caller
+    /// left.
+    async fn note_whole(&self, mut source: Source) {
+        if self.events == 0 || self.splitter.has_partial_event() {
+            return;
+        }
+        let next = source.incoming.frame();
+        if let Ok(None) = actix_rt::time::timeout(END_OF_RESPONSE_TIMEOUT, next).await {
+            source.run.answered();
+            source.lease.give_back(&source.headers);
+        }
+    }
+
     async fn next_step(&self, source: &mut Source, sender: &BodySender) -> Step {
         let left = self.inbound.remaining();
         tokio::select! {
