Count the end of a replica after another run of its request was answered

What callers saw: of concurrent requests of the same content, the ends after one success were not counted.

Cause: a success clears the runs known of its request, those under way too, and a cleared report is the last state, so the report of the end that came later was dropped.

Change: a run that was cleared before its end is reported under a new run identifier. One whose end was counted before the success stays cleared.

Evidence: a_run_counts_that_ends_its_replica_after_another_one_was_answered has 5 ends without this and 4 with it, one before the success and three after it.

--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -245,7 +245,7 @@
     pub(crate) async fn doubted(&self, reason: DoubtReason, inbound: &InboundRequest) {
         self.end();
         let gateway = Rc::clone(&self.gateway);
-        let report = self.report.borrow().clone();
+        let report = self.gateway.report_that_counts(&self.report.borrow());
         let announced = self.announced();
         // The task goes on if the caller disconnects.
         let reporting = actix_rt::spawn(async move {
@@ -264,7 +264,7 @@
     pub(crate) async fn broke(&self) {
         self.end();
         let gateway = Rc::clone(&self.gateway);
-        let report = self.report.borrow().clone();
+        let report = self.gateway.report_that_counts(&self.report.borrow());
         let announced = self.announced();
         // The task goes on if the caller disconnects.
         let confirming = actix_rt::spawn(async move {
@@ -298,7 +298,7 @@
             return self.survived();
         }
         self.end();
-        let report = self.report.borrow().clone();
+        let report = self.gateway.report_that_counts(&self.report.borrow());
         self.gateway.doubt(&report, DoubtReason::GivenUp);
         self.gateway.send_doubt(&report);
         self.announced().end();
@@ -426,6 +426,20 @@
         self.crashes.borrow().doubtful.settles_in(request)
     }
 
+    /// Returns the report of a run under an identifier under which it can count. Another run of the
+    /// request that succeeded, or another gateway, may have cleared the run while it was under way.
+    fn report_that_counts(&self, report: &RunReport) -> RunReport {
+        let is_cleared_early = self.crashes.borrow().table.is_cleared_early(report);
+        let run = match is_cleared_early {
+            true => RunId(self.draw()),
+            false => report.run,
+        };
+        RunReport {
+            run,
+            ..report.clone()
+        }
+    }
+
     /// Puts a run that has just ended in doubt.
     fn doubt(&self, report: &RunReport, reason: DoubtReason) {
         let now = Instant::now();
--- a/crates/gateway-server/tests/gateway/crashing_requests.rs
+++ b/crates/gateway-server/tests/gateway/crashing_requests.rs
@@ -1,7 +1,7 @@
 //! Requests that end every replica that runs them, and the requests that run beside them.
 
 use crate::support::caller::{TestRequest, TestResponse, get};
-use crate::support::replica::{Replica, Script};
+use crate::support::replica::{Ending, Replica, Script};
 use crate::support::{Fleet, configuration, wait_until};
 use luglink_edge::RouteKind;
 use std::net::SocketAddr;
@@ -381,6 +381,42 @@
     assert_eq!(crashed(&replicas), before + MAX_CRASHES);
 }
 
+#[actix_rt::test]
+async fn a_run_counts_that_ends_its_replica_after_another_one_was_answered() {
+    let (fleet, replicas) = fleet(Script::CrashesOn(CRASHING)).await;
+    let gateway = fleet.gateway_address;
+    let request = |id: &str| TestRequest::post("/unsafe/crash", id, "body");
+    let set_scripts = |script: Script| {
+        for replica in &replicas {
+            replica.set_script(script.clone());
+        }
+    };
+    let received = || {
+        let counts = replicas.iter().map(|replica| replica.seen.borrow().len());
+        counts.sum::<usize>()
+    };
+    assert_eq!(request("first").send(gateway).await.status, 502);
+    set_scripts(Script::EndsOn(CRASHING, Ending::AfterGivenUp));
+    let before = received();
+    let given_up = request("given-up").with("luglink-deadline-ms", 1_500);
+    let answered = async {
+        wait_until("a replica runs the request", || async {
+            received() > before
+        })
+        .await;
+        set_scripts(Script::Answer);
+        assert_eq!(request("answered").send(gateway).await.status, 200);
+        set_scripts(Script::CrashesOn(CRASHING));
+    };
+    tokio::join!(given_up.send(gateway), answered);
+    wait_until("its replica has ended", || async {
+        crashed(&replicas) == 2
+    })
+    .await;
+    insist(request, &[gateway]).await;
+    assert_eq!(crashed(&replicas), 1 + MAX_CRASHES);
+}
+
 #[actix_rt::test]
 async fn a_moved_stream_is_sent_to_no_replica_after_the_third_crash_under_it() {
     let (fleet, replicas) = fleet(Script::StreamCrashes(1)).await;
