--- a/crates/gateway-server/src/doubtful_runs.rs
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -249,6 +249,12 @@
         self.unsettled().any(|run| run.report.request == request)
     }
 
+    /// Returns true if a run of this request at a replica is in doubt.
+    pub(crate) fn has_any_at(&self, request: RequestFingerprint, replica: &BackendId) -> bool {
+        let mut runs = self.unsettled();
+        runs.any(|run| run.report.request == request && run.is_at(replica))
+    }
+
     /// Returns the time until the first doubt about a request is due to be settled; `None` if none is
     /// in doubt or all are overdue.
     pub(crate) fn settles_in(&self, request: RequestFingerprint) -> Option<Duration> {
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -175,6 +175,9 @@
         })?;
         let request = build_request(gateway, inbound, backend, overrides)?;
         let was_reused = lease.is_reused;
+        if !was_reused {
+            run.wait_for_closes().await;
+        }
         let stall_reports = report_stalls(gateway, backend, run);
         run.note_sent();
         let sending = send_on_connection(&mut lease, inbound, request);
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -205,6 +205,20 @@
         }
     }
 
+    /// Waits for the connections of an earlier process of the replica to close, if a run of the request
+    /// at the replica is in doubt. A process that has just started can accept a connection before
+    /// those of the one that has ended are seen to close.
+    pub(crate) async fn wait_for_closes(&self) {
+        let request = self.report.borrow().request;
+        let is_in_doubt = {
+            let crashes = self.gateway.crashes.borrow();
+            crashes.doubtful.has_any_at(request, &self.backend.id)
+        };
+        if is_in_doubt {
+            actix_rt::time::sleep(CONFIRMATION_DELAY).await;
+        }
+    }
+
     /// Records that the request is being sent. The connection may be a new one, to another process
     /// than an earlier run was at.
     pub(crate) fn note_sent(&self) {
