Wake the task that follows the stores when their view changes

Cause, from reading and not reproduced alone: the task looks at the view each 100 ms, so the runs of a gateway that has just started are announced up to that much later, and are lost if it is killed meanwhile.

--- a/crates/gateway-server/src/turn_client.rs
+++ b/crates/gateway-server/src/turn_client.rs
@@ -17,6 +17,7 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// Delay before a write that too few stores acknowledged is retried.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -69,6 +70,8 @@
     replication: Replication,
     view: RefCell<StoreView>,
     links: RefCell<BTreeMap<StoreName, Rc<StoreLink>>>,
+    /// Wakes the task that follows the stores.
+    pub(crate) view_changed: Notify,
 }
 
 type Reply = (StoreName, Option<StoreResponse>);
@@ -79,6 +82,7 @@
             replication,
             view: RefCell::default(),
             links: RefCell::default(),
+            view_changed: Notify::new(),
         }
     }
 
@@ -107,6 +111,7 @@
                 .or_insert_with(|| Rc::new(StoreLink::open(name.clone(), member.address)));
         }
         *self.view.borrow_mut() = view;
+        self.view_changed.notify_one();
     }
 
     fn joint_quorum(&self, program: &ProgramName) -> JointQuorum {
