Count the late end of a replica once with the other runs at it

Cause: a late end was reported with the number of crashes known before its own run, so a later run of the request at the same process, which sees the same end with another number, counted as a second end.

Change: the report of a late end takes the number of a run that counts at the same replica and incarnation. With it comes the wait of the task that follows the stores for a change of the view.

Evidence: runs_at_the_same_replica_see_the_same_end.

--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -166,7 +166,7 @@
         let ended = self.crashes.borrow_mut().take_marked();
         self.report_ended(&ended.crashed);
         self.report_late_ends(ended.late);
-        let due = self.crashes.borrow_mut().due_probes();
+        let due = self.crashes.borrow_mut().doubtful.due_probes();
         let doubtful = self.crashes.borrow().doubtful.len();
         self.metrics.doubtful_runs.set(doubtful as f64);
         for replica in due {
@@ -209,6 +209,8 @@
         for mut report in ended {
             report.run = RunId(self.draw());
             report.state = RunState::Crashed;
+            let beside = self.crashes.borrow().table.known_crashes_beside(&report);
+            report.known_crashes = beside.unwrap_or(report.known_crashes);
             self.metrics.crashes.inc();
             tracing::info!(
                 request = %report.request,
@@ -282,7 +284,8 @@
         gateway.crashes.borrow_mut().note_upkeep();
         gateway.review_doubtful_runs();
         gateway.review_crashes();
-        actix_rt::time::sleep(UPKEEP_INTERVAL).await;
+        let view_changed = gateway.turns.view_changed.notified();
+        let _ = actix_rt::time::timeout(UPKEEP_INTERVAL, view_changed).await;
     }
 }
 
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -324,6 +324,19 @@
         under_way.copied()
     }
 
+    /// Returns the number of known crashes of a run that counts and that was at the same replica as
+    /// `report`, in the same incarnation. It would see the same end.
+    #[must_use]
+    pub fn known_crashes_beside(&self, report: &RunReport) -> Option<u32> {
+        let mut others = self.reports(report.request);
+        let beside = others.find(|other| {
+            let is_at_same =
+                (&other.replica, other.incarnation) == (&report.replica, report.incarnation);
+            is_at_same && other.state != RunState::Cleared
+        });
+        beside.map(|other| other.known_crashes)
+    }
+
     /// Returns the reports that count.
     pub fn counted_reports(&self) -> impl Iterator<Item = &RunReport> {
         self.all_reports()
--- a/crates/turns/tests/crashes.rs
+++ b/crates/turns/tests/crashes.rs
@@ -144,6 +144,15 @@
     assert!(!late.is_cleared_early(&run));
 }
 
+#[test]
+fn runs_at_the_same_replica_see_the_same_end() {
+    let cleared = report(1, "a", 0, RunState::Cleared);
+    let mut table = table(&[cleared.clone(), crash(2, "b", 1)]);
+    assert_eq!(table.known_crashes_beside(&cleared), None);
+    table.merge(&report(3, "a", 1, RunState::Started), at(0));
+    assert_eq!(table.known_crashes_beside(&cleared), Some(1));
+}
+
 #[test]
 fn a_run_in_doubt_stays_so_until_its_outcome_is_known() {
     let run = report(1, "a", 0, RunState::Started);
