Let a sign of life count one second after every run

Cause, from the log of the second failure: the first doubt of a request was settled after half a second, and another gateway settled the doubts that it met after half a second too, before the process ended at 0.7 s.

Change: one second for every run, 0.8 s for the doubts of another gateway, whose runs ended earlier than they are met. The longer time that held only where several replicas may have ended is gone with its code.

--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -167,14 +167,6 @@
         std::mem::take(&mut self.ended)
     }
 
-    /// Returns the replicas that are due to be probed.
-    pub(crate) fn due_probes(&mut self) -> Vec<BackendId> {
-        let table = &self.table;
-        let suspected = |request| table.suspected_crashes(request);
-        self.doubtful.update_survival_times(suspected);
-        self.doubtful.due_probes()
-    }
-
     /// Adds the runs of a request that are in doubt at other gateways to those that are settled here.
     /// Returns the new ones.
     pub(crate) fn adopt_doubts(&mut self, request: RequestFingerprint) -> Vec<RunReport> {
--- a/crates/gateway-server/src/doubtful_runs.rs
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -13,15 +13,12 @@
 /// Maximum number of doubtful runs. Those beyond it count as crashes after their lease.
 const MAX_RUNS: usize = 1 << 12;
 
-/// Time after a response or a break from which on a sign of life of the replica shows that the run
-/// did not end it. A process can end some time after its connections break.
-const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+/// Time after a run from which on a sign of life of the replica shows that the run did not end it. A
+/// process can end some time after its connections break, and can go on with a run that was given up.
+const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 
-/// The same for a run that was given up. The replica may go on with it.
-const GIVEN_UP_SURVIVAL_TIME: Duration = Duration::from_secs(1);
-
-/// The same if several replicas may have ended under the request.
-const SUSPECT_SURVIVAL_TIME: Duration = Duration::from_secs(1);
+/// The same for a run of another gateway, from the time at which its doubt is to be settled here.
+const ADOPTED_SURVIVAL_TIME: Duration = Duration::from_millis(800);
 
 /// Time after a run within which the end of its replica still counts as caused by it, although the
 /// replica seemed to have survived.
@@ -104,11 +101,20 @@
 impl DoubtReason {
     fn survival_time(self) -> Duration {
         match self {
-            Self::GivenUp => GIVEN_UP_SURVIVAL_TIME,
+            Self::Adopted => ADOPTED_SURVIVAL_TIME,
             _ => SURVIVAL_TIME,
         }
     }
 
+    /// Returns the delay after the survival time before the replica is probed.
+    fn probe_margin(self) -> Duration {
+        match self {
+            // A request waits for the result.
+            Self::Adopted => Duration::ZERO,
+            _ => PROBE_MARGIN,
+        }
+    }
+
     /// Returns true if the replica is a likely cause. Runs are given up, and gateways lost, mostly for
     /// other reasons.
     fn suggests_end(self) -> bool {
@@ -263,23 +269,6 @@
         due.checked_duration_since(Instant::now())
     }
 
-    /// Sets the times from which on replicas count as in order. If several may have ended under the
-    /// same request, chance is a less likely cause.
-    pub(crate) fn update_survival_times(
-        &mut self,
-        suspected: impl Fn(RequestFingerprint) -> usize,
-    ) {
-        let is_scaled = |run: &&mut DoubtfulRun| !run.is_survived && run.reason.suggests_end();
-        for run in self.0.iter_mut().filter(is_scaled) {
-            let is_suspect = suspected(run.report.request) > 1;
-            let time = match is_suspect {
-                true => SUSPECT_SURVIVAL_TIME.max(run.reason.survival_time()),
-                false => run.reason.survival_time(),
-            };
-            run.survived_from = run.since + time;
-        }
-    }
-
     /// Forgets the runs of a request, which has been answered.
     pub(crate) fn forget(&mut self, request: RequestFingerprint) {
         self.0.retain(|run| run.report.request != request);
@@ -346,7 +335,9 @@
             run.probe_delay = (run.probe_delay * 2).min(MAX_PROBE_DELAY);
             run.next_probe = now + run.probe_delay;
             if !run.is_survived && run.survived_from > now {
-                run.next_probe = run.next_probe.min(run.survived_from + PROBE_MARGIN);
+                run.next_probe = run
+                    .next_probe
+                    .min(run.survived_from + run.reason.probe_margin());
             }
             due.push(run.report.replica.clone());
         }
