Look at the crashes under a request once more just before it is sent

Cause, from reading: a run begins, and then waits for a connection, or for the connections of an ended process to close. On a busy machine the replicas end under other runs of the request meanwhile.

Change: a run that is about to be sent is given up if the limit has been reached. The replica is not marked as failed for it.

The failure was not reproduced without the change.

--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -126,7 +126,8 @@
 
 fn note_failure(gateway: &Gateway, backend: &Backend, failure: Failure) {
     // A replica without capacity is healthy; only this request skips it.
-    if failure.is_full() || failure.outcome() == SendOutcome::Declined {
+    let was_withheld = failure == Failure::CrashLimit;
+    if was_withheld || failure.is_full() || failure.outcome() == SendOutcome::Declined {
         return;
     }
     if gateway.pool.borrow().has_restarted(backend) {
@@ -178,6 +179,10 @@
         if !was_reused {
             run.wait_for_closes().await;
         }
+        // Replicas may have ended under other runs since this one has begun.
+        if run.is_at_limit() {
+            return Err(Failure::CrashLimit);
+        }
         let stall_reports = report_stalls(gateway, backend, run);
         run.note_sent();
         let sending = send_on_connection(&mut lease, inbound, request);
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -205,6 +205,12 @@
         }
     }
 
+    /// Returns true if too many replicas have ended under the request for it to be sent.
+    pub(crate) fn is_at_limit(&self) -> bool {
+        let request = self.report.borrow().request;
+        self.gateway.crashes_under(request) >= MAX_CRASHES
+    }
+
     /// Waits for the connections of an earlier process of the replica to close, if a run of the request
     /// at the replica is in doubt. A process that has just started can accept a connection before
     /// those of the one that has ended are seen to close.
