Let gateways trust reports of crashes only under a lease, and ask again for what no quorum has acknowledged

Callers saw: a request under which three replicas had ended ran at up to four more while stores were silent or a gateway was cut off from them.

Cause: a gateway counted as informed for four seconds after the last response of a store, from the time at which it read it, whatever it had missed since. A report that no quorum acknowledged changed nothing, and a quorum's acknowledgement did not mean that other gateways had it.

Change: a store grants its followers leases of one second and acknowledges a report once all of them have it or their leases have ended. A gateway trusts for 0.9 s from the time at which it asked, so a response that it reads late counts from when it was asked for. Without enough leases it asks a quorum before it begins a run and again before it sends. A report that is not acknowledged in time is sent again, and until it is acknowledged the limit for its request is one. A gateway that has reported waits until leases that it cannot see have ended. Stores can advertise another address than the one they listen on, which the tests use to silence the links of one gateway. Stores and gateways of older builds go on without leases.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -197,6 +197,7 @@
             name: fleet.name.clone(),
             zone: fleet.zone.clone(),
             listen: (fleet.ip, fleet.store_port()).into(),
+            advertised: None,
             data_folder: store.data_folder.clone(),
             first_start: fleet.first_start,
             replication: replication(fleet),
--- a/app/luglink/tests/stream_soak/lost_runs.rs
+++ b/app/luglink/tests/stream_soak/lost_runs.rs
@@ -9,7 +9,7 @@
 use rustix::process::Signal;
 use std::time::Duration;
 
-const TIMEOUT: Duration = Duration::from_secs(10);
+pub const TIMEOUT: Duration = Duration::from_secs(10);
 
 const FREEZE_DURATION: Duration = Duration::from_millis(800);
 
@@ -19,7 +19,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Attempts at another gateway, enough to end every replica.
-const ATTEMPTS: usize = 7;
+pub const ATTEMPTS: usize = 7;
 
 /// Request that ends its replicas before the head of the response.
 const NAME: &str = "crash-head-exit-other-1";
@@ -33,7 +33,7 @@
     send_named(connection, NAME, request).await;
 }
 
-async fn send_named(connection: &mut ClientConnection, name: &str, request: &str) {
+pub async fn send_named(connection: &mut ClientConnection, name: &str, request: &str) {
     let path = format!("{}?{name}", PATHS[0]);
     let message = message(&path, request, TIMEOUT, &Received::default());
     // The gateway may be killed.
--- a/app/luglink/tests/stream_soak/main.rs
+++ b/app/luglink/tests/stream_soak/main.rs
@@ -15,6 +15,7 @@
 mod random;
 mod replicas;
 mod runs;
+mod stale_knowledge;
 mod store_chaos;
 mod takeover;
 
--- /dev/null
+++ b/app/luglink/tests/stream_soak/stale_knowledge.rs
@@ -0,0 +1,75 @@
+//! Requests that end their replicas while what gateways know of turn stores grows old.
+
+use crate::fleet::{Fleet, Process};
+use crate::lost_runs::{ATTEMPTS, TIMEOUT, send_named};
+use crate::replicas::Faults;
+use crate::runs::MAX_ENDS;
+use luglink_http::connect;
+use rustix::process::Signal;
+use std::time::Duration;
+
+const NAME: &str = "crash-head-exit-other-1";
+
+const GATEWAYS: usize = 3;
+
+/// Pause of a caller between two attempts.
+const RETRY_DELAY: Duration = Duration::from_millis(80);
+
+/// Time for which stores stand still.
+const SILENCE: Duration = Duration::from_secs(3);
+
+/// Time from which on gateways know that they hear nothing of stores.
+const SILENCE_KNOWN_AFTER: Duration = Duration::from_millis(1_500);
+
+fn signal(processes: &[Process], signal: Signal) {
+    for process in processes {
+        process.signal(signal);
+    }
+}
+
+/// Repeats a request at the gateways in turn.
+async fn insist(fleet: &Fleet, gateways: &[usize], name: &str, attempts: usize) {
+    for attempt in 0..attempts {
+        let gateway = gateways[attempt % gateways.len()];
+        let Ok(mut connection) = connect(fleet.addresses[gateway], TIMEOUT).await else {
+            continue;
+        };
+        send_named(&mut connection, name, &format!("attempt-{attempt}")).await;
+        actix_rt::time::sleep(RETRY_DELAY).await;
+    }
+}
+
+/// Asserts that a request is limited although all stores fall silent after `first` attempts.
+async fn assert_limited_in_silence(first: usize, settled: Duration) {
+    let fleet = Fleet::start(1, GATEWAYS, Faults::None).await;
+    let all: Vec<usize> = (0..GATEWAYS).collect();
+    insist(&fleet, &all[..1], NAME, first).await;
+    signal(&fleet.stores, Signal::STOP);
+    actix_rt::time::sleep(settled).await;
+    let silence = async {
+        actix_rt::time::sleep(SILENCE).await;
+        signal(&fleet.stores, Signal::CONT);
+    };
+    tokio::join!(insist(&fleet, &all, NAME, 6 * ATTEMPTS), silence);
+    let ends = fleet.replicas.runs.of(NAME).ends();
+    assert!(ends <= MAX_ENDS, "{ends} ends");
+    fleet.assert_all_gateways_serve().await;
+    insist(&fleet, &all, NAME, 2 * ATTEMPTS).await;
+    let ends = fleet.replicas.runs.of(NAME).ends();
+    assert!(ends <= MAX_ENDS, "{ends} ends after the silence");
+}
+
+#[actix_rt::test]
+async fn a_request_is_limited_while_all_stores_have_just_fallen_silent() {
+    assert_limited_in_silence(0, Duration::ZERO).await;
+}
+
+#[actix_rt::test]
+async fn a_request_is_limited_whose_first_end_came_before_all_stores_fell_silent() {
+    assert_limited_in_silence(1, Duration::ZERO).await;
+}
+
+#[actix_rt::test]
+async fn a_request_is_limited_while_all_stores_have_long_been_silent() {
+    assert_limited_in_silence(0, SILENCE_KNOWN_AFTER).await;
+}
--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -1,6 +1,7 @@
 //! What a gateway knows of replicas that ended under requests.
 
 use crate::doubtful_runs::{DoubtReason, DoubtfulRuns, EndedRuns};
+use crate::unacknowledged::UnacknowledgedReports;
 use luglink_fleet::{BackendId, StoreName};
 use luglink_turns::{CrashTable, RequestFingerprint, RunId, RunReport, RunState};
 use luglink_types::Timestamp;
@@ -22,10 +23,6 @@
 /// may not have been read yet.
 const MAX_UPKEEP_GAP: Duration = Duration::from_millis(250);
 
-/// Time after the last response of a store after which its reports may be missing here. A store
-/// holds a request for new reports for less.
-const FOLLOW_TIMEOUT: Duration = Duration::from_secs(4);
-
 /// Maximum number of runs that are remembered after replicas have survived them. It covers the runs
 /// that end within the time in which stores learn of it.
 const MAX_SURVIVED_RUNS: usize = 1 << 10;
@@ -47,9 +44,11 @@
     ended: EndedRuns,
     /// Crashes that this gateway has reported, oldest first, until they are compared with the list.
     to_review: VecDeque<(RunReport, Instant)>,
-    /// Time of the last response of each followed store.
+    /// Times until which all reports that followed stores have acknowledged are known here.
     followed: HashMap<StoreName, Instant>,
+    pub(crate) unacknowledged: UnacknowledgedReports,
     last_upkeep: Instant,
+    last_informed: Option<Instant>,
     /// Latest runs here that replicas have survived, oldest first.
     survived: VecDeque<RunId>,
 }
@@ -63,7 +62,9 @@
             ended: EndedRuns::default(),
             to_review: VecDeque::new(),
             followed: HashMap::new(),
+            unacknowledged: UnacknowledgedReports::default(),
             last_upkeep: Instant::now(),
+            last_informed: None,
             survived: VecDeque::new(),
         }
     }
@@ -186,9 +187,9 @@
         foreign
     }
 
-    /// Records a response of a followed store.
-    pub(crate) fn note_followed(&mut self, store: &StoreName) {
-        self.followed.insert(store.clone(), Instant::now());
+    /// Records that all reports that a store acknowledges until `until` will be known here by then.
+    pub(crate) fn note_followed(&mut self, store: &StoreName, until: Instant) {
+        self.followed.insert(store.clone(), until);
     }
 
     /// Records that a store is not followed.
@@ -214,10 +215,18 @@
         if self.has_stood_still() {
             return 0;
         }
-        let followed = self.followed.values();
-        followed
-            .filter(|last| last.elapsed() < FOLLOW_TIMEOUT)
-            .count()
+        let now = Instant::now();
+        self.followed.values().filter(|until| **until > now).count()
+    }
+
+    /// Records that the reports of all stores were known here.
+    pub(crate) fn note_informed(&mut self) {
+        self.last_informed = Some(Instant::now());
+    }
+
+    /// Returns the time since the reports of all stores were last known here.
+    pub(crate) fn informed_age(&self) -> Option<Duration> {
+        self.last_informed.map(|last| last.elapsed())
     }
 }
 
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -11,14 +11,31 @@
 use luglink_fleet::{Incarnation, StoreName};
 use luglink_telemetry::milliseconds;
 use luglink_turns::{
-    CrashRequest, CrashResponse, LogPosition, RequestFingerprint, RunId, RunReport, RunState,
+    CrashRequest, CrashResponse, LEASE_DURATION, LEASE_HOLD, LEASE_TRUST, LogPosition,
+    RequestFingerprint, RunId, RunReport, RunState,
 };
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Maximum time for the stores to acknowledge or return reports. Requests wait for it.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Maximum time for the stores to return reports. Requests wait for it.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Maximum time for the stores to acknowledge a report. Stores wait for the gateways with a lease, and
+/// if all stores are silent, these leases have ended by then.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = LEASE_DURATION.saturating_add(Duration::from_millis(200));
+
+/// Time after which a report that was not acknowledged is sent again. Stores that stood still may
+/// acknowledge it late.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time after which a gateway without a lease knows that the others have none either, if the reason is
+/// that all stores are silent.
+const LEASE_SPREAD: Duration = LEASE_HOLD.saturating_add(Duration::from_millis(150));
+
+/// Time after the last response of a store of a build without leases after which its reports may be
+/// missing here. Such a store holds a request for new reports for less.
+const UNLEASED_TRUST: Duration = Duration::from_secs(4);
 
 /// Interval at which the set of followed stores is compared with the view of the stores, and
 /// doubtful runs are reviewed. Far below the gap after which reports may be missing.
@@ -27,23 +44,24 @@
 /// Delay before a store that did not respond is followed again.
 const FOLLOW_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Maximum number of reports on their way to a store that may lack them.
+const MAX_REFILL_REPORTS: usize = 64;
+
 /// Delay before a store of a build without crash reports is asked again.
 const OLDER_STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 impl Gateway {
-    /// Records a report here and at the stores. Returns once a quorum of its stores has it, or does
-    /// not respond.
-    pub(crate) async fn report_run(self: &Rc<Self>, report: &RunReport) {
+    /// Records a report here and at the stores. Returns true once all gateways know it that need not
+    /// ask the stores before they send its request, and false if that is not known.
+    pub(crate) async fn report_run(self: &Rc<Self>, report: &RunReport) -> bool {
         self.merge_reports(std::slice::from_ref(report));
-        let request = CrashRequest::Record(report.clone());
-        self.ask_stores(report.request, request).await;
+        self.deliver(report, false).await
     }
 
     /// Records a run in doubt like [`Gateway::report_run`].
-    pub(crate) async fn report_doubt(self: &Rc<Self>, report: &RunReport) {
+    pub(crate) async fn report_doubt(self: &Rc<Self>, report: &RunReport) -> bool {
         self.merge_doubt(report);
-        let request = CrashRequest::RecordDoubt(report.clone());
-        self.ask_stores(report.request, request).await;
+        self.deliver(report, true).await
     }
 
     /// Records a run in doubt here, and at the stores without waiting for them.
@@ -77,34 +95,129 @@
         self.merge_reports(reports);
         for report in reports {
             let gateway = Rc::clone(self);
-            let request = CrashRequest::Record(report.clone());
-            let fingerprint = report.request;
-            actix_rt::spawn(async move { gateway.ask_stores(fingerprint, request).await });
+            let report = report.clone();
+            actix_rt::spawn(async move { gateway.deliver(&report, false).await });
+        }
+    }
+
+    /// Sends a report to the stores that own its request. Returns true if a quorum of them has
+    /// acknowledged it.
+    async fn deliver(self: &Rc<Self>, report: &RunReport, is_in_doubt: bool) -> bool {
+        let key = (report.request, report.run);
+        let request = match is_in_doubt {
+            true => CrashRequest::RecordDoubt(report.clone()),
+            false => CrashRequest::Record(report.clone()),
+        };
+        let links = self.turns.crash_owners(report.request);
+        if report.state == RunState::Cleared {
+            self.crashes.borrow_mut().unacknowledged.forget(key);
+            return self.ask(links, request, LOOKUP_TIMEOUT).await;
+        }
+        self.crashes.borrow_mut().unacknowledged.begin(key);
+        let timeout = self.acknowledgement_timeout();
+        let sending = Rc::clone(self).send_report(report.clone(), links, request);
+        // The task goes on after the timeout, and if the caller disconnects.
+        let sending = actix_rt::time::timeout(timeout, actix_rt::spawn(sending)).await;
+        if matches!(sending, Ok(Ok(true))) {
+            return true;
+        }
+        let mut crashes = self.crashes.borrow_mut();
+        crashes.unacknowledged.note_overdue(key);
+        let informed_age = crashes.informed_age();
+        drop(crashes);
+        tracing::warn!(
+            request = %report.request,
+            replica = %report.replica,
+            timeout_ms = milliseconds(timeout),
+            informed_ago_ms = informed_age.map(milliseconds),
+            "turn stores did not acknowledge a crash report"
+        );
+        false
+    }
+
+    /// Sends a report to stores. Returns true if a quorum of them has acknowledged it.
+    async fn send_report(
+        self: Rc<Self>,
+        report: RunReport,
+        links: Vec<Rc<StoreLink>>,
+        request: CrashRequest,
+    ) -> bool {
+        let key = (report.request, report.run);
+        let is_acknowledged = self.ask(links, request, DELIVERY_TIMEOUT).await;
+        let mut crashes = self.crashes.borrow_mut();
+        let taken = crashes.unacknowledged.end(key, is_acknowledged);
+        drop(crashes);
+        if let Some(taken) = taken.filter(|taken| *taken > LOOKUP_TIMEOUT) {
+            tracing::info!(
+                request = %report.request,
+                replica = %report.replica,
+                ms = milliseconds(taken),
+                "turn stores acknowledged a crash report late"
+            );
+        }
+        is_acknowledged
+    }
+
+    /// Returns the time to wait for the acknowledgement of a report. If no store responds, the leases
+    /// of other gateways have ended after it.
+    fn acknowledgement_timeout(&self) -> Duration {
+        let age = self.crashes.borrow().informed_age();
+        let may_others_trust = age.is_some_and(|age| age < LEASE_SPREAD);
+        if may_others_trust || self.follows_crash_reports() {
+            ACKNOWLEDGEMENT_TIMEOUT
+        } else {
+            LOOKUP_TIMEOUT
+        }
+    }
+
+    /// Sends the reports again that no quorum of stores has acknowledged.
+    fn deliver_again(self: &Rc<Self>) {
+        let due = self.crashes.borrow_mut().unacknowledged.due();
+        for key in due {
+            let mut crashes = self.crashes.borrow_mut();
+            let mut reports = crashes.table.reports(key.0);
+            let report = reports.find(|report| report.run == key.1).cloned();
+            drop(reports);
+            let Some(report) = report.filter(|report| report.state != RunState::Cleared) else {
+                crashes.unacknowledged.forget(key);
+                continue;
+            };
+            let is_in_doubt = crashes.table.is_in_doubt(&report);
+            drop(crashes);
+            let gateway = Rc::clone(self);
+            actix_rt::spawn(async move { gateway.deliver(&report, is_in_doubt).await });
         }
     }
 
     /// Gets the reports of a request from a quorum of its stores, unless the reports of all stores
     /// are known here. Stores that did not answer lately are left out, since the request waits.
-    /// Returns false if reports may be missing.
+    /// Returns false if reports may be missing here, or those of this gateway at the others.
     pub(crate) async fn look_up_crashes(self: &Rc<Self>, request: RequestFingerprint) -> bool {
-        if self.follows_crash_reports() {
-            return true;
+        if !self.follows_crash_reports() {
+            let mut links = self.turns.crash_owners(request);
+            links.retain(|link| !link.is_unresponsive());
+            let find = CrashRequest::Find(request);
+            if !self.ask(links, find, LOOKUP_TIMEOUT).await {
+                tracing::warn!(%request, "turn stores did not respond about crash reports");
+                return false;
+            }
         }
-        let mut links = self.turns.crash_owners(request);
-        links.retain(|link| !link.is_unresponsive());
-        self.ask(links, request, CrashRequest::Find(request)).await
+        !self.crashes.borrow().unacknowledged.has_any_of(request)
     }
 
-    async fn ask_stores(self: &Rc<Self>, fingerprint: RequestFingerprint, request: CrashRequest) {
-        let links = self.turns.crash_owners(fingerprint);
-        self.ask(links, fingerprint, request).await;
+    /// Returns true if [`Gateway::look_up_crashes`] need not ask the stores.
+    pub(crate) fn is_informed_of(&self, request: RequestFingerprint) -> bool {
+        let has_unacknowledged = self.crashes.borrow().unacknowledged.has_any_of(request);
+        self.follows_crash_reports() && !has_unacknowledged
     }
 
+    /// Sends a request to stores. Returns true if a quorum responds in time. The request goes on
+    /// after that.
     async fn ask(
         self: &Rc<Self>,
         links: Vec<Rc<StoreLink>>,
-        fingerprint: RequestFingerprint,
         request: CrashRequest,
+        timeout: Duration,
     ) -> bool {
         let request = Rc::new(request);
         let mut pending: FuturesUnordered<_> = links
@@ -121,12 +234,8 @@
             }
             answers
         };
-        let answers = actix_rt::time::timeout(REPORT_TIMEOUT, answers).await;
-        let is_answered = answers.is_ok_and(|answers| answers >= needed);
-        if !is_answered {
-            tracing::warn!(request = %fingerprint, "turn stores did not respond about crash reports");
-        }
-        is_answered
+        let answers = actix_rt::time::timeout(timeout, answers).await;
+        answers.is_ok_and(|answers| answers >= needed)
     }
 
     fn merge_response(self: &Rc<Self>, response: &CrashResponse) {
@@ -154,12 +263,32 @@
         }
     }
 
-    /// Returns true if all reports that stores have acknowledged are known here.
-    fn follows_crash_reports(&self) -> bool {
+    /// Returns true if all reports that a quorum of stores has acknowledged are known here.
+    pub(crate) fn follows_crash_reports(&self) -> bool {
         let followed = self.crashes.borrow().followed_count();
         self.turns.is_certain(followed)
     }
 
+    /// Records whether the reports of all stores are known here.
+    fn note_informed(&self) {
+        let unacknowledged = self.crashes.borrow().unacknowledged.len();
+        let reports = &self.metrics.unacknowledged_reports;
+        reports.set(unacknowledged as f64);
+        let is_informed = self.follows_crash_reports();
+        if is_informed {
+            self.crashes.borrow_mut().note_informed();
+        }
+        if self.is_informed.replace(is_informed) != is_informed {
+            let informed_age = self.crashes.borrow().informed_age();
+            tracing::info!(
+                is_informed,
+                informed_ago_ms = informed_age.map(milliseconds),
+                unacknowledged,
+                "knowledge of crash reports changed"
+            );
+        }
+    }
+
     /// Reports the doubtful runs at replicas that the list shows as ended, and probes replicas that
     /// have given no sign since.
     fn review_doubtful_runs(self: &Rc<Self>) {
@@ -258,7 +387,15 @@
 /// Sends a request to one store and merges the reports of its response. Returns true if it
 /// responded.
 async fn exchange(gateway: Rc<Gateway>, link: Rc<StoreLink>, request: Rc<CrashRequest>) -> bool {
-    let Some(response) = link.exchange_crashes(&request).await else {
+    let is_report = matches!(
+        &*request,
+        CrashRequest::Record(_) | CrashRequest::RecordDoubt(_)
+    );
+    let response = match is_report {
+        true => link.report_run(&request).await,
+        false => link.exchange_crashes(&request).await,
+    };
+    let Some(response) = response else {
         return false;
     };
     if let Some(response) = response {
@@ -282,6 +419,8 @@
         }
         followed.retain(|name, link| gateway.turns.has_link(name, link));
         gateway.crashes.borrow_mut().note_upkeep();
+        gateway.note_informed();
+        gateway.deliver_again();
         gateway.review_doubtful_runs();
         gateway.review_crashes();
         let view_changed = gateway.turns.view_changed.notified();
@@ -293,17 +432,23 @@
 async fn follow_store(gateway: Rc<Gateway>, name: StoreName, link: Rc<StoreLink>) {
     let mut position = LogPosition::default();
     while gateway.turns.has_link(&name, &link) {
+        let asked_at = Instant::now();
         match link.follow_crashes(position).await {
             Some(Some(response)) => {
                 gateway.merge_response(&response);
-                gateway.crashes.borrow_mut().note_followed(&name);
+                let until = match response.has_lease {
+                    true => asked_at + LEASE_TRUST,
+                    false => Instant::now() + UNLEASED_TRUST,
+                };
+                gateway.crashes.borrow_mut().note_followed(&name, until);
                 if response.position.epoch != position.epoch {
                     actix_rt::spawn(refill(Rc::clone(&gateway), name.clone(), Rc::clone(&link)));
                 }
                 position = response.position;
             }
             Some(None) => {
-                gateway.crashes.borrow_mut().note_followed(&name);
+                let until = Instant::now() + UNLEASED_TRUST;
+                gateway.crashes.borrow_mut().note_followed(&name, until);
                 actix_rt::time::sleep(OLDER_STORE_RETRY_DELAY).await;
             }
             None => {
@@ -329,20 +474,22 @@
         let owners = gateway.turns.crash_owners(request);
         owners.iter().any(|owner| Rc::ptr_eq(owner, &link))
     };
-    let mut sent: u32 = 0;
     let owned = counted.into_iter();
-    for (report, is_in_doubt) in owned.filter(|(report, _)| is_owner(report.request)) {
+    let owned = owned.filter(|(report, _)| is_owner(report.request));
+    let sending = owned.map(|(report, is_in_doubt)| {
         let request = match is_in_doubt {
             true => CrashRequest::RecordDoubt(report),
             false => CrashRequest::Record(report),
         };
-        if link.exchange_crashes(&request).await.is_none() {
-            break;
-        }
-        sent += 1;
-    }
-    if sent > 0 {
-        tracing::info!(store = %name, sent, "sent crash reports to a store that may lack them");
+        let link = Rc::clone(&link);
+        async move { link.report_run(&request).await.is_some() }
+    });
+    let results = futures_util::stream::iter(sending).buffer_unordered(MAX_REFILL_REPORTS);
+    let results: Vec<bool> = results.collect().await;
+    let sent = results.iter().filter(|is_sent| **is_sent).count();
+    if !results.is_empty() {
+        let failed = results.len() - sent;
+        tracing::info!(store = %name, sent, failed, "sent crash reports to a store that may lack them");
     }
 }
 
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -179,8 +179,7 @@
         if !was_reused {
             run.wait_for_closes().await;
         }
-        // Replicas may have ended under other runs since this one has begun.
-        if run.is_at_limit() {
+        if !run.may_be_sent().await {
             return Err(Failure::CrashLimit);
         }
         let stall_reports = report_stalls(gateway, backend, run);
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -66,6 +66,8 @@
     pub(crate) upstream: Upstream,
     /// Reports of replicas that ended while they ran a request.
     pub(crate) crashes: RefCell<CrashLedger>,
+    /// True if the reports of all stores were known at the last check.
+    pub(crate) is_informed: Cell<bool>,
     /// Accounting of the bytes buffered for callers and replicas.
     pub(crate) held: Rc<HeldBytesLedger>,
     pub(crate) is_stopping: Cell<bool>,
@@ -108,6 +110,7 @@
             origins: RefCell::new(OriginTable::new(MAX_OWN_ORIGINS)),
             sole_versions: RefCell::default(),
             crashes: RefCell::default(),
+            is_informed: Cell::new(false),
             upstream: Upstream::new(metrics.connects.clone()),
             list: RefCell::default(),
             splits: RefCell::default(),
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -41,6 +41,7 @@
 mod survival;
 mod turn_cache;
 mod turn_client;
+mod unacknowledged;
 mod unary;
 mod upstream;
 mod work;
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -61,10 +61,12 @@
     pub(crate) hedges: IntCounterVec,
     /// Requests refused because replicas ended while they ran them.
     pub(crate) crashing_requests: IntCounter,
-    /// Replicas that ended during a run of a request, as this gateway saw them.
     /// Requests refused because runs of them are in doubt or under way.
     pub(crate) doubtful_requests: IntCounter,
+    /// Replicas that ended during a run of a request, as this gateway saw them.
     pub(crate) crashes: IntCounter,
+    /// Reports of runs that no quorum of turn stores has acknowledged.
+    pub(crate) unacknowledged_reports: Gauge,
     /// Runs of which it is not known yet whether they ended their replica.
     pub(crate) doubtful_runs: Gauge,
     /// Callers that disconnected before their answer, by what they were waiting for.
@@ -179,6 +181,10 @@
                 "crashes_total",
                 "Replicas that ended during a run of a request",
             )?,
+            unacknowledged_reports: registry.gauge(
+                "unacknowledged_reports",
+                "Reports of runs that no quorum of turn stores has acknowledged",
+            )?,
             doubtful_runs: registry.gauge(
                 "doubtful_runs",
                 "Runs of which it is not known yet whether they ended their replica",
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -38,6 +38,10 @@
 /// Retry delay of a request that other runs keep waiting, within which doubts are settled.
 const ANNOUNCED_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Maximum age of what a gateway knows of the crashes under a request that it sends, unless it follows
+/// them.
+const MAX_LOOK_UP_AGE: Duration = Duration::from_millis(100);
+
 /// Time after the deadline of a run during which it still counts as under way. Its gateway usually
 /// settles a doubt within it.
 const LEASE_MARGIN: Duration = Duration::from_secs(12);
@@ -50,10 +54,34 @@
     is_announced: Rc<Cell<bool>>,
     /// Links to the stores that know that the run is under way.
     announced_to: RefCell<Vec<Rc<StoreLink>>>,
+    /// Time and result of the latest look at the crashes under the request.
+    looked_up: Cell<LookUp>,
     is_sent: Cell<bool>,
     is_over: Cell<bool>,
 }
 
+/// What a gateway knew of the crashes under a request, and when.
+#[derive(Clone, Copy, Debug)]
+struct LookUp {
+    at: Instant,
+    is_informed: bool,
+}
+
+impl LookUp {
+    async fn begin(gateway: &Rc<Gateway>, request: RequestFingerprint) -> Self {
+        let is_informed = gateway.look_up_crashes(request).await;
+        Self {
+            at: Instant::now(),
+            is_informed,
+        }
+    }
+
+    /// Returns true if the crashes under the request may have to be looked up again.
+    fn is_old(self, gateway: &Gateway, request: RequestFingerprint) -> bool {
+        !gateway.is_informed_of(request) && self.at.elapsed() > MAX_LOOK_UP_AGE
+    }
+}
+
 /// Refuses a request under which too many replicas have ended.
 pub(crate) async fn refuse_crashing(
     gateway: &Rc<Gateway>,
@@ -115,13 +143,16 @@
     ) -> Result<Self, Failure> {
         let deadline = Instant::now() + MAX_ANNOUNCED_WAIT.min(inbound.remaining() / 2);
         let request = inbound.fingerprint;
-        let is_informed = gateway.look_up_crashes(request).await;
+        let mut looked_up = LookUp::begin(gateway, request).await;
         loop {
-            if !gateway.may_begin_later(request, is_informed) {
+            if looked_up.is_old(gateway, request) {
+                looked_up = LookUp::begin(gateway, request).await;
+            }
+            if !gateway.may_begin_later(request, looked_up.is_informed) {
                 return Err(Failure::CrashLimit);
             }
-            if is_informed || gateway.suspected_crashes(request) == 0 {
-                let run = Self::new(gateway, inbound, backend);
+            if looked_up.is_informed || gateway.suspected_crashes(request) == 0 {
+                let run = Self::new(gateway, inbound, backend, looked_up);
                 if let Some(run) = run.begin_within_limit().await {
                     return Ok(run);
                 }
@@ -144,23 +175,32 @@
         };
         let others = |gateway: &Gateway| gateway.possible_crashes(request, id);
         match others(&self.gateway) {
-            0 => return Some(self.begun()),
+            0 => {
+                self.register();
+                return Some(self);
+            }
             MAX_CRASHES.. => {
                 self.is_over.set(true);
                 return None;
             }
             _ => {}
         }
-        self.announce().await;
+        self.register();
+        let is_known = self.announce().await;
         actix_rt::time::sleep(ANNOUNCED_CHECK_INTERVAL).await;
-        if others(&self.gateway) < MAX_CRASHES {
-            return Some(self.begun());
+        if is_known && others(&self.gateway) < MAX_CRASHES {
+            return Some(self);
         }
         self.survived();
         None
     }
 
-    fn new(gateway: &Rc<Gateway>, inbound: &InboundRequest, backend: &Backend) -> Self {
+    fn new(
+        gateway: &Rc<Gateway>,
+        inbound: &InboundRequest,
+        backend: &Backend,
+        looked_up: LookUp,
+    ) -> Self {
         let run = RunId(gateway.draw());
         let known_crashes = gateway.known_crashes(inbound.fingerprint, run, backend);
         let lease = inbound.remaining() + LEASE_MARGIN;
@@ -178,22 +218,23 @@
             gateway: Rc::clone(gateway),
             is_announced: Rc::default(),
             announced_to: RefCell::default(),
+            looked_up: Cell::new(looked_up),
             is_sent: Cell::new(false),
             is_over: Cell::new(false),
         }
     }
 
-    fn begun(self) -> Self {
+    /// Records the run as one of this gateway.
+    fn register(&self) {
         let mut crashes = self.gateway.crashes.borrow_mut();
         crashes.begin(&self.report.borrow(), &self.is_announced);
-        drop(crashes);
-        self
     }
 
-    async fn announce(&self) {
+    /// Announces the run. Returns true if all gateways know of it that may send the request.
+    async fn announce(&self) -> bool {
         self.is_announced.set(true);
         let report = self.report.borrow().clone();
-        self.gateway.report_run(&report).await;
+        self.gateway.report_run(&report).await
     }
 
     /// Announces the run at a replica that has long sent nothing, so that it counts if the gateway is
@@ -205,10 +246,20 @@
         }
     }
 
-    /// Returns true if too many replicas have ended under the request for it to be sent.
-    pub(crate) fn is_at_limit(&self) -> bool {
-        let request = self.report.borrow().request;
-        self.gateway.crashes_under(request) >= MAX_CRASHES
+    /// Returns true if the request may be sent now. Replicas may have ended under other runs since this
+    /// one has begun.
+    pub(crate) async fn may_be_sent(&self) -> bool {
+        let (request, run) = {
+            let report = self.report.borrow();
+            (report.request, report.run)
+        };
+        if self.looked_up.get().is_old(&self.gateway, request) {
+            let looked_up = LookUp::begin(&self.gateway, request).await;
+            self.looked_up.set(looked_up);
+        }
+        let is_informed = self.looked_up.get().is_informed;
+        self.gateway.may_begin_later(request, is_informed)
+            && self.gateway.possible_crashes(request, run) < MAX_CRASHES
     }
 
     /// Waits for the connections of an earlier process of the replica to close, if a run of the request
--- a/crates/gateway-server/src/store_link.rs
+++ b/crates/gateway-server/src/store_link.rs
@@ -20,6 +20,9 @@
 /// Timeout of a request to a store.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Timeout of a report of a run.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Timeout of a request for new crash reports, which a store holds for up to two seconds.
 const FOLLOW_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -140,17 +143,25 @@
         self.exchange(body, decode_crash_response).await
     }
 
-    /// Waits for crash reports from a position on. Unlike the time of other requests, that of this
+    /// Waits for crash reports from a position on, under a lease. Unlike the time of other requests, that of this
     /// one does not count as the store's response time.
     pub(crate) async fn follow_crashes(
         &self,
         position: LogPosition,
     ) -> Option<Option<CrashResponse>> {
-        let body = encode_crash_request(&CrashRequest::Follow(position))?;
+        let body = encode_crash_request(&CrashRequest::FollowLeased(position))?;
         let answer = self.client.request(body, FOLLOW_TIMEOUT).await.ok()?;
         decode_crash_response(&answer).ok()
     }
 
+    /// Sends a report of a run. The store acknowledges it once the gateways with a lease have it, so
+    /// the time does not count as the store's response time.
+    pub(crate) async fn report_run(&self, request: &CrashRequest) -> Option<Option<CrashResponse>> {
+        let body = encode_crash_request(request)?;
+        let answer = self.client.request(body, REPORT_TIMEOUT).await.ok()?;
+        decode_crash_response(&answer).ok()
+    }
+
     async fn exchange<Response>(
         &self,
         body: Vec<u8>,
--- /dev/null
+++ b/crates/gateway-server/tests/gateway/cut_off.rs
@@ -0,0 +1,152 @@
+//! Requests that end their replicas while one gateway is cut off from the turn stores by connections
+//! that fall silent.
+
+use crate::support::caller::{TestRequest, TestResponse};
+use crate::support::replica::{Replica, Script};
+use crate::support::{Fleet, configuration, wait_until};
+use luglink_gateway_server::GatewayServer;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Number of crashes under a request after which no replica gets it.
+const MAX_CRASHES: usize = 3;
+
+/// Number of replicas that a gateway may lose to a request while it cannot ask the stores.
+const MAX_UNINFORMED_CRASHES: usize = 1;
+
+const ATTEMPTS: usize = 7;
+
+const REPLICAS: usize = 9;
+
+/// Part of the path of requests that crash their replicas.
+const CRASHING: &str = "crash";
+
+/// Time within which a gateway that is not cut off serves an innocent request, far above the usual
+/// one.
+const INNOCENT_TIMEOUT: Duration = Duration::from_secs(2);
+
+struct Setup {
+    fleet: Fleet,
+    replicas: Vec<Replica>,
+    /// Number of connections to each store before the second gateway started.
+    first_connections: Vec<usize>,
+    second: SocketAddr,
+    _second_gateway: GatewayServer,
+}
+
+impl Setup {
+    async fn start() -> Self {
+        let mut replicas = Vec::new();
+        for number in 0..REPLICAS {
+            let script = Script::CrashesOn(CRASHING);
+            replicas.push(Replica::start(&format!("r{number}"), script).await);
+        }
+        let fleet = Fleet::start_behind_proxies(replicas.clone()).await;
+        fleet.configure(&configuration(1)).await;
+        for number in 0..2 * REPLICAS {
+            let id = format!("warm-{number}");
+            let warm = TestRequest::get("/safe/warm", &id);
+            warm.send(fleet.gateway_address).await;
+        }
+        let accepted = fleet.store_proxies.iter().map(|proxy| proxy.accepted());
+        let first_connections = accepted.collect();
+        let (gateway, second) = fleet.start_ready_second_gateway().await;
+        let setup = Self {
+            fleet,
+            replicas,
+            first_connections,
+            second,
+            _second_gateway: gateway,
+        };
+        for number in 0..2 * REPLICAS {
+            let id = format!("warm-again-{number}");
+            let warm = TestRequest::get("/safe/warm", &id).send(second).await;
+            assert_eq!(warm.status, 200);
+        }
+        setup
+    }
+
+    fn cut_off_second(&self) {
+        let proxies = self.fleet.store_proxies.iter();
+        for (proxy, first) in proxies.zip(&self.first_connections) {
+            proxy.silence_from(*first);
+        }
+    }
+
+    fn restore(&self) {
+        for proxy in &self.fleet.store_proxies {
+            proxy.restore();
+        }
+    }
+
+    fn crashed(&self) -> usize {
+        let replicas = self.replicas.iter();
+        replicas.filter(|replica| replica.has_crashed()).count()
+    }
+
+    async fn insist(&self, gateway: SocketAddr) -> TestResponse {
+        let mut last = TestResponse::default();
+        for number in 0..ATTEMPTS {
+            last = call(&format!("attempt-{number}")).send(gateway).await;
+        }
+        last
+    }
+}
+
+fn call(id: &str) -> TestRequest {
+    TestRequest::get("/safe/crash", id)
+}
+
+#[actix_rt::test]
+async fn a_gateway_that_is_cut_off_sends_a_request_at_most_once_after_the_third_end() {
+    let setup = Setup::start().await;
+    setup.cut_off_second();
+    setup.insist(setup.fleet.gateway_address).await;
+    assert_eq!(setup.crashed(), MAX_CRASHES);
+    setup.insist(setup.second).await;
+    let crashed = setup.crashed();
+    let limit = MAX_CRASHES + MAX_UNINFORMED_CRASHES;
+    assert!(crashed <= limit, "{crashed} crashes");
+    setup.restore();
+    wait_until("the request is refused for good", || async {
+        let response = call("last").send(setup.second).await;
+        let retry_after = response.header("retry-after");
+        let delay = retry_after.and_then(|delay| delay.parse::<f64>().ok());
+        response.status == 503 && delay.is_some_and(|delay| delay > 60.0)
+    })
+    .await;
+    assert_eq!(setup.crashed(), crashed);
+}
+
+#[actix_rt::test]
+async fn a_gateway_that_is_cut_off_sends_no_request_under_which_it_knows_an_end() {
+    let setup = Setup::start().await;
+    let once = call("first").with("luglink-deadline-ms", 300);
+    once.send(setup.fleet.gateway_address).await;
+    wait_until("a replica has ended", || async { setup.crashed() > 0 }).await;
+    let known = setup.crashed();
+    setup.cut_off_second();
+    // Without a lease, the gateway cannot tell whether more replicas have ended since.
+    actix_rt::time::sleep(Duration::from_millis(1_500)).await;
+    let last = setup.insist(setup.second).await;
+    assert_eq!(setup.crashed(), known);
+    assert_eq!(last.status, 503, "{last:?}");
+}
+
+#[actix_rt::test]
+async fn innocent_requests_are_served_while_one_gateway_is_cut_off() {
+    let setup = Setup::start().await;
+    setup.cut_off_second();
+    for (number, gateway) in [setup.fleet.gateway_address, setup.second]
+        .into_iter()
+        .cycle()
+        .take(20)
+        .enumerate()
+    {
+        let began = Instant::now();
+        let path = format!("/safe/innocent-{number}");
+        let response = TestRequest::get(&path, &path[1..]).send(gateway).await;
+        assert_eq!(response.status, 200, "{number}: {response:?}");
+        assert!(began.elapsed() < INNOCENT_TIMEOUT, "{number}");
+    }
+}
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of a gateway in a complete fleet with scripted replicas.
 
 mod crashing_requests;
+mod cut_off;
 mod endless_bytes;
 mod expected_finish;
 mod held_bytes;
--- a/crates/gateway-server/tests/gateway/mixed_builds.rs
+++ b/crates/gateway-server/tests/gateway/mixed_builds.rs
@@ -114,6 +114,7 @@
         name: "s".to_owned(),
         zone: "z".to_owned(),
         listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        advertised: None,
         data_folder: folder.to_owned(),
         first_start: false,
         replication: Replication::surviving(1),
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod endless;
+pub mod proxy;
 pub mod replica;
 
 use luglink_control_server::{ManagedServer, ManagedServerConfig, start_managed};
@@ -15,6 +16,7 @@
 use luglink_settings::{FleetSettings, ManagedMemberSettings};
 use luglink_store_server::{StoreServer, StoreServerConfig};
 use luglink_turns::Replication;
+use proxy::Proxy;
 use replica::Replica;
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -60,6 +62,8 @@
     _data_folder: TempDir,
     pub members: Vec<ManagedServer>,
     pub stores: Vec<StoreServer>,
+    /// Proxies through which the stores are reached, if any.
+    pub store_proxies: Vec<Proxy>,
 }
 
 fn ip(block: u8, host: u8) -> Ipv4Addr {
@@ -105,7 +109,13 @@
     /// Starts a fleet whose gateway has these features.
     pub async fn start_with_features(replicas: Vec<Replica>, features: Features) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        Self::start_with_options(folder, replicas, false, features).await
+        Self::start_with_options(folder, replicas, false, features, false).await
+    }
+
+    /// Starts a fleet whose stores are reached through proxies.
+    pub async fn start_behind_proxies(replicas: Vec<Replica>) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        Self::start_with_options(folder, replicas, false, Features::default(), true).await
     }
 
     pub async fn start_in(folder: TempDir, replicas: Vec<Replica>) -> Self {
@@ -117,7 +127,8 @@
         replicas: Vec<Replica>,
         has_unreachable_seeds: bool,
     ) -> Self {
-        Self::start_with_options(folder, replicas, has_unreachable_seeds, Features::default()).await
+        let features = Features::default();
+        Self::start_with_options(folder, replicas, has_unreachable_seeds, features, false).await
     }
 
     async fn start_with_options(
@@ -125,6 +136,7 @@
         replicas: Vec<Replica>,
         has_unreachable_seeds: bool,
         features: Features,
+        has_store_proxies: bool,
     ) -> Self {
         let block = NEXT_BLOCK.fetch_add(1, Ordering::Relaxed);
         let ports = free_ports();
@@ -134,6 +146,7 @@
         let (operator_port, resolution_port) = (ports[0] + 4, ports[0] + 5);
         let mut members = Vec::new();
         let mut stores = Vec::new();
+        let mut store_proxies = Vec::new();
         for host in 1..=3 {
             let fleet = fleet_settings(block, host, &ports, list);
             let config = ManagedServerConfig {
@@ -150,7 +163,12 @@
                 fleet: fleet.clone(),
             };
             members.push(start_managed(&config, Rc::clone(&dialect)).await.unwrap());
-            let store = store_config(&fleet, folder.path().join(format!("store-{host}")));
+            let mut store = store_config(&fleet, folder.path().join(format!("store-{host}")));
+            if has_store_proxies {
+                let proxy = Proxy::start(fleet.ip.into(), store.listen).await;
+                store.advertised = Some(proxy.address);
+                store_proxies.push(proxy);
+            }
             stores.push(luglink_store_server::start(store).await.unwrap());
         }
         let mut fleet = fleet_settings(block, 9, &ports, list);
@@ -178,6 +196,7 @@
             _data_folder: folder,
             members,
             stores,
+            store_proxies,
         }
     }
 
@@ -230,6 +249,7 @@
         name: fleet.name.clone(),
         zone: fleet.zone.clone(),
         listen: (fleet.ip, fleet.store_port()).into(),
+        advertised: None,
         data_folder,
         first_start: true,
         replication: Replication::surviving(1),
--- a/crates/store-server/src/metrics.rs
+++ b/crates/store-server/src/metrics.rs
@@ -97,6 +97,6 @@
         CrashRequest::RecordDoubt(_) => "record_doubt",
         CrashRequest::Update(_) => "update_runs",
         CrashRequest::Find(_) => "find_crashes",
-        CrashRequest::Follow(_) => "follow_crashes",
+        CrashRequest::Follow(_) | CrashRequest::FollowLeased(_) => "follow_crashes",
     }
 }
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -11,8 +11,9 @@
 use luglink_quota::Tolerance;
 use luglink_storage::{FileDisk, WalConfig};
 use luglink_turns::{
-    Chain, ClientView, CrashRequest, CrashResponse, OriginRequest, OriginResponse, Output,
-    Replication, RequestToken, StoreConfig, StoreNode, StoreRequest, StoreResponse,
+    Chain, ClientView, CrashRequest, CrashResponse, FollowerLeases, LogPosition, OriginRequest,
+    OriginResponse, Output, Replication, RequestToken, RunState, StoreConfig, StoreNode,
+    StoreRequest, StoreResponse,
 };
 use luglink_wire::{Frame, Parts, WireError, decode_with_parts, encode_body, encode_with_parts};
 use rand::RngCore;
@@ -44,6 +45,8 @@
     pub zone: String,
     /// Internal address.
     pub listen: SocketAddr,
+    /// Address at which gateways and other stores reach it; `None` for `listen`.
+    pub advertised: Option<SocketAddr>,
     /// Folder of the journal and of the store's incarnation.
     pub data_folder: PathBuf,
     /// True if the whole deployment starts for the first time.
@@ -70,6 +73,7 @@
     peers: Peers,
     /// Gateways that wait for crash reports.
     followers: RefCell<Followers>,
+    leases: RefCell<FollowerLeases>,
     /// Clients that the latest update of each gateway's session came from.
     sessions: RefCell<BTreeMap<u64, u64>>,
     /// Requests handled since the last flush.
@@ -106,6 +110,10 @@
     let metrics_address =
         luglink_metrics_server::start(config.metrics_listen, &metrics.registry).await;
     let node = open_node(&config).await;
+    let leases = match node.has_new_disk() {
+        true => FollowerLeases::new(),
+        false => FollowerLeases::after_restart(now()),
+    };
     let (turns, accounts) = node.counts();
     tracing::info!(
         name = config.name,
@@ -121,6 +129,7 @@
         clients: RefCell::default(),
         peers: Peers::default(),
         followers: RefCell::default(),
+        leases: RefCell::new(leases),
         sessions: RefCell::default(),
         unflushed_requests: Cell::new(0),
         flush_needed: Notify::new(),
@@ -216,6 +225,7 @@
         shared.note_run_events();
         shared.update_gauges();
         shared.answer_followers();
+        shared.acknowledge_reports();
         shared.flush_needed.notify_one();
     }
 }
@@ -252,7 +262,9 @@
             ListenerEvent::Closed { connection } => {
                 self.clients.borrow_mut().remove(&connection);
                 self.followers.borrow_mut().remove(connection);
+                self.leases.borrow_mut().end(connection);
                 self.end_session_of(connection);
+                self.acknowledge_reports();
             }
         }
     }
@@ -326,16 +338,58 @@
             let mut sessions = self.sessions.borrow_mut();
             sessions.insert(update.session, token.client);
         }
+        let latest = response.position;
         match request {
-            CrashRequest::Follow(position) if *position == response.position || !is_complete => {
-                let follower = Follower::new(token, *position);
-                self.followers.borrow_mut().add(follower);
+            CrashRequest::Follow(position) => {
+                self.follow(token, *position, response, is_complete);
+            }
+            CrashRequest::FollowLeased(position) => {
+                let mut leases = self.leases.borrow_mut();
+                leases.grant(token.client, *position, latest, now());
+                drop(leases);
+                self.follow(token, *position, response, is_complete);
+                self.acknowledge_reports();
+            }
+            CrashRequest::Record(report) | CrashRequest::RecordDoubt(report)
+                if report.state != RunState::Cleared =>
+            {
+                self.leases.borrow_mut().hold(token, response);
             }
             _ => self.reply_with_parts(token, response.encode()),
         }
-        if response.position != before {
+        if latest != before {
             self.answer_followers();
         }
+        if matches!(
+            request,
+            CrashRequest::Record(_) | CrashRequest::RecordDoubt(_)
+        ) {
+            self.acknowledge_reports();
+        }
+    }
+
+    /// Responds to a follower that lacks reports, and holds the request of another one.
+    fn follow(
+        &self,
+        token: RequestToken,
+        position: LogPosition,
+        response: CrashResponse,
+        is_complete: bool,
+    ) {
+        if position == response.position || !is_complete {
+            let follower = Follower::new(token, position, response.has_lease);
+            self.followers.borrow_mut().add(follower);
+        } else {
+            self.reply_with_parts(token, response.encode());
+        }
+    }
+
+    /// Acknowledges the reports that all followers with a lease have.
+    fn acknowledge_reports(&self) {
+        let due = self.leases.borrow_mut().take_due(now());
+        for (token, response) in due {
+            self.reply_with_parts(token, response.encode());
+        }
     }
 
     /// Puts the runs of a gateway in doubt whose connection has ended, unless it has another one.
@@ -378,8 +432,7 @@
         }
         let due = self.followers.borrow_mut().take_due(node.crash_position());
         for follower in due {
-            let request = CrashRequest::Follow(follower.position);
-            let response: CrashResponse = node.handle_crash_request(&request, now());
+            let response: CrashResponse = node.handle_crash_request(&follower.request(), now());
             self.reply_with_parts(follower.token, response.encode());
         }
     }
@@ -455,7 +508,7 @@
             name: self.config.name.clone(),
             zone: self.config.zone.clone(),
             role: Role::Store(StorePresence {
-                address: self.config.listen,
+                address: self.config.advertised.unwrap_or(self.config.listen),
                 incarnation: node.incarnation(),
                 founding: self.config.first_start,
                 handed_over_epoch: node.handed_over_epoch(),
--- a/crates/turns/src/crash_keeper.rs
+++ b/crates/turns/src/crash_keeper.rs
@@ -107,13 +107,16 @@
                 }
                 self.log.find(*request)
             }
-            CrashRequest::Follow(position) => self.log.reports_from(*position),
+            CrashRequest::Follow(position) | CrashRequest::FollowLeased(position) => {
+                self.log.reports_from(*position)
+            }
         };
         CrashResponse {
             position: self.log.position(),
             doubts: self.log.doubts_among(&reports),
             reports,
             is_new_session: false,
+            has_lease: matches!(request, CrashRequest::FollowLeased(_)),
         }
     }
 
--- a/crates/turns/src/crash_parts.rs
+++ b/crates/turns/src/crash_parts.rs
@@ -34,6 +34,12 @@
 /// Response part: the store did not know the gateway's session.
 const IS_NEW_SESSION: PartNumber = PartNumber(12);
 
+/// Request part: the follower asks for a lease.
+const WANTS_LEASE: PartNumber = PartNumber(13);
+
+/// Response part: the follower has a lease.
+const HAS_LEASE: PartNumber = PartNumber(14);
+
 /// Position in the reports of one store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogPosition {
@@ -68,6 +74,10 @@
     Find(RequestFingerprint),
     /// Returns the reports from a position on, as soon as there are any or after a timeout.
     Follow(LogPosition),
+    /// The same, and grants a lease (see [`FollowerLeases`]).
+    ///
+    /// [`FollowerLeases`]: crate::FollowerLeases
+    FollowLeased(LogPosition),
 }
 
 impl CrashRequest {
@@ -86,6 +96,10 @@
             Self::Update(update) => parts.put(UPDATE_RUNS, update)?,
             Self::Find(request) => parts.put(FIND_RUNS, request)?,
             Self::Follow(position) => parts.put(FOLLOW_RUNS, position)?,
+            Self::FollowLeased(position) => {
+                parts.put(FOLLOW_RUNS, position)?;
+                parts.put(WANTS_LEASE, &true)?;
+            }
         }
         Ok(parts)
     }
@@ -109,7 +123,12 @@
         if let Some(request) = parts.get(FIND_RUNS)? {
             return Ok(Some(Self::Find(request)));
         }
-        Ok(parts.get(FOLLOW_RUNS)?.map(Self::Follow))
+        let wants_lease = parts.get(WANTS_LEASE)?.unwrap_or(false);
+        let follow = match wants_lease {
+            true => Self::FollowLeased,
+            false => Self::Follow,
+        };
+        Ok(parts.get(FOLLOW_RUNS)?.map(follow))
     }
 }
 
@@ -124,6 +143,8 @@
     pub doubts: Vec<(RequestFingerprint, RunId)>,
     /// True if the store did not know the session of an update, so it may lack earlier runs.
     pub is_new_session: bool,
+    /// True if the follower has a lease.
+    pub has_lease: bool,
 }
 
 impl CrashResponse {
@@ -140,6 +161,9 @@
         if self.is_new_session {
             parts.put(IS_NEW_SESSION, &true)?;
         }
+        if self.has_lease {
+            parts.put(HAS_LEASE, &true)?;
+        }
         Ok(parts)
     }
 
@@ -156,6 +180,7 @@
             reports,
             doubts: parts.get(DOUBTS)?.unwrap_or_default(),
             is_new_session: parts.get(IS_NEW_SESSION)?.unwrap_or(false),
+            has_lease: parts.get(HAS_LEASE)?.unwrap_or(false),
         }))
     }
 }
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -95,6 +95,7 @@
 pub struct StoreNode<D> {
     config: StoreConfig,
     incarnation: u64,
+    has_new_disk: bool,
     journal: Journal<D>,
     state: State,
     hand_over: HandOver,
@@ -142,6 +143,7 @@
             config,
             quota,
             incarnation: recovered.incarnation,
+            has_new_disk: recovered.incarnation == new_incarnation,
             journal,
             state,
             hand_over: HandOver::new(completed_view),
@@ -162,6 +164,12 @@
         self.incarnation
     }
 
+    /// Returns true if the disk was empty when the store started.
+    #[must_use]
+    pub fn has_new_disk(&self) -> bool {
+        self.has_new_disk
+    }
+
     /// Epoch of the newest view for which the hand-over to the other owners is complete.
     #[must_use]
     pub fn handed_over_epoch(&self) -> u64 {
--- a/crates/turns/tests/crashes.rs
+++ b/crates/turns/tests/crashes.rs
@@ -222,6 +222,7 @@
         }),
         CrashRequest::Find(REQUEST),
         CrashRequest::Follow(LogPosition { epoch: 7, next: 9 }),
+        CrashRequest::FollowLeased(LogPosition { epoch: 7, next: 9 }),
     ];
     for request in requests {
         let body = encode_with_parts(&OriginRequest::message(), &request.encode().unwrap());
@@ -234,6 +235,7 @@
         reports: vec![crash(1, "a", 0)],
         doubts: vec![(REQUEST, RunId(1))],
         is_new_session: true,
+        has_lease: true,
     };
     let parts = response.encode().unwrap();
     assert_eq!(CrashResponse::decode(&parts).unwrap(), Some(response));
