Tell ends of replicas apart that restart under their identifiers while gateways are lost

Callers saw: where replicas were back at once under the same identifier and address, and the gateways of the first three runs were lost with them, a request was sent to up to three more.

Cause: a run took another gateway's run in doubt at the same replica for one that would see the same end, although the process had been replaced, so several ends counted as one. The same where the doubt was not known yet.

Change: a run shares the end of another gateway's run only if a connection to the replica is open here since before that run was known. If the server has closed all connections, idle ones too, the next runs get a number of their own. A gateway's own announced runs count as its own from the start, so that they go on sharing.

--- a/app/luglink/tests/stream_soak/lost_runs.rs
+++ b/app/luglink/tests/stream_soak/lost_runs.rs
@@ -113,20 +113,28 @@
 
 /// Sends a request to a gateway, which is lost with the replica that ends under it.
 async fn lose_gateway_with_replica(fleet: &Fleet, gateway: usize, request: &str) {
+    lose_gateway_under(fleet, gateway, NAME, request).await;
+}
+
+pub async fn lose_gateway_under(fleet: &Fleet, gateway: usize, name: &str, request: &str) {
     let runs = &fleet.replicas.runs;
-    let before = runs.of(NAME);
+    let before = runs.of(name);
     let losing = async {
-        while runs.of(NAME).runs == before.runs {
+        while runs.of(name).runs == before.runs {
             actix_rt::time::sleep(POLL_INTERVAL).await;
         }
         fleet.gateways[gateway].signal(Signal::STOP);
-        while runs.of(NAME).ends() == before.ends() {
+        while runs.of(name).ends() == before.ends() {
             actix_rt::time::sleep(POLL_INTERVAL).await;
         }
         fleet.gateways[gateway].signal(Signal::KILL);
         fleet.gateways[gateway].wait_for_exit().await;
     };
-    tokio::join!(send(fleet, gateway, request), losing);
+    let sending = async {
+        let mut connection = connect(fleet.addresses[gateway], TIMEOUT).await.unwrap();
+        send_named(&mut connection, name, request).await;
+    };
+    tokio::join!(sending, losing);
 }
 
 async fn kill(processes: &[Process]) {
--- a/app/luglink/tests/stream_soak/replicas.rs
+++ b/app/luglink/tests/stream_soak/replicas.rs
@@ -50,6 +50,8 @@
 pub enum Faults {
     None,
     Random,
+    /// None, and no replica tells its incarnation.
+    Unidentified,
 }
 
 /// Stand-in replica.
@@ -136,6 +138,14 @@
         self.listed.borrow_mut().retain(|listed| listed.id != id);
     }
 
+    /// Ends all replicas but one. Nothing replaces them.
+    pub fn keep_one(&self) {
+        let surplus = self.listed.borrow_mut().split_off(1);
+        for replica in surplus {
+            replica.finish();
+        }
+    }
+
     /// Returns the number of replicas of a version that take new streams.
     pub fn serving(&self, version: usize) -> usize {
         let listed = self.listed.borrow();
@@ -242,7 +252,7 @@
             json!({
                 "id": replica.id, "service": "service", "address": replica.address,
                 "zone": "here", "slots": 16, "draining": replica.is_draining.get(),
-                "version": format!("v{}", replica.version), "started_ms": replica.started_ms,
+                "version": format!("v{}", replica.version), "started_ms": replica.told_start(),
             })
         });
         json!({"replicas": entries.collect::<Vec<_>>(), "next": null}).to_string()
@@ -279,6 +289,14 @@
         !has_ended && !self.is_draining.get()
     }
 
+    /// Returns the start time in the list entry and in reports; 0 for none.
+    fn told_start(&self) -> u64 {
+        match self.faults {
+            Faults::Unidentified => 0,
+            Faults::None | Faults::Random => self.started_ms,
+        }
+    }
+
     fn note_end(&self) {
         let replica = (self.id.as_str(), self.started_ms);
         self.replicas.runs.note_end(replica, &self.under_way);
@@ -358,7 +376,7 @@
     async fn report(&self, stream: &mut TcpStream) -> bool {
         let body = json!({
             "running": 0, "waiting": 0, "memory_used": 0, "memory_total": 1_000,
-            "started_ms": self.started_ms,
+            "started_ms": self.told_start(),
         });
         let body = body.to_string();
         let length = body.len();
--- a/app/luglink/tests/stream_soak/stale_knowledge.rs
+++ b/app/luglink/tests/stream_soak/stale_knowledge.rs
@@ -1,7 +1,7 @@
 //! Requests that end their replicas while what gateways know of turn stores grows old.
 
 use crate::fleet::{Fleet, Process};
-use crate::lost_runs::{ATTEMPTS, TIMEOUT, send_named};
+use crate::lost_runs::{ATTEMPTS, TIMEOUT, lose_gateway_under, send_named};
 use crate::replicas::Faults;
 use crate::runs::MAX_ENDS;
 use luglink_http::connect;
@@ -10,6 +10,9 @@
 
 const NAME: &str = "crash-head-exit-other-1";
 
+/// Request whose replicas start again at once under their identifiers.
+const RESTARTING_NAME: &str = "crash-head-exit-same-1";
+
 const GATEWAYS: usize = 3;
 
 /// Pause of a caller between two attempts.
@@ -73,3 +76,17 @@
 async fn a_request_is_limited_while_all_stores_have_long_been_silent() {
     assert_limited_in_silence(0, SILENCE_KNOWN_AFTER).await;
 }
+
+#[actix_rt::test]
+async fn replicas_that_restart_under_their_identifiers_count_if_their_gateways_are_lost() {
+    let fleet = Fleet::start(1, GATEWAYS + 1, Faults::Unidentified).await;
+    fleet.replicas.keep_one();
+    fleet.assert_all_gateways_serve().await;
+    for gateway in 0..GATEWAYS {
+        let request = format!("lost-{gateway}");
+        lose_gateway_under(&fleet, gateway, RESTARTING_NAME, &request).await;
+    }
+    insist(&fleet, &[GATEWAYS], RESTARTING_NAME, 6 * ATTEMPTS).await;
+    let ends = fleet.replicas.runs.of(RESTARTING_NAME).ends();
+    assert!(ends <= MAX_ENDS, "{ends} ends");
+}
--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -98,6 +98,12 @@
         });
     }
 
+    /// Returns true if a run is under way or in doubt here.
+    pub(crate) fn is_own(&self, report: &RunReport) -> bool {
+        let mut in_flight = self.in_flight.get(&report.request).into_iter().flatten();
+        in_flight.any(|run| run.report.run == report.run) || self.doubtful.is_own(report.run)
+    }
+
     /// Records that a run is no longer under way.
     pub(crate) fn end(&mut self, report: &RunReport) {
         let Some(runs) = self.in_flight.get_mut(&report.request) else {
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -360,6 +360,7 @@
                 request = %report.request,
                 replica = %report.replica,
                 started_ms = report.incarnation.0,
+                known_crashes = report.known_crashes,
                 "settling a run in doubt of another gateway"
             );
         }
--- a/crates/gateway-server/src/doubtful_runs.rs
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -250,6 +250,14 @@
         self.unsettled().any(|doubtful| doubtful.report.run == run)
     }
 
+    /// Returns true if a run of this gateway is in doubt.
+    pub(crate) fn is_own(&self, run: RunId) -> bool {
+        let mut own = self
+            .unsettled()
+            .filter(|doubtful| doubtful.reason != DoubtReason::Adopted);
+        own.any(|doubtful| doubtful.report.run == run)
+    }
+
     /// Returns true if a run of this request is in doubt.
     pub(crate) fn has_any_of(&self, request: RequestFingerprint) -> bool {
         self.unsettled().any(|run| run.report.request == request)
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -19,7 +19,9 @@
 use luglink_fleet::{Backend, Incarnation};
 use luglink_http::ConnectionState;
 use luglink_telemetry::milliseconds;
-use luglink_turns::{CRASH_RETENTION, MAX_CRASHES, RequestFingerprint, RunId, RunReport, RunState};
+use luglink_turns::{
+    CRASH_RETENTION, MAX_CRASHES, RequestFingerprint, RunId, RunReport, RunState, SESSION_TIMEOUT,
+};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -42,6 +44,12 @@
 /// them.
 const MAX_LOOK_UP_AGE: Duration = Duration::from_millis(100);
 
+/// Time that a report of a run in doubt usually takes from its gateway, or from the loss of its gateway.
+const REPORT_MARGIN: Duration = Duration::from_millis(50);
+
+/// Maximum time between the loss of a gateway and the report of its runs by the stores.
+const MAX_LOSS_DETECTION: Duration = SESSION_TIMEOUT.saturating_add(Duration::from_millis(200));
+
 /// Time after the deadline of a run during which it still counts as under way. Its gateway usually
 /// settles a doubt within it.
 const LEASE_MARGIN: Duration = Duration::from_secs(12);
@@ -541,19 +549,38 @@
         let is_open_since = |time| self.upstream.has_open_since(&backend.id, time);
         let doubtful = &crashes.doubtful;
         let may_be_replaced = doubtful.may_be_replaced(request, &backend.id, is_open_since);
-        let under_way =
-            crashes
-                .table
-                .run_under_way(request, run, (&backend.id, backend.incarnation));
-        match under_way.filter(|_| !may_be_replaced) {
+        let replica = (&backend.id, backend.incarnation);
+        let mut under_way = crashes.table.runs_under_way(request, run, replica);
+        let at_same_process =
+            under_way.find(|earlier| !may_be_replaced && !self.may_be_replaced_since(earlier));
+        match at_same_process {
             Some(earlier) => earlier.known_crashes,
             None => {
                 let possible = crashes.table.possible_crashes(request, run);
-                u32::try_from(possible).unwrap_or(u32::MAX)
+                // The run that ended an earlier process may not be known here yet.
+                let unknown = self
+                    .upstream
+                    .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION);
+                u32::try_from(possible + usize::from(unknown)).unwrap_or(u32::MAX)
             }
         }
     }
 
+    /// Returns true if the process that another gateway's run is or was at may have been replaced by
+    /// another one of the same replica. No connection is known then that was open before the run can
+    /// have ended it.
+    fn may_be_replaced_since(&self, foreign: &RunReport) -> bool {
+        let crashes = self.crashes.borrow();
+        if crashes.is_own(foreign) {
+            return false;
+        }
+        let known_since = crashes.table.known_since(foreign);
+        let known_for = known_since.map(|since| self.now().since(since));
+        let earliest_end =
+            known_for.and_then(|known_for| Instant::now().checked_sub(known_for + REPORT_MARGIN));
+        earliest_end.is_none_or(|end| !self.upstream.has_open_since(&foreign.replica, end))
+    }
+
     /// Returns true if the crashes under a request may yet turn out to be fewer than the limit.
     fn may_settle_below_limit(&self, request: RequestFingerprint) -> bool {
         let crashes = self.crashes.borrow();
--- a/crates/gateway-server/src/upstream.rs
+++ b/crates/gateway-server/src/upstream.rs
@@ -58,6 +58,11 @@
         let is_open = connection.is_ready() && !connection.is_closed();
         is_open && self.reusable_until > Instant::now()
     }
+
+    fn was_closed_early(&self) -> bool {
+        let end = self.connection.state().ended_by_server();
+        end == Some(ConnectionEnd::Closed) && self.reusable_until > Instant::now()
+    }
 }
 
 /// Connections to one replica.
@@ -67,6 +72,9 @@
     open_count: Cell<u32>,
     /// Open connections, idle or not, and the times at which they were opened.
     opened: RefCell<Vec<(ConnectionState, Instant)>>,
+    /// Time at which no connection was open any more and idle ones had been closed by the server
+    /// before their timeout.
+    closed_early_at: Cell<Option<Instant>>,
     freed: Notify,
 }
 
@@ -212,6 +220,16 @@
         states.filter(|state| state.is_open()).cloned().collect()
     }
 
+    /// Returns true if all connections to a replica were found closed within the last `period`, idle
+    /// ones too, so that its process may be a new one.
+    pub(crate) fn may_have_restarted_within(&self, replica: &BackendId, period: Duration) -> bool {
+        let replicas = self.replicas.borrow();
+        let closed_early_at = replicas
+            .get(replica)
+            .and_then(|connections| connections.closed_early_at.get());
+        closed_early_at.is_some_and(|at| at.elapsed() < period)
+    }
+
     /// Leases a connection to a replica, preferably an idle one, and waits up to `timeout` while
     /// `limit` connections are open.
     pub(crate) async fn acquire(
@@ -288,6 +306,11 @@
         if newest.is_reusable() {
             return Some(newest);
         }
+        let mut opened = connections.opened.borrow_mut();
+        opened.retain(|(state, _)| state.is_open());
+        if opened.is_empty() && newest.was_closed_early() {
+            connections.closed_early_at.set(Some(Instant::now()));
+        }
         connections.open_count.set(connections.open_count.get() - 1);
     }
 }
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -64,6 +64,7 @@
 #[derive(Clone, Debug)]
 struct KnownRun {
     report: RunReport,
+    known_since: Timestamp,
     lease_ends_at: Timestamp,
     /// True if the run is no longer under way, but it is not known whether its replica ended. Any
     /// process may find out.
@@ -165,6 +166,7 @@
             || now.plus(Duration::from_millis(report.lease_ms)),
             |known| known.lease_ends_at,
         );
+        let known_since = known.map_or(now, |known| known.known_since);
         let is_full = known.is_none() && request.runs.len() >= MAX_RUNS;
         let is_in_doubt = known.is_some_and(|known| known.is_in_doubt);
         let had_crashed = known.is_some_and(|known| known.has_crashed);
@@ -173,6 +175,7 @@
         }
         let run = KnownRun {
             report: report.clone(),
+            known_since,
             lease_ends_at,
             is_in_doubt,
             has_crashed: had_crashed || report.state == RunState::Crashed,
@@ -217,6 +220,12 @@
         known.is_some_and(|known| known.report.state != RunState::Cleared)
     }
 
+    /// Returns the time since which a run is known.
+    #[must_use]
+    pub fn known_since(&self, report: &RunReport) -> Option<Timestamp> {
+        self.known(report).map(|known| known.known_since)
+    }
+
     /// Returns true if a run was cleared before its end was known.
     #[must_use]
     pub fn is_cleared_early(&self, report: &RunReport) -> bool {
@@ -301,27 +310,28 @@
         runs.map(|run| &run.report)
     }
 
-    /// Returns a run of a request, other than `except`, at a replica that may still be under way or in
-    /// doubt, unless the end that it would see is known already.
-    #[must_use]
-    pub fn run_under_way(
+    /// Returns the runs of a request, other than `except`, at a replica that may still be under way or
+    /// in doubt, unless the ends that they would see are known already.
+    pub fn runs_under_way(
         &self,
         request: RequestFingerprint,
         except: RunId,
         replica: (&BackendId, Incarnation),
-    ) -> Option<&RunReport> {
+    ) -> impl Iterator<Item = &RunReport> {
         let at_replica: Vec<&RunReport> = self
             .reports(request)
             .filter(|report| (&report.replica, report.incarnation) == replica)
             .collect();
-        let is_end_known = |run: &RunReport| {
-            at_replica.iter().any(|other| {
-                other.state == RunState::Crashed && other.known_crashes == run.known_crashes
-            })
-        };
-        let mut others = at_replica.iter().filter(|report| report.run != except);
-        let under_way = others.find(|run| run.state == RunState::Started && !is_end_known(run));
-        under_way.copied()
+        let crashed = at_replica
+            .iter()
+            .filter(|report| report.state == RunState::Crashed);
+        let known_ends: BTreeSet<u32> = crashed.map(|report| report.known_crashes).collect();
+        let others = at_replica
+            .into_iter()
+            .filter(move |report| report.run != except);
+        others.filter(move |run| {
+            run.state == RunState::Started && !known_ends.contains(&run.known_crashes)
+        })
     }
 
     /// Returns the number of known crashes of a run that counts and that was at the same replica as
