Reset the connection of a caller of HTTP/1.0 whose response cannot be completed

Callers saw: a stream of which the replica had sent a part, in the head of a continuation or later, as a 200 with an empty or short body that looks whole (HTTP/1.0, where the close of the connection ends the body).

Cause: the HTTP library drops the connection of a response that fails, which closes it in order. HTTP/1.1 callers see the missing last chunk.

Change: such a connection is reset.

--- a/crates/gateway-server/tests/gateway/crashing_requests.rs
+++ b/crates/gateway-server/tests/gateway/crashing_requests.rs
@@ -1,7 +1,8 @@
 //! Requests that end every replica that runs them, and the requests that run beside them.
 
 use crate::support::caller::{TestRequest, TestResponse, get};
-use crate::support::replica::{Ending, Replica, Script};
+use crate::support::ending::Ending;
+use crate::support::replica::{Replica, Script};
 use crate::support::{Fleet, configuration, wait_until};
 use luglink_edge::RouteKind;
 use std::net::SocketAddr;
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod crashing_requests;
 mod cut_off;
+mod cut_responses;
 mod endless_bytes;
 mod expected_finish;
 mod held_bytes;
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -1,6 +1,8 @@
 //! Fleet of real servers in one process, on its own loopback addresses, with scripted replicas.
 
 pub mod caller;
+pub mod cut;
+pub mod ending;
 pub mod endless;
 pub mod proxy;
 pub mod replica;
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -1,5 +1,7 @@
 //! Replicas that write scripted bytes to their connections.
 
+use super::cut::Cut;
+use super::ending::Ending;
 use super::endless::{Endless, Pace};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
@@ -31,34 +33,6 @@
 /// Number of events of a stream before the replica ends.
 const EVENTS_BEFORE_END: usize = 2;
 
-/// How the end of a replica shows at its connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ending {
-    /// All connections close at once.
-    AtOnce,
-    /// The request's connection closes, the others [`CLOSE_INTERVAL`] later.
-    ConnectionsInTurn,
-    /// The request's connection closes, the process ends [`END_DELAY`] later.
-    AfterBreak,
-    /// All connections stay open and silent. New ones are refused.
-    Silent,
-    /// Sends a whole response with status 500. The process ends [`END_DELAY`] later.
-    AfterError,
-    /// Sends a whole response and bytes beyond its length. The process ends [`END_DELAY`] later.
-    AfterSurplus,
-    /// Sends bytes that are no HTTP. The process ends [`END_DELAY`] later.
-    AfterNoise,
-    /// Sends a part of a response. The process ends [`END_DELAY`] later.
-    AfterCut,
-    /// Sends a response to another request. The process ends [`END_DELAY`] later.
-    AfterForeign,
-    /// Sends nothing until the gateway closes the connection. The process ends [`END_DELAY`] later.
-    AfterGivenUp,
-    /// The request's connection closes, the others [`CLOSE_INTERVAL`] later. The process starts
-    /// again at once under the same identifier and address, which its list entry does not show.
-    Restart,
-}
-
 /// Behaviour of a replica on each request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Script {
@@ -80,6 +54,8 @@
     Unsigned,
     /// Sends a response with a content encoding.
     Encoded,
+    /// Sends only a part of a response to a request whose target contains `cut`. Answers the others.
+    Cuts(Cut),
     /// Sends a response without a length, and closes.
     Unframed,
     /// Sends a response before it reads the body of the request, then reads the body.
@@ -349,6 +325,10 @@
                 let rest = format!("{signed}Content-Encoding: gzip\r\nContent-Length: 2\r\n");
                 (self.head("200 OK", &id, &rest) + "xx", true)
             }
+            Script::Cuts(cut) if seen.target.contains("cut") => {
+                return cut.send(seen, stream).await;
+            }
+            Script::Cuts(_) => (self.whole(&id, &body), true),
             Script::Unframed => (self.head("200 OK", &id, &signed) + &body, false),
             Script::Early => {
                 let sent = stream.write_all(self.whole(&id, &body).as_bytes()).await;
--- a/crates/gateway-server/tests/gateway/unseen_ends.rs
+++ b/crates/gateway-server/tests/gateway/unseen_ends.rs
@@ -1,7 +1,8 @@
 //! Replicas whose end under a request does not show as the close of all connections at once.
 
 use crate::support::caller::{TestRequest, TestResponse};
-use crate::support::replica::{Ending, Replica, Script};
+use crate::support::ending::Ending;
+use crate::support::replica::{Replica, Script};
 use crate::support::{Fleet, configuration, wait_until};
 use futures_util::future::join_all;
 use std::net::SocketAddr;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -4,7 +4,7 @@
 use crate::write_stall::WriteStallStream;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use luglink_net::set_send_buffer;
 use snafu::Snafu;
@@ -131,8 +131,16 @@
     {
         tracing::debug!(%error, "cannot set the send buffer size");
     }
-    let stream = WriteStallStream::new(stream, options.write_stall_timeout);
-    let service = service_fn(move |request| handler(request));
+    let resets = Rc::new(Cell::new(false));
+    let stream = WriteStallStream::new(stream, options.write_stall_timeout, Rc::clone(&resets));
+    let ends_with_connection = Rc::new(Cell::new(false));
+    let service = service_fn({
+        let ends_with_connection = Rc::clone(&ends_with_connection);
+        move |request: Request<Incoming>| {
+            ends_with_connection.set(request.version() == Version::HTTP_10);
+            handler(request)
+        }
+    });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(options.idle_timeout)
@@ -148,6 +156,8 @@
     };
     if let Err(error) = result {
         tracing::debug!(%error, "connection failed");
+        // A caller of HTTP/1.0 takes an orderly close for the end of a response without a length.
+        resets.set(ends_with_connection.get());
     }
     open_connections.set(open_connections.get() - 1);
 }
--- a/crates/http/src/write_stall.rs
+++ b/crates/http/src/write_stall.rs
@@ -4,9 +4,12 @@
 //! connection. That can take many minutes, and never happens if the peer is alive but does not
 //! read.
 
+use luglink_net::set_reset_on_close;
+use std::cell::Cell;
 use std::future::Future;
 use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -20,14 +23,31 @@
     timeout: Option<Duration>,
     /// Timer that runs while a write is pending.
     timer: Option<Pin<Box<Sleep>>>,
+    /// Set if the connection is to be reset when it is dropped.
+    resets: Rc<Cell<bool>>,
+}
+
+impl Drop for WriteStallStream {
+    fn drop(&mut self) {
+        if self.resets.get()
+            && let Err(error) = set_reset_on_close(&self.stream)
+        {
+            tracing::debug!(%error, "cannot let the close of a connection reset it");
+        }
+    }
 }
 
 impl WriteStallStream {
-    pub(crate) fn new(stream: TcpStream, timeout: Option<Duration>) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        timeout: Option<Duration>,
+        resets: Rc<Cell<bool>>,
+    ) -> Self {
         Self {
             stream,
             timeout,
             timer: None,
+            resets,
         }
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -17,4 +17,4 @@
 pub use link::{Link, LinkEvent};
 pub use listener::{ListenerEvent, serve};
 pub use request_client::RequestClient;
-pub use socket::{set_send_buffer, set_tcp_options};
+pub use socket::{set_reset_on_close, set_send_buffer, set_tcp_options};
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -28,3 +28,12 @@
 pub fn set_send_buffer(stream: &TcpStream, bytes: usize) -> std::io::Result<()> {
     SockRef::from(stream).set_send_buffer_size(bytes)
 }
+
+/// Lets the close of the connection reset it. The peer then cannot take the end of the data for the end
+/// of a message.
+///
+/// # Errors
+/// The operating system rejects the option.
+pub fn set_reset_on_close(stream: &TcpStream) -> std::io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
