Do not take a cut response of a lookup at a daemon for a whole one

Callers saw: a 200 with an empty or short body, framed as whole, after a replica had stopped in its response to a lookup (luglink daemon).

Cause: the client takes the end of the connection for the end of a body with a length or in chunks. All other users of that client parse what they read, so they notice.

Change: lookups go through luglink-http, on a connection of their own, which reports an early end. One place reads whole responses (fetch).

--- a/crates/daemon-server/src/engines.rs
+++ b/crates/daemon-server/src/engines.rs
@@ -2,11 +2,12 @@
 
 use crate::actor::{DaemonActor, DaemonEvent};
 use crate::engine_events::EngineEventReader;
+use crate::lookup::send_lookup;
 use crate::stream::read_chat_stream;
 use actix::Addr;
 use awc::Client;
 use awc::error::SendRequestError;
-use luglink_daemon::{ChatDispatch, Dispatch, DispatchBody, EngineEvent, Event, LookupDispatch};
+use luglink_daemon::{ChatDispatch, Dispatch, DispatchBody, EngineEvent, Event};
 use luglink_engine_api::{
     ChatRequest, EngineErrorBody, EngineErrorCode, EngineEvents, HEADER_ATTEMPT, HEADER_EPOCH,
     HEADER_MODEL_ADAPTER, HEADER_PRIORITY, HEADER_PROGRAM, HEADER_SEQUENCE, HEADER_START_BY,
@@ -19,13 +20,13 @@
 use tracing::{Instrument, Span};
 
 /// Time within which a replica must send the head of its response. The body may take longer.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(300);
+pub(crate) const HEAD_TIMEOUT: Duration = Duration::from_secs(300);
 
 /// Time within which a connection must be established.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum size of a lookup's response or of a replica's event list, in bytes.
-const MAX_LOOKUP_BYTES: usize = 8 << 20;
+pub(crate) const MAX_LOOKUP_BYTES: usize = 8 << 20;
 
 /// Client that sends the actor's requests to replicas and polls their events.
 pub(crate) struct EngineClient {
@@ -68,7 +69,7 @@
                 |event: EngineEvent| daemon.do_send(DaemonEvent(Event::Engine { attempt, event }));
             let end = match &dispatch.body {
                 DispatchBody::Chat(chat) => send_chat(&http, &dispatch.address, chat, &emit).await,
-                DispatchBody::Lookup(lookup) => send_lookup(&http, &dispatch.address, lookup).await,
+                DispatchBody::Lookup(lookup) => send_lookup(&dispatch.address, lookup).await,
             };
             tracing::debug!(end = event_name(&end), "attempt ended");
             emit(end);
@@ -210,37 +211,6 @@
     }
 }
 
-async fn send_lookup(http: &Client, address: &str, lookup: &LookupDispatch) -> EngineEvent {
-    let Ok(method) = lookup.method.parse() else {
-        return EngineEvent::NotSent;
-    };
-    let mut request = http.request(method, format!("http://{address}{}", lookup.path));
-    if let Some(content_type) = &lookup.content_type {
-        request = request.insert_header(("content-type", content_type.as_str()));
-    }
-    let mut response = match request.send_body(lookup.body.clone()).await {
-        Err(error) => return classify_send_error(&error),
-        Ok(response) => response,
-    };
-    let status = response.status().as_u16();
-    if status == actix_web::http::StatusCode::SERVICE_UNAVAILABLE.as_u16() {
-        return EngineEvent::Rejected;
-    }
-    let content_type = response
-        .headers()
-        .get("content-type")
-        .and_then(|value| value.to_str().ok())
-        .map(str::to_owned);
-    match response.body().limit(MAX_LOOKUP_BYTES).await {
-        Ok(body) => EngineEvent::LookupDone {
-            status,
-            content_type,
-            body: body.to_vec(),
-        },
-        Err(_) => EngineEvent::Broken,
-    }
-}
-
 /// Polls the events of one replica at `interval`.
 async fn follow_events(
     http: Client,
--- a/crates/daemon-server/src/lib.rs
+++ b/crates/daemon-server/src/lib.rs
@@ -9,6 +9,7 @@
 mod engines;
 mod errors;
 mod http;
+mod lookup;
 mod metrics;
 mod parse;
 mod platform;
@@ -17,5 +18,6 @@
 
 pub use engine_events::EngineEventReader;
 pub use errors::DaemonServerError;
+pub use lookup::send_lookup;
 pub use platform::MachineList;
 pub use server::{DaemonServer, start};
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod body;
 mod client;
+mod fetch;
 mod head_limit;
 mod server;
 mod write_stall;
@@ -17,4 +18,5 @@
 pub use client::{
     ClientConnection, ConnectError, ConnectionEnd, ConnectionState, SendError, connect,
 };
+pub use fetch::{FetchError, FetchLimits, fetch};
 pub use server::{Abort, ServeOptions, StopHandle, StopSignal, serve, stop_channel};
