Send nothing on the open connections of a replica that refuses new ones

Callers saw: a request that waited out its deadline at a replica that was known to have ended, and refusals for ten minutes of a request under which one replica had ended.

Cause: a refused connection settles the runs in doubt at a replica as ended, but idle connections to it stayed in the pool where its end is silent. A run on one of them counts as another end of the same replica.

Change: they are closed with the sign that the replica has ended.

The test of unseen_ends.rs got 504 before and gets 503 now.

--- a/crates/gateway-server/src/survival.rs
+++ b/crates/gateway-server/src/survival.rs
@@ -32,8 +32,9 @@
         self.report_survived(&survived);
     }
 
-    /// Settles the doubtful runs at a replica that has ended.
+    /// Settles the doubtful runs at a replica that has ended, and closes the idle connections to it.
     pub(crate) fn note_ended(self: &Rc<Self>, replica: &BackendId) {
+        self.upstream.forget(std::slice::from_ref(replica));
         let mut crashes = self.crashes.borrow_mut();
         let ended = crashes.doubtful.take_at(std::slice::from_ref(replica));
         drop(crashes);
@@ -55,6 +56,10 @@
 pub(crate) async fn probe(gateway: Rc<Gateway>, replica: BackendId) {
     let began = Instant::now();
     let result = query(&gateway, &replica).await;
+    if result == ProbeResult::Gone {
+        // What is sent on these would never be answered, and count as another run at the replica.
+        gateway.upstream.forget(std::slice::from_ref(&replica));
+    }
     let settled = {
         let mut crashes = gateway.crashes.borrow_mut();
         crashes.doubtful.settle(&replica, began, result)
--- a/crates/gateway-server/tests/gateway/unseen_ends.rs
+++ b/crates/gateway-server/tests/gateway/unseen_ends.rs
@@ -184,6 +184,27 @@
     assert_eq!(setup.sends_after_third_end(), 0);
 }
 
+#[actix_rt::test]
+async fn a_replica_that_is_known_to_have_ended_gets_no_request_on_its_open_connections() {
+    let replica = Replica::start("r0", Script::EndsOn(BAD, Ending::Silent)).await;
+    let fleet = Fleet::start(vec![replica.clone()]).await;
+    fleet.configure(&configuration(1)).await;
+    let gateway = fleet.gateway_address;
+    let warm = (0..CALLERS).map(|number| {
+        let id = format!("warm-{number}");
+        async move { TestRequest::get("/safe/warm", &id).send(gateway).await }
+    });
+    join_all(warm).await;
+    call("bad").send(gateway).await;
+    // A probe waits for a report before it opens a connection.
+    actix_rt::time::sleep(2 * PROBE_DURATION).await;
+    assert_eq!(replica.ends.borrow().len(), 1);
+    let request = TestRequest::post("/unsafe/good", "innocent", "a body");
+    let response = request.send(gateway).await;
+    // Nothing has run it, which a request that waits for its response would not tell.
+    assert_eq!(response.status, 503, "{response:?}");
+}
+
 /// Asserts that a request is served once the replicas that failed it respond again, without a
 /// refusal for what it does.
 async fn assert_served_after(failing: Script, request: fn(&str) -> TestRequest) {
