--- a/app/luglink/tests/stream_soak/stale_knowledge.rs
+++ b/app/luglink/tests/stream_soak/stale_knowledge.rs
@@ -1,6 +1,7 @@
 //! Requests that end their replicas while what gateways know of turn stores grows old.
 
-use crate::fleet::{Fleet, Process};
+use crate::callers::{Received, message};
+use crate::fleet::{CALL_PATH, Fleet, PATHS, Process};
 use crate::lost_runs::{ATTEMPTS, TIMEOUT, lose_gateway_under, send_named};
 use crate::replicas::Faults;
 use crate::runs::MAX_ENDS;
@@ -15,6 +16,11 @@
 
 const GATEWAYS: usize = 3;
 
+/// Requests that take about as long as a store may be silent before it counts as lost.
+const INNOCENT_REQUESTS: usize = 12;
+
+const FREEZES: usize = 5;
+
 /// Pause of a caller between two attempts.
 const RETRY_DELAY: Duration = Duration::from_millis(80);
 
@@ -90,3 +96,43 @@
     let ends = fleet.replicas.runs.of(RESTARTING_NAME).ends();
     assert!(ends <= MAX_ENDS, "{ends} ends");
 }
+
+#[actix_rt::test]
+async fn innocent_requests_are_served_while_all_stores_pause() {
+    let fleet = Fleet::start(1, GATEWAYS, Faults::None).await;
+    signal(&fleet.stores, Signal::STOP);
+    for number in 0..INNOCENT_REQUESTS {
+        let gateway = number % GATEWAYS;
+        let path = [PATHS[0], CALL_PATH][number % 2];
+        let name = format!("innocent-{number}");
+        let mut connection = connect(fleet.addresses[gateway], TIMEOUT).await.unwrap();
+        let message = message(
+            &format!("{path}?{name}"),
+            &name,
+            TIMEOUT,
+            &Received::default(),
+        );
+        let response = connection.send(message).await.unwrap();
+        assert!(response.status().is_success(), "{name}: {response:?}");
+    }
+    signal(&fleet.stores, Signal::CONT);
+    fleet.assert_all_gateways_serve().await;
+}
+
+#[actix_rt::test]
+async fn a_gateway_that_stands_still_again_and_again_learns_of_ends_before_it_sends() {
+    let fleet = Fleet::start(1, 2, Faults::None).await;
+    for round in 0..FREEZES {
+        let name = format!("{NAME}{round}");
+        let mut open = connect(fleet.addresses[1], TIMEOUT).await.unwrap();
+        fleet.gateways[1].signal(Signal::STOP);
+        let waking = async {
+            insist(&fleet, &[0], &name, ATTEMPTS).await;
+            fleet.gateways[1].signal(Signal::CONT);
+        };
+        tokio::join!(send_named(&mut open, &name, "after"), waking);
+        insist(&fleet, &[1], &name, ATTEMPTS).await;
+        let ends = fleet.replicas.runs.of(&name).ends();
+        assert!(ends <= MAX_ENDS, "{name}: {ends} ends");
+    }
+}
