Acknowledge runs that begin at once, and let anybody settle runs without an outcome

Cause: each run beside one in doubt waited until all gateways with leases had its announcement, a second and more where one was frozen. Callers gave up meanwhile, and each given up run is another doubt. A gateway killed during the wait left a run that nobody could settle, so that it counted as an end after its lease. And runs of other gateways at a replica counted apart although its incarnation tells whether the process is the same.

Change: only crashes and doubts wait for leases. A run that is announced is known to be under way from then on, so stores put it in doubt with its gateway. Runs whose lease has ended without an outcome are probed like those in doubt. Connections tell processes apart only where replicas tell no incarnation.

--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -176,8 +176,12 @@
 
     /// Adds the runs of a request that are in doubt at other gateways to those that are settled here.
     /// Returns the new ones.
-    pub(crate) fn adopt_doubts(&mut self, request: RequestFingerprint) -> Vec<RunReport> {
-        let in_doubt = self.table.in_doubt(request);
+    pub(crate) fn adopt_doubts(
+        &mut self,
+        request: RequestFingerprint,
+        now: Timestamp,
+    ) -> Vec<RunReport> {
+        let in_doubt = self.table.unsettled(request, now);
         let runs = self.in_flight.get(&request);
         let is_under_way = |run| {
             let mut runs = runs.into_iter().flatten();
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -109,8 +109,10 @@
             false => CrashRequest::Record(report.clone()),
         };
         let links = self.turns.crash_owners(report.request);
-        if report.state == RunState::Cleared {
-            self.crashes.borrow_mut().unacknowledged.forget(key);
+        if !is_in_doubt && report.state != RunState::Crashed {
+            if report.state == RunState::Cleared {
+                self.crashes.borrow_mut().unacknowledged.forget(key);
+            }
             return self.ask(links, request, LOOKUP_TIMEOUT).await;
         }
         self.crashes.borrow_mut().unacknowledged.begin(key);
@@ -182,7 +184,7 @@
                 crashes.unacknowledged.forget(key);
                 continue;
             };
-            let is_in_doubt = crashes.table.is_in_doubt(&report);
+            let is_in_doubt = report.state == RunState::Started;
             drop(crashes);
             let gateway = Rc::clone(self);
             actix_rt::spawn(async move { gateway.deliver(&report, is_in_doubt).await });
@@ -355,7 +357,7 @@
     /// lost, or not run for a while.
     pub(crate) fn adopt_doubts(&self, request: RequestFingerprint) {
         let mut crashes = self.crashes.borrow_mut();
-        for report in crashes.adopt_doubts(request) {
+        for report in crashes.adopt_doubts(request, self.now()) {
             tracing::info!(
                 request = %report.request,
                 replica = %report.replica,
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -194,9 +194,9 @@
             _ => {}
         }
         self.register();
-        let is_known = self.announce().await;
+        self.announce().await;
         actix_rt::time::sleep(ANNOUNCED_CHECK_INTERVAL).await;
-        if is_known && others(&self.gateway) < MAX_CRASHES {
+        if others(&self.gateway) < MAX_CRASHES {
             return Some(self);
         }
         self.survived();
@@ -238,11 +238,12 @@
         crashes.begin(&self.report.borrow(), &self.is_announced);
     }
 
-    /// Announces the run. Returns true if all gateways know of it that may send the request.
-    async fn announce(&self) -> bool {
+    async fn announce(&self) {
         self.is_announced.set(true);
         let report = self.report.borrow().clone();
-        self.gateway.report_run(&report).await
+        // If the gateway is lost meanwhile, the stores put the run in doubt.
+        *self.announced_to.borrow_mut() = self.gateway.announce_run(&report);
+        self.gateway.report_run(&report).await;
     }
 
     /// Announces the run at a replica that has long sent nothing, so that it counts if the gateway is
@@ -558,9 +559,10 @@
             None => {
                 let possible = crashes.table.possible_crashes(request, run);
                 // The run that ended an earlier process may not be known here yet.
-                let unknown = self
-                    .upstream
-                    .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION);
+                let unknown = backend.incarnation == Incarnation::UNKNOWN
+                    && self
+                        .upstream
+                        .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION);
                 u32::try_from(possible + usize::from(unknown)).unwrap_or(u32::MAX)
             }
         }
@@ -571,7 +573,8 @@
     /// have ended it.
     fn may_be_replaced_since(&self, foreign: &RunReport) -> bool {
         let crashes = self.crashes.borrow();
-        if crashes.is_own(foreign) {
+        // The incarnation tells the processes apart.
+        if foreign.incarnation != Incarnation::UNKNOWN || crashes.is_own(foreign) {
             return false;
         }
         let known_since = crashes.table.known_since(foreign);
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -350,11 +350,10 @@
                 self.follow(token, *position, response, is_complete);
                 self.acknowledge_reports();
             }
-            CrashRequest::Record(report) | CrashRequest::RecordDoubt(report)
-                if report.state != RunState::Cleared =>
-            {
+            CrashRequest::Record(report) if report.state == RunState::Crashed => {
                 self.leases.borrow_mut().hold(token, response);
             }
+            CrashRequest::RecordDoubt(_) => self.leases.borrow_mut().hold(token, response),
             _ => self.reply_with_parts(token, response.encode()),
         }
         if latest != before {
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -206,6 +206,20 @@
             .map(|run| &run.report)
     }
 
+    /// Returns the runs of a request that any process may settle: those in doubt, and those whose lease
+    /// has ended without an outcome.
+    pub fn unsettled(
+        &self,
+        request: RequestFingerprint,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &RunReport> {
+        let request = self.requests.get(&request).into_iter();
+        let runs = request.flat_map(|request| request.runs.values());
+        let started = runs.filter(|run| run.report.state == RunState::Started);
+        let unsettled = started.filter(move |run| run.is_in_doubt || run.lease_ends_at <= now);
+        unsettled.map(|run| &run.report)
+    }
+
     /// Returns true if a run is in doubt.
     #[must_use]
     pub fn is_in_doubt(&self, report: &RunReport) -> bool {
--- a/crates/turns/tests/crashes.rs
+++ b/crates/turns/tests/crashes.rs
@@ -76,6 +76,17 @@
     assert_eq!(table.crashes(REQUEST, at(LEASE_SECONDS)), 1);
 }
 
+#[test]
+fn a_run_without_an_outcome_may_be_settled_by_anybody_after_its_lease() {
+    let table = table(&[report(1, "a", 0, RunState::Started), crash(2, "b", 0)]);
+    let unsettled = |seconds| {
+        let runs = table.unsettled(REQUEST, at(seconds));
+        runs.map(|run| run.run).collect::<Vec<_>>()
+    };
+    assert_eq!(unsettled(LEASE_SECONDS - 1), []);
+    assert_eq!(unsettled(LEASE_SECONDS), [RunId(1)]);
+}
+
 #[test]
 fn reports_expire_after_the_latest_one() {
     let mut table = table(&[crash(1, "a", 0)]);
