Take back that a crash counts as unacknowledged while its first report is under way

A frozen gateway delays every acknowledgement for up to a second, and attempts beside it were refused for that time.

--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -115,11 +115,7 @@
             }
             return self.ask(links, request, LOOKUP_TIMEOUT).await;
         }
-        let is_crash = report.state == RunState::Crashed;
-        self.crashes
-            .borrow_mut()
-            .unacknowledged
-            .begin(key, is_crash);
+        self.crashes.borrow_mut().unacknowledged.begin(key);
         let timeout = self.acknowledgement_timeout();
         let sending = Rc::clone(self).send_report(report.clone(), links, request);
         // The task goes on after the timeout, and if the caller disconnects.
--- a/crates/gateway-server/src/unacknowledged.rs
+++ b/crates/gateway-server/src/unacknowledged.rs
@@ -9,10 +9,6 @@
 /// Delay before a report is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Time after which a crash that is not acknowledged makes its request one of which others may know more.
-/// Other runs of the request can be under way at this gateway.
-const MAX_CRASH_DELAY: Duration = Duration::from_millis(150);
-
 /// Maximum number of reports. Further ones are not sent again.
 const MAX_REPORTS: usize = 1 << 12;
 
@@ -25,38 +21,29 @@
     /// Number of attempts under way.
     attempts: u32,
     last_attempt: Instant,
-    is_crash: bool,
     is_overdue: bool,
 }
 
-impl Delivery {
-    /// Returns true if other gateways may not know of the report although they should by now.
-    fn is_late(&self) -> bool {
-        self.is_overdue || (self.is_crash && self.since.elapsed() > MAX_CRASH_DELAY)
-    }
-}
-
 /// Reports by request and run.
 #[derive(Debug, Default)]
 pub(crate) struct UnacknowledgedReports(BTreeMap<ReportKey, Delivery>);
 
 impl UnacknowledgedReports {
-    /// Records that a report is being sent.
-    pub(crate) fn begin(&mut self, key: ReportKey, is_crash: bool) {
+    /// Records that a report is being sent. Returns false if there are too many.
+    pub(crate) fn begin(&mut self, key: ReportKey) -> bool {
         if !self.0.contains_key(&key) && self.0.len() >= MAX_REPORTS {
-            return;
+            return false;
         }
         let now = Instant::now();
         let delivery = self.0.entry(key).or_insert(Delivery {
             since: now,
             attempts: 0,
             last_attempt: now,
-            is_crash,
             is_overdue: false,
         });
-        delivery.is_crash = is_crash;
         delivery.attempts += 1;
         delivery.last_attempt = now;
+        true
     }
 
     /// Records the end of an attempt. Returns the time that an acknowledged report took.
@@ -82,7 +69,7 @@
     pub(crate) fn has_any_of(&self, request: RequestFingerprint) -> bool {
         let range = (request, RunId(0))..=(request, RunId(u64::MAX));
         let mut deliveries = self.0.range(range);
-        deliveries.any(|(_, delivery)| delivery.is_late())
+        deliveries.any(|(_, delivery)| delivery.is_overdue)
     }
 
     /// Removes the reports that have expired. Returns those that are due to be sent again.
