--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -51,8 +51,8 @@
 const OLDER_STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 impl Gateway {
-    /// Records a report here and at the stores. Returns true once all gateways know it that need not
-    /// ask the stores before they send its request, and false if that is not known.
+    /// Records a report here and at the stores. Returns true once a quorum of them has acknowledged it,
+    /// which for a crash means that all gateways know it that need not ask before they send its request.
     pub(crate) async fn report_run(self: &Rc<Self>, report: &RunReport) -> bool {
         self.merge_reports(std::slice::from_ref(report));
         self.deliver(report, false).await
