Reproduce requests that uninformed gateways send on, and streams that old lists mix

Cause, as far as the hypotheses in docs/incidents/uninformed-gateways.md go: stores with a new disk answer for crash reports that they never had; gateways that hear of no quorum begin one run each; the only version of a service is taken from a list of any age.

--- a/app/luglink/tests/stream_soak/fleet.rs
+++ b/app/luglink/tests/stream_soak/fleet.rs
@@ -91,6 +91,20 @@
         std::fs::write(&self.settings, settings).unwrap();
     }
 
+    /// Restarts the process with another address of the platform's list.
+    pub async fn read_list_at(&self, address: SocketAddr) {
+        self.signal(Signal::KILL);
+        self.wait_for_exit().await;
+        let settings = std::fs::read_to_string(&self.settings).unwrap();
+        let lines = settings.lines().map(|line| match line {
+            line if line.starts_with("list_address") => format!("list_address = \"{address}\""),
+            line => line.to_owned(),
+        });
+        let settings: Vec<String> = lines.collect();
+        std::fs::write(&self.settings, settings.join("\n")).unwrap();
+        self.start_again();
+    }
+
     pub fn start_again(&self) {
         let binary = builds::binary(self.role, !self.log.exists());
         let mut log = File::options();
--- a/app/luglink/tests/stream_soak/main.rs
+++ b/app/luglink/tests/stream_soak/main.rs
@@ -11,6 +11,7 @@
 mod crashing;
 mod fleet;
 mod lost_runs;
+mod old_lists;
 mod programs;
 mod random;
 mod replicas;
@@ -18,6 +19,7 @@
 mod stale_knowledge;
 mod store_chaos;
 mod takeover;
+mod uninformed;
 
 use callers::{Callers, Report};
 use fleet::Fleet;
--- a/app/luglink/tests/stream_soak/replicas.rs
+++ b/app/luglink/tests/stream_soak/replicas.rs
@@ -146,6 +146,22 @@
         }
     }
 
+    /// Ends all replicas of other versions. Nothing replaces them.
+    pub fn keep_version(&self, version: usize) {
+        let mut listed = self.listed.borrow_mut();
+        let others = listed.extract_if(.., |replica| replica.version != version);
+        for replica in others {
+            replica.finish();
+        }
+    }
+
+    /// Starts `count` more replicas of a version.
+    pub async fn join(&self, version: usize, count: usize) {
+        for _ in 0..count {
+            self.add(version).await;
+        }
+    }
+
     /// Returns the number of replicas of a version that take new streams.
     pub fn serving(&self, version: usize) -> usize {
         let listed = self.listed.borrow();
--- a/app/luglink/tests/stream_soak/takeover.rs
+++ b/app/luglink/tests/stream_soak/takeover.rs
@@ -18,25 +18,30 @@
 const TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Response to one attempt, with the connection that it comes over.
-struct Attempt {
+pub struct Attempt {
     request: String,
     response: Response<Incoming>,
     _connection: ClientConnection,
 }
 
 impl Attempt {
-    async fn send(fleet: &Fleet, gateway: usize, request: &str, received: &Received) -> Self {
+    pub async fn send(fleet: &Fleet, gateway: usize, request: &str, received: &Received) -> Self {
         let mut connection = connect(fleet.addresses[gateway], TIMEOUT).await.unwrap();
         let sent = connection.send(message(PATHS[0], request, TIMEOUT, received));
+        let response = sent.await.unwrap();
+        Self::of(request, response, connection)
+    }
+
+    pub fn of(request: &str, response: Response<Incoming>, connection: ClientConnection) -> Self {
         Self {
             request: request.to_owned(),
-            response: sent.await.unwrap(),
+            response,
             _connection: connection,
         }
     }
 
     /// Reads until `count` events of the stream have arrived, or the response ends.
-    async fn read(&mut self, received: &mut Received, count: usize) {
+    pub async fn read(&mut self, received: &mut Received, count: usize) {
         while received.events.len() < count
             && let Some(Ok(frame)) = self.response.body_mut().frame().await
         {
