--- a/crates/control-server/src/actor.rs
+++ b/crates/control-server/src/actor.rs
@@ -2,6 +2,7 @@
 
 use crate::peers::Peers;
 use crate::releases;
+use crate::reports::ReportService;
 use actix::prelude::*;
 use luglink_control::{
     ControlError, ControlNode, Input, Leadership, Output, ReleaseOrder, Request, RequestParts,
@@ -59,6 +60,8 @@
     reopen: Option<Reopen>,
     reopen_at: Timestamp,
     peers: Peers,
+    /// Crash reports; `None` for a member with a fixed set of members, which has no gateways.
+    reports: Option<ReportService>,
     clients: BTreeMap<u64, FrameSender>,
     local_requests: BTreeMap<u64, oneshot::Sender<Response>>,
     last_local_request: u64,
@@ -77,13 +80,13 @@
         peers: Peers,
         failed: oneshot::Sender<ControlError>,
     ) -> Self {
-        Self::build(Some(node), peers, Some(failed), None)
+        Self::build(Some(node), peers, Some(failed), None, None)
     }
 
     /// Creates an actor without a node, which loads it from the disk at the start and after each
     /// disk failure. While there is no node, all requests are answered as unavailable.
-    pub(crate) fn with_reopen(peers: Peers, reopen: Reopen) -> Self {
-        Self::build(None, peers, None, Some(reopen))
+    pub(crate) fn with_reopen(peers: Peers, reopen: Reopen, reports: ReportService) -> Self {
+        Self::build(None, peers, None, Some(reopen), Some(reports))
     }
 
     fn build(
@@ -91,12 +94,14 @@
         peers: Peers,
         failed: Option<oneshot::Sender<ControlError>>,
         reopen: Option<Reopen>,
+        reports: Option<ReportService>,
     ) -> Self {
         Self {
             node,
             reopen,
             reopen_at: now(),
             peers,
+            reports,
             clients: BTreeMap::new(),
             local_requests: BTreeMap::new(),
             last_local_request: 0,
@@ -274,6 +279,13 @@
     }
 
     fn on_frame(&mut self, connection: u64, frame: Frame, context: &mut Context<Self>) {
+        let reports = self.reports.as_mut();
+        if let Some(reports) = reports.filter(|reports| reports.has_client(connection)) {
+            let node = self.node.as_ref();
+            let membership = node.and_then(ControlNode::membership_version);
+            reports.on_frame(connection, frame, membership, now());
+            return;
+        }
         match frame {
             Frame::Peer { group, body, .. } => match decode_body(&body) {
                 Ok(envelope) => {
@@ -329,6 +341,9 @@
             let time = now();
             actor.peers.close_unused();
             actor.try_reopen();
+            if let Some(reports) = &mut actor.reports {
+                reports.tick(time);
+            }
             let due = actor
                 .node
                 .as_mut()
@@ -378,13 +393,18 @@
                 connection,
                 hello,
                 sender,
-            } => {
-                if hello.role != ClientRole::Member {
+            } => match (hello.role, &mut self.reports) {
+                (ClientRole::Member, _) => {}
+                (ClientRole::ReportClient, Some(reports)) => reports.connect(connection, sender),
+                _ => {
                     self.clients.insert(connection, sender);
                 }
-            }
+            },
             ListenerEvent::Frame { connection, frame } => self.on_frame(connection, frame, context),
             ListenerEvent::Closed { connection } => {
+                if let Some(reports) = &mut self.reports {
+                    reports.disconnect(connection, now());
+                }
                 self.clients.remove(&connection);
                 self.handle_input(Input::ClientDisconnected { client: connection }, context);
             }
--- a/crates/control-server/src/errors.rs
+++ b/crates/control-server/src/errors.rs
@@ -20,6 +20,12 @@
         /// The failure of the node.
         source: ControlError,
     },
+    /// The crash reports cannot be read.
+    #[snafu(display("cannot open the crash reports: {source}"), context(false))]
+    Reports {
+        /// The failure of the reports.
+        source: luglink_turns::TurnsError,
+    },
     /// The server cannot listen on an address.
     #[snafu(display("cannot listen on {address}: {source}"))]
     Listen {
--- a/crates/control-server/src/lib.rs
+++ b/crates/control-server/src/lib.rs
@@ -17,6 +17,7 @@
 mod queries;
 mod relay;
 mod releases;
+mod reports;
 mod resolution;
 mod server;
 mod settlement_log;
--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -12,6 +12,7 @@
 use crate::operator::OperatorService;
 use crate::peers::Peers;
 use crate::relay::{self, RelayConfig};
+use crate::reports::{OpenReports, ReportService};
 use crate::resolution::ResolutionService;
 use actix::{Actor, Addr};
 use http::Request;
@@ -22,6 +23,7 @@
 use luglink_http::{ServeOptions, serve, stop_channel};
 use luglink_settings::{FleetSettings, ManagedMemberSettings};
 use luglink_storage::FileDisk;
+use luglink_turns::ReportHolder;
 use luglink_types::MemberId;
 use rand::RngCore;
 use snafu::ResultExt;
@@ -41,6 +43,9 @@
 /// Size of a log segment, in bytes.
 const SEGMENT_BYTES: u64 = 8 << 20;
 
+/// Folder of the crash reports in the data folder.
+const REPORTS_FOLDER: &str = "reports";
+
 /// Configuration of a member's server.
 #[derive(Clone, Debug)]
 pub struct ManagedServerConfig {
@@ -80,7 +85,8 @@
         luglink_metrics_server::start(config.member.metrics_listen, &metrics.registry).await;
     tracing::info!(name = fleet.name, %address, "control member started");
     let peers = Peers::by_address(member, fleet.member_port());
-    let actor = ControlActor::with_reopen(peers, reopen(config.clone(), member)).start();
+    let reports = ReportService::new(open_reports(config));
+    let actor = ControlActor::with_reopen(peers, reopen(config.clone(), member), reports).start();
     actix_rt::spawn(luglink_net::serve(listener, {
         let actor = actor.clone();
         move |event| actor.do_send(SocketEvent(event))
@@ -134,6 +140,17 @@
     })
 }
 
+/// Returns a function that opens the crash reports in the data folder.
+fn open_reports(config: &ManagedServerConfig) -> OpenReports {
+    let folder = config.member.data_folder.join(REPORTS_FOLDER);
+    let is_first_start = config.fleet.first_start;
+    Box::new(move |now| {
+        let disk = FileDisk::open(&folder)?;
+        let epoch = rand::rng().next_u64();
+        Ok(ReportHolder::open(disk, epoch, is_first_start, now)?)
+    })
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, ControlServerError> {
     TcpListener::bind(address)
         .await
--- a/crates/control/src/observers.rs
+++ b/crates/control/src/observers.rs
@@ -326,6 +326,13 @@
         }
     }
 
+    /// Returns the version of the membership that this member knows: [`MembersStamp::membership`].
+    #[must_use]
+    pub fn membership_version(&self) -> Option<u64> {
+        let (version, _) = self.configuration()?.raft.log().membership();
+        Some(version)
+    }
+
     fn members_stamp(&self) -> MembersStamp {
         let Some(group) = self.configuration() else {
             return MembersStamp::default();
--- a/crates/gateway-server/src/announcements.rs
+++ b/crates/gateway-server/src/announcements.rs
@@ -1,12 +1,13 @@
-//! Announcements of runs under way to the turn stores.
+//! Announcements of runs under way to the holders of crash reports.
 //!
-//! Every run is announced to a quorum of the stores that own its request as it is sent, and the
-//! request does not wait for it. If the gateway is lost with the replica, the stores know of the run.
+//! Every run is announced to a quorum of the stores that own its request as it is sent, or of the
+//! control members while these stores do not answer. The request does not wait for it. If the gateway
+//! is lost with the replica, the holders know of the run.
 
 use crate::gateway::Gateway;
 use crate::store_link::StoreLink;
 use luglink_fleet::StoreName;
-use luglink_turns::{CrashRequest, RunId, RunReport, RunUpdate};
+use luglink_turns::{CrashRequest, HolderView, RunId, RunReport, RunUpdate};
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -102,25 +103,57 @@
     }
 }
 
-/// Sends the announcements for one store while it is in the view of the stores.
-pub(crate) async fn announce(gateway: Rc<Gateway>, name: StoreName, link: Rc<StoreLink>) {
+/// Holder that runs are announced to.
+#[derive(Clone, Debug)]
+pub(crate) enum AnnouncementTarget {
+    Store(StoreName),
+    Member,
+}
+
+impl AnnouncementTarget {
+    fn has_link(&self, gateway: &Gateway, link: &Rc<StoreLink>) -> bool {
+        match self {
+            Self::Store(name) => gateway.turns.has_link(name, link),
+            Self::Member => gateway.report_members.has_link(link),
+        }
+    }
+
+    /// Returns the view under which the holder is asked; `None` if it is not known any more.
+    fn view(&self, gateway: &Gateway) -> Option<HolderView> {
+        match self {
+            Self::Store(name) => {
+                let (_, view) = gateway.turns.holder(name)?;
+                Some(HolderView::Stores(view))
+            }
+            Self::Member => Some(gateway.report_members.view()),
+        }
+    }
+}
+
+/// Sends the announcements for one holder while it is known.
+pub(crate) async fn announce(
+    gateway: Rc<Gateway>,
+    target: AnnouncementTarget,
+    link: Rc<StoreLink>,
+) {
     let announcements = &link.announcements;
-    while gateway.turns.has_link(&name, &link) || announcements.has_runs() {
+    while target.has_link(&gateway, &link) || announcements.has_runs() {
         let begun = announcements.begun.notified();
         let _ = actix_rt::time::timeout(END_INTERVAL, begun).await;
         let update = announcements
             .changes
             .borrow_mut()
             .take_update(gateway.session);
-        if let Some(update) = update {
-            actix_rt::spawn(send(Rc::clone(&link), update));
+        let view = target.view(&gateway);
+        if let Some((update, view)) = update.zip(view) {
+            actix_rt::spawn(send(Rc::clone(&link), view, update));
         }
     }
 }
 
-async fn send(link: Rc<StoreLink>, update: RunUpdate) {
+async fn send(link: Rc<StoreLink>, view: HolderView, update: RunUpdate) {
     let request = CrashRequest::Update(update);
-    let response = link.exchange_crashes(&request).await;
+    let response = link.exchange_crashes(view, &request).await;
     let CrashRequest::Update(update) = request else {
         return;
     };
--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -34,6 +34,15 @@
     is_announced: Rc<Cell<bool>>,
 }
 
+/// Lease of this gateway at a store.
+#[derive(Clone, Copy, Debug)]
+struct Followed {
+    /// Time until which all reports that the store has acknowledged are known here.
+    until: Instant,
+    /// Incarnation of the store's disk.
+    incarnation: u64,
+}
+
 /// Crash reports of this gateway and of the stores that it follows.
 #[derive(Debug)]
 pub(crate) struct CrashLedger {
@@ -44,11 +53,12 @@
     ended: EndedRuns,
     /// Crashes that this gateway has reported, oldest first, until they are compared with the list.
     to_review: VecDeque<(RunReport, Instant)>,
-    /// Times until which all reports that followed stores have acknowledged are known here.
-    followed: HashMap<StoreName, Instant>,
+    followed: HashMap<StoreName, Followed>,
     pub(crate) unacknowledged: UnacknowledgedReports,
     last_upkeep: Instant,
     last_informed: Option<Instant>,
+    /// Time at which a quorum last told the reports of a request, or of all.
+    last_told: Option<Instant>,
     /// Latest runs here that replicas have survived, oldest first.
     survived: VecDeque<RunId>,
 }
@@ -65,6 +75,7 @@
             unacknowledged: UnacknowledgedReports::default(),
             last_upkeep: Instant::now(),
             last_informed: None,
+            last_told: None,
             survived: VecDeque::new(),
         }
     }
@@ -197,9 +208,11 @@
         foreign
     }
 
-    /// Records that all reports that a store acknowledges until `until` will be known here by then.
-    pub(crate) fn note_followed(&mut self, store: &StoreName, until: Instant) {
-        self.followed.insert(store.clone(), until);
+    /// Records that all reports that a store with this disk acknowledges until `until` will be known
+    /// here by then.
+    pub(crate) fn note_followed(&mut self, store: &StoreName, incarnation: u64, until: Instant) {
+        let followed = Followed { until, incarnation };
+        self.followed.insert(store.clone(), followed);
     }
 
     /// Records that a store is not followed.
@@ -220,18 +233,29 @@
         self.last_upkeep.elapsed() > MAX_UPKEEP_GAP
     }
 
-    /// Returns the number of stores whose reports are known here.
-    pub(crate) fn followed_count(&self) -> usize {
-        if self.has_stood_still() {
-            return 0;
-        }
-        let now = Instant::now();
-        self.followed.values().filter(|until| **until > now).count()
+    /// Returns true if the reports of a store with this disk are known here.
+    pub(crate) fn follows(&self, store: &StoreName, incarnation: u64) -> bool {
+        let followed = self.followed.get(store);
+        let is_followed = followed.is_some_and(|followed| {
+            followed.incarnation == incarnation && followed.until > Instant::now()
+        });
+        is_followed && !self.has_stood_still()
     }
 
     /// Records that the reports of all stores were known here.
     pub(crate) fn note_informed(&mut self) {
         self.last_informed = Some(Instant::now());
+        self.last_told = self.last_informed;
+    }
+
+    /// Records that a quorum has told the reports of a request.
+    pub(crate) fn note_told(&mut self) {
+        self.last_told = Some(Instant::now());
+    }
+
+    /// Returns the time since a quorum last told reports.
+    pub(crate) fn told_age(&self) -> Option<Duration> {
+        self.last_told.map(|last| last.elapsed())
     }
 
     /// Returns the time since the reports of all stores were last known here.
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -1,8 +1,9 @@
 //! Exchange of crash reports with the turn stores.
 
-use crate::announcements::announce;
+use crate::announcements::{AnnouncementTarget, announce};
 use crate::crash_ledger::in_state;
 use crate::gateway::Gateway;
+use crate::knowledge::Knowledge;
 use crate::store_link::StoreLink;
 use crate::survival;
 use crate::turn_client::TurnClient;
@@ -11,8 +12,8 @@
 use luglink_fleet::{Incarnation, StoreName};
 use luglink_telemetry::milliseconds;
 use luglink_turns::{
-    CrashRequest, CrashResponse, LEASE_DURATION, LEASE_HOLD, LEASE_TRUST, LogPosition,
-    RequestFingerprint, RunId, RunReport, RunState,
+    CountedReport, CrashRequest, CrashResponse, HolderView, LEASE_DURATION, LEASE_HOLD,
+    LEASE_TRUST, LogPosition, RequestFingerprint, RunId, RunReport, RunState,
 };
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -44,9 +45,6 @@
 /// Delay before a store that did not respond is followed again.
 const FOLLOW_RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Maximum number of reports on their way to a store that may lack them.
-const MAX_REFILL_REPORTS: usize = 64;
-
 /// Delay before a store of a build without crash reports is asked again.
 const OLDER_STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -78,12 +76,20 @@
         crashes.table.mark_in_doubt(report.request, report.run);
     }
 
-    /// Announces a run to a quorum of the stores that own its request. Returns the links to those.
-    pub(crate) fn announce_run(&self, report: &RunReport) -> Vec<Rc<StoreLink>> {
-        let mut links = self.turns.crash_owners(report.request);
-        // Owners that do not respond come last.
+    /// Announces a run to a quorum of the stores that own its request, or of the control members if
+    /// only these have told the reports of the request. Returns the links to those.
+    pub(crate) fn announce_run(
+        &self,
+        report: &RunReport,
+        knowledge: Knowledge,
+    ) -> Vec<Rc<StoreLink>> {
+        let (mut links, quorum) = match knowledge {
+            Knowledge::Members => (self.report_members.links(), self.report_members.quorum()),
+            _ => (self.turns.crash_owners(report.request), self.turns.quorum()),
+        };
+        // Those that do not respond come last.
         links.sort_by_key(|link| link.is_unresponsive());
-        links.truncate(self.turns.quorum());
+        links.truncate(quorum);
         for link in &links {
             link.announcements.begin(report);
         }
@@ -100,24 +106,29 @@
         }
     }
 
-    /// Sends a report to the stores that own its request. Returns true if a quorum of them has
-    /// acknowledged it.
+    /// Sends a report to the stores that own its request, and to the control members. Returns true if
+    /// a quorum of the stores has acknowledged it.
     async fn deliver(self: &Rc<Self>, report: &RunReport, is_in_doubt: bool) -> bool {
         let key = (report.request, report.run);
-        let request = match is_in_doubt {
-            true => CrashRequest::RecordDoubt(report.clone()),
-            false => CrashRequest::Record(report.clone()),
+        let counted = CountedReport {
+            report: report.clone(),
+            is_in_doubt,
         };
-        let links = self.turns.crash_owners(report.request);
+        let request = counted.into_request();
+        let gateway = Rc::clone(self);
+        let at_members = request.clone();
+        actix_rt::spawn(async move { gateway.ask_members(at_members, DELIVERY_TIMEOUT).await });
         if !is_in_doubt && report.state != RunState::Crashed {
             if report.state == RunState::Cleared {
                 self.crashes.borrow_mut().unacknowledged.forget(key);
             }
-            return self.ask(links, request, LOOKUP_TIMEOUT).await;
+            return self
+                .ask_stores(report.request, request, LOOKUP_TIMEOUT)
+                .await;
         }
         self.crashes.borrow_mut().unacknowledged.begin(key);
         let timeout = self.acknowledgement_timeout();
-        let sending = Rc::clone(self).send_report(report.clone(), links, request);
+        let sending = Rc::clone(self).send_report(report.clone(), request);
         // The task goes on after the timeout, and if the caller disconnects.
         let sending = actix_rt::time::timeout(timeout, actix_rt::spawn(sending)).await;
         if matches!(sending, Ok(Ok(true))) {
@@ -138,14 +149,10 @@
     }
 
     /// Sends a report to stores. Returns true if a quorum of them has acknowledged it.
-    async fn send_report(
-        self: Rc<Self>,
-        report: RunReport,
-        links: Vec<Rc<StoreLink>>,
-        request: CrashRequest,
-    ) -> bool {
+    async fn send_report(self: Rc<Self>, report: RunReport, request: CrashRequest) -> bool {
         let key = (report.request, report.run);
-        let is_acknowledged = self.ask(links, request, DELIVERY_TIMEOUT).await;
+        let asking = self.ask_stores(report.request, request, DELIVERY_TIMEOUT);
+        let is_acknowledged = asking.await;
         let mut crashes = self.crashes.borrow_mut();
         let taken = crashes.unacknowledged.end(key, is_acknowledged);
         drop(crashes);
@@ -191,48 +198,135 @@
         }
     }
 
-    /// Gets the reports of a request from a quorum of its stores, unless the reports of all stores
-    /// are known here. Stores that did not answer lately are left out, since the request waits.
-    /// Returns false if reports may be missing here, or those of this gateway at the others.
-    pub(crate) async fn look_up_crashes(self: &Rc<Self>, request: RequestFingerprint) -> bool {
-        if !self.follows_crash_reports() {
-            let mut links = self.turns.crash_owners(request);
-            links.retain(|link| !link.is_unresponsive());
-            let find = CrashRequest::Find(request);
-            if !self.ask(links, find, LOOKUP_TIMEOUT).await {
-                tracing::warn!(%request, "turn stores did not respond about crash reports");
-                return false;
+    /// Gets the reports of a request from its holders, unless those of all stores are known here.
+    /// Returns who has told them. The control members are asked if the stores do not answer, and before
+    /// the last replica that a request may end.
+    pub(crate) async fn look_up_crashes(self: &Rc<Self>, request: RequestFingerprint) -> Knowledge {
+        let is_told_by_stores = self.follows_crash_reports() || self.find_at_stores(request).await;
+        let has_unacknowledged = self.crashes.borrow().unacknowledged.has_any_of(request);
+        let knowledge = if !is_told_by_stores || has_unacknowledged {
+            self.find_at_members(request).await
+        } else if !self.needs_members(request) {
+            Knowledge::Stores
+        } else {
+            self.share_with_members(request).await
+        };
+        if knowledge != Knowledge::None {
+            self.crashes.borrow_mut().note_told();
+        }
+        knowledge
+    }
+
+    async fn find_at_stores(self: &Rc<Self>, request: RequestFingerprint) -> bool {
+        let find = CrashRequest::Find(request);
+        let is_told = self.ask_stores(request, find, LOOKUP_TIMEOUT).await;
+        if !is_told {
+            tracing::warn!(%request, "turn stores did not respond about crash reports");
+        }
+        is_told
+    }
+
+    async fn find_at_members(self: &Rc<Self>, request: RequestFingerprint) -> Knowledge {
+        let find = CrashRequest::Find(request);
+        if self.ask_members(find, LOOKUP_TIMEOUT).await {
+            return Knowledge::Members;
+        }
+        tracing::warn!(%request, "control members did not respond about crash reports");
+        Knowledge::None
+    }
+
+    /// Gives the control members all reports of a request that count, and gets those that they have.
+    async fn share_with_members(self: &Rc<Self>, request: RequestFingerprint) -> Knowledge {
+        let counted: Vec<CountedReport> = {
+            let table = &self.crashes.borrow().table;
+            let counted = table.reports(request).filter(|report| table.counts(report));
+            let counted = counted.map(|report| CountedReport {
+                report: report.clone(),
+                is_in_doubt: table.is_in_doubt(report),
+            });
+            counted.collect()
+        };
+        let sharing = counted
+            .into_iter()
+            .map(|counted| self.ask_members(counted.into_request(), LOOKUP_TIMEOUT));
+        let shared = futures_util::future::join_all(sharing).await;
+        match shared.into_iter().all(|is_shared| is_shared) {
+            true => Knowledge::Both,
+            false => {
+                tracing::warn!(%request, "control members did not acknowledge crash reports");
+                Knowledge::Stores
             }
         }
-        !self.crashes.borrow().unacknowledged.has_any_of(request)
     }
 
-    /// Returns true if [`Gateway::look_up_crashes`] need not ask the stores.
+    /// Returns true if what stores have told is not enough to begin another run of a request.
+    fn needs_members(&self, request: RequestFingerprint) -> bool {
+        self.possible_crashes(request, None) >= Knowledge::Stores.max_crashes()
+    }
+
+    /// Returns true if [`Gateway::look_up_crashes`] need not ask anybody.
     pub(crate) fn is_informed_of(&self, request: RequestFingerprint) -> bool {
         let has_unacknowledged = self.crashes.borrow().unacknowledged.has_any_of(request);
-        self.follows_crash_reports() && !has_unacknowledged
+        self.follows_crash_reports() && !has_unacknowledged && !self.needs_members(request)
     }
 
-    /// Sends a request to stores. Returns true if a quorum responds in time. The request goes on
-    /// after that.
-    async fn ask(
+    /// Sends a request to the stores that own the reports of its subject. Returns true if a quorum
+    /// responds in time. The request goes on after that. Stores that did not answer lately are left out
+    /// of a lookup, since a caller waits for it.
+    async fn ask_stores(
         self: &Rc<Self>,
-        links: Vec<Rc<StoreLink>>,
+        subject: RequestFingerprint,
         request: CrashRequest,
         timeout: Duration,
     ) -> bool {
+        let mut quorum = self.turns.joint_quorum(&subject.to_string());
+        let is_lookup = matches!(request, CrashRequest::Find(_));
         let request = Rc::new(request);
-        let mut pending: FuturesUnordered<_> = links
+        let mut pending = FuturesUnordered::new();
+        for name in quorum.stores() {
+            let Some((link, view)) = self.turns.holder(&name) else {
+                continue;
+            };
+            if !is_lookup || !link.is_unresponsive() {
+                let view = HolderView::Stores(view);
+                let exchanging = exchange(Rc::clone(self), link, view, Rc::clone(&request));
+                let exchanging = actix_rt::spawn(exchanging);
+                pending.push(async move { (name, exchanging.await.unwrap_or(false)) });
+            }
+        }
+        let answers = async {
+            while !quorum.is_complete()
+                && let Some((name, has_answered)) = pending.next().await
+            {
+                if has_answered {
+                    quorum.record(&name);
+                }
+            }
+            quorum.is_complete()
+        };
+        let is_complete = actix_rt::time::timeout(timeout, answers).await;
+        is_complete.unwrap_or(false)
+    }
+
+    /// Sends a request to the control members. Returns true if a majority responds in time. The
+    /// request goes on after that.
+    async fn ask_members(self: &Rc<Self>, request: CrashRequest, timeout: Duration) -> bool {
+        let view = self.report_members.view();
+        let needed = self.report_members.quorum();
+        let request = Rc::new(request);
+        let mut pending: FuturesUnordered<_> = self
+            .report_members
+            .links()
             .into_iter()
-            .map(|link| actix_rt::spawn(exchange(Rc::clone(self), link, Rc::clone(&request))))
+            .map(|link| exchange_at_member(Rc::clone(self), link, view, Rc::clone(&request)))
+            .map(actix_rt::spawn)
             .collect();
-        let needed = self.turns.quorum();
         let answers = async {
             let mut answers = 0;
             while answers < needed
-                && let Some(answered) = pending.next().await
+                && let Some(has_answered) = pending.next().await
             {
-                answers += usize::from(answered.unwrap_or(false));
+                answers += usize::from(has_answered.unwrap_or(false));
             }
             answers
         };
@@ -267,8 +361,9 @@
 
     /// Returns true if all reports that a quorum of stores has acknowledged are known here.
     pub(crate) fn follows_crash_reports(&self) -> bool {
-        let followed = self.crashes.borrow().followed_count();
-        self.turns.is_certain(followed)
+        let crashes = self.crashes.borrow();
+        self.turns
+            .is_certain(|store, incarnation| crashes.follows(store, incarnation))
     }
 
     /// Records whether the reports of all stores are known here.
@@ -389,16 +484,13 @@
 
 /// Sends a request to one store and merges the reports of its response. Returns true if it
 /// responded.
-async fn exchange(gateway: Rc<Gateway>, link: Rc<StoreLink>, request: Rc<CrashRequest>) -> bool {
-    let is_report = matches!(
-        &*request,
-        CrashRequest::Record(_) | CrashRequest::RecordDoubt(_)
-    );
-    let response = match is_report {
-        true => link.report_run(&request).await,
-        false => link.exchange_crashes(&request).await,
-    };
-    let Some(response) = response else {
+async fn exchange(
+    gateway: Rc<Gateway>,
+    link: Rc<StoreLink>,
+    view: HolderView,
+    request: Rc<CrashRequest>,
+) -> bool {
+    let Some(response) = send(&link, view, &request).await else {
         return false;
     };
     if let Some(response) = response {
@@ -407,20 +499,58 @@
     true
 }
 
-/// Follows the crash reports of all stores.
+/// The same for a control member. One of a build that holds no reports does not count.
+async fn exchange_at_member(
+    gateway: Rc<Gateway>,
+    link: Rc<StoreLink>,
+    view: HolderView,
+    request: Rc<CrashRequest>,
+) -> bool {
+    let response = send(&link, view, &request).await.flatten();
+    if let Some(response) = &response {
+        gateway.merge_response(response);
+    }
+    response.is_some()
+}
+
+async fn send(
+    link: &StoreLink,
+    view: HolderView,
+    request: &CrashRequest,
+) -> Option<Option<CrashResponse>> {
+    let is_report = matches!(
+        request,
+        CrashRequest::Record(_) | CrashRequest::RecordDoubt(_)
+    );
+    match is_report {
+        true => link.report_run(view, request).await,
+        false => link.exchange_crashes(view, request).await,
+    }
+}
+
+/// Follows the crash reports of all stores, and announces runs to stores and control members.
 pub(crate) async fn follow(gateway: Rc<Gateway>) {
     let mut followed: HashMap<StoreName, Rc<StoreLink>> = HashMap::new();
+    let mut members: Vec<Rc<StoreLink>> = Vec::new();
     loop {
         for (name, link) in gateway.turns.links() {
             let is_followed = |known: &Rc<StoreLink>| Rc::ptr_eq(known, &link);
             if !followed.get(&name).is_some_and(is_followed) {
                 followed.insert(name.clone(), Rc::clone(&link));
-                let announcing = announce(Rc::clone(&gateway), name.clone(), Rc::clone(&link));
-                actix_rt::spawn(announcing);
+                let target = AnnouncementTarget::Store(name.clone());
+                actix_rt::spawn(announce(Rc::clone(&gateway), target, Rc::clone(&link)));
                 actix_rt::spawn(follow_store(Rc::clone(&gateway), name, link));
             }
         }
         followed.retain(|name, link| gateway.turns.has_link(name, link));
+        for link in gateway.report_members.links() {
+            if !members.iter().any(|known| Rc::ptr_eq(known, &link)) {
+                members.push(Rc::clone(&link));
+                let target = AnnouncementTarget::Member;
+                actix_rt::spawn(announce(Rc::clone(&gateway), target, link));
+            }
+        }
+        members.retain(|link| gateway.report_members.has_link(link));
         gateway.crashes.borrow_mut().note_upkeep();
         gateway.note_informed();
         gateway.deliver_again();
@@ -435,23 +565,25 @@
 async fn follow_store(gateway: Rc<Gateway>, name: StoreName, link: Rc<StoreLink>) {
     let mut position = LogPosition::default();
     while gateway.turns.has_link(&name, &link) {
+        let Some((_, view)) = gateway.turns.holder(&name) else {
+            break;
+        };
         let asked_at = Instant::now();
-        match link.follow_crashes(position).await {
+        let note_followed = |until| {
+            let mut crashes = gateway.crashes.borrow_mut();
+            crashes.note_followed(&name, view.incarnation, until);
+        };
+        match link.follow_crashes(view, position).await {
             Some(Some(response)) => {
                 gateway.merge_response(&response);
-                let until = match response.has_lease {
+                note_followed(match response.has_lease {
                     true => asked_at + LEASE_TRUST,
                     false => Instant::now() + UNLEASED_TRUST,
-                };
-                gateway.crashes.borrow_mut().note_followed(&name, until);
-                if response.position.epoch != position.epoch {
-                    actix_rt::spawn(refill(Rc::clone(&gateway), name.clone(), Rc::clone(&link)));
-                }
+                });
                 position = response.position;
             }
             Some(None) => {
-                let until = Instant::now() + UNLEASED_TRUST;
-                gateway.crashes.borrow_mut().note_followed(&name, until);
+                note_followed(Instant::now() + UNLEASED_TRUST);
                 actix_rt::time::sleep(OLDER_STORE_RETRY_DELAY).await;
             }
             None => {
@@ -463,39 +595,6 @@
     gateway.crashes.borrow_mut().note_lost(&name);
 }
 
-/// Sends the reports known here to a store that owns their requests. It has just started, or was not
-/// followed before, and may lack them.
-async fn refill(gateway: Rc<Gateway>, name: StoreName, link: Rc<StoreLink>) {
-    let counted: Vec<(RunReport, bool)> = {
-        let table = &gateway.crashes.borrow().table;
-        let counted = table.counted_reports();
-        counted
-            .map(|report| (report.clone(), table.is_in_doubt(report)))
-            .collect()
-    };
-    let is_owner = |request| {
-        let owners = gateway.turns.crash_owners(request);
-        owners.iter().any(|owner| Rc::ptr_eq(owner, &link))
-    };
-    let owned = counted.into_iter();
-    let owned = owned.filter(|(report, _)| is_owner(report.request));
-    let sending = owned.map(|(report, is_in_doubt)| {
-        let request = match is_in_doubt {
-            true => CrashRequest::RecordDoubt(report),
-            false => CrashRequest::Record(report),
-        };
-        let link = Rc::clone(&link);
-        async move { link.report_run(&request).await.is_some() }
-    });
-    let results = futures_util::stream::iter(sending).buffer_unordered(MAX_REFILL_REPORTS);
-    let results: Vec<bool> = results.collect().await;
-    let sent = results.iter().filter(|is_sent| **is_sent).count();
-    if !results.is_empty() {
-        let failed = results.len() - sent;
-        tracing::info!(store = %name, sent, failed, "sent crash reports to a store that may lack them");
-    }
-}
-
 impl TurnClient {
     /// Returns the links to the stores that own the crash reports of a request.
     fn crash_owners(&self, request: RequestFingerprint) -> Vec<Rc<StoreLink>> {
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -7,6 +7,7 @@
 use crate::load_meter::LoadMeter;
 use crate::load_view::LastView;
 use crate::metrics::GatewayMetrics;
+use crate::report_members::ReportMembers;
 use crate::stream_origins::MAX_OWN_ORIGINS;
 use crate::turn_cache::TurnCache;
 use crate::turn_client::TurnClient;
@@ -58,6 +59,8 @@
     /// 0 until a control member has reported it.
     pub(crate) gateway_count: Cell<u32>,
     pub(crate) turns: TurnClient,
+    /// Control members as holders of crash reports.
+    pub(crate) report_members: ReportMembers,
     pub(crate) turn_cache: RefCell<TurnCache>,
     /// Origins of the streams that this gateway began.
     pub(crate) origins: RefCell<OriginTable>,
@@ -106,6 +109,7 @@
             held: HeldBytesLedger::new(held_limit, metrics.clone()),
             pool: RefCell::new(pool),
             turns: TurnClient::new(config.replication),
+            report_members: ReportMembers::new(config.observer.member_port),
             turn_cache: RefCell::new(TurnCache::new(config.turn_cache_bytes)),
             origins: RefCell::new(OriginTable::new(MAX_OWN_ORIGINS)),
             sole_versions: RefCell::default(),
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -63,6 +63,8 @@
     pub(crate) crashing_requests: IntCounter,
     /// Requests refused because runs of them are in doubt or under way.
     pub(crate) doubtful_requests: IntCounter,
+    /// Requests refused because no holder of crash reports answers.
+    pub(crate) untold_requests: IntCounter,
     /// Replicas that ended during a run of a request, as this gateway saw them.
     pub(crate) crashes: IntCounter,
     /// Reports of runs that no quorum of turn stores has acknowledged.
@@ -173,6 +175,10 @@
                 "crashing_requests_total",
                 "Requests refused because replicas ended while they ran them",
             )?,
+            untold_requests: registry.counter(
+                "untold_requests_total",
+                "Requests refused because no holder of crash reports answers",
+            )?,
             doubtful_requests: registry.counter(
                 "doubtful_requests_total",
                 "Requests refused because replicas may have ended while they ran them",
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -80,6 +80,9 @@
             tracing::info!(%member, "configuration confirmed as current");
             self.is_current.set(true);
         }
+        if let Some(members) = &update.members {
+            self.report_members.set_list(members);
+        }
         if update.gateways > 0 {
             self.gateway_count.set(update.gateways);
         }
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -1,8 +1,8 @@
 //! Runs of requests at replicas, and the limit of crashes under one request.
 //!
-//! Every send of a request to a replica is a [`Run`]. When the replica ends during a run, the turn
-//! stores and all gateways learn of it before the caller can make its next attempt, and a request
-//! under which [`MAX_CRASHES`] replicas have ended is sent to none again. A run that ends without a
+//! Every send of a request to a replica is a [`Run`]. When the replica ends during a run, the holders
+//! of crash reports and all gateways learn of it before the caller can make its next attempt, and a
+//! request under which [`MAX_CRASHES`] replicas have ended is sent to none again. A run that ends without a
 //! response that shows the replica in order is in doubt, and counts as one that may still end it,
 //! until the replica gives a sign of life. Every run is announced to turn stores as it is sent, and
 //! from the second run on before it begins, so that it counts even if its gateway is lost with it.
@@ -12,6 +12,7 @@
 use crate::failure::Failure;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
+use crate::knowledge::Knowledge;
 use crate::placement;
 use crate::refusal::Refusal;
 use crate::store_link::StoreLink;
@@ -40,6 +41,16 @@
 /// Retry delay of a request that other runs keep waiting, within which doubts are settled.
 const ANNOUNCED_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Maximum time for which a request waits while no holder of crash reports answers. Their processes
+/// usually start again within it.
+const MAX_UNTOLD_WAIT: Duration = Duration::from_millis(500);
+
+/// Interval at which they are asked meanwhile.
+const UNTOLD_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Retry delay of a request that the gateway refuses because no holder answers. Others may be told.
+const UNTOLD_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Maximum age of what a gateway knows of the crashes under a request that it sends, unless it follows
 /// them.
 const MAX_LOOK_UP_AGE: Duration = Duration::from_millis(100);
@@ -72,15 +83,30 @@
 #[derive(Clone, Copy, Debug)]
 struct LookUp {
     at: Instant,
-    is_informed: bool,
+    knowledge: Knowledge,
 }
 
 impl LookUp {
     async fn begin(gateway: &Rc<Gateway>, request: RequestFingerprint) -> Self {
-        let is_informed = gateway.look_up_crashes(request).await;
+        let knowledge = gateway.look_up_crashes(request).await;
         Self {
             at: Instant::now(),
-            is_informed,
+            knowledge,
+        }
+    }
+
+    /// Looks the crashes up again while nobody tells them, unless that has been so for long.
+    async fn begin_when_told(gateway: &Rc<Gateway>, inbound: &InboundRequest) -> Self {
+        let deadline = Instant::now() + MAX_UNTOLD_WAIT.min(inbound.remaining() / 2);
+        loop {
+            let looked_up = Self::begin(gateway, inbound.fingerprint).await;
+            let told_age = gateway.crashes.borrow().told_age();
+            let was_told_lately = told_age.is_none_or(|age| age < MAX_UNTOLD_WAIT);
+            let is_told = looked_up.knowledge != Knowledge::None;
+            if is_told || !was_told_lately || Instant::now() >= deadline {
+                return looked_up;
+            }
+            actix_rt::time::sleep(UNTOLD_RETRY_DELAY).await;
         }
     }
 
@@ -90,12 +116,15 @@
     }
 }
 
-/// Refuses a request under which too many replicas have ended.
+/// Refuses a request under which too many replicas have ended, or may have because nobody tells.
 pub(crate) async fn refuse_crashing(
     gateway: &Rc<Gateway>,
     inbound: &InboundRequest,
 ) -> Result<(), Refusal> {
-    gateway.look_up_crashes(inbound.fingerprint).await;
+    let looked_up = LookUp::begin_when_told(gateway, inbound).await;
+    if looked_up.knowledge == Knowledge::None {
+        return Err(untold_refusal(gateway, inbound));
+    }
     let crashes = gateway.crashes_under(inbound.fingerprint);
     if crashes < MAX_CRASHES {
         return Ok(());
@@ -104,6 +133,21 @@
     Err(refusal(gateway, inbound, crashes))
 }
 
+fn untold_refusal(gateway: &Gateway, inbound: &InboundRequest) -> Refusal {
+    let told_age = gateway.crashes.borrow().told_age();
+    gateway.metrics.untold_requests.inc();
+    tracing::warn!(
+        id = inbound.id,
+        request = %inbound.fingerprint,
+        route = inbound.route.name,
+        told_ago_ms = told_age.map(milliseconds),
+        retry_after_ms = milliseconds(UNTOLD_RETRY_AFTER),
+        "request refused: nobody tells whether replicas ended while they ran it"
+    );
+    let detail = "neither turn stores nor control members answer at the moment";
+    Refusal::not_run_retry_after(detail, UNTOLD_RETRY_AFTER)
+}
+
 /// Returns the refusal of a request that has not run in this attempt and may not run now.
 pub(crate) fn refusal(gateway: &Gateway, inbound: &InboundRequest, crashes: usize) -> Refusal {
     if crashes < MAX_CRASHES || gateway.may_settle_below_limit(inbound.fingerprint) {
@@ -156,10 +200,11 @@
             if looked_up.is_old(gateway, request) {
                 looked_up = LookUp::begin(gateway, request).await;
             }
-            if !gateway.may_begin_later(request, looked_up.is_informed) {
+            let knowledge = looked_up.knowledge;
+            if !gateway.may_begin_later(request, knowledge) {
                 return Err(Failure::CrashLimit);
             }
-            if looked_up.is_informed || gateway.suspected_crashes(request) == 0 {
+            if knowledge >= Knowledge::Stores || gateway.suspected_crashes(request) == 0 {
                 let run = Self::new(gateway, inbound, backend, looked_up);
                 if let Some(run) = run.begin_within_limit().await {
                     return Ok(run);
@@ -181,13 +226,14 @@
             let report = self.report.borrow();
             (report.request, report.run)
         };
-        let others = |gateway: &Gateway| gateway.possible_crashes(request, id);
+        let max_crashes = self.looked_up.get().knowledge.max_crashes();
+        let others = |gateway: &Gateway| gateway.possible_crashes(request, Some(id));
         match others(&self.gateway) {
             0 => {
                 self.register();
                 return Some(self);
             }
-            MAX_CRASHES.. => {
+            others if others >= max_crashes => {
                 self.is_over.set(true);
                 return None;
             }
@@ -196,7 +242,7 @@
         self.register();
         self.announce().await;
         actix_rt::time::sleep(ANNOUNCED_CHECK_INTERVAL).await;
-        if others(&self.gateway) < MAX_CRASHES {
+        if others(&self.gateway) < max_crashes {
             return Some(self);
         }
         self.survived();
@@ -241,8 +287,9 @@
     async fn announce(&self) {
         self.is_announced.set(true);
         let report = self.report.borrow().clone();
+        let knowledge = self.looked_up.get().knowledge;
         // If the gateway is lost meanwhile, the stores put the run in doubt.
-        *self.announced_to.borrow_mut() = self.gateway.announce_run(&report);
+        *self.announced_to.borrow_mut() = self.gateway.announce_run(&report, knowledge);
         self.gateway.report_run(&report).await;
     }
 
@@ -266,9 +313,9 @@
             let looked_up = LookUp::begin(&self.gateway, request).await;
             self.looked_up.set(looked_up);
         }
-        let is_informed = self.looked_up.get().is_informed;
-        self.gateway.may_begin_later(request, is_informed)
-            && self.gateway.possible_crashes(request, run) < MAX_CRASHES
+        let knowledge = self.looked_up.get().knowledge;
+        self.gateway.may_begin_later(request, knowledge)
+            && self.gateway.possible_crashes(request, Some(run)) < knowledge.max_crashes()
     }
 
     /// Waits for the connections of an earlier process of the replica to close, if a run of the request
@@ -295,7 +342,8 @@
                 .known_crashes(report.request, report.run, &self.backend);
         let mut announced_to = self.announced_to.borrow_mut();
         if announced_to.is_empty() {
-            *announced_to = self.gateway.announce_run(&report);
+            let knowledge = self.looked_up.get().knowledge;
+            *announced_to = self.gateway.announce_run(&report, knowledge);
         }
     }
 
@@ -488,11 +536,10 @@
         self.crashes.borrow().table.crashes(request, self.now())
     }
 
-    /// Returns false if the request is refused at once: too many replicas have ended under it, or one
-    /// has and other gateways may know of more.
-    fn may_begin_later(&self, request: RequestFingerprint, is_informed: bool) -> bool {
-        let limit = if is_informed { MAX_CRASHES } else { 1 };
-        self.crashes_under(request) < limit
+    /// Returns false if the request is refused at once: too many replicas have ended under it, or other
+    /// gateways may know of more.
+    fn may_begin_later(&self, request: RequestFingerprint, knowledge: Knowledge) -> bool {
+        self.crashes_under(request) < knowledge.max_crashes()
     }
 
     /// Returns the number of replicas that ended under a request or may have, in runs that are not
@@ -557,7 +604,7 @@
         match at_same_process {
             Some(earlier) => earlier.known_crashes,
             None => {
-                let possible = crashes.table.possible_crashes(request, run);
+                let possible = crashes.table.possible_crashes(request, Some(run));
                 // The run that ended an earlier process may not be known here yet.
                 let unknown = backend.incarnation == Incarnation::UNKNOWN
                     && self
@@ -592,9 +639,13 @@
     }
 
     /// Returns the number of replicas that ended under a request, or still may in a run other than
-    /// `run`.
-    fn possible_crashes(&self, request: RequestFingerprint, run: RunId) -> usize {
+    /// `except`.
+    pub(crate) fn possible_crashes(
+        &self,
+        request: RequestFingerprint,
+        except: Option<RunId>,
+    ) -> usize {
         let crashes = self.crashes.borrow();
-        crashes.table.possible_crashes(request, run)
+        crashes.table.possible_crashes(request, except)
     }
 }
--- a/crates/gateway-server/src/store_link.rs
+++ b/crates/gateway-server/src/store_link.rs
@@ -4,7 +4,7 @@
 use luglink_fleet::{StoreName, StreamOrigin};
 use luglink_net::RequestClient;
 use luglink_turns::{
-    ClientView, CrashRequest, CrashResponse, LogPosition, OriginRecord, OriginRequest,
+    ClientView, CrashRequest, CrashResponse, HolderView, LogPosition, OriginRecord, OriginRequest,
     OriginResponse, StoreRequest, StoreResponse, TurnId, hint_query, hint_request, hinted_origin,
 };
 use luglink_wire::{
@@ -33,6 +33,7 @@
 #[derive(Debug)]
 pub(crate) struct StoreLink {
     name: StoreName,
+    role: ClientRole,
     client: RequestClient,
     /// Moving average of the response time, in milliseconds.
     response_ms: Cell<f64>,
@@ -44,13 +45,23 @@
 impl StoreLink {
     /// Creates a client, which connects on first use.
     pub(crate) fn open(name: StoreName, address: SocketAddr) -> Self {
+        Self::open_as(ClientRole::StoreClient, name, address)
+    }
+
+    /// Creates a client of the crash reports at a control member.
+    pub(crate) fn open_to_member(name: StoreName, address: SocketAddr) -> Self {
+        Self::open_as(ClientRole::ReportClient, name, address)
+    }
+
+    fn open_as(role: ClientRole, name: StoreName, address: SocketAddr) -> Self {
         let hello = Hello {
             version: PROTOCOL_VERSION,
-            role: ClientRole::StoreClient,
+            role,
             id: 0,
         };
         Self {
             name,
+            role,
             client: RequestClient::open(address, hello),
             response_ms: Cell::new(0.0),
             is_unresponsive: Cell::new(false),
@@ -134,32 +145,39 @@
     }
 
     /// Sends a request about crash reports. Returns no response inside the answer if the store is
-    /// of a build without them; `None` if it does not answer in time.
+    /// of a build without them; `None` if it does not answer in time, or its response could not count.
     pub(crate) async fn exchange_crashes(
         &self,
+        holder: HolderView,
         request: &CrashRequest,
     ) -> Option<Option<CrashResponse>> {
-        let body = encode_crash_request(request)?;
-        self.exchange(body, decode_crash_response).await
+        let body = encode_crash_request(holder, request)?;
+        self.exchange(body, decode_crash_response).await?
     }
 
     /// Waits for crash reports from a position on, under a lease. Unlike the time of other requests, that of this
     /// one does not count as the store's response time.
     pub(crate) async fn follow_crashes(
         &self,
+        view: ClientView,
         position: LogPosition,
     ) -> Option<Option<CrashResponse>> {
-        let body = encode_crash_request(&CrashRequest::FollowLeased(position))?;
+        let request = CrashRequest::FollowLeased(position);
+        let body = encode_crash_request(HolderView::Stores(view), &request)?;
         let answer = self.client.request(body, FOLLOW_TIMEOUT).await.ok()?;
-        decode_crash_response(&answer).ok()
+        decode_crash_response(&answer).ok()?
     }
 
     /// Sends a report of a run. The store acknowledges it once the gateways with a lease have it, so
     /// the time does not count as the store's response time.
-    pub(crate) async fn report_run(&self, request: &CrashRequest) -> Option<Option<CrashResponse>> {
-        let body = encode_crash_request(request)?;
+    pub(crate) async fn report_run(
+        &self,
+        holder: HolderView,
+        request: &CrashRequest,
+    ) -> Option<Option<CrashResponse>> {
+        let body = encode_crash_request(holder, request)?;
         let answer = self.client.request(body, REPORT_TIMEOUT).await.ok()?;
-        decode_crash_response(&answer).ok()
+        decode_crash_response(&answer).ok()?
     }
 
     async fn exchange<Response>(
@@ -176,11 +194,7 @@
 
     fn record_response(&self, time: Duration, answered: bool) {
         if self.is_unresponsive.replace(!answered) == answered {
-            if answered {
-                tracing::info!(store = %self.name, "turn store is responding again");
-            } else {
-                tracing::warn!(store = %self.name, "turn store is not responding");
-            }
+            self.log_responsiveness(answered);
         }
         let sample = time.as_secs_f64() * 1_000.0;
         let average = self.response_ms.get();
@@ -190,14 +204,33 @@
             sample
         });
     }
+
+    fn log_responsiveness(&self, answered: bool) {
+        let name = &self.name;
+        match (self.role, answered) {
+            (ClientRole::ReportClient, true) => {
+                tracing::info!(member = %name, "control member answers about crash reports again");
+            }
+            (ClientRole::ReportClient, false) => {
+                tracing::warn!(member = %name, "control member does not answer about crash reports");
+            }
+            (_, true) => tracing::info!(store = %name, "turn store is responding again"),
+            (_, false) => tracing::warn!(store = %name, "turn store is not responding"),
+        }
+    }
 }
 
-fn encode_crash_request(request: &CrashRequest) -> Option<Vec<u8>> {
-    let parts = request.encode().ok()?;
+fn encode_crash_request(holder: HolderView, request: &CrashRequest) -> Option<Vec<u8>> {
+    let parts = request.encode_for(holder).ok()?;
     encode_with_parts(&OriginRequest::message(), &parts).ok()
 }
 
-fn decode_crash_response(answer: &[u8]) -> Result<Option<CrashResponse>, WireError> {
-    let (_, parts) = decode_with_parts::<StoreResponse>(answer)?;
-    CrashResponse::decode(&parts)
+/// Decodes the answer to a request about crash reports. Returns `None` if the request failed, and no
+/// response inside if the store is of a build without crash reports.
+fn decode_crash_response(answer: &[u8]) -> Result<Option<Option<CrashResponse>>, WireError> {
+    let (response, parts) = decode_with_parts::<StoreResponse>(answer)?;
+    match response {
+        StoreResponse::Failed { .. } => Ok(None),
+        _ => CrashResponse::decode(&parts).map(Some),
+    }
 }
--- a/crates/gateway-server/src/turn_client.rs
+++ b/crates/gateway-server/src/turn_client.rs
@@ -114,9 +114,15 @@
         self.view_changed.notify_one();
     }
 
-    fn joint_quorum(&self, program: &ProgramName) -> JointQuorum {
-        self.replication
-            .joint_quorum(&self.view.borrow(), &program.0)
+    /// Returns the quorum of the stores that own the records of a key.
+    pub(crate) fn joint_quorum(&self, key: &str) -> JointQuorum {
+        self.replication.joint_quorum(&self.view.borrow(), key)
+    }
+
+    /// Returns the link to a store and the view under which it is asked.
+    pub(crate) fn holder(&self, name: &StoreName) -> Option<(Rc<StoreLink>, ClientView)> {
+        let link = self.links.borrow().get(name).cloned();
+        link.zip(self.client_view(name))
     }
 
     /// Returns the links to all stores of the view.
@@ -148,10 +154,20 @@
         self.replication.quorum()
     }
 
-    /// Returns true if `count` stores of the view must include one of any quorum.
-    pub(crate) fn is_certain(&self, count: usize) -> bool {
-        let stores = self.view.borrow().len();
-        stores > 0 && count + self.quorum() > stores
+    /// Returns true if the stores that are known include one of any quorum, both in the settled
+    /// configuration and in the one that follows it. `is_known` tells whether a store with a disk is.
+    pub(crate) fn is_certain(&self, is_known: impl Fn(&StoreName, u64) -> bool) -> bool {
+        let view = self.view.borrow();
+        let is_unknown = |name: &&StoreName| {
+            let member = view.members.get(*name);
+            member.is_none_or(|member| !is_known(name, member.incarnation))
+        };
+        // A disk that was lost may have been part of an earlier quorum.
+        let is_missing = |name: &&StoreName| !view.is_settled(name) || is_unknown(name);
+        let unknown_settled = view.settled_names().filter(is_missing).count();
+        let writable = view.writable().map(|(name, _)| name);
+        let unknown_writable = writable.filter(is_unknown).count();
+        !view.is_empty() && unknown_settled.max(unknown_writable) < self.quorum()
     }
 
     /// Sends a request to one store.
@@ -160,9 +176,8 @@
         name: &StoreName,
         request: &StoreRequest,
     ) -> impl Future<Output = Reply> + use<> {
-        let link = self.links.borrow().get(name).cloned();
-        let sending = link
-            .zip(self.client_view(name))
+        let sending = self
+            .holder(name)
             .map(|(link, view)| link.send_under(view, request));
         let name = name.clone();
         async move {
@@ -191,7 +206,7 @@
         request: &StoreRequest,
         mut accept: impl FnMut(StoreResponse) -> bool,
     ) -> Result<(), StoresUnavailable> {
-        let mut quorum = self.joint_quorum(program);
+        let mut quorum = self.joint_quorum(&program.0);
         let mut pending: FuturesUnordered<_> = quorum
             .stores()
             .iter()
@@ -226,7 +241,7 @@
         retention_ms: u64,
         previous: Option<&TurnId>,
     ) -> Result<BeginResponse, StoresUnavailable> {
-        let quorum = self.joint_quorum(program);
+        let quorum = self.joint_quorum(&program.0);
         if self.epoch() > 0 && !quorum.is_possible() {
             tracing::warn!(
                 program = %program,
@@ -250,7 +265,7 @@
         retention_ms: u64,
         previous: Option<&TurnId>,
     ) -> Result<BeginResponse, StoresUnavailable> {
-        let mut quorum = self.joint_quorum(program);
+        let mut quorum = self.joint_quorum(&program.0);
         let owners = quorum.stores();
         let fastest = self.fastest(&owners);
         let wish = previous.map(|turn| ChainQuery { turn: turn.clone() });
--- a/crates/gateway-server/tests/gateway/cut_off.rs
+++ b/crates/gateway-server/tests/gateway/cut_off.rs
@@ -1,7 +1,8 @@
-//! Requests that end their replicas while one gateway is cut off from the turn stores by connections
-//! that fall silent.
+//! Requests that end their replicas while one gateway is cut off from the turn stores, and from the
+//! control members too, by connections that fall silent.
 
 use crate::support::caller::{TestRequest, TestResponse};
+use crate::support::proxy::Proxy;
 use crate::support::replica::{Replica, Script};
 use crate::support::{Fleet, configuration, wait_until};
 use luglink_gateway_server::GatewayServer;
@@ -11,9 +12,6 @@
 /// Number of crashes under a request after which no replica gets it.
 const MAX_CRASHES: usize = 3;
 
-/// Number of replicas that a gateway may lose to a request while it cannot ask the stores.
-const MAX_UNINFORMED_CRASHES: usize = 1;
-
 const ATTEMPTS: usize = 7;
 
 const REPLICAS: usize = 9;
@@ -31,6 +29,8 @@
     /// Number of connections to each store before the second gateway started.
     first_connections: Vec<usize>,
     second: SocketAddr,
+    /// Proxies through which the second gateway reaches the members.
+    member_proxies: Vec<Proxy>,
     _second_gateway: GatewayServer,
 }
 
@@ -50,12 +50,13 @@
         }
         let accepted = fleet.store_proxies.iter().map(|proxy| proxy.accepted());
         let first_connections = accepted.collect();
-        let (gateway, second) = fleet.start_ready_second_gateway().await;
+        let (gateway, second, member_proxies) = fleet.start_second_gateway_behind_proxies().await;
         let setup = Self {
             fleet,
             replicas,
             first_connections,
             second,
+            member_proxies,
             _second_gateway: gateway,
         };
         for number in 0..2 * REPLICAS {
@@ -73,8 +74,15 @@
         }
     }
 
+    fn cut_off_second_from_all(&self) {
+        self.cut_off_second();
+        for proxy in &self.member_proxies {
+            proxy.silence_from(0);
+        }
+    }
+
     fn restore(&self) {
-        for proxy in &self.fleet.store_proxies {
+        for proxy in self.fleet.store_proxies.iter().chain(&self.member_proxies) {
             proxy.restore();
         }
     }
@@ -98,15 +106,24 @@
 }
 
 #[actix_rt::test]
-async fn a_gateway_that_is_cut_off_sends_a_request_at_most_once_after_the_third_end() {
+async fn a_gateway_that_is_cut_off_sends_no_request_after_the_third_end() {
     let setup = Setup::start().await;
     setup.cut_off_second();
+    assert_limited_at_second(&setup).await;
+}
+
+#[actix_rt::test]
+async fn a_gateway_that_is_cut_off_from_all_sends_no_request_after_the_third_end() {
+    let setup = Setup::start().await;
+    setup.cut_off_second_from_all();
+    assert_limited_at_second(&setup).await;
+}
+
+async fn assert_limited_at_second(setup: &Setup) {
     setup.insist(setup.fleet.gateway_address).await;
     assert_eq!(setup.crashed(), MAX_CRASHES);
     setup.insist(setup.second).await;
-    let crashed = setup.crashed();
-    let limit = MAX_CRASHES + MAX_UNINFORMED_CRASHES;
-    assert!(crashed <= limit, "{crashed} crashes");
+    assert_eq!(setup.crashed(), MAX_CRASHES);
     setup.restore();
     wait_until("the request is refused for good", || async {
         let response = call("last").send(setup.second).await;
@@ -115,7 +132,28 @@
         response.status == 503 && delay.is_some_and(|delay| delay > 60.0)
     })
     .await;
-    assert_eq!(setup.crashed(), crashed);
+    assert_eq!(setup.crashed(), MAX_CRASHES);
+}
+
+/// Callers of a gateway that hears of nobody are told at once, and served elsewhere in time.
+#[actix_rt::test]
+async fn innocent_requests_are_served_elsewhere_while_one_gateway_is_cut_off_from_all() {
+    let setup = Setup::start().await;
+    setup.cut_off_second_from_all();
+    for number in 0..20 {
+        let began = Instant::now();
+        let path = format!("/safe/innocent-{number}");
+        let first = TestRequest::get(&path, &format!("first-{number}"));
+        let first = first.send(setup.second).await;
+        if first.status != 200 {
+            assert_eq!(first.status, 503, "{number}: {first:?}");
+            assert!(first.header("retry-after").is_some(), "{number}: {first:?}");
+            let second = TestRequest::get(&path, &format!("second-{number}"));
+            let second = second.send(setup.fleet.gateway_address).await;
+            assert_eq!(second.status, 200, "{number}: {second:?}");
+        }
+        assert!(began.elapsed() < INNOCENT_TIMEOUT, "{number}");
+    }
 }
 
 #[actix_rt::test]
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -204,10 +204,20 @@
 
     /// Starts a second gateway in the same zone. Returns it with its address for callers.
     pub async fn start_second_gateway(&self) -> (GatewayServer, SocketAddr) {
+        self.start_second_gateway_of(observer(&self.second)).await
+    }
+
+    async fn start_second_gateway_of(
+        &self,
+        observer: ObserverConfig,
+    ) -> (GatewayServer, SocketAddr) {
         let port = self.gateway_address.port();
         let listen: SocketAddr = (self.second.ip, port).into();
         let ready_listen = (self.second.ip, port + 1).into();
-        let config = gateway_config(&self.second, listen, ready_listen);
+        let config = GatewayConfig {
+            observer,
+            ..gateway_config(&self.second, listen, ready_listen)
+        };
         let dialect: Rc<dyn Dialect> = Rc::new(LuglinkDialect::default());
         (start(config, dialect).await.unwrap(), listen)
     }
@@ -215,14 +225,29 @@
     /// Starts a second gateway in the same zone and waits until it is ready.
     pub async fn start_ready_second_gateway(&self) -> (GatewayServer, SocketAddr) {
         let (gateway, address) = self.start_second_gateway().await;
-        let ready = SocketAddr::new(address.ip(), address.port() + 1);
-        wait_until("the second gateway is ready", || async {
-            caller::get(ready, "/v1/ready").await.status == 200
-        })
-        .await;
+        wait_until_ready(address).await;
         (gateway, address)
     }
 
+    /// The same, but the second gateway reaches the members through proxies.
+    pub async fn start_second_gateway_behind_proxies(
+        &self,
+    ) -> (GatewayServer, SocketAddr, Vec<Proxy>) {
+        let member_port = self.gateway_address.port() + 5;
+        let mut proxies = Vec::new();
+        for member in &self.member_addresses {
+            let address = (member.ip(), member_port).into();
+            proxies.push(Proxy::start_at(address, *member).await);
+        }
+        let observer = ObserverConfig {
+            seeds: proxies.iter().map(|proxy| proxy.address).collect(),
+            member_port,
+        };
+        let (gateway, address) = self.start_second_gateway_of(observer).await;
+        wait_until_ready(address).await;
+        (gateway, address, proxies)
+    }
+
     /// Applies a configuration and waits until the gateway is ready.
     pub async fn configure(&self, configuration: &Configuration) {
         let body = serde_json::to_vec(configuration).unwrap();
@@ -239,6 +264,14 @@
     }
 }
 
+async fn wait_until_ready(gateway: SocketAddr) {
+    let ready = SocketAddr::new(gateway.ip(), gateway.port() + 1);
+    wait_until("the second gateway is ready", || async {
+        caller::get(ready, "/v1/ready").await.status == 200
+    })
+    .await;
+}
+
 fn observer(fleet: &FleetSettings) -> ObserverConfig {
     ObserverConfig {
         seeds: fleet.member_seeds(),
--- a/crates/gateway-server/tests/gateway/support/proxy.rs
+++ b/crates/gateway-server/tests/gateway/support/proxy.rs
@@ -1,4 +1,4 @@
-//! Proxy of a turn store whose connections can fall silent without being closed.
+//! Proxy of a turn store or control member whose connections can fall silent without being closed.
 
 use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
@@ -21,7 +21,12 @@
 impl Proxy {
     /// Starts a proxy on a free port of `ip`.
     pub async fn start(ip: IpAddr, store: SocketAddr) -> Self {
-        let listener = TcpListener::bind((ip, 0)).await.unwrap();
+        Self::start_at((ip, 0).into(), store).await
+    }
+
+    /// Starts a proxy at an address.
+    pub async fn start_at(address: SocketAddr, store: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).await.unwrap();
         let (silent_from, _) = watch::channel(usize::MAX);
         let proxy = Self {
             address: listener.local_addr().unwrap(),
--- a/crates/store-server/src/metrics.rs
+++ b/crates/store-server/src/metrics.rs
@@ -96,6 +96,7 @@
         CrashRequest::Record(_) => "record_crash",
         CrashRequest::RecordDoubt(_) => "record_doubt",
         CrashRequest::Update(_) => "update_runs",
+        CrashRequest::TakeOver(_) => "take_over_crashes",
         CrashRequest::Find(_) => "find_crashes",
         CrashRequest::Follow(_) | CrashRequest::FollowLeased(_) => "follow_crashes",
     }
--- a/crates/store-server/src/peers.rs
+++ b/crates/store-server/src/peers.rs
@@ -2,8 +2,11 @@
 
 use luglink_fleet::{StoreName, StoreView};
 use luglink_net::RequestClient;
-use luglink_turns::{StoreRequest, StoreResponse};
-use luglink_wire::{ClientRole, Hello, PROTOCOL_VERSION, decode_body, encode_body};
+use luglink_turns::{CountedReport, CrashRequest, OriginRequest, StoreRequest, StoreResponse};
+use luglink_wire::{
+    ClientRole, Hello, PROTOCOL_VERSION, WireError, decode_body, decode_with_parts, encode_body,
+    encode_with_parts,
+};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,6 +16,10 @@
 /// Maximum time to wait for the response of another store.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The same for crash reports, which the other store acknowledges once the gateways with a lease have
+/// them.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time to wait before the first request on a new connection, so that it can be established.
 const CONNECT_DELAY: Duration = Duration::from_millis(30);
 
@@ -52,21 +59,45 @@
         Some((link, true))
     }
 
+    async fn request(&self, to: &StoreName, body: Vec<u8>, limit: Duration) -> Option<Vec<u8>> {
+        let (link, is_new) = self.link(to)?;
+        if is_new {
+            actix_rt::time::sleep(CONNECT_DELAY).await;
+        }
+        link.request(body, limit).await.ok()
+    }
+
     /// Sends a hand-over request. Returns true if the other store acknowledged that the records
     /// are on disk.
     pub(crate) async fn hand_over(&self, to: &StoreName, request: &StoreRequest) -> bool {
-        let Some((link, is_new)) = self.link(to) else {
+        let Ok(body) = encode_body(request) else {
             return false;
         };
-        if is_new {
-            actix_rt::time::sleep(CONNECT_DELAY).await;
-        }
-        let Ok(body) = encode_body(request) else {
+        let response = self.request(to, body, RESPONSE_TIMEOUT).await;
+        response.is_some_and(|response| matches!(decode_body(&response), Ok(StoreResponse::Done)))
+    }
+
+    /// Sends crash reports that the other store owns. Returns true if it acknowledged that they are on
+    /// disk and known to all gateways, or if it is of a build that takes none.
+    pub(crate) async fn hand_over_reports(
+        &self,
+        to: &StoreName,
+        reports: Vec<CountedReport>,
+    ) -> bool {
+        let Ok(body) = encode_take_over(reports) else {
             return false;
         };
-        let Ok(response) = link.request(body, RESPONSE_TIMEOUT).await else {
+        let Some(response) = self.request(to, body, REPORT_TIMEOUT).await else {
             return false;
         };
-        matches!(decode_body(&response), Ok(StoreResponse::Done))
+        matches!(
+            decode_with_parts(&response),
+            Ok((StoreResponse::Chain(_), _))
+        )
     }
 }
+
+fn encode_take_over(reports: Vec<CountedReport>) -> Result<Vec<u8>, WireError> {
+    let parts = CrashRequest::TakeOver(reports).encode()?;
+    encode_with_parts(&OriginRequest::message(), &parts)
+}
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -12,8 +12,8 @@
 use luglink_storage::{FileDisk, WalConfig};
 use luglink_turns::{
     Chain, ClientView, CrashRequest, CrashResponse, FollowerLeases, LogPosition, OriginRequest,
-    OriginResponse, Output, Replication, RequestToken, RunState, StoreConfig, StoreNode,
-    StoreRequest, StoreResponse,
+    OriginResponse, Output, Refusal, Replication, ReportBatch, ReportError, RequestToken, RunState,
+    StoreConfig, StoreNode, StoreRequest, StoreResponse,
 };
 use luglink_wire::{Frame, Parts, WireError, decode_with_parts, encode_body, encode_with_parts};
 use rand::RngCore;
@@ -110,10 +110,6 @@
     let metrics_address =
         luglink_metrics_server::start(config.metrics_listen, &metrics.registry).await;
     let node = open_node(&config).await;
-    let leases = match node.has_new_disk() {
-        true => FollowerLeases::new(),
-        false => FollowerLeases::after_restart(now()),
-    };
     let (turns, accounts) = node.counts();
     tracing::info!(
         name = config.name,
@@ -129,7 +125,7 @@
         clients: RefCell::default(),
         peers: Peers::default(),
         followers: RefCell::default(),
-        leases: RefCell::new(leases),
+        leases: RefCell::new(FollowerLeases::after_start(now())),
         sessions: RefCell::default(),
         unflushed_requests: Cell::new(0),
         flush_needed: Notify::new(),
@@ -194,7 +190,7 @@
 enum ClientRequest {
     Store(Option<ClientView>, StoreRequest),
     Origin(OriginRequest),
-    Crash(CrashRequest),
+    Crash(Option<ClientView>, CrashRequest),
 }
 
 fn decode_request(body: &[u8]) -> Result<ClientRequest, WireError> {
@@ -202,9 +198,10 @@
     if let Some(request) = OriginRequest::decode(&parts)? {
         return Ok(ClientRequest::Origin(request));
     }
+    let client_view = ClientView::decode(&parts)?;
     Ok(match CrashRequest::decode(&parts)? {
-        Some(request) => ClientRequest::Crash(request),
-        None => ClientRequest::Store(ClientView::decode(&parts)?, request),
+        Some(request) => ClientRequest::Crash(client_view, request),
+        None => ClientRequest::Store(client_view, request),
     })
 }
 
@@ -273,7 +270,9 @@
         let token = RequestToken { client, request };
         match decode_request(body) {
             Ok(ClientRequest::Origin(request)) => self.on_origin_request(token, &request),
-            Ok(ClientRequest::Crash(request)) => self.on_crash_request(token, &request),
+            Ok(ClientRequest::Crash(client_view, request)) => {
+                self.on_crash_request(token, client_view, &request);
+            }
             Ok(ClientRequest::Store(client_view, request)) => {
                 let requests = &self.metrics.requests;
                 requests.with_label_values(&[request_kind(&request)]).inc();
@@ -301,16 +300,38 @@
         let epoch = node.epoch();
         drop(node);
         if let Some(refusal) = refusal {
-            let reason = refusal.label();
-            tracing::info!(
-                reason,
-                client_epoch = client_view.map(|view| view.epoch),
-                epoch,
-                "refused a request whose response could not count"
-            );
-            self.metrics.refusals.with_label_values(&[reason]).inc();
-            let reason = refusal.to_string();
-            self.reply(token, &StoreResponse::Failed { reason });
+            self.refuse(token, refusal, client_view, epoch);
+        }
+    }
+
+    fn refuse(
+        &self,
+        token: RequestToken,
+        refusal: Refusal,
+        client_view: Option<ClientView>,
+        epoch: u64,
+    ) {
+        let reason = refusal.label();
+        tracing::info!(
+            reason,
+            client_epoch = client_view.map(|view| view.epoch),
+            epoch,
+            "refused a request whose response could not count"
+        );
+        self.metrics.refusals.with_label_values(&[reason]).inc();
+        let reason = refusal.to_string();
+        self.reply(token, &StoreResponse::Failed { reason });
+    }
+
+    fn fail_report(&self, token: RequestToken, view: Option<ClientView>, error: ReportError) {
+        match error {
+            ReportError::Refused { source } => {
+                self.refuse(token, source, view, self.node.borrow().epoch());
+            }
+            ReportError::NotDurable { source } => {
+                let reason = source.to_string();
+                self.reply(token, &StoreResponse::Failed { reason });
+            }
         }
     }
 
@@ -325,14 +346,26 @@
         self.reply_with_parts(token, OriginResponse { origin }.encode());
     }
 
-    fn on_crash_request(&self, token: RequestToken, request: &CrashRequest) {
+    fn on_crash_request(
+        &self,
+        token: RequestToken,
+        client_view: Option<ClientView>,
+        request: &CrashRequest,
+    ) {
         let requests = &self.metrics.requests;
         let kind = crash_request_kind(request);
         requests.with_label_values(&[kind]).inc();
         let mut node = self.node.borrow_mut();
         let before = node.crash_position();
-        let response = node.handle_crash_request(request, now());
+        let handled = node.handle_crash_request(client_view, request, now());
         drop(node);
+        let response = match handled {
+            Ok(response) => response,
+            Err(error) => {
+                self.note_run_events();
+                return self.fail_report(token, client_view, error);
+            }
+        };
         let is_complete = self.node.borrow().has_complete_crash_reports();
         if let CrashRequest::Update(update) = request {
             let mut sessions = self.sessions.borrow_mut();
@@ -353,7 +386,9 @@
             CrashRequest::Record(report) if report.state == RunState::Crashed => {
                 self.leases.borrow_mut().hold(token, response);
             }
-            CrashRequest::RecordDoubt(_) => self.leases.borrow_mut().hold(token, response),
+            CrashRequest::RecordDoubt(_) | CrashRequest::TakeOver(_) => {
+                self.leases.borrow_mut().hold(token, response);
+            }
             _ => self.reply_with_parts(token, response.encode()),
         }
         if latest != before {
@@ -361,7 +396,7 @@
         }
         if matches!(
             request,
-            CrashRequest::Record(_) | CrashRequest::RecordDoubt(_)
+            CrashRequest::Record(_) | CrashRequest::RecordDoubt(_) | CrashRequest::TakeOver(_)
         ) {
             self.acknowledge_reports();
         }
@@ -431,8 +466,9 @@
         }
         let due = self.followers.borrow_mut().take_due(node.crash_position());
         for follower in due {
-            let response: CrashResponse = node.handle_crash_request(&follower.request(), now());
-            self.reply_with_parts(follower.token, response.encode());
+            if let Ok(response) = node.handle_crash_request(None, &follower.request(), now()) {
+                self.reply_with_parts(follower.token, response.encode());
+            }
         }
     }
 
@@ -444,6 +480,29 @@
         self.send(token, body);
     }
 
+    /// Sends the crash reports that other stores own and may lack.
+    fn hand_over_reports(self: &Rc<Self>) {
+        for batch in self.node.borrow_mut().due_reports(now()) {
+            actix_rt::spawn(Rc::clone(self).hand_over_batch(batch));
+        }
+    }
+
+    async fn hand_over_batch(self: Rc<Self>, batch: ReportBatch) {
+        let ReportBatch {
+            to,
+            number,
+            reports,
+        } = batch;
+        let count = reports.len();
+        let taken = self.peers.hand_over_reports(&to, reports).await;
+        tracing::info!(store = %to, reports = count, taken, "hand-over of crash reports finished");
+        if taken {
+            let mut node = self.node.borrow_mut();
+            node.on_reports_acknowledged(&to, number);
+            self.flush_needed.notify_one();
+        }
+    }
+
     fn flush(self: &Rc<Self>) {
         let started = Instant::now();
         let outputs = self.node.borrow_mut().flush();
@@ -451,6 +510,7 @@
             let seconds = started.elapsed().as_secs_f64();
             self.metrics.flush_seconds.observe(seconds);
         }
+        self.hand_over_reports();
         for output in outputs {
             match output {
                 Output::Reply { token, response } => {
--- a/crates/turns/src/crash_keeper.rs
+++ b/crates/turns/src/crash_keeper.rs
@@ -1,7 +1,7 @@
 //! What one store keeps about runs: crash reports, and the runs under way at gateways.
 
 use crate::crash_log::CrashLog;
-use crate::crash_parts::{CrashRequest, CrashResponse, LogPosition, RunUpdate};
+use crate::crash_parts::{CountedReport, CrashRequest, CrashResponse, LogPosition, RunUpdate};
 use crate::crash_reports::{RunReport, RunState};
 use crate::errors::TurnsError;
 use crate::run_journal::{RunEntry, RunJournal};
@@ -14,7 +14,7 @@
 pub struct RunEvents {
     /// Number of runs in doubt because their gateways were lost.
     pub lost_runs: usize,
-    /// Latest failure to write reports to disk. They are still in memory.
+    /// Latest failure to write reports to disk. They are in memory and not acknowledged.
     pub write_failure: Option<String>,
 }
 
@@ -27,6 +27,8 @@
     /// Time from which on all gateways that had runs under way when the store ended have been heard
     /// of again, or count as lost.
     complete_from: Timestamp,
+    /// True if the file lacks entries that are in memory.
+    needs_rewrite: bool,
     events: RunEvents,
 }
 
@@ -43,6 +45,7 @@
             under_way: RunsUnderWay::default(),
             journal,
             complete_from: now,
+            needs_rewrite: false,
             events: RunEvents::default(),
         };
         for entry in &entries {
@@ -83,22 +86,32 @@
         now >= self.complete_from
     }
 
+    /// Handles a request.
+    ///
+    /// # Errors
+    /// Fails if reports cannot be written to disk.
     pub(crate) fn handle(
         &mut self,
         disk: &mut impl Disk,
         request: &CrashRequest,
         now: Timestamp,
-    ) -> CrashResponse {
+    ) -> Result<CrashResponse, TurnsError> {
         let reports = match request {
             CrashRequest::Record(report) => {
-                self.record(disk, report, false, now);
+                self.record(disk, report, false, now)?;
                 self.log.find(report.request)
             }
             CrashRequest::RecordDoubt(report) => {
-                self.record(disk, report, true, now);
+                self.record(disk, report, true, now)?;
                 self.log.find(report.request)
             }
-            CrashRequest::Update(update) => return self.update(disk, update, now),
+            CrashRequest::TakeOver(reports) => {
+                for counted in reports {
+                    self.record(disk, &counted.report, counted.is_in_doubt, now)?;
+                }
+                Vec::new()
+            }
+            CrashRequest::Update(update) => return Ok(self.update(disk, update, now)),
             CrashRequest::Find(request) => {
                 if !self.is_complete(now) {
                     // Their gateways may have been lost with the store.
@@ -111,13 +124,13 @@
                 self.log.reports_from(*position)
             }
         };
-        CrashResponse {
+        Ok(CrashResponse {
             position: self.log.position(),
             doubts: self.log.doubts_among(&reports),
             reports,
             is_new_session: false,
             has_lease: matches!(request, CrashRequest::FollowLeased(_)),
-        }
+        })
     }
 
     fn record(
@@ -126,16 +139,19 @@
         report: &RunReport,
         is_in_doubt: bool,
         now: Timestamp,
-    ) {
+    ) -> Result<(), TurnsError> {
         let entry = RunEntry::Report {
             report: report.clone(),
             is_in_doubt,
         };
-        if self.apply(&entry, now) {
-            // An end that is forgotten costs a replica, a cleared run that counts only a delay.
-            let is_synced = report.state != RunState::Cleared;
-            self.write(disk, &entry, is_synced);
+        let is_new = self.apply(&entry, now);
+        if !is_new && !self.needs_rewrite {
+            return Ok(());
         }
+        // An end that is forgotten costs a replica, a cleared run that counts only a delay.
+        let is_synced = report.state != RunState::Cleared;
+        let written = self.write(disk, &entry, is_synced);
+        if is_synced { written } else { Ok(()) }
     }
 
     fn update(
@@ -146,7 +162,8 @@
     ) -> CrashResponse {
         let is_new_session = self.under_way.update(update, now);
         if !update.begun.is_empty() || !update.ended.is_empty() {
-            self.write(disk, &RunEntry::Update(update.clone()), false);
+            // A store that cannot write still has the runs in memory.
+            let _ = self.write(disk, &RunEntry::Update(update.clone()), false);
         }
         CrashResponse {
             position: self.log.position(),
@@ -155,35 +172,38 @@
         }
     }
 
-    /// Puts the runs of a gateway's process in doubt, to which the connection has ended.
-    pub(crate) fn end_session(&mut self, disk: &mut impl Disk, session: u64, now: Timestamp) {
+    /// Puts the runs of a gateway's process in doubt, to which the connection has ended. Returns them.
+    pub(crate) fn end_session(
+        &mut self,
+        disk: &mut impl Disk,
+        session: u64,
+        now: Timestamp,
+    ) -> Vec<RunReport> {
         let lost = self.under_way.end_session(session);
         if self.doubt(&lost, now) {
             self.events.lost_runs += lost.len();
-            self.write(disk, &RunEntry::SessionEnded(session), true);
+            let _ = self.write(disk, &RunEntry::SessionEnded(session), true);
         }
+        lost
     }
 
-    /// Puts the runs of gateways in doubt that were not heard of, and drops expired reports.
-    pub(crate) fn tick(&mut self, disk: &mut impl Disk, now: Timestamp) {
+    /// Puts the runs of gateways in doubt that were not heard of. Returns them.
+    pub(crate) fn tick(&mut self, disk: &mut impl Disk, now: Timestamp) -> Vec<RunReport> {
         let lost = self.under_way.take_silent(now);
         if self.doubt(&lost, now) {
             self.events.lost_runs += lost.len();
-            for report in lost {
-                let is_in_doubt = true;
-                self.write(
-                    disk,
-                    &RunEntry::Report {
-                        report,
-                        is_in_doubt,
-                    },
-                    false,
-                );
+            for report in &lost {
+                let entry = RunEntry::Report {
+                    report: report.clone(),
+                    is_in_doubt: true,
+                };
+                let _ = self.write(disk, &entry, false);
             }
         }
-        if self.journal.is_long() {
-            self.rewrite(disk);
+        if self.journal.is_long() || self.needs_rewrite {
+            let _ = self.rewrite(disk);
         }
+        lost
     }
 
     pub(crate) fn take_events(&mut self) -> RunEvents {
@@ -194,25 +214,44 @@
         self.log.expire(now);
     }
 
-    fn rewrite(&mut self, disk: &mut impl Disk) {
-        let reports = self.log.counted_reports().map(|(report, is_in_doubt)| {
-            let report = report.clone();
-            RunEntry::Report {
-                report,
-                is_in_doubt,
-            }
+    /// Returns the reports that count.
+    pub(crate) fn counted_reports(&self) -> impl Iterator<Item = CountedReport> {
+        let counted = self.log.counted_reports();
+        counted.map(|(report, is_in_doubt)| CountedReport {
+            report: report.clone(),
+            is_in_doubt,
+        })
+    }
+
+    fn rewrite(&mut self, disk: &mut impl Disk) -> Result<(), TurnsError> {
+        let reports = self.counted_reports().map(|counted| RunEntry::Report {
+            report: counted.report,
+            is_in_doubt: counted.is_in_doubt,
         });
-        let updates = self.under_way.as_updates().map(RunEntry::Update);
-        if let Err(error) = self.journal.rewrite(disk, reports.chain(updates)) {
-            self.events.write_failure = Some(error.to_string());
-        }
+        let entries: Vec<RunEntry> = reports
+            .chain(self.under_way.as_updates().map(RunEntry::Update))
+            .collect();
+        let written = self.journal.rewrite(disk, entries.into_iter());
+        self.note_written(written)
     }
 
-    /// Appends an entry. A store that cannot write still has its reports in memory.
-    fn write(&mut self, disk: &mut impl Disk, entry: &RunEntry, is_synced: bool) {
-        if let Err(error) = self.journal.append(disk, entry, is_synced) {
-            self.events.write_failure = Some(error.to_string());
+    /// Appends an entry that was applied. After a failure, the whole file is written again.
+    fn write(
+        &mut self,
+        disk: &mut impl Disk,
+        entry: &RunEntry,
+        is_synced: bool,
+    ) -> Result<(), TurnsError> {
+        if self.needs_rewrite {
+            return self.rewrite(disk);
         }
+        let written = self.journal.append(disk, entry, is_synced);
+        self.note_written(written)
+    }
+
+    fn note_written(&mut self, written: Result<(), TurnsError>) -> Result<(), TurnsError> {
+        self.needs_rewrite = written.is_err();
+        written.inspect_err(|error| self.events.write_failure = Some(error.to_string()))
     }
 
     pub(crate) fn position(&self) -> LogPosition {
--- a/crates/turns/src/crash_parts.rs
+++ b/crates/turns/src/crash_parts.rs
@@ -7,6 +7,7 @@
 
 use crate::crash_reports::{RunId, RunReport};
 use crate::fingerprint::RequestFingerprint;
+use crate::parts::ClientView;
 use luglink_wire::{PartNumber, Parts, WireError};
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +41,32 @@
 /// Response part: the follower has a lease.
 const HAS_LEASE: PartNumber = PartNumber(14);
 
+/// Request part: reports that the receiver owns.
+const TAKE_OVER_RUNS: PartNumber = PartNumber(15);
+
+/// Request part: membership under which the client chose a control member as a holder.
+const MEMBERSHIP: PartNumber = PartNumber(16);
+
+/// Report of a run that counts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CountedReport {
+    /// The report.
+    pub report: RunReport,
+    /// True if the run is in doubt.
+    pub is_in_doubt: bool,
+}
+
+impl CountedReport {
+    /// Returns the request that records the report.
+    #[must_use]
+    pub fn into_request(self) -> CrashRequest {
+        match self.is_in_doubt {
+            true => CrashRequest::RecordDoubt(self.report),
+            false => CrashRequest::Record(self.report),
+        }
+    }
+}
+
 /// Position in the reports of one store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogPosition {
@@ -78,9 +105,58 @@
     ///
     /// [`FollowerLeases`]: crate::FollowerLeases
     FollowLeased(LogPosition),
+    /// Keeps reports that another store hands over.
+    TakeOver(Vec<CountedReport>),
+}
+
+/// Why the sender of a request about crash reports chose this holder. A holder does not answer if its
+/// response could not count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HolderView {
+    /// View of the turn stores.
+    Stores(ClientView),
+    /// Version of the membership of the control members.
+    Members(u64),
+}
+
+impl HolderView {
+    fn put(self, parts: &mut Parts) -> Result<(), WireError> {
+        match self {
+            Self::Stores(view) => view.put(parts),
+            Self::Members(membership) => parts.put(MEMBERSHIP, &membership),
+        }
+    }
+
+    /// Decodes the membership of a request to a control member.
+    ///
+    /// # Errors
+    /// Fails if the part cannot be decoded.
+    pub fn decode_membership(parts: &Parts) -> Result<Option<u64>, WireError> {
+        parts.get(MEMBERSHIP)
+    }
 }
 
 impl CrashRequest {
+    /// Encodes the request for a holder for the wire.
+    ///
+    /// # Errors
+    /// Fails if a part cannot be encoded.
+    pub fn encode_for(&self, holder: HolderView) -> Result<Parts, WireError> {
+        let mut parts = self.encode()?;
+        holder.put(&mut parts)?;
+        Ok(parts)
+    }
+
+    /// Returns the request whose reports the response contains, unless it is for any.
+    #[must_use]
+    pub fn subject(&self) -> Option<RequestFingerprint> {
+        match self {
+            Self::Record(report) | Self::RecordDoubt(report) => Some(report.request),
+            Self::Find(request) => Some(*request),
+            Self::Update(_) | Self::Follow(_) | Self::FollowLeased(_) | Self::TakeOver(_) => None,
+        }
+    }
+
     /// Encodes the part for the wire.
     ///
     /// # Errors
@@ -88,6 +164,7 @@
     pub fn encode(&self) -> Result<Parts, WireError> {
         let mut parts = Parts::default();
         match self {
+            Self::TakeOver(reports) => parts.put(TAKE_OVER_RUNS, reports)?,
             Self::Record(report) => parts.put(RECORD_RUN, report)?,
             Self::RecordDoubt(report) => {
                 parts.put(RECORD_RUN, report)?;
@@ -117,6 +194,9 @@
                 Self::Record(report)
             }));
         }
+        if let Some(reports) = parts.get(TAKE_OVER_RUNS)? {
+            return Ok(Some(Self::TakeOver(reports)));
+        }
         if let Some(update) = parts.get(UPDATE_RUNS)? {
             return Ok(Some(Self::Update(update)));
         }
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -291,9 +291,9 @@
     /// Returns the number of replicas that ended while they ran the request, or still may in runs
     /// other than `except`.
     #[must_use]
-    pub fn possible_crashes(&self, request: RequestFingerprint, except: RunId) -> usize {
+    pub fn possible_crashes(&self, request: RequestFingerprint, except: Option<RunId>) -> usize {
         self.ends(request, |run| {
-            run.report.state != RunState::Cleared && run.report.run != except
+            run.report.state != RunState::Cleared && Some(run.report.run) != except
         })
     }
 
--- a/crates/turns/src/follower_leases.rs
+++ b/crates/turns/src/follower_leases.rs
@@ -49,16 +49,10 @@
 }
 
 impl FollowerLeases {
-    /// Creates the leases of a store that starts with a new disk.
+    /// Creates the leases of a store that has just started. Those of an earlier process may last, also
+    /// if its disk was lost.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// Creates the leases of a store that has just started again. Those of its earlier process may
-    /// last.
-    #[must_use]
-    pub fn after_restart(now: Timestamp) -> Self {
+    pub fn after_start(now: Timestamp) -> Self {
         Self {
             unknown_until: now.plus(LEASE_DURATION),
             ..Self::default()
--- a/crates/turns/src/hand_over.rs
+++ b/crates/turns/src/hand_over.rs
@@ -179,7 +179,12 @@
 
     /// Returns the other owners of a key that may lack its records: those that do not own it in the
     /// settled configuration with their present disk.
-    fn new_owners(&self, key: &str, own_name: &StoreName, copies: usize) -> Vec<StoreName> {
+    pub(crate) fn new_owners(
+        &self,
+        key: &str,
+        own_name: &StoreName,
+        copies: usize,
+    ) -> Vec<StoreName> {
         let settled = settled_owners(&self.view, key, copies);
         owners(&self.view, key, copies)
             .into_iter()
@@ -251,7 +256,7 @@
     }
 
     /// Returns true if all owners have all records.
-    fn is_settled(&self) -> bool {
+    pub(crate) fn is_settled(&self) -> bool {
         *self.view.settled_stores() == self.view.next_settled_stores()
     }
 }
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -1,9 +1,12 @@
 //! Logic of a store: collects requests, makes them durable in batches, and replies to them.
 
+mod reports;
+
 use crate::account::{Account, Spend};
-use crate::crash_keeper::{CrashKeeper, RunEvents};
-use crate::crash_parts::{CrashRequest, CrashResponse, LogPosition};
+use crate::crash_keeper::CrashKeeper;
+use crate::crash_parts::CountedReport;
 use crate::errors::TurnsError;
+use crate::follower_leases::LEASE_DURATION;
 use crate::hand_over::HandOver;
 use crate::journal::{Entry, Journal};
 use crate::origins::OriginTable;
@@ -12,6 +15,7 @@
 use crate::record::{ProgramName, TurnId, TurnRecord};
 use crate::refusal::{Refusal, RequestCheck};
 use crate::replication::Replication;
+use crate::report_hand_over::ReportHandOver;
 use crate::state::State;
 use luglink_fleet::{BackendId, StoreName, StoreView, StreamOrigin};
 use luglink_quota::{QuotaOwner, Tolerance};
@@ -99,6 +103,11 @@
     journal: Journal<D>,
     state: State,
     hand_over: HandOver,
+    report_hand_over: ReportHandOver,
+    /// Time until which gateways may have leases.
+    leases_until: Timestamp,
+    /// The same for leases under an earlier view.
+    earlier_leases_until: Timestamp,
     quota: QuotaOwner,
     origins: OriginTable,
     crashes: CrashKeeper,
@@ -124,6 +133,7 @@
     ) -> Result<Self, TurnsError> {
         let (mut journal, recovered) = Journal::open(disk, config.wal, new_incarnation)?;
         let crashes = CrashKeeper::open(journal.disk_mut(), new_incarnation, now)?;
+        let has_new_disk = recovered.incarnation == new_incarnation;
         let mut state = State::default();
         let mut completed_view = StoreView::default();
         for (segment, entry) in &recovered.entries {
@@ -143,10 +153,16 @@
             config,
             quota,
             incarnation: recovered.incarnation,
-            has_new_disk: recovered.incarnation == new_incarnation,
+            has_new_disk,
             journal,
             state,
             hand_over: HandOver::new(completed_view),
+            report_hand_over: ReportHandOver::default(),
+            leases_until: match has_new_disk {
+                true => now,
+                false => now.plus(LEASE_DURATION),
+            },
+            earlier_leases_until: now,
             origins: OriginTable::new(MAX_ORIGINS),
             crashes,
             entries: Vec::new(),
@@ -210,6 +226,10 @@
         self.quota.set_view(view.clone(), self.now);
         self.hand_over
             .set_view(view, &self.config.name, copies, &self.state);
+        self.earlier_leases_until = self.leases_until;
+        self.report_hand_over.clear();
+        let reports: Vec<CountedReport> = self.crashes.counted_reports().collect();
+        self.hand_over_reports(reports);
     }
 
     /// Records a message from a control member that is in contact with its leader.
@@ -319,54 +339,6 @@
         self.origins.len()
     }
 
-    /// Keeps or returns crash reports.
-    pub fn handle_crash_request(
-        &mut self,
-        request: &CrashRequest,
-        now: Timestamp,
-    ) -> CrashResponse {
-        self.now = self.now.max(now);
-        let disk = self.journal.disk_mut();
-        self.crashes.handle(disk, request, self.now)
-    }
-
-    /// Puts the runs under way of a gateway's process in doubt, to which the connection has ended.
-    pub fn end_session(&mut self, session: u64, now: Timestamp) {
-        self.now = self.now.max(now);
-        let disk = self.journal.disk_mut();
-        self.crashes.end_session(disk, session, self.now);
-    }
-
-    /// Returns true if the crash reports include the runs that were under way when the store ended, at
-    /// gateways that were not heard of since.
-    #[must_use]
-    pub fn has_complete_crash_reports(&self) -> bool {
-        self.crashes.is_complete(self.now)
-    }
-
-    /// Returns what was observed about runs since the last call.
-    pub fn take_run_events(&mut self) -> RunEvents {
-        self.crashes.take_events()
-    }
-
-    /// Number of runs under way at gateways.
-    #[must_use]
-    pub fn run_count(&self) -> usize {
-        self.crashes.under_way()
-    }
-
-    /// Position after the latest crash report.
-    #[must_use]
-    pub fn crash_position(&self) -> LogPosition {
-        self.crashes.position()
-    }
-
-    /// Number of requests with crash reports.
-    #[must_use]
-    pub fn crash_report_count(&self) -> usize {
-        self.crashes.len()
-    }
-
     /// Handles the acknowledgement of the hand-over request `number` by another store.
     pub fn on_hand_over_acknowledged(&mut self, by: &StoreName, number: u64, now: Timestamp) {
         self.now = self.now.max(now);
@@ -376,7 +348,8 @@
     /// Advances the time and removes expired turns and accounts.
     pub fn tick(&mut self, now: Timestamp) {
         self.now = self.now.max(now);
-        self.crashes.tick(self.journal.disk_mut(), self.now);
+        let doubts = self.crashes.tick(self.journal.disk_mut(), self.now);
+        self.hand_over_doubts(doubts);
         if self.now >= self.expiry_due {
             self.expiry_due = self.now.plus(EXPIRY_INTERVAL);
             self.state.expire(self.now);
@@ -388,6 +361,7 @@
     /// Makes all collected entries durable with one sync and returns the actions to perform.
     pub fn flush(&mut self) -> Vec<Output> {
         let completed_view = self.hand_over.completable_view();
+        let completed_view = completed_view.filter(|_| self.has_handed_over_reports());
         let completed_view = completed_view.cloned().map(Entry::HandedOver);
         let completes_view = completed_view.is_some();
         self.entries.extend(completed_view);
--- a/crates/turns/src/parts.rs
+++ b/crates/turns/src/parts.rs
@@ -41,10 +41,14 @@
     /// Fails if the part cannot be encoded.
     pub fn encode(&self) -> Result<Parts, WireError> {
         let mut parts = Parts::default();
-        parts.put(CLIENT_VIEW, self)?;
+        self.put(&mut parts)?;
         Ok(parts)
     }
 
+    pub(crate) fn put(&self, parts: &mut Parts) -> Result<(), WireError> {
+        parts.put(CLIENT_VIEW, self)
+    }
+
     /// Decodes the part from the wire; `None` if the request has none.
     ///
     /// # Errors
--- a/crates/turns/src/refusal.rs
+++ b/crates/turns/src/refusal.rs
@@ -1,6 +1,7 @@
 //! Requests that a store refuses because the client could not count its response.
 
 use crate::account::Spend;
+use crate::crash_parts::CrashRequest;
 use crate::hand_over::HandOver;
 use crate::parts::ClientView;
 use crate::protocol::StoreRequest;
@@ -22,6 +23,12 @@
     /// that would count its response.
     #[snafu(display("this store may not have received all records of the program yet"))]
     Unsettled,
+    /// The control members are others than those that the client knows.
+    #[snafu(display("the membership of the control members is not that of the client"))]
+    OtherMembership,
+    /// The control member may lack reports that were recorded before it joined or lost its disk.
+    #[snafu(display("this control member may lack crash reports"))]
+    Incomplete,
 }
 
 impl Refusal {
@@ -32,6 +39,8 @@
             Self::UnexpectedDisk => "unexpected_disk",
             Self::OutdatedView => "outdated_view",
             Self::Unsettled => "unsettled",
+            Self::OtherMembership => "other_membership",
+            Self::Incomplete => "incomplete",
         }
     }
 }
@@ -72,6 +81,26 @@
             .then_some(Refusal::OutdatedView)
     }
 
+    /// Returns the reason for which a request about crash reports must be refused. A lease covers the
+    /// reports of all requests, so it needs the present owners of all.
+    pub(crate) fn report_refusal(
+        &self,
+        client_view: Option<ClientView>,
+        request: &CrashRequest,
+    ) -> Option<Refusal> {
+        let client_view = client_view?;
+        let subject = match request {
+            CrashRequest::Update(_) | CrashRequest::TakeOver(_) => return None,
+            request => request.subject().map(|subject| subject.to_string()),
+        };
+        if client_view.incarnation != self.incarnation {
+            return Some(Refusal::UnexpectedDisk);
+        }
+        self.hand_over
+            .owners_changed_since(client_view.epoch, subject.as_deref(), self.copies)
+            .then_some(Refusal::OutdatedView)
+    }
+
     /// A client of an older build counts each response to these requests towards a quorum of the
     /// writable owners, so only owners in the settled configuration may respond.
     fn refusal_of_older_client(&self, request: &StoreRequest) -> Option<Refusal> {
--- a/crates/turns/tests/crashes.rs
+++ b/crates/turns/tests/crashes.rs
@@ -15,9 +15,6 @@
 
 const OTHER_REQUEST: RequestFingerprint = RequestFingerprint(3, 4);
 
-/// Run that is never reported.
-const NO_RUN: RunId = RunId(u64::MAX);
-
 fn report(run: u64, replica: &str, known_crashes: u32, state: RunState) -> RunReport {
     RunReport {
         request: REQUEST,
@@ -63,10 +60,10 @@
 fn a_run_that_was_announced_may_still_crash_until_it_is_cleared() {
     let mut table = table(&[crash(1, "a", 0), report(2, "b", 1, RunState::Started)]);
     assert_eq!(table.crashes(REQUEST, at(0)), 1);
-    assert_eq!(table.possible_crashes(REQUEST, NO_RUN), 2);
-    assert_eq!(table.possible_crashes(REQUEST, RunId(2)), 1);
+    assert_eq!(table.possible_crashes(REQUEST, None), 2);
+    assert_eq!(table.possible_crashes(REQUEST, Some(RunId(2))), 1);
     assert!(table.merge(&report(2, "b", 1, RunState::Cleared), at(1)));
-    assert_eq!(table.possible_crashes(REQUEST, NO_RUN), 1);
+    assert_eq!(table.possible_crashes(REQUEST, None), 1);
 }
 
 #[test]
@@ -280,8 +277,8 @@
         let backward = table(&reversed);
         prop_assert_eq!(forward.crashes(REQUEST, at(0)), backward.crashes(REQUEST, at(0)));
         prop_assert_eq!(
-            forward.possible_crashes(REQUEST, NO_RUN),
-            backward.possible_crashes(REQUEST, NO_RUN)
+            forward.possible_crashes(REQUEST, None),
+            backward.possible_crashes(REQUEST, None)
         );
     }
 }
--- a/crates/turns/tests/follower_leases.rs
+++ b/crates/turns/tests/follower_leases.rs
@@ -40,14 +40,14 @@
 
 #[test]
 fn a_report_is_acknowledged_at_once_if_nobody_has_a_lease() {
-    let mut leases = FollowerLeases::new();
+    let mut leases = FollowerLeases::default();
     leases.hold(token(REPORTER), response(1));
     assert_eq!(acknowledged(&mut leases, at(0)), 1);
 }
 
 #[test]
 fn the_reporter_need_not_fetch_its_own_report() {
-    let mut leases = FollowerLeases::new();
+    let mut leases = FollowerLeases::default();
     leases.grant(REPORTER, position(0), position(0), at(0));
     leases.hold(token(REPORTER), response(1));
     assert_eq!(acknowledged(&mut leases, at(1)), 1);
@@ -55,7 +55,7 @@
 
 #[test]
 fn a_report_is_acknowledged_once_all_gateways_with_a_lease_have_it() {
-    let mut leases = FollowerLeases::new();
+    let mut leases = FollowerLeases::default();
     leases.grant(FOLLOWER, position(0), position(0), at(0));
     leases.grant(OTHER_FOLLOWER, position(0), position(0), at(0));
     leases.hold(token(REPORTER), response(1));
@@ -68,7 +68,7 @@
 
 #[test]
 fn a_gateway_that_is_cut_off_delays_a_report_until_its_lease_ends() {
-    let mut leases = FollowerLeases::new();
+    let mut leases = FollowerLeases::default();
     leases.grant(FOLLOWER, position(0), position(0), at(0));
     leases.hold(token(REPORTER), response(1));
     let lease = u64::try_from(LEASE_DURATION.as_millis()).unwrap();
@@ -78,7 +78,7 @@
 
 #[test]
 fn a_gateway_that_has_disconnected_delays_nothing() {
-    let mut leases = FollowerLeases::new();
+    let mut leases = FollowerLeases::default();
     leases.grant(FOLLOWER, position(0), position(0), at(0));
     leases.hold(token(REPORTER), response(1));
     leases.end(FOLLOWER);
@@ -87,7 +87,7 @@
 
 #[test]
 fn a_request_for_an_earlier_run_of_the_store_acknowledges_nothing() {
-    let mut leases = FollowerLeases::new();
+    let mut leases = FollowerLeases::default();
     let earlier = LogPosition {
         epoch: EPOCH - 1,
         next: 5,
@@ -99,7 +99,7 @@
 
 #[test]
 fn a_store_that_has_started_waits_for_the_leases_of_its_earlier_process() {
-    let mut leases = FollowerLeases::after_restart(at(0));
+    let mut leases = FollowerLeases::after_start(at(0));
     leases.hold(token(REPORTER), response(1));
     assert_eq!(acknowledged(&mut leases, at(1)), 0);
     let ended = at(0).plus(LEASE_DURATION);
--- a/crates/turns/tests/lost_runs.rs
+++ b/crates/turns/tests/lost_runs.rs
@@ -57,8 +57,17 @@
     })
 }
 
+fn handle(
+    store: &mut StoreNode<MemoryDisk>,
+    request: &CrashRequest,
+    now: Timestamp,
+) -> CrashResponse {
+    let response = store.handle_crash_request(None, request, now);
+    response.expect("the reports are on disk")
+}
+
 fn find(store: &mut StoreNode<MemoryDisk>, now: Timestamp) -> CrashResponse {
-    store.handle_crash_request(&CrashRequest::Find(REQUEST), now)
+    handle(store, &CrashRequest::Find(REQUEST), now)
 }
 
 fn doubts(response: &CrashResponse) -> Vec<u64> {
@@ -68,8 +77,8 @@
 #[test]
 fn runs_of_a_gateway_whose_connection_ends_are_in_doubt() {
     let mut store = start(MemoryDisk::new(), 1, at(0));
-    store.handle_crash_request(&update(&[1, 2], &[]), at(0));
-    store.handle_crash_request(&update(&[3], &[2]), at(1));
+    handle(&mut store, &update(&[1, 2], &[]), at(0));
+    handle(&mut store, &update(&[3], &[2]), at(1));
     assert_eq!(find(&mut store, at(1)).reports, []);
     store.end_session(SESSION, at(2));
     assert_eq!(doubts(&find(&mut store, at(2))), [1, 3]);
@@ -80,9 +89,9 @@
 #[test]
 fn runs_of_a_silent_gateway_are_in_doubt_and_those_of_others_are_not() {
     let mut store = start(MemoryDisk::new(), 1, at(0));
-    store.handle_crash_request(&update(&[1], &[]), at(0));
+    handle(&mut store, &update(&[1], &[]), at(0));
     let timeout = u64::try_from(SESSION_TIMEOUT.as_millis()).unwrap();
-    store.handle_crash_request(&update(&[], &[]), at(timeout - 1));
+    handle(&mut store, &update(&[], &[]), at(timeout - 1));
     store.tick(at(timeout));
     assert_eq!(doubts(&find(&mut store, at(timeout))), [0_u64; 0]);
     store.tick(at(2 * timeout));
@@ -92,18 +101,22 @@
 #[test]
 fn a_session_that_is_not_known_is_told_so() {
     let mut store = start(MemoryDisk::new(), 1, at(0));
-    let first = store.handle_crash_request(&update(&[1], &[]), at(0));
-    let second = store.handle_crash_request(&update(&[2], &[]), at(0));
+    let first = handle(&mut store, &update(&[1], &[]), at(0));
+    let second = handle(&mut store, &update(&[2], &[]), at(0));
     assert!(first.is_new_session && !second.is_new_session);
 }
 
 #[test]
 fn a_store_that_restarts_knows_reports_and_runs_under_way() {
     let mut store = start(MemoryDisk::new(), 1, at(0));
-    store.handle_crash_request(&CrashRequest::Record(run(1, RunState::Crashed)), at(0));
+    handle(
+        &mut store,
+        &CrashRequest::Record(run(1, RunState::Crashed)),
+        at(0),
+    );
     let doubt = CrashRequest::RecordDoubt(run(2, RunState::Started));
-    store.handle_crash_request(&doubt, at(0));
-    store.handle_crash_request(&update(&[3, 4], &[4]), at(0));
+    handle(&mut store, &doubt, at(0));
+    handle(&mut store, &update(&[3, 4], &[4]), at(0));
     let mut store = start(store.into_disk(), 2, at(100));
     assert!(!store.has_complete_crash_reports());
     let found = find(&mut store, at(100));
@@ -117,8 +130,12 @@
 #[test]
 fn crashes_survive_a_loss_of_power() {
     let mut store = start(MemoryDisk::new(), 1, at(0));
-    store.handle_crash_request(&CrashRequest::Record(run(1, RunState::Crashed)), at(0));
-    store.handle_crash_request(&update(&[2], &[]), at(0));
+    handle(
+        &mut store,
+        &CrashRequest::Record(run(1, RunState::Crashed)),
+        at(0),
+    );
+    handle(&mut store, &update(&[2], &[]), at(0));
     let mut disk = store.into_disk();
     disk.crash(CrashDamage::LoseUnsynced);
     let mut store = start(disk, 2, at(100));
@@ -131,11 +148,19 @@
 #[test]
 fn a_damaged_end_of_the_file_loses_nothing_before_it() {
     let mut store = start(MemoryDisk::new(), 1, at(0));
-    store.handle_crash_request(&CrashRequest::Record(run(1, RunState::Crashed)), at(0));
+    handle(
+        &mut store,
+        &CrashRequest::Record(run(1, RunState::Crashed)),
+        at(0),
+    );
     let mut disk = store.into_disk();
     disk.append("run-reports", &[0, 0, 0, 9, 1, 2]).unwrap();
     let mut store = start(disk, 2, at(100));
-    store.handle_crash_request(&CrashRequest::Record(run(2, RunState::Crashed)), at(100));
+    handle(
+        &mut store,
+        &CrashRequest::Record(run(2, RunState::Crashed)),
+        at(100),
+    );
     let mut store = start(store.into_disk(), 3, at(200));
     assert_eq!(find(&mut store, at(200)).reports.len(), 2);
 }
@@ -144,7 +169,7 @@
 fn the_file_stays_short() {
     let mut store = start(MemoryDisk::new(), 1, at(0));
     for number in 0..40_000 {
-        store.handle_crash_request(&update(&[number], &[number]), at(0));
+        handle(&mut store, &update(&[number], &[number]), at(0));
         if number % 100 == 0 {
             store.tick(at(0));
         }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -30,6 +30,9 @@
     /// Client of a turn store.
     #[deku(id = "4")]
     StoreClient,
+    /// Client of the crash reports at a control member.
+    #[deku(id = "5")]
+    ReportClient,
 }
 
 /// First frame of a connection.
--- a/crates/wire/tests/golden.rs
+++ b/crates/wire/tests/golden.rs
@@ -12,6 +12,7 @@
         ClientRole::Daemon => "hello-daemon",
         ClientRole::Observer => "hello-observer",
         ClientRole::StoreClient => "hello-writer",
+        ClientRole::ReportClient => "hello-report-client",
     };
     let version = PROTOCOL_VERSION;
     let id = 0x0102_0304;
@@ -35,6 +36,7 @@
         ClientRole::Daemon,
         ClientRole::Observer,
         ClientRole::StoreClient,
+        ClientRole::ReportClient,
     ];
     let others = [
         Frame::peer(7, vec![1, 2, 3]),
