Take a version for the only one only as of a time after the resuming request

Callers saw: streams that began at replicas of a new version through other gateways went on at replicas of another one, at a gateway that had stood still or was cut off.

Cause: a stream whose origin is not known continues at the only version of its service, and that was taken from a list of any age. A gateway also took a version for the only one although no list was known for a while, in which another one may have come and gone. And a version that joined meanwhile counted as missing for good.

Change: such a request waits for a list that was read after it arrived, for up to 0.5 s, and is refused with a time otherwise (origin `old_list`). A gap between lists that is longer than a list may be stale begins the time of the only version anew.

--- a/app/luglink/tests/stream_soak/old_lists.rs
+++ b/app/luglink/tests/stream_soak/old_lists.rs
@@ -113,22 +113,26 @@
 async fn a_gateway_that_hears_of_nobody_mixes_no_streams() {
     let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let fleet = Fleet::start(1, 2, Faults::None).await;
-    fleet.gateways[1]
+    let out_of_touch = &fleet.gateways[1];
+    out_of_touch
         .read_list_at(silent.local_addr().unwrap())
         .await;
     fleet.assert_all_gateways_serve().await;
     fleet.replicas.keep_version(1);
     actix_rt::time::sleep(SOLE_VERSION_DURATION).await;
+    out_of_touch.signal(Signal::STOP);
+    fleet.replicas.join(2, JOINING).await;
+    let mut streams = begin_at_joining_version(&fleet).await;
     for process in fleet.members.iter().chain(&*fleet.stores) {
         process.signal(Signal::STOP);
     }
-    fleet.replicas.join(2, JOINING).await;
-    let mut streams = begin_at_joining_version(&fleet).await;
-    resume_all(&fleet, 1, &mut streams, "resumed").await;
+    let waking = async { out_of_touch.signal(Signal::CONT) };
+    tokio::join!(resume_all(&fleet, 1, &mut streams, "resumed"), waking);
     assert_none_is_mixed(&streams);
     for process in fleet.members.iter().chain(&*fleet.stores) {
         process.signal(Signal::CONT);
     }
+    fleet.assert_all_gateways_serve().await;
 }
 
 #[actix_rt::test]
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -181,11 +181,12 @@
     /// Records which services have a single software version. Must not be called between a list and
     /// the versions that follow it, which would show a new replica without one.
     fn update_sole_versions(&self) {
-        if self.list.borrow().seen().is_none() {
+        let Some(seen) = self.list.borrow().seen() else {
             return;
-        }
+        };
         let pool = self.pool.borrow();
         let mut sole_versions = self.sole_versions.borrow_mut();
+        sole_versions.note_list(seen, self.config.list_stale_after);
         sole_versions.update(pool.sole_versions(), self.now());
     }
 
--- a/crates/gateway-server/src/stream_origins.rs
+++ b/crates/gateway-server/src/stream_origins.rs
@@ -17,6 +17,12 @@
 /// Time for which an origin is kept after the caller's deadline.
 const RETENTION_MARGIN: Duration = Duration::from_secs(2);
 
+/// Maximum time for which a request waits for a list of replicas that was read after it arrived.
+const MAX_LIST_WAIT: Duration = Duration::from_millis(500);
+
+/// Interval at which the time of the list is checked meanwhile.
+const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Stream that a caller's request continues.
 #[derive(Debug)]
 struct Resumption {
@@ -55,6 +61,8 @@
     NotFound,
     /// No store answered.
     Unavailable,
+    /// No store that answered has the origin, and the versions are not known as of the request.
+    OldList,
 }
 
 impl OriginSource {
@@ -65,6 +73,7 @@
             Self::SoleVersion => "sole_version",
             Self::NotFound => "not_found",
             Self::Unavailable => "unavailable",
+            Self::OldList => "old_list",
         }
     }
 }
@@ -124,9 +133,15 @@
         let pool = gateway.pool.borrow();
         pool.has_continuation(origin, gateway.now())
     };
+    let mut can_continue = origin.as_ref().is_some_and(has_continuation);
+    let mut is_listed = true;
+    if let Some(origin) = origin.as_ref().filter(|_| !can_continue) {
+        is_listed = wait_for_list(gateway, inbound).await;
+        can_continue = has_continuation(origin);
+    }
     let found = FoundOrigin {
         source,
-        can_continue: origin.as_ref().is_some_and(has_continuation),
+        can_continue,
         origin,
     };
     note_found(gateway, inbound, &resumption, &found, started_at.elapsed());
@@ -135,18 +150,39 @@
             inbound.service.clone_from(&origin.service);
             Ok(Some(Rc::new(origin)))
         }
+        Some(_) if !is_listed => Err(Refusal::recovering(
+            "no replica that is known at the moment has the software version that began the stream",
+        )),
         Some(_) => Err(Refusal::not_run_at_all(
             "no replica has the software version that began the stream",
         )),
-        None if source == OriginSource::Unavailable => Err(Refusal::recovering(
-            "the software version that began the stream cannot be looked up at the moment",
-        )),
+        None if source == OriginSource::Unavailable || source == OriginSource::OldList => {
+            Err(Refusal::recovering(
+                "the software version that began the stream cannot be looked up at the moment",
+            ))
+        }
         None => Err(Refusal::not_run_at_all(
             "the software version that began the stream is not known",
         )),
     }
 }
 
+/// Waits for a list of replicas that was read after a request arrived. An earlier one may lack the
+/// version at which the stream of the request began. Returns false if none comes in time.
+async fn wait_for_list(gateway: &Gateway, inbound: &InboundRequest) -> bool {
+    let deadline = Instant::now() + MAX_LIST_WAIT.min(inbound.remaining() / 2);
+    loop {
+        let list_age = gateway.list_age();
+        if list_age.is_some_and(|age| age < inbound.arrived.elapsed()) {
+            return true;
+        }
+        if Instant::now() >= deadline {
+            return false;
+        }
+        actix_rt::time::sleep(LIST_CHECK_INTERVAL).await;
+    }
+}
+
 fn note_found(
     gateway: &Gateway,
     inbound: &InboundRequest,
@@ -195,6 +231,12 @@
             OriginLookup::Unavailable => missing = OriginSource::Unavailable,
         }
     }
+    if !wait_for_list(gateway, inbound).await {
+        if missing == OriginSource::NotFound {
+            missing = OriginSource::OldList;
+        }
+        return (missing, None);
+    }
     match sole_origin(gateway, inbound, began_as.is_some()) {
         Some(origin) => (OriginSource::SoleVersion, Some(origin)),
         None => (missing, None),
@@ -202,7 +244,7 @@
 }
 
 /// Returns the origin of any stream of the request's service, if all its replicas have had the same
-/// version since before any stream that is still under way. Callers that do not name their streams
+/// version since before any stream that is still under way, as of a time after the request arrived. Callers that do not name their streams
 /// get no protection from a record; for them it suffices that a gateway which has started since has
 /// seen no other version. Without the name of a program, a route that is split does not tell the
 /// service of the stream.
--- a/crates/scheduling/src/sole_versions.rs
+++ b/crates/scheduling/src/sole_versions.rs
@@ -13,6 +13,8 @@
 pub struct SoleVersions {
     services: HashMap<String, SoleVersion>,
     has_list: bool,
+    /// Time as of which the latest list was known.
+    last_seen: Option<Timestamp>,
 }
 
 #[derive(Clone, Debug)]
@@ -24,6 +26,15 @@
 }
 
 impl SoleVersions {
+    /// Records that the list is known as of `seen`. If none was known for longer than `max_gap` before,
+    /// versions that have come and gone meanwhile were missed.
+    pub fn note_list(&mut self, seen: Timestamp, max_gap: Duration) {
+        let last_seen = self.last_seen.replace(seen);
+        if last_seen.is_some_and(|last_seen| seen.since(last_seen) > max_gap) {
+            self.services.clear();
+        }
+    }
+
     /// Sets the services that have a single version in the present list. All others have several,
     /// or unknown ones.
     pub fn update<'list>(
--- a/crates/scheduling/tests/sole_versions.rs
+++ b/crates/scheduling/tests/sole_versions.rs
@@ -7,6 +7,9 @@
 
 const HELD: Duration = Duration::from_secs(5);
 
+/// Maximum time between two lists.
+const GAP: Duration = Duration::from_secs(2);
+
 /// A pool whose changes are followed like those of a gateway.
 struct Follower {
     pool: Pool,
@@ -123,3 +126,26 @@
     follower.remove("a", 3);
     assert_eq!(follower.held_since_first_list(), None);
 }
+
+#[test]
+fn versions_that_came_and_went_between_two_lists_are_not_taken_for_none() {
+    let mut follower = Follower::new();
+    follower.sole_versions.note_list(at(0), GAP);
+    follower.list("r1", Some("1"), false, 0);
+    assert_eq!(follower.held_since_first_list(), Some("1"));
+    // Lists without changes.
+    for seconds in 1..10 {
+        follower.sole_versions.note_list(at(seconds), GAP);
+        follower.apply(Vec::new(), Vec::new(), seconds);
+    }
+    assert_eq!(follower.held(10), Some("1"));
+    follower.sole_versions.note_list(at(12), GAP);
+    follower.apply(Vec::new(), Vec::new(), 12);
+    assert_eq!(
+        (follower.held(12), follower.held_since_first_list()),
+        (None, None)
+    );
+    follower.sole_versions.note_list(at(13), GAP);
+    follower.apply(Vec::new(), Vec::new(), 13);
+    assert_eq!(follower.held(17), Some("1"));
+}
