Count an end again where the listed incarnation of its replica is old

Callers saw: four ends under one request where a replica restarted under its identifier and the gateway of the first run was lost with it.

Cause: runs at one replica share their number of known crashes, and so count as one end, if another gateway's run was at the same incarnation. The list shows a new incarnation only later, so a run at the new process shared the number of the run that had ended the old one.

Change: only a connection that was open before the other run shows that the process is the same one, as already without incarnations.

--- a/app/luglink/tests/stream_soak/stale_knowledge.rs
+++ b/app/luglink/tests/stream_soak/stale_knowledge.rs
@@ -85,7 +85,17 @@
 
 #[actix_rt::test]
 async fn replicas_that_restart_under_their_identifiers_count_if_their_gateways_are_lost() {
-    let fleet = Fleet::start(1, GATEWAYS + 1, Faults::Unidentified).await;
+    assert_restarts_count(Faults::Unidentified).await;
+}
+
+/// The list shows the new incarnation of a replica some time after its restart.
+#[actix_rt::test]
+async fn replicas_whose_listed_incarnation_is_old_count_if_their_gateways_are_lost() {
+    assert_restarts_count(Faults::None).await;
+}
+
+async fn assert_restarts_count(faults: Faults) {
+    let fleet = Fleet::start(1, GATEWAYS + 1, faults).await;
     fleet.replicas.keep_one();
     fleet.assert_all_gateways_serve().await;
     for gateway in 0..GATEWAYS {
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -606,10 +606,9 @@
             None => {
                 let possible = crashes.table.possible_crashes(request, Some(run));
                 // The run that ended an earlier process may not be known here yet.
-                let unknown = backend.incarnation == Incarnation::UNKNOWN
-                    && self
-                        .upstream
-                        .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION);
+                let unknown = self
+                    .upstream
+                    .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION);
                 u32::try_from(possible + usize::from(unknown)).unwrap_or(u32::MAX)
             }
         }
@@ -617,11 +616,10 @@
 
     /// Returns true if the process that another gateway's run is or was at may have been replaced by
     /// another one of the same replica. No connection is known then that was open before the run can
-    /// have ended it.
+    /// have ended it. The list shows a new incarnation only later.
     fn may_be_replaced_since(&self, foreign: &RunReport) -> bool {
         let crashes = self.crashes.borrow();
-        // The incarnation tells the processes apart.
-        if foreign.incarnation != Incarnation::UNKNOWN || crashes.is_own(foreign) {
+        if crashes.is_own(foreign) {
             return false;
         }
         let known_since = crashes.table.known_since(foreign);
