Begin the last runs of a request only once their holders have acknowledged them

Cause: a run that may be the last one of its request was announced, but the gateway sent it also if no holder acknowledged the announcement in time, so another gateway could begin one too. And a gateway that had been busy for a moment refused innocent requests at once, since it counted the time since it was last told instead of the time for which it asks in vain.

Change: an announcement needs the acknowledgement of a quorum of stores, and for the last end of a majority of the members (0.5 s at most). Of two that are announced at once the later one sees the other in the response. A request waits for up to a second while nobody has told reports for less than that. The soaks keep settings, data and logs of a failed seed.

--- a/app/luglink/tests/stream_soak/crashing.rs
+++ b/app/luglink/tests/stream_soak/crashing.rs
@@ -294,7 +294,11 @@
         caller.await.expect("a caller ends");
     }
     fleet.assert_all_gateways_serve().await;
-    report.take()
+    let report = report.take();
+    if !report.after_limit.is_empty() {
+        fleet.keep_logs();
+    }
+    report
 }
 
 /// Plays the seeds with these ends and asserts that no replica gets a request after the third one.
--- a/app/luglink/tests/stream_soak/fleet.rs
+++ b/app/luglink/tests/stream_soak/fleet.rs
@@ -172,17 +172,21 @@
     pub replicas: Replicas,
     operator: SocketAddr,
     version: Rc<Cell<u64>>,
-    _folder: Rc<Folder>,
+    folder: Rc<Folder>,
 }
 
 /// Folder of settings, data and logs. It is kept after a failure, or if `SOAK_KEEP_LOGS` is set.
-struct Folder(TempDir);
+struct Folder {
+    folder: TempDir,
+    is_kept: Cell<bool>,
+}
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        if std::thread::panicking() || std::env::var_os("SOAK_KEEP_LOGS").is_some() {
-            self.0.disable_cleanup(true);
-            println!("logs are kept in {}", self.0.path().display());
+        let is_kept = self.is_kept.get() || std::thread::panicking();
+        if is_kept || std::env::var_os("SOAK_KEEP_LOGS").is_some() {
+            self.folder.disable_cleanup(true);
+            println!("logs are kept in {}", self.folder.path().display());
         }
     }
 }
@@ -231,7 +235,10 @@
             replicas,
             operator: address(0, 7200),
             version: Rc::default(),
-            _folder: Rc::new(Folder(folder)),
+            folder: Rc::new(Folder {
+                folder,
+                is_kept: Cell::new(false),
+            }),
         };
         let started = Instant::now();
         while !fleet.configure().await {
@@ -242,6 +249,11 @@
         fleet
     }
 
+    /// Keeps settings, data and logs, because the run has failed.
+    pub fn keep_logs(&self) {
+        self.folder.is_kept.set(true);
+    }
+
     /// Sends the next version of the configuration. Returns true if it is acknowledged.
     pub async fn configure(&self) -> bool {
         self.version.set(self.version.get() + 1);
--- a/app/luglink/tests/stream_soak/main.rs
+++ b/app/luglink/tests/stream_soak/main.rs
@@ -68,6 +68,9 @@
     chaos::run(&fleet, seed, TRAFFIC_DURATION).await;
     let report = callers.stop().await;
     fleet.assert_all_gateways_serve().await;
+    if !report.mixed.is_empty() || !holds_share(&report) {
+        fleet.keep_logs();
+    }
     report
 }
 
--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -57,8 +57,8 @@
     pub(crate) unacknowledged: UnacknowledgedReports,
     last_upkeep: Instant,
     last_informed: Option<Instant>,
-    /// Time at which a quorum last told the reports of a request, or of all.
-    last_told: Option<Instant>,
+    /// Time since which no quorum has told the reports of a request that was looked up.
+    untold_since: Option<Instant>,
     /// Latest runs here that replicas have survived, oldest first.
     survived: VecDeque<RunId>,
 }
@@ -75,7 +75,7 @@
             unacknowledged: UnacknowledgedReports::default(),
             last_upkeep: Instant::now(),
             last_informed: None,
-            last_told: None,
+            untold_since: None,
             survived: VecDeque::new(),
         }
     }
@@ -245,17 +245,20 @@
     /// Records that the reports of all stores were known here.
     pub(crate) fn note_informed(&mut self) {
         self.last_informed = Some(Instant::now());
-        self.last_told = self.last_informed;
     }
 
-    /// Records that a quorum has told the reports of a request.
-    pub(crate) fn note_told(&mut self) {
-        self.last_told = Some(Instant::now());
+    /// Records whether a quorum has told the reports of a request.
+    pub(crate) fn note_told(&mut self, is_told: bool) {
+        self.untold_since = match is_told {
+            true => None,
+            false => self.untold_since.or_else(|| Some(Instant::now())),
+        };
     }
 
-    /// Returns the time since a quorum last told reports.
-    pub(crate) fn told_age(&self) -> Option<Duration> {
-        self.last_told.map(|last| last.elapsed())
+    /// Returns the time for which no quorum has told the reports of a request; `None` if the latest
+    /// look-up succeeded.
+    pub(crate) fn untold_for(&self) -> Option<Duration> {
+        self.untold_since.map(|since| since.elapsed())
     }
 
     /// Returns the time since the reports of all stores were last known here.
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -22,6 +22,10 @@
 /// Maximum time for the stores to return reports. Requests wait for it.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Maximum time for holders to acknowledge that a run is about to begin, and to share the reports of a
+/// request that may end one more replica.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Maximum time for the stores to acknowledge a report. Stores wait for the gateways with a lease, and
 /// if all stores are silent, these leases have ended by then.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = LEASE_DURATION.saturating_add(Duration::from_millis(200));
@@ -56,6 +60,12 @@
         self.deliver(report, false).await
     }
 
+    /// Records a report at the control members. Returns true if a majority of them has acknowledged it.
+    pub(crate) async fn report_run_to_members(self: &Rc<Self>, report: &RunReport) -> bool {
+        let record = CrashRequest::Record(report.clone());
+        self.ask_members(record, ANNOUNCEMENT_TIMEOUT).await
+    }
+
     /// Records a run in doubt like [`Gateway::report_run`].
     pub(crate) async fn report_doubt(self: &Rc<Self>, report: &RunReport) -> bool {
         self.merge_doubt(report);
@@ -123,7 +133,7 @@
                 self.crashes.borrow_mut().unacknowledged.forget(key);
             }
             return self
-                .ask_stores(report.request, request, LOOKUP_TIMEOUT)
+                .ask_stores(report.request, request, ANNOUNCEMENT_TIMEOUT)
                 .await;
         }
         self.crashes.borrow_mut().unacknowledged.begin(key);
@@ -211,9 +221,8 @@
         } else {
             self.share_with_members(request).await
         };
-        if knowledge != Knowledge::None {
-            self.crashes.borrow_mut().note_told();
-        }
+        let is_told = knowledge != Knowledge::None;
+        self.crashes.borrow_mut().note_told(is_told);
         knowledge
     }
 
@@ -248,7 +257,7 @@
         };
         let sharing = counted
             .into_iter()
-            .map(|counted| self.ask_members(counted.into_request(), LOOKUP_TIMEOUT));
+            .map(|counted| self.ask_members(counted.into_request(), ANNOUNCEMENT_TIMEOUT));
         let shared = futures_util::future::join_all(sharing).await;
         match shared.into_iter().all(|is_shared| is_shared) {
             true => Knowledge::Both,
--- a/crates/gateway-server/src/news.rs
+++ b/crates/gateway-server/src/news.rs
@@ -17,6 +17,10 @@
 /// it. The list is large, and asking a second member at once would transfer it twice.
 const SECOND_LIST_SOURCE_DELAY: Duration = Duration::from_secs(2);
 
+/// Maximum time between two lists in which no software version can have come and gone unseen. Replicas
+/// that are taken away are listed as draining for longer.
+const MAX_LIST_GAP: Duration = Duration::from_secs(2);
+
 impl ObserverDelegate for Gateway {
     fn presence(&self) -> Presence {
         Presence {
@@ -186,7 +190,7 @@
         };
         let pool = self.pool.borrow();
         let mut sole_versions = self.sole_versions.borrow_mut();
-        sole_versions.note_list(seen, self.config.list_stale_after);
+        sole_versions.note_list(seen, MAX_LIST_GAP);
         sole_versions.update(pool.sole_versions(), self.now());
     }
 
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -43,7 +43,7 @@
 
 /// Maximum time for which a request waits while no holder of crash reports answers. Their processes
 /// usually start again within it.
-const MAX_UNTOLD_WAIT: Duration = Duration::from_millis(500);
+const MAX_UNTOLD_WAIT: Duration = Duration::from_secs(1);
 
 /// Interval at which they are asked meanwhile.
 const UNTOLD_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -100,10 +100,9 @@
         let deadline = Instant::now() + MAX_UNTOLD_WAIT.min(inbound.remaining() / 2);
         loop {
             let looked_up = Self::begin(gateway, inbound.fingerprint).await;
-            let told_age = gateway.crashes.borrow().told_age();
-            let was_told_lately = told_age.is_none_or(|age| age < MAX_UNTOLD_WAIT);
-            let is_told = looked_up.knowledge != Knowledge::None;
-            if is_told || !was_told_lately || Instant::now() >= deadline {
+            let untold_for = gateway.crashes.borrow().untold_for();
+            let may_be_told_soon = untold_for.is_some_and(|time| time < MAX_UNTOLD_WAIT);
+            if !may_be_told_soon || Instant::now() >= deadline {
                 return looked_up;
             }
             actix_rt::time::sleep(UNTOLD_RETRY_DELAY).await;
@@ -134,13 +133,13 @@
 }
 
 fn untold_refusal(gateway: &Gateway, inbound: &InboundRequest) -> Refusal {
-    let told_age = gateway.crashes.borrow().told_age();
+    let untold_for = gateway.crashes.borrow().untold_for();
     gateway.metrics.untold_requests.inc();
     tracing::warn!(
         id = inbound.id,
         request = %inbound.fingerprint,
         route = inbound.route.name,
-        told_ago_ms = told_age.map(milliseconds),
+        untold_for_ms = untold_for.map(milliseconds),
         retry_after_ms = milliseconds(UNTOLD_RETRY_AFTER),
         "request refused: nobody tells whether replicas ended while they ran it"
     );
@@ -220,7 +219,8 @@
     }
 
     /// Begins the run unless the last replicas that may end are running the request already. Where
-    /// any may have ended, the run is announced first.
+    /// any may have ended, the run is announced first. Of two runs that are announced at the same
+    /// moment, the one that is acknowledged later sees the other one.
     async fn begin_within_limit(self) -> Option<Self> {
         let (request, id) = {
             let report = self.report.borrow();
@@ -240,9 +240,10 @@
             _ => {}
         }
         self.register();
-        self.announce().await;
+        let is_acknowledged = self.announce().await;
+        // Other gateways announce their first runs meanwhile.
         actix_rt::time::sleep(ANNOUNCED_CHECK_INTERVAL).await;
-        if others(&self.gateway) < max_crashes {
+        if is_acknowledged && others(&self.gateway) < max_crashes {
             return Some(self);
         }
         self.survived();
@@ -284,13 +285,20 @@
         crashes.begin(&self.report.borrow(), &self.is_announced);
     }
 
-    async fn announce(&self) {
+    /// Announces the run to its holders. Returns true if those that have told the reports of the
+    /// request have acknowledged it.
+    async fn announce(&self) -> bool {
         self.is_announced.set(true);
         let report = self.report.borrow().clone();
         let knowledge = self.looked_up.get().knowledge;
         // If the gateway is lost meanwhile, the stores put the run in doubt.
         *self.announced_to.borrow_mut() = self.gateway.announce_run(&report, knowledge);
-        self.gateway.report_run(&report).await;
+        let is_known_to_stores = self.gateway.report_run(&report).await;
+        if knowledge == Knowledge::Both {
+            is_known_to_stores && self.gateway.report_run_to_members(&report).await
+        } else {
+            is_known_to_stores
+        }
     }
 
     /// Announces the run at a replica that has long sent nothing, so that it counts if the gateway is
--- a/crates/gateway-server/src/stream_origins.rs
+++ b/crates/gateway-server/src/stream_origins.rs
@@ -18,7 +18,7 @@
 const RETENTION_MARGIN: Duration = Duration::from_secs(2);
 
 /// Maximum time for which a request waits for a list of replicas that was read after it arrived.
-const MAX_LIST_WAIT: Duration = Duration::from_millis(500);
+const MAX_LIST_WAIT: Duration = Duration::from_millis(800);
 
 /// Interval at which the time of the list is checked meanwhile.
 const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(10);
