Send no stream to a replica that is back with another version than the list shows

Callers saw: nothing reported; found by asking of each user of the list as of when it is known. A stream that is taken up at a gateway was sent to the replica that began it, or to one of its version, although that replica had restarted under its identifier with another version, as long as the list showed the earlier process.

Evidence: the new test `a_stream_is_not_taken_up_at_a_replica_that_is_back_with_another_version` fails without the change (200, the replica runs the stream).

Change: before a stream continues at an engine, the engine is asked for its incarnation. If it is not the listed one, the stream is not sent there (`restarted`).

--- a/app/luglink/tests/stream_soak/crashing.rs
+++ b/app/luglink/tests/stream_soak/crashing.rs
@@ -8,6 +8,7 @@
 use crate::random::Random;
 use crate::replicas::Faults;
 use crate::runs::MAX_ENDS;
+use crate::store_chaos::StoreChaos;
 use http_body_util::BodyExt;
 use rustix::process::Signal;
 use std::cell::{Cell, RefCell};
@@ -19,6 +20,12 @@
 /// Seeds of every test run. One of them has many gateways.
 const DEFAULT_SEEDS: std::ops::Range<u64> = 9..12;
 
+/// Seeds of every test run with lost disks.
+const LOST_DISK_SEEDS: std::ops::Range<u64> = 1..2;
+
+/// Rounds of disturbances of the stores in one seed.
+const STORE_ROUNDS: usize = 2;
+
 /// Duration of the traffic of one seed.
 const TRAFFIC_DURATION: Duration = Duration::from_secs(14);
 
@@ -273,6 +280,30 @@
 /// Returns the report of one seed.
 async fn soak(seed: u64, ends: Ends) -> Report {
     let fleet = Fleet::start(seed, crate::gateways(seed), Faults::Random).await;
+    let disturbance = chaos::run(&fleet, seed, TRAFFIC_DURATION);
+    play(&fleet, seed, ends, disturbance).await
+}
+
+/// Returns the report of one seed with stores that come, go and lose their disks.
+async fn soak_with_lost_disks(seed: u64) -> Report {
+    let spares = STORE_ROUNDS + 1;
+    let gateways = crate::gateways(seed);
+    let fleet = Fleet::start_with_spares(seed, gateways, Faults::Random, spares).await;
+    let mut chaos = StoreChaos::new(&fleet, seed);
+    let disturbance = async {
+        chaos.run(STORE_ROUNDS).await;
+        chaos.final_fault().await;
+    };
+    play(&fleet, seed, Ends::AtOnce, disturbance).await
+}
+
+/// Plays bad and innocent requests beside a disturbance.
+async fn play(
+    fleet: &Fleet,
+    seed: u64,
+    ends: Ends,
+    disturbance: impl Future<Output = ()>,
+) -> Report {
     let report = Rc::new(RefCell::new(Report::default()));
     let is_stopping = Rc::new(Cell::new(false));
     let callers = (0..BAD_CALLERS + BYSTANDERS).map(|number| {
@@ -288,7 +319,7 @@
         actix_rt::spawn(caller.run(Rc::clone(&is_stopping)))
     });
     let callers: Vec<_> = callers.collect();
-    chaos::run(&fleet, seed, TRAFFIC_DURATION).await;
+    disturbance.await;
     is_stopping.set(true);
     for caller in callers {
         caller.await.expect("a caller ends");
@@ -320,6 +351,19 @@
     assert!(refused <= MAX_REFUSED_BESIDE_END, "{total}");
 }
 
+#[actix_rt::test]
+async fn no_replica_gets_a_request_after_the_third_end_under_it_while_stores_lose_their_disks() {
+    let mut total = Report::default();
+    for seed in crate::seeds(LOST_DISK_SEEDS) {
+        let report = soak_with_lost_disks(seed).await;
+        println!("seed {seed}: {report}");
+        total.add(&report);
+    }
+    println!("all seeds: {total}");
+    assert!(total.bad_refused > 0 && total.whole > 0, "{total}");
+    assert_eq!(total.after_limit, Vec::<String>::new(), "{total}");
+}
+
 #[actix_rt::test]
 async fn no_replica_gets_a_request_after_the_third_end_under_it_while_processes_restart() {
     assert_limited(Ends::AtOnce).await;
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -2,14 +2,15 @@
 
 use crate::failure::Failure;
 use crate::gateway::Gateway;
-use crate::inbound::{InboundRequest, strip_hop_by_hop};
+use crate::inbound::{InboundRequest, header_text, strip_hop_by_hop};
+use crate::placement;
 use crate::run::Run;
 use crate::upstream::{AcquireError, Lease};
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response, Uri, header};
 use hyper::body::Incoming;
 use luglink_edge::SendOutcome;
-use luglink_fleet::{Backend, BackendId};
+use luglink_fleet::{Backend, BackendId, Incarnation};
 use luglink_http::{Body, SendError, full_body};
 use luglink_telemetry::milliseconds;
 use std::rc::Rc;
@@ -85,10 +86,41 @@
     backend: &Backend,
     overrides: &SendOverrides,
 ) -> Result<Answer, Failure> {
-    let run = Run::begin(gateway, inbound, backend).await?;
+    let run = begin_run(gateway, inbound, backend, overrides).await?;
     send_run(gateway, inbound, backend, overrides, run).await
 }
 
+/// Begins the run of a request at a replica, unless the request continues a stream and the replica has
+/// restarted since the list was read.
+pub(crate) async fn begin_run(
+    gateway: &Rc<Gateway>,
+    inbound: &InboundRequest,
+    backend: &Backend,
+    overrides: &SendOverrides,
+) -> Result<Run, Failure> {
+    if is_continuation(gateway, inbound, overrides) && has_restarted(gateway, backend).await {
+        return Err(Failure::Restarted);
+    }
+    Run::begin(gateway, inbound, backend).await
+}
+
+/// Returns true if the replica is to go on with a stream that another request began.
+fn is_continuation(gateway: &Gateway, inbound: &InboundRequest, overrides: &SendOverrides) -> bool {
+    let name = &gateway.dialect.headers().last_event_id;
+    let is_resumed_by_caller = header_text(&inbound.head.headers, name).is_some();
+    inbound.route.resumable && (overrides.last_event_id.is_some() || is_resumed_by_caller)
+}
+
+/// Returns true if a replica's own report shows another process than the list, which shows restarts
+/// late.
+async fn has_restarted(gateway: &Gateway, backend: &Backend) -> bool {
+    if backend.incarnation == Incarnation::UNKNOWN {
+        return false;
+    }
+    let reported = placement::query_incarnation(gateway, backend).await;
+    reported.is_some_and(|reported| reported != backend.incarnation)
+}
+
 /// Sends a request for a run that has begun.
 pub(crate) async fn send_run(
     gateway: &Rc<Gateway>,
--- a/crates/gateway-server/src/failure.rs
+++ b/crates/gateway-server/src/failure.rs
@@ -21,6 +21,8 @@
     Declined,
     /// The request reached a replica other than the expected one.
     Misdirected,
+    /// The replica's process is not the one in the list, and may have another software version.
+    Restarted,
     /// The connection broke after the request was sent.
     Broken,
     /// The deadline passed before the response.
@@ -48,6 +50,7 @@
             | Self::NoFreeConnection
             | Self::ConnectionsClosed
             | Self::ConnectionClosed
+            | Self::Restarted
             | Self::Unsendable => SendOutcome::NotSent,
             Self::Declined | Self::Misdirected => SendOutcome::Declined,
             Self::Broken
@@ -77,6 +80,7 @@
             Self::Unsendable => "unsendable",
             Self::Declined => "declined",
             Self::Misdirected => "misdirected",
+            Self::Restarted => "restarted",
             Self::Broken => "broken",
             Self::NoAnswerInTime => "no_answer_in_time",
             Self::ForeignAnswer => "foreign_answer",
--- a/crates/gateway-server/src/move_watch.rs
+++ b/crates/gateway-server/src/move_watch.rs
@@ -1,12 +1,11 @@
 //! Detection of streams whose replica is unusually slow, and their move to another replica.
 
 use crate::attempts::{Attempts, choose_excluding};
-use crate::exchange::{Answer, SendOverrides, send_run};
+use crate::exchange::{Answer, SendOverrides, begin_run, send_run};
 use crate::failure::Failure;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::refusal::Refusal;
-use crate::run::Run;
 use luglink_edge::Route;
 use luglink_fleet::Backend;
 use luglink_scheduling::{
@@ -113,7 +112,7 @@
     ) -> SendResult {
         let gateway = Rc::clone(&self.gateway);
         // A request that waits for other runs of it is not slow at the replica.
-        let run = match Run::begin(&gateway, inbound, backend).await {
+        let run = match begin_run(&gateway, inbound, backend, overrides).await {
             Ok(run) => run,
             Err(failure) => return SendResult::Failed(failure),
         };
--- a/crates/gateway-server/src/stream/resume.rs
+++ b/crates/gateway-server/src/stream/resume.rs
@@ -68,7 +68,10 @@
                 Err(failure) => failure,
             };
             let is_listed = self.gateway.pool.borrow().listed(&backend.id).is_some();
-            let is_gone = matches!(failure, Failure::Unreachable | Failure::Misdirected);
+            let is_gone = matches!(
+                failure,
+                Failure::Unreachable | Failure::Misdirected | Failure::Restarted
+            );
             if !is_gone && is_listed {
                 return Err("not_resumed");
             }
--- a/crates/gateway-server/tests/gateway/resumed_streams.rs
+++ b/crates/gateway-server/tests/gateway/resumed_streams.rs
@@ -321,3 +321,24 @@
     assert_eq!((response.status, response.body), (200, events(2..5)));
     assert!(has_seen(&first, "late") && !has_seen(&other, "late"));
 }
+
+/// The list shows the version of an earlier process of the replica.
+#[actix_rt::test]
+async fn a_stream_is_not_taken_up_at_a_replica_that_is_back_with_another_version() {
+    let replica = Replica::start_version("r0", "v1", Script::StreamStalled(2)).await;
+    replica.started_ms.set(1);
+    replica.running.set(Some(0));
+    let fleet = fleet(std::slice::from_ref(&replica)).await;
+    let (_second, second) = fleet.start_ready_second_gateway().await;
+    let first_attempt = abandoned_stream_at(&fleet, &replica).await;
+    *fleet.replicas.borrow_mut() = vec![replica.with_old_entry(1)];
+    replica.started_ms.set(2);
+    replica.set_script(Script::Stream);
+    let before = replica.requests();
+    let response = resuming(&first_attempt, "resumed").send(second).await;
+    assert_eq!(
+        (response.status, replica.requests()),
+        (503, before),
+        "{response:?}"
+    );
+}
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -217,6 +217,14 @@
         self.ends.borrow_mut().push(Instant::now());
     }
 
+    /// Returns the entry of an earlier process of the replica for the list.
+    pub fn with_old_entry(&self, started_ms: u64) -> Self {
+        Self {
+            started_ms: Rc::new(Cell::new(started_ms)),
+            ..self.clone()
+        }
+    }
+
     pub fn requests(&self) -> usize {
         self.seen.borrow().len()
     }
--- a/crates/turns/src/crash_keeper.rs
+++ b/crates/turns/src/crash_keeper.rs
@@ -106,9 +106,7 @@
                 self.log.find(report.request)
             }
             CrashRequest::TakeOver(reports) => {
-                for counted in reports {
-                    self.record(disk, &counted.report, counted.is_in_doubt, now)?;
-                }
+                self.record_all(disk, reports, now)?;
                 Vec::new()
             }
             CrashRequest::Update(update) => return Ok(self.update(disk, update, now)),
@@ -154,6 +152,29 @@
         if is_synced { written } else { Ok(()) }
     }
 
+    /// Records reports with one sync.
+    fn record_all(
+        &mut self,
+        disk: &mut impl Disk,
+        reports: &[CountedReport],
+        now: Timestamp,
+    ) -> Result<(), TurnsError> {
+        for counted in reports {
+            let entry = RunEntry::Report {
+                report: counted.report.clone(),
+                is_in_doubt: counted.is_in_doubt,
+            };
+            if self.apply(&entry, now) {
+                self.write(disk, &entry, false)?;
+            }
+        }
+        if self.needs_rewrite {
+            return self.rewrite(disk);
+        }
+        let synced = self.journal.sync(disk);
+        self.note_written(synced)
+    }
+
     fn update(
         &mut self,
         disk: &mut impl Disk,
--- a/crates/turns/src/run_journal.rs
+++ b/crates/turns/src/run_journal.rs
@@ -66,11 +66,16 @@
         disk.append(FILE, &bytes)?;
         self.bytes += bytes.len();
         if is_synced {
-            disk.sync(FILE)?;
+            self.sync(disk)?;
         }
         Ok(())
     }
 
+    /// Syncs the entries that were appended.
+    pub(crate) fn sync(&self, disk: &mut impl Disk) -> Result<(), TurnsError> {
+        Ok(disk.sync(FILE)?)
+    }
+
     /// Returns true if the file should be rewritten.
     pub(crate) fn is_long(&self) -> bool {
         self.bytes >= MAX_FILE_BYTES.max(2 * self.rewritten_bytes)
