Ask a replica for its process before an end is told apart, and send cleared runs until they are acknowledged

Change: where another process may have run the request, the replica is asked for its incarnation; if it tells the listed one, the runs share their end. Cleared reports are sent again until a quorum of stores has them, and members are given only ends and doubts, not the runs of others. A request also waits for holders that do not answer for a moment when it begins and when it is sent, not only when it arrives.

--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -55,6 +55,8 @@
     to_review: VecDeque<(RunReport, Instant)>,
     followed: HashMap<StoreName, Followed>,
     pub(crate) unacknowledged: UnacknowledgedReports,
+    /// The same for reports that runs no longer count. Nobody waits for these.
+    pub(crate) unacknowledged_clears: UnacknowledgedReports,
     last_upkeep: Instant,
     last_informed: Option<Instant>,
     /// Time since which no quorum has told the reports of a request that was looked up.
@@ -73,6 +75,7 @@
             to_review: VecDeque::new(),
             followed: HashMap::new(),
             unacknowledged: UnacknowledgedReports::default(),
+            unacknowledged_clears: UnacknowledgedReports::default(),
             last_upkeep: Instant::now(),
             last_informed: None,
             untold_since: None,
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -7,6 +7,7 @@
 use crate::store_link::StoreLink;
 use crate::survival;
 use crate::turn_client::TurnClient;
+use crate::unacknowledged::ReportKey;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use luglink_fleet::{Incarnation, StoreName};
@@ -128,10 +129,10 @@
         let gateway = Rc::clone(self);
         let at_members = request.clone();
         actix_rt::spawn(async move { gateway.ask_members(at_members, DELIVERY_TIMEOUT).await });
+        if report.state == RunState::Cleared {
+            return self.deliver_clear(key, request).await;
+        }
         if !is_in_doubt && report.state != RunState::Crashed {
-            if report.state == RunState::Cleared {
-                self.crashes.borrow_mut().unacknowledged.forget(key);
-            }
             return self
                 .ask_stores(report.request, request, ANNOUNCEMENT_TIMEOUT)
                 .await;
@@ -158,6 +159,19 @@
         false
     }
 
+    /// Sends the report that a run no longer counts. A holder that lacks it would count the run once
+    /// its lease has ended.
+    async fn deliver_clear(self: &Rc<Self>, key: ReportKey, request: CrashRequest) -> bool {
+        let mut crashes = self.crashes.borrow_mut();
+        crashes.unacknowledged.forget(key);
+        crashes.unacknowledged_clears.begin(key);
+        drop(crashes);
+        let is_acknowledged = self.ask_stores(key.0, request, DELIVERY_TIMEOUT).await;
+        let mut crashes = self.crashes.borrow_mut();
+        crashes.unacknowledged_clears.end(key, is_acknowledged);
+        is_acknowledged
+    }
+
     /// Sends a report to stores. Returns true if a quorum of them has acknowledged it.
     async fn send_report(self: Rc<Self>, report: RunReport, request: CrashRequest) -> bool {
         let key = (report.request, report.run);
@@ -206,6 +220,26 @@
             let gateway = Rc::clone(self);
             actix_rt::spawn(async move { gateway.deliver(&report, is_in_doubt).await });
         }
+        self.deliver_clears_again();
+    }
+
+    fn deliver_clears_again(self: &Rc<Self>) {
+        let due = self.crashes.borrow_mut().unacknowledged_clears.due();
+        for key in due {
+            let mut crashes = self.crashes.borrow_mut();
+            let report = crashes
+                .table
+                .reports(key.0)
+                .find(|report| report.run == key.1);
+            let cleared = report.filter(|report| report.state == RunState::Cleared);
+            let Some(report) = cleared.cloned() else {
+                crashes.unacknowledged_clears.forget(key);
+                continue;
+            };
+            drop(crashes);
+            let gateway = Rc::clone(self);
+            actix_rt::spawn(async move { gateway.deliver(&report, false).await });
+        }
     }
 
     /// Gets the reports of a request from its holders, unless those of all stores are known here.
@@ -244,20 +278,23 @@
         Knowledge::None
     }
 
-    /// Gives the control members all reports of a request that count, and gets those that they have.
+    /// Gives the control members the reports of a request whose replicas have ended or may have, and gets
+    /// those that they have. Runs under way are reported by their gateways.
     async fn share_with_members(self: &Rc<Self>, request: RequestFingerprint) -> Knowledge {
         let counted: Vec<CountedReport> = {
             let table = &self.crashes.borrow().table;
-            let counted = table.reports(request).filter(|report| table.counts(report));
-            let counted = counted.map(|report| CountedReport {
+            let counted = table.reports(request).map(|report| CountedReport {
                 report: report.clone(),
                 is_in_doubt: table.is_in_doubt(report),
             });
-            counted.collect()
+            let over = counted
+                .filter(|counted| counted.is_in_doubt || counted.report.state == RunState::Crashed);
+            over.collect()
         };
-        let sharing = counted
-            .into_iter()
-            .map(|counted| self.ask_members(counted.into_request(), ANNOUNCEMENT_TIMEOUT));
+        let sharing = counted.into_iter().map(CountedReport::into_request);
+        let sharing = sharing
+            .chain([CrashRequest::Find(request)])
+            .map(|request| self.ask_members(request, ANNOUNCEMENT_TIMEOUT));
         let shared = futures_util::future::join_all(sharing).await;
         match shared.into_iter().all(|is_shared| is_shared) {
             true => Knowledge::Both,
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -68,7 +68,7 @@
 /// Run of a request at a replica. Dropping it means that the request was given up.
 pub(crate) struct Run {
     gateway: Rc<Gateway>,
-    backend: Backend,
+    process: Process,
     report: RefCell<RunReport>,
     is_announced: Rc<Cell<bool>>,
     /// Links to the stores that know that the run is under way.
@@ -79,6 +79,31 @@
     is_over: Cell<bool>,
 }
 
+/// Process of a replica that a run is sent to.
+struct Process {
+    backend: Backend,
+    /// True if the replica itself has just told its incarnation. The list shows restarts late.
+    is_identified: bool,
+}
+
+impl Process {
+    /// Asks a replica for its incarnation if an earlier run may have ended another process of it.
+    async fn of(gateway: &Gateway, request: RequestFingerprint, backend: &Backend) -> Self {
+        let is_told = backend.incarnation != Incarnation::UNKNOWN;
+        let incarnation = match is_told && gateway.may_be_replaced(request, backend) {
+            true => placement::query_incarnation(gateway, backend).await,
+            false => None,
+        };
+        Self {
+            backend: Backend {
+                incarnation: incarnation.unwrap_or(backend.incarnation),
+                ..backend.clone()
+            },
+            is_identified: incarnation.is_some(),
+        }
+    }
+}
+
 /// What a gateway knew of the crashes under a request, and when.
 #[derive(Clone, Copy, Debug)]
 struct LookUp {
@@ -96,10 +121,14 @@
     }
 
     /// Looks the crashes up again while nobody tells them, unless that has been so for long.
-    async fn begin_when_told(gateway: &Rc<Gateway>, inbound: &InboundRequest) -> Self {
-        let deadline = Instant::now() + MAX_UNTOLD_WAIT.min(inbound.remaining() / 2);
+    async fn begin_when_told(
+        gateway: &Rc<Gateway>,
+        request: RequestFingerprint,
+        remaining: Duration,
+    ) -> Self {
+        let deadline = Instant::now() + MAX_UNTOLD_WAIT.min(remaining / 2);
         loop {
-            let looked_up = Self::begin(gateway, inbound.fingerprint).await;
+            let looked_up = Self::begin(gateway, request).await;
             let untold_for = gateway.crashes.borrow().untold_for();
             let may_be_told_soon = untold_for.is_some_and(|time| time < MAX_UNTOLD_WAIT);
             if !may_be_told_soon || Instant::now() >= deadline {
@@ -120,7 +149,8 @@
     gateway: &Rc<Gateway>,
     inbound: &InboundRequest,
 ) -> Result<(), Refusal> {
-    let looked_up = LookUp::begin_when_told(gateway, inbound).await;
+    let request = inbound.fingerprint;
+    let looked_up = LookUp::begin_when_told(gateway, request, inbound.remaining()).await;
     if looked_up.knowledge == Knowledge::None {
         return Err(untold_refusal(gateway, inbound));
     }
@@ -194,17 +224,19 @@
     ) -> Result<Self, Failure> {
         let deadline = Instant::now() + MAX_ANNOUNCED_WAIT.min(inbound.remaining() / 2);
         let request = inbound.fingerprint;
-        let mut looked_up = LookUp::begin(gateway, request).await;
+        let look_up = || LookUp::begin_when_told(gateway, request, inbound.remaining());
+        let mut looked_up = look_up().await;
         loop {
             if looked_up.is_old(gateway, request) {
-                looked_up = LookUp::begin(gateway, request).await;
+                looked_up = look_up().await;
             }
             let knowledge = looked_up.knowledge;
             if !gateway.may_begin_later(request, knowledge) {
                 return Err(Failure::CrashLimit);
             }
             if knowledge >= Knowledge::Stores || gateway.suspected_crashes(request) == 0 {
-                let run = Self::new(gateway, inbound, backend, looked_up);
+                let process = Process::of(gateway, request, backend).await;
+                let run = Self::new(gateway, inbound, process, looked_up);
                 if let Some(run) = run.begin_within_limit().await {
                     return Ok(run);
                 }
@@ -253,11 +285,12 @@
     fn new(
         gateway: &Rc<Gateway>,
         inbound: &InboundRequest,
-        backend: &Backend,
+        process: Process,
         looked_up: LookUp,
     ) -> Self {
         let run = RunId(gateway.draw());
-        let known_crashes = gateway.known_crashes(inbound.fingerprint, run, backend);
+        let known_crashes = gateway.known_crashes(inbound.fingerprint, run, &process);
+        let backend = &process.backend;
         let lease = inbound.remaining() + LEASE_MARGIN;
         Self {
             report: RefCell::new(RunReport {
@@ -269,7 +302,7 @@
                 lease_ms: milliseconds(lease),
                 state: RunState::Started,
             }),
-            backend: backend.clone(),
+            process,
             gateway: Rc::clone(gateway),
             is_announced: Rc::default(),
             announced_to: RefCell::default(),
@@ -318,8 +351,8 @@
             (report.request, report.run)
         };
         if self.looked_up.get().is_old(&self.gateway, request) {
-            let looked_up = LookUp::begin(&self.gateway, request).await;
-            self.looked_up.set(looked_up);
+            let looking_up = LookUp::begin_when_told(&self.gateway, request, MAX_UNTOLD_WAIT);
+            self.looked_up.set(looking_up.await);
         }
         let knowledge = self.looked_up.get().knowledge;
         self.gateway.may_begin_later(request, knowledge)
@@ -333,7 +366,9 @@
         let request = self.report.borrow().request;
         let is_in_doubt = {
             let crashes = self.gateway.crashes.borrow();
-            crashes.doubtful.has_any_at(request, &self.backend.id)
+            crashes
+                .doubtful
+                .has_any_at(request, &self.process.backend.id)
         };
         if is_in_doubt {
             actix_rt::time::sleep(CONFIRMATION_DELAY).await;
@@ -347,7 +382,7 @@
         let mut report = self.report.borrow_mut();
         report.known_crashes =
             self.gateway
-                .known_crashes(report.request, report.run, &self.backend);
+                .known_crashes(report.request, report.run, &self.process);
         let mut announced_to = self.announced_to.borrow_mut();
         if announced_to.is_empty() {
             let knowledge = self.looked_up.get().knowledge;
@@ -600,28 +635,45 @@
 
     /// Returns the number of crashes, known or possible ones, before the process that a new run is
     /// sent to started. It is the same for all runs that would see one end of that process.
-    fn known_crashes(&self, request: RequestFingerprint, run: RunId, backend: &Backend) -> u32 {
+    fn known_crashes(&self, request: RequestFingerprint, run: RunId, process: &Process) -> u32 {
+        let Process {
+            backend,
+            is_identified,
+        } = process;
         let crashes = self.crashes.borrow();
         let is_open_since = |time| self.upstream.has_open_since(&backend.id, time);
         let doubtful = &crashes.doubtful;
         let may_be_replaced = doubtful.may_be_replaced(request, &backend.id, is_open_since);
         let replica = (&backend.id, backend.incarnation);
-        let mut under_way = crashes.table.runs_under_way(request, run, replica);
-        let at_same_process =
-            under_way.find(|earlier| !may_be_replaced && !self.may_be_replaced_since(earlier));
+        let mut under_way = crashes.table.runs_under_way(request, Some(run), replica);
+        let at_same_process = under_way.find(|earlier| {
+            !may_be_replaced && (*is_identified || !self.may_be_replaced_since(earlier))
+        });
         match at_same_process {
             Some(earlier) => earlier.known_crashes,
             None => {
                 let possible = crashes.table.possible_crashes(request, Some(run));
                 // The run that ended an earlier process may not be known here yet.
-                let unknown = self
-                    .upstream
-                    .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION);
+                let unknown = !is_identified
+                    && self
+                        .upstream
+                        .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION);
                 u32::try_from(possible + usize::from(unknown)).unwrap_or(u32::MAX)
             }
         }
     }
 
+    /// Returns true if the listed process of a replica may have ended under a run of a request.
+    fn may_be_replaced(&self, request: RequestFingerprint, backend: &Backend) -> bool {
+        let crashes = self.crashes.borrow();
+        let replica = (&backend.id, backend.incarnation);
+        let mut under_way = crashes.table.runs_under_way(request, None, replica);
+        under_way.any(|earlier| self.may_be_replaced_since(earlier))
+            || self
+                .upstream
+                .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION)
+    }
+
     /// Returns true if the process that another gateway's run is or was at may have been replaced by
     /// another one of the same replica. No connection is known then that was open before the run can
     /// have ended it. The list shows a new incarnation only later.
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -329,7 +329,7 @@
     pub fn runs_under_way(
         &self,
         request: RequestFingerprint,
-        except: RunId,
+        except: Option<RunId>,
         replica: (&BackendId, Incarnation),
     ) -> impl Iterator<Item = &RunReport> {
         let at_replica: Vec<&RunReport> = self
@@ -342,7 +342,7 @@
         let known_ends: BTreeSet<u32> = crashed.map(|report| report.known_crashes).collect();
         let others = at_replica
             .into_iter()
-            .filter(move |report| report.run != except);
+            .filter(move |report| Some(report.run) != except);
         others.filter(move |run| {
             run.state == RunState::Started && !known_ends.contains(&run.known_crashes)
         })
