Release the crash ledger before waiting for stores

clippy -D warnings refused the borrow that was dropped before the wait (`await_holding_refcell_ref`). A scope ends it now; no change of behaviour.

--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -162,10 +162,11 @@
     /// Sends the report that a run no longer counts. A holder that lacks it would count the run once
     /// its lease has ended.
     async fn deliver_clear(self: &Rc<Self>, key: ReportKey, request: CrashRequest) -> bool {
-        let mut crashes = self.crashes.borrow_mut();
-        crashes.unacknowledged.forget(key);
-        crashes.unacknowledged_clears.begin(key);
-        drop(crashes);
+        {
+            let mut crashes = self.crashes.borrow_mut();
+            crashes.unacknowledged.forget(key);
+            crashes.unacknowledged_clears.begin(key);
+        }
         let is_acknowledged = self.ask_stores(key.0, request, DELIVERY_TIMEOUT).await;
         let mut crashes = self.crashes.borrow_mut();
         crashes.unacknowledged_clears.end(key, is_acknowledged);
