Replace settings files of the soak at once

Cause: member and store of a machine share a settings file, which was written again while the member read it; the member ended on an empty file and the fleet had no configuration.

Change: the soak writes a new file and renames it.

--- a/app/luglink/tests/stream_soak/fleet.rs
+++ b/app/luglink/tests/stream_soak/fleet.rs
@@ -88,7 +88,7 @@
     pub fn end_first_start(&self) {
         let settings = std::fs::read_to_string(&self.settings).unwrap();
         let settings = settings.replace("first_start = true", "first_start = false");
-        std::fs::write(&self.settings, settings).unwrap();
+        replace_file(&self.settings, &settings);
     }
 
     /// Restarts the process with another address of the platform's list.
@@ -101,7 +101,7 @@
             line => line.to_owned(),
         });
         let settings: Vec<String> = lines.collect();
-        std::fs::write(&self.settings, settings.join("\n")).unwrap();
+        replace_file(&self.settings, &settings.join("\n"));
         self.start_again();
     }
 
@@ -315,6 +315,13 @@
     }
 }
 
+/// Replaces a file at once, since another process may be reading it.
+fn replace_file(path: &Path, content: &str) {
+    let complete = path.with_extension("new");
+    std::fs::write(&complete, content).unwrap();
+    std::fs::rename(&complete, path).unwrap();
+}
+
 /// Writes the settings of a machine. Returns the path of the file.
 fn write_settings(
     folder: &Path,
@@ -338,7 +345,7 @@
          data_folder = \"{data}-member\"\nlist_interval_ms = 200\n"
     );
     let path = folder.join(format!("machine-{host}.toml"));
-    std::fs::write(&path, text).unwrap();
+    replace_file(&path, &text);
     path
 }
 
