Give runs at a replica that may be a new process a number of their own, and members more time to answer

Cause: where a replica tells no incarnation and its connections have just closed, a run counted one more known crash than it knew. Two gateways that knew different numbers could give two ends the same one.

Change: such a run gets a number that no counting gives.

--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -272,7 +272,14 @@
 
     async fn find_at_members(self: &Rc<Self>, request: RequestFingerprint) -> Knowledge {
         let find = CrashRequest::Find(request);
-        if self.ask_members(find, LOOKUP_TIMEOUT).await {
+        let untold_for = self.crashes.borrow().untold_for();
+        let has_waited = untold_for.is_some_and(|time| time >= ANNOUNCEMENT_TIMEOUT);
+        // Without the members the request is refused.
+        let timeout = match has_waited {
+            true => LOOKUP_TIMEOUT,
+            false => ANNOUNCEMENT_TIMEOUT,
+        };
+        if self.ask_members(find, timeout).await {
             return Knowledge::Members;
         }
         tracing::warn!(%request, "control members did not respond about crash reports");
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -490,6 +490,13 @@
     }
 }
 
+/// Returns a number of known crashes that no other run has by counting.
+fn number_of_own(run: RunId) -> u32 {
+    const OWN: u32 = 1 << 31;
+    let [_, _, _, _, first, second, third, fourth] = run.0.to_be_bytes();
+    OWN | u32::from_be_bytes([first, second, third, fourth])
+}
+
 /// Run that stores know to be under way.
 struct AnnouncedRun {
     run: RunId,
@@ -652,13 +659,15 @@
         match at_same_process {
             Some(earlier) => earlier.known_crashes,
             None => {
-                let possible = crashes.table.possible_crashes(request, Some(run));
                 // The run that ended an earlier process may not be known here yet.
-                let unknown = !is_identified
-                    && self
-                        .upstream
-                        .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION);
-                u32::try_from(possible + usize::from(unknown)).unwrap_or(u32::MAX)
+                let is_new = self
+                    .upstream
+                    .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION);
+                if is_new && !is_identified {
+                    return number_of_own(run);
+                }
+                let possible = crashes.table.possible_crashes(request, Some(run));
+                u32::try_from(possible).unwrap_or(u32::MAX)
             }
         }
     }
