--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -59,8 +59,8 @@
     pub(crate) unacknowledged_clears: UnacknowledgedReports,
     last_upkeep: Instant,
     last_informed: Option<Instant>,
-    /// Time since which no quorum has told the reports of a request that was looked up.
-    untold_since: Option<Instant>,
+    /// Time since which no quorum has answered a look-up.
+    unanswered_since: Option<Instant>,
     /// Latest runs here that replicas have survived, oldest first.
     survived: VecDeque<RunId>,
 }
@@ -78,7 +78,7 @@
             unacknowledged_clears: UnacknowledgedReports::default(),
             last_upkeep: Instant::now(),
             last_informed: None,
-            untold_since: None,
+            unanswered_since: None,
             survived: VecDeque::new(),
         }
     }
@@ -250,18 +250,17 @@
         self.last_informed = Some(Instant::now());
     }
 
-    /// Records whether a quorum has told the reports of a request.
-    pub(crate) fn note_told(&mut self, is_told: bool) {
-        self.untold_since = match is_told {
+    /// Records whether a quorum has answered a look-up.
+    pub(crate) fn note_answered(&mut self, is_answered: bool) {
+        self.unanswered_since = match is_answered {
             true => None,
-            false => self.untold_since.or_else(|| Some(Instant::now())),
+            false => self.unanswered_since.or_else(|| Some(Instant::now())),
         };
     }
 
-    /// Returns the time for which no quorum has told the reports of a request; `None` if the latest
-    /// look-up succeeded.
-    pub(crate) fn untold_for(&self) -> Option<Duration> {
-        self.untold_since.map(|since| since.elapsed())
+    /// Returns the time for which no quorum has answered a look-up; `None` if the latest one succeeded.
+    pub(crate) fn unanswered_for(&self) -> Option<Duration> {
+        self.unanswered_since.map(|since| since.elapsed())
     }
 
     /// Returns the time since the reports of all stores were last known here.
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -247,33 +247,33 @@
     /// Returns who has told them. The control members are asked if the stores do not answer, and before
     /// the last replica that a request may end.
     pub(crate) async fn look_up_crashes(self: &Rc<Self>, request: RequestFingerprint) -> Knowledge {
-        let is_told_by_stores = self.follows_crash_reports() || self.find_at_stores(request).await;
+        let do_stores_answer = self.follows_crash_reports() || self.find_at_stores(request).await;
         let has_unacknowledged = self.crashes.borrow().unacknowledged.has_any_of(request);
-        let knowledge = if !is_told_by_stores || has_unacknowledged {
+        let knowledge = if !do_stores_answer || has_unacknowledged {
             self.find_at_members(request).await
         } else if !self.needs_members(request) {
             Knowledge::Stores
         } else {
             self.share_with_members(request).await
         };
-        let is_told = knowledge != Knowledge::None;
-        self.crashes.borrow_mut().note_told(is_told);
+        let is_answered = knowledge != Knowledge::None;
+        self.crashes.borrow_mut().note_answered(is_answered);
         knowledge
     }
 
     async fn find_at_stores(self: &Rc<Self>, request: RequestFingerprint) -> bool {
         let find = CrashRequest::Find(request);
-        let is_told = self.ask_stores(request, find, LOOKUP_TIMEOUT).await;
-        if !is_told {
+        let is_answered = self.ask_stores(request, find, LOOKUP_TIMEOUT).await;
+        if !is_answered {
             tracing::warn!(%request, "turn stores did not respond about crash reports");
         }
-        is_told
+        is_answered
     }
 
     async fn find_at_members(self: &Rc<Self>, request: RequestFingerprint) -> Knowledge {
         let find = CrashRequest::Find(request);
-        let untold_for = self.crashes.borrow().untold_for();
-        let has_waited = untold_for.is_some_and(|time| time >= ANNOUNCEMENT_TIMEOUT);
+        let unanswered_for = self.crashes.borrow().unanswered_for();
+        let has_waited = unanswered_for.is_some_and(|time| time >= ANNOUNCEMENT_TIMEOUT);
         // Without the members the request is refused.
         let timeout = match has_waited {
             true => LOOKUP_TIMEOUT,
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -34,6 +34,7 @@
 mod proxy;
 mod quota;
 mod refusal;
+mod replica_process;
 mod report_members;
 mod run;
 mod server;
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -64,7 +64,7 @@
     /// Requests refused because runs of them are in doubt or under way.
     pub(crate) doubtful_requests: IntCounter,
     /// Requests refused because no holder of crash reports answers.
-    pub(crate) untold_requests: IntCounter,
+    pub(crate) unanswered_requests: IntCounter,
     /// Replicas that ended during a run of a request, as this gateway saw them.
     pub(crate) crashes: IntCounter,
     /// Reports of runs that no quorum of turn stores has acknowledged.
@@ -175,8 +175,8 @@
                 "crashing_requests_total",
                 "Requests refused because replicas ended while they ran them",
             )?,
-            untold_requests: registry.counter(
-                "untold_requests_total",
+            unanswered_requests: registry.counter(
+                "unanswered_requests_total",
                 "Requests refused because no holder of crash reports answers",
             )?,
             doubtful_requests: registry.counter(
--- /dev/null
+++ b/crates/gateway-server/src/replica_process.rs
@@ -0,0 +1,68 @@
+//! Processes of replicas: whether the one that a run is sent to is the one that earlier runs were at.
+
+use crate::gateway::Gateway;
+use crate::placement;
+use crate::run::MAX_LOSS_DETECTION;
+use luglink_fleet::{Backend, Incarnation};
+use luglink_turns::{RequestFingerprint, RunReport};
+use std::time::{Duration, Instant};
+
+/// Time that a report of a run in doubt usually takes from its gateway, or from the loss of its gateway.
+const REPORT_MARGIN: Duration = Duration::from_millis(50);
+
+/// Process of a replica that a run is sent to.
+pub(crate) struct Process {
+    pub(crate) backend: Backend,
+    /// True if the replica itself has just reported its incarnation. The list shows restarts late.
+    pub(crate) is_identified: bool,
+}
+
+impl Process {
+    /// Asks a replica for its incarnation if an earlier run may have ended another process of it.
+    pub(crate) async fn of(
+        gateway: &Gateway,
+        request: RequestFingerprint,
+        backend: &Backend,
+    ) -> Self {
+        let is_reported = backend.incarnation != Incarnation::UNKNOWN;
+        let incarnation = match is_reported && gateway.may_be_replaced(request, backend) {
+            true => placement::query_incarnation(gateway, backend).await,
+            false => None,
+        };
+        Self {
+            backend: Backend {
+                incarnation: incarnation.unwrap_or(backend.incarnation),
+                ..backend.clone()
+            },
+            is_identified: incarnation.is_some(),
+        }
+    }
+}
+
+impl Gateway {
+    /// Returns true if the listed process of a replica may have ended under a run of a request.
+    fn may_be_replaced(&self, request: RequestFingerprint, backend: &Backend) -> bool {
+        let crashes = self.crashes.borrow();
+        let replica = (&backend.id, backend.incarnation);
+        let mut under_way = crashes.table.runs_under_way(request, None, replica);
+        under_way.any(|earlier| self.may_be_replaced_since(earlier))
+            || self
+                .upstream
+                .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION)
+    }
+
+    /// Returns true if the process that another gateway's run is or was at may have been replaced by
+    /// another one of the same replica. No connection is known then that was open before the run can
+    /// have ended it. The list shows a new incarnation only later.
+    pub(crate) fn may_be_replaced_since(&self, foreign: &RunReport) -> bool {
+        let crashes = self.crashes.borrow();
+        if crashes.is_own(foreign) {
+            return false;
+        }
+        let known_since = crashes.table.known_since(foreign);
+        let known_for = known_since.map(|since| self.now().since(since));
+        let earliest_end =
+            known_for.and_then(|known_for| Instant::now().checked_sub(known_for + REPORT_MARGIN));
+        earliest_end.is_none_or(|end| !self.upstream.has_open_since(&foreign.replica, end))
+    }
+}
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -15,6 +15,7 @@
 use crate::knowledge::Knowledge;
 use crate::placement;
 use crate::refusal::Refusal;
+use crate::replica_process::Process;
 use crate::store_link::StoreLink;
 use luglink_edge::SendOutcome;
 use luglink_fleet::{Backend, Incarnation};
@@ -43,23 +44,22 @@
 
 /// Maximum time for which a request waits while no holder of crash reports answers. Their processes
 /// usually start again within it.
-const MAX_UNTOLD_WAIT: Duration = Duration::from_secs(1);
+const MAX_UNANSWERED_WAIT: Duration = Duration::from_secs(1);
 
 /// Interval at which they are asked meanwhile.
-const UNTOLD_RETRY_DELAY: Duration = Duration::from_millis(50);
+const UNANSWERED_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Retry delay of a request that the gateway refuses because no holder answers. Others may be told.
-const UNTOLD_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry delay of a request that the gateway refuses because no holder answers it. Other gateways may
+/// reach one.
+const UNANSWERED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Maximum age of what a gateway knows of the crashes under a request that it sends, unless it follows
 /// them.
 const MAX_LOOK_UP_AGE: Duration = Duration::from_millis(100);
 
-/// Time that a report of a run in doubt usually takes from its gateway, or from the loss of its gateway.
-const REPORT_MARGIN: Duration = Duration::from_millis(50);
-
 /// Maximum time between the loss of a gateway and the report of its runs by the stores.
-const MAX_LOSS_DETECTION: Duration = SESSION_TIMEOUT.saturating_add(Duration::from_millis(200));
+pub(crate) const MAX_LOSS_DETECTION: Duration =
+    SESSION_TIMEOUT.saturating_add(Duration::from_millis(200));
 
 /// Time after the deadline of a run during which it still counts as under way. Its gateway usually
 /// settles a doubt within it.
@@ -79,31 +79,6 @@
     is_over: Cell<bool>,
 }
 
-/// Process of a replica that a run is sent to.
-struct Process {
-    backend: Backend,
-    /// True if the replica itself has just told its incarnation. The list shows restarts late.
-    is_identified: bool,
-}
-
-impl Process {
-    /// Asks a replica for its incarnation if an earlier run may have ended another process of it.
-    async fn of(gateway: &Gateway, request: RequestFingerprint, backend: &Backend) -> Self {
-        let is_told = backend.incarnation != Incarnation::UNKNOWN;
-        let incarnation = match is_told && gateway.may_be_replaced(request, backend) {
-            true => placement::query_incarnation(gateway, backend).await,
-            false => None,
-        };
-        Self {
-            backend: Backend {
-                incarnation: incarnation.unwrap_or(backend.incarnation),
-                ..backend.clone()
-            },
-            is_identified: incarnation.is_some(),
-        }
-    }
-}
-
 /// What a gateway knew of the crashes under a request, and when.
 #[derive(Clone, Copy, Debug)]
 struct LookUp {
@@ -120,21 +95,22 @@
         }
     }
 
-    /// Looks the crashes up again while nobody tells them, unless that has been so for long.
-    async fn begin_when_told(
+    /// Looks the crashes up again while no holder answers, unless that has been so for long.
+    async fn begin_when_answered(
         gateway: &Rc<Gateway>,
         request: RequestFingerprint,
         remaining: Duration,
     ) -> Self {
-        let deadline = Instant::now() + MAX_UNTOLD_WAIT.min(remaining / 2);
+        let deadline = Instant::now() + MAX_UNANSWERED_WAIT.min(remaining / 2);
         loop {
             let looked_up = Self::begin(gateway, request).await;
-            let untold_for = gateway.crashes.borrow().untold_for();
-            let may_be_told_soon = untold_for.is_some_and(|time| time < MAX_UNTOLD_WAIT);
-            if !may_be_told_soon || Instant::now() >= deadline {
+            let unanswered_for = gateway.crashes.borrow().unanswered_for();
+            let may_be_answered_soon =
+                unanswered_for.is_some_and(|time| time < MAX_UNANSWERED_WAIT);
+            if !may_be_answered_soon || Instant::now() >= deadline {
                 return looked_up;
             }
-            actix_rt::time::sleep(UNTOLD_RETRY_DELAY).await;
+            actix_rt::time::sleep(UNANSWERED_RETRY_DELAY).await;
         }
     }
 
@@ -144,15 +120,15 @@
     }
 }
 
-/// Refuses a request under which too many replicas have ended, or may have because nobody tells.
+/// Refuses a request under which too many replicas have ended, or if no holder of reports answers.
 pub(crate) async fn refuse_crashing(
     gateway: &Rc<Gateway>,
     inbound: &InboundRequest,
 ) -> Result<(), Refusal> {
     let request = inbound.fingerprint;
-    let looked_up = LookUp::begin_when_told(gateway, request, inbound.remaining()).await;
+    let looked_up = LookUp::begin_when_answered(gateway, request, inbound.remaining()).await;
     if looked_up.knowledge == Knowledge::None {
-        return Err(untold_refusal(gateway, inbound));
+        return Err(unanswered_refusal(gateway, inbound));
     }
     let crashes = gateway.crashes_under(inbound.fingerprint);
     if crashes < MAX_CRASHES {
@@ -162,19 +138,19 @@
     Err(refusal(gateway, inbound, crashes))
 }
 
-fn untold_refusal(gateway: &Gateway, inbound: &InboundRequest) -> Refusal {
-    let untold_for = gateway.crashes.borrow().untold_for();
-    gateway.metrics.untold_requests.inc();
+fn unanswered_refusal(gateway: &Gateway, inbound: &InboundRequest) -> Refusal {
+    let unanswered_for = gateway.crashes.borrow().unanswered_for();
+    gateway.metrics.unanswered_requests.inc();
     tracing::warn!(
         id = inbound.id,
         request = %inbound.fingerprint,
         route = inbound.route.name,
-        untold_for_ms = untold_for.map(milliseconds),
-        retry_after_ms = milliseconds(UNTOLD_RETRY_AFTER),
-        "request refused: nobody tells whether replicas ended while they ran it"
+        unanswered_for_ms = unanswered_for.map(milliseconds),
+        retry_after_ms = milliseconds(UNANSWERED_RETRY_AFTER),
+        "request refused: no holder of crash reports answers"
     );
     let detail = "neither turn stores nor control members answer at the moment";
-    Refusal::not_run_retry_after(detail, UNTOLD_RETRY_AFTER)
+    Refusal::not_run_retry_after(detail, UNANSWERED_RETRY_AFTER)
 }
 
 /// Returns the refusal of a request that has not run in this attempt and may not run now.
@@ -224,7 +200,7 @@
     ) -> Result<Self, Failure> {
         let deadline = Instant::now() + MAX_ANNOUNCED_WAIT.min(inbound.remaining() / 2);
         let request = inbound.fingerprint;
-        let look_up = || LookUp::begin_when_told(gateway, request, inbound.remaining());
+        let look_up = || LookUp::begin_when_answered(gateway, request, inbound.remaining());
         let mut looked_up = look_up().await;
         loop {
             if looked_up.is_old(gateway, request) {
@@ -351,7 +327,8 @@
             (report.request, report.run)
         };
         if self.looked_up.get().is_old(&self.gateway, request) {
-            let looking_up = LookUp::begin_when_told(&self.gateway, request, MAX_UNTOLD_WAIT);
+            let looking_up =
+                LookUp::begin_when_answered(&self.gateway, request, MAX_UNANSWERED_WAIT);
             self.looked_up.set(looking_up.await);
         }
         let knowledge = self.looked_up.get().knowledge;
@@ -672,32 +649,6 @@
         }
     }
 
-    /// Returns true if the listed process of a replica may have ended under a run of a request.
-    fn may_be_replaced(&self, request: RequestFingerprint, backend: &Backend) -> bool {
-        let crashes = self.crashes.borrow();
-        let replica = (&backend.id, backend.incarnation);
-        let mut under_way = crashes.table.runs_under_way(request, None, replica);
-        under_way.any(|earlier| self.may_be_replaced_since(earlier))
-            || self
-                .upstream
-                .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION)
-    }
-
-    /// Returns true if the process that another gateway's run is or was at may have been replaced by
-    /// another one of the same replica. No connection is known then that was open before the run can
-    /// have ended it. The list shows a new incarnation only later.
-    fn may_be_replaced_since(&self, foreign: &RunReport) -> bool {
-        let crashes = self.crashes.borrow();
-        if crashes.is_own(foreign) {
-            return false;
-        }
-        let known_since = crashes.table.known_since(foreign);
-        let known_for = known_since.map(|since| self.now().since(since));
-        let earliest_end =
-            known_for.and_then(|known_for| Instant::now().checked_sub(known_for + REPORT_MARGIN));
-        earliest_end.is_none_or(|end| !self.upstream.has_open_since(&foreign.replica, end))
-    }
-
     /// Returns true if the crashes under a request may yet turn out to be fewer than the limit.
     fn may_settle_below_limit(&self, request: RequestFingerprint) -> bool {
         let crashes = self.crashes.borrow();
