Take a replica's report of its incarnation for old once no connection from before it is open

Cause: a replica was asked for its incarnation when a run began, and the run was sent some ten milliseconds later, to the next process of the replica, with the number of the run before. Two ends counted as one.

Change: the answer holds while a connection is open that was opened before it.

--- a/crates/gateway-server/src/replica_process.rs
+++ b/crates/gateway-server/src/replica_process.rs
@@ -13,8 +13,8 @@
 /// Process of a replica that a run is sent to.
 pub(crate) struct Process {
     pub(crate) backend: Backend,
-    /// True if the replica itself has just reported its incarnation. The list shows restarts late.
-    pub(crate) is_identified: bool,
+    /// Time at which the replica itself reported its incarnation. The list shows restarts late.
+    pub(crate) identified_at: Option<Instant>,
 }
 
 impl Process {
@@ -34,7 +34,7 @@
                 incarnation: incarnation.unwrap_or(backend.incarnation),
                 ..backend.clone()
             },
-            is_identified: incarnation.is_some(),
+            identified_at: incarnation.map(|_| Instant::now()),
         }
     }
 }
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -622,16 +622,17 @@
     fn known_crashes(&self, request: RequestFingerprint, run: RunId, process: &Process) -> u32 {
         let Process {
             backend,
-            is_identified,
+            identified_at,
         } = process;
         let crashes = self.crashes.borrow();
         let is_open_since = |time| self.upstream.has_open_since(&backend.id, time);
+        let is_identified = identified_at.is_some_and(is_open_since);
         let doubtful = &crashes.doubtful;
         let may_be_replaced = doubtful.may_be_replaced(request, &backend.id, is_open_since);
         let replica = (&backend.id, backend.incarnation);
         let mut under_way = crashes.table.runs_under_way(request, Some(run), replica);
         let at_same_process = under_way.find(|earlier| {
-            !may_be_replaced && (*is_identified || !self.may_be_replaced_since(earlier))
+            !may_be_replaced && (is_identified || !self.may_be_replaced_since(earlier))
         });
         match at_same_process {
             Some(earlier) => earlier.known_crashes,
