Reproduce requests whose replicas end after the run was given up

Callers saw a request that ends its replicas sent to more than three of them, without any fault of gateways, stores or members: where callers give attempts up and come back while replicas go on with them, and where a request hangs its replicas and the kernel still accepts connections.

The tests run real processes.

The soaks also assert now that no request has more than three ends, which counts ends of runs that were under way when the third replica ended.

--- a/app/luglink/tests/stream_soak/crash_plan.rs
+++ b/app/luglink/tests/stream_soak/crash_plan.rs
@@ -3,6 +3,9 @@
 use crate::random::Random;
 use std::time::Duration;
 
+/// First part of the names of requests that end their replicas.
+pub const BAD_PREFIX: &str = "crash";
+
 /// Time between the close of a request's connection and that of the others.
 const CLOSE_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -12,6 +15,9 @@
 /// The same for an end that comes later than the time after which a replica first counts as in order.
 pub const LATE_END_DELAY: Duration = Duration::from_millis(700);
 
+/// Time for which a run takes work before it ends its replica, also after its connection has closed.
+const WORK_DURATION: Duration = Duration::from_millis(1_500);
+
 /// Moment of a run at which the replica ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Moment {
@@ -29,6 +35,10 @@
     Silence,
     /// The connections stay open and silent, and new ones are refused.
     Deaf,
+    /// The connections stay open and silent, new ones are accepted, and the platform finds out late.
+    Hang,
+    /// Nothing shows until the process ends, also if the connection of the request is closed before.
+    Work,
     /// The connection of the request closes, the others a little later.
     InTurn,
     /// The connection of the request closes, the process ends later.
@@ -47,7 +57,8 @@
     /// Returns the time between what the gateway receives and the end of the process.
     pub fn delay(self) -> Duration {
         match self {
-            Self::Exit | Self::Reset | Self::Silence | Self::Deaf => Duration::ZERO,
+            Self::Exit | Self::Reset | Self::Silence | Self::Deaf | Self::Hang => Duration::ZERO,
+            Self::Work => WORK_DURATION,
             Self::InTurn => CLOSE_INTERVAL,
             Self::Later => LATE_END_DELAY,
             Self::Late | Self::Error | Self::Noise | Self::Surplus => END_DELAY,
@@ -56,7 +67,12 @@
 
     /// Returns true if all connections stay open.
     pub fn is_silent(self) -> bool {
-        matches!(self, Self::Silence | Self::Deaf)
+        matches!(self, Self::Silence | Self::Deaf | Self::Hang)
+    }
+
+    /// Returns true if the request gets nothing before the end.
+    pub fn is_unanswered(self) -> bool {
+        self.is_silent() || self == Self::Work
     }
 
     /// Returns true if the request's connection stays open.
@@ -98,17 +114,21 @@
     ("surplus", End::Surplus),
 ];
 
+/// Ends of which callers that give their attempts up see nothing.
+const UNSEEN_ENDS: [(&str, End); 2] = [("hang", End::Hang), ("work", End::Work)];
+
 const COME_BACKS: [(&str, ComeBack); 3] = [
     ("same", ComeBack::SameId),
     ("other", ComeBack::OtherId),
     ("never", ComeBack::Never),
 ];
 
-/// Which ends a soak plays.
+/// Which ends a soak plays. Callers give attempts up where ends are unseen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ends {
     AtOnce,
     Gradual,
+    Unseen,
 }
 
 /// What a request does to every replica that runs it.
@@ -126,20 +146,24 @@
         let end = match ends {
             Ends::AtOnce => ENDS[random.below(ENDS.len())].0,
             Ends::Gradual => GRADUAL_ENDS[random.below(GRADUAL_ENDS.len())].0,
+            Ends::Unseen => UNSEEN_ENDS[random.below(UNSEEN_ENDS.len())].0,
         };
         let come_back = COME_BACKS[random.below(3)].0;
-        format!("crash-{moment}-{end}-{come_back}-{number}")
+        format!("{BAD_PREFIX}-{moment}-{end}-{come_back}-{number}")
     }
 
     /// Returns the plan of a request; `None` if it ends no replica.
     pub fn parse(name: &str) -> Option<Self> {
         let mut parts = name.split('-');
-        if parts.next() != Some("crash") {
+        if parts.next() != Some(BAD_PREFIX) {
             return None;
         }
         let moment = find(&MOMENTS, parts.next()?);
         let end = parts.next()?;
-        let end = find(&[&ENDS[..], &GRADUAL_ENDS[..]].concat(), end);
+        let end = find(
+            &[&ENDS[..], &GRADUAL_ENDS[..], &UNSEEN_ENDS[..]].concat(),
+            end,
+        );
         let come_back = find(&COME_BACKS, parts.next()?);
         Some(Self {
             moment,
--- a/app/luglink/tests/stream_soak/crashing.rs
+++ b/app/luglink/tests/stream_soak/crashing.rs
@@ -3,7 +3,7 @@
 use crate::callers::{Received, message};
 use crate::chaos;
 use crate::connections::Connections;
-use crate::crash_plan::{CrashPlan, Ends};
+use crate::crash_plan::{BAD_PREFIX, CrashPlan, Ends};
 use crate::fleet::{CALL_PATH, Fleet, PATHS};
 use crate::random::Random;
 use crate::replicas::Faults;
@@ -42,6 +42,19 @@
 /// Maximum time that a caller waits for the next bytes.
 const GAP_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time in milliseconds after which the callers of bad requests give attempts up where replicas go on with
+/// these.
+const BAD_PATIENCE_MS: std::ops::Range<usize> = 200..2_500;
+
+/// The same for innocent requests that are given up often.
+const SHORT_PATIENCE_MS: std::ops::Range<usize> = 20..350;
+
+/// Probability that the caller of an innocent request gives an attempt up, in percent.
+const SHORT_PATIENCE_PERCENT: usize = 25;
+
+/// Time after the last request by which the replicas of given up runs have ended.
+const LAST_ENDS_DURATION: Duration = Duration::from_secs(3);
+
 /// Retry delay from which on a refusal says that the request itself is the reason, in seconds.
 const MIN_REFUSAL_SECONDS: f64 = 60.0;
 
@@ -74,6 +87,8 @@
     bad_ends: usize,
     /// Requests of the runs after the third end, by name.
     after_limit: Vec<String>,
+    /// Bad requests under which more replicas ended than may, by name.
+    over_limit: Vec<String>,
     bad_refused: usize,
     whole: usize,
     lost: usize,
@@ -92,6 +107,7 @@
         self.bad_runs += other.bad_runs;
         self.bad_ends += other.bad_ends;
         self.after_limit.extend_from_slice(&other.after_limit);
+        self.over_limit.extend_from_slice(&other.over_limit);
         self.bad_refused += other.bad_refused;
         self.whole += other.whole;
         self.lost += other.lost;
@@ -106,13 +122,14 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "{} bad: {} runs, {} ends, {} refused, after the third end {}; innocent: {} whole, {} lost, {} of {} beside an end whole, {} refused, of them \
+            "{} bad: {} runs, {} ends, {} refused, after the third end {}, with more ends {}; innocent: {} whole, {} lost, {} of {} beside an end whole, {} refused, of them \
              before the third end {}",
             self.bad_requests,
             self.bad_runs,
             self.bad_ends,
             self.bad_refused,
             self.after_limit.len(),
+            self.over_limit.len(),
             self.whole,
             self.lost,
             self.beside_ends_whole,
@@ -196,7 +213,21 @@
             actix_rt::spawn(async move { over.run_until_cancelled_owned(killing).await });
         }
         let _over = over.drop_guard();
-        self.exchange(gateway, path, request, left, received).await
+        let patience = self.patience();
+        let exchange = self.exchange(gateway, path, request, left, received);
+        let outcome = actix_rt::time::timeout(patience, exchange).await;
+        outcome.unwrap_or(Outcome::Failed)
+    }
+
+    /// Returns the time after which the caller gives the next attempt up.
+    fn patience(&mut self) -> Duration {
+        match (self.ends, self.is_bad) {
+            (Ends::Unseen, true) => self.random.millis(BAD_PATIENCE_MS),
+            (Ends::Unseen, false) if self.random.percent(SHORT_PATIENCE_PERCENT) => {
+                self.random.millis(SHORT_PATIENCE_MS)
+            }
+            _ => REQUEST_TIMEOUT,
+        }
     }
 
     async fn exchange(
@@ -325,8 +356,10 @@
         caller.await.expect("a caller ends");
     }
     fleet.assert_all_gateways_serve().await;
-    let report = report.take();
-    if !report.after_limit.is_empty() {
+    actix_rt::time::sleep(LAST_ENDS_DURATION).await;
+    let mut report = report.take();
+    report.over_limit = fleet.replicas.runs.over_limit(BAD_PREFIX);
+    if !report.after_limit.is_empty() || !report.over_limit.is_empty() {
         fleet.keep_logs();
     }
     report
@@ -338,7 +371,8 @@
     for seed in crate::seeds(DEFAULT_SEEDS) {
         let report = soak(seed, ends).await;
         println!("seed {seed}: {report}");
-        for name in report.after_limit.iter().chain(&report.refused_early) {
+        let ended = report.after_limit.iter().chain(&report.over_limit);
+        for name in ended.chain(&report.refused_early) {
             println!("seed {seed}: {name}");
         }
         assert!(report.whole > 0, "seed {seed}: {report}");
@@ -347,6 +381,7 @@
     println!("all seeds: {total}");
     assert!(total.bad_refused > 0, "{total}");
     assert_eq!(total.after_limit, Vec::<String>::new(), "{total}");
+    assert_eq!(total.over_limit, Vec::<String>::new(), "{total}");
     let refused = total.innocent_refused as f64 / total.beside_ends.max(1) as f64;
     assert!(refused <= MAX_REFUSED_BESIDE_END, "{total}");
 }
@@ -373,3 +408,8 @@
 async fn no_replica_gets_a_request_after_the_third_gradual_end_under_it_while_processes_restart() {
     assert_limited(Ends::Gradual).await;
 }
+
+#[actix_rt::test]
+async fn no_replica_gets_a_request_after_the_third_end_that_its_caller_does_not_see() {
+    assert_limited(Ends::Unseen).await;
+}
--- a/app/luglink/tests/stream_soak/fleet.rs
+++ b/app/luglink/tests/stream_soak/fleet.rs
@@ -31,6 +31,12 @@
 /// Paths of the routes. Stalled streams of the second one move.
 pub const PATHS: [&str; 2] = ["/resumable/x", "/movable/x"];
 
+/// Path of a route whose stalled streams move.
+pub const MOVABLE_PATH: &str = PATHS[1];
+
+/// Path of the route of requests that may take long.
+pub const LONG_PATH: &str = "/long/x";
+
 /// Path of the route of turns whose history the stores keep.
 pub const KEPT_PATH: &str = "/kept/x";
 
@@ -380,6 +386,10 @@
                 ..route(KEPT_PATH, RouteKind::Streaming, None)
             },
             route(CALL_PATH, RouteKind::Safe, None),
+            Route {
+                timeout_ms: 16_000,
+                ..route(LONG_PATH, RouteKind::Streaming, None)
+            },
         ],
         services: vec![Service {
             name: "service".to_owned(),
--- a/app/luglink/tests/stream_soak/replicas.rs
+++ b/app/luglink/tests/stream_soak/replicas.rs
@@ -29,6 +29,9 @@
 /// Time for which a crashed replica stays in the list.
 const LIST_LAG: Duration = Duration::from_millis(500);
 
+/// Time after which the platform replaces a replica that hangs.
+const HANG_DURATION: Duration = Duration::from_secs(3);
+
 /// Time after which a replica that never comes back is replaced.
 const REPLACEMENT_DELAY: Duration = Duration::from_secs(2);
 
@@ -201,6 +204,9 @@
         replica.finish_by(plan.end);
         let replicas = self.clone();
         actix_rt::spawn(async move {
+            if plan.end == End::Hang {
+                actix_rt::time::sleep(HANG_DURATION).await;
+            }
             match plan.come_back {
                 ComeBack::SameId => replicas.restart(&replica).await,
                 ComeBack::OtherId => {
@@ -409,7 +415,7 @@
         if self.is_up() || self.is_draining.get() {
             self.crash_after(plan, name.to_owned());
         }
-        if plan.end.is_silent() {
+        if plan.end.is_unanswered() {
             std::future::pending::<()>().await;
         }
         true
--- a/app/luglink/tests/stream_soak/runs.rs
+++ b/app/luglink/tests/stream_soak/runs.rs
@@ -81,6 +81,16 @@
         }
     }
 
+    /// Returns the names with this prefix of requests under which too many replicas have ended.
+    pub fn over_limit(&self, prefix: &str) -> Vec<String> {
+        let requests = self.0.borrow();
+        let over = requests
+            .iter()
+            .filter(|(name, request)| name.starts_with(prefix) && request.ends() > MAX_ENDS);
+        over.map(|(name, request)| format!("{name} ({} ends)", request.ends()))
+            .collect()
+    }
+
     pub fn of(&self, name: &str) -> RequestRuns {
         let requests = self.0.borrow();
         requests.get(name).cloned().unwrap_or_default()
--- a/app/luglink/tests/stream_soak/uninformed.rs
+++ b/app/luglink/tests/stream_soak/uninformed.rs
@@ -42,7 +42,7 @@
     }
 }
 
-async fn kill(process: &Process) {
+pub async fn kill(process: &Process) {
     process.signal(Signal::KILL);
     process.wait_for_exit().await;
 }
@@ -65,7 +65,7 @@
 }
 
 /// Sends innocent requests, each to other gateways until it is served, until `is_over`.
-async fn assert_innocent_requests_are_served(fleet: &Fleet, is_over: &Cell<bool>) {
+pub async fn assert_innocent_requests_are_served(fleet: &Fleet, is_over: &Cell<bool>) {
     let mut random = Random::new(7);
     let mut number = 0;
     while !is_over.get() {
@@ -81,7 +81,7 @@
     assert!(number > 0);
 }
 
-async fn is_served(fleet: &Fleet, gateway: usize, name: &str) -> bool {
+pub async fn is_served(fleet: &Fleet, gateway: usize, name: &str) -> bool {
     let Ok(mut connection) = connect(fleet.addresses[gateway], RESPONSE_TIMEOUT).await else {
         return false;
     };
@@ -91,7 +91,7 @@
     matches!(response, Ok(Ok(response)) if response.status().is_success())
 }
 
-fn assert_limited(fleet: &Fleet, name: &str) {
+pub fn assert_limited(fleet: &Fleet, name: &str) {
     let runs = fleet.replicas.runs.of(name);
     let (ends, sends) = (runs.ends(), runs.runs_after_limit);
     assert!(
@@ -102,7 +102,7 @@
 }
 
 /// Kills one gateway after the other and starts each again.
-async fn restart_gateways_in_turn(fleet: &Fleet, duration: Duration) {
+pub async fn restart_gateways_in_turn(fleet: &Fleet, duration: Duration) {
     let end = Instant::now() + duration;
     for number in 0.. {
         if Instant::now() >= end {
