Keep runs that replicas may go on with in doubt until the deadline that they were handed

What callers saw: a caller that gives attempts up and comes back had its request sent to ever more replicas, which ended under it one after the other.

Cause: a run that was given up, or whose gateway was lost, was cleared by any response of the replica a second later, although the replica may work on it until the deadline that it was handed. A later end was not counted.

Change: one rule for all reasons of doubt. A sign counts from a second after the replica can no longer work on the run: since it has responded, has closed the connection, or has reached the handed deadline. For runs of other gateways the deadline follows from the lease. The deadline is worked out as the request is sent; before, asking the holders of reports could delay the send by up to a second after that. Runs without an answer in time are watched for later ends like other failures.

--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -32,6 +32,7 @@
 struct RunInFlight {
     report: RunReport,
     is_announced: Rc<Cell<bool>>,
+    is_request_answered: Rc<Cell<bool>>,
 }
 
 /// Lease of this gateway at a store.
@@ -100,15 +101,25 @@
             .collect();
         self.merge_all(&cleared, now);
         self.doubtful.forget(request);
+        for run in self.in_flight.get(&request).into_iter().flatten() {
+            run.is_request_answered.set(true);
+        }
         cleared
     }
 
-    /// Records that a run has begun.
-    pub(crate) fn begin(&mut self, report: &RunReport, is_announced: &Rc<Cell<bool>>) {
+    /// Records that a run has begun. `is_announced` is set once others may know of it, and
+    /// `is_request_answered` once another run of the request has been answered.
+    pub(crate) fn begin(
+        &mut self,
+        report: &RunReport,
+        is_announced: &Rc<Cell<bool>>,
+        is_request_answered: &Rc<Cell<bool>>,
+    ) {
         let runs = self.in_flight.entry(report.request).or_default();
         runs.push(RunInFlight {
             report: report.clone(),
             is_announced: Rc::clone(is_announced),
+            is_request_answered: Rc::clone(is_request_answered),
         });
     }
 
@@ -205,8 +216,12 @@
             in_doubt.filter(|report| !self.doubtful.has(report.run) && !is_under_way(report.run));
         let foreign: Vec<RunReport> = foreign.cloned().collect();
         for report in &foreign {
+            let deadline = self.table.deadline(report);
+            let left = deadline.map(|deadline| deadline.since(now));
+            let deadline = Instant::now() + left.unwrap_or_default();
             let reason = DoubtReason::Adopted;
-            self.doubtful.add(report.clone(), reason, Vec::new());
+            self.doubtful
+                .add(report.clone(), reason, deadline, Vec::new());
         }
         foreign
     }
--- a/crates/gateway-server/src/doubtful_runs.rs
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -13,12 +13,13 @@
 /// Maximum number of doubtful runs. Those beyond it count as crashes after their lease.
 const MAX_RUNS: usize = 1 << 12;
 
-/// Time after a run from which on a sign of life of the replica shows that the run did not end it. A
-/// process can end some time after its connections break, and can go on with a run that was given up.
+/// Time from which on a sign of life of the replica shows that a run did not end it, after the replica
+/// has stopped working on the run. A process can end some time after its connections break.
 const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 
-/// The same for a run of another gateway, from the time at which its doubt is to be settled here.
-const ADOPTED_SURVIVAL_TIME: Duration = Duration::from_millis(800);
+/// Minimum time until then for a run of another gateway, from the time at which its doubt is to be
+/// settled here.
+const MIN_ADOPTED_SURVIVAL_TIME: Duration = Duration::from_millis(800);
 
 /// Time after a run within which the end of its replica still counts as caused by it, although the
 /// replica seemed to have survived.
@@ -46,7 +47,8 @@
     survived_from: Instant,
     next_probe: Instant,
     probe_delay: Duration,
-    /// True if the witnesses had ended before the first probe, which can end one itself.
+    /// True if the witnesses had ended soon after the run. Later, servers close connections that are
+    /// idle.
     had_witnesses_ended: Option<bool>,
     /// True if the replica seems to have survived. It is still watched for a while.
     is_survived: bool,
@@ -66,6 +68,14 @@
         self.reason.suggests_end() && self.since.elapsed() < LATE_END_TIME
     }
 
+    /// Records whether the witnesses have ended, once that shows.
+    fn note_witnesses(&mut self, now: Instant) {
+        let is_due = now >= self.next_probe || now >= self.since + SURVIVAL_TIME + PROBE_MARGIN;
+        if is_due && self.had_witnesses_ended.is_none() {
+            self.had_witnesses_ended = Some(self.have_witnesses_ended());
+        }
+    }
+
     /// Returns true if the server ended the connections that were open after the run, as far as they
     /// were not closed here.
     fn have_witnesses_ended(&self) -> bool {
@@ -99,10 +109,25 @@
 }
 
 impl DoubtReason {
-    fn survival_time(self) -> Duration {
+    /// Returns true if the replica may work on the run until the deadline that it was handed: it has
+    /// neither responded nor closed the connection, or the gateway broke its response off.
+    fn may_go_on(self) -> bool {
+        match self {
+            Self::Failed(_) | Self::Broken | Self::ServerError | Self::Surplus => false,
+            Self::TooLong | Self::GivenUp | Self::Adopted => true,
+        }
+    }
+
+    /// Returns the time from which on a sign of life shows that the replica has survived a run that
+    /// ends now and whose replica was told to stop working on it at `deadline`.
+    fn survived_from(self, now: Instant, deadline: Instant) -> Instant {
+        let stops_at = match self.may_go_on() {
+            true => deadline.max(now),
+            false => now,
+        };
         match self {
-            Self::Adopted => ADOPTED_SURVIVAL_TIME,
-            _ => SURVIVAL_TIME,
+            Self::Adopted => (deadline + SURVIVAL_TIME).max(now + MIN_ADOPTED_SURVIVAL_TIME),
+            _ => stops_at + SURVIVAL_TIME,
         }
     }
 
@@ -196,12 +221,13 @@
 pub(crate) struct DoubtfulRuns(Vec<DoubtfulRun>);
 
 impl DoubtfulRuns {
-    /// Adds a run that has just ended, with the connections to its replica that are open now.
-    /// Returns false if there are too many.
+    /// Adds a run that has just ended, with the connections to its replica that are open now. The
+    /// replica was told to stop working on it at `deadline`. Returns false if there are too many.
     pub(crate) fn add(
         &mut self,
         report: RunReport,
         reason: DoubtReason,
+        deadline: Instant,
         witnesses: Vec<ConnectionState>,
     ) -> bool {
         if self.0.len() >= MAX_RUNS {
@@ -210,10 +236,10 @@
         let has_room = self.0.len() < MAX_RUNS;
         if has_room {
             let since = Instant::now();
-            let survived_from = since + reason.survival_time();
+            let survived_from = reason.survived_from(since, deadline);
             let (next_probe, probe_delay) = match reason {
                 DoubtReason::Adopted => (since, ADOPTED_PROBE_DELAY),
-                _ => (survived_from + PROBE_MARGIN, reason.survival_time()),
+                _ => (survived_from + PROBE_MARGIN, SURVIVAL_TIME),
             };
             self.0.push(DoubtfulRun {
                 report,
@@ -335,11 +361,11 @@
             true => run.is_watched(),
             false => now.duration_since(run.since) < CRASH_RETENTION,
         });
+        for run in &mut self.0 {
+            run.note_witnesses(now);
+        }
         let mut due = Vec::new();
         for run in self.0.iter_mut().filter(|run| run.next_probe <= now) {
-            if run.had_witnesses_ended.is_none() {
-                run.had_witnesses_ended = Some(run.have_witnesses_ended());
-            }
             run.probe_delay = (run.probe_delay * 2).min(MAX_PROBE_DELAY);
             run.next_probe = now + run.probe_delay;
             if !run.is_survived && run.survived_from > now {
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -206,7 +206,6 @@
             }
             unreachable(&error)
         })?;
-        let request = build_request(gateway, inbound, backend, overrides)?;
         let was_reused = lease.is_reused;
         if !was_reused {
             run.wait_for_closes().await;
@@ -214,8 +213,11 @@
         if !run.may_be_sent().await {
             return Err(Failure::CrashLimit);
         }
+        // Built last, since the time that is left to the replica is worked out with it.
+        let work_time = inbound.remaining();
+        let request = build_request(gateway, inbound, backend, overrides, work_time)?;
         let stall_reports = report_stalls(gateway, backend, run);
-        run.note_sent();
+        run.note_sent(work_time);
         let sending = send_on_connection(&mut lease, inbound, request);
         match with_stall_reports(sending, stall_reports).await {
             Ok(response) => return validate_head(gateway, inbound, response, lease),
@@ -339,6 +341,7 @@
     inbound: &InboundRequest,
     backend: &Backend,
     overrides: &SendOverrides,
+    work_time: Duration,
 ) -> Result<Request<Body>, Failure> {
     let body = overrides
         .body
@@ -362,7 +365,7 @@
         headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
     }
     // Rounded down, so that the replica stops no later than the caller.
-    let left = milliseconds(inbound.remaining());
+    let left = milliseconds(work_time);
     headers.insert(names.deadline_ms.clone(), HeaderValue::from(left.max(1)));
     set_header(headers, &names.expected_replica, &backend.id.0).ok_or(Failure::Unsendable)?;
     if let Some(tenant) = inbound.caller.tenant() {
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -22,7 +22,8 @@
 use luglink_http::ConnectionState;
 use luglink_telemetry::milliseconds;
 use luglink_turns::{
-    CRASH_RETENTION, MAX_CRASHES, RequestFingerprint, RunId, RunReport, RunState, SESSION_TIMEOUT,
+    CRASH_RETENTION, LEASE_MARGIN, MAX_CRASHES, RequestFingerprint, RunId, RunReport, RunState,
+    SESSION_TIMEOUT,
 };
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -61,16 +62,16 @@
 pub(crate) const MAX_LOSS_DETECTION: Duration =
     SESSION_TIMEOUT.saturating_add(Duration::from_millis(200));
 
-/// Time after the deadline of a run during which it still counts as under way. Its gateway usually
-/// settles a doubt within it.
-const LEASE_MARGIN: Duration = Duration::from_secs(12);
-
 /// Run of a request at a replica. Dropping it means that the request was given up.
 pub(crate) struct Run {
     gateway: Rc<Gateway>,
     process: Process,
     report: RefCell<RunReport>,
     is_announced: Rc<Cell<bool>>,
+    /// Set once another run of the request has been answered.
+    is_request_answered: Rc<Cell<bool>>,
+    /// Time at which the replica stops working on the request.
+    deadline: Cell<Instant>,
     /// Links to the stores that know that the run is under way.
     announced_to: RefCell<Vec<Rc<StoreLink>>>,
     /// Time and result of the latest look at the crashes under the request.
@@ -281,6 +282,8 @@
             process,
             gateway: Rc::clone(gateway),
             is_announced: Rc::default(),
+            is_request_answered: Rc::default(),
+            deadline: Cell::new(inbound.deadline),
             announced_to: RefCell::default(),
             looked_up: Cell::new(looked_up),
             is_sent: Cell::new(false),
@@ -291,7 +294,8 @@
     /// Records the run as one of this gateway.
     fn register(&self) {
         let mut crashes = self.gateway.crashes.borrow_mut();
-        crashes.begin(&self.report.borrow(), &self.is_announced);
+        let report = self.report.borrow();
+        crashes.begin(&report, &self.is_announced, &self.is_request_answered);
     }
 
     /// Announces the run to its holders. Returns true if those that have told the reports of the
@@ -352,10 +356,11 @@
         }
     }
 
-    /// Records that the request is being sent. The connection may be a new one, to another process
-    /// than an earlier run was at.
-    pub(crate) fn note_sent(&self) {
+    /// Records that the request is being sent to a replica that is to stop working on it after
+    /// `work_time`. The connection may be a new one, to another process than an earlier run was at.
+    pub(crate) fn note_sent(&self, work_time: Duration) {
         self.is_sent.set(true);
+        self.deadline.set(Instant::now() + work_time);
         let mut report = self.report.borrow_mut();
         report.known_crashes =
             self.gateway
@@ -395,9 +400,10 @@
         let gateway = Rc::clone(&self.gateway);
         let report = self.gateway.report_that_counts(&self.report.borrow());
         let announced = self.announced();
+        let deadline = self.deadline.get();
         // The task goes on if the caller disconnects.
         let reporting = actix_rt::spawn(async move {
-            gateway.doubt(&report, reason);
+            gateway.doubt(&report, reason, deadline);
             gateway.report_doubt(&report).await;
             announced.end();
         });
@@ -429,8 +435,7 @@
         match failure.outcome() {
             SendOutcome::NotSent | SendOutcome::Declined => self.survived(),
             _ if failure == Failure::Broken => self.broke().await,
-            // The caller has no time left to wait for the stores.
-            _ if failure == Failure::NoAnswerInTime => {}
+            _ if failure == Failure::NoAnswerInTime => self.timed_out(),
             _ => self.doubted(DoubtReason::Failed(failure), inbound).await,
         }
     }
@@ -440,14 +445,25 @@
         self.gateway.crashes.borrow_mut().end(&self.report.borrow());
     }
 
+    /// Ends a run whose replica has sent no whole response by the deadline. The caller has no time left
+    /// to wait for the stores.
+    pub(crate) fn timed_out(&self) {
+        self.give_up(DoubtReason::Failed(Failure::NoAnswerInTime));
+    }
+
     /// Gives up the run. The replica may go on with it.
-    fn abandon(&self) {
+    fn give_up(&self, reason: DoubtReason) {
         if !self.is_sent.get() {
             return self.survived();
         }
         self.end();
         let report = self.gateway.report_that_counts(&self.report.borrow());
-        self.gateway.doubt(&report, DoubtReason::GivenUp);
+        // A request that was answered ends no replicas.
+        let deadline = match self.is_request_answered.get() {
+            true => Instant::now(),
+            false => self.deadline.get(),
+        };
+        self.gateway.doubt(&report, reason, deadline);
         self.gateway.send_doubt(&report);
         self.announced().end();
     }
@@ -492,7 +508,7 @@
 impl Drop for Run {
     fn drop(&mut self) {
         if !self.is_over.get() {
-            self.abandon();
+            self.give_up(DoubtReason::GivenUp);
         }
     }
 }
@@ -507,6 +523,7 @@
 
 /// Records whether a replica ended when a connection to it broke.
 async fn confirm_crash(gateway: Rc<Gateway>, report: RunReport) {
+    let broke_at = Instant::now();
     let cause = find_break_cause(&gateway, &report).await;
     let has_ended = matches!(cause, BreakCause::Ended);
     let open_connections = match cause {
@@ -519,7 +536,7 @@
         }
         BreakCause::InDoubt(witnesses) => {
             let open_connections = witnesses.len();
-            gateway.doubt_with(&report, DoubtReason::Broken, witnesses);
+            gateway.doubt_with(&report, DoubtReason::Broken, broke_at, witnesses);
             gateway.report_doubt(&report).await;
             open_connections
         }
@@ -594,18 +611,26 @@
         }
     }
 
-    /// Puts a run that has just ended in doubt.
-    fn doubt(&self, report: &RunReport, reason: DoubtReason) {
+    /// Puts a run that has just ended in doubt. Its replica was told to stop working on it at `deadline`.
+    fn doubt(&self, report: &RunReport, reason: DoubtReason, deadline: Instant) {
         let now = Instant::now();
         let witnesses = self.upstream.open_since(&report.replica, now);
-        self.doubt_with(report, reason, witnesses);
+        self.doubt_with(report, reason, deadline, witnesses);
     }
 
-    fn doubt_with(&self, report: &RunReport, reason: DoubtReason, witnesses: Vec<ConnectionState>) {
+    fn doubt_with(
+        &self,
+        report: &RunReport,
+        reason: DoubtReason,
+        deadline: Instant,
+        witnesses: Vec<ConnectionState>,
+    ) {
         let open_connections = witnesses.len();
         let mut crashes = self.crashes.borrow_mut();
-        let is_watched = crashes.doubtful.add(report.clone(), reason, witnesses);
+        let doubtful = &mut crashes.doubtful;
+        let is_watched = doubtful.add(report.clone(), reason, deadline, witnesses);
         drop(crashes);
+        let work_left = deadline.saturating_duration_since(Instant::now());
         tracing::info!(
             request = %report.request,
             replica = %report.replica,
@@ -613,6 +638,7 @@
             reason = reason.as_str(),
             open_connections,
             is_watched,
+            work_left_ms = milliseconds(work_left),
             "replica may end after a run"
         );
     }
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -149,7 +149,10 @@
             run.doubted(DoubtReason::TooLong, inbound).await;
             return Err(Failure::CutAnswer);
         }
-        Err(_) => return Err(Failure::NoAnswerInTime),
+        Err(_) => {
+            run.timed_out();
+            return Err(Failure::NoAnswerInTime);
+        }
     };
     if lease.has_surplus().await {
         run.doubted(DoubtReason::Surplus, inbound).await;
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -20,6 +20,10 @@
 /// Time for which the runs of a request count after the latest report.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(600);
 
+/// Time after the deadline of a run during which it still counts as under way. Its gateway usually
+/// settles a doubt within it.
+pub const LEASE_MARGIN: Duration = Duration::from_secs(12);
+
 /// Maximum number of runs kept for one request. Concurrent requests with the same content can be
 /// part of many runs.
 const MAX_RUNS: usize = 16;
@@ -53,8 +57,9 @@
     /// Number of crashes of the request, known or possible ones, before the replica's process started.
     /// It tells two ends of a replica apart that restarts under the same identifier.
     pub known_crashes: u32,
-    /// Time from its first report for which the run may be under way, in milliseconds. After it, a
-    /// run that was not reported as ended counts as a crash.
+    /// Time from its first report for which the run may be under way, in milliseconds: the time until
+    /// its deadline and [`LEASE_MARGIN`]. After it, a run that was not reported as ended counts as a
+    /// crash.
     pub lease_ms: u64,
     /// State of the run.
     pub state: RunState,
@@ -240,6 +245,14 @@
         self.known(report).map(|known| known.known_since)
     }
 
+    /// Returns the time by which the deadline of a run has passed that its replica was handed.
+    #[must_use]
+    pub fn deadline(&self, report: &RunReport) -> Option<Timestamp> {
+        let known = self.known(report)?;
+        let work = Duration::from_millis(known.report.lease_ms).saturating_sub(LEASE_MARGIN);
+        Some(known.known_since.plus(work))
+    }
+
     /// Returns true if a run was cleared before its end was known.
     #[must_use]
     pub fn is_cleared_early(&self, report: &RunReport) -> bool {
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -44,7 +44,9 @@
 pub use crash_parts::{
     CountedReport, CrashRequest, CrashResponse, HolderView, LogPosition, RunUpdate,
 };
-pub use crash_reports::{CRASH_RETENTION, CrashTable, MAX_CRASHES, RunId, RunReport, RunState};
+pub use crash_reports::{
+    CRASH_RETENTION, CrashTable, LEASE_MARGIN, MAX_CRASHES, RunId, RunReport, RunState,
+};
 pub use errors::{ReportError, TurnsError};
 pub use fingerprint::RequestFingerprint;
 pub use follower_leases::{FollowerLeases, LEASE_DURATION, LEASE_HOLD, LEASE_TRUST};
