Take only responses for a sign of life of a replica

What callers saw: a request that hangs its replicas was sent to ever more of them, since the kernel accepts connections for a process that hangs.

Cause: an accepted connection settled a doubt where no report came. It also cleared a crash in the review after five seconds, together with an old list.

Change: a replica that does not report is asked for its health. A response, or a connection that it closes while it accepts another one, is a sign of life; an accepted connection is none. The review of crashes asks the replica too, and goes by the list only if that was read lately.

The replicas of the gateway's tests counted every request as a run but reports; health checks are no runs either, and counts of runs stay exact.

--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -10,7 +10,7 @@
 use crate::unacknowledged::ReportKey;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use luglink_fleet::{Incarnation, StoreName};
+use luglink_fleet::StoreName;
 use luglink_telemetry::milliseconds;
 use luglink_turns::{
     CountedReport, CrashRequest, CrashResponse, HolderView, LEASE_DURATION, LEASE_HOLD,
@@ -454,33 +454,13 @@
         }
     }
 
-    /// Clears the crashes at replicas that are connected and that the list still shows in the same
-    /// incarnation.
+    /// Asks the replicas of crashes that the list still shows in the same incarnation, after a time
+    /// within which it shows restarts, whether they have ended.
     fn review_crashes(self: &Rc<Self>) {
-        let mut survived = self.crashes.borrow_mut().take_reviews();
-        let pool = self.pool.borrow();
-        survived.retain(|report| {
-            let listed = pool.listed(&report.replica);
-            let is_known = report.incarnation != Incarnation::UNKNOWN;
-            let is_connected = self
-                .upstream
-                .has_open_since(&report.replica, Instant::now());
-            is_known
-                && is_connected
-                && listed.is_some_and(|listed| listed.incarnation == report.incarnation)
-        });
-        drop(pool);
-        for report in &mut survived {
-            report.state = RunState::Cleared;
-            tracing::info!(
-                request = %report.request,
-                replica = %report.replica,
-                started_ms = report.incarnation.0,
-                list_age_ms = self.list_age().map(milliseconds),
-                "replica had not ended when its connection broke"
-            );
+        let due = self.crashes.borrow_mut().take_reviews();
+        for report in due {
+            actix_rt::spawn(survival::review(Rc::clone(self), report));
         }
-        self.send_reports(&survived);
     }
 
     /// Records and reports runs after which a replica counted as in order and has ended since. The
--- a/crates/gateway-server/src/doubtful_runs.rs
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -168,10 +168,13 @@
         opened_at: Instant,
         incarnation: Incarnation,
     },
-    /// A process accepted a connection.
-    Accepted,
-    /// A process accepted a connection, but did not tell its incarnation as it should.
+    /// A process that tells no incarnation responded on a new connection, or closed it.
+    Healthy,
+    /// The same, but the replica should tell its incarnation.
     Unidentified,
+    /// A connection was accepted and nothing was sent. The kernel accepts connections for a process that
+    /// hangs.
+    Accepted,
     /// No process listens at the address, or the replica is no longer listed.
     Gone,
     /// The probe had no result.
@@ -183,8 +186,9 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Responded { .. } => "responded",
-            Self::Accepted => "accepted",
+            Self::Healthy => "healthy",
             Self::Unidentified => "unidentified",
+            Self::Accepted => "accepted",
             Self::Gone => "gone",
             Self::Unknown => "unknown",
         }
@@ -412,10 +416,9 @@
 /// Returns whether the replica has survived a run; `None` if the probe does not tell.
 fn outcome(run: &DoubtfulRun, began: Instant, result: ProbeResult) -> Option<bool> {
     let is_late = began >= run.survived_from;
-    let is_own = run.reason != DoubtReason::Adopted;
     match result {
         ProbeResult::Gone => Some(false),
-        ProbeResult::Unknown => None,
+        ProbeResult::Unknown | ProbeResult::Accepted => None,
         ProbeResult::Responded {
             opened_at,
             incarnation,
@@ -423,20 +426,28 @@
             let known = run.report.incarnation;
             let is_comparable =
                 known != Incarnation::UNKNOWN && incarnation != Incarnation::UNKNOWN;
-            if is_comparable && known != incarnation {
-                return Some(false);
+            match is_comparable {
+                true if known != incarnation => Some(false),
+                true => is_late.then_some(true),
+                false => outcome_without_incarnation(run, is_late, opened_at),
             }
-            if !is_comparable && !is_own {
-                return None;
-            }
-            let is_same = is_comparable || opened_at < run.since;
-            is_late.then_some(is_same || run.had_witnesses_ended != Some(true))
         }
+        ProbeResult::Healthy => outcome_without_incarnation(run, is_late, began),
         ProbeResult::Unidentified => {
             let is_any_open = run.witnesses.iter().any(ConnectionState::is_open);
             (is_late && is_any_open).then_some(true)
         }
-        ProbeResult::Accepted if !is_own => None,
-        ProbeResult::Accepted => is_late.then_some(run.had_witnesses_ended != Some(true)),
     }
 }
+
+/// The same for a response that does not tell the incarnation of the process.
+fn outcome_without_incarnation(
+    run: &DoubtfulRun,
+    is_late: bool,
+    opened_at: Instant,
+) -> Option<bool> {
+    // When another gateway's run ended is not known here, and no connection from before it.
+    let is_own = run.reason != DoubtReason::Adopted;
+    let is_same = opened_at < run.since || run.had_witnesses_ended != Some(true);
+    (is_own && is_late).then_some(is_same)
+}
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -14,6 +14,9 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+/// Beginning of a health check.
+const HEALTH_TARGET: &str = "GET /health ";
+
 /// Size of one event's data in [`Script::Flood`].
 const FLOOD_EVENT_BYTES: usize = 16 << 10;
 
@@ -259,7 +262,10 @@
                 }
                 continue;
             }
-            self.seen.borrow_mut().push(seen.clone());
+            // A health check is no run.
+            if !seen.target.starts_with(HEALTH_TARGET) {
+                self.seen.borrow_mut().push(seen.clone());
+            }
             let script = self.script.borrow().clone();
             if !self.respond(&script, &seen, stream, &mut buffer).await {
                 return;
