Count a run whose connection broke while its end is confirmed

Cause: from the break of a connection until the end of the replica was confirmed, at least 10 ms later, a first run was neither under way nor in doubt at its gateway, so that other requests with the same content could begin as first runs.

Not traced in logs; suspected from reading.

--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -81,7 +81,8 @@
         actix_rt::spawn(async move { gateway.report_doubt(&report).await });
     }
 
-    fn merge_doubt(self: &Rc<Self>, report: &RunReport) {
+    /// Records a run in doubt here only.
+    pub(crate) fn merge_doubt(self: &Rc<Self>, report: &RunReport) {
         self.merge_reports(std::slice::from_ref(report));
         let mut crashes = self.crashes.borrow_mut();
         crashes.table.mark_in_doubt(report.request, report.run);
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -416,13 +416,17 @@
     /// Ends a run whose connection broke. Returns once the turn stores know whether the replica has
     /// ended or may have, or do not respond.
     pub(crate) async fn broke(&self) {
-        self.end();
+        self.is_over.set(true);
         let gateway = Rc::clone(&self.gateway);
-        let report = self.gateway.report_that_counts(&self.report.borrow());
+        let under_way = self.report.borrow().clone();
+        let report = self.gateway.report_that_counts(&under_way);
+        // Other requests with the same content must not miss it meanwhile.
+        gateway.merge_doubt(&report);
         let announced = self.announced();
         // The task goes on if the caller disconnects.
         let confirming = actix_rt::spawn(async move {
-            confirm_crash(gateway, report).await;
+            confirm_crash(Rc::clone(&gateway), report).await;
+            gateway.crashes.borrow_mut().end(&under_way);
             announced.end();
         });
         if let Err(error) = confirming.await {
