Drop open runs that would see the same end first when a request has too many

Cause: to make room for a crash, a table with 16 runs of a request dropped any run under way or in doubt, also the only one at its replica, whose end was then missing from the possible ones.

Change: one of several runs that would see the same end goes first. The test failed before: two possible ends instead of three.

--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -97,8 +97,8 @@
 
 impl RequestRuns {
     /// Drops one run to make room for a report in `state`: one that does not count, or one of several
-    /// that saw the same end, or, for a crash, one that may be under way. Returns false if there is
-    /// none.
+    /// that saw or would see the same end, or, for a crash, one that may be under way. Returns false if
+    /// there is none.
     fn drop_one_for(&mut self, state: RunState) -> bool {
         let in_state = |state| {
             let mut runs = self.runs.values();
@@ -106,17 +106,18 @@
             run.map(|run| run.report.run)
         };
         let run = in_state(RunState::Cleared)
-            .or_else(|| self.repeated_crash())
+            .or_else(|| self.repeated_in(RunState::Crashed))
+            .or_else(|| self.repeated_in(RunState::Started))
             .or_else(|| in_state(RunState::Started).filter(|_| state == RunState::Crashed));
         run.is_some_and(|run| self.runs.remove(&run).is_some())
     }
 
-    /// Returns a run that saw an end that another run saw too.
-    fn repeated_crash(&self) -> Option<RunId> {
+    /// Returns a run in `state` that saw, or would see, the same end as another one.
+    fn repeated_in(&self, state: RunState) -> Option<RunId> {
         let mut ends = BTreeSet::new();
         let runs = self.runs.values().map(|run| &run.report);
-        let mut crashed = runs.filter(|report| report.state == RunState::Crashed);
-        let repeated = crashed.find(|report| !ends.insert(end_of(report)));
+        let mut in_state = runs.filter(|report| report.state == state);
+        let repeated = in_state.find(|report| !ends.insert(end_of(report)));
         repeated.map(|report| report.run)
     }
 
--- a/crates/turns/tests/crashes.rs
+++ b/crates/turns/tests/crashes.rs
@@ -282,3 +282,16 @@
         );
     }
 }
+
+#[test]
+fn runs_that_would_see_one_end_make_room_before_one_that_would_see_another() {
+    let mut table = CrashTable::new(4);
+    let other = report(1, "other", 0, RunState::Started);
+    table.merge(&other, at(0));
+    for run in 2..17 {
+        table.merge(&report(run, "shared", 0, RunState::Started), at(0));
+    }
+    table.merge(&crash(17, "ended", 0), at(1));
+    assert_eq!(table.possible_crashes(REQUEST, None), 3);
+    assert!(table.counts(&other));
+}
