Send a request whose last ends are open to a replica that has it, or refuse it at once

What callers would see: with doubts that last until the handed deadline, an innocent request whose caller left three times would be refused for seconds.

Change: where as many replicas may still end under a request as may at all, a further run goes to a replica at which one is under way or in doubt. The same process cannot end twice, so no end is added. The replica must report the incarnation of the open run, and is asked again just before the send, so that one that hangs or has ended gets nothing. Without such a replica, and if no doubt can be settled within the wait of the request, it is refused at once with the time until enough doubts are due, instead of after the wait.

--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -198,6 +198,10 @@
     attempts: &Attempts,
     cached_at: Option<&BackendId>,
 ) -> Result<Backend, Refusal> {
+    if let Some(backend) = replica_of_open_run(gateway, inbound, attempts) {
+        attempts.expected.set(None);
+        return Ok(backend);
+    }
     let choice = choose_excluding(gateway, inbound, attempts, &attempts.tried, cached_at)
         .ok_or_else(|| attempts.no_replica_left("no replica can take the request"))?;
     let basis = choice.basis.as_ref();
@@ -208,6 +212,26 @@
     Ok(choice.backend)
 }
 
+/// Returns a replica that runs the request already, or may, if it may be sent to no other one. The
+/// replica of a stream that has begun is chosen by its software version instead.
+fn replica_of_open_run(
+    gateway: &Gateway,
+    inbound: &InboundRequest,
+    attempts: &Attempts,
+) -> Option<Backend> {
+    if attempts.origin.is_some() {
+        return None;
+    }
+    let backend = gateway.replica_of_open_run(inbound.fingerprint, &attempts.tried)?;
+    tracing::info!(
+        id = inbound.id,
+        request = %inbound.fingerprint,
+        replica = %backend.id,
+        "request goes to a replica that runs it already or may"
+    );
+    Some(backend)
+}
+
 /// Chooses a replica that is not in `tried`. Returns `None` if there is none. A request under which
 /// a replica has ended is kept apart from other such requests, so that a request that ends its
 /// replicas does not end those of the others again and again.
--- a/crates/gateway-server/src/doubtful_runs.rs
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -299,12 +299,20 @@
         runs.any(|run| run.report.request == request && run.is_at(replica))
     }
 
-    /// Returns the time until the first doubt about a request is due to be settled; `None` if none is
-    /// in doubt or all are overdue.
-    pub(crate) fn settles_in(&self, request: RequestFingerprint) -> Option<Duration> {
+    /// Returns the time until `count` doubts about a request are due to be settled; `None` if fewer are
+    /// in doubt or they are overdue.
+    pub(crate) fn settles_in(&self, request: RequestFingerprint, count: usize) -> Option<Duration> {
         let runs = self.unsettled().filter(|run| run.report.request == request);
-        let due = runs.map(|run| run.survived_from + PROBE_MARGIN).min()?;
-        due.checked_duration_since(Instant::now())
+        let mut due: Vec<Instant> = runs.map(|run| run.survived_from + PROBE_MARGIN).collect();
+        due.sort_unstable();
+        let last = due.get(count.saturating_sub(1))?;
+        last.checked_duration_since(Instant::now())
+    }
+
+    /// Returns true if no sign can clear a run here before `time`.
+    pub(crate) fn is_open_until(&self, run: RunId, time: Instant) -> bool {
+        let mut unsettled = self.unsettled();
+        unsettled.any(|doubtful| doubtful.report.run == run && doubtful.survived_from > time)
     }
 
     /// Forgets the runs of a request, which has been answered.
--- a/crates/gateway-server/src/replica_process.rs
+++ b/crates/gateway-server/src/replica_process.rs
@@ -3,8 +3,8 @@
 use crate::gateway::Gateway;
 use crate::placement;
 use crate::run::MAX_LOSS_DETECTION;
-use luglink_fleet::{Backend, Incarnation};
-use luglink_turns::{RequestFingerprint, RunReport};
+use luglink_fleet::{Backend, BackendId, Incarnation};
+use luglink_turns::{MAX_CRASHES, RequestFingerprint, RunReport};
 use std::time::{Duration, Instant};
 
 /// Time that a report of a run in doubt usually takes from its gateway, or from the loss of its gateway.
@@ -25,7 +25,9 @@
         backend: &Backend,
     ) -> Self {
         let is_reported = backend.incarnation != Incarnation::UNKNOWN;
-        let incarnation = match is_reported && gateway.may_be_replaced(request, backend) {
+        let is_needed =
+            gateway.may_be_replaced(request, backend) || gateway.has_only_open_ends(request);
+        let incarnation = match is_reported && is_needed {
             true => placement::query_incarnation(gateway, backend).await,
             false => None,
         };
@@ -37,9 +39,44 @@
             identified_at: incarnation.map(|_| Instant::now()),
         }
     }
+
+    /// Returns true if the replica reports that this process is running.
+    pub(crate) async fn is_running(&self, gateway: &Gateway) -> bool {
+        let reported = placement::query_incarnation(gateway, &self.backend).await;
+        reported == Some(self.backend.incarnation)
+    }
 }
 
 impl Gateway {
+    /// Returns true if as many replicas as may end under a request can still do so, so that no run of it
+    /// may begin at another one.
+    pub(crate) fn has_only_open_ends(&self, request: RequestFingerprint) -> bool {
+        self.possible_crashes(request, None) >= MAX_CRASHES
+    }
+
+    /// Returns a replica at which a run of the request is under way or in doubt, if no run of it may
+    /// begin at another one. A further run there cannot end another replica.
+    pub(crate) fn replica_of_open_run(
+        &self,
+        request: RequestFingerprint,
+        tried: &[BackendId],
+    ) -> Option<Backend> {
+        if !self.has_only_open_ends(request) || self.crashes_under(request) >= MAX_CRASHES {
+            return None;
+        }
+        let crashes = self.crashes.borrow();
+        let pool = self.pool.borrow();
+        let replicas = crashes.table.replicas_of_open_runs(request);
+        let usable: Vec<&Backend> = replicas
+            .filter(|replica| !tried.contains(replica))
+            .filter_map(|replica| pool.usable(replica))
+            .filter(|backend| backend.incarnation != Incarnation::UNKNOWN)
+            .collect();
+        let drawn = usize::try_from(self.draw()).unwrap_or_default();
+        let position = drawn.checked_rem(usable.len())?;
+        Some(usable[position].clone())
+    }
+
     /// Returns true if the listed process of a replica may have ended under a run of a request.
     fn may_be_replaced(&self, request: RequestFingerprint, backend: &Backend) -> bool {
         let crashes = self.crashes.borrow();
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -219,7 +219,8 @@
                 }
             }
             gateway.adopt_doubts(request);
-            if Instant::now() >= deadline {
+            if Instant::now() >= deadline || gateway.is_limited_until(request, knowledge, deadline)
+            {
                 return Err(Failure::CrashLimit);
             }
             let jitter = Duration::from_micros(gateway.draw() % 10_000);
@@ -235,24 +236,19 @@
             let report = self.report.borrow();
             (report.request, report.run)
         };
-        let max_crashes = self.looked_up.get().knowledge.max_crashes();
-        let others = |gateway: &Gateway| gateway.possible_crashes(request, Some(id));
-        match others(&self.gateway) {
-            0 => {
-                self.register();
-                return Some(self);
-            }
-            others if others >= max_crashes => {
-                self.is_over.set(true);
-                return None;
-            }
-            _ => {}
+        if self.gateway.possible_crashes(request, Some(id)) == 0 {
+            self.register();
+            return Some(self);
+        }
+        if !self.is_within_limit() {
+            self.is_over.set(true);
+            return None;
         }
         self.register();
         let is_acknowledged = self.announce().await;
         // Other gateways announce their first runs meanwhile.
         actix_rt::time::sleep(ANNOUNCED_CHECK_INTERVAL).await;
-        if is_acknowledged && others(&self.gateway) < max_crashes {
+        if is_acknowledged && self.is_within_limit() {
             return Some(self);
         }
         self.survived();
@@ -336,8 +332,39 @@
             self.looked_up.set(looking_up.await);
         }
         let knowledge = self.looked_up.get().knowledge;
-        self.gateway.may_begin_later(request, knowledge)
-            && self.gateway.possible_crashes(request, Some(run)) < knowledge.max_crashes()
+        if !self.gateway.may_begin_later(request, knowledge) {
+            return false;
+        }
+        if self.gateway.possible_crashes(request, Some(run)) < knowledge.max_crashes() {
+            return true;
+        }
+        // A replica that has ended or hangs meanwhile must not get the request.
+        self.process.is_running(&self.gateway).await && self.is_within_limit()
+    }
+
+    /// Returns true if no more replicas can end than may, this run's included. It adds none where
+    /// another run of the request is under way or in doubt at the same process.
+    fn is_within_limit(&self) -> bool {
+        let report = self.report.borrow();
+        let others = self
+            .gateway
+            .possible_crashes(report.request, Some(report.run));
+        let is_shared = self.is_at_known_process() && {
+            let crashes = self.gateway.crashes.borrow();
+            crashes.table.shares_open_end(&report)
+        };
+        let possible = others + usize::from(!is_shared);
+        possible <= self.looked_up.get().knowledge.max_crashes()
+    }
+
+    /// Returns true if the process that the run is sent to is surely the one of the open runs with the
+    /// same number of known crashes.
+    fn is_at_known_process(&self) -> bool {
+        let report = self.report.borrow();
+        let known_crashes = self
+            .gateway
+            .known_crashes(report.request, report.run, &self.process);
+        self.process.identified_at.is_some() && known_crashes == report.known_crashes
     }
 
     /// Waits for the connections of an earlier process of the replica to close, if a run of the request
@@ -596,9 +623,26 @@
         self.crashes.borrow().table.suspected_crashes(request)
     }
 
-    /// Returns the time until a doubt about a request is due to be settled here.
+    /// Returns true if no sign can let a request be sent before `time`: as many replicas have ended
+    /// under it, or may have in runs that cannot be cleared by then.
+    fn is_limited_until(
+        &self,
+        request: RequestFingerprint,
+        knowledge: Knowledge,
+        time: Instant,
+    ) -> bool {
+        let crashes = self.crashes.borrow();
+        let doubtful = &crashes.doubtful;
+        let lasting = crashes.table.ends_among(request, |report| {
+            report.state == RunState::Crashed || doubtful.is_open_until(report.run, time)
+        });
+        lasting >= knowledge.max_crashes()
+    }
+
+    /// Returns the time until enough doubts about a request are due to be settled here.
     fn doubts_settle_in(&self, request: RequestFingerprint) -> Option<Duration> {
-        self.crashes.borrow().doubtful.settles_in(request)
+        let needed = (self.possible_crashes(request, None) + 1).saturating_sub(MAX_CRASHES);
+        self.crashes.borrow().doubtful.settles_in(request, needed)
     }
 
     /// Returns the report of a run under an identifier under which it can count. Another run of the
--- /dev/null
+++ b/crates/gateway-server/tests/gateway/given_up_runs.rs
@@ -0,0 +1,109 @@
+//! Requests whose callers give attempts up while their replicas may go on.
+
+use crate::support::caller::{TestRequest, TestResponse};
+use crate::support::replica::{Replica, Script};
+use crate::support::{Fleet, configuration};
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+/// Number of replicas that may end under a request.
+const MAX_ENDS: usize = 3;
+
+const REPLICAS: usize = 9;
+
+const MAX_ATTEMPTS: usize = 8;
+
+/// Time that callers state for a request.
+const DEADLINE_MS: u64 = 3_000;
+
+/// Time after which a caller gives an attempt up.
+const PATIENCE: Duration = Duration::from_millis(250);
+
+/// Maximum time for a refusal that is known at once.
+const REFUSAL_TIME: Duration = Duration::from_millis(400);
+
+async fn replicas(started_ms: u64) -> Vec<Replica> {
+    let mut replicas = Vec::new();
+    for number in 0..REPLICAS {
+        let replica = Replica::start(&format!("r{number}"), Script::Mute).await;
+        if started_ms > 0 {
+            replica.running.set(Some(1));
+            replica.started_ms.set(started_ms);
+        }
+        replicas.push(replica);
+    }
+    replicas
+}
+
+fn request(id: &str) -> TestRequest {
+    TestRequest::post("/resumable/left", id, "the same body")
+        .with("luglink-deadline-ms", DEADLINE_MS)
+}
+
+/// Gives attempts up until as many replicas have got the request as may end under it.
+async fn leave(fleet: &Fleet, replicas: &[Replica]) {
+    for number in 0..MAX_ATTEMPTS {
+        let id = format!("left-{number}");
+        let sending = request(&id).send(fleet.gateway_address);
+        let _ = actix_rt::time::timeout(PATIENCE, sending).await;
+        if reached(replicas).len() == MAX_ENDS {
+            return;
+        }
+    }
+    panic!("the request has reached {:?} only", reached(replicas));
+}
+
+fn set_scripts(replicas: &[Replica], script: &Script) {
+    for replica in replicas {
+        replica.set_script(script.clone());
+    }
+}
+
+/// Returns the replicas that have got the request.
+fn reached(replicas: &[Replica]) -> BTreeSet<usize> {
+    let numbered = replicas.iter().enumerate();
+    let reached = numbered.filter(|(_, replica)| replica.requests() > 0);
+    reached.map(|(number, _)| number).collect()
+}
+
+#[actix_rt::test]
+async fn a_request_that_was_given_up_often_is_served_by_a_replica_that_has_it() {
+    let replicas = replicas(5).await;
+    let fleet = Fleet::start(replicas.clone()).await;
+    fleet.configure(&configuration(1)).await;
+    leave(&fleet, &replicas).await;
+    set_scripts(&replicas, &Script::Answer);
+    let response = request("stays").send(fleet.gateway_address).await;
+    assert_eq!(response.status, 200, "{response:?}");
+    assert_eq!(reached(&replicas).len(), MAX_ENDS);
+}
+
+#[actix_rt::test]
+async fn a_request_that_was_given_up_often_is_refused_at_once_while_no_replica_responds() {
+    let replicas = replicas(0).await;
+    let fleet = Fleet::start(replicas.clone()).await;
+    fleet.configure(&configuration(1)).await;
+    leave(&fleet, &replicas).await;
+    let began = Instant::now();
+    let response: TestResponse = request("refused").send(fleet.gateway_address).await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(began.elapsed() < REFUSAL_TIME, "{:?}", began.elapsed());
+    // Its replicas may go on until the deadline of the first attempt.
+    let retry_after = response.header("retry-after").unwrap_or("0");
+    let retry_after: f64 = retry_after.parse().unwrap();
+    assert!((2.0..=4.2).contains(&retry_after), "{response:?}");
+    assert_eq!(reached(&replicas).len(), MAX_ENDS);
+}
+
+#[actix_rt::test]
+async fn a_replica_that_accepts_connections_and_answers_nothing_has_not_survived() {
+    let replicas = replicas(0).await;
+    let fleet = Fleet::start(replicas.clone()).await;
+    fleet.configure(&configuration(1)).await;
+    leave(&fleet, &replicas).await;
+    // Probes have been made after the deadlines of all attempts.
+    actix_rt::time::sleep(Duration::from_millis(DEADLINE_MS + 2_500)).await;
+    let response = request("later").send(fleet.gateway_address).await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!(reached(&replicas).len(), MAX_ENDS);
+}
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod cut_responses;
 mod endless_bytes;
 mod expected_finish;
+mod given_up_runs;
 mod held_bytes;
 mod load_view;
 mod metrics;
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -311,6 +311,16 @@
         })
     }
 
+    /// Returns the number of ends that the runs of a request for which `counts` is true saw or may see.
+    #[must_use]
+    pub fn ends_among(
+        &self,
+        request: RequestFingerprint,
+        counts: impl Fn(&RunReport) -> bool,
+    ) -> usize {
+        self.ends(request, |run| counts(&run.report))
+    }
+
     fn ends(&self, request: RequestFingerprint, counts: impl Fn(&KnownRun) -> bool) -> usize {
         let request = self.requests.get(&request);
         request.map_or(0, |request| request.ends(counts))
@@ -362,6 +372,26 @@
         })
     }
 
+    /// Returns true if another run of the request may still see the end that the run of `report` would
+    /// see.
+    #[must_use]
+    pub fn shares_open_end(&self, report: &RunReport) -> bool {
+        let replica = (&report.replica, report.incarnation);
+        let mut others = self.runs_under_way(report.request, Some(report.run), replica);
+        others.any(|other| other.known_crashes == report.known_crashes)
+    }
+
+    /// Returns the replicas at which runs of a request are under way or in doubt.
+    pub fn replicas_of_open_runs(
+        &self,
+        request: RequestFingerprint,
+    ) -> impl Iterator<Item = &BackendId> {
+        let open = self
+            .reports(request)
+            .filter(|report| report.state == RunState::Started);
+        open.map(|report| &report.replica)
+    }
+
     /// Returns the number of known crashes of a run that counts and that was at the same replica as
     /// `report`, in the same incarnation. It would see the same end.
     #[must_use]
