Keep requests at replicas of their service and version when they go to open runs

A request whose last ends are open went to any replica with an open run, also of a service that its route no longer has, and a stream that has begun to none. Now the replica must be of the request's service, and of the stream's version.

--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -212,17 +212,19 @@
     Ok(choice.backend)
 }
 
-/// Returns a replica that runs the request already, or may, if it may be sent to no other one. The
-/// replica of a stream that has begun is chosen by its software version instead.
+/// Returns a replica that runs the request already, or may, if it may be sent to no other one.
 fn replica_of_open_run(
     gateway: &Gateway,
     inbound: &InboundRequest,
     attempts: &Attempts,
 ) -> Option<Backend> {
-    if attempts.origin.is_some() {
-        return None;
-    }
-    let backend = gateway.replica_of_open_run(inbound.fingerprint, &attempts.tried)?;
+    let is_eligible = |backend: &Backend| {
+        let origin = attempts.origin.as_ref();
+        backend.service == inbound.service
+            && !attempts.tried.contains(&backend.id)
+            && origin.is_none_or(|origin| origin.may_continue_at(backend))
+    };
+    let backend = gateway.replica_of_open_run(inbound.fingerprint, is_eligible)?;
     tracing::info!(
         id = inbound.id,
         request = %inbound.fingerprint,
--- a/crates/gateway-server/src/replica_process.rs
+++ b/crates/gateway-server/src/replica_process.rs
@@ -3,7 +3,7 @@
 use crate::gateway::Gateway;
 use crate::placement;
 use crate::run::MAX_LOSS_DETECTION;
-use luglink_fleet::{Backend, BackendId, Incarnation};
+use luglink_fleet::{Backend, Incarnation};
 use luglink_turns::{MAX_CRASHES, RequestFingerprint, RunReport};
 use std::time::{Duration, Instant};
 
@@ -54,12 +54,13 @@
         self.possible_crashes(request, None) >= MAX_CRASHES
     }
 
-    /// Returns a replica at which a run of the request is under way or in doubt, if no run of it may
-    /// begin at another one. A further run there cannot end another replica.
+    /// Returns a replica for which `is_eligible` is true and at which a run of the request is under way
+    /// or in doubt, if no run of it may begin at another one. A further run there cannot end another
+    /// replica.
     pub(crate) fn replica_of_open_run(
         &self,
         request: RequestFingerprint,
-        tried: &[BackendId],
+        is_eligible: impl Fn(&Backend) -> bool,
     ) -> Option<Backend> {
         if !self.has_only_open_ends(request) || self.crashes_under(request) >= MAX_CRASHES {
             return None;
@@ -68,9 +69,9 @@
         let pool = self.pool.borrow();
         let replicas = crashes.table.replicas_of_open_runs(request);
         let usable: Vec<&Backend> = replicas
-            .filter(|replica| !tried.contains(replica))
             .filter_map(|replica| pool.usable(replica))
             .filter(|backend| backend.incarnation != Incarnation::UNKNOWN)
+            .filter(|backend| is_eligible(backend))
             .collect();
         let drawn = usize::try_from(self.draw()).unwrap_or_default();
         let position = drawn.checked_rem(usable.len())?;
