Keep runs whose connection was reset in doubt until the deadline that was handed

Cause: a reset can come from the network, and the replica may go on with the run. The doubt ended a second after the break, like that of a connection that the replica has closed.

Change: the reason `reset`, which lasts like `given_up` and is watched for later ends.

--- a/app/luglink/tests/stream_soak/crash_plan.rs
+++ b/app/luglink/tests/stream_soak/crash_plan.rs
@@ -37,6 +37,8 @@
     Deaf,
     /// The connections stay open and silent, new ones are accepted, and the platform finds out late.
     Hang,
+    /// The connection of the request is reset, and the process goes on with the run and ends later.
+    Drop,
     /// Nothing shows until the process ends, also if the connection of the request is closed before.
     Work,
     /// The connection of the request closes, the others a little later.
@@ -58,7 +60,7 @@
     pub fn delay(self) -> Duration {
         match self {
             Self::Exit | Self::Reset | Self::Silence | Self::Deaf | Self::Hang => Duration::ZERO,
-            Self::Work => WORK_DURATION,
+            Self::Work | Self::Drop => WORK_DURATION,
             Self::InTurn => CLOSE_INTERVAL,
             Self::Later => LATE_END_DELAY,
             Self::Late | Self::Error | Self::Noise | Self::Surplus => END_DELAY,
@@ -117,6 +119,9 @@
 /// Ends of which callers that give their attempts up see nothing.
 const UNSEEN_ENDS: [(&str, End); 2] = [("hang", End::Hang), ("work", End::Work)];
 
+/// End of a run whose connection was reset before.
+const RESET_ENDS: [(&str, End); 1] = [("drop", End::Drop)];
+
 const COME_BACKS: [(&str, ComeBack); 3] = [
     ("same", ComeBack::SameId),
     ("other", ComeBack::OtherId),
@@ -161,7 +166,13 @@
         let moment = find(&MOMENTS, parts.next()?);
         let end = parts.next()?;
         let end = find(
-            &[&ENDS[..], &GRADUAL_ENDS[..], &UNSEEN_ENDS[..]].concat(),
+            &[
+                &ENDS[..],
+                &GRADUAL_ENDS[..],
+                &UNSEEN_ENDS[..],
+                &RESET_ENDS[..],
+            ]
+            .concat(),
             end,
         );
         let come_back = find(&COME_BACKS, parts.next()?);
--- a/app/luglink/tests/stream_soak/given_up_runs.rs
+++ b/app/luglink/tests/stream_soak/given_up_runs.rs
@@ -187,6 +187,16 @@
         .await;
 }
 
+#[actix_rt::test]
+async fn a_request_is_limited_whose_connections_are_reset_while_replicas_go_on() {
+    let caller = Caller {
+        name: "crash-head-drop-other-1",
+        patience: SHORT_TIME,
+        ..IMPATIENT
+    };
+    caller.assert_limited().await;
+}
+
 #[actix_rt::test]
 async fn a_request_that_hangs_its_replicas_is_limited() {
     PATIENT.assert_limited().await;
--- a/app/luglink/tests/stream_soak/replicas.rs
+++ b/app/luglink/tests/stream_soak/replicas.rs
@@ -447,6 +447,9 @@
         let Some(end) = plan.map(|plan| plan.end) else {
             return false;
         };
+        if end == End::Drop {
+            stream.set_zero_linger().unwrap();
+        }
         let head = |status: &str| {
             format!(
                 "HTTP/1.1 {status}\r\nLuglink-Request-Id: {id}\r\nLuglink-Signature: by-{}\r\n\
--- a/crates/gateway-server/src/doubtful_runs.rs
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -96,6 +96,8 @@
     Failed(Failure),
     /// The connection broke.
     Broken,
+    /// The connection was reset, perhaps by the network.
+    Reset,
     /// The response is a server error.
     ServerError,
     /// Data that belongs to no response followed the response.
@@ -114,7 +116,7 @@
     fn may_go_on(self) -> bool {
         match self {
             Self::Failed(_) | Self::Broken | Self::ServerError | Self::Surplus => false,
-            Self::TooLong | Self::GivenUp | Self::Adopted => true,
+            Self::Reset | Self::TooLong | Self::GivenUp | Self::Adopted => true,
         }
     }
 
@@ -151,6 +153,7 @@
         match self {
             Self::Failed(failure) => failure.as_str(),
             Self::Broken => "broken",
+            Self::Reset => "reset",
             Self::ServerError => "server_error",
             Self::Surplus => "surplus",
             Self::TooLong => "too_long",
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -218,7 +218,7 @@
         let request = build_request(gateway, inbound, backend, overrides, work_time)?;
         let stall_reports = report_stalls(gateway, backend, run);
         run.note_sent(work_time);
-        let sending = send_on_connection(&mut lease, inbound, request);
+        let sending = send_on_connection(&mut lease, inbound, request, run);
         match with_stall_reports(sending, stall_reports).await {
             Ok(response) => return validate_head(gateway, inbound, response, lease),
             Err(failure) if failure.outcome() == SendOutcome::NotSent && was_reused => {}
@@ -277,6 +277,7 @@
     lease: &mut Lease,
     inbound: &InboundRequest,
     request: Request<Body>,
+    run: &Run,
 ) -> Result<Response<Incoming>, Failure> {
     let Some(connection) = lease.connection() else {
         return Err(Failure::ConnectionClosed);
@@ -291,6 +292,7 @@
                 error = %source,
                 "connection broke after the request was sent"
             );
+            run.note_break(&source);
             Err(Failure::Broken)
         }
         Err(_) => Err(Failure::NoAnswerInTime),
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -78,6 +78,8 @@
     looked_up: Cell<LookUp>,
     is_sent: Cell<bool>,
     is_over: Cell<bool>,
+    /// True if the run's connection was reset.
+    is_reset: Cell<bool>,
 }
 
 /// What a gateway knew of the crashes under a request, and when.
@@ -284,6 +286,7 @@
             looked_up: Cell::new(looked_up),
             is_sent: Cell::new(false),
             is_over: Cell::new(false),
+            is_reset: Cell::new(false),
         }
     }
 
@@ -440,6 +443,11 @@
         }
     }
 
+    /// Records the error with which the run's connection broke.
+    pub(crate) fn note_break(&self, error: &hyper::Error) {
+        self.is_reset.set(luglink_http::is_reset(error));
+    }
+
     /// Ends a run whose connection broke. Returns once the turn stores know whether the replica has
     /// ended or may have, or do not respond.
     pub(crate) async fn broke(&self) {
@@ -450,9 +458,14 @@
         // Other requests with the same content must not miss it meanwhile.
         gateway.merge_doubt(&report);
         let announced = self.announced();
+        let deadline = self.deadline.get();
+        let reason = match self.is_reset.get() {
+            true => DoubtReason::Reset,
+            false => DoubtReason::Broken,
+        };
         // The task goes on if the caller disconnects.
         let confirming = actix_rt::spawn(async move {
-            confirm_crash(Rc::clone(&gateway), report).await;
+            confirm_crash(Rc::clone(&gateway), report, reason, deadline).await;
             gateway.crashes.borrow_mut().end(&under_way);
             announced.end();
         });
@@ -553,8 +566,12 @@
 }
 
 /// Records whether a replica ended when a connection to it broke.
-async fn confirm_crash(gateway: Rc<Gateway>, report: RunReport) {
-    let broke_at = Instant::now();
+async fn confirm_crash(
+    gateway: Rc<Gateway>,
+    report: RunReport,
+    reason: DoubtReason,
+    deadline: Instant,
+) {
     let cause = find_break_cause(&gateway, &report).await;
     let has_ended = matches!(cause, BreakCause::Ended);
     let open_connections = match cause {
@@ -567,7 +584,7 @@
         }
         BreakCause::InDoubt(witnesses) => {
             let open_connections = witnesses.len();
-            gateway.doubt_with(&report, DoubtReason::Broken, broke_at, witnesses);
+            gateway.doubt_with(&report, reason, deadline, witnesses);
             gateway.report_doubt(&report).await;
             open_connections
         }
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -336,6 +336,7 @@
                 Some(Ok(frame)) => Step::Data(frame.into_data().unwrap_or_default()),
                 Some(Err(error)) => {
                     tracing::debug!(id = self.inbound.id, %error, "reading a stream failed");
+                    source.run.note_break(&error);
                     Step::Broken("broken")
                 }
                 None => Step::End,
--- a/crates/gateway-server/src/unary.rs
+++ b/crates/gateway-server/src/unary.rs
@@ -142,6 +142,7 @@
                 "response of a replica ended early"
             );
             note_cut(gateway, &backend);
+            run.note_break(&source);
             run.broke().await;
             return Err(Failure::CutAnswer);
         }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -69,6 +69,20 @@
     },
 }
 
+/// Returns true if a connection ended with a reset. It may come from the network, and the server may not
+/// know of it yet.
+#[must_use]
+pub fn is_reset(error: &hyper::Error) -> bool {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        if let Some(error) = cause.downcast_ref::<std::io::Error>() {
+            return error.kind() == std::io::ErrorKind::ConnectionReset;
+        }
+        source = cause.source();
+    }
+    false
+}
+
 /// How the server ended a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionEnd {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use body::{Body, BodyError, BodySender, empty_body, full_body, stream_body};
 pub use client::{
-    ClientConnection, ConnectError, ConnectionEnd, ConnectionState, SendError, connect,
+    ClientConnection, ConnectError, ConnectionEnd, ConnectionState, SendError, connect, is_reset,
 };
 pub use fetch::{FetchError, FetchLimits, fetch};
 pub use server::{Abort, ServeOptions, StopHandle, StopSignal, serve, stop_channel};
