--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -97,8 +97,8 @@
 
 impl RequestRuns {
     /// Drops one run to make room for a report in `state`: one that does not count, or one of several
-    /// that saw or would see the same end, or, for a crash, one that may be under way. Returns false if
-    /// there is none.
+    /// that saw the same end, or, for a crash, one that may be under way, preferably one of several that
+    /// would see the same end. Returns false if there is none.
     fn drop_one_for(&mut self, state: RunState) -> bool {
         let in_state = |state| {
             let mut runs = self.runs.values();
@@ -107,8 +107,12 @@
         };
         let run = in_state(RunState::Cleared)
             .or_else(|| self.repeated_in(RunState::Crashed))
-            .or_else(|| self.repeated_in(RunState::Started))
-            .or_else(|| in_state(RunState::Started).filter(|_| state == RunState::Crashed));
+            .or_else(|| match state {
+                RunState::Crashed => self
+                    .repeated_in(RunState::Started)
+                    .or_else(|| in_state(RunState::Started)),
+                RunState::Started | RunState::Cleared => None,
+            });
         run.is_some_and(|run| self.runs.remove(&run).is_some())
     }
 
