Let reports of a request expire although holders tell dropped runs again

Cause: a request has 16 runs in the table at most. A run that was dropped to make room is new again in the next response of a holder, and every new report made all reports of the request expire ten minutes later.

Change: a report that needs room makes them expire later only if it is an end that was not known.

Evidence: runs_that_were_dropped_and_are_told_again_do_not_make_reports_ expire_later fails without the change and passes with it.

--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -125,6 +125,14 @@
         repeated.map(|report| report.run)
     }
 
+    /// Returns true if a run saw an end that no other one is known to have seen.
+    fn sees_new_end(&self, report: &RunReport) -> bool {
+        let mut known = self.runs.values().map(|run| &run.report);
+        report.state == RunState::Crashed
+            && !known
+                .any(|known| known.state == RunState::Crashed && end_of(known) == end_of(report))
+    }
+
     /// Returns the number of ends of replicas in the runs that count. Several runs can see the same
     /// end.
     fn ends(&self, counts: impl Fn(&KnownRun) -> bool) -> usize {
@@ -180,6 +188,8 @@
         let is_full = known.is_none() && request.runs.len() >= MAX_RUNS;
         let is_in_doubt = known.is_some_and(|known| known.is_in_doubt);
         let had_crashed = known.is_some_and(|known| known.has_crashed);
+        // Holders tell a run again that was dropped here.
+        let extends = !is_full || request.sees_new_end(report);
         if is_full && !request.drop_one_for(report.state) {
             return false;
         }
@@ -191,9 +201,11 @@
             has_crashed: had_crashed || report.state == RunState::Crashed,
         };
         request.runs.insert(report.run, run);
-        self.expiries.remove(&(request.expires_at, report.request));
-        request.expires_at = now.plus(CRASH_RETENTION);
-        self.expiries.insert((request.expires_at, report.request));
+        if extends {
+            self.expiries.remove(&(request.expires_at, report.request));
+            request.expires_at = now.plus(CRASH_RETENTION);
+            self.expiries.insert((request.expires_at, report.request));
+        }
         true
     }
 
--- a/crates/turns/tests/crashes.rs
+++ b/crates/turns/tests/crashes.rs
@@ -295,3 +295,14 @@
     assert_eq!(table.possible_crashes(REQUEST, None), 3);
     assert!(table.counts(&other));
 }
+
+#[test]
+fn runs_that_were_dropped_and_are_told_again_do_not_make_reports_expire_later() {
+    let seen: Vec<RunReport> = (1..=24).map(|run| crash(run, "shared", 0)).collect();
+    let mut table = table(&seen);
+    for report in &seen {
+        table.merge(report, at(300));
+    }
+    table.expire(at(CRASH_RETENTION.as_secs()));
+    assert!(table.is_empty());
+}
