Remember cleared runs that were dropped from the table of a request

What callers saw: content that many callers share was refused although its runs had been answered.

Cause: cleared runs are the first that a full table drops, and a holder that told an earlier report of such a run later made it count again, as under way and then as an end once its replica had gone.

Change: the table remembers the latest 128 cleared runs of a request that it dropped and ignores other reports of them.

Evidence: a_cleared_run_that_was_dropped_does_not_count_when_it_is_told_again.

--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -11,7 +11,7 @@
 use luglink_fleet::{BackendId, Incarnation};
 use luglink_types::Timestamp;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 /// Number of crashes after which a request is sent to no further replica.
@@ -28,6 +28,9 @@
 /// part of many runs.
 const MAX_RUNS: usize = 16;
 
+/// Maximum number of runs of one request that are remembered as cleared after they were dropped.
+const MAX_DROPPED_RUNS: usize = 128;
+
 /// Identifier of one run of a request at a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RunId(pub u64);
@@ -92,6 +95,8 @@
 #[derive(Clone, Debug, Default)]
 struct RequestRuns {
     runs: BTreeMap<RunId, KnownRun>,
+    /// Cleared runs that were dropped, oldest first. Holders may tell earlier reports of them later.
+    dropped: VecDeque<RunId>,
     expires_at: Timestamp,
 }
 
@@ -113,7 +118,16 @@
                     .or_else(|| in_state(RunState::Started)),
                 RunState::Started | RunState::Cleared => None,
             });
-        run.is_some_and(|run| self.runs.remove(&run).is_some())
+        let dropped = run.and_then(|run| self.runs.remove(&run));
+        if let Some(run) = &dropped
+            && run.report.state == RunState::Cleared
+        {
+            if self.dropped.len() >= MAX_DROPPED_RUNS {
+                self.dropped.pop_front();
+            }
+            self.dropped.push_back(run.report.run);
+        }
+        dropped.is_some()
     }
 
     /// Returns a run in `state` that saw, or would see, the same end as another one.
@@ -180,6 +194,9 @@
         if known.is_some_and(|known| known.report.state >= report.state) {
             return false;
         }
+        if request.dropped.contains(&report.run) {
+            return false;
+        }
         let lease_ends_at = known.map_or_else(
             || now.plus(Duration::from_millis(report.lease_ms)),
             |known| known.lease_ends_at,
--- a/crates/turns/tests/crashes.rs
+++ b/crates/turns/tests/crashes.rs
@@ -306,3 +306,15 @@
     table.expire(at(CRASH_RETENTION.as_secs()));
     assert!(table.is_empty());
 }
+
+#[test]
+fn a_cleared_run_that_was_dropped_does_not_count_when_it_is_told_again() {
+    let cleared = |run| report(run, "shared", 0, RunState::Cleared);
+    let reports: Vec<RunReport> = (1..=40).map(cleared).collect();
+    let mut table = table(&reports);
+    for run in 1..=40 {
+        table.merge(&report(run, "shared", 0, RunState::Started), at(1));
+        table.merge(&crash(run, "shared", 0), at(1));
+    }
+    assert_eq!(table.possible_crashes(REQUEST, None), 0);
+}
