Keep a request that was given up away from replicas that hang under another

Its caller waits 1.5 s for each attempt, so it had met hung replicas three times in a row, after which its own limit is reached.

Cause: requests are kept apart from others that may end replicas only after an end under them is known. A hung replica ends nothing for seconds.

Change: a request with a run in doubt avoids replicas where a run of another request is in doubt, while there are others.

Evidence: a_request_that_was_given_up_is_kept_away_from_replicas_that_hang_ under_another fails without the change (the second attempt is not answered) and passes with it.

--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -13,6 +13,7 @@
     Choice, ChoiceBasis, Expected, RoutingRequest, Work, capacity_retry_delay, max_capacity_wait,
 };
 use luglink_telemetry::milliseconds;
+use luglink_turns::RequestFingerprint;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -235,8 +236,8 @@
 }
 
 /// Chooses a replica that is not in `tried`. Returns `None` if there is none. A request under which
-/// a replica has ended is kept apart from other such requests, so that a request that ends its
-/// replicas does not end those of the others again and again.
+/// replicas have ended or may is kept apart from others that may be the cause, while there are other
+/// replicas.
 pub(crate) fn choose_excluding(
     gateway: &Gateway,
     inbound: &InboundRequest,
@@ -244,14 +245,7 @@
     tried: &[BackendId],
     cached_at: Option<&BackendId>,
 ) -> Option<Choice> {
-    let mut kept_apart = Vec::new();
-    if gateway.crashes_under(inbound.fingerprint) > 0 {
-        let crashes = gateway.crashes.borrow();
-        let others = crashes
-            .table
-            .replicas_with_other_suspects(inbound.fingerprint);
-        kept_apart.extend(others.cloned());
-    }
+    let mut kept_apart = replicas_of_other_suspects(gateway, inbound.fingerprint);
     if !kept_apart.is_empty() {
         kept_apart.extend_from_slice(tried);
         let choice = choose_among(gateway, inbound, attempts, &kept_apart, cached_at);
@@ -262,6 +256,24 @@
     choose_among(gateway, inbound, attempts, tried, cached_at)
 }
 
+/// Returns the replicas that a request is kept away from: after an end under it those that run other
+/// reported requests, so that a request that ends its replicas does not end those of the others
+/// again and again; after an attempt in doubt those that may hang under another request.
+fn replicas_of_other_suspects(gateway: &Gateway, request: RequestFingerprint) -> Vec<BackendId> {
+    let has_crashes = gateway.crashes_under(request) > 0;
+    let table = &gateway.crashes.borrow().table;
+    if has_crashes {
+        table
+            .replicas_with_other_suspects(request)
+            .cloned()
+            .collect()
+    } else if table.suspected_crashes(request) > 0 {
+        table.replicas_with_other_doubts(request).cloned().collect()
+    } else {
+        Vec::new()
+    }
+}
+
 fn choose_among(
     gateway: &Gateway,
     inbound: &InboundRequest,
--- a/crates/gateway-server/tests/gateway/given_up_runs.rs
+++ b/crates/gateway-server/tests/gateway/given_up_runs.rs
@@ -13,6 +13,9 @@
 
 const MAX_ATTEMPTS: usize = 8;
 
+/// Requests of other callers beside one that hangs its replicas.
+const OTHERS: usize = 24;
+
 /// Time that callers state for a request.
 const DEADLINE_MS: u64 = 3_000;
 
@@ -107,3 +110,30 @@
     assert_eq!(response.status, 503, "{response:?}");
     assert_eq!(reached(&replicas).len(), MAX_ENDS);
 }
+
+#[actix_rt::test]
+async fn a_request_that_was_given_up_is_kept_away_from_replicas_that_hang_under_another() {
+    let replicas = replicas(5).await;
+    let fleet = Fleet::start(replicas.clone()).await;
+    fleet.configure(&configuration(1)).await;
+    leave(&fleet, &replicas).await;
+    let hung = reached(&replicas);
+    let others = replicas.iter().enumerate();
+    for (_, replica) in others.filter(|(number, _)| !hung.contains(number)) {
+        replica.set_script(Script::Answer);
+    }
+    for number in 0..OTHERS {
+        let path = format!("/resumable/other-{number}");
+        let attempt = async |attempt: usize| {
+            let id = format!("other-{number}-{attempt}");
+            let request = TestRequest::post(&path, &id, "a body");
+            let request = request.with("luglink-deadline-ms", DEADLINE_MS);
+            actix_rt::time::timeout(PATIENCE, request.send(fleet.gateway_address)).await
+        };
+        if attempt(0).await.is_ok() {
+            continue;
+        }
+        let response = attempt(1).await.expect("the second attempt is answered");
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+}
--- a/crates/turns/src/crash_reports.rs
+++ b/crates/turns/src/crash_reports.rs
@@ -455,6 +455,20 @@
         running.map(|report| &report.replica)
     }
 
+    /// Returns the replicas at which runs of other requests are in doubt.
+    pub fn replicas_with_other_doubts(
+        &self,
+        request: RequestFingerprint,
+    ) -> impl Iterator<Item = &BackendId> {
+        let others = self
+            .requests
+            .iter()
+            .filter(move |(other, _)| **other != request);
+        let runs = others.flat_map(|(_, other)| other.runs.values());
+        runs.filter(|run| run.is_in_doubt && run.report.state == RunState::Started)
+            .map(|run| &run.report.replica)
+    }
+
     /// Returns the number of requests with reports.
     #[must_use]
     pub fn len(&self) -> usize {
