Drop a doubt that another gateway has settled

A report that was cleared stays so, unless the full table of a request has dropped it.

Change: a report that a run no longer counts ends its doubt here too. Own runs whose connection broke or that went unanswered are watched for late ends as after a sign of the replica's own.

--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -89,6 +89,9 @@
     pub(crate) fn merge_all(&mut self, reports: &[RunReport], now: Timestamp) {
         for report in reports {
             self.table.merge(report, now);
+            if report.state == RunState::Cleared {
+                self.doubtful.note_cleared(report.run);
+            }
         }
     }
 
--- a/crates/gateway-server/src/doubtful_runs.rs
+++ b/crates/gateway-server/src/doubtful_runs.rs
@@ -318,6 +318,15 @@
         unsettled.any(|doubtful| doubtful.report.run == run && doubtful.survived_from > time)
     }
 
+    /// Records that a run no longer counts, perhaps because of what another gateway knows.
+    pub(crate) fn note_cleared(&mut self, run: RunId) {
+        self.0.retain_mut(|doubtful| {
+            let is_cleared = doubtful.report.run == run;
+            doubtful.is_survived |= is_cleared;
+            !is_cleared || doubtful.is_watched()
+        });
+    }
+
     /// Forgets the runs of a request, which has been answered.
     pub(crate) fn forget(&mut self, request: RequestFingerprint) {
         self.0.retain(|run| run.report.request != request);
