Let a request wait while reports of its runs are being acknowledged

What callers saw: 503 for a stream that was resumed beside a frozen gateway. The stores wait for the leases of a frozen gateway before they acknowledge a report, and until then a gateway may begin one run only. It refused at once what it would have begun a little later.

Change: a gateway that follows the stores refuses at once only what the whole limit rules out.

--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -648,12 +648,17 @@
         knowledge: Knowledge,
         time: Instant,
     ) -> bool {
+        // Reports may be acknowledged meanwhile that were not when the crashes were looked up.
+        let max_crashes = match self.follows_crash_reports() {
+            true => MAX_CRASHES,
+            false => knowledge.max_crashes(),
+        };
         let crashes = self.crashes.borrow();
         let doubtful = &crashes.doubtful;
         let lasting = crashes.table.ends_among(request, |report| {
             report.state == RunState::Crashed || doubtful.is_open_until(report.run, time)
         });
-        lasting >= knowledge.max_crashes()
+        lasting >= max_crashes
     }
 
     /// Returns the time until enough doubts about a request are due to be settled here.
