Send a request to the replica of its open run while only members answer

What callers saw: 503 for the stream that a caller resumes at its own gateway while the turn stores are dead.

Change: while only control members answer, the limit from which on a request goes to the replica of its open run is theirs, one. Such a run adds no possible end, so it need not wait for the doubt; it is announced to the members.

--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -62,6 +62,8 @@
     last_informed: Option<Instant>,
     /// Time since which no quorum has answered a look-up.
     unanswered_since: Option<Instant>,
+    /// True if turn stores had told the reports at the latest look-up.
+    do_stores_answer: bool,
     /// Latest runs here that replicas have survived, oldest first.
     survived: VecDeque<RunId>,
 }
@@ -80,6 +82,7 @@
             last_upkeep: Instant::now(),
             last_informed: None,
             unanswered_since: None,
+            do_stores_answer: true,
             survived: VecDeque::new(),
         }
     }
@@ -276,6 +279,16 @@
         };
     }
 
+    /// Records whether turn stores have told the reports at a look-up.
+    pub(crate) fn note_stores_answered(&mut self, is_answered: bool) {
+        self.do_stores_answer = is_answered;
+    }
+
+    /// Returns true if turn stores had told the reports at the latest look-up.
+    pub(crate) fn do_stores_answer(&self) -> bool {
+        self.do_stores_answer
+    }
+
     /// Returns the time for which no quorum has answered a look-up; `None` if the latest one succeeded.
     pub(crate) fn unanswered_for(&self) -> Option<Duration> {
         self.unanswered_since.map(|since| since.elapsed())
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -249,7 +249,11 @@
     /// the last replica that a request may end.
     pub(crate) async fn look_up_crashes(self: &Rc<Self>, request: RequestFingerprint) -> Knowledge {
         let do_stores_answer = self.follows_crash_reports() || self.find_at_stores(request).await;
-        let has_unacknowledged = self.crashes.borrow().unacknowledged.has_any_of(request);
+        let has_unacknowledged = {
+            let mut crashes = self.crashes.borrow_mut();
+            crashes.note_stores_answered(do_stores_answer);
+            crashes.unacknowledged.has_any_of(request)
+        };
         let knowledge = if !do_stores_answer || has_unacknowledged {
             self.find_at_members(request).await
         } else if !self.needs_members(request) {
--- a/crates/gateway-server/src/replica_process.rs
+++ b/crates/gateway-server/src/replica_process.rs
@@ -1,6 +1,7 @@
 //! Processes of replicas: whether the one that a run is sent to is the one that earlier runs were at.
 
 use crate::gateway::Gateway;
+use crate::knowledge::Knowledge;
 use crate::placement;
 use crate::run::MAX_LOSS_DETECTION;
 use luglink_fleet::{Backend, Incarnation};
@@ -51,7 +52,16 @@
     /// Returns true if as many replicas as may end under a request can still do so, so that no run of it
     /// may begin at another one.
     pub(crate) fn has_only_open_ends(&self, request: RequestFingerprint) -> bool {
-        self.possible_crashes(request, None) >= MAX_CRASHES
+        self.possible_crashes(request, None) >= self.max_crashes()
+    }
+
+    /// Returns the number of crashes from which on a request is not sent, as far as the latest look-up
+    /// tells.
+    fn max_crashes(&self) -> usize {
+        match self.crashes.borrow().do_stores_answer() {
+            true => MAX_CRASHES,
+            false => Knowledge::Members.max_crashes(),
+        }
     }
 
     /// Returns a replica for which `is_eligible` is true and at which a run of the request is under way
@@ -62,7 +72,7 @@
         request: RequestFingerprint,
         is_eligible: impl Fn(&Backend) -> bool,
     ) -> Option<Backend> {
-        if !self.has_only_open_ends(request) || self.crashes_under(request) >= MAX_CRASHES {
+        if !self.has_only_open_ends(request) || self.crashes_under(request) >= self.max_crashes() {
             return None;
         }
         let crashes = self.crashes.borrow();
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -213,12 +213,10 @@
             if !gateway.may_begin_later(request, knowledge) {
                 return Err(Failure::CrashLimit);
             }
-            if knowledge >= Knowledge::Stores || gateway.suspected_crashes(request) == 0 {
-                let process = Process::of(gateway, request, backend).await;
-                let run = Self::new(gateway, inbound, process, looked_up);
-                if let Some(run) = run.begin_within_limit().await {
-                    return Ok(run);
-                }
+            let process = Process::of(gateway, request, backend).await;
+            let run = Self::new(gateway, inbound, process, looked_up);
+            if let Some(run) = run.begin_within_limit().await {
+                return Ok(run);
             }
             gateway.adopt_doubts(request);
             if Instant::now() >= deadline || gateway.is_limited_until(request, knowledge, deadline)
@@ -242,7 +240,7 @@
             self.register();
             return Some(self);
         }
-        if !self.is_within_limit() {
+        if self.must_wait_for_doubts() || !self.is_within_limit() {
             self.is_over.set(true);
             return None;
         }
@@ -305,11 +303,16 @@
         let knowledge = self.looked_up.get().knowledge;
         // If the gateway is lost meanwhile, the stores put the run in doubt.
         *self.announced_to.borrow_mut() = self.gateway.announce_run(&report, knowledge);
-        let is_known_to_stores = self.gateway.report_run(&report).await;
-        if knowledge == Knowledge::Both {
-            is_known_to_stores && self.gateway.report_run_to_members(&report).await
-        } else {
-            is_known_to_stores
+        let gateway = &self.gateway;
+        match knowledge {
+            Knowledge::Both => {
+                gateway.report_run(&report).await && gateway.report_run_to_members(&report).await
+            }
+            Knowledge::Stores => gateway.report_run(&report).await,
+            Knowledge::Members | Knowledge::None => {
+                gateway.send_reports(std::slice::from_ref(&report));
+                gateway.report_run_to_members(&report).await
+            }
         }
     }
 
@@ -345,19 +348,33 @@
         self.process.is_running(&self.gateway).await && self.is_within_limit()
     }
 
-    /// Returns true if no more replicas can end than may, this run's included. It adds none where
-    /// another run of the request is under way or in doubt at the same process.
+    /// Returns true if no more replicas can end than may, this run's included.
     fn is_within_limit(&self) -> bool {
-        let report = self.report.borrow();
-        let others = self
-            .gateway
-            .possible_crashes(report.request, Some(report.run));
-        let is_shared = self.is_at_known_process() && {
-            let crashes = self.gateway.crashes.borrow();
-            crashes.table.shares_open_end(&report)
+        let others = {
+            let report = self.report.borrow();
+            let gateway = &self.gateway;
+            gateway.possible_crashes(report.request, Some(report.run))
         };
-        let possible = others + usize::from(!is_shared);
-        possible <= self.looked_up.get().knowledge.max_crashes()
+        match self.adds_no_end() {
+            true => others <= MAX_CRASHES,
+            false => others < self.looked_up.get().knowledge.max_crashes(),
+        }
+    }
+
+    /// Returns true if another run of the request is under way or in doubt at the same process, so that
+    /// this one can end no further replica.
+    fn adds_no_end(&self) -> bool {
+        let crashes = || self.gateway.crashes.borrow();
+        self.is_at_known_process() && crashes().table.shares_open_end(&self.report.borrow())
+    }
+
+    /// Returns true if the run may not begin before the doubts about the request are settled. Control
+    /// members alone may not know of the end of a doubtful run.
+    fn must_wait_for_doubts(&self) -> bool {
+        let request = self.report.borrow().request;
+        self.looked_up.get().knowledge < Knowledge::Stores
+            && self.gateway.suspected_crashes(request) > 0
+            && !self.adds_no_end()
     }
 
     /// Returns true if the process that the run is sent to is surely the one of the open runs with the
