--- a/crates/gateway-server/src/crash_ledger.rs
+++ b/crates/gateway-server/src/crash_ledger.rs
@@ -1,9 +1,10 @@
 //! What a gateway knows of replicas that ended under requests.
 
+use crate::answered_requests::AnsweredRequests;
 use crate::doubtful_runs::{DoubtReason, DoubtfulRuns, EndedRuns};
 use crate::unacknowledged::UnacknowledgedReports;
 use luglink_fleet::{BackendId, StoreName};
-use luglink_turns::{CrashTable, RequestFingerprint, RunId, RunReport, RunState};
+use luglink_turns::{CrashTable, MAX_CRASHES, RequestFingerprint, RunId, RunReport, RunState};
 use luglink_types::Timestamp;
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
@@ -49,6 +50,7 @@
 pub(crate) struct CrashLedger {
     pub(crate) table: CrashTable,
     pub(crate) doubtful: DoubtfulRuns,
+    pub(crate) answered: AnsweredRequests,
     in_flight: HashMap<RequestFingerprint, Vec<RunInFlight>>,
     /// Runs whose replicas have ended according to the list, not reported yet.
     ended: EndedRuns,
@@ -73,6 +75,7 @@
         Self {
             table: CrashTable::new(MAX_REQUESTS),
             doubtful: DoubtfulRuns::default(),
+            answered: AnsweredRequests::default(),
             in_flight: HashMap::new(),
             ended: EndedRuns::default(),
             to_review: VecDeque::new(),
@@ -95,6 +98,10 @@
             if report.state == RunState::Cleared {
                 self.doubtful.note_cleared(report.run);
             }
+            // Only one more replica may end then.
+            if self.table.confirmed_crashes(report.request) + 1 >= MAX_CRASHES {
+                self.answered.forget(report.request);
+            }
         }
     }
 
@@ -107,6 +114,7 @@
             .collect();
         self.merge_all(&cleared, now);
         self.doubtful.forget(request);
+        self.answered.note(request);
         for run in self.in_flight.get(&request).into_iter().flatten() {
             run.is_request_answered.set(true);
         }
@@ -221,8 +229,9 @@
         let foreign =
             in_doubt.filter(|report| !self.doubtful.has(report.run) && !is_under_way(report.run));
         let foreign: Vec<RunReport> = foreign.cloned().collect();
+        let is_answered = self.answered.has(request);
         for report in &foreign {
-            let deadline = self.table.deadline(report);
+            let deadline = self.table.deadline(report).filter(|_| !is_answered);
             let left = deadline.map(|deadline| deadline.since(now));
             let deadline = Instant::now() + left.unwrap_or_default();
             let reason = DoubtReason::Adopted;
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod announcements;
+mod answered_requests;
 mod attempts;
 mod caller_watch;
 mod chain_search;
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -445,9 +445,9 @@
     pub(crate) async fn doubted(&self, reason: DoubtReason, inbound: &InboundRequest) {
         self.end();
         let gateway = Rc::clone(&self.gateway);
+        let deadline = self.end_deadline();
         let report = self.gateway.report_that_counts(&self.report.borrow());
         let announced = self.announced();
-        let deadline = self.deadline.get();
         // The task goes on if the caller disconnects.
         let reporting = actix_rt::spawn(async move {
             gateway.doubt(&report, reason, deadline);
@@ -475,7 +475,7 @@
         // Other requests with the same content must not miss it meanwhile.
         gateway.merge_doubt(&report);
         let announced = self.announced();
-        let deadline = self.deadline.get();
+        let deadline = self.end_deadline();
         let reason = match self.is_reset.get() {
             true => DoubtReason::Reset,
             false => DoubtReason::Broken,
@@ -518,17 +518,27 @@
             return self.survived();
         }
         self.end();
+        let deadline = self.end_deadline();
         let report = self.gateway.report_that_counts(&self.report.borrow());
-        // A request that was answered ends no replicas.
-        let deadline = match self.is_request_answered.get() {
-            true => Instant::now(),
-            false => self.deadline.get(),
-        };
         self.gateway.doubt(&report, reason, deadline);
         self.gateway.send_doubt(&report);
         self.announced().end();
     }
 
+    /// Returns the time until which the replica may work on the run and end under it. A request that is
+    /// answered usually ends no replicas.
+    fn end_deadline(&self) -> Instant {
+        let report = self.report.borrow();
+        let crashes = self.gateway.crashes.borrow();
+        let is_answered = self.is_request_answered.get()
+            || crashes.answered.has(report.request)
+            || crashes.table.is_cleared_early(&report);
+        match is_answered {
+            true => Instant::now(),
+            false => self.deadline.get(),
+        }
+    }
+
     fn note_survived(&self) {
         let mut crashes = self.gateway.crashes.borrow_mut();
         crashes.note_survived(self.report.borrow().run);
