Split the module of runs by job

The latter four are modules now (crash_look_up, crash_limit, crash_refusal, run_break), and the number of the process that a run is at moves to replica_process.

--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -1,10 +1,10 @@
 //! The send history of a request and the choice of its next replica.
 
+use crate::crash_refusal;
 use crate::failure::Failure;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::refusal::Refusal;
-use crate::run;
 use http::Response;
 use luglink_edge::{Retryable, RouteKind};
 use luglink_fleet::{Backend, BackendId, StreamOrigin};
@@ -178,7 +178,11 @@
 
     fn crash_limit_reached(&self, gateway: &Gateway, inbound: &InboundRequest) -> Refusal {
         if self.runs == 0 {
-            return run::refusal(gateway, inbound, gateway.crashes_under(inbound.fingerprint));
+            return crash_refusal::refusal(
+                gateway,
+                inbound,
+                gateway.crashes_under(inbound.fingerprint),
+            );
         }
         Refusal::uncertain("replicas ended while they ran the request")
     }
--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -3,7 +3,7 @@
 use crate::gateway::{ActiveConfiguration, Gateway};
 use crate::inbound::{self, InboundRequest};
 use crate::refusal::Refusal;
-use crate::{quota, run, stream, unary};
+use crate::{crash_refusal, quota, stream, unary};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use luglink_edge::RouteKind;
@@ -103,7 +103,7 @@
     let inbound = inbound::read(gateway, &in_force, request).await?;
     drop(in_force);
     let watch = Rc::clone(&inbound.watch);
-    let allowed = run::refuse_crashing(gateway, &inbound).await;
+    let allowed = crash_refusal::refuse_crashing(gateway, &inbound).await;
     let result = if let Err(refusal) = allowed {
         Err(refusal)
     } else if inbound.route.kind == RouteKind::Streaming {
--- a/crates/gateway-server/src/replica_process.rs
+++ b/crates/gateway-server/src/replica_process.rs
@@ -3,14 +3,16 @@
 use crate::gateway::Gateway;
 use crate::knowledge::Knowledge;
 use crate::placement;
-use crate::run::MAX_LOSS_DETECTION;
 use luglink_fleet::{Backend, Incarnation};
-use luglink_turns::{MAX_CRASHES, RequestFingerprint, RunReport};
+use luglink_turns::{MAX_CRASHES, RequestFingerprint, RunId, RunReport, SESSION_TIMEOUT};
 use std::time::{Duration, Instant};
 
 /// Time that a report of a run in doubt usually takes from its gateway, or from the loss of its gateway.
 const REPORT_MARGIN: Duration = Duration::from_millis(50);
 
+/// Maximum time between the loss of a gateway and the report of its runs by the stores.
+const MAX_LOSS_DETECTION: Duration = SESSION_TIMEOUT.saturating_add(Duration::from_millis(200));
+
 /// Process of a replica that a run is sent to.
 pub(crate) struct Process {
     pub(crate) backend: Backend,
@@ -113,4 +115,49 @@
             known_for.and_then(|known_for| Instant::now().checked_sub(known_for + REPORT_MARGIN));
         earliest_end.is_none_or(|end| !self.upstream.has_open_since(&foreign.replica, end))
     }
+
+    /// Returns the number of crashes, known or possible ones, before the process that a new run is
+    /// sent to started. It is the same for all runs that would see one end of that process.
+    pub(crate) fn known_crashes(
+        &self,
+        request: RequestFingerprint,
+        run: RunId,
+        process: &Process,
+    ) -> u32 {
+        let Process {
+            backend,
+            identified_at,
+        } = process;
+        let crashes = self.crashes.borrow();
+        let is_open_since = |time| self.upstream.has_open_since(&backend.id, time);
+        let is_identified = identified_at.is_some_and(is_open_since);
+        let doubtful = &crashes.doubtful;
+        let may_be_replaced = doubtful.may_be_replaced(request, &backend.id, is_open_since);
+        let replica = (&backend.id, backend.incarnation);
+        let mut under_way = crashes.table.runs_under_way(request, Some(run), replica);
+        let at_same_process = under_way.find(|earlier| {
+            !may_be_replaced && (is_identified || !self.may_be_replaced_since(earlier))
+        });
+        match at_same_process {
+            Some(earlier) => earlier.known_crashes,
+            None => {
+                // The run that ended an earlier process may not be known here yet.
+                let is_new = self
+                    .upstream
+                    .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION);
+                if is_new && !is_identified {
+                    return number_of_own(run);
+                }
+                let possible = crashes.table.possible_crashes(request, Some(run));
+                u32::try_from(possible).unwrap_or(u32::MAX)
+            }
+        }
+    }
+}
+
+/// Returns a number of known crashes that no other run has by counting.
+fn number_of_own(run: RunId) -> u32 {
+    const OWN: u32 = 1 << 31;
+    let [_, _, _, _, first, second, third, fourth] = run.0.to_be_bytes();
+    OWN | u32::from_be_bytes([first, second, third, fourth])
 }
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -8,30 +8,24 @@
 //! from the second run on before it begins, so that it counts even if its gateway is lost with it.
 
 use crate::crash_ledger::in_state;
+use crate::crash_look_up::{LookUp, MAX_UNANSWERED_WAIT};
 use crate::doubtful_runs::DoubtReason;
 use crate::failure::Failure;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::knowledge::Knowledge;
-use crate::placement;
-use crate::refusal::Refusal;
 use crate::replica_process::Process;
+use crate::run_break::{CONFIRMATION_DELAY, confirm_crash};
 use crate::store_link::StoreLink;
 use luglink_edge::SendOutcome;
-use luglink_fleet::{Backend, Incarnation};
+use luglink_fleet::Backend;
 use luglink_http::ConnectionState;
 use luglink_telemetry::milliseconds;
-use luglink_turns::{
-    CRASH_RETENTION, LEASE_MARGIN, MAX_CRASHES, RequestFingerprint, RunId, RunReport, RunState,
-    SESSION_TIMEOUT,
-};
+use luglink_turns::{LEASE_MARGIN, MAX_CRASHES, RunId, RunReport, RunState};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Time after which the connections of a process that has ended are usually closed here too.
-const CONFIRMATION_DELAY: Duration = Duration::from_millis(10);
-
 /// Maximum time for which a request waits while other runs of it could end the last replicas that
 /// it may end.
 const MAX_ANNOUNCED_WAIT: Duration = Duration::from_secs(2);
@@ -40,28 +34,6 @@
 /// the request within it.
 const ANNOUNCED_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Retry delay of a request that other runs keep waiting, within which doubts are settled.
-const ANNOUNCED_RETRY_DELAY: Duration = Duration::from_millis(500);
-
-/// Maximum time for which a request waits while no holder of crash reports answers. Their processes
-/// usually start again within it.
-const MAX_UNANSWERED_WAIT: Duration = Duration::from_secs(1);
-
-/// Interval at which they are asked meanwhile.
-const UNANSWERED_RETRY_DELAY: Duration = Duration::from_millis(50);
-
-/// Retry delay of a request that the gateway refuses because no holder answers it. Other gateways may
-/// reach one.
-const UNANSWERED_RETRY_AFTER: Duration = Duration::from_millis(300);
-
-/// Maximum age of what a gateway knows of the crashes under a request that it sends, unless it follows
-/// them.
-const MAX_LOOK_UP_AGE: Duration = Duration::from_millis(100);
-
-/// Maximum time between the loss of a gateway and the report of its runs by the stores.
-pub(crate) const MAX_LOSS_DETECTION: Duration =
-    SESSION_TIMEOUT.saturating_add(Duration::from_millis(200));
-
 /// Run of a request at a replica. Dropping it means that the request was given up.
 pub(crate) struct Run {
     gateway: Rc<Gateway>,
@@ -82,115 +54,6 @@
     is_reset: Cell<bool>,
 }
 
-/// What a gateway knew of the crashes under a request, and when.
-#[derive(Clone, Copy, Debug)]
-struct LookUp {
-    at: Instant,
-    knowledge: Knowledge,
-}
-
-impl LookUp {
-    async fn begin(gateway: &Rc<Gateway>, request: RequestFingerprint) -> Self {
-        let knowledge = gateway.look_up_crashes(request).await;
-        Self {
-            at: Instant::now(),
-            knowledge,
-        }
-    }
-
-    /// Looks the crashes up again while no holder answers, unless that has been so for long.
-    async fn begin_when_answered(
-        gateway: &Rc<Gateway>,
-        request: RequestFingerprint,
-        remaining: Duration,
-    ) -> Self {
-        let deadline = Instant::now() + MAX_UNANSWERED_WAIT.min(remaining / 2);
-        loop {
-            let looked_up = Self::begin(gateway, request).await;
-            let unanswered_for = gateway.crashes.borrow().unanswered_for();
-            let may_be_answered_soon =
-                unanswered_for.is_some_and(|time| time < MAX_UNANSWERED_WAIT);
-            if !may_be_answered_soon || Instant::now() >= deadline {
-                return looked_up;
-            }
-            actix_rt::time::sleep(UNANSWERED_RETRY_DELAY).await;
-        }
-    }
-
-    /// Returns true if the crashes under the request may have to be looked up again.
-    fn is_old(self, gateway: &Gateway, request: RequestFingerprint) -> bool {
-        !gateway.is_informed_of(request) && self.at.elapsed() > MAX_LOOK_UP_AGE
-    }
-}
-
-/// Refuses a request under which too many replicas have ended, or if no holder of reports answers.
-pub(crate) async fn refuse_crashing(
-    gateway: &Rc<Gateway>,
-    inbound: &InboundRequest,
-) -> Result<(), Refusal> {
-    let request = inbound.fingerprint;
-    let looked_up = LookUp::begin_when_answered(gateway, request, inbound.remaining()).await;
-    if looked_up.knowledge == Knowledge::None {
-        return Err(unanswered_refusal(gateway, inbound));
-    }
-    let crashes = gateway.crashes_under(inbound.fingerprint);
-    if crashes < MAX_CRASHES {
-        return Ok(());
-    }
-    gateway.adopt_doubts(inbound.fingerprint);
-    Err(refusal(gateway, inbound, crashes))
-}
-
-fn unanswered_refusal(gateway: &Gateway, inbound: &InboundRequest) -> Refusal {
-    let unanswered_for = gateway.crashes.borrow().unanswered_for();
-    gateway.metrics.unanswered_requests.inc();
-    tracing::warn!(
-        id = inbound.id,
-        request = %inbound.fingerprint,
-        route = inbound.route.name,
-        unanswered_for_ms = unanswered_for.map(milliseconds),
-        retry_after_ms = milliseconds(UNANSWERED_RETRY_AFTER),
-        "request refused: no holder of crash reports answers"
-    );
-    let detail = "neither turn stores nor control members answer at the moment";
-    Refusal::not_run_retry_after(detail, UNANSWERED_RETRY_AFTER)
-}
-
-/// Returns the refusal of a request that has not run in this attempt and may not run now.
-pub(crate) fn refusal(gateway: &Gateway, inbound: &InboundRequest, crashes: usize) -> Refusal {
-    if crashes < MAX_CRASHES || gateway.may_settle_below_limit(inbound.fingerprint) {
-        let settles_in = gateway.doubts_settle_in(inbound.fingerprint);
-        let retry_delay = settles_in.unwrap_or_default().max(ANNOUNCED_RETRY_DELAY);
-        gateway.metrics.doubtful_requests.inc();
-        tracing::info!(
-            id = inbound.id,
-            request = %inbound.fingerprint,
-            route = inbound.route.name,
-            crashes,
-            retry_after_ms = milliseconds(retry_delay),
-            "request refused: replicas may have ended while they ran it"
-        );
-        let detail = "other attempts of the request must end first";
-        return Refusal::not_run_retry_after(detail, retry_delay);
-    }
-    let expires_at = gateway
-        .crashes
-        .borrow()
-        .table
-        .expires_at(inbound.fingerprint);
-    let left = expires_at.map_or(CRASH_RETENTION, |at| at.since(gateway.now()));
-    gateway.metrics.crashing_requests.inc();
-    tracing::warn!(
-        id = inbound.id,
-        request = %inbound.fingerprint,
-        route = inbound.route.name,
-        crashes,
-        retry_after_ms = milliseconds(left),
-        "request refused: replicas ended while they ran it"
-    );
-    Refusal::not_run_retry_after("replicas ended while they ran the request", left)
-}
-
 impl Run {
     /// Begins a run, unless the replicas that have ended, and those that still may, reach the limit.
     ///
@@ -554,13 +417,6 @@
     }
 }
 
-/// Returns a number of known crashes that no other run has by counting.
-fn number_of_own(run: RunId) -> u32 {
-    const OWN: u32 = 1 << 31;
-    let [_, _, _, _, first, second, third, fourth] = run.0.to_be_bytes();
-    OWN | u32::from_be_bytes([first, second, third, fourth])
-}
-
 /// Run that stores know to be under way.
 struct AnnouncedRun {
     run: RunId,
@@ -584,116 +440,7 @@
     }
 }
 
-/// Result of looking at a replica just after a connection to it broke.
-enum BreakCause {
-    /// No other connection to the replica is open, and it does not report the same incarnation.
-    Ended,
-    /// It may have ended, or end soon. These connections to it are open.
-    InDoubt(Vec<ConnectionState>),
-}
-
-/// Records whether a replica ended when a connection to it broke.
-async fn confirm_crash(
-    gateway: Rc<Gateway>,
-    report: RunReport,
-    reason: DoubtReason,
-    deadline: Instant,
-) {
-    let cause = find_break_cause(&gateway, &report).await;
-    let has_ended = matches!(cause, BreakCause::Ended);
-    let open_connections = match cause {
-        BreakCause::Ended => {
-            gateway.metrics.crashes.inc();
-            let crashed = in_state(&report, RunState::Crashed);
-            gateway.crashes.borrow_mut().review_later(crashed.clone());
-            gateway.report_run(&crashed).await;
-            0
-        }
-        BreakCause::InDoubt(witnesses) => {
-            let open_connections = witnesses.len();
-            gateway.doubt_with(&report, reason, deadline, witnesses);
-            gateway.report_doubt(&report).await;
-            open_connections
-        }
-    };
-    tracing::info!(
-        request = %report.request,
-        replica = %report.replica,
-        started_ms = report.incarnation.0,
-        has_ended,
-        open_connections,
-        crashes = gateway.crashes_under(report.request),
-        "connection to a replica broke during a run"
-    );
-}
-
-/// Looks at a replica whose connection has just broken. If it has ended, all connections to it
-/// usually close. If none was open, its report shows whether it has restarted since. Without a
-/// report, it counts as ended.
-async fn find_break_cause(gateway: &Gateway, report: &RunReport) -> BreakCause {
-    let broke_at = Instant::now();
-    actix_rt::time::sleep(CONFIRMATION_DELAY).await;
-    let open = gateway.upstream.open_since(&report.replica, broke_at);
-    if !open.is_empty() {
-        return BreakCause::InDoubt(open);
-    }
-    let listed = gateway.pool.borrow().listed(&report.replica).cloned();
-    let Some(replica) = listed.filter(|_| report.incarnation != Incarnation::UNKNOWN) else {
-        return BreakCause::Ended;
-    };
-    let reported = placement::query_incarnation(gateway, &replica).await;
-    if reported == Some(report.incarnation) {
-        BreakCause::InDoubt(Vec::new())
-    } else {
-        BreakCause::Ended
-    }
-}
-
 impl Gateway {
-    /// Returns the number of replicas that ended under a request.
-    pub(crate) fn crashes_under(&self, request: RequestFingerprint) -> usize {
-        self.crashes.borrow().table.crashes(request, self.now())
-    }
-
-    /// Returns false if the request is refused at once: too many replicas have ended under it, or other
-    /// gateways may know of more.
-    fn may_begin_later(&self, request: RequestFingerprint, knowledge: Knowledge) -> bool {
-        self.crashes_under(request) < knowledge.max_crashes()
-    }
-
-    /// Returns the number of replicas that ended under a request or may have, in runs that are not
-    /// under way.
-    fn suspected_crashes(&self, request: RequestFingerprint) -> usize {
-        self.crashes.borrow().table.suspected_crashes(request)
-    }
-
-    /// Returns true if no sign can let a request be sent before `time`: as many replicas have ended
-    /// under it, or may have in runs that cannot be cleared by then.
-    fn is_limited_until(
-        &self,
-        request: RequestFingerprint,
-        knowledge: Knowledge,
-        time: Instant,
-    ) -> bool {
-        // Reports may be acknowledged meanwhile that were not when the crashes were looked up.
-        let max_crashes = match self.follows_crash_reports() {
-            true => MAX_CRASHES,
-            false => knowledge.max_crashes(),
-        };
-        let crashes = self.crashes.borrow();
-        let doubtful = &crashes.doubtful;
-        let lasting = crashes.table.ends_among(request, |report| {
-            report.state == RunState::Crashed || doubtful.is_open_until(report.run, time)
-        });
-        lasting >= max_crashes
-    }
-
-    /// Returns the time until enough doubts about a request are due to be settled here.
-    fn doubts_settle_in(&self, request: RequestFingerprint) -> Option<Duration> {
-        let needed = (self.possible_crashes(request, None) + 1).saturating_sub(MAX_CRASHES);
-        self.crashes.borrow().doubtful.settles_in(request, needed)
-    }
-
     /// Returns the report of a run under an identifier under which it can count. Another run of the
     /// request that succeeded, or another gateway, may have cleared the run while it was under way.
     fn report_that_counts(&self, report: &RunReport) -> RunReport {
@@ -715,7 +462,7 @@
         self.doubt_with(report, reason, deadline, witnesses);
     }
 
-    fn doubt_with(
+    pub(crate) fn doubt_with(
         &self,
         report: &RunReport,
         reason: DoubtReason,
@@ -739,55 +486,4 @@
             "replica may end after a run"
         );
     }
-
-    /// Returns the number of crashes, known or possible ones, before the process that a new run is
-    /// sent to started. It is the same for all runs that would see one end of that process.
-    fn known_crashes(&self, request: RequestFingerprint, run: RunId, process: &Process) -> u32 {
-        let Process {
-            backend,
-            identified_at,
-        } = process;
-        let crashes = self.crashes.borrow();
-        let is_open_since = |time| self.upstream.has_open_since(&backend.id, time);
-        let is_identified = identified_at.is_some_and(is_open_since);
-        let doubtful = &crashes.doubtful;
-        let may_be_replaced = doubtful.may_be_replaced(request, &backend.id, is_open_since);
-        let replica = (&backend.id, backend.incarnation);
-        let mut under_way = crashes.table.runs_under_way(request, Some(run), replica);
-        let at_same_process = under_way.find(|earlier| {
-            !may_be_replaced && (is_identified || !self.may_be_replaced_since(earlier))
-        });
-        match at_same_process {
-            Some(earlier) => earlier.known_crashes,
-            None => {
-                // The run that ended an earlier process may not be known here yet.
-                let is_new = self
-                    .upstream
-                    .may_have_restarted_within(&backend.id, MAX_LOSS_DETECTION);
-                if is_new && !is_identified {
-                    return number_of_own(run);
-                }
-                let possible = crashes.table.possible_crashes(request, Some(run));
-                u32::try_from(possible).unwrap_or(u32::MAX)
-            }
-        }
-    }
-
-    /// Returns true if the crashes under a request may yet turn out to be fewer than the limit.
-    fn may_settle_below_limit(&self, request: RequestFingerprint) -> bool {
-        let crashes = self.crashes.borrow();
-        let is_confirmed = crashes.table.confirmed_crashes(request) >= MAX_CRASHES;
-        !is_confirmed && crashes.doubtful.has_any_of(request)
-    }
-
-    /// Returns the number of replicas that ended under a request, or still may in a run other than
-    /// `except`.
-    pub(crate) fn possible_crashes(
-        &self,
-        request: RequestFingerprint,
-        except: Option<RunId>,
-    ) -> usize {
-        let crashes = self.crashes.borrow();
-        crashes.table.possible_crashes(request, except)
-    }
 }
