Test moved streams and turns of programs whose callers leave

Two ways of long runs that no test held: a stream that the gateway moves to another replica, and the first turn of a program, whose callers give each attempt up after 0.5 s while replicas go on and end after 1.5 s. Every test of the file also asserts that a replica has ended.

--- a/app/luglink/tests/stream_soak/given_up_runs.rs
+++ b/app/luglink/tests/stream_soak/given_up_runs.rs
@@ -1,12 +1,13 @@
 //! Requests that end their replicas after their callers, or their gateways, have given the run up.
 
 use crate::callers::{Received, message};
-use crate::fleet::{CALL_PATH, Fleet, LONG_PATH, MOVABLE_PATH, PATHS};
+use crate::fleet::{CALL_PATH, Fleet, KEPT_PATH, LONG_PATH, MOVABLE_PATH, PATHS};
 use crate::random::Random;
 use crate::replicas::Faults;
 use crate::uninformed::{
     assert_innocent_requests_are_served, assert_limited, is_served, kill, restart_gateways_in_turn,
 };
+use http::HeaderValue;
 use http_body_util::BodyExt;
 use luglink_http::connect;
 use std::cell::Cell;
@@ -17,6 +18,12 @@
 /// Requests at the same moment, several for each gateway and replica.
 const WARM_UP_REQUESTS: usize = 120;
 
+/// Tokens of the prompt of a turn, and its ceiling.
+const TOKEN_USAGE: HeaderValue = HeaderValue::from_static("20,12");
+
+/// Budget of a program, enough for all attempts.
+const TOKEN_BUDGET: HeaderValue = HeaderValue::from_static("100000");
+
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Pause of a caller between two attempts.
@@ -66,7 +73,14 @@
             return;
         };
         let path = format!("{}?{}", self.path, self.name);
-        let message = message(&path, request, self.time, &Received::default());
+        let mut message = message(&path, request, self.time, &Received::default());
+        if self.path == KEPT_PATH {
+            let headers = message.headers_mut();
+            headers.insert("luglink-program", HeaderValue::from_static(self.name));
+            headers.insert("luglink-session", HeaderValue::from_static(self.name));
+            headers.insert("luglink-token-usage", TOKEN_USAGE);
+            headers.insert("luglink-token-budget", TOKEN_BUDGET);
+        }
         if let Ok(response) = connection.send(message).await {
             let _ = response.into_body().collect().await;
         }
@@ -92,6 +106,7 @@
         );
         actix_rt::time::sleep(SETTLING_DURATION).await;
         assert_limited(fleet, self.name);
+        assert!(fleet.replicas.runs.of(self.name).ends() > 0);
     }
 
     async fn assert_limited(&self) {
@@ -158,6 +173,24 @@
     caller.assert_limited().await;
 }
 
+#[actix_rt::test]
+async fn a_moved_stream_is_limited_whose_caller_gives_it_up_while_replicas_go_on() {
+    let caller = Caller {
+        path: MOVABLE_PATH,
+        ..IMPATIENT
+    };
+    caller.assert_limited().await;
+}
+
+#[actix_rt::test]
+async fn a_turn_of_a_program_is_limited_whose_caller_gives_attempts_up_while_replicas_go_on() {
+    let caller = Caller {
+        path: KEPT_PATH,
+        ..IMPATIENT
+    };
+    caller.assert_limited().await;
+}
+
 #[actix_rt::test]
 async fn a_request_is_limited_whose_caller_gives_attempts_up_while_gateways_are_killed() {
     let fleet = Fleet::start(1, GATEWAYS, Faults::None).await;
