--- a/crates/gateway-server/tests/gateway/given_up_runs.rs
+++ b/crates/gateway-server/tests/gateway/given_up_runs.rs
@@ -1,8 +1,9 @@
 //! Requests whose callers give attempts up while their replicas may go on.
 
+use crate::metrics::{metrics, value};
 use crate::support::caller::{TestRequest, TestResponse};
 use crate::support::replica::{Replica, Script};
-use crate::support::{Fleet, configuration};
+use crate::support::{Fleet, configuration, wait_until};
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,9 @@
 /// Time after which a caller gives an attempt up.
 const PATIENCE: Duration = Duration::from_millis(250);
 
+/// Time after which a run of a request that was answered counts as over, with the probe of its replica.
+const SURVIVAL_DURATION: Duration = Duration::from_millis(1_600);
+
 /// Maximum time for a refusal that is known at once.
 const REFUSAL_TIME: Duration = Duration::from_millis(400);
 
@@ -137,3 +141,29 @@
         assert_eq!(response.status, 200, "{response:?}");
     }
 }
+
+#[actix_rt::test]
+async fn runs_of_a_request_that_was_answered_are_soon_settled_after_its_callers_left() {
+    let replicas = replicas(5).await;
+    let fleet = Fleet::start(replicas.clone()).await;
+    fleet.configure(&configuration(1)).await;
+    set_scripts(&replicas, &Script::Stream);
+    let answered = request("answered").send(fleet.gateway_address).await;
+    assert_eq!(answered.status, 200, "{answered:?}");
+    set_scripts(&replicas, &Script::Mute);
+    for number in 0..MAX_ENDS {
+        let id = format!("left-{number}");
+        let sending = request(&id).send(fleet.gateway_address);
+        let _ = actix_rt::time::timeout(PATIENCE, sending).await;
+    }
+    let doubtful = async || {
+        let metrics = metrics(fleet.gateway.metrics_address).await;
+        value(&metrics.body, "luglink_doubtful_runs")
+    };
+    wait_until("all runs are in doubt", || async {
+        doubtful().await >= MAX_ENDS as f64
+    })
+    .await;
+    actix_rt::time::sleep(SURVIVAL_DURATION).await;
+    assert_eq!(doubtful().await, 0.0);
+}
