Count a run apart whose replica restarted before the closes were seen

Cause, read in the kept logs: a gateway sent the request to a replica at which a run of its own was in doubt. The process had ended under that run 40 ms before and another one had its identifier and address, but the gateway had not seen its connections close yet, so the new run shared the number of the earlier end. Both ends counted as one.

Change: when such a run gets a response that puts it in doubt, and all connections from before the end of the earlier run are closed by then, it is reported under an identifier and a number of its own. The report that shares the earlier end is cleared.

--- a/crates/gateway-server/src/replica_process.rs
+++ b/crates/gateway-server/src/replica_process.rs
@@ -90,6 +90,18 @@
         Some(usable[position].clone())
     }
 
+    /// Returns true if a run that has just had a response counts with an earlier one at the replica, but
+    /// all connections from before the end of that one are closed.
+    pub(crate) fn may_have_left_process(&self, report: &RunReport, process: &Process) -> bool {
+        let crashes = self.crashes.borrow();
+        let is_open_since = |time| self.upstream.has_open_since(&report.replica, time);
+        let is_identified = process.identified_at.is_some_and(is_open_since);
+        let doubtful = &crashes.doubtful;
+        !is_identified
+            && crashes.table.shares_open_end(report)
+            && doubtful.may_be_replaced(report.request, &report.replica, is_open_since)
+    }
+
     /// Returns true if the listed process of a replica may have ended under a run of a request.
     fn may_be_replaced(&self, request: RequestFingerprint, backend: &Backend) -> bool {
         let crashes = self.crashes.borrow();
@@ -156,7 +168,7 @@
 }
 
 /// Returns a number of known crashes that no other run has by counting.
-fn number_of_own(run: RunId) -> u32 {
+pub(crate) fn number_of_own(run: RunId) -> u32 {
     const OWN: u32 = 1 << 31;
     let [_, _, _, _, first, second, third, fourth] = run.0.to_be_bytes();
     OWN | u32::from_be_bytes([first, second, third, fourth])
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -14,7 +14,7 @@
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::knowledge::Knowledge;
-use crate::replica_process::Process;
+use crate::replica_process::{Process, number_of_own};
 use crate::run_break::{CONFIRMATION_DELAY, confirm_crash};
 use crate::store_link::StoreLink;
 use luglink_edge::SendOutcome;
@@ -309,8 +309,9 @@
         self.end();
         let gateway = Rc::clone(&self.gateway);
         let deadline = self.end_deadline();
-        let report = self.gateway.report_that_counts(&self.report.borrow());
         let announced = self.announced();
+        self.leave_shared_end();
+        let report = self.gateway.report_that_counts(&self.report.borrow());
         // The task goes on if the caller disconnects.
         let reporting = actix_rt::spawn(async move {
             gateway.doubt(&report, reason, deadline);
@@ -323,6 +324,20 @@
         }
     }
 
+    /// Counts the run apart from an earlier one at the replica whose process has closed its connections
+    /// since. A process that has responded after that is another one, although the run was sent before
+    /// the closes were seen.
+    fn leave_shared_end(&self) {
+        let mut report = self.report.borrow_mut();
+        if !self.gateway.may_have_left_process(&report, &self.process) {
+            return;
+        }
+        let shared = in_state(&report, RunState::Cleared);
+        report.run = RunId(self.gateway.draw());
+        report.known_crashes = number_of_own(report.run);
+        self.gateway.send_reports(&[shared]);
+    }
+
     /// Records the error with which the run's connection broke.
     pub(crate) fn note_break(&self, error: &hyper::Error) {
         self.is_reset.set(luglink_http::is_reset(error));
