Log and count the step in which a request waits before a replica gets it

Logs told that a request was refused or its caller left, not which step took the time: look-up of crash reports, origin, reservation, placement, quota, capacity, begin of the run.

One bounded line for a request whose steps before the replica took an eighth of its time or more (`request waited long before a replica got it`), a counter by the longest step (`luglink_slow_starts_total`), and the step in the line of a caller that leaves.

--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -5,6 +5,7 @@
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::refusal::Refusal;
+use crate::request_steps::RequestStep;
 use http::Response;
 use luglink_edge::{Retryable, RouteKind};
 use luglink_fleet::{Backend, BackendId, StreamOrigin};
@@ -323,6 +324,7 @@
     attempts: &mut Attempts,
     cached_at: Option<&BackendId>,
 ) -> Result<Backend, Refusal> {
+    inbound.watch.steps.enter(RequestStep::Capacity);
     loop {
         let refusal = match choose(gateway, inbound, attempts, cached_at) {
             Ok(backend) => return Ok(backend),
--- a/crates/gateway-server/src/crash_refusal.rs
+++ b/crates/gateway-server/src/crash_refusal.rs
@@ -5,6 +5,7 @@
 use crate::inbound::InboundRequest;
 use crate::knowledge::Knowledge;
 use crate::refusal::Refusal;
+use crate::request_steps::RequestStep;
 use luglink_telemetry::milliseconds;
 use luglink_turns::{CRASH_RETENTION, MAX_CRASHES, RequestFingerprint};
 use std::rc::Rc;
@@ -22,6 +23,7 @@
     gateway: &Rc<Gateway>,
     inbound: &InboundRequest,
 ) -> Result<(), Refusal> {
+    inbound.watch.steps.enter(RequestStep::CrashLookUp);
     let request = inbound.fingerprint;
     let looked_up = LookUp::begin_when_answered(gateway, request, inbound.remaining()).await;
     if looked_up.knowledge == Knowledge::None {
--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -4,6 +4,7 @@
 use crate::gateway::Gateway;
 use crate::inbound::{InboundRequest, header_text, strip_hop_by_hop};
 use crate::placement;
+use crate::request_steps::RequestStep;
 use crate::run::Run;
 use crate::upstream::{AcquireError, Lease};
 use bytes::Bytes;
@@ -98,6 +99,7 @@
     backend: &Backend,
     overrides: &SendOverrides,
 ) -> Result<Run, Failure> {
+    inbound.watch.steps.enter(RequestStep::RunBegin);
     if is_continuation(gateway, inbound, overrides) && has_restarted(gateway, backend).await {
         return Err(Failure::Restarted);
     }
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -176,7 +176,7 @@
     let program_left = header_number(&head.headers, &headers.program_deadline_ms);
     let program_deadline =
         program_left.and_then(|left| arrived.checked_add(Duration::from_millis(left)));
-    let watch = CallerWatch::begin(&gateway.metrics, &id, &route, arrived);
+    let watch = CallerWatch::begin(&gateway.metrics, &id, &route, arrived, time_limit);
     let service = route.service_for(share).unwrap_or_default().to_owned();
     let fingerprint = fingerprint::of(gateway, &caller, &head, &body);
     Ok(InboundRequest {
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -40,6 +40,7 @@
 mod refusal;
 mod replica_process;
 mod report_members;
+mod request_steps;
 mod run;
 mod run_break;
 mod server;
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -73,6 +73,8 @@
     pub(crate) doubtful_runs: Gauge,
     /// Callers that disconnected before their answer, by what they were waiting for.
     pub(crate) callers_gone: IntCounterVec,
+    /// Requests that waited long before a replica got them, by the step that took longest.
+    pub(crate) slow_starts: IntCounterVec,
     /// Bytes buffered for callers and replicas.
     pub(crate) held_bytes: Gauge,
     /// Requests aborted because of the bytes buffered for them, by reason.
@@ -200,6 +202,11 @@
                 "Callers that disconnected before their answer",
                 "awaited",
             )?,
+            slow_starts: registry.labelled_counter(
+                "slow_starts_total",
+                "Requests that waited long before a replica got them, by the longest step",
+                "step",
+            )?,
             held_bytes: registry.gauge("held_bytes", "Bytes buffered for callers and replicas")?,
             held_cuts: registry.labelled_counter(
                 "held_cuts_total",
--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -6,6 +6,7 @@
 use crate::gateway::Gateway;
 use crate::inbound::{InboundRequest, ProgramFields};
 use crate::refusal::Refusal;
+use crate::request_steps::RequestStep;
 use crate::{admission, placement, quota};
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
@@ -174,7 +175,10 @@
     let preferred_replica = match (chain.last(), reserved.purpose) {
         (Some(turn), _) => turn.served_by.clone(),
         (None, Purpose::Begins) if resumes_stream => None,
-        (None, Purpose::Begins) => placement::choose_first_replica(gateway, inbound).await?,
+        (None, Purpose::Begins) => {
+            inbound.watch.steps.enter(RequestStep::Placement);
+            placement::choose_first_replica(gateway, inbound).await?
+        }
         (None, Purpose::Continues) => reserved.served_by,
     };
     // Taken after the checks above, so that a turn with an unknown ancestor or without budget takes
@@ -200,6 +204,7 @@
     program: &ProgramFields,
     missing: Option<&TurnId>,
 ) -> Result<ReservedTurn, Refusal> {
+    inbound.watch.steps.enter(RequestStep::Reservation);
     let turn = inbound.turn();
     let retention_ms = inbound.route.retention_ms;
     let reservation = Reservation {
--- a/crates/gateway-server/src/quota.rs
+++ b/crates/gateway-server/src/quota.rs
@@ -3,6 +3,7 @@
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::refusal::Refusal;
+use crate::request_steps::RequestStep;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
@@ -51,6 +52,7 @@
     let Some(quota) = tenant.quota else {
         return Ok(());
     };
+    inbound.watch.steps.enter(RequestStep::Quota);
     let started_at = Instant::now();
     let request = build_request(inbound, tenant, quota, purpose);
     let verdict = request_with_retries(gateway, inbound, &request).await;
--- a/crates/gateway-server/src/stream_origins.rs
+++ b/crates/gateway-server/src/stream_origins.rs
@@ -4,6 +4,7 @@
 use crate::gateway::Gateway;
 use crate::inbound::{InboundRequest, header_number, header_text, tenant_name};
 use crate::refusal::Refusal;
+use crate::request_steps::RequestStep;
 use crate::turn_client::OriginLookup;
 use luglink_fleet::{BackendId, Incarnation, StreamOrigin};
 use luglink_telemetry::milliseconds;
@@ -126,6 +127,7 @@
     let Some(resumption) = Resumption::of(gateway, inbound) else {
         return Ok(None);
     };
+    inbound.watch.steps.enter(RequestStep::OriginLookUp);
     let started_at = Instant::now();
     let (source, origin) = look_up(gateway, inbound, resumption.began_as.as_ref()).await;
     let origin = origin.filter(|origin| inbound.route.has_target(&origin.service));
--- a/crates/gateway-server/tests/gateway/cut_off.rs
+++ b/crates/gateway-server/tests/gateway/cut_off.rs
@@ -1,6 +1,7 @@
 //! Requests that end their replicas while one gateway is cut off from the turn stores, and from the
 //! control members too, by connections that fall silent.
 
+use crate::metrics::{metrics, value};
 use crate::support::caller::{TestRequest, TestResponse};
 use crate::support::proxy::Proxy;
 use crate::support::replica::{Replica, Script};
@@ -31,7 +32,7 @@
     second: SocketAddr,
     /// Proxies through which the second gateway reaches the members.
     member_proxies: Vec<Proxy>,
-    _second_gateway: GatewayServer,
+    second_gateway: GatewayServer,
 }
 
 impl Setup {
@@ -57,7 +58,7 @@
             first_connections,
             second,
             member_proxies,
-            _second_gateway: gateway,
+            second_gateway: gateway,
         };
         for number in 0..2 * REPLICAS {
             let id = format!("warm-again-{number}");
@@ -188,3 +189,21 @@
         assert!(began.elapsed() < INNOCENT_TIMEOUT, "{number}");
     }
 }
+
+#[actix_rt::test]
+async fn requests_that_wait_long_before_a_replica_gets_them_are_counted_by_step() {
+    let setup = Setup::start().await;
+    setup.cut_off_second_from_all();
+    let series = "luglink_slow_starts_total{step=\"crash_look_up\"}";
+    // Until its leases end, the gateway asks nobody.
+    wait_until("a request waits for holders of reports", || async {
+        let request = TestRequest::get("/safe/innocent", "slow");
+        let request = request.with("luglink-deadline-ms", 1_000);
+        request.send(setup.second).await;
+        let gateway = metrics(setup.second_gateway.metrics_address).await;
+        value(&gateway.body, series) >= 1.0
+    })
+    .await;
+    let first = metrics(setup.fleet.gateway.metrics_address).await;
+    assert_eq!(value(&first.body, series), 0.0, "that gateway is in touch");
+}
