Sync crash reports in batches at stores and members, and answer their followers in rounds

Cause: a store or member wrote each report with a sync of its own, on the thread that serves all its requests. A sync takes 5 ms there, each doubt is a report at three stores and at all members, and requests that fail make doubts. From some 200 reports a second on such a process does nothing but wait for its disk, so quotas, turns and elections time out, more requests fail, and more doubts are reported: it feeds itself after the trigger is over.

Evidence: in the collapse stores used 0.05 and members 0.014 of their 0.3 cores, so it was not the processor.

Change: reports are appended as they come; what acknowledges them waits for one sync of all, queued behind the messages that are there. A report that changes nothing waits for the sync of the first one too. After a failed sync the whole file is written, as before. Followers are answered in rounds, 0.5 ms apart for each, so that a burst of reports is one message to each gateway. handle_crash_request no longer fails for the disk; the tests take a request for acknowledged after sync_reports, as the servers do, and are as strict.

--- a/crates/control-server/src/actor.rs
+++ b/crates/control-server/src/actor.rs
@@ -157,6 +157,13 @@
         }
     }
 
+    fn queue_report_sync(&mut self, context: &mut Context<Self>) {
+        let reports = self.reports.as_ref();
+        if reports.is_some_and(ReportService::awaits_sync) {
+            self.queue_flush(context);
+        }
+    }
+
     fn queue_flush(&mut self, context: &mut Context<Self>) {
         if !self.flush_queued {
             self.flush_queued = true;
@@ -192,6 +199,19 @@
         }
     }
 
+    fn flush_node(&mut self, context: &mut Context<Self>) {
+        let Some(result) = self.node.as_mut().map(ControlNode::flush) else {
+            return;
+        };
+        let Some(outputs) = self.check_result(result, context) else {
+            return;
+        };
+        for output in outputs {
+            self.execute_output(output, context);
+        }
+        self.log_leadership();
+    }
+
     /// Logs the leadership of the configuration group if it has changed.
     fn log_leadership(&mut self) {
         let Some(leadership) = self.node.as_ref().map(ControlNode::leadership) else {
@@ -284,6 +304,7 @@
             let node = self.node.as_ref();
             let membership = node.and_then(ControlNode::membership_version);
             reports.on_frame(connection, frame, membership, now());
+            self.queue_report_sync(context);
             return;
         }
         match frame {
@@ -344,6 +365,7 @@
             if let Some(reports) = &mut actor.reports {
                 reports.tick(time);
             }
+            actor.queue_report_sync(context);
             let due = actor
                 .node
                 .as_mut()
@@ -356,7 +378,7 @@
     }
 }
 
-/// Persists the handled inputs and executes the outputs.
+/// Persists the handled inputs and crash reports, and executes the outputs.
 #[derive(Message)]
 #[rtype(result = "()")]
 struct Flush;
@@ -366,16 +388,12 @@
 
     fn handle(&mut self, _: Flush, context: &mut Self::Context) {
         self.flush_queued = false;
-        let Some(result) = self.node.as_mut().map(ControlNode::flush) else {
-            return;
-        };
-        let Some(outputs) = self.check_result(result, context) else {
-            return;
-        };
-        for output in outputs {
-            self.execute_output(output, context);
+        self.flush_node(context);
+        if let Some(reports) = &mut self.reports
+            && reports.awaits_sync()
+        {
+            reports.sync();
         }
-        self.log_leadership();
     }
 }
 
@@ -405,6 +423,7 @@
                 if let Some(reports) = &mut self.reports {
                     reports.disconnect(connection, now());
                 }
+                self.queue_report_sync(context);
                 self.clients.remove(&connection);
                 self.handle_input(Input::ClientDisconnected { client: connection }, context);
             }
--- a/crates/control-server/src/reports.rs
+++ b/crates/control-server/src/reports.rs
@@ -25,6 +25,21 @@
     clients: BTreeMap<u64, FrameSender>,
     /// Clients that the latest update of each gateway's session came from.
     sessions: BTreeMap<u64, u64>,
+    /// Responses that acknowledge reports which are not synced yet.
+    unsynced_replies: Vec<UnsyncedReply>,
+}
+
+/// Response that is sent once the reports are synced.
+struct UnsyncedReply {
+    client: u64,
+    correlation: u64,
+    response: CrashResponse,
+}
+
+/// Answer to a request, by when it may be sent.
+enum Answer {
+    Now(CrashResponse),
+    OnceSynced(CrashResponse),
 }
 
 impl ReportService {
@@ -35,6 +50,7 @@
             reopen_at: Timestamp::ZERO,
             clients: BTreeMap::new(),
             sessions: BTreeMap::new(),
+            unsynced_replies: Vec::new(),
         }
     }
 
@@ -74,11 +90,53 @@
             tracing::warn!(client, "unexpected frame from gateway");
             return;
         };
-        let answer = self.answer(client, &body, membership, now);
-        let body = match answer {
-            Ok(response) => encode_response(&response),
-            Err(reason) => encode_body(&StoreResponse::Failed { reason }),
+        match self.answer(client, &body, membership, now) {
+            Ok(Answer::Now(response)) => {
+                self.send(client, correlation, encode_response(&response));
+            }
+            Ok(Answer::OnceSynced(response)) => self.unsynced_replies.push(UnsyncedReply {
+                client,
+                correlation,
+                response,
+            }),
+            Err(reason) => self.fail(client, correlation, reason),
+        }
+        self.note_events();
+    }
+
+    /// Returns true if [`ReportService::sync`] has something to do.
+    pub(crate) fn awaits_sync(&self) -> bool {
+        let holder = self.holder.as_ref();
+        !self.unsynced_replies.is_empty() || holder.is_some_and(ReportHolder::awaits_sync)
+    }
+
+    /// Syncs the reports that were kept since the last call, and sends the responses that waited for it.
+    pub(crate) fn sync(&mut self) {
+        let Some(holder) = &mut self.holder else {
+            return;
         };
+        let synced = holder.sync();
+        for reply in std::mem::take(&mut self.unsynced_replies) {
+            match &synced {
+                Ok(()) => {
+                    let body = encode_response(&reply.response);
+                    self.send(reply.client, reply.correlation, body);
+                }
+                Err(error) => {
+                    let reason = format!("cannot make crash reports durable: {error}");
+                    self.fail(reply.client, reply.correlation, reason);
+                }
+            }
+        }
+        self.note_events();
+    }
+
+    fn fail(&self, client: u64, correlation: u64, reason: String) {
+        let body = encode_body(&StoreResponse::Failed { reason });
+        self.send(client, correlation, body);
+    }
+
+    fn send(&self, client: u64, correlation: u64, body: Result<Vec<u8>, WireError>) {
         match body {
             Ok(body) => {
                 if let Some(sender) = self.clients.get(&client) {
@@ -87,7 +145,6 @@
             }
             Err(error) => tracing::error!(%error, "cannot encode response to gateway"),
         }
-        self.note_events();
     }
 
     fn answer(
@@ -96,7 +153,7 @@
         body: &[u8],
         membership: Option<u64>,
         now: Timestamp,
-    ) -> Result<CrashResponse, String> {
+    ) -> Result<Answer, String> {
         let (request, client_membership) = decode_request(body).map_err(|error| {
             tracing::warn!(client, %error, "cannot decode request from gateway");
             error.to_string()
@@ -109,7 +166,7 @@
             self.sessions.insert(update.session, client);
         }
         let handled = holder.handle(client_membership, membership, &request, now);
-        handled.map_err(|error| {
+        let response = handled.map_err(|error| {
             tracing::info!(
                 %error,
                 client_membership,
@@ -117,6 +174,10 @@
                 "refused a request about crash reports"
             );
             error.to_string()
+        })?;
+        Ok(match request.needs_sync() {
+            true => Answer::OnceSynced(response),
+            false => Answer::Now(response),
         })
     }
 
--- a/crates/store-server/src/lib.rs
+++ b/crates/store-server/src/lib.rs
@@ -7,6 +7,7 @@
 mod followers;
 mod metrics;
 mod peers;
+mod reports;
 mod server;
 
 pub use errors::StoreServerError;
--- a/crates/store-server/src/metrics.rs
+++ b/crates/store-server/src/metrics.rs
@@ -17,6 +17,8 @@
     pub(crate) refusals: IntCounterVec,
     /// Time to make a batch of requests durable.
     pub(crate) flush_seconds: Histogram,
+    /// Time to make a batch of crash reports durable.
+    pub(crate) report_sync_seconds: Histogram,
     /// Stored turns.
     pub(crate) turns: Gauge,
     /// Stored accounts.
@@ -49,6 +51,10 @@
             refusals,
             flush_seconds: registry
                 .seconds_histogram("store_flush_seconds", "Time to make a batch durable")?,
+            report_sync_seconds: registry.seconds_histogram(
+                "store_report_sync_seconds",
+                "Time to make a batch of crash reports durable",
+            )?,
             turns: registry.gauge("store_turns", "Stored turns")?,
             accounts: registry.gauge("store_accounts", "Stored accounts")?,
             epoch: registry.gauge(
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -2,18 +2,19 @@
 
 use crate::clock::now;
 use crate::errors::{ListenSnafu, StoreServerError};
-use crate::followers::{Follower, Followers};
-use crate::metrics::{StoreMetrics, crash_request_kind, origin_request_kind, request_kind};
+use crate::followers::Followers;
+use crate::metrics::{StoreMetrics, origin_request_kind, request_kind};
 use crate::peers::Peers;
+use crate::reports::{UnsyncedReply, answer_followers_in_rounds};
 use luglink_fleet::{KnownVersions, ObserverUpdate, Presence, Role, StoreName, StorePresence};
 use luglink_fleet_client::{ListSource, Observer, ObserverConfig, ObserverDelegate};
 use luglink_net::{FrameSender, ListenerEvent};
 use luglink_quota::Tolerance;
 use luglink_storage::{FileDisk, WalConfig};
 use luglink_turns::{
-    Chain, ClientView, CrashRequest, CrashResponse, FollowerLeases, LogPosition, OriginRequest,
-    OriginResponse, Output, Refusal, Replication, ReportBatch, ReportError, RequestToken, RunState,
-    StoreConfig, StoreNode, StoreRequest, StoreResponse,
+    Chain, ClientView, CrashRequest, FollowerLeases, LogPosition, OriginRequest, OriginResponse,
+    Output, Refusal, Replication, ReportBatch, RequestToken, StoreConfig, StoreNode, StoreRequest,
+    StoreResponse,
 };
 use luglink_wire::{Frame, Parts, WireError, decode_with_parts, encode_body, encode_with_parts};
 use rand::RngCore;
@@ -64,23 +65,28 @@
 }
 
 /// State that the tasks of the server share.
-struct Shared {
+pub(crate) struct Shared {
     config: StoreServerConfig,
-    node: RefCell<StoreNode<FileDisk>>,
+    pub(crate) node: RefCell<StoreNode<FileDisk>>,
     /// Identifies the store's disk.
     incarnation: u64,
     clients: RefCell<BTreeMap<u64, FrameSender>>,
     peers: Peers,
     /// Gateways that wait for crash reports.
-    followers: RefCell<Followers>,
-    leases: RefCell<FollowerLeases>,
+    pub(crate) followers: RefCell<Followers>,
+    pub(crate) leases: RefCell<FollowerLeases>,
+    /// Wakes the task that answers followers.
+    pub(crate) reports_changed: Notify,
+    /// Position of the reports up to which followers were told.
+    pub(crate) told_position: Cell<LogPosition>,
+    pub(crate) unsynced_replies: RefCell<Vec<UnsyncedReply>>,
     /// Clients that the latest update of each gateway's session came from.
-    sessions: RefCell<BTreeMap<u64, u64>>,
+    pub(crate) sessions: RefCell<BTreeMap<u64, u64>>,
     /// Requests handled since the last flush.
     unflushed_requests: Cell<u32>,
     /// Wakes the task that flushes.
-    flush_needed: Notify,
-    metrics: StoreMetrics,
+    pub(crate) flush_needed: Notify,
+    pub(crate) metrics: StoreMetrics,
 }
 
 /// Running store server. It runs until the process exits; dropping this value does not stop it.
@@ -126,6 +132,9 @@
         peers: Peers::default(),
         followers: RefCell::default(),
         leases: RefCell::new(FollowerLeases::after_start(now())),
+        reports_changed: Notify::new(),
+        told_position: Cell::default(),
+        unsynced_replies: RefCell::default(),
         sessions: RefCell::default(),
         unflushed_requests: Cell::new(0),
         flush_needed: Notify::new(),
@@ -138,6 +147,7 @@
     }));
     actix_rt::spawn(flush_when_woken(Rc::clone(&shared)));
     actix_rt::spawn(tick(Rc::clone(&shared)));
+    actix_rt::spawn(answer_followers_in_rounds(Rc::clone(&shared)));
     let observer = Observer::start(Rc::clone(&shared), shared.config.observer.clone());
     Ok(StoreServer {
         address,
@@ -219,10 +229,8 @@
     loop {
         actix_rt::time::sleep(TICK_INTERVAL).await;
         shared.node.borrow_mut().tick(now());
-        shared.note_run_events();
         shared.update_gauges();
         shared.answer_followers();
-        shared.acknowledge_reports();
         shared.flush_needed.notify_one();
     }
 }
@@ -304,7 +312,7 @@
         }
     }
 
-    fn refuse(
+    pub(crate) fn refuse(
         &self,
         token: RequestToken,
         refusal: Refusal,
@@ -323,16 +331,9 @@
         self.reply(token, &StoreResponse::Failed { reason });
     }
 
-    fn fail_report(&self, token: RequestToken, view: Option<ClientView>, error: ReportError) {
-        match error {
-            ReportError::Refused { source } => {
-                self.refuse(token, source, view, self.node.borrow().epoch());
-            }
-            ReportError::NotDurable { source } => {
-                let reason = source.to_string();
-                self.reply(token, &StoreResponse::Failed { reason });
-            }
-        }
+    /// Replies that a request failed.
+    pub(crate) fn fail(&self, token: RequestToken, reason: String) {
+        self.reply(token, &StoreResponse::Failed { reason });
     }
 
     fn on_origin_request(&self, token: RequestToken, request: &OriginRequest) {
@@ -346,86 +347,6 @@
         self.reply_with_parts(token, OriginResponse { origin }.encode());
     }
 
-    fn on_crash_request(
-        &self,
-        token: RequestToken,
-        client_view: Option<ClientView>,
-        request: &CrashRequest,
-    ) {
-        let requests = &self.metrics.requests;
-        let kind = crash_request_kind(request);
-        requests.with_label_values(&[kind]).inc();
-        let mut node = self.node.borrow_mut();
-        let before = node.crash_position();
-        let handled = node.handle_crash_request(client_view, request, now());
-        drop(node);
-        let response = match handled {
-            Ok(response) => response,
-            Err(error) => {
-                self.note_run_events();
-                return self.fail_report(token, client_view, error);
-            }
-        };
-        let is_complete = self.node.borrow().has_complete_crash_reports();
-        if let CrashRequest::Update(update) = request {
-            let mut sessions = self.sessions.borrow_mut();
-            sessions.insert(update.session, token.client);
-        }
-        let latest = response.position;
-        match request {
-            CrashRequest::Follow(position) => {
-                self.follow(token, *position, response, is_complete);
-            }
-            CrashRequest::FollowLeased(position) => {
-                let mut leases = self.leases.borrow_mut();
-                leases.grant(token.client, *position, latest, now());
-                drop(leases);
-                self.follow(token, *position, response, is_complete);
-                self.acknowledge_reports();
-            }
-            CrashRequest::Record(report) if report.state == RunState::Crashed => {
-                self.leases.borrow_mut().hold(token, response);
-            }
-            CrashRequest::RecordDoubt(_) | CrashRequest::TakeOver(_) => {
-                self.leases.borrow_mut().hold(token, response);
-            }
-            _ => self.reply_with_parts(token, response.encode()),
-        }
-        if latest != before {
-            self.answer_followers();
-        }
-        if matches!(
-            request,
-            CrashRequest::Record(_) | CrashRequest::RecordDoubt(_) | CrashRequest::TakeOver(_)
-        ) {
-            self.acknowledge_reports();
-        }
-    }
-
-    /// Responds to a follower that lacks reports, and holds the request of another one.
-    fn follow(
-        &self,
-        token: RequestToken,
-        position: LogPosition,
-        response: CrashResponse,
-        is_complete: bool,
-    ) {
-        if position == response.position || !is_complete {
-            let follower = Follower::new(token, position, response.has_lease);
-            self.followers.borrow_mut().add(follower);
-        } else {
-            self.reply_with_parts(token, response.encode());
-        }
-    }
-
-    /// Acknowledges the reports that all followers with a lease have.
-    fn acknowledge_reports(&self) {
-        let due = self.leases.borrow_mut().take_due(now());
-        for (token, response) in due {
-            self.reply_with_parts(token, response.encode());
-        }
-    }
-
     /// Puts the runs of a gateway in doubt whose connection has ended, unless it has another one.
     fn end_session_of(&self, client: u64) {
         let mut sessions = self.sessions.borrow_mut();
@@ -436,11 +357,11 @@
         sessions.remove(&session);
         drop(sessions);
         self.node.borrow_mut().end_session(session, now());
-        self.note_run_events();
-        self.answer_followers();
+        self.flush_needed.notify_one();
+        self.tell_followers_of_changes();
     }
 
-    fn note_run_events(&self) {
+    pub(crate) fn note_run_events(&self) {
         let mut node = self.node.borrow_mut();
         let events = node.take_run_events();
         if events.lost_runs > 0 {
@@ -457,23 +378,8 @@
         }
     }
 
-    /// Sends new crash reports to the gateways that wait for them, and an empty response to those
-    /// that have waited long enough.
-    fn answer_followers(&self) {
-        let mut node = self.node.borrow_mut();
-        if !node.has_complete_crash_reports() {
-            return;
-        }
-        let due = self.followers.borrow_mut().take_due(node.crash_position());
-        for follower in due {
-            if let Ok(response) = node.handle_crash_request(None, &follower.request(), now()) {
-                self.reply_with_parts(follower.token, response.encode());
-            }
-        }
-    }
-
     /// Responds to a request that carried a part.
-    fn reply_with_parts(&self, token: RequestToken, parts: Result<Parts, WireError>) {
+    pub(crate) fn reply_with_parts(&self, token: RequestToken, parts: Result<Parts, WireError>) {
         let incarnation = self.incarnation;
         let response = StoreResponse::Chain(Chain::Absent { incarnation });
         let body = parts.and_then(|parts| encode_with_parts(&response, &parts));
@@ -510,7 +416,6 @@
             let seconds = started.elapsed().as_secs_f64();
             self.metrics.flush_seconds.observe(seconds);
         }
-        self.hand_over_reports();
         for output in outputs {
             match output {
                 Output::Reply { token, response } => {
@@ -527,6 +432,8 @@
                 } => self.hand_over(to, number, *request),
             }
         }
+        self.sync_reports();
+        self.hand_over_reports();
     }
 
     fn reply(&self, token: RequestToken, response: &StoreResponse) {
--- a/crates/turns/src/crash_keeper.rs
+++ b/crates/turns/src/crash_keeper.rs
@@ -29,6 +29,8 @@
     complete_from: Timestamp,
     /// True if the file lacks entries that are in memory.
     needs_rewrite: bool,
+    /// True if reports were recorded that are not synced.
+    awaits_sync: bool,
     events: RunEvents,
 }
 
@@ -46,6 +48,7 @@
             journal,
             complete_from: now,
             needs_rewrite: false,
+            awaits_sync: false,
             events: RunEvents::default(),
         };
         for entry in &entries {
@@ -86,30 +89,30 @@
         now >= self.complete_from
     }
 
-    /// Handles a request.
-    ///
-    /// # Errors
-    /// Fails if reports cannot be written to disk.
+    /// Handles a request. A response for which [`CrashRequest::needs_sync`] holds must not be sent before
+    /// [`CrashKeeper::sync`] has succeeded.
     pub(crate) fn handle(
         &mut self,
         disk: &mut impl Disk,
         request: &CrashRequest,
         now: Timestamp,
-    ) -> Result<CrashResponse, TurnsError> {
+    ) -> CrashResponse {
         let reports = match request {
             CrashRequest::Record(report) => {
-                self.record(disk, report, false, now)?;
+                self.record(disk, report, false, now);
                 self.log.find(report.request)
             }
             CrashRequest::RecordDoubt(report) => {
-                self.record(disk, report, true, now)?;
+                self.record(disk, report, true, now);
                 self.log.find(report.request)
             }
             CrashRequest::TakeOver(reports) => {
-                self.record_all(disk, reports, now)?;
+                for counted in reports {
+                    self.record(disk, &counted.report, counted.is_in_doubt, now);
+                }
                 Vec::new()
             }
-            CrashRequest::Update(update) => return Ok(self.update(disk, update, now)),
+            CrashRequest::Update(update) => return self.update(disk, update, now),
             CrashRequest::Find(request) => {
                 if !self.is_complete(now) {
                     // Their gateways may have been lost with the store.
@@ -122,13 +125,13 @@
                 self.log.reports_from(*position)
             }
         };
-        Ok(CrashResponse {
+        CrashResponse {
             position: self.log.position(),
             doubts: self.log.doubts_among(&reports),
             reports,
             is_new_session: false,
             has_lease: matches!(request, CrashRequest::FollowLeased(_)),
-        })
+        }
     }
 
     fn record(
@@ -137,42 +140,37 @@
         report: &RunReport,
         is_in_doubt: bool,
         now: Timestamp,
-    ) -> Result<(), TurnsError> {
+    ) {
         let entry = RunEntry::Report {
             report: report.clone(),
             is_in_doubt,
         };
-        let is_new = self.apply(&entry, now);
-        if !is_new && !self.needs_rewrite {
-            return Ok(());
+        if self.apply(&entry, now) {
+            self.write(disk, &entry);
+            // An end that is forgotten costs a replica, a cleared run that counts only a delay.
+            self.awaits_sync |= report.state != RunState::Cleared;
         }
-        // An end that is forgotten costs a replica, a cleared run that counts only a delay.
-        let is_synced = report.state != RunState::Cleared;
-        let written = self.write(disk, &entry, is_synced);
-        if is_synced { written } else { Ok(()) }
     }
 
-    /// Records reports with one sync.
-    fn record_all(
-        &mut self,
-        disk: &mut impl Disk,
-        reports: &[CountedReport],
-        now: Timestamp,
-    ) -> Result<(), TurnsError> {
-        for counted in reports {
-            let entry = RunEntry::Report {
-                report: counted.report.clone(),
-                is_in_doubt: counted.is_in_doubt,
-            };
-            if self.apply(&entry, now) {
-                self.write(disk, &entry, false)?;
-            }
-        }
+    /// Makes all recorded reports durable with one sync. After a failure, the whole file is written
+    /// again.
+    ///
+    /// # Errors
+    /// Fails if the reports cannot be written to disk.
+    pub(crate) fn sync(&mut self, disk: &mut impl Disk) -> Result<(), TurnsError> {
         if self.needs_rewrite {
             return self.rewrite(disk);
         }
+        if !self.awaits_sync {
+            return Ok(());
+        }
         let synced = self.journal.sync(disk);
-        self.note_written(synced)
+        self.note_synced(synced)
+    }
+
+    /// Returns true if [`CrashKeeper::sync`] has something to write.
+    pub(crate) fn awaits_sync(&self) -> bool {
+        self.awaits_sync
     }
 
     fn update(
@@ -183,8 +181,7 @@
     ) -> CrashResponse {
         let is_new_session = self.under_way.update(update, now);
         if !update.begun.is_empty() || !update.ended.is_empty() {
-            // A store that cannot write still has the runs in memory.
-            let _ = self.write(disk, &RunEntry::Update(update.clone()), false);
+            self.write(disk, &RunEntry::Update(update.clone()));
         }
         CrashResponse {
             position: self.log.position(),
@@ -203,7 +200,8 @@
         let lost = self.under_way.end_session(session);
         if self.doubt(&lost, now) {
             self.events.lost_runs += lost.len();
-            let _ = self.write(disk, &RunEntry::SessionEnded(session), true);
+            self.write(disk, &RunEntry::SessionEnded(session));
+            self.awaits_sync = true;
         }
         lost
     }
@@ -218,10 +216,12 @@
                     report: report.clone(),
                     is_in_doubt: true,
                 };
-                let _ = self.write(disk, &entry, false);
+                self.write(disk, &entry);
             }
+            self.awaits_sync = true;
         }
         if self.journal.is_long() || self.needs_rewrite {
+            // A failure is among the events.
             let _ = self.rewrite(disk);
         }
         lost
@@ -253,26 +253,34 @@
             .chain(self.under_way.as_updates().map(RunEntry::Update))
             .collect();
         let written = self.journal.rewrite(disk, entries.into_iter());
-        self.note_written(written)
+        self.note_synced(written)
     }
 
-    /// Appends an entry that was applied. After a failure, the whole file is written again.
-    fn write(
-        &mut self,
-        disk: &mut impl Disk,
-        entry: &RunEntry,
-        is_synced: bool,
-    ) -> Result<(), TurnsError> {
+    /// Appends an entry that was applied, without a sync. A store that cannot write has it in memory, and
+    /// writes the whole file later.
+    fn write(&mut self, disk: &mut impl Disk, entry: &RunEntry) {
         if self.needs_rewrite {
-            return self.rewrite(disk);
+            return;
+        }
+        if let Err(error) = self.journal.append(disk, entry) {
+            self.note_failure(&error);
+        }
+    }
+
+    fn note_synced(&mut self, synced: Result<(), TurnsError>) -> Result<(), TurnsError> {
+        match &synced {
+            Ok(()) => {
+                self.needs_rewrite = false;
+                self.awaits_sync = false;
+            }
+            Err(error) => self.note_failure(error),
         }
-        let written = self.journal.append(disk, entry, is_synced);
-        self.note_written(written)
+        synced
     }
 
-    fn note_written(&mut self, written: Result<(), TurnsError>) -> Result<(), TurnsError> {
-        self.needs_rewrite = written.is_err();
-        written.inspect_err(|error| self.events.write_failure = Some(error.to_string()))
+    fn note_failure(&mut self, error: &TurnsError) {
+        self.needs_rewrite = true;
+        self.events.write_failure = Some(error.to_string());
     }
 
     pub(crate) fn position(&self) -> LogPosition {
--- a/crates/turns/src/crash_parts.rs
+++ b/crates/turns/src/crash_parts.rs
@@ -5,7 +5,7 @@
 //!
 //! [`StoreRequest::Lookup`]: crate::StoreRequest::Lookup
 
-use crate::crash_reports::{RunId, RunReport};
+use crate::crash_reports::{RunId, RunReport, RunState};
 use crate::fingerprint::RequestFingerprint;
 use crate::parts::ClientView;
 use luglink_wire::{PartNumber, Parts, WireError};
@@ -147,6 +147,27 @@
         Ok(parts)
     }
 
+    /// Returns true if the response acknowledges reports, so that it must not be sent before these are
+    /// synced.
+    #[must_use]
+    pub fn needs_sync(&self) -> bool {
+        match self {
+            Self::Record(report) => report.state != RunState::Cleared,
+            Self::RecordDoubt(_) | Self::TakeOver(_) => true,
+            Self::Update(_) | Self::Find(_) | Self::Follow(_) | Self::FollowLeased(_) => false,
+        }
+    }
+
+    /// Returns true if the response acknowledges ends or possible ends, so that it must not be sent before
+    /// all followers with a lease have them.
+    #[must_use]
+    pub fn needs_followers(&self) -> bool {
+        match self {
+            Self::Record(report) => report.state == RunState::Crashed,
+            request => request.needs_sync(),
+        }
+    }
+
     /// Returns the request whose reports the response contains, unless it is for any.
     #[must_use]
     pub fn subject(&self) -> Option<RequestFingerprint> {
--- a/crates/turns/src/errors.rs
+++ b/crates/turns/src/errors.rs
@@ -1,6 +1,5 @@
 //! Error type of turn stores.
 
-use crate::refusal::Refusal;
 use luglink_storage::StorageError;
 use snafu::Snafu;
 
@@ -27,21 +26,3 @@
         source: postcard::Error,
     },
 }
-
-/// Reason for which a holder of crash reports does not answer a request about them.
-#[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
-pub enum ReportError {
-    /// The client could not count the response.
-    #[snafu(display("{source}"), context(false))]
-    Refused {
-        /// The reason.
-        source: Refusal,
-    },
-    /// A report is not on disk.
-    #[snafu(display("cannot make crash reports durable: {source}"), context(false))]
-    NotDurable {
-        /// Error of the disk.
-        source: TurnsError,
-    },
-}
--- a/crates/turns/src/follower_leases.rs
+++ b/crates/turns/src/follower_leases.rs
@@ -83,6 +83,18 @@
             .retain(|waiting| waiting.token.client != client);
     }
 
+    /// Number of leases, some of which may have ended.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.leases.len()
+    }
+
+    /// Returns true if there are no leases.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.leases.is_empty()
+    }
+
     /// Keeps the response to a report until the other clients with a lease have the report.
     pub fn hold(&mut self, token: RequestToken, response: CrashResponse) {
         if self.waiting.len() < MAX_WAITING {
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -47,7 +47,7 @@
 pub use crash_reports::{
     CRASH_RETENTION, CrashTable, LEASE_MARGIN, MAX_CRASHES, RunId, RunReport, RunState,
 };
-pub use errors::{ReportError, TurnsError};
+pub use errors::TurnsError;
 pub use fingerprint::RequestFingerprint;
 pub use follower_leases::{FollowerLeases, LEASE_DURATION, LEASE_HOLD, LEASE_TRUST};
 pub use node::{Output, RequestToken, StoreConfig, StoreNode};
--- a/crates/turns/src/node/reports.rs
+++ b/crates/turns/src/node/reports.rs
@@ -4,9 +4,10 @@
 use crate::crash_keeper::RunEvents;
 use crate::crash_parts::{CountedReport, CrashRequest, CrashResponse, LogPosition};
 use crate::crash_reports::RunReport;
-use crate::errors::ReportError;
+use crate::errors::TurnsError;
 use crate::follower_leases::LEASE_DURATION;
 use crate::parts::ClientView;
+use crate::refusal::Refusal;
 use crate::report_hand_over::ReportBatch;
 use luglink_fleet::StoreName;
 use luglink_storage::Disk;
@@ -52,25 +53,35 @@
         self.report_hand_over.on_acknowledged(by, number);
     }
 
-    /// Keeps or returns crash reports for a client under its view of the stores.
+    /// Keeps or returns crash reports for a client under its view of the stores. A response for which
+    /// [`CrashRequest::needs_sync`] holds must not be sent before [`StoreNode::sync_reports`] has
+    /// succeeded.
     ///
     /// # Errors
-    /// Fails if the client could not count the response, or if a report cannot be written to disk.
+    /// Fails if the client could not count the response.
     pub fn handle_crash_request(
         &mut self,
         client_view: Option<ClientView>,
         request: &CrashRequest,
         now: Timestamp,
-    ) -> Result<CrashResponse, ReportError> {
+    ) -> Result<CrashResponse, Refusal> {
         self.now = self.now.max(now);
         if let Some(refusal) = self.request_check().report_refusal(client_view, request) {
-            return Err(refusal.into());
+            return Err(refusal);
         }
         if matches!(request, CrashRequest::FollowLeased(_)) {
             self.leases_until = self.now.plus(LEASE_DURATION);
         }
         let disk = self.journal.disk_mut();
-        Ok(self.crashes.handle(disk, request, self.now)?)
+        Ok(self.crashes.handle(disk, request, self.now))
+    }
+
+    /// Makes all crash reports that were kept durable with one sync.
+    ///
+    /// # Errors
+    /// Fails if the reports cannot be written to disk.
+    pub fn sync_reports(&mut self) -> Result<(), TurnsError> {
+        self.crashes.sync(self.journal.disk_mut())
     }
 
     /// Puts the runs under way of a gateway's process in doubt, to which the connection has ended.
--- a/crates/turns/src/report_holder.rs
+++ b/crates/turns/src/report_holder.rs
@@ -7,7 +7,7 @@
 use crate::crash_keeper::{CrashKeeper, RunEvents};
 use crate::crash_parts::{CrashRequest, CrashResponse};
 use crate::crash_reports::CRASH_RETENTION;
-use crate::errors::{ReportError, TurnsError};
+use crate::errors::TurnsError;
 use crate::refusal::Refusal;
 use luglink_storage::Disk;
 use luglink_types::Timestamp;
@@ -56,29 +56,44 @@
     }
 
     /// Keeps or returns crash reports for a gateway that knows the control members as of the version
-    /// `client_membership`.
+    /// `client_membership`. A response for which [`CrashRequest::needs_sync`] holds must not be sent before
+    /// [`ReportHolder::sync`] has succeeded.
     ///
     /// # Errors
-    /// Fails if the membership known here has another version, if the member may lack the reports that
-    /// are asked for, or if a report cannot be written to disk.
+    /// Fails if the membership known here has another version, or if the member may lack the reports that
+    /// are asked for.
     pub fn handle(
         &mut self,
         client_membership: Option<u64>,
         own_membership: u64,
         request: &CrashRequest,
         now: Timestamp,
-    ) -> Result<CrashResponse, ReportError> {
+    ) -> Result<CrashResponse, Refusal> {
         if client_membership != Some(own_membership) {
-            return Err(Refusal::OtherMembership.into());
+            return Err(Refusal::OtherMembership);
         }
-        let response = self.keeper.handle(&mut self.disk, request, now)?;
+        let response = self.keeper.handle(&mut self.disk, request, now);
         let is_update = matches!(request, CrashRequest::Update(_));
         if self.complete_from.is_some() && !is_update {
-            return Err(Refusal::Incomplete.into());
+            return Err(Refusal::Incomplete);
         }
         Ok(response)
     }
 
+    /// Makes all reports that were kept durable with one sync.
+    ///
+    /// # Errors
+    /// Fails if the reports cannot be written to disk.
+    pub fn sync(&mut self) -> Result<(), TurnsError> {
+        self.keeper.sync(&mut self.disk)
+    }
+
+    /// Returns true if [`ReportHolder::sync`] has something to write.
+    #[must_use]
+    pub fn awaits_sync(&self) -> bool {
+        self.keeper.awaits_sync()
+    }
+
     /// Puts the runs under way of a gateway's process in doubt, to which the connection has ended.
     pub fn end_session(&mut self, session: u64, now: Timestamp) {
         self.keeper.end_session(&mut self.disk, session, now);
@@ -102,6 +117,11 @@
         self.keeper.take_events()
     }
 
+    /// Returns the disk in the state that a crash leaves behind.
+    pub fn into_disk(self) -> D {
+        self.disk
+    }
+
     /// Number of requests with crash reports.
     #[must_use]
     pub fn report_count(&self) -> usize {
--- a/crates/turns/src/run_journal.rs
+++ b/crates/turns/src/run_journal.rs
@@ -1,7 +1,8 @@
 //! File of crash reports and of runs under way, from which a store that restarts knows them again.
 //!
-//! Entries are appended, and the file is rewritten once it is long. Runs under way are written
-//! without a sync, so they survive the end of the process but not a loss of power.
+//! Entries are appended, and the file is rewritten once it is long. One sync covers all entries that
+//! were appended before it. Runs under way are written without one, so they survive the end of the
+//! process but not a loss of power.
 
 use crate::crash_parts::RunUpdate;
 use crate::crash_reports::RunReport;
@@ -56,18 +57,15 @@
         Ok((journal, entries))
     }
 
+    /// Appends an entry without a sync.
     pub(crate) fn append(
         &mut self,
         disk: &mut impl Disk,
         entry: &RunEntry,
-        is_synced: bool,
     ) -> Result<(), TurnsError> {
         let bytes = encode_entry(entry)?;
         disk.append(FILE, &bytes)?;
         self.bytes += bytes.len();
-        if is_synced {
-            self.sync(disk)?;
-        }
         Ok(())
     }
 
--- a/crates/turns/tests/lost_runs.rs
+++ b/crates/turns/tests/lost_runs.rs
@@ -63,7 +63,8 @@
     now: Timestamp,
 ) -> CrashResponse {
     let response = store.handle_crash_request(None, request, now);
-    response.expect("the reports are on disk")
+    store.sync_reports().expect("the reports are on disk");
+    response.expect("the store answers")
 }
 
 fn find(store: &mut StoreNode<MemoryDisk>, now: Timestamp) -> CrashResponse {
--- a/crates/turns/tests/report_holders.rs
+++ b/crates/turns/tests/report_holders.rs
@@ -6,8 +6,8 @@
 use luglink_storage::{CrashDamage, MemoryDisk, WalConfig};
 use luglink_turns::{
     CRASH_RETENTION, ClientView, CountedReport, CrashRequest, CrashResponse, LEASE_DURATION,
-    LogPosition, Refusal, Replication, ReportBatch, ReportError, ReportHolder, RequestFingerprint,
-    RunId, RunReport, RunState, StoreConfig, StoreNode,
+    LogPosition, Refusal, Replication, ReportBatch, ReportHolder, RequestFingerprint, RunId,
+    RunReport, RunState, RunUpdate, StoreConfig, StoreNode,
 };
 use luglink_types::Timestamp;
 use std::net::SocketAddr;
@@ -75,11 +75,19 @@
     }
 }
 
-fn refusal(handled: Result<CrashResponse, ReportError>) -> Option<Refusal> {
-    match handled {
-        Err(ReportError::Refused { source }) => Some(source),
-        Ok(_) | Err(ReportError::NotDurable { .. }) => None,
-    }
+fn refusal(handled: Result<CrashResponse, Refusal>) -> Option<Refusal> {
+    handled.err()
+}
+
+/// Handles a request up to the time at which its response may be sent.
+fn acknowledge(
+    store: &mut StoreNode<MemoryDisk>,
+    request: &CrashRequest,
+    now: Timestamp,
+) -> Option<CrashResponse> {
+    let response = store.handle_crash_request(None, request, now).ok()?;
+    store.sync_reports().ok()?;
+    Some(response)
 }
 
 fn requests() -> [CrashRequest; 4] {
@@ -144,7 +152,7 @@
     let mut store = start("a", MemoryDisk::default(), 1);
     store.set_view(registry.view().clone(), at(0));
     let record = CrashRequest::Record(crash(1));
-    store.handle_crash_request(None, &record, at(0)).unwrap();
+    acknowledge(&mut store, &record, at(0)).unwrap();
     registry.apply(&join("b", 9, false));
     (store, registry.view().clone())
 }
@@ -219,7 +227,7 @@
         is_in_doubt: false,
     };
     let take_over = CrashRequest::TakeOver(vec![certain.clone(), doubtful.clone()]);
-    store.handle_crash_request(None, &take_over, at(1)).unwrap();
+    acknowledge(&mut store, &take_over, at(1)).unwrap();
     let mut disk = store.into_disk();
     disk.crash(CrashDamage::LoseUnsynced);
     let mut store = start("b", disk, 10);
@@ -235,14 +243,11 @@
     let record = CrashRequest::Record(crash(1));
     store.disk_mut().set_full(true);
     for attempt in 1..4 {
-        let handled = store.handle_crash_request(None, &record, at(attempt));
-        assert!(
-            matches!(handled, Err(ReportError::NotDurable { .. })),
-            "{attempt}"
-        );
+        let acknowledged = acknowledge(&mut store, &record, at(attempt));
+        assert_eq!(acknowledged, None, "{attempt}");
     }
     store.disk_mut().set_full(false);
-    store.handle_crash_request(None, &record, at(5)).unwrap();
+    acknowledge(&mut store, &record, at(5)).unwrap();
     let mut disk = store.into_disk();
     disk.crash(CrashDamage::LoseUnsynced);
     let mut store = start("a", disk, 2);
@@ -251,6 +256,111 @@
     assert_eq!(found.reports, vec![crash(1)]);
 }
 
+const REPORTS: u64 = 400;
+
+#[test]
+fn reports_that_arrive_together_cost_a_store_one_sync() {
+    let mut store = start("a", MemoryDisk::default(), 1);
+    acknowledge(&mut store, &CrashRequest::Record(crash(0)), at(0)).unwrap();
+    let before = store.disk_mut().syncs();
+    for run in 1..REPORTS {
+        let record = CrashRequest::RecordDoubt(crash_of(RequestFingerprint(run, run)));
+        store.handle_crash_request(None, &record, at(1)).unwrap();
+    }
+    store.sync_reports().unwrap();
+    assert_eq!(store.disk_mut().syncs() - before, 1);
+    store.sync_reports().unwrap();
+    assert_eq!(
+        store.disk_mut().syncs() - before,
+        1,
+        "nothing is left to sync"
+    );
+}
+
+#[test]
+fn a_report_that_is_sent_twice_is_acknowledged_once_it_is_synced() {
+    let mut store = start("a", MemoryDisk::default(), 1);
+    let record = CrashRequest::Record(crash(1));
+    store.handle_crash_request(None, &record, at(0)).unwrap();
+    // The second one changes nothing and has nothing of its own to sync.
+    store.handle_crash_request(None, &record, at(0)).unwrap();
+    store.disk_mut().set_sync_fails(true);
+    assert!(store.sync_reports().is_err());
+    assert_eq!(acknowledge(&mut store, &record, at(1)), None);
+    store.disk_mut().set_sync_fails(false);
+    acknowledge(&mut store, &record, at(2)).unwrap();
+    let mut disk = store.into_disk();
+    disk.crash(CrashDamage::LoseUnsynced);
+    let mut store = start("a", disk, 2);
+    let find = CrashRequest::Find(REQUEST);
+    let found = store.handle_crash_request(None, &find, at(3)).unwrap();
+    assert_eq!(found.reports, vec![crash(1)]);
+}
+
+#[test]
+fn only_responses_that_acknowledge_reports_wait_for_the_disk() {
+    let cleared = RunReport {
+        state: RunState::Cleared,
+        ..crash(1)
+    };
+    let needs_sync = [
+        CrashRequest::Record(crash(1)),
+        CrashRequest::Record(started(1)),
+        CrashRequest::RecordDoubt(crash(1)),
+        CrashRequest::TakeOver(Vec::new()),
+    ];
+    let needs_none = [
+        CrashRequest::Record(cleared),
+        CrashRequest::Find(REQUEST),
+        CrashRequest::FollowLeased(LogPosition::default()),
+        CrashRequest::Update(RunUpdate::default()),
+    ];
+    assert!(needs_sync.iter().all(CrashRequest::needs_sync));
+    assert!(!needs_none.iter().any(CrashRequest::needs_sync));
+}
+
+#[test]
+fn sessions_that_end_together_cost_a_member_one_sync() {
+    let mut holder = open(MemoryDisk::default(), true, at(0));
+    for session in 1..=26 {
+        let update = CrashRequest::Update(RunUpdate {
+            session,
+            begun: (0..10).map(|run| started(session * 100 + run)).collect(),
+            ended: Vec::new(),
+        });
+        holder
+            .handle(Some(MEMBERSHIP), MEMBERSHIP, &update, at(0))
+            .unwrap();
+    }
+    for session in 1..=26 {
+        holder.end_session(session, at(1));
+    }
+    assert!(holder.awaits_sync());
+    holder.sync().unwrap();
+    assert!(!holder.awaits_sync());
+    let mut disk = holder.into_disk();
+    assert_eq!(disk.syncs(), 2, "one for the file of a complete member");
+    disk.crash(CrashDamage::LoseUnsynced);
+    let mut holder = open(disk, false, at(2));
+    let find = CrashRequest::Find(REQUEST);
+    let found = holder.handle(Some(MEMBERSHIP), MEMBERSHIP, &find, at(2));
+    assert!(!found.unwrap().doubts.is_empty());
+}
+
+fn crash_of(request: RequestFingerprint) -> RunReport {
+    RunReport {
+        request,
+        ..crash(request.0)
+    }
+}
+
+fn started(run: u64) -> RunReport {
+    RunReport {
+        state: RunState::Started,
+        ..crash(run)
+    }
+}
+
 fn open(disk: MemoryDisk, is_first_start: bool, now: Timestamp) -> ReportHolder<MemoryDisk> {
     ReportHolder::open(disk, 1, is_first_start, now).expect("the reports are read")
 }
