Bound what a request spends on look-ups of crash reports over all its attempts

Callers saw: while holders of reports are slow, a request waited for up to a second or half of its time at its arrival, again before its run, and a second once more before each send, and went to no replica meanwhile.

Cause: the wait was bounded for each look-up, not for the request, and its last look-up at the members took up to half a second beyond. Change: one wait of a second or a quarter of the request's time, over all look-ups; the members are waited for until then, 150 ms at least. What may be sent is decided as before.

--- a/crates/gateway-server/src/caller_watch.rs
+++ b/crates/gateway-server/src/caller_watch.rs
@@ -4,6 +4,7 @@
 //! The request's future is dropped at whatever point it is waiting, so there is no result to log;
 //! the watch logs from its destructor instead.
 
+use crate::crash_look_up::LookUpWait;
 use crate::metrics::GatewayMetrics;
 use crate::request_steps::{RequestStep, RequestSteps};
 use luglink_edge::Route;
@@ -27,6 +28,7 @@
     time_limit: Duration,
     /// Steps of the request.
     pub(crate) steps: RequestSteps,
+    pub(crate) look_up_wait: LookUpWait,
     /// Replica that the request was sent to last, and the time of that send.
     sent_to: RefCell<Option<(BackendId, Instant)>>,
     is_answered: Cell<bool>,
@@ -48,6 +50,7 @@
             arrived,
             time_limit,
             steps: RequestSteps::since(arrived),
+            look_up_wait: LookUpWait::within(time_limit),
             sent_to: RefCell::default(),
             is_answered: Cell::new(false),
             counter: metrics.callers_gone.clone(),
--- a/crates/gateway-server/src/crash_refusal.rs
+++ b/crates/gateway-server/src/crash_refusal.rs
@@ -25,7 +25,8 @@
 ) -> Result<(), Refusal> {
     inbound.watch.steps.enter(RequestStep::CrashLookUp);
     let request = inbound.fingerprint;
-    let looked_up = LookUp::begin_when_answered(gateway, request, inbound.remaining()).await;
+    let looked_up =
+        LookUp::begin_when_answered(gateway, request, &inbound.watch.look_up_wait).await;
     if looked_up.knowledge == Knowledge::None {
         return Err(unanswered_refusal(gateway, inbound));
     }
--- a/crates/gateway-server/src/crash_reports.rs
+++ b/crates/gateway-server/src/crash_reports.rs
@@ -246,8 +246,13 @@
 
     /// Gets the reports of a request from its holders, unless those of all stores are known here.
     /// Returns who has told them. The control members are asked if the stores do not answer, and before
-    /// the last replica that a request may end.
-    pub(crate) async fn look_up_crashes(self: &Rc<Self>, request: RequestFingerprint) -> Knowledge {
+    /// the last replica that a request may end. Members that do not answer are waited for until `deadline`,
+    /// but for as long as stores at least.
+    pub(crate) async fn look_up_crashes(
+        self: &Rc<Self>,
+        request: RequestFingerprint,
+        deadline: Instant,
+    ) -> Knowledge {
         let do_stores_answer = self.follows_crash_reports() || self.find_at_stores(request).await;
         let has_unacknowledged = {
             let mut crashes = self.crashes.borrow_mut();
@@ -255,7 +260,7 @@
             crashes.unacknowledged.has_any_of(request)
         };
         let knowledge = if !do_stores_answer || has_unacknowledged {
-            self.find_at_members(request).await
+            self.find_at_members(request, deadline).await
         } else if !self.needs_members(request) {
             Knowledge::Stores
         } else {
@@ -275,14 +280,21 @@
         is_answered
     }
 
-    async fn find_at_members(self: &Rc<Self>, request: RequestFingerprint) -> Knowledge {
+    async fn find_at_members(
+        self: &Rc<Self>,
+        request: RequestFingerprint,
+        deadline: Instant,
+    ) -> Knowledge {
         let find = CrashRequest::Find(request);
         let unanswered_for = self.crashes.borrow().unanswered_for();
         let has_waited = unanswered_for.is_some_and(|time| time >= ANNOUNCEMENT_TIMEOUT);
         // Without the members the request is refused.
         let timeout = match has_waited {
             true => LOOKUP_TIMEOUT,
-            false => ANNOUNCEMENT_TIMEOUT,
+            false => {
+                let left = deadline.saturating_duration_since(Instant::now());
+                left.clamp(LOOKUP_TIMEOUT, ANNOUNCEMENT_TIMEOUT)
+            }
         };
         if self.ask_members(find, timeout).await {
             return Knowledge::Members;
--- a/crates/gateway-server/src/run.rs
+++ b/crates/gateway-server/src/run.rs
@@ -7,8 +7,9 @@
 //! until the replica gives a sign of life. Every run is announced to turn stores as it is sent, and
 //! from the second run on before it begins, so that it counts even if its gateway is lost with it.
 
+use crate::caller_watch::CallerWatch;
 use crate::crash_ledger::in_state;
-use crate::crash_look_up::{LookUp, MAX_UNANSWERED_WAIT};
+use crate::crash_look_up::LookUp;
 use crate::doubtful_runs::DoubtReason;
 use crate::failure::Failure;
 use crate::gateway::Gateway;
@@ -48,6 +49,7 @@
     announced_to: RefCell<Vec<Rc<StoreLink>>>,
     /// Time and result of the latest look at the crashes under the request.
     looked_up: Cell<LookUp>,
+    watch: Rc<CallerWatch>,
     is_sent: Cell<bool>,
     is_over: Cell<bool>,
     /// True if the run's connection was reset.
@@ -66,7 +68,8 @@
     ) -> Result<Self, Failure> {
         let deadline = Instant::now() + MAX_ANNOUNCED_WAIT.min(inbound.remaining() / 2);
         let request = inbound.fingerprint;
-        let look_up = || LookUp::begin_when_answered(gateway, request, inbound.remaining());
+        let wait = &inbound.watch.look_up_wait;
+        let look_up = || LookUp::begin_when_answered(gateway, request, wait);
         let mut looked_up = look_up().await;
         loop {
             if looked_up.is_old(gateway, request) {
@@ -145,6 +148,7 @@
             deadline: Cell::new(inbound.deadline),
             announced_to: RefCell::default(),
             looked_up: Cell::new(looked_up),
+            watch: Rc::clone(&inbound.watch),
             is_sent: Cell::new(false),
             is_over: Cell::new(false),
             is_reset: Cell::new(false),
@@ -196,8 +200,8 @@
             (report.request, report.run)
         };
         if self.looked_up.get().is_old(&self.gateway, request) {
-            let looking_up =
-                LookUp::begin_when_answered(&self.gateway, request, MAX_UNANSWERED_WAIT);
+            let wait = &self.watch.look_up_wait;
+            let looking_up = LookUp::begin_when_answered(&self.gateway, request, wait);
             self.looked_up.set(looking_up.await);
         }
         let knowledge = self.looked_up.get().knowledge;
--- a/crates/gateway-server/tests/gateway/cut_off.rs
+++ b/crates/gateway-server/tests/gateway/cut_off.rs
@@ -207,3 +207,32 @@
     let first = metrics(setup.fleet.gateway.metrics_address).await;
     assert_eq!(value(&first.body, series), 0.0, "that gateway is in touch");
 }
+
+/// Time that the callers of the next test allow, and the part of it that holders of reports may take. A look-up
+/// that has begun takes 150 ms at stores and at members each.
+const ALLOWED: Duration = Duration::from_secs(2);
+
+const MAX_LOOK_UP: Duration = Duration::from_millis(500 + 300);
+
+#[actix_rt::test]
+async fn a_request_spends_a_small_part_of_its_time_on_holders_that_do_not_answer() {
+    let setup = Setup::start().await;
+    setup.cut_off_second_from_all();
+    let began = Instant::now();
+    let mut slowest = Duration::ZERO;
+    let mut refused = 0;
+    for number in 0.. {
+        if began.elapsed() > ALLOWED {
+            break;
+        }
+        let id = format!("innocent-{number}");
+        let request = TestRequest::get("/safe/innocent", &id);
+        let request = request.with("luglink-deadline-ms", ALLOWED.as_millis());
+        let sent = Instant::now();
+        let response = request.send(setup.second).await;
+        slowest = slowest.max(sent.elapsed());
+        refused += usize::from(response.status == 503);
+    }
+    assert!(refused > 0, "its leases have ended");
+    assert!(slowest <= MAX_LOOK_UP, "{slowest:?}");
+}
