Tell followers of reports at once unless a round has just begun

Cause, from the logs: three gateways are lost one after the other and their caller goes on at a fourth at once. Since followers are answered by a task of their own, the store synced first, and the fourth gateway had a request before it was told of the run of the third.

--- a/crates/store-server/src/reports.rs
+++ b/crates/store-server/src/reports.rs
@@ -77,7 +77,7 @@
         let follower = Follower::new(token, position, response.has_lease);
         self.followers.borrow_mut().add(follower);
         if position != response.position {
-            self.reports_changed.notify_one();
+            self.begin_round();
         }
     }
 
@@ -117,14 +117,29 @@
         }
     }
 
-    /// Wakes the task that answers followers if there are reports that they were not told of.
-    pub(crate) fn tell_followers_of_changes(&self) {
+    /// Tells followers of the reports that they were not told of.
+    fn tell_followers_of_changes(&self) {
         let position = self.node.borrow().crash_position();
         if self.told_position.get() != position {
-            self.reports_changed.notify_one();
+            self.begin_round();
         }
     }
 
+    /// Answers followers at once, or as soon as the next round of responses may begin.
+    fn begin_round(&self) {
+        match Instant::now() >= self.next_round.get() {
+            true => self.answer_followers(),
+            false => self.reports_changed.notify_one(),
+        }
+    }
+
+    fn round_interval(&self) -> Duration {
+        let followers = self.leases.borrow().len();
+        let followers = u32::try_from(followers).unwrap_or(u32::MAX);
+        let interval = ROUND_INTERVAL_PER_FOLLOWER.saturating_mul(followers);
+        interval.min(MAX_ROUND_INTERVAL)
+    }
+
     /// Sends new crash reports to the gateways that wait for them, and an empty response to those
     /// that have waited long enough.
     pub(crate) fn answer_followers(&self) {
@@ -133,6 +148,7 @@
             return;
         }
         self.told_position.set(node.crash_position());
+        self.next_round.set(Instant::now() + self.round_interval());
         let due = self.followers.borrow_mut().take_due(node.crash_position());
         for follower in due {
             let request = follower.request();
@@ -143,14 +159,11 @@
     }
 }
 
-/// Answers followers in rounds while there are new reports.
+/// Answers the followers that have to wait for the next round.
 pub(crate) async fn answer_followers_in_rounds(shared: Rc<Shared>) {
     loop {
         shared.reports_changed.notified().await;
+        actix_rt::time::sleep_until(shared.next_round.get().into()).await;
         shared.answer_followers();
-        let followers = shared.leases.borrow().len();
-        let followers = u32::try_from(followers).unwrap_or(u32::MAX);
-        let interval = ROUND_INTERVAL_PER_FOLLOWER.saturating_mul(followers);
-        actix_rt::time::sleep(interval.min(MAX_ROUND_INTERVAL)).await;
     }
 }
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -79,6 +79,8 @@
     pub(crate) reports_changed: Notify,
     /// Position of the reports up to which followers were told.
     pub(crate) told_position: Cell<LogPosition>,
+    /// Time from which on they may be told of further ones.
+    pub(crate) next_round: Cell<Instant>,
     pub(crate) unsynced_replies: RefCell<Vec<UnsyncedReply>>,
     /// Clients that the latest update of each gateway's session came from.
     pub(crate) sessions: RefCell<BTreeMap<u64, u64>>,
@@ -134,6 +136,7 @@
         leases: RefCell::new(FollowerLeases::after_start(now())),
         reports_changed: Notify::new(),
         told_position: Cell::default(),
+        next_round: Cell::new(Instant::now()),
         unsynced_replies: RefCell::default(),
         sessions: RefCell::default(),
         unflushed_requests: Cell::new(0),
@@ -358,7 +361,8 @@
         drop(sessions);
         self.node.borrow_mut().end_session(session, now());
         self.flush_needed.notify_one();
-        self.tell_followers_of_changes();
+        // Other gateways are about to get the requests of its callers.
+        self.answer_followers();
     }
 
     pub(crate) fn note_run_events(&self) {
