--- a/app/luglink/tests/stream_soak/main.rs
+++ b/app/luglink/tests/stream_soak/main.rs
@@ -10,7 +10,7 @@
 mod crash_plan;
 mod crashing;
 mod fleet;
-mod frozen_third;
+mod frozen_gateways;
 mod given_up_runs;
 mod lost_runs;
 mod old_lists;
--- a/crates/gateway-server/src/caller_watch.rs
+++ b/crates/gateway-server/src/caller_watch.rs
@@ -67,10 +67,10 @@
     /// Records that the caller receives a response, after which a drop is not logged.
     pub(crate) fn note_answered(&self) {
         self.is_answered.set(true);
-        self.log_slow_start("answered");
+        self.log_slow_start("responded");
     }
 
-    /// Counts and logs a request if the steps before its replica took a large part of its time.
+    /// Counts and logs a request, with its `end`, if the steps before its replica took a large part of its time.
     fn log_slow_start(&self, end: &'static str) {
         let (step, before_replica) = self.steps.longest_before_replica();
         if before_replica < self.time_limit / SLOW_START_RATIO {
