--- a/review/standin-2/journal.rs
+++ b/review/standin-2/journal.rs
@@ -25,7 +25,7 @@
 const INPUT_BYTES: usize = 26_000;
 
 /// Turns before the kill, the time that they may take, and the clients that take them.
-const TURNS: usize = 2_280;
+const TURNS: usize = 2_440;
 const FILLING: Duration = Duration::from_secs(70);
 const CLIENTS: usize = 12;
 
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod programs;
 mod record;
+mod resumed;
 mod retired;
 mod turns;
 
@@ -34,6 +35,7 @@
         "account-forgotten" => accounts::play(&record, has_trouble),
         "turn-forgotten" => turns::play(&record, has_trouble),
         "journal-reload" => journal::play(&record, has_trouble),
+        "turn-resumed" => resumed::play(&record, has_trouble),
         "turn-lost-by-retirements" => retired::play(&record, has_trouble),
         "account-lost-by-outages" => outages::play(&record, has_trouble, false),
         "turn-lost-by-outages" => outages::play(&record, has_trouble, true),
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -120,9 +120,12 @@
                  X-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
                  Transfer-Encoding: chunked\r\n\r\n"
             )?;
-            for number in 1..=self.events {
+            // A stream that is continued begins after the last event that the client has.
+            let last = http::find(&headers, "last-event-id").and_then(|last| last.parse().ok());
+            let first = last.map_or(1, |last: usize| last + 1);
+            for number in first..=self.events {
                 thread::sleep(self.step);
-                let event = format!("id: {number}\ndata: {id}-{number}\n\n");
+                let event = format!("id: {number}\ndata: token {number}\n\n");
                 write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
             }
             write!(stream, "0\r\n\r\n")?;
--- a/review/standin-2/programs.rs
+++ b/review/standin-2/programs.rs
@@ -46,6 +46,8 @@
     pub input_bytes: usize,
     /// Turns answered whole, where a case counts them.
     pub turns_whole: usize,
+    /// Identifier, input and answer of the last turn, if it was cut.
+    broken: Option<(String, Vec<u8>, Vec<u8>)>,
     salt: u64,
 }
 
@@ -73,6 +75,7 @@
             aim_ms: 100_000,
             input_bytes: 0,
             turns_whole: 0,
+            broken: None,
             salt: time.map_or(0, |time| time.as_nanos() as u64),
         }
     }
@@ -96,6 +99,7 @@
             history: self.history.clone(),
             turns: 1_000 * (number + 1),
             tokens: 0,
+            broken: None,
             ..*self
         }
     }
@@ -149,12 +153,49 @@
         outcome
     }
 
+    /// Takes up the stream of the last turn after its last whole event.
+    pub fn resume(&mut self, gateway: SocketAddr, record: &Record) -> Outcome {
+        let Some((first_id, input, body)) = self.broken.take() else {
+            return Outcome::Failed("no stream was broken off".to_owned());
+        };
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let whole = text.rfind("\n\n").map_or("", |end| &text[..end + 2]);
+        let last = whole.matches("\n\n").count();
+        let id = format!("{first_id}r");
+        let headers = vec![
+            ("Host", HOST.to_owned()),
+            ("X-Attempt-Id", id.clone()),
+            ("X-Model", "m".to_owned()),
+            ("X-Program-Id", self.name.clone()),
+            ("X-Session-Id", format!("s-{}", self.name)),
+            ("X-Program-Deadline-Ms", self.aim_ms.to_string()),
+            ("X-Token-Budget", self.budget.to_string()),
+            ("X-Token-Usage", format!("600,{}", self.ceiling)),
+            ("X-Deadline-Ms", "3000".to_owned()),
+            ("Last-Event-Id", last.to_string()),
+            ("Resumes", first_id.clone()),
+        ];
+        record.line(&format!(
+            "client takes up {first_id} as {id} after event {last} at {gateway}"
+        ));
+        let outcome = match send(gateway, self.path, &headers, &input, Duration::ZERO) {
+            Err(error) => Outcome::Failed(error.to_string()),
+            Ok(mut answer) => {
+                answer.body = [whole.as_bytes(), &answer.body].concat();
+                self.take(&id, &input, &answer)
+            }
+        };
+        record.line(&format!("client got for {id}: {outcome:?}"));
+        outcome
+    }
+
     fn take(&mut self, id: &str, input: &[u8], answer: &Answer) -> Outcome {
         if answer.status != 200 {
             return Outcome::Status(answer.status);
         }
         self.tokens += answer.events() * TOKENS_PER_EVENT;
         if !answer.is_whole || answer.header("x-response-seal").is_none() {
+            self.broken = Some((id.to_owned(), input.to_vec(), answer.body.clone()));
             return Outcome::Failed("the answer was cut".to_owned());
         }
         if self.path.starts_with("/kept/") {
