--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -1,6 +1,8 @@
 //! Minimal HTTP/1.1 client and request reader.
+use std::cell::Cell;
 use std::io::{BufRead, BufReader, Error, ErrorKind, Read, Result, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 pub struct Answer {
@@ -114,12 +116,32 @@
     stream.write_all(&bytes)
 }
 
-/// Reads an answer. `pause` is the time that the reader takes before each part of the body.
+/// Connection of a reader that pauses before it takes up to 32 bytes.
+struct PausingReader<'stream> {
+    stream: &'stream TcpStream,
+    pause: Rc<Cell<Duration>>,
+}
+
+impl Read for PausingReader<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> Result<usize> {
+        std::thread::sleep(self.pause.get());
+        let length = buffer.len().min(32);
+        self.stream.read(&mut buffer[..length])
+    }
+}
+
+/// Reads an answer. `pause` is the time that the reader takes before every 32 bytes of the body.
 pub fn read_answer(stream: &TcpStream, limit: Duration, pause: Duration) -> Result<Answer> {
     stream.set_read_timeout(Some(limit))?;
+    let present_pause = Rc::new(Cell::new(Duration::ZERO));
+    let pausing = PausingReader {
+        stream,
+        pause: Rc::clone(&present_pause),
+    };
     // The buffer is small, so that a slow reader leaves the rest of the answer unread.
-    let mut reader = BufReader::with_capacity(64, stream);
+    let mut reader = BufReader::with_capacity(32, pausing);
     let (first, headers) = read_head(&mut reader)?.ok_or(bad("closed without an answer"))?;
+    present_pause.set(pause);
     let status = first
         .split(' ')
         .nth(1)
@@ -129,7 +151,6 @@
     let mut is_whole = true;
     if find(&headers, "transfer-encoding").is_some() {
         loop {
-            std::thread::sleep(pause);
             match read_chunk(&mut reader) {
                 Ok(Some(chunk)) => body.extend(chunk),
                 Ok(None) => break,
--- a/review/standin-2/programs.rs
+++ b/review/standin-2/programs.rs
@@ -105,7 +105,7 @@
     }
 
     /// Takes a turn at a gateway, on a new connection. `pause` is the time that the client takes before
-    /// it reads each part of the answer.
+    /// it reads every 32 bytes of the answer.
     pub fn turn(&mut self, gateway: SocketAddr, pause: Duration, record: &Record) -> Outcome {
         self.turns += 1;
         let salt = self
--- a/review/standin-2/turns.rs
+++ b/review/standin-2/turns.rs
@@ -21,9 +21,9 @@
 
 const CEILING: usize = EVENTS * crate::programs::TOKENS_PER_EVENT;
 
-/// Time that a slow client takes before it reads each of the events and the end of the answer. It stays
-/// within the pause after which clients give up, and all of it within the deadline.
-const SLOW_READ: Duration = Duration::from_millis(500);
+/// Time that a slow client takes before it reads every 32 bytes, which is about an event. It stays within
+/// the pause after which clients give up, and all of it within the deadline.
+const SLOW_READ: Duration = Duration::from_millis(550);
 
 /// Time of the next turn after the whole answer.
 const NEXT_TURN: Duration = Duration::from_millis(58_800);
