--- a/review/11/case.rs
+++ b/review/standin-3/draining.rs
@@ -1,4 +1,4 @@
-//! Case: a stream that a draining replica breaks off is continued at that replica.
+//! Not a case of the review: a stream that a draining replica breaks off is continued at that replica.
 #[path = "standins.rs"]
 mod standins;
 
@@ -55,7 +55,8 @@
                 thread::sleep(GAP);
                 let text = event(number, "part");
                 let draining_at = *draining_at.lock().unwrap();
-                let breaks = replica == 0 && arrival.head.get("last-event-id").is_none()
+                let breaks = replica == 0
+                    && arrival.head.get("last-event-id").is_none()
                     && draining_at.is_some_and(|since| since.elapsed() >= BREAK_AFTER);
                 if trouble() && breaks {
                     // A replica may stop partway through an event.
@@ -71,7 +72,12 @@
     let list = platform.serve_list();
     let deployment = Deployment::start(3, 2, list);
     let is_over = Arc::new(AtomicBool::new(false));
-    limit_run(record, Duration::from_secs(100), Arc::clone(&is_over), deployment.pids());
+    limit_run(
+        record,
+        Duration::from_secs(100),
+        Arc::clone(&is_over),
+        deployment.pids(),
+    );
     deployment.configure(&configuration(), Duration::from_secs(20))?;
     deployment.wait_until_all_ready()?;
     thread::sleep(Duration::from_secs(4));
@@ -80,8 +86,20 @@
             let (deployment, record) = (&deployment, &record);
             scope.spawn(move || {
                 let id = attempt_id();
-                let answer = request(deployment.fronts[number % 2], "POST", PATH, &headers(&id), b"question\n", Duration::from_secs(5));
-                record.note(format!("attempt {id}: status {}, {} events, whole: {}", answer.status, answer.events().len(), answer.is_whole));
+                let answer = request(
+                    deployment.fronts[number % 2],
+                    "POST",
+                    PATH,
+                    &headers(&id),
+                    b"question\n",
+                    Duration::from_secs(5),
+                );
+                record.note(format!(
+                    "attempt {id}: status {}, {} events, whole: {}",
+                    answer.status,
+                    answer.events().len(),
+                    answer.is_whole
+                ));
             });
         }
         thread::sleep(Duration::from_millis(150));
@@ -97,7 +115,12 @@
     for arrival in arrivals.iter().filter(|arrival| arrival.replica == 0) {
         at_draining += 1;
         let after = arrival.at.saturating_duration_since(since);
-        record.note(format!("replica 0 got attempt {} (Last-Event-Id {:?}) {:.3} s after that", arrival.id(), arrival.head.get("last-event-id"), after.as_secs_f64()));
+        record.note(format!(
+            "replica 0 got attempt {} (Last-Event-Id {:?}) {:.3} s after that",
+            arrival.id(),
+            arrival.head.get("last-event-id"),
+            after.as_secs_f64()
+        ));
         late += usize::from(after > DRAIN);
     }
     if at_draining == 0 {
@@ -107,7 +130,7 @@
 }
 
 fn main() {
-    let record = Record::new(std::path::Path::new("review/11"));
+    let record = Record::from_arguments();
     let verdict = run(&record);
     std::process::exit(finish(&record, verdict));
 }
--- a/review/13/case.rs
+++ b/review/standin-3/one_disk.rs
@@ -1,4 +1,4 @@
-//! Case: turns that one store kept and another one kept on a disk that it has lost since.
+//! Case 5: turns that one store kept and another one kept on a disk that it has lost since.
 #[path = "standins.rs"]
 mod standins;
 
@@ -60,7 +60,12 @@
 }
 
 /// Sends turns that end at about `end`, with losses around it.
-fn write_turns(record: &Record, deployment: &Deployment, end: Instant, roles: (usize, usize, usize)) -> Vec<Turn> {
+fn write_turns(
+    record: &Record,
+    deployment: &Deployment,
+    end: Instant,
+    roles: (usize, usize, usize),
+) -> Vec<Turn> {
     let (restarted, wiped, frozen) = roles;
     let turns = Mutex::new(Vec::new());
     let ms = |millis: u64| Duration::from_millis(millis);
@@ -69,11 +74,34 @@
             let turns = &turns;
             scope.spawn(move || {
                 let (id, program) = (attempt_id(), attempt_id());
-                let input = vec![b'a'; if number < LONG_TURNS { LONG_INPUT } else { SHORT_INPUT }];
-                let answer = request(deployment.fronts[0], "POST", PATH, &headers(&id, &program, None), &input, Duration::from_secs(5));
-                record.note(format!("turn {id}: status {}, {} events, whole: {}", answer.status, answer.events().len(), answer.is_whole));
+                let input = vec![
+                    b'a';
+                    if number < LONG_TURNS {
+                        LONG_INPUT
+                    } else {
+                        SHORT_INPUT
+                    }
+                ];
+                let answer = request(
+                    deployment.fronts[0],
+                    "POST",
+                    PATH,
+                    &headers(&id, &program, None),
+                    &input,
+                    Duration::from_secs(5),
+                );
+                record.note(format!(
+                    "turn {id}: status {}, {} events, whole: {}",
+                    answer.status,
+                    answer.events().len(),
+                    answer.is_whole
+                ));
                 if answer.status == 200 && answer.is_whole {
-                    turns.lock().unwrap().push(Turn { id, program, ended_at: answer.ended_at.unwrap() });
+                    turns.lock().unwrap().push(Turn {
+                        id,
+                        program,
+                        ended_at: answer.ended_at.unwrap(),
+                    });
                 }
             });
         }
@@ -81,17 +109,23 @@
             sleep_until(end - ms(30));
             deployment.signal_machine(frozen, SIGSTOP);
             deployment.kill_machine(restarted);
-            record.note(format!("storage machine {frozen} freezes, processes of {restarted} are killed"));
+            record.note(format!(
+                "storage machine {frozen} freezes, processes of {restarted} are killed"
+            ));
             sleep_until(end + ms(15));
             deployment.start_member(restarted);
             sleep_until(end + ms(310));
             deployment.kill_machine(wiped);
             deployment.wipe_machine(wiped);
             deployment.start_machine(wiped);
-            record.note(format!("storage machine {wiped} has lost its disk and starts again"));
+            record.note(format!(
+                "storage machine {wiped} has lost its disk and starts again"
+            ));
             sleep_until(end + ms(350));
             deployment.start_store(restarted);
-            record.note(format!("both processes of storage machine {restarted} have started again"));
+            record.note(format!(
+                "both processes of storage machine {restarted} have started again"
+            ));
             sleep_until(end + ms(540));
             deployment.signal_machine(frozen, SIGCONT);
             record.note(format!("storage machine {frozen} wakes"));
@@ -110,8 +144,18 @@
                 for _ in 0..8 {
                     let id = attempt_id();
                     let age = turn.ended_at.elapsed().as_secs_f64();
-                    let answer = request(deployment.fronts[1], "POST", PATH, &headers(&id, &turn.program, Some(&turn.id)), b"second", Duration::from_secs(5));
-                    record.note(format!("turn {id} after {}, answered whole {age:.1} s before: status {}", turn.id, answer.status));
+                    let answer = request(
+                        deployment.fronts[1],
+                        "POST",
+                        PATH,
+                        &headers(&id, &turn.program, Some(&turn.id)),
+                        b"second",
+                        Duration::from_secs(5),
+                    );
+                    record.note(format!(
+                        "turn {id} after {}, answered whole {age:.1} s before: status {}",
+                        turn.id, answer.status
+                    ));
                     if matches!(answer.status, 404 | 410) && age < 60.0 {
                         is_kept.store(false, Ordering::SeqCst);
                     }
@@ -134,7 +178,11 @@
         platform.add_replica("llm", 12, move |arrival, stream| {
             begin_stream(arrival, stream)?;
             send_chunk(stream, event(1, "part 1").as_bytes())?;
-            let later = if arrival.body.len() < LONG_INPUT { SHORT_TURNS_LATER } else { Duration::ZERO };
+            let later = if arrival.body.len() < LONG_INPUT {
+                SHORT_TURNS_LATER
+            } else {
+                Duration::ZERO
+            };
             let end = *end_at.lock().unwrap() + later;
             sleep_until(end);
             send_chunk(stream, event(2, "part 2").as_bytes())?;
@@ -145,7 +193,12 @@
     let list = platform.serve_list();
     let deployment = Deployment::start(4, 2, list);
     let is_over = Arc::new(AtomicBool::new(false));
-    limit_run(record, Duration::from_secs(115), Arc::clone(&is_over), deployment.pids());
+    limit_run(
+        record,
+        Duration::from_secs(115),
+        Arc::clone(&is_over),
+        deployment.pids(),
+    );
     deployment.configure(&configuration(), Duration::from_secs(20))?;
     deployment.wait_until_all_ready()?;
     thread::sleep(Duration::from_secs(5));
@@ -165,11 +218,17 @@
             deployment.kill_machine(roles.2);
             deployment.wipe_machine(roles.2);
             deployment.start_machine(roles.2);
-            record.note(format!("storage machine {} has lost its disk and starts again", roles.2));
+            record.note(format!(
+                "storage machine {} has lost its disk and starts again",
+                roles.2
+            ));
         }
         thread::sleep(Duration::from_millis(1_500));
         is_kept &= continue_turns(record, &deployment, &turns);
-        record.note(format!("trial {trial}: {} turns were answered whole, all kept: {is_kept}", turns.len()));
+        record.note(format!(
+            "trial {trial}: {} turns were answered whole, all kept: {is_kept}",
+            turns.len()
+        ));
         if !is_kept {
             break;
         }
@@ -181,7 +240,7 @@
 }
 
 fn main() {
-    let record = Record::new(std::path::Path::new("review/13"));
+    let record = Record::from_arguments();
     let verdict = run(&record);
     std::process::exit(finish(&record, verdict));
 }
--- a/review/13/standins.rs
+++ b/review/standin-3/standins.rs
@@ -1,4 +1,4 @@
-//! Stand-ins and process control for the scripts of this review. Only the standard library is used.
+//! Stand-ins and process control for the cases of this folder. Only the standard library is used.
 //!
 //! A deployment of the project's own programs is started as separate processes on loopback addresses,
 //! with the commands of the deploy file. Platform, replicas, operator and clients are stand-ins.
@@ -16,7 +16,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-extern "C" {
+unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Returns the record in the folder that the command line names.
+    pub fn from_arguments() -> Self {
+        let folder = std::env::args().nth(1).expect("usage: CASE FOLDER");
+        Self::new(Path::new(&folder))
+    }
+
     pub fn seconds(&self) -> f64 {
         self.start.elapsed().as_secs_f64()
     }
@@ -158,12 +164,14 @@
     let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
     let mut draw = time.as_nanos() as u64 ^ u64::from(std::process::id()) << 32;
     loop {
-        draw = draw.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        draw = draw
+            .wrapping_mul(6364136223846793005)
+            .wrapping_add(1442695040888963407);
         let block = format!("127.{}.{}", 20 + (draw >> 33) % 200, (draw >> 45) % 250);
         let is_free = (1..=12).all(|host| {
-            [7380, 7381, 8141, 8143, 8144, 8149].iter().all(|port| {
-                TcpListener::bind(format!("{block}.{host}:{port}")).is_ok()
-            })
+            [7380, 7381, 8141, 8143, 8144, 8149]
+                .iter()
+                .all(|port| TcpListener::bind(format!("{block}.{host}:{port}")).is_ok())
         });
         if is_free {
             return block;
@@ -179,7 +187,9 @@
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).unwrap();
         let ip = |host: usize| format!("{block}.{}", host + 1);
-        let seeds: Vec<String> = (0..storages.min(3)).map(|host| format!("\"{}:8144\"", ip(host))).collect();
+        let seeds: Vec<String> = (0..storages.min(3))
+            .map(|host| format!("\"{}:8144\"", ip(host)))
+            .collect();
         let process = |role: &'static str, host: usize, name: String, memory: u32, tail: String| {
             // The content that the templates of the deploy file give.
             let text = format!(
@@ -201,7 +211,12 @@
                 child: Mutex::default(),
             }
         };
-        let data = |host: usize, role: &str| folder.join(format!("data-{host}-{role}")).display().to_string();
+        let data = |host: usize, role: &str| {
+            folder
+                .join(format!("data-{host}-{role}"))
+                .display()
+                .to_string()
+        };
         let members = (0..storages).map(|host| {
             let ip = ip(host);
             let tail = format!(
@@ -209,7 +224,13 @@
                  data_folder = \"{}\"\nmetrics_listen = \"{ip}:19465\"\n",
                 data(host, "member")
             );
-            process("member", host, format!("storage-zone-a-{}", host + 1), 230, tail)
+            process(
+                "member",
+                host,
+                format!("storage-zone-a-{}", host + 1),
+                230,
+                tail,
+            )
         });
         let members: Vec<Process> = members.collect();
         let stores = (0..storages).map(|host| {
@@ -218,7 +239,13 @@
                 data(host, "store"),
                 ip(host)
             );
-            process("store", host, format!("storage-zone-a-{}", host + 1), 230, tail)
+            process(
+                "store",
+                host,
+                format!("storage-zone-a-{}", host + 1),
+                230,
+                tail,
+            )
         });
         let stores: Vec<Process> = stores.collect();
         let hosts = storages..storages + fronts;
@@ -247,7 +274,10 @@
     }
 
     fn all(&self) -> impl Iterator<Item = &Process> {
-        self.members.iter().chain(&self.stores).chain(&self.gateways)
+        self.members
+            .iter()
+            .chain(&self.stores)
+            .chain(&self.gateways)
     }
 
     /// Sends a configuration until it is acknowledged, to one member after the other. Follows two
@@ -259,17 +289,29 @@
                 let mut address = *operator;
                 for _ in 0..3 {
                     let headers = [("Host", address.to_string())];
-                    let answer = request(address, "POST", "/luglink/Configuration.Put", &headers, body.as_bytes(), Duration::from_secs(1));
+                    let answer = request(
+                        address,
+                        "POST",
+                        "/luglink/Configuration.Put",
+                        &headers,
+                        body.as_bytes(),
+                        Duration::from_secs(1),
+                    );
                     let Some(location) = answer.header("location") else {
                         if answer.status == 200 {
                             return Ok(());
                         }
                         break;
                     };
-                    let Some(next) = location.strip_prefix("http://").and_then(|rest| rest.split('/').next()) else {
+                    let Some(next) = location
+                        .strip_prefix("http://")
+                        .and_then(|rest| rest.split('/').next())
+                    else {
                         break;
                     };
-                    address = next.parse().map_err(|_| "a redirect leads nowhere".to_owned())?;
+                    address = next
+                        .parse()
+                        .map_err(|_| "a redirect leads nowhere".to_owned())?;
                 }
             }
             thread::sleep(Duration::from_millis(100));
@@ -283,7 +325,17 @@
         while start.elapsed() < limit {
             let ready = self.readies[gateway];
             let headers = [("Host", ready.to_string())];
-            if request(ready, "GET", "/luglink/readiness", &headers, b"", Duration::from_secs(1)).status == 200 {
+            if request(
+                ready,
+                "GET",
+                "/luglink/readiness",
+                &headers,
+                b"",
+                Duration::from_secs(1),
+            )
+            .status
+                == 200
+            {
                 return Ok(());
             }
             thread::sleep(Duration::from_millis(50));
@@ -292,7 +344,8 @@
     }
 
     pub fn wait_until_all_ready(&self) -> Result<(), String> {
-        (0..self.gateways.len()).try_for_each(|gateway| self.wait_until_ready(gateway, Duration::from_secs(20)))
+        (0..self.gateways.len())
+            .try_for_each(|gateway| self.wait_until_ready(gateway, Duration::from_secs(20)))
     }
 }
 
@@ -317,7 +370,10 @@
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     fn fill(&mut self) -> std::io::Result<usize> {
@@ -329,14 +385,23 @@
 
     pub fn head(&mut self) -> Option<Head> {
         loop {
-            if let Some(end) = self.buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            if let Some(end) = self
+                .buffer
+                .windows(4)
+                .position(|bytes| bytes == b"\r\n\r\n")
+            {
                 let text = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
                 self.buffer.drain(..end + 4);
                 let mut lines = text.split("\r\n");
                 let start_line = lines.next()?.to_owned();
                 let headers = lines.filter_map(|line| line.split_once(':'));
-                let headers = headers.map(|(name, value)| (name.trim().to_ascii_lowercase(), value.trim().to_owned()));
-                return Some(Head { start_line, headers: headers.collect() });
+                let headers = headers.map(|(name, value)| {
+                    (name.trim().to_ascii_lowercase(), value.trim().to_owned())
+                });
+                return Some(Head {
+                    start_line,
+                    headers: headers.collect(),
+                });
             }
             if !matches!(self.fill(), Ok(count) if count > 0) {
                 return None;
@@ -399,10 +464,14 @@
         let whole = text.rfind("\n\n").map_or("", |end| &text[..end + 2]);
         let events = whole.split("\n\n").filter(|event| !event.is_empty());
         let field = |event: &str, name: &str| {
-            let line = event.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
+            let line = event
+                .lines()
+                .find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
             line.unwrap_or_default().to_owned()
         };
-        events.map(|event| (field(event, "id"), field(event, "data"))).collect()
+        events
+            .map(|event| (field(event, "id"), field(event, "data")))
+            .collect()
     }
 }
 
@@ -430,16 +499,29 @@
         let _ = write!(text, "Content-Length: {}\r\n", body.len());
     }
     text.push_str("\r\n");
-    if stream.write_all(text.as_bytes()).and_then(|()| stream.write_all(body)).is_err() {
+    if stream
+        .write_all(text.as_bytes())
+        .and_then(|()| stream.write_all(body))
+        .is_err()
+    {
         return answer;
     }
     let mut reader = Reader::new(stream);
     let Some(head) = reader.head() else {
         return answer;
     };
-    answer.status = head.start_line.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
-    let length = head.get("content-length").and_then(|length| length.parse().ok());
-    let is_chunked = head.get("transfer-encoding").is_some_and(|coding| coding.contains("chunked"));
+    answer.status = head
+        .start_line
+        .split(' ')
+        .nth(1)
+        .and_then(|code| code.parse().ok())
+        .unwrap_or(0);
+    let length = head
+        .get("content-length")
+        .and_then(|length| length.parse().ok());
+    let is_chunked = head
+        .get("transfer-encoding")
+        .is_some_and(|coding| coding.contains("chunked"));
     answer.head = head;
     if is_chunked {
         while let Some(chunk) = reader.chunk() {
@@ -460,7 +542,14 @@
     answer
 }
 
-pub fn request(address: SocketAddr, method: &str, path: &str, headers: &[(&str, String)], body: &[u8], limit: Duration) -> Answer {
+pub fn request(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, String)],
+    body: &[u8],
+    limit: Duration,
+) -> Answer {
     request_with(address, method, path, headers, body, limit, |_| {})
 }
 
@@ -525,9 +614,15 @@
                 entry.service, entry.address, entry.slots,
                 if entry.is_draining { "draining" } else { "ready" }, entry.id,
             )).collect();
-            let body = format!("{{\"instances\":[{}],\"next-page-token\":null}}", entries.join(","));
+            let body = format!(
+                "{{\"instances\":[{}],\"next-page-token\":null}}",
+                entries.join(",")
+            );
             let status = if is_list { "200 OK" } else { "404 Not Found" };
-            let text = format!("HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            let text = format!(
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
             if stream.write_all(text.as_bytes()).is_err() {
                 return;
             }
@@ -547,25 +642,45 @@
         let mut entries = self.entries.lock().unwrap();
         let number = entries.len();
         let id = format!("i-{number:08x}");
-        entries.push(Entry { id: id.clone(), service, address, slots, is_draining: false });
+        entries.push(Entry {
+            id: id.clone(),
+            service,
+            address,
+            slots,
+            is_draining: false,
+        });
         drop(entries);
         let handler: Arc<Handler> = Arc::new(handler);
         let platform = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (platform, id, handler) = (platform.clone(), id.clone(), Arc::clone(&handler));
-                thread::spawn(move || platform.serve_replica(number, &id, slots, &*handler, stream));
+                thread::spawn(move || {
+                    platform.serve_replica(number, &id, slots, &*handler, stream)
+                });
             }
         });
         number
     }
 
-    fn serve_replica(&self, replica: usize, id: &str, slots: u32, handler: &Handler, mut stream: TcpStream) {
+    fn serve_replica(
+        &self,
+        replica: usize,
+        id: &str,
+        slots: u32,
+        handler: &Handler,
+        mut stream: TcpStream,
+    ) {
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream.try_clone().unwrap());
         while let Some(head) = reader.head() {
-            let length = head.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
-            let Some(body) = reader.exact(length) else { return };
+            let length = head
+                .get("content-length")
+                .and_then(|length| length.parse().ok())
+                .unwrap_or(0);
+            let Some(body) = reader.exact(length) else {
+                return;
+            };
             let at = Instant::now();
             let is_report = head.start_line.starts_with("GET /luglink/report");
             let is_health = head.start_line.starts_with("GET /health");
@@ -575,14 +690,37 @@
                      \"sequence\":0,\"waiting\":0,\"running\":0,\"kv-used\":0,\"kv-total\":{},\"handles\":0}}",
                     slots * 10_000
                 );
-                answer(&mut stream, "200 OK", &[("Content-Type", "application/json".to_owned())], body.as_bytes())
+                answer(
+                    &mut stream,
+                    "200 OK",
+                    &[("Content-Type", "application/json".to_owned())],
+                    body.as_bytes(),
+                )
             } else if is_health {
-                answer(&mut stream, "200 OK", &[("X-Instance-Id", id.to_owned())], b"")
-            } else if head.get("x-expect-instance").is_some_and(|expected| expected != id) {
+                answer(
+                    &mut stream,
+                    "200 OK",
+                    &[("X-Instance-Id", id.to_owned())],
+                    b"",
+                )
+            } else if head
+                .get("x-expect-instance")
+                .is_some_and(|expected| expected != id)
+            {
                 let echo = head.get("x-attempt-id").unwrap_or_default().to_owned();
-                answer(&mut stream, "421 Misdirected Request", &[("X-Attempt-Id", echo), ("X-Not-Executed", "1".to_owned())], b"")
+                answer(
+                    &mut stream,
+                    "421 Misdirected Request",
+                    &[("X-Attempt-Id", echo), ("X-Not-Executed", "1".to_owned())],
+                    b"",
+                )
             } else {
-                let arrival = Arrival { replica, at, head, body };
+                let arrival = Arrival {
+                    replica,
+                    at,
+                    head,
+                    body,
+                };
                 self.arrivals.lock().unwrap().push(arrival.clone());
                 handler(&arrival, &mut stream)
             };
@@ -594,7 +732,12 @@
 }
 
 /// Writes a whole answer. Returns true.
-pub fn answer(stream: &mut TcpStream, status: &str, headers: &[(&str, String)], body: &[u8]) -> std::io::Result<bool> {
+pub fn answer(
+    stream: &mut TcpStream,
+    status: &str,
+    headers: &[(&str, String)],
+    body: &[u8],
+) -> std::io::Result<bool> {
     let mut text = format!("HTTP/1.1 {status}\r\n");
     for (name, value) in headers {
         let _ = write!(text, "{name}: {value}\r\n");
@@ -628,19 +771,34 @@
 
 /// Returns the number of the event after which a request continues.
 pub fn continues_after(arrival: &Arrival) -> usize {
-    arrival.head.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0)
+    arrival
+        .head
+        .get("last-event-id")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0)
 }
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 /// Returns an identifier that no other request has.
 pub fn attempt_id() -> String {
-    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64;
-    format!("{:016x}", time.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ NEXT_ID.fetch_add(1, Ordering::Relaxed))
+    let time = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_nanos() as u64;
+    format!(
+        "{:016x}",
+        time.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ NEXT_ID.fetch_add(1, Ordering::Relaxed)
+    )
 }
 
 /// Ends the whole script if it takes longer than `limit`.
-pub fn limit_run(record: &Record, limit: Duration, is_over: Arc<AtomicBool>, deployment_pids: Vec<i32>) {
+pub fn limit_run(
+    record: &Record,
+    limit: Duration,
+    is_over: Arc<AtomicBool>,
+    deployment_pids: Vec<i32>,
+) {
     let record = record.clone();
     thread::spawn(move || {
         thread::sleep(limit);
@@ -656,7 +814,14 @@
 
 impl Deployment {
     pub fn pids(&self) -> Vec<i32> {
-        let pids = self.all().map(|process| process.child.lock().unwrap().as_ref().map(|child| child.id() as i32));
+        let pids = self.all().map(|process| {
+            process
+                .child
+                .lock()
+                .unwrap()
+                .as_ref()
+                .map(|child| child.id() as i32)
+        });
         pids.flatten().collect()
     }
 }
@@ -703,10 +868,22 @@
         for _ in 0..50 {
             for (host, operator) in self.operators.iter().enumerate() {
                 let headers = [("Host", operator.to_string())];
-                let answer = request(*operator, "GET", "/luglink/Configuration.Get", &headers, b"", Duration::from_secs(1));
+                let answer = request(
+                    *operator,
+                    "GET",
+                    "/luglink/Configuration.Get",
+                    &headers,
+                    b"",
+                    Duration::from_secs(1),
+                );
                 if let Some(location) = answer.header("location") {
-                    let leader = location.strip_prefix("http://").and_then(|rest| rest.split('/').next());
-                    return self.operators.iter().position(|operator| Some(operator.to_string().as_str()) == leader);
+                    let leader = location
+                        .strip_prefix("http://")
+                        .and_then(|rest| rest.split('/').next());
+                    return self
+                        .operators
+                        .iter()
+                        .position(|operator| Some(operator.to_string().as_str()) == leader);
                 }
                 if answer.status == 200 && host > 0 {
                     return Some(host);
--- a/review/12/case.rs
+++ b/review/standin-3/surplus_refusal.rs
@@ -1,4 +1,4 @@
-//! Case: a surplus answer of a replica that was full stands in the place of the next answer.
+//! Case 4: a surplus answer of a replica that was full stands in the place of the next answer.
 #[path = "standins.rs"]
 mod standins;
 
@@ -49,11 +49,18 @@
 }
 
 fn headers(id: &str) -> Vec<(&'static str, String)> {
-    vec![("Host", HOST.to_owned()), ("X-Attempt-Id", id.to_owned()), ("X-Deadline-Ms", "3000".to_owned())]
+    vec![
+        ("Host", HOST.to_owned()),
+        ("X-Attempt-Id", id.to_owned()),
+        ("X-Deadline-Ms", "3000".to_owned()),
+    ]
 }
 
 fn refuse(arrival: &Arrival, stream: &mut std::net::TcpStream) -> std::io::Result<bool> {
-    let headers = [("X-Attempt-Id", arrival.id().to_owned()), ("X-Not-Executed", "1".to_owned())];
+    let headers = [
+        ("X-Attempt-Id", arrival.id().to_owned()),
+        ("X-Not-Executed", "1".to_owned()),
+    ];
     answer(stream, "503 Service Unavailable", &headers, b"full")
 }
 
@@ -65,7 +72,12 @@
     let refused: Arc<Mutex<Vec<(String, SocketAddr)>>> = Arc::default();
     let counts: Arc<Mutex<Counts>> = Arc::default();
     for replica in 0..2 {
-        let (full_until, runs, refused, record) = (Arc::clone(&full_until), Arc::clone(&runs), Arc::clone(&refused), record.clone());
+        let (full_until, runs, refused, record) = (
+            Arc::clone(&full_until),
+            Arc::clone(&runs),
+            Arc::clone(&refused),
+            record.clone(),
+        );
         let counts = Arc::clone(&counts);
         platform.add_replica("app", 6, move |arrival, stream| {
             let id = arrival.id().to_owned();
@@ -84,19 +96,35 @@
             if trouble() && is_refused_here && counts.lock().unwrap().may_add_surplus() {
                 // The second copy of its answer to the request before comes late on that connection, in the place
                 // of the next one.
-                record.note(format!("replica {replica} sends a second copy of its refusal of {id}"));
+                record.note(format!(
+                    "replica {replica} sends a second copy of its refusal of {id}"
+                ));
                 refuse(arrival, stream)?;
             }
             record.note(format!("replica {replica} runs {id}"));
-            runs.lock().unwrap().entry(id.clone()).or_default().push(replica);
+            runs.lock()
+                .unwrap()
+                .entry(id.clone())
+                .or_default()
+                .push(replica);
             thread::sleep(WORK);
-            answer(stream, "200 OK", &[("X-Attempt-Id", id), ("X-Response-Seal", SEAL.to_owned())], b"done")
+            answer(
+                stream,
+                "200 OK",
+                &[("X-Attempt-Id", id), ("X-Response-Seal", SEAL.to_owned())],
+                b"done",
+            )
         });
     }
     let list = platform.serve_list();
     let deployment = Deployment::start(3, 1, list);
     let is_over = Arc::new(AtomicBool::new(false));
-    limit_run(record, Duration::from_secs(100), Arc::clone(&is_over), deployment.pids());
+    limit_run(
+        record,
+        Duration::from_secs(100),
+        Arc::clone(&is_over),
+        deployment.pids(),
+    );
     deployment.configure(&configuration(), Duration::from_secs(20))?;
     deployment.wait_until_all_ready()?;
     thread::sleep(Duration::from_secs(3));
@@ -108,8 +136,18 @@
                 for _ in 0..REQUESTS_OF_CLIENT {
                     let id = attempt_id();
                     record.note(format!("client sends {id}"));
-                    let answer = request(deployment.fronts[0], "POST", PATH, &headers(&id), b"act once", Duration::from_secs(4));
-                    record.note(format!("client got {} for {id}, whole: {}", answer.status, answer.is_whole));
+                    let answer = request(
+                        deployment.fronts[0],
+                        "POST",
+                        PATH,
+                        &headers(&id),
+                        b"act once",
+                        Duration::from_secs(4),
+                    );
+                    record.note(format!(
+                        "client got {} for {id}, whole: {}",
+                        answer.status, answer.is_whole
+                    ));
                     answered.fetch_add(usize::from(answer.status == 200), Ordering::SeqCst);
                 }
                 under_way.fetch_sub(1, Ordering::SeqCst);
@@ -123,12 +161,21 @@
     is_over.store(true, Ordering::SeqCst);
     thread::sleep(Duration::from_millis(300));
     let runs = runs.lock().unwrap().clone();
-    let doubled: Vec<_> = runs.iter().filter(|(_, replicas)| replicas.len() > 1).collect();
+    let doubled: Vec<_> = runs
+        .iter()
+        .filter(|(_, replicas)| replicas.len() > 1)
+        .collect();
     for (id, replicas) in &doubled {
-        record.note(format!("{id} ran {} times, at replicas {replicas:?}", replicas.len()));
+        record.note(format!(
+            "{id} ran {} times, at replicas {replicas:?}",
+            replicas.len()
+        ));
     }
     let counts = counts.lock().unwrap();
-    record.note(format!("the faulty replica gave {} answers, {} of them twice", counts.answers, counts.surpluses));
+    record.note(format!(
+        "the faulty replica gave {} answers, {} of them twice",
+        counts.answers, counts.surpluses
+    ));
     if answered.load(Ordering::SeqCst) == 0 {
         return Err("no request was served".to_owned());
     }
@@ -136,7 +183,7 @@
 }
 
 fn main() {
-    let record = Record::new(std::path::Path::new("review/12"));
+    let record = Record::from_arguments();
     let verdict = run(&record);
     std::process::exit(finish(&record, verdict));
 }
