Acknowledge a turn only with its chain and its program's account

With accounts instead of turns, programs passed their budgets.

Cause: a store acknowledged a turn although it lacked those that the turn continues, and tokens without the program's earlier ones. Earlier records are renewed only where later writes find them, so their copies became fewer with each outage. Related paths with the same effect: retention began with the write and not with the end of the answer; a repeated write did not restart it; the hand-over looked for the owners of a turn under the program it came from and not under the one that continues it.

Change: a store that lacks ancestors of a turn names them and stores nothing; the gateway sends them and repeats the turn. A store counts for a write of tokens once its account covers what a quorum of copies adds up to. Records live for the retention and twice the route's timeout. Hand-overs send turns of other programs with those that continue them. Gateways and stores of older builds ignore the new parts and behave as before.

Evidence: store_outages.rs and retention.rs fail on the code before (503 and 200 instead of 200 and 402; 404 and 200 instead of 200 and 402) and pass now.

--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -78,6 +78,16 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the time for which stores keep the records of this request, in milliseconds. Callers count
+    /// the retention of the route from the end of the response, which may be as late as the deadline,
+    /// and what they send within it may take as long again to reach the stores.
+    pub(crate) fn record_retention_ms(&self) -> u64 {
+        let route = &self.route;
+        route
+            .retention_ms
+            .saturating_add(route.timeout_ms.saturating_mul(2))
+    }
+
     /// Returns the identifier of this request's turn.
     pub(crate) fn turn(&self) -> TurnId {
         TurnId::of(tenant_name(&self.caller), &self.id)
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -35,6 +35,7 @@
 mod news;
 mod placement;
 mod program;
+mod program_writes;
 mod proxy;
 mod quota;
 mod refusal;
--- a/crates/gateway-server/src/program.rs
+++ b/crates/gateway-server/src/program.rs
@@ -13,7 +13,7 @@
 use luglink_fleet::BackendId;
 use luglink_quota::Purpose;
 use luglink_scheduling::ShedDecision;
-use luglink_turns::{BudgetDecision, ProgramName, TurnId, TurnRecord};
+use luglink_turns::{Account, BudgetDecision, ProgramName, TurnId, TurnRecord};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Instant;
@@ -48,6 +48,8 @@
     program: ProgramName,
     turn: TurnId,
     retention_ms: u64,
+    /// Account of the program as of the reservation, which it includes.
+    account: Account,
     delivered: Cell<u64>,
     is_settled: Cell<bool>,
     served_by: RefCell<Option<BackendId>>,
@@ -80,6 +82,11 @@
         *self.served_by.borrow_mut() = Some(replica.clone());
     }
 
+    /// Returns the program's account as of the reservation.
+    pub(crate) fn account(&self) -> &Account {
+        &self.account
+    }
+
     /// Marks the turn as already settled in the stores.
     pub(crate) fn mark_settled(&self) {
         self.is_settled.set(true);
@@ -96,11 +103,17 @@
         let turn = self.turn.clone();
         let (delivered, retention_ms) = (self.delivered.get(), self.retention_ms);
         let served_by = self.served_by.take();
+        let account = std::mem::take(&mut self.account);
         actix_rt::spawn(async move {
-            let settling =
-                gateway
-                    .turns
-                    .settle(&program, &turn, delivered, retention_ms, served_by);
+            let turns = &gateway.turns;
+            let settling = turns.settle(
+                &program,
+                &turn,
+                delivered,
+                retention_ms,
+                served_by,
+                &account,
+            );
             settling.await;
         });
     }
@@ -206,12 +219,13 @@
 ) -> Result<ReservedTurn, Refusal> {
     inbound.watch.steps.enter(RequestStep::Reservation);
     let turn = inbound.turn();
-    let retention_ms = inbound.route.retention_ms;
-    let reservation = Reservation {
+    let retention_ms = inbound.record_retention_ms();
+    let mut reservation = Reservation {
         gateway: Rc::clone(gateway),
         program: program.name.clone(),
         turn: turn.clone(),
         retention_ms,
+        account: Account::default(),
         delivered: Cell::new(0),
         is_settled: Cell::new(false),
         served_by: RefCell::default(),
@@ -233,6 +247,7 @@
             ));
         }
     };
+    reservation.account = response.account.clone();
     let seconds = started_at.elapsed().as_secs_f64();
     gateway.metrics.reserve_seconds.observe(seconds);
     let is_first_turn = program.previous.is_none() && response.account.is_first_turn(&turn);
--- a/crates/gateway-server/src/store_link.rs
+++ b/crates/gateway-server/src/store_link.rs
@@ -4,8 +4,9 @@
 use luglink_fleet::{StoreName, StreamOrigin};
 use luglink_net::RequestClient;
 use luglink_turns::{
-    ClientView, CrashRequest, CrashResponse, HolderView, LogPosition, OriginRecord, OriginRequest,
-    OriginResponse, StoreRequest, StoreResponse, TurnId, hint_query, hint_request, hinted_origin,
+    ClientView, CrashRequest, CrashResponse, HolderView, KeepCheck, KeepReport, LogPosition,
+    OriginRecord, OriginRequest, OriginResponse, StoreRequest, StoreResponse, TurnId, hint_query,
+    hint_request, hinted_origin,
 };
 use luglink_wire::{
     ClientRole, Hello, PROTOCOL_VERSION, WireError, decode_body, decode_with_parts, encode_body,
@@ -95,6 +96,24 @@
         async move { self.exchange(body.ok()?, decode_body).await }
     }
 
+    /// Sends a turn to be stored, with what the writer knows about its program. Returns the response and
+    /// what the store adds to it.
+    pub(crate) async fn keep_under(
+        self: Rc<Self>,
+        view: ClientView,
+        request: &StoreRequest,
+        check: KeepCheck,
+    ) -> Option<(StoreResponse, KeepReport)> {
+        let mut parts = view.encode().ok()?;
+        check.put(&mut parts).ok()?;
+        let body = encode_with_parts(request, &parts).ok()?;
+        let decode = |answer: &[u8]| {
+            let (response, parts) = decode_with_parts(answer)?;
+            Ok((response, KeepReport::decode(&parts)?))
+        };
+        self.exchange(body, decode).await
+    }
+
     /// Sends a request like [`StoreLink::send_under`], but without a view.
     pub(crate) fn send(
         self: Rc<Self>,
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -511,23 +511,16 @@
             input: self.inbound.body.to_vec(),
             output: std::mem::take(&mut self.output),
             served_by: Some(backend.id.clone()),
-            retention_ms: self.inbound.route.retention_ms,
+            retention_ms: self.inbound.record_retention_ms(),
         });
-        let is_of_other_program = |turn: &&Rc<TurnRecord>| turn.program != program.name;
-        let carried: Vec<Rc<TurnRecord>> = self
-            .prepared
-            .chain
-            .iter()
-            .filter(is_of_other_program)
-            .cloned()
-            .collect();
         let began = Instant::now();
         let deadline = self.inbound.deadline;
-        let kept = self
-            .gateway
-            .turns
-            .keep(&turn, tokens, &carried, deadline)
-            .await;
+        let chain = &self.prepared.chain;
+        let reservation = self.prepared.reservation.as_ref();
+        let known = reservation.map(|reservation| reservation.account().clone());
+        let known = known.unwrap_or_default();
+        let turns = &self.gateway.turns;
+        let kept = turns.keep(&turn, tokens, chain, &known, deadline).await;
         let seconds = began.elapsed().as_secs_f64();
         self.gateway.metrics.keep_seconds.observe(seconds);
         if let Err(error) = kept {
--- a/crates/gateway-server/src/turn_client.rs
+++ b/crates/gateway-server/src/turn_client.rs
@@ -1,14 +1,15 @@
 //! Client of the replicated turn stores.
 
 use crate::chain_search::{ChainLookup, ChainSearch};
+use crate::program_writes::{Keep, Target, WriteTask, repair_account};
 use crate::store_link::StoreLink;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use luglink_fleet::{BackendId, StoreName, StoreView, StreamOrigin};
 use luglink_quota::{QuotaOwner, QuotaRequest, QuotaResponse};
 use luglink_turns::{
-    Account, ChainQuery, ClientView, JointQuorum, OriginRecord, ProgramName, Replication, Spend,
-    StoreRequest, StoreResponse, TurnId, TurnRecord,
+    Account, ChainQuery, ClientView, JointQuorum, OriginRecord, ProgramName, ProgramWrite,
+    Replication, Spend, StoreRequest, StoreResponse, TurnId, TurnRecord,
 };
 use luglink_types::TenantName;
 use snafu::Snafu;
@@ -220,12 +221,12 @@
                 return Ok(());
             }
         }
-        Err(self.unavailable(&quorum))
+        Err(self.unavailable(quorum.acknowledged()))
     }
 
-    fn unavailable(&self, quorum: &JointQuorum) -> StoresUnavailable {
+    fn unavailable(&self, acknowledged: usize) -> StoresUnavailable {
         StoresUnavailable {
-            acknowledged: quorum.acknowledged(),
+            acknowledged,
             needed: self.replication.quorum(),
         }
     }
@@ -248,7 +249,7 @@
                 epoch = self.epoch(),
                 "more stores were lost than tolerated: too few have the records of a program"
             );
-            return Err(self.unavailable(&quorum));
+            return Err(self.unavailable(quorum.acknowledged()));
         }
         let deadline = Instant::now() + BEGIN_TIMEOUT;
         let attempt = || self.begin_once(program, turn, ceiling, retention_ms, previous);
@@ -265,8 +266,10 @@
         retention_ms: u64,
         previous: Option<&TurnId>,
     ) -> Result<BeginResponse, StoresUnavailable> {
-        let mut quorum = self.joint_quorum(&program.0);
-        let owners = quorum.stores();
+        let quorum = self.joint_quorum(&program.0);
+        let mut write =
+            ProgramWrite::new(quorum, program.clone(), retention_ms, Account::default());
+        let owners = write.stores();
         let fastest = self.fastest(&owners);
         let wish = previous.map(|turn| ChainQuery { turn: turn.clone() });
         let mut pending = FuturesUnordered::new();
@@ -283,36 +286,39 @@
             };
             pending.push(self.send(owner, &request));
         }
+        let mut repairs = FuturesUnordered::new();
         let mut search = ChainSearch::default();
-        let mut account = Account::default();
         let mut latest_replica = None;
-        while let Some((name, response)) = pending.next().await {
-            if let Some(StoreResponse::Spent {
-                account: copy,
-                chain,
-                served_by,
-            }) = response
-            {
-                quorum.record(&name);
-                latest_replica = latest_replica.or(served_by);
-                account.merge(&copy);
-                if let Some(chain) = chain {
-                    search.add_response(&self.view.borrow(), &name, chain);
+        while !write.is_complete() {
+            tokio::select! {
+                Some((name, response)) = pending.next() => {
+                    let Some(StoreResponse::Spent { account: copy, chain, served_by }) = response
+                    else {
+                        continue;
+                    };
+                    latest_replica = latest_replica.or(served_by);
+                    if let Some(chain) = chain {
+                        search.add_response(&self.view.borrow(), &name, chain);
+                    }
+                    for repair in write.on_written(&name, copy) {
+                        let target = self.target(&repair.store);
+                        repairs.extend(target.map(|target| repair_account(&target, &repair)));
+                    }
                 }
-            }
-            if quorum.is_complete() {
-                break;
+                Some(repaired) = repairs.next() => {
+                    if let Some(name) = repaired {
+                        write.on_repaired(&name);
+                    }
+                }
+                else => return Err(self.unavailable(write.acknowledged())),
             }
         }
-        if !quorum.is_complete() {
-            return Err(self.unavailable(&quorum));
-        }
         let chain = match wish {
             None => None,
             Some(wish) => Some(self.search(wish, search, fastest, pending).await),
         };
         Ok(BeginResponse {
-            account,
+            account: write.account().clone(),
             chain,
             served_by: latest_replica,
         })
@@ -393,6 +399,7 @@
         tokens: u64,
         retention_ms: u64,
         served_by: Option<BackendId>,
+        known: &Account,
     ) {
         for _ in 0..MAX_SETTLE_ATTEMPTS {
             let request = StoreRequest::Spend {
@@ -404,7 +411,11 @@
                 chain: None,
                 served_by: served_by.clone(),
             };
-            if self.write(program, &request).await.is_ok() {
+            let quorum = self.joint_quorum(&program.0);
+            let write = ProgramWrite::new(quorum, program.clone(), retention_ms, known.clone());
+            let targets = self.targets(&write);
+            let (_, is_complete) = WriteTask::settle(write, targets, &request).complete().await;
+            if is_complete {
                 return;
             }
             actix_rt::time::sleep(WRITE_RETRY_DELAY).await;
@@ -412,37 +423,47 @@
         tracing::warn!(turn = %turn, tokens, "cannot settle a turn: its reservation still counts");
     }
 
-    /// Stores a turn. Returns once a quorum of stores has written it to disk.
+    /// Stores a turn after the turns of `chain`. Returns once a quorum of stores has all of them and the
+    /// program's whole account on disk. `known` is the account as of the turn's reservation.
     pub(crate) async fn keep(
         &self,
         turn: &TurnRecord,
         tokens: u64,
-        foreign_ancestors: &[Rc<TurnRecord>],
+        chain: &[Rc<TurnRecord>],
+        known: &Account,
         deadline: Instant,
     ) -> Result<(), StoresUnavailable> {
         let attempt = || async {
-            let request = StoreRequest::Keep {
-                epoch: self.epoch(),
-                turn: Box::new(turn.clone()),
-                tokens,
-                foreign_ancestors: foreign_ancestors
-                    .iter()
-                    .map(|turn| (**turn).clone())
-                    .collect(),
-            };
-            self.write(&turn.program, &request).await
+            let keep = Keep::new(self.epoch(), turn, tokens, chain, known.clone());
+            let quorum = self.joint_quorum(&turn.program.0);
+            let program = turn.program.clone();
+            let write = ProgramWrite::new(quorum, program, turn.retention_ms, keep.known().clone());
+            let targets = self.targets(&write);
+            let (write, is_complete) = WriteTask::keep(write, targets, keep).complete().await;
+            match is_complete {
+                true => Ok(()),
+                false => Err(self.unavailable(write.acknowledged())),
+            }
         };
         retry_until(deadline, WRITE_RETRY_DELAY, attempt).await
     }
 
-    async fn write(
-        &self,
-        program: &ProgramName,
-        request: &StoreRequest,
-    ) -> Result<(), StoresUnavailable> {
-        let is_written =
-            |response| matches!(response, StoreResponse::Done | StoreResponse::Spent { .. });
-        self.send_to_quorum(program, request, is_written).await
+    fn targets(&self, write: &ProgramWrite) -> Vec<Target> {
+        let stores = write.stores();
+        stores
+            .iter()
+            .filter_map(|store| self.target(store))
+            .collect()
+    }
+
+    fn target(&self, store: &StoreName) -> Option<Target> {
+        let (link, view) = self.holder(store)?;
+        Some(Target {
+            name: store.clone(),
+            link,
+            view,
+            is_settled: self.view.borrow().is_settled(store),
+        })
     }
 
     /// Sends the origin of a stream to its stores without waiting for them: a stream whose origin is
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -16,6 +16,8 @@
 mod programs;
 mod replicas;
 mod resumed_streams;
+mod retention;
+mod store_outages;
 mod support;
 mod tenants;
 mod unseen_ends;
--- a/crates/gateway-server/tests/gateway/support/caller.rs
+++ b/crates/gateway-server/tests/gateway/support/caller.rs
@@ -27,6 +27,7 @@
 }
 
 /// Request of a caller.
+#[derive(Clone)]
 pub struct TestRequest {
     pub method: &'static str,
     pub path: String,
--- a/crates/gateway-server/tests/gateway/support/proxy.rs
+++ b/crates/gateway-server/tests/gateway/support/proxy.rs
@@ -1,11 +1,12 @@
 //! Proxy of a turn store or control member whose connections can fall silent without being closed.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 /// Size of the buffer of one direction of a connection.
 const BUFFER_BYTES: usize = 16 << 10;
@@ -16,6 +17,8 @@
     accepted: Rc<Cell<usize>>,
     /// Number of the first connection that is silent. Later ones are silent too.
     silent_from: Rc<watch::Sender<usize>>,
+    /// Ends the present connections.
+    cut: Rc<RefCell<CancellationToken>>,
 }
 
 impl Proxy {
@@ -32,6 +35,7 @@
             address: listener.local_addr().unwrap(),
             accepted: Rc::default(),
             silent_from: Rc::new(silent_from),
+            cut: Rc::default(),
         };
         let serving = proxy.clone();
         actix_rt::spawn(async move {
@@ -39,7 +43,14 @@
                 let number = serving.accepted.get();
                 serving.accepted.set(number + 1);
                 let silent_from = serving.silent_from.subscribe();
-                actix_rt::spawn(connect_through(stream, store, number, silent_from));
+                let cut = serving.cut.borrow().clone();
+                actix_rt::spawn(async move {
+                    tokio::select! {
+                        biased;
+                        () = cut.cancelled() => {}
+                        () = connect_through(stream, store, number, silent_from) => {}
+                    }
+                });
             }
         });
         proxy
@@ -55,6 +66,12 @@
         self.silent_from.send_replace(number);
     }
 
+    /// Closes all connections with what they hold. Later ones work.
+    pub fn lose_held(&self) {
+        self.cut.replace(CancellationToken::new()).cancel();
+        self.restore();
+    }
+
     /// Lets all connections go on.
     pub fn restore(&self) {
         self.silent_from.send_replace(usize::MAX);
--- a/crates/store-server/src/metrics.rs
+++ b/crates/store-server/src/metrics.rs
@@ -15,6 +15,8 @@
     pub(crate) failures: IntCounter,
     /// Requests that were refused because their responses could not count, by reason.
     pub(crate) refusals: IntCounterVec,
+    /// Turns that were not stored because the store lacked their ancestors.
+    pub(crate) incomplete_chains: IntCounter,
     /// Time to make a batch of requests durable.
     pub(crate) flush_seconds: Histogram,
     /// Time to make a batch of crash reports durable.
@@ -49,6 +51,10 @@
             requests,
             failures,
             refusals,
+            incomplete_chains: registry.counter(
+                "store_incomplete_chains_total",
+                "Turns that were not stored because the store lacked their ancestors",
+            )?,
             flush_seconds: registry
                 .seconds_histogram("store_flush_seconds", "Time to make a batch durable")?,
             report_sync_seconds: registry.seconds_histogram(
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -12,9 +12,9 @@
 use luglink_quota::Tolerance;
 use luglink_storage::{FileDisk, WalConfig};
 use luglink_turns::{
-    Chain, ClientView, CrashRequest, FollowerLeases, LogPosition, OriginRequest, OriginResponse,
-    Output, Refusal, Replication, ReportBatch, RequestToken, StoreConfig, StoreNode, StoreRequest,
-    StoreResponse,
+    Chain, ClientView, CrashRequest, FollowerLeases, KeepCheck, KeepReport, LogPosition,
+    OriginRequest, OriginResponse, Output, Refusal, Replication, ReportBatch, RequestToken,
+    StoreConfig, StoreNode, StoreRequest, StoreResponse,
 };
 use luglink_wire::{Frame, Parts, WireError, decode_with_parts, encode_body, encode_with_parts};
 use rand::RngCore;
@@ -201,7 +201,7 @@
 
 /// Request of a client by the part that it carries.
 enum ClientRequest {
-    Store(Option<ClientView>, StoreRequest),
+    Store(Option<ClientView>, Option<KeepCheck>, StoreRequest),
     Origin(OriginRequest),
     Crash(Option<ClientView>, CrashRequest),
 }
@@ -214,7 +214,7 @@
     let client_view = ClientView::decode(&parts)?;
     Ok(match CrashRequest::decode(&parts)? {
         Some(request) => ClientRequest::Crash(client_view, request),
-        None => ClientRequest::Store(client_view, request),
+        None => ClientRequest::Store(client_view, KeepCheck::decode(&parts)?, request),
     })
 }
 
@@ -284,10 +284,10 @@
             Ok(ClientRequest::Crash(client_view, request)) => {
                 self.on_crash_request(token, client_view, &request);
             }
-            Ok(ClientRequest::Store(client_view, request)) => {
+            Ok(ClientRequest::Store(client_view, check, request)) => {
                 let requests = &self.metrics.requests;
                 requests.with_label_values(&[request_kind(&request)]).inc();
-                self.handle(client_view, token, request);
+                self.handle(client_view, check, token, request);
                 self.unflushed_requests
                     .set(self.unflushed_requests.get() + 1);
                 if self.unflushed_requests.get() >= MAX_BATCH_REQUESTS {
@@ -305,9 +305,15 @@
         }
     }
 
-    fn handle(&self, client_view: Option<ClientView>, token: RequestToken, request: StoreRequest) {
+    fn handle(
+        &self,
+        client_view: Option<ClientView>,
+        check: Option<KeepCheck>,
+        token: RequestToken,
+        request: StoreRequest,
+    ) {
         let mut node = self.node.borrow_mut();
-        let refusal = node.handle_under(client_view, token, request, now());
+        let refusal = node.handle_checked(client_view, check, token, request, now());
         let epoch = node.epoch();
         drop(node);
         if let Some(refusal) = refusal {
@@ -422,13 +428,11 @@
         }
         for output in outputs {
             match output {
-                Output::Reply { token, response } => {
-                    if let StoreResponse::Failed { reason } = &*response {
-                        tracing::error!(reason, "cannot make the records of a request durable");
-                        self.metrics.failures.inc();
-                    }
-                    self.reply(token, &response);
-                }
+                Output::Reply {
+                    token,
+                    response,
+                    report,
+                } => self.reply_with_report(token, &response, report.as_deref()),
                 Output::HandOver {
                     to,
                     number,
@@ -440,6 +444,35 @@
         self.hand_over_reports();
     }
 
+    fn reply_with_report(
+        &self,
+        token: RequestToken,
+        response: &StoreResponse,
+        report: Option<&KeepReport>,
+    ) {
+        let missing = report.map_or(0, |report| report.missing.len());
+        if let StoreResponse::Failed { reason } = response {
+            if missing > 0 {
+                tracing::info!(
+                    reason,
+                    missing,
+                    "did not store a turn without its ancestors"
+                );
+                self.metrics.incomplete_chains.inc();
+            } else {
+                tracing::error!(reason, "cannot make the records of a request durable");
+                self.metrics.failures.inc();
+            }
+        }
+        match report.map(KeepReport::encode) {
+            None => self.reply(token, response),
+            Some(parts) => {
+                let body = parts.and_then(|parts| encode_with_parts(response, &parts));
+                self.send(token, body);
+            }
+        }
+    }
+
     fn reply(&self, token: RequestToken, response: &StoreResponse) {
         self.send(token, encode_body(response));
     }
--- a/crates/turns/src/account.rs
+++ b/crates/turns/src/account.rs
@@ -3,6 +3,7 @@
 use crate::record::TurnId;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Tokens that one turn takes from the budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,6 +79,29 @@
         self.spends.get(turn).copied()
     }
 
+    /// Returns true if this copy counts at least as many tokens for each turn as `other`, so that
+    /// merging `other` would not raise the total.
+    #[must_use]
+    pub fn covers(&self, other: &Self) -> bool {
+        other.spends().all(|(turn, spend)| {
+            self.spend_of(turn)
+                .is_some_and(|known| known.merge(spend).tokens() <= known.tokens())
+        })
+    }
+
+    /// Returns a digest by which two copies can be compared without exchanging them.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let digests = self.spends().map(|(turn, spend)| {
+            let seed = match spend {
+                Spend::Reserved(tokens) => tokens << 1,
+                Spend::Settled(tokens) => tokens << 1 | 1,
+            };
+            xxh3_64_with_seed(turn.0.as_bytes(), seed)
+        });
+        digests.fold(0, u64::wrapping_add)
+    }
+
     /// Returns true if no turn other than `turn` has spent or reserved tokens, which means that
     /// `turn` is the first of the program.
     #[must_use]
--- a/crates/turns/src/hand_over.rs
+++ b/crates/turns/src/hand_over.rs
@@ -1,7 +1,8 @@
 //! Transfer of records to stores that own them and may not have them yet.
 
+use crate::account::Account;
 use crate::protocol::StoreRequest;
-use crate::record::TurnId;
+use crate::record::{ProgramName, TurnId, TurnRecord};
 use crate::state::State;
 use luglink_fleet::{StoreName, StoreView, owners, settled_owners};
 use luglink_types::Timestamp;
@@ -131,10 +132,11 @@
                 .into_iter()
                 .filter(|name| !self.has_acknowledged(name, &turn.record.id))
             {
-                transfers
-                    .entry(name)
-                    .or_default()
-                    .add_turn(turn.record.clone());
+                let transfer = transfers.entry(name).or_default();
+                for ancestor in foreign_ancestors(state, &turn.record) {
+                    transfer.add_ancestor(ancestor);
+                }
+                transfer.add_turn(turn.record.clone());
             }
         }
         for (program, account) in &state.accounts {
@@ -261,6 +263,29 @@
     }
 }
 
+/// Returns the requests that transfer turns to a store, in messages of a bounded size.
+pub fn turn_batches(turns: impl IntoIterator<Item = TurnRecord>) -> Vec<StoreRequest> {
+    let mut transfer = Transfer::default();
+    for turn in turns {
+        transfer.add_turn(turn);
+    }
+    transfer.into_batches().into()
+}
+
+/// Returns the ancestors of a turn that belong to other programs, which are kept where the turn is. They
+/// are those of its predecessor, too, if that one is of the same program.
+fn foreign_ancestors<'state>(
+    state: &'state State,
+    turn: &'state TurnRecord,
+) -> impl Iterator<Item = &'state TurnRecord> {
+    let held = |id: &TurnId| state.turns.get(id).map(|held| &held.record);
+    let predecessor = turn.ancestors.last().and_then(held);
+    let has_own = predecessor.is_none_or(|predecessor| predecessor.program != turn.program);
+    let ancestors = turn.ancestors.iter().filter(move |_| has_own);
+    let ancestors = ancestors.filter_map(held);
+    ancestors.filter(|ancestor| ancestor.program != turn.program)
+}
+
 fn writable_names(view: &StoreView) -> impl Iterator<Item = &StoreName> {
     view.writable().map(|(name, _)| name)
 }
@@ -268,14 +293,16 @@
 /// Turns and accounts to be transferred to one store, with the turns divided into batches.
 #[derive(Default)]
 struct Transfer {
-    turns: Vec<Vec<crate::record::TurnRecord>>,
+    turns: Vec<Vec<TurnRecord>>,
     /// Size of the last batch.
     bytes: usize,
-    accounts: Vec<(crate::record::ProgramName, crate::account::Account, u64)>,
+    /// Ancestors of other programs among the turns.
+    ancestors: BTreeSet<TurnId>,
+    accounts: Vec<(ProgramName, Account, u64)>,
 }
 
 impl Transfer {
-    fn add_turn(&mut self, turn: crate::record::TurnRecord) {
+    fn add_turn(&mut self, turn: TurnRecord) {
         if self.turns.is_empty() || self.bytes >= MAX_BATCH_BYTES {
             self.turns.push(Vec::new());
             self.bytes = 0;
@@ -286,7 +313,20 @@
         }
     }
 
+    fn add_ancestor(&mut self, turn: &TurnRecord) {
+        if self.ancestors.insert(turn.id.clone()) {
+            self.add_turn(turn.clone());
+        }
+    }
+
     fn into_queue(self) -> Queue {
+        Queue {
+            batches: self.into_batches(),
+            sent: None,
+        }
+    }
+
+    fn into_batches(self) -> VecDeque<StoreRequest> {
         let mut batches: VecDeque<StoreRequest> = self
             .turns
             .into_iter()
@@ -301,9 +341,6 @@
                 accounts: self.accounts,
             });
         }
-        Queue {
-            batches,
-            sent: None,
-        }
+        batches
     }
 }
--- a/crates/turns/src/journal.rs
+++ b/crates/turns/src/journal.rs
@@ -26,6 +26,16 @@
     HandedOver(StoreView),
 }
 
+impl Entry {
+    /// Returns the turn of the entry, if it is one.
+    pub(crate) fn turn(&self) -> Option<&TurnRecord> {
+        match self {
+            Self::Turn(record) => Some(record),
+            Self::Spend { .. } | Self::HandedOver(_) => None,
+        }
+    }
+}
+
 /// Journal of one store.
 #[derive(Debug)]
 pub(crate) struct Journal<D> {
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -9,6 +9,7 @@
 use crate::follower_leases::LEASE_DURATION;
 use crate::hand_over::HandOver;
 use crate::journal::{Entry, Journal};
+use crate::keep_parts::{KeepCheck, KeepReport};
 use crate::origins::OriginTable;
 use crate::parts::{ClientView, OriginRequest};
 use crate::protocol::{Chain, ChainQuery, StoreRequest, StoreResponse};
@@ -50,6 +51,8 @@
         token: RequestToken,
         /// The response.
         response: Box<StoreResponse>,
+        /// Part of the response to a request with a [`KeepCheck`].
+        report: Option<Box<KeepReport>>,
     },
     /// Sends a request to another store. If that store acknowledges it, the server process calls
     /// [`StoreNode::on_hand_over_acknowledged`].
@@ -91,6 +94,10 @@
         chain: Option<ChainQuery>,
         served_by: Option<BackendId>,
     },
+    Kept {
+        program: ProgramName,
+        check: Option<KeepCheck>,
+    },
     Done,
 }
 
@@ -246,12 +253,25 @@
         token: RequestToken,
         request: StoreRequest,
         now: Timestamp,
+    ) -> Option<Refusal> {
+        self.handle_checked(client_view, None, token, request, now)
+    }
+
+    /// Does the same for a request that may have a [`KeepCheck`]. A turn whose ancestors the store lacks
+    /// is not stored then; the reply names them.
+    pub fn handle_checked(
+        &mut self,
+        client_view: Option<ClientView>,
+        check: Option<KeepCheck>,
+        token: RequestToken,
+        request: StoreRequest,
+        now: Timestamp,
     ) -> Option<Refusal> {
         self.now = self.now.max(now);
         let refusal = self.request_check().refusal(client_view, &request);
         if refusal.is_none() {
             let request = self.request_check().accepted(client_view, request);
-            self.handle(token, request, now);
+            self.handle_accepted(check, token, request);
         }
         refusal
     }
@@ -269,6 +289,15 @@
     /// Handles a request. The next [`StoreNode::flush`] returns the reply.
     pub fn handle(&mut self, token: RequestToken, request: StoreRequest, now: Timestamp) {
         self.now = self.now.max(now);
+        self.handle_accepted(None, token, request);
+    }
+
+    fn handle_accepted(
+        &mut self,
+        check: Option<KeepCheck>,
+        token: RequestToken,
+        request: StoreRequest,
+    ) {
         match request {
             StoreRequest::Spend {
                 epoch,
@@ -295,7 +324,16 @@
                 turn,
                 tokens,
                 foreign_ancestors,
-            } => self.keep(token, epoch, *turn, tokens, foreign_ancestors),
+            } => {
+                let missing = match check {
+                    Some(_) => self.missing_ancestors(&turn, &foreign_ancestors),
+                    None => Vec::new(),
+                };
+                match missing.is_empty() {
+                    true => self.keep(token, check, epoch, *turn, tokens, foreign_ancestors),
+                    false => self.reply_missing(token, &turn, missing),
+                }
+            }
             StoreRequest::HandOver { turns, accounts } => {
                 self.accept_hand_over(token, turns, accounts)
             }
@@ -382,7 +420,7 @@
     fn commit_requests(&mut self) -> bool {
         let entries = std::mem::take(&mut self.entries);
         let pending = std::mem::take(&mut self.pending);
-        match self.persist(&entries) {
+        match self.persist(entries) {
             Ok(()) => {
                 self.complete_pending(pending);
                 true
@@ -394,9 +432,45 @@
         }
     }
 
+    /// Returns the ancestors of a turn that this store will not hold once all collected entries are on
+    /// disk. The others do not expire before that.
+    fn missing_ancestors(&mut self, turn: &TurnRecord, carried: &[TurnRecord]) -> Vec<TurnId> {
+        self.state.renew_turn(turn, self.now);
+        let is_held = |ancestor: &TurnId| {
+            let collected = self.entries.iter().filter_map(Entry::turn);
+            self.state.turns.contains_key(ancestor)
+                || carried.iter().any(|record| record.id == *ancestor)
+                || collected.into_iter().any(|record| record.id == *ancestor)
+        };
+        let ancestors = turn.ancestors.iter();
+        ancestors
+            .filter(|ancestor| !is_held(ancestor))
+            .cloned()
+            .collect()
+    }
+
+    fn reply_missing(&mut self, token: RequestToken, turn: &TurnRecord, missing: Vec<TurnId>) {
+        let reason = format!(
+            "this store lacks {} of the {} ancestors of turn {}",
+            missing.len(),
+            turn.ancestors.len(),
+            turn.id
+        );
+        let report = KeepReport {
+            missing,
+            account: None,
+        };
+        self.outputs.push(Output::Reply {
+            token,
+            response: Box::new(StoreResponse::Failed { reason }),
+            report: Some(Box::new(report)),
+        });
+    }
+
     fn keep(
         &mut self,
         token: RequestToken,
+        check: Option<KeepCheck>,
         epoch: u64,
         turn: TurnRecord,
         tokens: u64,
@@ -410,7 +484,7 @@
         self.write(epoch, &program, entries);
         self.pending.push(PendingReply {
             token,
-            kind: ReplyKind::Done,
+            kind: ReplyKind::Kept { program, check },
         });
     }
 
@@ -449,12 +523,13 @@
         self.entries.extend(entries);
     }
 
-    fn persist(&mut self, entries: &[Entry]) -> Result<(), TurnsError> {
-        let changes: Vec<Entry> = entries
-            .iter()
-            .filter(|entry| self.state.is_changed_by(entry))
-            .cloned()
-            .collect();
+    fn persist(&mut self, entries: Vec<Entry>) -> Result<(), TurnsError> {
+        let (changes, known): (Vec<Entry>, Vec<Entry>) = entries
+            .into_iter()
+            .partition(|entry| self.state.is_changed_by(entry));
+        for entry in &known {
+            self.state.renew(entry, self.now);
+        }
         if changes.is_empty() {
             return Ok(());
         }
@@ -529,6 +604,7 @@
 
     fn complete_pending(&mut self, pending: Vec<PendingReply>) {
         for PendingReply { token, kind } in pending {
+            let mut report = None;
             let response = match kind {
                 ReplyKind::Spent {
                     program,
@@ -539,12 +615,31 @@
                     account: self.account(&program),
                     chain: chain.map(|query| self.chain(&query)),
                 },
+                ReplyKind::Kept { program, check } => {
+                    report = check.and_then(|check| self.keep_report(&program, check));
+                    StoreResponse::Done
+                }
                 ReplyKind::Done => StoreResponse::Done,
             };
-            self.reply(token, response);
+            self.outputs.push(Output::Reply {
+                token,
+                response: Box::new(response),
+                report,
+            });
         }
     }
 
+    /// Returns the account of a program if it is not the one that the writer knows.
+    fn keep_report(&self, program: &ProgramName, check: KeepCheck) -> Option<Box<KeepReport>> {
+        let account = self.account(program);
+        (account.digest() != check.account_digest).then(|| {
+            Box::new(KeepReport {
+                missing: Vec::new(),
+                account: Some(account),
+            })
+        })
+    }
+
     fn fail_pending(&mut self, pending: Vec<PendingReply>, reason: &str) {
         for PendingReply { token, .. } in pending {
             let reason = reason.to_owned();
@@ -589,8 +684,11 @@
     }
 
     fn reply(&mut self, token: RequestToken, response: StoreResponse) {
-        let response = Box::new(response);
-        self.outputs.push(Output::Reply { token, response });
+        self.outputs.push(Output::Reply {
+            token,
+            response: Box::new(response),
+            report: None,
+        });
     }
 }
 
--- a/crates/turns/src/refusal.rs
+++ b/crates/turns/src/refusal.rs
@@ -1,6 +1,6 @@
 //! Requests that a store refuses because the client could not count its response.
 
-use crate::account::Spend;
+use crate::account::{Account, Spend};
 use crate::crash_parts::CrashRequest;
 use crate::hand_over::HandOver;
 use crate::parts::ClientView;
@@ -72,7 +72,10 @@
                 let is_uncertain = is_absent && self.owners_changed(client_view.epoch, None);
                 return is_uncertain.then_some(Refusal::OutdatedView);
             }
-            StoreRequest::HandOver { .. } | StoreRequest::Quota(_) => return None,
+            StoreRequest::HandOver { accounts, .. } => {
+                return self.repair_refusal(client_view, accounts);
+            }
+            StoreRequest::Quota(_) => return None,
         };
         if client_view.incarnation != self.incarnation {
             return Some(Refusal::UnexpectedDisk);
@@ -81,6 +84,22 @@
             .then_some(Refusal::OutdatedView)
     }
 
+    /// Returns the reason for which records from a client must be refused, by which it completes what
+    /// this store lacks.
+    fn repair_refusal(
+        &self,
+        client_view: ClientView,
+        accounts: &[(ProgramName, Account, u64)],
+    ) -> Option<Refusal> {
+        if client_view.incarnation != self.incarnation {
+            return Some(Refusal::UnexpectedDisk);
+        }
+        let mut programs = accounts.iter().map(|(program, _, _)| program);
+        programs
+            .any(|program| self.owners_changed(client_view.epoch, Some(program)))
+            .then_some(Refusal::OutdatedView)
+    }
+
     /// Returns the reason for which a request about crash reports must be refused. A lease covers the
     /// reports of all requests, so it needs the present owners of all.
     pub(crate) fn report_refusal(
--- a/crates/turns/src/state.rs
+++ b/crates/turns/src/state.rs
@@ -28,6 +28,14 @@
     pub(crate) served_by: Option<BackendId>,
 }
 
+impl HeldAccount {
+    fn renew(&mut self, retention_ms: u64, now: Timestamp) {
+        self.retention_ms = self.retention_ms.max(retention_ms);
+        let expires_at = now.plus(Duration::from_millis(self.retention_ms));
+        self.expires_at = self.expires_at.max(expires_at);
+    }
+}
+
 /// Turns and accounts of a store.
 #[derive(Debug, Default)]
 pub(crate) struct State {
@@ -69,13 +77,36 @@
         }
     }
 
-    fn keep(&mut self, record: &TurnRecord, segment: u64, now: Timestamp) {
+    /// Restarts the retention of what an entry contains and of a turn's ancestors.
+    pub(crate) fn renew(&mut self, entry: &Entry, now: Timestamp) {
+        match entry {
+            Entry::Turn(record) => self.renew_turn(record, now),
+            Entry::Spend {
+                program,
+                retention_ms,
+                ..
+            } => {
+                if let Some(held) = self.accounts.get_mut(program) {
+                    held.renew(*retention_ms, now);
+                }
+            }
+            Entry::HandedOver(_) => {}
+        }
+    }
+
+    /// Restarts the retention of a turn and its ancestors, as far as they are held.
+    pub(crate) fn renew_turn(&mut self, record: &TurnRecord, now: Timestamp) {
         let expires_at = now.plus(Duration::from_millis(record.retention_ms));
-        for ancestor in &record.ancestors {
-            if let Some(held) = self.turns.get_mut(ancestor) {
+        for turn in record.ancestors.iter().chain([&record.id]) {
+            if let Some(held) = self.turns.get_mut(turn) {
                 held.expires_at = held.expires_at.max(expires_at);
             }
         }
+    }
+
+    fn keep(&mut self, record: &TurnRecord, segment: u64, now: Timestamp) {
+        self.renew_turn(record, now);
+        let expires_at = now.plus(Duration::from_millis(record.retention_ms));
         self.turns.insert(
             record.id.clone(),
             HeldTurn {
@@ -103,10 +134,7 @@
                 ..HeldAccount::default()
             });
         held.oldest_segment = held.oldest_segment.min(segment);
-        held.retention_ms = held.retention_ms.max(retention_ms);
-        held.expires_at = held
-            .expires_at
-            .max(now.plus(Duration::from_millis(held.retention_ms)));
+        held.renew(retention_ms, now);
         held.account.record(turn, spend);
     }
 
--- a/crates/turns/tests/store_cluster/cluster.rs
+++ b/crates/turns/tests/store_cluster/cluster.rs
@@ -9,8 +9,8 @@
 use luglink_quota::Tolerance;
 use luglink_storage::{MemoryDisk, WalConfig};
 use luglink_turns::{
-    ClientView, Output, Replication, RequestToken, StoreConfig, StoreNode, StoreRequest,
-    StoreResponse,
+    ClientView, KeepCheck, KeepReport, Output, Replication, RequestToken, StoreConfig, StoreNode,
+    StoreRequest, StoreResponse,
 };
 use luglink_types::Timestamp;
 use std::collections::{BTreeMap, VecDeque};
@@ -63,6 +63,7 @@
     arrives_at: u64,
     to: StoreName,
     client_view: Option<ClientView>,
+    check: Option<KeepCheck>,
     request: StoreRequest,
 }
 
@@ -275,7 +276,8 @@
         request: StoreRequest,
     ) -> Option<StoreResponse> {
         if self.is_network_sound {
-            return self.deliver(to, client_view, request);
+            let answer = self.send_checked(to, client_view, None, request);
+            return answer.map(|(response, _)| response);
         }
         if self.random.one_in(12) {
             let arrives_at = self.step + self.random.between(1, 20);
@@ -284,20 +286,50 @@
                 arrives_at,
                 to,
                 client_view,
+                check: None,
                 request,
             });
             return None;
         }
-        let response = self.deliver(to, client_view, request);
+        let response = self.deliver(to, client_view, None, request);
+        let response = response.map(|(response, _)| response);
         response.filter(|_| !self.random.one_in(20))
     }
 
+    /// Sends a request that may have a check, over a network that is sound. A store that is frozen gets
+    /// it once it wakes.
+    pub fn send_checked(
+        &mut self,
+        to: &StoreName,
+        client_view: Option<ClientView>,
+        check: Option<KeepCheck>,
+        request: StoreRequest,
+    ) -> Option<(StoreResponse, KeepReport)> {
+        assert!(self.is_network_sound, "messages may be lost");
+        let wakes_at = self
+            .machines
+            .get(to)
+            .map_or(0, |machine| machine.frozen_until);
+        if wakes_at > self.step {
+            self.late.push(LateRequest {
+                arrives_at: wakes_at,
+                to: to.clone(),
+                client_view,
+                check,
+                request,
+            });
+            return None;
+        }
+        self.deliver(to, client_view, check, request)
+    }
+
     fn deliver(
         &mut self,
         to: &StoreName,
         client_view: Option<ClientView>,
+        check: Option<KeepCheck>,
         request: StoreRequest,
-    ) -> Option<StoreResponse> {
+    ) -> Option<(StoreResponse, KeepReport)> {
         let (step, now) = (self.step, self.now());
         let machine = self.machines.get_mut(to)?;
         if !machine.is_reachable(step) {
@@ -308,14 +340,16 @@
             client: 1,
             request: 1,
         };
-        let refusal = node.handle_under(client_view, token, request, now);
+        let refusal = node.handle_checked(client_view, check, token, request, now);
         if refusal.is_some() {
             return None;
         }
         let mut reply = None;
         for output in node.flush() {
             match output {
-                Output::Reply { response, .. } => reply = Some(*response),
+                Output::Reply {
+                    response, report, ..
+                } => reply = Some((*response, report.map(|report| *report).unwrap_or_default())),
                 Output::HandOver { .. } => self.outgoing.push((to.clone(), output)),
             }
         }
@@ -330,7 +364,12 @@
         self.late = late;
         let due: Vec<LateRequest> = due;
         for message in due {
-            self.deliver(&message.to, message.client_view, message.request);
+            self.deliver(
+                &message.to,
+                message.client_view,
+                message.check,
+                message.request,
+            );
         }
     }
 
--- a/crates/turns/tests/store_cluster/main.rs
+++ b/crates/turns/tests/store_cluster/main.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 mod cluster;
+mod outages;
 mod random;
 
 use clients::{Clients, PROGRAMS};
@@ -51,6 +52,11 @@
     fn advance(&mut self) {
         self.cluster.advance();
         self.clients.advance(&mut self.cluster);
+        self.note_replaced_disks();
+    }
+
+    /// Drops the machines that are retired, and the losses that no longer count.
+    fn note_replaced_disks(&mut self) {
         let cluster = &self.cluster;
         self.lost_disks
             .retain(|name| !cluster.has_replaced_disk(name));
@@ -267,6 +273,15 @@
     model.check_recovery(seed);
 }
 
+/// Guards against copies of a program's records that become fewer with each outage of a single store.
+#[test]
+fn programs_keep_their_records_through_outages_of_single_stores() {
+    for seed in seeds(3_000..3_040) {
+        outages::play_outages(seed, 4);
+        outages::play_outages(seed, 3);
+    }
+}
+
 #[test]
 fn programs_are_served_while_stores_are_lost_one_after_the_other() {
     for seed in seeds(2_000..2_020) {
