Carry no identifier of a request twice on one connection

Cause: a replica that was full sent a second copy of its refusal in the place of the response to the next send of the same attempt. Both have the same identifier, by which surplus responses are known, so the copy was taken for a refusal of that send, and the request was sent to another replica while the first one ran it. Reports of replicas were read from any response on their connection, which was kept if they could not be parsed, so that later responses were shifted by one.

Change: a connection keeps hashes of the identifiers that it has carried and is not used for one of them again, whatever the reason of the new send. If all connections that may be open have carried the request, the one that is idle longest makes room for a new one. A response with an identifier in the place of a report, or a report that cannot be parsed, closes the connection.

--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -198,6 +198,7 @@
             .upstream
             .acquire(
                 backend,
+                Some(&inbound.id),
                 limit,
                 remaining.min(MIN_CONNECTION_TIMEOUT.max(remaining / 8)),
             )
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -9,6 +9,7 @@
 mod answered_requests;
 mod attempts;
 mod caller_watch;
+mod carried_identifiers;
 mod chain_search;
 mod config;
 mod crash_ledger;
--- a/crates/gateway-server/src/placement.rs
+++ b/crates/gateway-server/src/placement.rs
@@ -215,7 +215,9 @@
 
 async fn read_report(gateway: &Gateway, backend: &Backend) -> Option<Reported> {
     let limit = connection_limit(gateway, &backend.service);
-    let acquiring = gateway.upstream.acquire(backend, limit, REPORT_TIMEOUT);
+    let acquiring = gateway
+        .upstream
+        .acquire(backend, None, limit, REPORT_TIMEOUT);
     let mut lease = acquiring.await.ok()?;
     gateway.pool.borrow_mut().note_connected(&backend.id);
     let mut request = Request::new(empty_body());
@@ -225,11 +227,22 @@
     let response = lease.connection()?.send(request).await.ok()?;
     let (head, incoming) = response.into_parts();
     let body = Limited::new(incoming, MAX_REPORT_BYTES).collect().await;
-    let report = gateway.dialect.replica_report(&body.ok()?.to_bytes());
-    let opened_at = lease.opened_at;
-    lease.give_back(&head.headers);
-    match report {
-        Ok(report) => Some(Reported { report, opened_at }),
+    let body = body.ok()?.to_bytes();
+    // A response to a request may turn up in the place of the report. The report would follow in the
+    // place of a later response, so the connection is closed.
+    if head
+        .headers
+        .contains_key(&gateway.dialect.headers().request_id)
+    {
+        tracing::warn!(replica = %backend.id, status = head.status.as_u16(), "a surplus response was sent in the place of a report");
+        return None;
+    }
+    match gateway.dialect.replica_report(&body) {
+        Ok(report) => {
+            let opened_at = lease.opened_at;
+            lease.give_back(&head.headers);
+            Some(Reported { report, opened_at })
+        }
         Err(error) => {
             tracing::warn!(replica = %backend.id, %error, "cannot parse the report of a replica");
             None
--- a/crates/gateway-server/src/upstream.rs
+++ b/crates/gateway-server/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Pool of connections to replicas.
 
+use crate::carried_identifiers::CarriedIdentifiers;
 use http::{HeaderMap, header};
 use luglink_fleet::{Backend, BackendId};
 use luglink_http::{ClientConnection, ConnectError, ConnectionEnd, ConnectionState, connect};
@@ -47,6 +48,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: ClientConnection,
+    carried: CarriedIdentifiers,
     opened_at: Instant,
     /// Time until which it may be reused.
     reusable_until: Instant,
@@ -86,11 +88,32 @@
     }
 }
 
+impl Connections {
+    /// Records that an idle connection is closed because it can't be used.
+    fn note_unusable(&self, connection: &IdleConnection) {
+        let mut opened = self.opened.borrow_mut();
+        opened.retain(|(state, _)| state.is_open());
+        if opened.is_empty() && connection.was_closed_early() {
+            self.closed_early_at.set(Some(Instant::now()));
+        }
+        self.open_count.set(self.open_count.get() - 1);
+    }
+
+    fn close_oldest_idle(&self) {
+        let mut idle = self.idle.borrow_mut();
+        if !idle.is_empty() {
+            idle.remove(0);
+            self.open_count.set(self.open_count.get() - 1);
+        }
+    }
+}
+
 /// Connection leased for one request. Dropping the lease closes the connection, which cancels the
 /// request at the replica; [`Lease::give_back`] returns the connection to the pool.
 #[derive(Debug)]
 pub(crate) struct Lease {
     connection: Option<ClientConnection>,
+    carried: CarriedIdentifiers,
     connections: Rc<Connections>,
     pub(crate) is_reused: bool,
     pub(crate) opened_at: Instant,
@@ -112,6 +135,12 @@
         self.connection.as_mut()
     }
 
+    fn note_identifier(&mut self, identifier: Option<&str>) {
+        if let Some(identifier) = identifier {
+            self.carried.add(identifier);
+        }
+    }
+
     /// Returns true if the replica has sent data beyond its response.
     pub(crate) async fn has_surplus(&self) -> bool {
         // Lets the connection read what follows the response.
@@ -123,7 +152,7 @@
 
     /// Returns the connection to the pool once it is idle, unless the response headers forbid it.
     pub(crate) fn give_back(mut self, headers: &HeaderMap) {
-        let Some(idle_limit) = idle_timeout(headers) else {
+        let Some(idle_limit) = idle_timeout(headers).filter(|_| !self.carried.is_full()) else {
             return;
         };
         actix_rt::spawn(async move {
@@ -134,6 +163,7 @@
             if is_idle && let Some(connection) = self.connection.take() {
                 let idle = IdleConnection {
                     connection,
+                    carried: std::mem::take(&mut self.carried),
                     opened_at: self.opened_at,
                     reusable_until: Instant::now() + idle_limit,
                 };
@@ -231,10 +261,11 @@
     }
 
     /// Leases a connection to a replica, preferably an idle one, and waits up to `timeout` while
-    /// `limit` connections are open.
+    /// `limit` connections are open. The connection has not carried a request with this identifier.
     pub(crate) async fn acquire(
         &self,
         backend: &Backend,
+        identifier: Option<&str>,
         limit: u32,
         timeout: Duration,
     ) -> Result<Lease, AcquireError> {
@@ -244,16 +275,25 @@
         };
         let deadline = Instant::now() + timeout;
         loop {
-            if let Some(idle) = take_idle(&connections) {
-                return Ok(Lease {
+            if let Some(idle) = take_idle(&connections, identifier) {
+                let mut lease = Lease {
                     connection: Some(idle.connection),
+                    carried: idle.carried,
                     connections,
                     is_reused: true,
                     opened_at: idle.opened_at,
-                });
+                };
+                lease.note_identifier(identifier);
+                return Ok(lease);
+            }
+            // What is left has carried the identifier.
+            if connections.open_count.get() >= limit {
+                connections.close_oldest_idle();
             }
             if connections.open_count.get() < limit {
-                return self.open(backend, connections, timeout).await;
+                let mut lease = self.open(backend, connections, timeout).await?;
+                lease.note_identifier(identifier);
+                return Ok(lease);
             }
             let left = deadline.saturating_duration_since(Instant::now());
             if actix_rt::time::timeout(left, connections.freed.notified())
@@ -279,6 +319,7 @@
         connections.note_opened(&connection);
         Ok(Lease {
             connection: Some(connection),
+            carried: CarriedIdentifiers::default(),
             connections,
             is_reused: false,
             opened_at: Instant::now(),
@@ -298,19 +339,16 @@
     }
 }
 
-/// Takes the most recently used idle connection. Connections that have expired, were closed by the
-/// replica or received unrequested data are closed.
-fn take_idle(connections: &Connections) -> Option<IdleConnection> {
-    loop {
-        let newest = connections.idle.borrow_mut().pop()?;
-        if newest.is_reusable() {
-            return Some(newest);
-        }
-        let mut opened = connections.opened.borrow_mut();
-        opened.retain(|(state, _)| state.is_open());
-        if opened.is_empty() && newest.was_closed_early() {
-            connections.closed_early_at.set(Some(Instant::now()));
+/// Takes the most recently used idle connection that may carry a request with this identifier.
+/// Connections that have expired, were closed by the replica or received unrequested data are closed.
+fn take_idle(connections: &Connections, identifier: Option<&str>) -> Option<IdleConnection> {
+    let mut idle = connections.idle.borrow_mut();
+    for position in (0..idle.len()).rev() {
+        if !idle[position].is_reusable() {
+            connections.note_unusable(&idle.remove(position));
+        } else if identifier.is_none_or(|identifier| idle[position].carried.may_carry(identifier)) {
+            return Some(idle.remove(position));
         }
-        connections.open_count.set(connections.open_count.get() - 1);
     }
+    None
 }
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -19,5 +19,6 @@
 mod retention;
 mod store_outages;
 mod support;
+mod surplus_refusals;
 mod tenants;
 mod unseen_ends;
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -45,6 +45,9 @@
     Fail,
     /// Declines with status 503 and the header for requests that were not run.
     Decline,
+    /// Declines the first request on each connection. In the place of the response to the next one, it
+    /// sends the same refusal once more, runs that request, and closes.
+    DeclinesTwice,
     /// Sends status 421, as if another replica had its address.
     Misdirected,
     /// Declares a longer body than it sends, and closes.
@@ -130,6 +133,8 @@
     pub started_ms: Rc<Cell<u64>>,
     pub script: Rc<RefCell<Script>>,
     pub seen: Rc<RefCell<Vec<ReceivedRequest>>>,
+    /// Identifiers of the requests that [`Script::DeclinesTwice`] has run.
+    pub runs: Rc<RefCell<Vec<String>>>,
     /// Number of connections closed by the gateway. [`Script::Unread`] counts its connections when
     /// it closes them itself.
     pub closed: Rc<Cell<u32>>,
@@ -165,6 +170,7 @@
             started_ms: Rc::default(),
             script: Rc::new(RefCell::new(script)),
             seen: Rc::default(),
+            runs: Rc::default(),
             closed: Rc::default(),
             accepted: Rc::default(),
             running: Rc::default(),
@@ -250,6 +256,7 @@
 
     async fn serve(&self, stream: &mut TcpStream) {
         let mut buffer = Vec::new();
+        let mut declined: Option<String> = None;
         loop {
             let skips_body = matches!(*self.script.borrow(), Script::Early | Script::Unread);
             let Some(seen) = read_request(stream, &mut buffer, skips_body).await else {
@@ -257,6 +264,9 @@
                 return;
             };
             if seen.target.starts_with("GET /v1/report ") {
+                if let Some(id) = declined.take() {
+                    let _ = stream.write_all(self.refusal(&id).as_bytes()).await;
+                }
                 if !self.report(stream).await {
                     return;
                 }
@@ -267,6 +277,20 @@
                 self.seen.borrow_mut().push(seen.clone());
             }
             let script = self.script.borrow().clone();
+            if script == Script::DeclinesTwice {
+                match declined.replace(seen.id().to_owned()) {
+                    None => {
+                        let refusal = self.refusal(seen.id());
+                        let _ = stream.write_all(refusal.as_bytes()).await;
+                        continue;
+                    }
+                    Some(id) => {
+                        let _ = stream.write_all(self.refusal(&id).as_bytes()).await;
+                        self.runs.borrow_mut().push(seen.id().to_owned());
+                        return;
+                    }
+                }
+            }
             if !self.respond(&script, &seen, stream, &mut buffer).await {
                 return;
             }
@@ -291,6 +315,11 @@
         format!("HTTP/1.1 {status}\r\nLuglink-Request-Id: {id}\r\n{rest}\r\n")
     }
 
+    fn refusal(&self, id: &str) -> String {
+        let rest = "Luglink-Not-Executed: 1\r\nContent-Length: 0\r\n";
+        self.head("503 Service Unavailable", id, rest)
+    }
+
     fn whole(&self, id: &str, body: &str) -> String {
         let signature = format!("Luglink-Signature: of-{id}\r\nX-Kept: as it is\r\n");
         let length = format!("Content-Length: {}\r\n", body.len());
@@ -317,10 +346,7 @@
                     true,
                 )
             }
-            Script::Decline => {
-                let rest = "Luglink-Not-Executed: 1\r\nContent-Length: 0\r\n";
-                (self.head("503 Service Unavailable", &id, rest), true)
-            }
+            Script::Decline | Script::DeclinesTwice => (self.refusal(&id), true),
             Script::Misdirected => {
                 let rest = "Content-Length: 0\r\n";
                 (self.head("421 Misdirected Request", &id, rest), true)
