Compare owners of a program with their disks

Cause: a store accepts a request of an earlier view if the owners of its program are still the same. It compared their names only. A store that comes back empty has its name, so the gateway counted the acknowledgement of the lost disk beside that of a store that knew of the loss, and the hand-over to the new disk had been queued before the write came.

Change: owners are compared with the disks that they have in the views, for tokens, turns, absences, crash reports and records that complete a store. A request that is refused for it is repeated under the new view.

The test requests_under_a_view_with_another_disk_or_other_owners_are_refused demanded that the loss of another owner's disk changes nothing, which is the fault. It demands the refusal under the earlier view now, and that the present view is served.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -43,7 +43,7 @@
     MembersStamp, ObserverInfo,
 };
 pub use observer_protocol::{KnownVersions, ObserverRequest, ObserverUpdate};
-pub use placement::{owners, settled_owners};
+pub use placement::{owner_disks, owners, settled_owners};
 pub use presence::{
     GatewayPresence, LastStorePresence, MemberPresence, Presence, PresenceTable, RelayedPresence,
     Role, StorePresence,
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -18,6 +18,20 @@
     highest_ranked(view.settled_names(), key, copies)
 }
 
+/// Returns the writable stores that own `key`, each with the disk that it has in the view. Requests under
+/// two views meet at the same disks only if these are equal.
+#[must_use]
+pub fn owner_disks(view: &StoreView, key: &str, copies: usize) -> Vec<(StoreName, Option<u64>)> {
+    let owners = owners(view, key, copies).into_iter();
+    owners
+        .map(|name| {
+            let member = view.members.get(&name);
+            let disk = member.map(|member| member.incarnation);
+            (name, disk)
+        })
+        .collect()
+}
+
 fn highest_ranked<'name>(
     stores: impl Iterator<Item = &'name StoreName>,
     key: &str,
--- a/crates/turns/src/hand_over.rs
+++ b/crates/turns/src/hand_over.rs
@@ -4,7 +4,7 @@
 use crate::protocol::StoreRequest;
 use crate::record::{ProgramName, TurnId, TurnRecord};
 use crate::state::State;
-use luglink_fleet::{StoreName, StoreView, owners, settled_owners};
+use luglink_fleet::{StoreName, StoreView, owner_disks, owners, settled_owners};
 use luglink_types::Timestamp;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -76,8 +76,9 @@
         &self.completed_view
     }
 
-    /// Returns true if some program, or the given one, has had other owners at any time since the
-    /// view of `epoch`, as far as this store knows. Owners under a newer view are unknown.
+    /// Returns true if some program, or the given one, has had other owners, or owners with other disks,
+    /// at any time since the view of `epoch`, as far as this store knows. Owners under a newer view are
+    /// unknown.
     pub(crate) fn owners_changed_since(
         &self,
         epoch: u64,
@@ -98,9 +99,9 @@
     fn has_other_owners(&self, earlier: &StoreView, program: Option<&str>, copies: usize) -> bool {
         match program {
             Some(program) => {
-                owners(earlier, program, copies) != owners(&self.view, program, copies)
+                owner_disks(earlier, program, copies) != owner_disks(&self.view, program, copies)
             }
-            None => !writable_names(earlier).eq(writable_names(&self.view)),
+            None => !writable_disks(earlier).eq(writable_disks(&self.view)),
         }
     }
 
@@ -286,8 +287,9 @@
     ancestors.filter(|ancestor| ancestor.program != turn.program)
 }
 
-fn writable_names(view: &StoreView) -> impl Iterator<Item = &StoreName> {
-    view.writable().map(|(name, _)| name)
+fn writable_disks(view: &StoreView) -> impl Iterator<Item = (&StoreName, u64)> {
+    let writable = view.writable();
+    writable.map(|(name, member)| (name, member.incarnation))
 }
 
 /// Turns and accounts to be transferred to one store, with the turns divided into batches.
--- a/crates/turns/tests/store.rs
+++ b/crates/turns/tests/store.rs
@@ -512,7 +512,8 @@
     assert_eq!(node.handed_over_epoch(), registry.view().epoch);
 }
 
-/// A client whose view names another disk, or other owners, must not count the response.
+/// A client whose view names another disk of this store or of another owner, or other owners, must not
+/// count the response.
 #[test]
 fn requests_under_a_view_with_another_disk_or_other_owners_are_refused() {
     let mut registry = view_of(&[("a", 1), ("b", 2), ("c", 3)]);
@@ -529,9 +530,11 @@
     let epoch = registry.view().epoch;
     assert_eq!(refusal(&mut node, epoch, 1), None);
     assert_eq!(refusal(&mut node, epoch, 7), Some(Refusal::UnexpectedDisk));
-    // The loss of another store's disk does not change the owners, its replacement does.
+    // The disk of another owner has been lost, and with it what it acknowledged under this view.
     registry.apply(&join("b", 9, false));
     node.set_view(registry.view().clone(), at(3));
+    assert_eq!(refusal(&mut node, epoch, 1), Some(Refusal::OutdatedView));
+    let epoch = registry.view().epoch;
     assert_eq!(refusal(&mut node, epoch, 1), None);
     registry.apply(&join("d", 4, false));
     registry.apply(&StoreCommand::Lose { name: name("b") });
--- a/crates/turns/tests/store_cluster/main.rs
+++ b/crates/turns/tests/store_cluster/main.rs
@@ -204,6 +204,20 @@
     }
 }
 
+/// Guards against writes that count an acknowledgement of a disk that has been lost since.
+#[test]
+fn nothing_committed_is_missed_where_an_owner_has_lost_its_disk_since() {
+    for seed in [5_333, 6_424, 6_651] {
+        play(seed, 1, 4, 0);
+        play(seed, 1, 3, 0);
+        play(seed, 2, 6, 0);
+    }
+    for seed in [5_145, 5_361, 5_376] {
+        play(seed, 1, 4, 2);
+        play(seed, 1, 3, 4);
+    }
+}
+
 #[test]
 fn nothing_committed_is_missed_while_gateways_of_an_older_build_run() {
     for seed in seeds(1_000..1_030) {
