Take a response with an impossible status for none

Cause: the HTTP library accepts the statuses 100 to 999, and the head of a response was checked for its identifier and signature only.

Change: a final status outside 200 to 599 is no response, whatever else the head says; nor is 101, since no request asks for another protocol. The request may have run. A report of a replica counts only with status 200.

Evidence: the two new tests of replicas.rs fail on the code before (101 is passed on to the caller of a call and of a stream) and pass now, for 000, 099, 0, abc, -20, 101, 103, 199, 600, 999 and 1000.

--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -302,7 +302,11 @@
     }
 }
 
-/// Rejects a response that declines the request, names another request or none, is a success
+/// Statuses of final responses. Others are not responses, whatever else their heads say; nor is 101, since
+/// no request asks for another protocol.
+const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+
+/// Rejects a response that has an impossible status, declines the request, names another request or none, is a success
 /// without a signature, or has a content encoding. The connection of a rejected response is reused
 /// only if the request was declined.
 fn validate_head(
@@ -313,6 +317,9 @@
 ) -> Result<(Response<Incoming>, Lease), Failure> {
     let names = gateway.dialect.headers();
     let headers = response.headers();
+    if !FINAL_STATUSES.contains(&response.status().as_u16()) {
+        return Err(Failure::ImpossibleStatus);
+    }
     let echoed = headers
         .get(&names.request_id)
         .and_then(|value| value.to_str().ok());
--- a/crates/gateway-server/src/failure.rs
+++ b/crates/gateway-server/src/failure.rs
@@ -27,6 +27,8 @@
     Broken,
     /// The deadline passed before the response.
     NoAnswerInTime,
+    /// The response has a status that no final response to the request has.
+    ImpossibleStatus,
     /// The response carries the identifier of another request.
     ForeignAnswer,
     /// The response carries no request identifier.
@@ -55,6 +57,7 @@
             Self::Declined | Self::Misdirected => SendOutcome::Declined,
             Self::Broken
             | Self::NoAnswerInTime
+            | Self::ImpossibleStatus
             | Self::ForeignAnswer
             | Self::UnnamedAnswer
             | Self::UnsignedAnswer
@@ -83,6 +86,7 @@
             Self::Restarted => "restarted",
             Self::Broken => "broken",
             Self::NoAnswerInTime => "no_answer_in_time",
+            Self::ImpossibleStatus => "impossible_status",
             Self::ForeignAnswer => "foreign_answer",
             Self::UnnamedAnswer => "unnamed_answer",
             Self::UnsignedAnswer => "unsigned_answer",
--- a/crates/gateway-server/src/placement.rs
+++ b/crates/gateway-server/src/placement.rs
@@ -11,7 +11,7 @@
 use crate::refusal::Refusal;
 use crate::work;
 use futures_util::future::join_all;
-use http::{HeaderValue, Request, Uri, header};
+use http::{HeaderValue, Request, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Limited};
 use luglink_edge::ReplicaReport;
 use luglink_fleet::{Backend, BackendId, Incarnation};
@@ -230,11 +230,12 @@
     let body = body.ok()?.to_bytes();
     // A response to a request may turn up in the place of the report. The report would follow in the
     // place of a later response, so the connection is closed.
-    if head
+    let is_surplus = head
         .headers
-        .contains_key(&gateway.dialect.headers().request_id)
-    {
-        tracing::warn!(replica = %backend.id, status = head.status.as_u16(), "a surplus response was sent in the place of a report");
+        .contains_key(&gateway.dialect.headers().request_id);
+    if is_surplus || head.status != StatusCode::OK {
+        let status = head.status.as_u16();
+        tracing::warn!(replica = %backend.id, status, "response in the place of a report is not one");
         return None;
     }
     match gateway.dialect.replica_report(&body) {
--- a/crates/gateway-server/tests/gateway/replicas.rs
+++ b/crates/gateway-server/tests/gateway/replicas.rs
@@ -77,6 +77,69 @@
     }
 }
 
+/// Guards against a caller that gets a response whose status no response has.
+#[actix_rt::test]
+async fn a_response_with_an_impossible_status_is_none() {
+    let statuses = [
+        "000 X",
+        "099 X",
+        "0 X",
+        "abc X",
+        "-20 X",
+        "101 Switching Protocols",
+        "103 Early Hints",
+        "199 X",
+        "600 X",
+        "999 X",
+        "1000 X",
+    ];
+    let (fleet, replicas) = fleet(&[Script::Answer, Script::Answer]).await;
+    for (number, status) in statuses.into_iter().enumerate() {
+        replicas[0].set_script(Script::Status(status));
+        replicas[1].set_script(Script::Status(status));
+        let before = runs(&replicas);
+        let id = format!("u{number}");
+        let request = TestRequest::get(&format!("/unsafe/{number}"), &id);
+        let request = request.with("luglink-deadline-ms", 500);
+        let response = request.send(fleet.gateway_address).await;
+        assert!(
+            matches!(response.status, 502 | 504),
+            "{status}: {response:?}"
+        );
+        assert_eq!(response.header("luglink-signature"), None, "{status}");
+        assert_eq!(runs(&replicas), before + 1, "{status}");
+        replicas[1].set_script(Script::Answer);
+        let request = TestRequest::get(&format!("/safe/{number}"), &format!("s{number}"));
+        let response = request.send(fleet.gateway_address).await;
+        assert_eq!(response.status, 200, "{status}");
+        assert_eq!(
+            response.body,
+            format!("answer of r1 to s{number}"),
+            "{status}"
+        );
+    }
+}
+
+/// The same for streams, with a status under which a body of events would be passed on.
+#[actix_rt::test]
+async fn a_stream_with_an_impossible_status_is_not_passed_on() {
+    let (fleet, replicas) = fleet(&[Script::Answer]).await;
+    for (number, status) in ["101 X", "199 X", "600 X", "999 X"].into_iter().enumerate() {
+        replicas[0].set_script(Script::Status(status));
+        let turn = TestRequest::post(&format!("/kept/{number}"), &format!("t{number}"), "input")
+            .with("luglink-program", "program")
+            .with("luglink-session", "session")
+            .with("luglink-token-usage", "100,50")
+            .with("luglink-deadline-ms", 500);
+        let response = turn.send(fleet.gateway_address).await;
+        assert!(
+            matches!(response.status, 502 | 504),
+            "{status}: {response:?}"
+        );
+        assert_eq!(response.header("luglink-signature"), None, "{status}");
+    }
+}
+
 #[actix_rt::test]
 async fn repeatable_request_is_retried_at_another_replica() {
     let (fleet, replicas) = fleet(&[Script::Answer, Script::Answer]).await;
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -58,6 +58,8 @@
     Foreign,
     /// Sends a response without a signature.
     Unsigned,
+    /// Sends a signed response with this status.
+    Status(&'static str),
     /// Sends a response with a content encoding.
     Encoded,
     /// Sends only a part of a response to a request whose target contains `cut`. Answers the others.
@@ -361,6 +363,10 @@
                 let rest = format!("Content-Length: {}\r\n", body.len());
                 (self.head("200 OK", &id, &rest) + &body, true)
             }
+            Script::Status(status) => {
+                let rest = format!("{signed}Content-Length: {}\r\n", body.len());
+                (self.head(status, &id, &rest) + &body, true)
+            }
             Script::Encoded => {
                 let rest = format!("{signed}Content-Encoding: gzip\r\nContent-Length: 2\r\n");
                 (self.head("200 OK", &id, &rest) + "xx", true)
