Refuse requests that cannot end before a planned stop does

Cause: a stopping gateway took every request that it could read, whatever time was left. After the first second, new connections were accepted and told at once to close when idle, so that some were served and others closed without a response.

Change: a request is refused at once with 503 and Retry-After 0 if neither its deadline nor the longest recent time of its route, and a quarter more, lies before the end of the stop; the check is repeated before each send. What is passed on has at most the time that is left, so that its response is complete. Connections are accepted until 1 s before the end, each for one request.

Evidence: both tests of planned_stop.rs fail on the code before and pass now. All requests that are sent within the first 3 s of a stop of 5 s are served, those that are refused are refused within 0.3 s, none is cut.

--- a/crates/gateway-server/src/attempts.rs
+++ b/crates/gateway-server/src/attempts.rs
@@ -1,11 +1,11 @@
 //! The send history of a request and the choice of its next replica.
 
-use crate::crash_refusal;
 use crate::failure::Failure;
 use crate::gateway::Gateway;
 use crate::inbound::InboundRequest;
 use crate::refusal::Refusal;
 use crate::request_steps::RequestStep;
+use crate::{crash_refusal, planned_stop};
 use http::Response;
 use luglink_edge::{Retryable, RouteKind};
 use luglink_fleet::{Backend, BackendId, StreamOrigin};
@@ -326,6 +326,7 @@
 ) -> Result<Backend, Refusal> {
     inbound.watch.steps.enter(RequestStep::Capacity);
     loop {
+        planned_stop::refuse_late(gateway, inbound, attempts.runs)?;
         let refusal = match choose(gateway, inbound, attempts, cached_at) {
             Ok(backend) => return Ok(backend),
             Err(refusal) => refusal,
--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -14,7 +14,7 @@
 use crate::upstream::Upstream;
 use luglink_edge::{Configuration, Dialect, KeyRing, RoutingTable, Service, SplitDraws};
 use luglink_fleet::ListCopy;
-use luglink_scheduling::{AnswerLengths, LoadShedder, Pool, SoleVersions, Waits};
+use luglink_scheduling::{AnswerLengths, LoadShedder, Pool, RunTimes, SoleVersions, Waits};
 use luglink_turns::OriginTable;
 use luglink_types::Timestamp;
 use std::cell::{Cell, RefCell};
@@ -73,7 +73,10 @@
     pub(crate) is_informed: Cell<bool>,
     /// Accounting of the bytes buffered for callers and replicas.
     pub(crate) held: Rc<HeldBytesLedger>,
-    pub(crate) is_stopping: Cell<bool>,
+    /// Time by which responses must be complete, once the gateway is stopping.
+    pub(crate) stops_at: Rc<Cell<Option<Instant>>>,
+    /// Statistics of the time that requests take on each route.
+    pub(crate) run_times: RefCell<RunTimes>,
     /// Number of requests in flight.
     pub(crate) in_flight: Cell<u32>,
     pub(crate) load_meter: RefCell<LoadMeter>,
@@ -129,7 +132,8 @@
             is_current: Cell::new(false),
             last_fresh_update: Cell::new(None),
             gateway_count: Cell::new(0),
-            is_stopping: Cell::new(false),
+            stops_at: Rc::default(),
+            run_times: RefCell::default(),
             in_flight: Cell::new(0),
             load_meter: RefCell::default(),
             last_view: LastView::default(),
@@ -175,9 +179,19 @@
             .is_some_and(|limit| age.is_none_or(|age| age > limit))
     }
 
+    /// Returns true once the gateway is stopping as planned.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stops_at.get().is_some()
+    }
+
+    /// Records the time that a request took from its arrival to the end of its response.
+    pub(crate) fn note_run_time(&self, route: &str, time: Duration) {
+        self.run_times.borrow_mut().note(route, time, self.now());
+    }
+
     /// Returns true if callers should be routed to this gateway.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping.get()
+        !self.is_stopping()
             && self.in_force().is_some()
             && self.list.borrow().seen().is_some()
             && self.turns.has_quorum()
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -14,6 +14,7 @@
 use luglink_scheduling::PromptParts;
 use luglink_turns::{ProgramName, RequestFingerprint, TurnId};
 use luglink_types::TenantName;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -67,15 +68,19 @@
     pub(crate) arrived: Instant,
     /// Time after which the response is of no use to the caller.
     pub(crate) deadline: Instant,
+    /// Time by which responses must be complete, once the gateway is stopping.
+    stops_at: Rc<Cell<Option<Instant>>>,
     /// Hash of the program's name, which selects the same replicas for all its turns; a
     /// pseudo-random number for requests without a program.
     pub(crate) affinity_hash: u64,
 }
 
 impl InboundRequest {
-    /// Returns the time left until the deadline.
+    /// Returns the time left until the deadline, or until the gateway stops if that is earlier.
     pub(crate) fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        let stops_at = self.stops_at.get();
+        let ends_at = stops_at.map_or(self.deadline, |stops_at| stops_at.min(self.deadline));
+        ends_at.saturating_duration_since(Instant::now())
     }
 
     /// Returns the time for which stores keep the records of this request, in milliseconds. Callers count
@@ -205,6 +210,7 @@
         prompt,
         arrived,
         deadline,
+        stops_at: Rc::clone(&gateway.stops_at),
         affinity_hash,
     })
 }
@@ -293,7 +299,7 @@
     match actix_rt::time::timeout(left, reading).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(failure)) => {
-            let stopping = gateway.is_stopping.get();
+            let stopping = gateway.is_stopping();
             tracing::debug!(stopping, "reading a request body failed");
             Err(match failure {
                 BodyFailure::TooLong => {
--- a/crates/gateway-server/src/lib.rs
+++ b/crates/gateway-server/src/lib.rs
@@ -35,6 +35,7 @@
 mod move_watch;
 mod news;
 mod placement;
+mod planned_stop;
 mod program;
 mod program_writes;
 mod proxy;
--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -3,7 +3,7 @@
 use crate::gateway::{ActiveConfiguration, Gateway};
 use crate::inbound::{self, InboundRequest};
 use crate::refusal::Refusal;
-use crate::{crash_refusal, quota, stream, unary};
+use crate::{crash_refusal, planned_stop, quota, stream, unary};
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use luglink_edge::RouteKind;
@@ -57,7 +57,7 @@
         .answers
         .with_label_values(&[status.as_str()]);
     counter.inc();
-    if gateway.is_stopping.get() {
+    if gateway.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -102,6 +102,7 @@
         ))?;
     let inbound = inbound::read(gateway, &in_force, request).await?;
     drop(in_force);
+    planned_stop::refuse_late(gateway, &inbound, 0)?;
     let watch = Rc::clone(&inbound.watch);
     let allowed = crash_refusal::refuse_crashing(gateway, &inbound).await;
     let result = if let Err(refusal) = allowed {
@@ -122,6 +123,7 @@
     quota::take_token(gateway, inbound, Purpose::Continues).await?;
     let response = unary::serve(gateway, inbound).await?;
     let elapsed = inbound.arrived.elapsed();
+    gateway.note_run_time(&inbound.route.name, elapsed);
     gateway
         .metrics
         .answer_seconds
--- a/crates/gateway-server/src/server.rs
+++ b/crates/gateway-server/src/server.rs
@@ -21,10 +21,18 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 
-/// Time for which a stopping gateway still accepts connections. Callers that were given its address
-/// earlier can still reach it, and each answer asks them to close the connection.
+/// Time for which a stopping gateway keeps idle connections open. Each response asks callers to close
+/// theirs, and a request that crosses the close of an idle connection is lost.
 const STOP_GRACE_PERIOD: Duration = Duration::from_millis(1_000);
 
+/// Part of the stop timeout within which no response is begun any more, so that each is complete and
+/// sent when the process exits.
+const RESPONSE_RESERVE: Duration = Duration::from_millis(300);
+
+/// Part of the stop timeout in which no connections are accepted any more. Callers that were given the
+/// gateway's address earlier are served until then, and reach another gateway at once afterwards.
+const ACCEPT_RESERVE: Duration = Duration::from_millis(1_000);
+
 /// Time after which a connection is aborted if its caller reads nothing of the pending data.
 /// Streams are aborted earlier and for a reason of their own; this limit frees the data that their
 /// connections still buffer. It also frees unread non-streaming answers.
@@ -151,19 +159,25 @@
         self.observer.add(members);
     }
 
-    /// Stops accepting callers and waits for requests in flight. Returns true if all of them ended
-    /// in time.
+    /// Waits until callers have left and the requests in flight have ended, and refuses requests that
+    /// cannot end in time. Returns true if no caller was left.
     pub async fn stop(&self) -> bool {
         let started_at = Instant::now();
-        self.gateway.is_stopping.set(true);
+        let stop_timeout = self.gateway.config.stop_timeout;
+        let stops_at = started_at + stop_timeout.saturating_sub(RESPONSE_RESERVE);
+        self.gateway.stops_at.set(Some(stops_at));
         tracing::info!(
             in_flight = self.gateway.in_flight.get(),
             connections = self.signal.open_connections(),
             "gateway stopping"
         );
         actix_rt::time::sleep(STOP_GRACE_PERIOD).await;
-        self.stop_handle.stop();
-        while started_at.elapsed() < self.gateway.config.stop_timeout {
+        self.stop_handle.drain();
+        let accepts_for = stop_timeout.saturating_sub(ACCEPT_RESERVE);
+        while started_at.elapsed() < stop_timeout {
+            if started_at.elapsed() >= accepts_for {
+                self.stop_handle.close();
+            }
             if self.gateway.in_flight.get() == 0 && self.signal.open_connections() == 0 {
                 tracing::info!(ms = milliseconds(started_at.elapsed()), "gateway stopped");
                 return true;
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -491,6 +491,9 @@
         sender.finish();
         let mut lengths = self.gateway.answer_lengths.borrow_mut();
         lengths.note(&self.inbound.route.name, self.events);
+        let elapsed = self.inbound.arrived.elapsed();
+        self.gateway
+            .note_run_time(&self.inbound.route.name, elapsed);
         "complete"
     }
 
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod moves;
 mod overload;
 mod placement;
+mod planned_stop;
 mod programs;
 mod replicas;
 mod resumed_streams;
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -41,6 +41,8 @@
 pub enum Script {
     /// Sends a complete, signed response.
     Answer,
+    /// Sends a complete, signed response after this time.
+    Takes(Duration),
     /// Sends a signed response with status 500.
     Fail,
     /// Declines with status 503 and the header for requests that were not run.
@@ -341,6 +343,10 @@
         let signed = format!("Luglink-Signature: of-{id}\r\n");
         let (text, goes_on) = match script {
             Script::Answer => (self.whole(&id, &body), true),
+            Script::Takes(time) => {
+                actix_rt::time::sleep(*time).await;
+                (self.whole(&id, &body), true)
+            }
             Script::Fail => {
                 let rest = format!("{signed}Content-Length: 4\r\n");
                 (
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -43,33 +43,56 @@
 #[snafu(display("the handler aborted the connection"))]
 pub struct Abort;
 
+/// Progress of a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum StopPhase {
+    Running,
+    /// Connections are accepted, and those that were open before are closed as soon as they are idle.
+    Draining,
+    /// No connections are accepted, and all are closed as soon as they are idle.
+    Closed,
+}
+
 /// Handle that stops servers.
 #[derive(Clone, Debug)]
-pub struct StopHandle(Rc<watch::Sender<bool>>);
+pub struct StopHandle(Rc<watch::Sender<StopPhase>>);
 
 /// Receiver of the stop signal, shared by the connections of a server.
 #[derive(Clone, Debug)]
 pub struct StopSignal {
-    stopped: watch::Receiver<bool>,
+    phase: watch::Receiver<StopPhase>,
     open_connections: Rc<Cell<usize>>,
 }
 
 /// Creates a stop handle and its signal.
 #[must_use]
 pub fn stop_channel() -> (StopHandle, StopSignal) {
-    let (sender, stopped) = watch::channel(false);
+    let (sender, phase) = watch::channel(StopPhase::Running);
     let signal = StopSignal {
-        stopped,
+        phase,
         open_connections: Rc::default(),
     };
     (StopHandle(Rc::new(sender)), signal)
 }
 
 impl StopHandle {
-    /// Closes idle connections immediately and the others after their current response.
-    pub fn stop(&self) {
-        // Without receivers there are no open connections.
-        let _ = self.0.send(true);
+    /// Closes idle connections immediately and the other present ones after their current response.
+    /// Connections are still accepted; the handler has to ask for their close.
+    pub fn drain(&self) {
+        self.enter(StopPhase::Draining);
+    }
+
+    /// Accepts no further connections, and closes all as soon as they are idle.
+    pub fn close(&self) {
+        self.enter(StopPhase::Closed);
+    }
+
+    fn enter(&self, phase: StopPhase) {
+        self.0.send_if_modified(|present| {
+            let is_later = phase > *present;
+            *present = (*present).max(phase);
+            is_later
+        });
     }
 }
 
@@ -80,14 +103,24 @@
         self.open_connections.get()
     }
 
-    async fn wait(&mut self) {
-        if self.stopped.wait_for(|stopped| *stopped).await.is_err() {
+    /// Waits for a later phase than the present one.
+    async fn wait_for_next_phase(&mut self) {
+        let present = *self.phase.borrow();
+        self.wait_until(|phase| phase > present).await;
+    }
+
+    async fn wait_until_closed(&mut self) {
+        self.wait_until(|phase| phase == StopPhase::Closed).await;
+    }
+
+    async fn wait_until(&mut self, holds: impl Fn(StopPhase) -> bool) {
+        if self.phase.wait_for(|phase| holds(*phase)).await.is_err() {
             std::future::pending::<()>().await;
         }
     }
 }
 
-/// Accepts connections indefinitely and answers their requests with `handler`. If a caller
+/// Accepts connections until [`StopHandle::close`] and answers their requests with `handler`. If a caller
 /// disconnects, the handler's future is dropped.
 pub async fn serve<Handler, ResponseFuture>(
     listener: TcpListener,
@@ -98,8 +131,13 @@
     Handler: Fn(Request<Incoming>) -> ResponseFuture + 'static,
     ResponseFuture: Future<Output = Result<Response<Body>, Abort>> + 'static,
 {
+    let mut closing = signal.clone();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.wait_until_closed() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let connection =
                     serve_connection(stream, options(), signal.clone(), Rc::clone(&handler));
@@ -149,7 +187,7 @@
     let mut connection = pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = signal.wait() => {
+        () = signal.wait_for_next_phase() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -19,6 +19,7 @@
 mod program_table;
 mod prompt_parts;
 mod route_profile;
+mod run_times;
 mod shares;
 mod sole_versions;
 mod wait_histogram;
@@ -45,6 +46,7 @@
 };
 pub use program_table::{LocalDemand, ProgramTable, TurnStarted};
 pub use prompt_parts::PromptParts;
+pub use run_times::{RunTimes, can_end};
 pub use shares::{Demand, TenantDemands, max_min_shares};
 pub use sole_versions::SoleVersions;
 pub use wait_histogram::WaitHistogram;
