Take no turn for absent while fewer stores than copies are known

Callers would see: 404 for a stored turn from a gateway whose view is that of the first founding stores.

Cause: an absence is certain once fewer stores than a quorum have not said so. With one known store that holds before any has answered.

The new test of store.rs fails before for one known store.

--- a/crates/turns/src/replication.rs
+++ b/crates/turns/src/replication.rs
@@ -134,11 +134,12 @@
     /// Returns true if no store can have the turn. A committed turn was written to at least a
     /// quorum of the stores in the settled configuration, including those that have lost their disk
     /// since. It therefore cannot exist if fewer of these stores than a quorum have not been recorded
-    /// as lacking it.
+    /// as lacking it. With fewer stores than copies, the deployment is still being founded, and other
+    /// gateways may know more of them.
     #[must_use]
     pub fn is_certain(&self, view: &StoreView, replication: Replication) -> bool {
         let stores = view.settled_names().count();
         let remaining = stores - self.stores_without_turn.len().min(stores);
-        stores > 0 && remaining < replication.quorum()
+        stores >= replication.copies() && remaining < replication.quorum()
     }
 }
--- a/crates/turns/tests/store.rs
+++ b/crates/turns/tests/store.rs
@@ -472,6 +472,25 @@
     assert!(!AbsenceProof::default().is_certain(&empty_view, replication));
 }
 
+/// Guards against a 404 from a gateway that knows fewer stores than hold a copy, because the deployment is
+/// being founded.
+#[test]
+fn no_turn_is_absent_while_fewer_stores_than_copies_are_known() {
+    let replication = Replication::surviving(1);
+    let founding = [("a", 1), ("b", 2), ("c", 3)];
+    for known in 0..founding.len() {
+        let registry = view_of(&founding[..known]);
+        let mut absence = AbsenceProof::default();
+        for (text, incarnation) in &founding[..known] {
+            let absent = Chain::Absent {
+                incarnation: *incarnation,
+            };
+            absence.record(registry.view(), &name(text), &absent);
+        }
+        assert!(!absence.is_certain(registry.view(), replication), "{known}");
+    }
+}
+
 /// Requests that were handled but not written when a view arrived belong to the view before it.
 #[test]
 fn requests_handled_before_a_view_are_part_of_its_hand_over() {
--- a/crates/turns/tests/store_cluster/main.rs
+++ b/crates/turns/tests/store_cluster/main.rs
@@ -212,6 +212,10 @@
         play(seed, 1, 3, 0);
         play(seed, 2, 6, 0);
     }
+    // A gateway knows only the first founding store.
+    play(35_310, 1, 4, 0);
+    play(35_310, 1, 3, 0);
+    play(35_310, 2, 6, 0);
     for seed in [5_145, 5_361, 5_376] {
         play(seed, 1, 4, 2);
         play(seed, 1, 3, 4);
