Resume no stream at its own replica once that has drained

Cause: Relay::resume tries the replica that has the stream first, whatever its state.

The stream goes on at another replica if the route allows one more attempt, else it is broken off, and its caller may resume it.

--- a/crates/gateway-server/src/stream/resume.rs
+++ b/crates/gateway-server/src/stream/resume.rs
@@ -27,8 +27,8 @@
 
 impl Relay {
     /// Resumes a broken stream after its last event, if the route allows it: at the same replica,
-    /// or at another one of its software version if that replica is unreachable, no longer listed,
-    /// or another replica has its address. A replica that still exists counts as having run the
+    /// or at another one of its software version if that replica is unreachable, no longer listed or
+    /// has drained, or another replica has its address. A replica that still exists counts as having run the
     /// request, so the stream does not continue at another one.
     pub(super) async fn resume(
         &mut self,
@@ -62,7 +62,12 @@
         self.overrides.last_event_id.clone_from(&self.last_event_id);
         actix_rt::time::sleep(RESUMPTION_DELAY).await;
         self.move_watch.note_sent(&self.inbound, &self.attempts);
-        if !self.was_replaced(&backend) {
+        if self.has_drained(&backend) {
+            // It counts as having run the request.
+            if self.attempts.runs + 1 >= self.inbound.route.max_attempts {
+                return Err("replica_drained");
+            }
+        } else if !self.was_replaced(&backend) {
             let failure = match self.resume_at(&backend).await {
                 Ok(source) => return Ok(self.note_resumed(&backend, source)),
                 Err(failure) => failure,
@@ -84,6 +89,12 @@
         Ok(self.note_resumed(&backend, resumed))
     }
 
+    /// Returns true if the replica may get no request any more.
+    fn has_drained(&self, replica: &Backend) -> bool {
+        let pool = self.gateway.pool.borrow();
+        pool.has_drained(&replica.id, self.gateway.now())
+    }
+
     /// Returns true if the replica's identifier now belongs to one that may not continue the stream.
     fn was_replaced(&self, replica: &Backend) -> bool {
         let pool = self.gateway.pool.borrow();
--- a/crates/scheduling/src/pool/continuation.rs
+++ b/crates/scheduling/src/pool/continuation.rs
@@ -2,10 +2,14 @@
 
 use super::index::ServiceIndex;
 use super::{Candidate, Pool, RoutingRequest};
-use luglink_fleet::{Backend, BackendChanges, StreamOrigin};
+use luglink_fleet::{Backend, BackendChanges, BackendId, StreamOrigin};
 use luglink_types::Timestamp;
 use std::time::Duration;
 
+/// Ratio of the time for which a draining replica gets its own streams again to that for which it gets those of
+/// others.
+const OWN_STREAM_RATIO: u32 = 2;
+
 impl Pool {
     /// Sets the time after the first list that shows a replica as draining during which the replica
     /// still gets streams that no other one may continue. Without it, it gets none.
@@ -26,6 +30,19 @@
         }
     }
 
+    /// Returns true if a replica has drained for so long that it may get no request any more, not even for
+    /// a stream that it has begun itself.
+    #[must_use]
+    pub fn has_drained(&self, id: &BackendId, now: Timestamp) -> bool {
+        let is_draining = |backend: &Backend| backend.draining;
+        if !self.backends.get(id).is_some_and(is_draining) {
+            return false;
+        }
+        let limit = self.draining_continuation * OWN_STREAM_RATIO;
+        let since = self.draining_since.get(id);
+        since.is_none_or(|since| now.since(*since) >= limit)
+    }
+
     /// Returns true if a replica may get requests that continue a stream.
     #[must_use]
     pub fn has_continuation(&self, origin: &StreamOrigin, now: Timestamp) -> bool {
--- a/crates/scheduling/tests/stream_origin.rs
+++ b/crates/scheduling/tests/stream_origin.rs
@@ -139,6 +139,19 @@
     chosen
 }
 
+/// Guards against a stream that goes on at its own replica when that one may get nothing any more.
+#[test]
+fn a_replica_has_drained_some_time_after_the_list_showed_it() {
+    let mut pool = pool(&[backend("a", Some("v1")), backend("b", Some("v1"))]);
+    let has_drained =
+        |pool: &Pool, id: &str, seconds| pool.has_drained(&BackendId(id.to_owned()), at(seconds));
+    drain(&mut pool, "a", "v1", 10);
+    assert!(!has_drained(&pool, "a", 11));
+    assert!(has_drained(&pool, "a", 12));
+    assert!(!has_drained(&pool, "b", 200));
+    assert!(!has_drained(&pool, "gone", 200));
+}
+
 #[test]
 fn a_stream_continues_at_a_draining_replica_only_for_a_short_time_and_without_another_one() {
     let mut pool = pool(&[
