--- a/crates/storage/src/wal.rs
+++ b/crates/storage/src/wal.rs
@@ -64,8 +64,36 @@
         disk: &mut impl Disk,
         config: WalConfig,
     ) -> Result<(Self, Recovered), StorageError> {
+        let mut batches = Vec::new();
+        let (wal, torn_bytes) = Self::replay(disk, config, |segment, payload| {
+            batches.push(RecoveredBatch {
+                segment,
+                payload: payload.to_vec(),
+            });
+        })?;
+        Ok((
+            wal,
+            Recovered {
+                batches,
+                torn_bytes,
+            },
+        ))
+    }
+
+    /// Opens the log on `disk` and calls `visit` with the segment and content of each intact batch, in
+    /// order. At most one segment is in memory at a time. Truncates a torn last batch, and returns the
+    /// number of its bytes.
+    ///
+    /// # Errors
+    /// The disk fails, or the log has damage other than a torn last batch.
+    pub fn replay(
+        disk: &mut impl Disk,
+        config: WalConfig,
+        mut visit: impl FnMut(u64, &[u8]),
+    ) -> Result<(Self, u64), StorageError> {
         let segments = segment_numbers(disk)?;
-        let mut recovered = Recovered::default();
+        let mut torn_bytes = 0;
+        let mut is_first = true;
         let mut wal = Self {
             config,
             segment: segments.last().copied().unwrap_or(0),
@@ -75,9 +103,9 @@
         };
         for (position, segment) in segments.iter().enumerate() {
             let is_last = position + 1 == segments.len();
-            wal.read_segment(disk, *segment, is_last, &mut recovered)?;
+            torn_bytes += wal.read_segment(disk, *segment, is_last, &mut is_first, &mut visit)?;
         }
-        Ok((wal, recovered))
+        Ok((wal, torn_bytes))
     }
 
     /// Appends a batch, syncs it and returns the number of its segment. The batch then survives a
@@ -153,24 +181,26 @@
         Ok(())
     }
 
+    /// Visits the batches of a segment. `is_first` is true until the first batch of the log was read.
+    /// Returns the number of bytes of a torn batch that were truncated.
     fn read_segment(
         &mut self,
         disk: &mut impl Disk,
         segment: u64,
         is_last: bool,
-        recovered: &mut Recovered,
-    ) -> Result<(), StorageError> {
+        is_first: &mut bool,
+        visit: &mut impl FnMut(u64, &[u8]),
+    ) -> Result<u64, StorageError> {
         let file = segment_file(segment);
         let bytes = disk.read(&file)?;
         let mut offset = 0;
+        let mut torn_bytes = 0;
         while offset < bytes.len() {
             match frame::decode(&bytes[offset..]) {
                 Ok(found) => {
-                    self.check_sequence(&file, found.sequence, recovered.batches.is_empty())?;
-                    recovered.batches.push(RecoveredBatch {
-                        segment,
-                        payload: found.payload.to_vec(),
-                    });
+                    self.check_sequence(&file, found.sequence, *is_first)?;
+                    *is_first = false;
+                    visit(segment, found.payload);
                     offset += found.encoded_len();
                 }
                 Err(reason) => {
@@ -193,14 +223,14 @@
                             reason
                         }
                     );
-                    recovered.torn_bytes = rest.len() as u64;
+                    torn_bytes = rest.len() as u64;
                     disk.truncate(&file, offset as u64)?;
                     break;
                 }
             }
         }
         self.segment_bytes = offset as u64;
-        Ok(())
+        Ok(torn_bytes)
     }
 
     fn check_sequence(
--- a/crates/storage/tests/wal.rs
+++ b/crates/storage/tests/wal.rs
@@ -177,3 +177,29 @@
         .expect("append");
     assert_eq!(payloads(&mut disk), [b"known".to_vec()]);
 }
+
+/// Guards against an open that keeps all segments in memory, and against a replay that differs from it.
+#[test]
+fn replay_visits_the_batches_of_all_segments_in_order() {
+    let mut disk = MemoryDisk::default();
+    let (mut wal, _) = Wal::open(&mut disk, SMALL_SEGMENTS).expect("open");
+    for number in 0..40_u8 {
+        wal.append(&mut disk, &[number; 20]).expect("append");
+        if wal.segment_is_full() {
+            wal.start_segment();
+        }
+    }
+    let (_, recovered) = Wal::open(&mut disk, SMALL_SEGMENTS).expect("open");
+    let mut visited = Vec::new();
+    let (wal, torn_bytes) = Wal::replay(&mut disk, SMALL_SEGMENTS, |segment, payload| {
+        visited.push((segment, payload.to_vec()));
+    })
+    .expect("replay");
+    let batches = recovered.batches.into_iter();
+    let opened: Vec<(u64, Vec<u8>)> = batches
+        .map(|batch| (batch.segment, batch.payload))
+        .collect();
+    assert_eq!(visited, opened);
+    assert_eq!((visited.len(), torn_bytes), (40, 0));
+    assert!(wal.current_segment() > 2, "there are several segments");
+}
--- a/crates/turns/src/journal.rs
+++ b/crates/turns/src/journal.rs
@@ -44,35 +44,28 @@
     config: WalConfig,
 }
 
-/// Contents of a journal at start.
-pub(crate) struct Recovered {
-    /// Entries with the segments that contain them.
-    pub(crate) entries: Vec<(u64, Entry)>,
-    pub(crate) incarnation: u64,
-}
-
 impl<D: Disk> Journal<D> {
-    /// Opens the journal. An empty disk gets the incarnation `new_incarnation`.
+    /// Opens the journal and calls `visit` with each entry and the segment that contains it, in order.
+    /// Returns the incarnation of the disk; an empty one gets `new_incarnation`.
     pub(crate) fn open(
         mut disk: D,
         config: WalConfig,
         new_incarnation: u64,
-    ) -> Result<(Self, Recovered), TurnsError> {
+        mut visit: impl FnMut(u64, Entry),
+    ) -> Result<(Self, u64), TurnsError> {
         let incarnation = load_incarnation(&mut disk, new_incarnation)?;
-        let (wal, recovered) = Wal::open(&mut disk, config)?;
-        let mut entries = Vec::new();
-        for batch in recovered.batches {
-            let decoded: Vec<Entry> = postcard::from_bytes(&batch.payload).context(DecodeSnafu)?;
-            entries.extend(decoded.into_iter().map(|entry| (batch.segment, entry)));
-        }
-        let journal = Self { disk, wal, config };
-        Ok((
-            journal,
-            Recovered {
-                entries,
-                incarnation,
-            },
-        ))
+        let mut decoded = Ok(());
+        let (wal, _) = Wal::replay(&mut disk, config, |segment, payload| {
+            if decoded.is_err() {
+                return;
+            }
+            match postcard::from_bytes::<Vec<Entry>>(payload) {
+                Ok(entries) => entries.into_iter().for_each(|entry| visit(segment, entry)),
+                Err(source) => decoded = Err(source),
+            }
+        })?;
+        decoded.context(DecodeSnafu)?;
+        Ok((Self { disk, wal, config }, incarnation))
     }
 
     /// Makes entries durable with one sync and returns the segment that contains them. If the
@@ -84,7 +77,7 @@
 
     /// Reopens the journal after a failed write, which truncates the incomplete frame.
     pub(crate) fn repair(&mut self) -> Result<(), TurnsError> {
-        let (wal, _) = Wal::open(&mut self.disk, self.config)?;
+        let (wal, _) = Wal::replay(&mut self.disk, self.config, |_, _| {})?;
         self.wal = wal;
         Ok(())
     }
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -138,17 +138,17 @@
         new_incarnation: u64,
         now: Timestamp,
     ) -> Result<Self, TurnsError> {
-        let (mut journal, recovered) = Journal::open(disk, config.wal, new_incarnation)?;
-        let crashes = CrashKeeper::open(journal.disk_mut(), new_incarnation, now)?;
-        let has_new_disk = recovered.incarnation == new_incarnation;
         let mut state = State::default();
         let mut completed_view = StoreView::default();
-        for (segment, entry) in &recovered.entries {
-            state.apply(entry, *segment, now);
+        let visit = |segment, entry: Entry| {
+            state.apply(&entry, segment, now);
             if let Entry::HandedOver(view) = entry {
-                completed_view = view.clone();
+                completed_view = view;
             }
-        }
+        };
+        let (mut journal, incarnation) = Journal::open(disk, config.wal, new_incarnation, visit)?;
+        let crashes = CrashKeeper::open(journal.disk_mut(), new_incarnation, now)?;
+        let has_new_disk = incarnation == new_incarnation;
         let mut quota = QuotaOwner::new(
             config.name.clone(),
             config.replication.quota_owners(),
@@ -159,7 +159,7 @@
         Ok(Self {
             config,
             quota,
-            incarnation: recovered.incarnation,
+            incarnation,
             has_new_disk,
             journal,
             state,
