Answer older gateways only with a known settled configuration

Callers would see, while gateways of an older build run beside this one: a program that passes its budget.

Cause: a store that restarts reads the view of its last hand-over from the disk. The settled configuration is no part of that entry, and members send no view that the store has already, so it derived the configuration from the states of the stores. Gateways of an older build count the answers of a store that takes itself for settled.

Change: such a store reports that it has no view until a member has sent it, and refuses gateways of an older build until then.

--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -523,7 +523,7 @@
         KnownVersions {
             document_version: u64::MAX,
             is_current: true,
-            store_epoch: self.node.borrow().epoch(),
+            store_epoch: self.node.borrow().known_epoch(),
             ..KnownVersions::default()
         }
     }
@@ -533,7 +533,7 @@
             self.node.borrow_mut().note_leader_contact(now());
         }
         let Some(view) = update.stores else { return };
-        if view.epoch <= self.node.borrow().epoch() {
+        if view.epoch <= self.node.borrow().known_epoch() {
             return;
         }
         tracing::info!(%member, epoch = view.epoch, stores = view.len(), "new view of the stores");
--- a/crates/turns/src/hand_over.rs
+++ b/crates/turns/src/hand_over.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Sets the settled configuration of the present view, which was read from the disk without it.
+    pub(crate) fn complete_restored_view(&mut self, view: &StoreView) {
+        self.view.settled.clone_from(&view.settled);
+    }
+
     /// Sets a newer view and queues the records that its stores own and may not have yet.
     pub(crate) fn set_view(
         &mut self,
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -124,6 +124,8 @@
     now: Timestamp,
     expiry_due: Timestamp,
     needs_repair: bool,
+    /// True if the view was read from the disk, which does not have its settled configuration.
+    is_view_restored: bool,
 }
 
 impl<D: Disk> StoreNode<D> {
@@ -157,6 +159,7 @@
         // Members do not send the view to a store that already has it, so it is set here.
         quota.set_view(completed_view.clone(), now);
         Ok(Self {
+            is_view_restored: completed_view.epoch > 0,
             config,
             quota,
             incarnation,
@@ -205,6 +208,16 @@
         self.hand_over.view().epoch
     }
 
+    /// Epoch of the newest view that this store has in full; 0 for a view that was read from the disk.
+    /// Members send views that are newer.
+    #[must_use]
+    pub fn known_epoch(&self) -> u64 {
+        match self.is_view_restored {
+            true => 0,
+            false => self.epoch(),
+        }
+    }
+
     /// Numbers of stored turns and accounts.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
@@ -225,9 +238,14 @@
     /// so they are made durable first and are part of the hand-over.
     pub fn set_view(&mut self, view: StoreView, now: Timestamp) {
         self.now = self.now.max(now);
+        if view.epoch == self.epoch() && self.is_view_restored {
+            self.is_view_restored = false;
+            self.hand_over.complete_restored_view(&view);
+        }
         if view.epoch <= self.epoch() {
             return;
         }
+        self.is_view_restored = false;
         self.commit_requests();
         let copies = self.config.replication.copies();
         self.quota.set_view(view.clone(), self.now);
@@ -282,6 +300,7 @@
             incarnation: self.incarnation,
             copies: self.config.replication.copies(),
             hand_over: &self.hand_over,
+            is_view_restored: self.is_view_restored,
             state: &self.state,
         }
     }
--- a/crates/turns/src/refusal.rs
+++ b/crates/turns/src/refusal.rs
@@ -51,6 +51,8 @@
     pub(crate) incarnation: u64,
     pub(crate) copies: usize,
     pub(crate) hand_over: &'store HandOver,
+    /// True if the settled configuration of the present view is not known yet.
+    pub(crate) is_view_restored: bool,
     pub(crate) state: &'store State,
 }
 
@@ -135,7 +137,8 @@
             _ => return None,
         };
         let view = self.hand_over.view();
-        let counts = settled_owners(view, &program.0, self.copies).contains(self.name)
+        let counts = !self.is_view_restored
+            && settled_owners(view, &program.0, self.copies).contains(self.name)
             && view.is_authoritative(self.name, self.incarnation);
         if !counts {
             return Some(Refusal::Unsettled);
