--- a/crates/gateway-server/src/exchange.rs
+++ b/crates/gateway-server/src/exchange.rs
@@ -306,9 +306,9 @@
 /// no request asks for another protocol.
 const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
 
-/// Rejects a response that has an impossible status, declines the request, names another request or none, is a success
-/// without a signature, or has a content encoding. The connection of a rejected response is reused
-/// only if the request was declined.
+/// Rejects a response that has an impossible status, declines the request, names another request or
+/// none, is a success without a signature, or has a content encoding. The connection of a rejected
+/// response is reused only if the request was declined.
 fn validate_head(
     gateway: &Gateway,
     inbound: &InboundRequest,
--- a/crates/gateway-server/src/stream/resume.rs
+++ b/crates/gateway-server/src/stream/resume.rs
@@ -28,8 +28,9 @@
 impl Relay {
     /// Resumes a broken stream after its last event, if the route allows it: at the same replica,
     /// or at another one of its software version if that replica is unreachable, no longer listed or
-    /// has drained, or another replica has its address. A replica that still exists counts as having run the
-    /// request, so the stream does not continue at another one.
+    /// has drained, or another replica has its address. A replica that still exists counts as having
+    /// run the request, so the stream does not continue at another one unless the route allows one
+    /// more attempt.
     pub(super) async fn resume(
         &mut self,
         broken: Source,
