Keep a turn that its caller resumes with its whole output, or not at all

Callers saw: a turn that was resumed after a killed gateway was answered whole, and the prompt of the next turn lacked the events before the resumption. It happens too when only the caller's own connection breaks, at the same gateway or another one, at any turn of a chain, named or not, and on a route that keeps history and may not be resumed, where the header was passed on.

Cause: `Relay` gathered the events of one attempt, and `store_turn` took them for the output of the turn. Nothing outside the relay knew earlier events.

Change: the output of a turn whose stream may be resumed is copied to the stores of the stream's origin as it grows, in memory, not waited for (`TurnOutput`, `OutputTable`). A gateway that gets a resumption takes the events up to the caller's last one from there. Where the copy ends earlier, the replica continues after the last event of the copy, and the caller does not get again what it has. A stream that ends before the caller's last event is cut, and its turn is not kept. What is not known is refused at once with 503: nothing recorded, stores that do not answer (with Retry-After), an event that never was, a caller that names no stream, a route without resumption, another request. Tokens count once: those repeated by a replica are not the caller's.

Older builds: the parts are new (19 to 21); older stores keep the origin from the same message and answer without output, which is refused and not read as an empty one.

--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -93,6 +93,11 @@
             .saturating_add(route.timeout_ms.saturating_mul(2))
     }
 
+    /// Returns true if the response is kept as a turn of a program.
+    pub(crate) fn is_turn(&self) -> bool {
+        self.route.keeps_history && self.program.is_some()
+    }
+
     /// Returns the identifier of this request's turn.
     pub(crate) fn turn(&self) -> TurnId {
         TurnId::of(tenant_name(&self.caller), &self.id)
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -19,6 +19,8 @@
     pub(crate) resumptions: IntCounterVec,
     /// Streams that callers resume, by how their origin was found.
     pub(crate) caller_resumptions: IntCounterVec,
+    /// Turns that callers resume, by whether their events before the resumption are known.
+    pub(crate) turn_resumptions: IntCounterVec,
     /// New connections to replicas.
     pub(crate) connects: IntCounter,
     /// Reads of the platform's list of replicas by this gateway.
@@ -113,6 +115,11 @@
                 "Streams that callers resume by how their origin was found",
                 "origin",
             )?,
+            turn_resumptions: registry.labelled_counter(
+                "turn_resumptions_total",
+                "Turns that callers resume by whether their beginning is known",
+                "output",
+            )?,
             connects: registry.counter("connects_total", "New connections to replicas")?,
             list_reads: registry.counter(
                 "list_reads_total",
--- a/crates/gateway-server/src/store_link.rs
+++ b/crates/gateway-server/src/store_link.rs
@@ -1,12 +1,13 @@
 //! Client of one turn store.
 
 use crate::announcements::Announcements;
-use luglink_fleet::{StoreName, StreamOrigin};
+use crate::stream_lookup::FoundStream;
+use luglink_fleet::StoreName;
 use luglink_net::RequestClient;
 use luglink_turns::{
     ClientView, CrashRequest, CrashResponse, HolderView, KeepCheck, KeepReport, LogPosition,
-    OriginRecord, OriginRequest, OriginResponse, StoreRequest, StoreResponse, TurnId, hint_query,
-    hint_request, hinted_origin,
+    OriginRecord, OriginRequest, OriginResponse, OutputQuery, OutputResponse, StoreRequest,
+    StoreResponse, TurnId, hint_query, hint_request, hinted_origin,
 };
 use luglink_wire::{
     ClientRole, Hello, PROTOCOL_VERSION, WireError, decode_body, decode_with_parts, encode_body,
@@ -126,39 +127,72 @@
     /// Sends the origin of a stream, to a store of a build without origins as a hint.
     pub(crate) async fn record_origin(self: Rc<Self>, epoch: u64, record: Rc<OriginRecord>) {
         let request = OriginRequest::Record((*record).clone());
-        let answer = self.exchange_origin(&request).await;
-        if answer.is_some_and(|response| response.is_none())
-            && let Ok(hint) = hint_request(epoch, &record)
-        {
+        if let Some(None) = self.exchange_origin(&request).await {
+            self.send_hint(epoch, &record).await;
+        }
+    }
+
+    /// Sends the origin of a stream and a part of its output. Returns the number of events that the store
+    /// keeps; no number inside if it is of a build that keeps no outputs; `None` if it does not answer in
+    /// time.
+    pub(crate) async fn record_output(
+        self: Rc<Self>,
+        epoch: u64,
+        record: &OriginRecord,
+        request: OriginRequest,
+    ) -> Option<Option<u64>> {
+        let Some((_, output)) = self.exchange_origin(&request).await? else {
+            self.send_hint(epoch, record).await;
+            return Some(None);
+        };
+        Some(output.map(|output| output.kept_events))
+    }
+
+    async fn send_hint(self: Rc<Self>, epoch: u64, record: &OriginRecord) {
+        if let Ok(hint) = hint_request(epoch, record) {
             self.send(&hint).await;
         }
     }
 
-    /// Queries the origin of a stream, of a store of a build without origins as a hint. Returns the
-    /// origin if the store has it; `None` if the store does not answer in time.
-    pub(crate) async fn find_origin(
+    /// Queries the origin of a stream, of a store of a build without origins as a hint, and with `query`
+    /// its output. Returns `None` if the store does not answer in time.
+    pub(crate) async fn find_stream(
         self: Rc<Self>,
         epoch: u64,
         stream: TurnId,
-    ) -> Option<Option<StreamOrigin>> {
-        let request = OriginRequest::Find(stream.clone());
+        query: Option<OutputQuery>,
+    ) -> Option<FoundStream> {
+        let request = match query {
+            Some(query) => OriginRequest::FindOutput(stream.clone(), query),
+            None => OriginRequest::Find(stream.clone()),
+        };
         match self.exchange_origin(&request).await? {
-            Some(response) => Some(response.origin),
+            Some((response, output)) => Some(FoundStream {
+                origin: response.origin,
+                output: output.and_then(|output| output.known),
+            }),
             None => {
                 let response = self.send(&hint_query(epoch, &stream)).await?;
-                Some(hinted_origin(&response))
+                Some(FoundStream {
+                    origin: hinted_origin(&response),
+                    output: None,
+                })
             }
         }
     }
 
-    /// Sends a request about the origin of a stream. Returns no response inside the answer if the
-    /// store is of a build without origins.
-    async fn exchange_origin(&self, request: &OriginRequest) -> Option<Option<OriginResponse>> {
+    /// Sends a request about a stream. Returns no response inside the answer if the store is of a build
+    /// without origins.
+    async fn exchange_origin(
+        &self,
+        request: &OriginRequest,
+    ) -> Option<Option<(OriginResponse, Option<OutputResponse>)>> {
         let parts = request.encode().ok()?;
         let body = encode_with_parts(&OriginRequest::message(), &parts).ok()?;
         let decode = |answer: &[u8]| {
             let (_, parts) = decode_with_parts::<StoreResponse>(answer)?;
-            OriginResponse::decode(&parts)
+            let output = OutputResponse::decode(&parts)?;
+            Ok(OriginResponse::decode(&parts)?.map(|origin| (origin, output)))
         };
         self.exchange(body, decode).await
     }
--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -11,7 +11,9 @@
 use crate::move_watch::{MoveWatch, SendResult, refuse_unreachable_deadline};
 use crate::program::{self, PreparedTurn};
 use crate::refusal::Refusal;
+use crate::resumed_turns::ResumedTurn;
 use crate::run::Run;
+use crate::turn_output::TurnOutput;
 use crate::unary::{note_cut, read_whole_response};
 use crate::upstream::Lease;
 use crate::{stream_origins, work};
@@ -24,7 +26,7 @@
 use luglink_http::{Body, BodySender, stream_body};
 use luglink_scheduling::{Expected, HeldBytesLimit, Work};
 use luglink_telemetry::milliseconds;
-use luglink_turns::TurnRecord;
+use luglink_turns::{TurnId, TurnRecord, is_later_event};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -38,6 +40,10 @@
 /// End reason of a stream with an event that is too long, used in logs and metrics.
 const EVENT_TOO_LONG: &str = "event_too_long";
 
+/// End reason of a resumed stream whose replica does not send the last event that the caller has, used
+/// in logs and metrics.
+const EVENT_NOT_REPEATED: &str = "event_not_repeated";
+
 /// Maximum size of one event. Until its end, it is buffered.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -52,12 +58,16 @@
     in_flight: InFlight,
 ) -> Result<Response<Body>, Refusal> {
     refuse_unreachable_deadline(gateway, &inbound)?;
-    let origin = stream_origins::find(gateway, &mut inbound).await?;
-    let prepared = program::prepare_turn(gateway, &inbound, origin.is_some()).await?;
+    let resumed = stream_origins::find(gateway, &mut inbound).await?;
+    let prepared = program::prepare_turn(gateway, &inbound, resumed.is_some()).await?;
     refuse_unreachable_deadline(gateway, &inbound)?;
+    let origin = resumed.as_ref().map(|resumed| Rc::clone(&resumed.origin));
+    let resumed_turn = resumed.and_then(|resumed| resumed.turn);
     let overrides = SendOverrides {
         body: prepared.prompt.clone(),
-        last_event_id: None,
+        last_event_id: resumed_turn
+            .as_ref()
+            .map(|turn| turn.continues_after.clone()),
     };
     let wait = FirstEventWait::begin(gateway, &inbound);
     let work = work::estimate_turn(gateway, &inbound, &prepared);
@@ -99,6 +109,7 @@
     let expected = expected.filter(|_| attempts.tried.is_empty());
     let started = StartedStream {
         prepared,
+        resumed_turn,
         overrides,
         wait,
         attempts,
@@ -141,6 +152,8 @@
 /// State of a turn whose response head has arrived.
 struct StartedStream {
     prepared: PreparedTurn,
+    /// Turn that the request resumes, if any.
+    resumed_turn: Option<ResumedTurn>,
     overrides: SendOverrides,
     wait: FirstEventWait,
     attempts: Attempts,
@@ -162,7 +175,16 @@
     let mut caller_head = head.clone();
     strip_hop_by_hop(&mut caller_head.headers);
     caller_head.headers.remove(header::CONTENT_LENGTH);
-    let relay = Relay {
+    let last_event_id = started.overrides.last_event_id.clone();
+    let (resumed_stream, output, repeats_until) = match started.resumed_turn {
+        Some(turn) => (
+            Some(turn.stream),
+            TurnOutput::after(turn.output),
+            turn.repeats_until,
+        ),
+        None => (None, TurnOutput::default(), None),
+    };
+    let mut relay = Relay {
         gateway: Rc::clone(gateway),
         inbound,
         prepared: started.prepared,
@@ -175,15 +197,20 @@
         last_event_at: None,
         tokens_per_event: started.tokens_per_event,
         splitter: EventSplitter::default(),
-        output: Vec::new(),
+        resumed_stream,
+        output,
+        repeats_until,
         events: 0,
-        last_event_id: None,
+        last_event_id,
         is_origin_recorded: false,
         resumptions: 0,
         _in_flight: in_flight,
     };
     // From here on the caller can tell an aborted response from a complete one.
     relay.inbound.held.set_abortable(true);
+    if relay.resumed_stream.is_some() {
+        relay.note_origin(&answer.backend);
+    }
     let source = Source {
         incoming,
         headers: head.headers,
@@ -248,8 +275,13 @@
     last_event_at: Option<Instant>,
     tokens_per_event: u64,
     splitter: EventSplitter,
-    /// Text of the response as it is included in later prompts.
-    output: Vec<u8>,
+    /// Earlier request of the turn's stream, if this one resumes it.
+    resumed_stream: Option<TurnId>,
+    /// Events of the turn as they are included in later prompts.
+    output: TurnOutput,
+    /// Last event that the caller has from an earlier request, until the replica has repeated it.
+    repeats_until: Option<String>,
+    /// Number of events that the caller gets.
     events: u64,
     last_event_id: Option<String>,
     is_origin_recorded: bool,
@@ -273,6 +305,9 @@
                         Err(reason) => break self.log_end(reason),
                     }
                 }
+                Step::End if self.repeats_until.is_some() => {
+                    break self.log_end(EVENT_NOT_REPEATED);
+                }
                 Step::End => {
                     let Source {
                         headers,
@@ -395,8 +430,11 @@
     ) -> Result<(), &'static str> {
         let mut batch = Vec::new();
         while let Some(event) = self.splitter.next_event() {
-            self.note_event(&event, source);
-            batch.extend_from_slice(&event.raw);
+            let is_repeated = self.is_repeated(&event)?;
+            self.note_event(&event, source, is_repeated);
+            if !is_repeated {
+                batch.extend_from_slice(&event.raw);
+            }
         }
         let partial = self.splitter.buffered_bytes();
         if partial > MAX_EVENT_BYTES {
@@ -404,7 +442,7 @@
             return Err(EVENT_TOO_LONG);
         }
         let held = &self.inbound.held;
-        let buffered = (self.output.len() + batch.len() + partial) as u64 + sender.waiting_bytes();
+        let buffered = (self.output.size() + batch.len() + partial) as u64 + sender.waiting_bytes();
         held.set_answer(buffered).map_err(HeldBytesLimit::as_str)?;
         if batch.is_empty() {
             return Ok(());
@@ -442,21 +480,37 @@
         actix_rt::time::sleep(UNREAD_TIMEOUT).await;
     }
 
-    fn note_event(&mut self, event: &StreamEvent, source: &Source) {
+    /// Returns true if the caller has an event from an earlier request. Returns the end reason if the last
+    /// event that it has does not come.
+    fn is_repeated(&mut self, event: &StreamEvent) -> Result<bool, &'static str> {
+        let Some(last) = &self.repeats_until else {
+            return Ok(false);
+        };
+        let id = event.id.as_ref();
+        if id == Some(last) {
+            self.repeats_until = None;
+        } else if id.is_some_and(|id| is_later_event(id, last)) {
+            return Err(EVENT_NOT_REPEATED);
+        }
+        Ok(true)
+    }
+
+    fn note_event(&mut self, event: &StreamEvent, source: &Source, is_repeated: bool) {
         if event.id.is_some() {
             self.last_event_id.clone_from(&event.id);
         }
+        self.note_output(event);
         self.note_origin(&source.backend);
-        let Some(data) = &event.data else { return };
-        self.events += 1;
+        if event.data.is_none() {
+            return;
+        }
         self.move_watch.note_event(&self.inbound);
         self.note_pause(source);
-        if let Some(reservation) = &self.prepared.reservation {
-            reservation.add_delivered(self.tokens_per_event);
-        }
-        if self.inbound.route.keeps_history {
-            self.output.extend_from_slice(data);
-            self.output.push(b'\n');
+        if !is_repeated {
+            self.events += 1;
+            if let Some(reservation) = &self.prepared.reservation {
+                reservation.add_delivered(self.tokens_per_event);
+            }
         }
         if let Some(time) = self.wait.note_event() {
             self.note_expected(time);
@@ -470,6 +524,22 @@
         }
     }
 
+    /// Adds an event to the output of the turn.
+    fn note_output(&mut self, event: &StreamEvent) {
+        if !self.inbound.is_turn() {
+            return;
+        }
+        let mut text = event.data.clone().unwrap_or_default();
+        if event.data.is_some() {
+            text.push(b'\n');
+        }
+        // Only callers that may resume the stream name its events.
+        let id = event.id.as_deref().filter(|_| self.inbound.route.resumable);
+        if id.is_some() || !text.is_empty() {
+            self.output.push(id, &text);
+        }
+    }
+
     /// Fixes the origin of the stream at its first event, and records it before the caller can
     /// resume the stream elsewhere.
     fn note_origin(&mut self, backend: &Backend) {
@@ -479,7 +549,9 @@
         self.is_origin_recorded = true;
         let at_backend = || Rc::new(StreamOrigin::at(backend));
         let origin = self.attempts.origin.get_or_insert_with(at_backend);
-        stream_origins::record(&self.gateway, &self.inbound, origin);
+        let resumed = self.resumed_stream.as_ref();
+        let output = &mut self.output;
+        stream_origins::record(&self.gateway, &self.inbound, origin, resumed, output);
     }
 
     /// Stores the turn, then ends the response as complete. Returns the end reason.
@@ -512,7 +584,7 @@
                 .map(|turn| turn.id.clone())
                 .collect(),
             input: self.inbound.body.to_vec(),
-            output: std::mem::take(&mut self.output),
+            output: self.output.text(),
             served_by: Some(backend.id.clone()),
             retention_ms: self.inbound.record_retention_ms(),
         });
--- a/crates/gateway-server/src/stream_origins.rs
+++ b/crates/gateway-server/src/stream_origins.rs
@@ -5,10 +5,12 @@
 use crate::inbound::{InboundRequest, header_number, header_text, tenant_name};
 use crate::refusal::Refusal;
 use crate::request_steps::RequestStep;
-use crate::turn_client::OriginLookup;
+use crate::resumed_turns::{self, ResumedTurn};
+use crate::stream_lookup::{self, StreamLookup};
+use crate::turn_output::{RecordedRun, TurnOutput};
 use luglink_fleet::{BackendId, Incarnation, StreamOrigin};
 use luglink_telemetry::milliseconds;
-use luglink_turns::{OriginRecord, TurnId};
+use luglink_turns::{OriginRecord, OutputQuery, TurnId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -79,8 +81,15 @@
     }
 }
 
-/// Records where the stream of a request began, here and at the turn stores.
-pub(crate) fn record(gateway: &Gateway, inbound: &InboundRequest, origin: &StreamOrigin) {
+/// Records where the stream of a request began, here and at the turn stores, and for a turn its output
+/// there. `resumed` is the earlier request of a stream that this one resumes.
+pub(crate) fn record(
+    gateway: &Gateway,
+    inbound: &InboundRequest,
+    origin: &StreamOrigin,
+    resumed: Option<&TurnId>,
+    output: &mut TurnOutput,
+) {
     if !inbound.route.resumable {
         return;
     }
@@ -90,11 +99,27 @@
         .origins
         .borrow_mut()
         .record(&stream, origin, retention, gateway.now());
-    gateway.turns.record_origin(OriginRecord {
+    let record = |stream: TurnId| OriginRecord {
         stream,
         origin: origin.clone(),
         retention_ms: milliseconds(retention),
-    });
+    };
+    if !inbound.is_turn() {
+        gateway.turns.record_origin(record(stream));
+        return;
+    }
+    // The caller may name either request when it resumes the stream again.
+    let records: Vec<OriginRecord> = resumed
+        .cloned()
+        .into_iter()
+        .chain([stream])
+        .map(record)
+        .collect();
+    let run = RecordedRun {
+        run: gateway.draw(),
+        request: inbound.fingerprint,
+    };
+    output.record(gateway, &run, &records);
 }
 
 /// Returns the time for which a caller may resume the stream of a request.
@@ -105,6 +130,14 @@
     allowed.saturating_add(RETENTION_MARGIN)
 }
 
+/// Stream that a request continues.
+#[derive(Clone, Debug)]
+pub(crate) struct ResumedStream {
+    pub(crate) origin: Rc<StreamOrigin>,
+    /// The turn, if the request is one.
+    pub(crate) turn: Option<ResumedTurn>,
+}
+
 /// Result of looking for the origin of a stream.
 #[derive(Debug)]
 struct FoundOrigin {
@@ -114,22 +147,32 @@
     can_continue: bool,
 }
 
-/// Returns the origin of the stream that a request resumes; `None` if it begins one. Sets the
-/// service of the request to that of the origin.
+/// Returns the stream that a request resumes; `None` if it begins one. Sets the service of the request
+/// to that of the stream's origin.
 ///
 /// # Errors
-/// The stream cannot continue, because its origin is not known or no replica may continue it. The
-/// request has not run.
+/// The stream cannot continue, because its origin or a turn's beginning is not known or no replica may
+/// continue it. The request has not run.
 pub(crate) async fn find(
     gateway: &Gateway,
     inbound: &mut InboundRequest,
-) -> Result<Option<Rc<StreamOrigin>>, Refusal> {
+) -> Result<Option<ResumedStream>, Refusal> {
+    resumed_turns::refuse_unidentified(gateway, inbound)?;
     let Some(resumption) = Resumption::of(gateway, inbound) else {
         return Ok(None);
     };
     inbound.watch.steps.enter(RequestStep::OriginLookUp);
     let started_at = Instant::now();
-    let (source, origin) = look_up(gateway, inbound, resumption.began_as.as_ref()).await;
+    let (turn, lookup) = match &resumption.began_as {
+        Some(stream) if inbound.is_turn() => {
+            let last_event_id = &resumption.last_event_id;
+            let (turn, lookup) = find_turn(gateway, inbound, stream, last_event_id).await?;
+            (Some(turn), Some(lookup))
+        }
+        _ => (None, None),
+    };
+    let began_as = resumption.began_as.as_ref();
+    let (source, origin) = look_up(gateway, inbound, began_as, lookup).await;
     let origin = origin.filter(|origin| inbound.route.has_target(&origin.service));
     let has_continuation = |origin: &StreamOrigin| {
         let pool = gateway.pool.borrow();
@@ -150,7 +193,8 @@
     match found.origin {
         Some(origin) if found.can_continue => {
             inbound.service.clone_from(&origin.service);
-            Ok(Some(Rc::new(origin)))
+            let origin = Rc::new(origin);
+            Ok(Some(ResumedStream { origin, turn }))
         }
         Some(_) if !is_listed => Err(Refusal::recovering(
             "no replica that is known at the moment has the software version that began the stream",
@@ -169,6 +213,22 @@
     }
 }
 
+/// Returns the turn that continues a stream, and what the stores know about the stream.
+async fn find_turn(
+    gateway: &Gateway,
+    inbound: &InboundRequest,
+    stream: &TurnId,
+    last_event_id: &str,
+) -> Result<(ResumedTurn, StreamLookup), Refusal> {
+    let query = OutputQuery {
+        request: inbound.fingerprint,
+        last_event_id: last_event_id.to_owned(),
+    };
+    let lookup = stream_lookup::find(&gateway.turns, stream, Some(&query)).await;
+    let turn = resumed_turns::resume(gateway, inbound, stream, last_event_id, &lookup)?;
+    Ok((turn, lookup))
+}
+
 /// Waits for a list of replicas that was read after a request arrived. An earlier one may lack the
 /// version at which the stream of the request began. Returns false if none comes in time.
 async fn wait_for_list(gateway: &Gateway, inbound: &InboundRequest) -> bool {
@@ -212,10 +272,12 @@
 }
 
 /// Looks for the origin of a stream here, at the turn stores, and in the versions of the service.
+/// `lookup` is what the stores know about it, if they were asked before.
 async fn look_up(
     gateway: &Gateway,
     inbound: &InboundRequest,
     began_as: Option<&TurnId>,
+    lookup: Option<StreamLookup>,
 ) -> (OriginSource, Option<StreamOrigin>) {
     let mut missing = OriginSource::NotFound;
     if let Some(stream) = began_as {
@@ -227,10 +289,15 @@
         if own.is_some() {
             return (OriginSource::Own, own);
         }
-        match gateway.turns.find_origin(stream).await {
-            OriginLookup::Found(origin) => return (OriginSource::Stores, Some(origin)),
-            OriginLookup::NotFound => {}
-            OriginLookup::Unavailable => missing = OriginSource::Unavailable,
+        let lookup = match lookup {
+            Some(lookup) => lookup,
+            None => stream_lookup::find(&gateway.turns, stream, None).await,
+        };
+        if lookup.origin.is_some() {
+            return (OriginSource::Stores, lookup.origin);
+        }
+        if lookup.answers == 0 {
+            missing = OriginSource::Unavailable;
         }
     }
     if !wait_for_list(gateway, inbound).await {
--- a/crates/gateway-server/src/turn_client.rs
+++ b/crates/gateway-server/src/turn_client.rs
@@ -5,7 +5,7 @@
 use crate::store_link::StoreLink;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use luglink_fleet::{BackendId, StoreName, StoreView, StreamOrigin};
+use luglink_fleet::{BackendId, StoreName, StoreView};
 use luglink_quota::{QuotaOwner, QuotaRequest, QuotaResponse};
 use luglink_turns::{
     Account, ChainQuery, ClientView, JointQuorum, OriginRecord, ProgramName, ProgramWrite,
@@ -33,19 +33,6 @@
 /// its reserved tokens.
 const MAX_SETTLE_ATTEMPTS: u32 = 8;
 
-/// Maximum time that the stores asked together get to return the origin of a stream.
-const FIND_ORIGIN_TIMEOUT: Duration = Duration::from_millis(200);
-
-/// Result of looking up the origin of a stream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum OriginLookup {
-    Found(StreamOrigin),
-    /// No store that answered has it.
-    NotFound,
-    /// No store answered.
-    Unavailable,
-}
-
 /// Error: too few stores acknowledged a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display(
@@ -479,49 +466,6 @@
         }
     }
 
-    /// Returns the origin of a stream. Stores that do not own it are asked last: one of them may
-    /// have owned it in an earlier view.
-    pub(crate) async fn find_origin(&self, stream: &TurnId) -> OriginLookup {
-        let view = self.view.borrow().clone();
-        let owners = self.replication.owners(&view, &stream.0);
-        let others = view.members.keys().filter(|name| !owners.contains(name));
-        let others: Vec<StoreName> = others.cloned().collect();
-        let mut answers = 0;
-        for stores in [owners, others] {
-            let finding = self.find_origin_at(&stores, stream, &mut answers);
-            let found = actix_rt::time::timeout(FIND_ORIGIN_TIMEOUT, finding).await;
-            if let Ok(Some(origin)) = found {
-                return OriginLookup::Found(origin);
-            }
-        }
-        match answers {
-            0 => OriginLookup::Unavailable,
-            _ => OriginLookup::NotFound,
-        }
-    }
-
-    async fn find_origin_at(
-        &self,
-        stores: &[StoreName],
-        stream: &TurnId,
-        answers: &mut usize,
-    ) -> Option<StreamOrigin> {
-        let mut pending: FuturesUnordered<_> = {
-            let links = self.links.borrow();
-            let links = stores.iter().filter_map(|store| links.get(store));
-            let epoch = self.epoch();
-            let pending = links.map(|link| Rc::clone(link).find_origin(epoch, stream.clone()));
-            pending.collect()
-        };
-        while let Some(answer) = pending.next().await {
-            *answers += usize::from(answer.is_some());
-            if let Some(origin) = answer.flatten() {
-                return Some(origin);
-            }
-        }
-        None
-    }
-
     /// Returns the stores that own a tenant's quota, fastest first.
     pub(crate) fn quota_owners(&self, tenant: &TenantName) -> Vec<StoreName> {
         let count = self.replication.quota_owners();
--- a/crates/gateway-server/tests/gateway/main.rs
+++ b/crates/gateway-server/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod programs;
 mod replicas;
 mod resumed_streams;
+mod resumed_turns;
 mod retention;
 mod store_outages;
 mod support;
--- a/crates/gateway-server/tests/gateway/support/caller.rs
+++ b/crates/gateway-server/tests/gateway/support/caller.rs
@@ -107,6 +107,21 @@
         }
     }
 
+    /// Sends the request, waits for this many events of the response, and disconnects. Returns all that it
+    /// received.
+    pub async fn send_and_disconnect_after(self, to: SocketAddr, events: usize) -> String {
+        let mut connection = connect(to, Duration::from_secs(2)).await.unwrap();
+        let response = connection.send(self.request()).await.unwrap();
+        let mut incoming = response.into_body();
+        let mut received = String::new();
+        while received.matches("\n\n").count() < events {
+            let frame = incoming.frame().await.unwrap().unwrap();
+            let bytes = frame.into_data().unwrap_or_default();
+            received += std::str::from_utf8(&bytes).unwrap();
+        }
+        received
+    }
+
     /// Sends the request, waits for the first bytes of the response body, and disconnects.
     pub async fn send_and_disconnect(self, to: SocketAddr) -> Bytes {
         let mut connection = connect(to, Duration::from_secs(2)).await.unwrap();
--- a/crates/gateway-server/tests/gateway/support/cut.rs
+++ b/crates/gateway-server/tests/gateway/support/cut.rs
@@ -1,6 +1,6 @@
 //! Responses of which a replica sends only a part.
 
-use super::replica::ReceivedRequest;
+use super::received::ReceivedRequest;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod ending;
 pub mod endless;
 pub mod proxy;
+pub mod received;
 pub mod replica;
 
 use luglink_control_server::{ManagedServer, ManagedServerConfig, start_managed};
--- a/crates/gateway-server/tests/gateway/support/replica.rs
+++ b/crates/gateway-server/tests/gateway/support/replica.rs
@@ -3,15 +3,15 @@
 use super::cut::Cut;
 use super::ending::Ending;
 use super::endless::{Endless, Pace};
+use super::received::{ReceivedRequest, content_length, read_exactly, read_request};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
 
 /// Beginning of a health check.
@@ -97,8 +97,14 @@
     StreamEndsInside(usize),
     /// Sends five events, starting after the last event named by the request.
     Stream,
-    /// Sends this many complete events, then keeps the connection open.
+    /// Sends this many complete events and closes without the end of the body. Later requests get
+    /// [`Script::Stream`].
+    StreamCutOnce(usize),
+    /// Sends the events before this one, starting after the last event named by the request, then keeps
+    /// the connection open.
     StreamStalled(usize),
+    /// Sends five events like [`Script::Stream`], each once `steps` allows it.
+    StreamStepwise,
     /// Sends an endless stream of events.
     StreamEndless,
     /// Sends an endless stream of long events, as fast as it is read. Requests to `/safe/` get a
@@ -111,22 +117,6 @@
     Endless(Endless, Pace),
 }
 
-/// Request that a replica has received.
-#[derive(Clone, Debug)]
-pub struct ReceivedRequest {
-    pub target: String,
-    pub headers: BTreeMap<String, String>,
-    pub body: Vec<u8>,
-}
-
-impl ReceivedRequest {
-    pub fn id(&self) -> &str {
-        self.headers
-            .get("luglink-request-id")
-            .map_or("", String::as_str)
-    }
-}
-
 /// Scripted replica.
 #[derive(Clone)]
 pub struct Replica {
@@ -150,6 +140,8 @@
     pub version: Rc<RefCell<Option<String>>>,
     /// Closes the connections of [`Script::StreamStalled`] when notified.
     pub reset: Rc<Notify>,
+    /// Number of events that [`Script::StreamStepwise`] may send.
+    pub steps: Rc<Semaphore>,
     /// Number of bytes sent by [`Script::Endless`] on connections that are closed.
     pub endless_bytes: Rc<Cell<usize>>,
     /// Set once the replica has crashed.
@@ -180,6 +172,7 @@
             running: Rc::default(),
             version: Rc::default(),
             reset: Rc::default(),
+            steps: Rc::new(Semaphore::new(0)),
             endless_bytes: Rc::default(),
             crash: CancellationToken::new(),
             dark: CancellationToken::new(),
@@ -435,9 +428,14 @@
                 self.set_script(Script::Misdirected);
                 return self.stream(seen, stream, Some((*events, "", ""))).await;
             }
+            Script::StreamCutOnce(events) => {
+                self.set_script(Script::Stream);
+                return self.stream(seen, stream, Some((*events, "", ""))).await;
+            }
             Script::StreamStalled(events) => {
                 return self.stream_stalled(seen, stream, *events).await;
             }
+            Script::StreamStepwise => return self.stream_stepwise(seen, stream).await,
             Script::Stream => return self.stream(seen, stream, None).await,
             Script::Flood if seen.target.contains("/safe/") => (self.whole(&id, &body), true),
             Script::Flood => return self.flood(seen, stream).await,
@@ -538,12 +536,8 @@
         stream: &mut TcpStream,
         end: Option<(usize, &str, &str)>,
     ) -> bool {
-        let from = seen
-            .headers
-            .get("last-event-id")
-            .map_or(0, |last| last.parse::<usize>().unwrap() + 1);
         let mut text = self.stream_head(seen);
-        for number in from..5 {
+        for number in first_event(seen)..5 {
             if let Some((_, part, body_end)) = end.filter(|(events, _, _)| *events == number) {
                 if !part.is_empty() {
                     text += &chunk(&format!("id: {number}\n{part}"));
@@ -566,7 +560,7 @@
         events: usize,
     ) -> bool {
         let mut text = self.stream_head(seen);
-        for number in 0..events {
+        for number in first_event(seen)..events {
             text += &chunk(&event(number));
         }
         if stream.write_all(text.as_bytes()).await.is_ok() {
@@ -580,6 +574,34 @@
         false
     }
 
+    async fn stream_stepwise(&self, seen: &ReceivedRequest, stream: &mut TcpStream) -> bool {
+        if stream
+            .write_all(self.stream_head(seen).as_bytes())
+            .await
+            .is_err()
+        {
+            return false;
+        }
+        let mut rest = [0];
+        for number in first_event(seen)..5 {
+            tokio::select! {
+                step = self.steps.acquire() => step.unwrap().forget(),
+                _ = stream.read(&mut rest) => {
+                    self.closed.set(self.closed.get() + 1);
+                    return false;
+                }
+            }
+            if stream
+                .write_all(chunk(&event(number)).as_bytes())
+                .await
+                .is_err()
+            {
+                return false;
+            }
+        }
+        stream.write_all(b"0\r\n\r\n").await.is_ok()
+    }
+
     async fn flood(&self, seen: &ReceivedRequest, stream: &mut TcpStream) -> bool {
         let mut text = self.stream_head(seen);
         for number in 0.. {
@@ -615,6 +637,12 @@
     }
 }
 
+/// Returns the number of the first event that a request asks for.
+fn first_event(seen: &ReceivedRequest) -> usize {
+    let last = seen.headers.get("last-event-id");
+    last.map_or(0, |last| last.parse::<usize>().unwrap() + 1)
+}
+
 pub fn event(number: usize) -> String {
     format!("id: {number}\ndata: word{number}\n\n")
 }
@@ -623,70 +651,6 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-fn content_length(seen: &ReceivedRequest) -> usize {
-    seen.headers
-        .get("content-length")
-        .map_or(0, |length| length.parse().unwrap())
-}
-
-async fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
-    let mut part = [0; 4_096];
-    match stream.read(&mut part).await {
-        Ok(count) if count > 0 => {
-            buffer.extend_from_slice(&part[..count]);
-            true
-        }
-        _ => false,
-    }
-}
-
-async fn read_exactly(stream: &mut TcpStream, buffer: &mut Vec<u8>, length: usize) -> bool {
-    while buffer.len() < length {
-        if !fill(stream, buffer).await {
-            return false;
-        }
-    }
-    buffer.drain(..length);
-    true
-}
-
-async fn read_request(
-    stream: &mut TcpStream,
-    buffer: &mut Vec<u8>,
-    skips_body: bool,
-) -> Option<ReceivedRequest> {
-    let end = loop {
-        if let Some(end) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
-            break end;
-        }
-        if !fill(stream, buffer).await {
-            return None;
-        }
-    };
-    let head = String::from_utf8(buffer.drain(..end + 4).collect()).unwrap();
-    let mut lines = head.lines();
-    let target = lines.next().unwrap().to_owned();
-    let headers = lines
-        .filter_map(|line| line.split_once(": "))
-        .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
-        .collect();
-    let mut seen = ReceivedRequest {
-        target,
-        headers,
-        body: Vec::new(),
-    };
-    if !skips_body {
-        let length = content_length(&seen);
-        while buffer.len() < length {
-            if !fill(stream, buffer).await {
-                return None;
-            }
-        }
-        seen.body = buffer.drain(..length).collect();
-    }
-    Some(seen)
-}
-
 /// Serves the list of replicas in luglink's own format. Returns its address.
 pub async fn serve_list(replicas: Rc<RefCell<Vec<Replica>>>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/store-server/src/metrics.rs
+++ b/crates/store-server/src/metrics.rs
@@ -29,6 +29,8 @@
     pub(crate) epoch: Gauge,
     /// Streams whose origins are kept.
     pub(crate) origins: Gauge,
+    /// Size of the outputs of streams that are kept.
+    pub(crate) output_bytes: Gauge,
     /// Requests with reports of replicas that ended while running them.
     pub(crate) crash_reports: Gauge,
     /// Runs under way at gateways.
@@ -68,6 +70,10 @@
                 "Epoch of the current view of the stores",
             )?,
             origins: registry.gauge("store_stream_origins", "Streams whose origins are kept")?,
+            output_bytes: registry.gauge(
+                "store_stream_output_bytes",
+                "Size of the outputs of streams that are kept",
+            )?,
             crash_reports: registry.gauge(
                 "store_crash_reports",
                 "Requests with reports of replicas that ended while running them",
@@ -98,7 +104,9 @@
 pub(crate) fn origin_request_kind(request: &OriginRequest) -> &'static str {
     match request {
         OriginRequest::Record(_) => "record_origin",
+        OriginRequest::RecordOutput(..) => "record_output",
         OriginRequest::Find(_) => "find_origin",
+        OriginRequest::FindOutput(..) => "find_output",
     }
 }
 
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -13,8 +13,8 @@
 use luglink_storage::{FileDisk, WalConfig};
 use luglink_turns::{
     Chain, ClientView, CrashRequest, FollowerLeases, KeepCheck, KeepReport, LogPosition,
-    OriginRequest, OriginResponse, Output, Refusal, Replication, ReportBatch, RequestToken,
-    StoreConfig, StoreNode, StoreRequest, StoreResponse,
+    OriginRequest, OriginResponse, Output, OutputResponse, Refusal, Replication, ReportBatch,
+    RequestToken, StoreConfig, StoreNode, StoreRequest, StoreResponse,
 };
 use luglink_wire::{Frame, Parts, WireError, decode_with_parts, encode_body, encode_with_parts};
 use rand::RngCore;
@@ -218,6 +218,17 @@
     })
 }
 
+fn encode_origin(
+    origin: &OriginResponse,
+    output: Option<&OutputResponse>,
+) -> Result<Parts, WireError> {
+    let mut parts = origin.encode()?;
+    if let Some(output) = output {
+        output.put(&mut parts)?;
+    }
+    Ok(parts)
+}
+
 /// Flushes on request. It first yields to all tasks that are ready, so that requests that arrive
 /// together are written with one sync.
 async fn flush_when_woken(shared: Rc<Shared>) {
@@ -246,6 +257,7 @@
         self.metrics.accounts.set(accounts as f64);
         self.metrics.epoch.set(node.epoch() as f64);
         self.metrics.origins.set(node.origin_count() as f64);
+        self.metrics.output_bytes.set(node.output_bytes() as f64);
         let crash_reports = node.crash_report_count();
         self.metrics.crash_reports.set(crash_reports as f64);
         self.metrics.runs_under_way.set(node.run_count() as f64);
@@ -351,9 +363,9 @@
             .with_label_values(&[origin_request_kind(request)])
             .inc();
         let mut node = self.node.borrow_mut();
-        let origin = node.handle_origin(request, now());
+        let (origin, output) = node.handle_origin(request, now());
         drop(node);
-        self.reply_with_parts(token, OriginResponse { origin }.encode());
+        self.reply_with_parts(token, encode_origin(&origin, output.as_ref()));
     }
 
     /// Puts the runs of a gateway in doubt whose connection has ended, unless it has another one.
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -10,15 +10,15 @@
 use crate::hand_over::HandOver;
 use crate::journal::{Entry, Journal};
 use crate::keep_parts::{KeepCheck, KeepReport};
-use crate::origins::OriginTable;
-use crate::parts::{ClientView, OriginRequest};
+use crate::parts::{ClientView, OriginRequest, OriginResponse, OutputResponse};
 use crate::protocol::{Chain, ChainQuery, StoreRequest, StoreResponse};
 use crate::record::{ProgramName, TurnId, TurnRecord};
 use crate::refusal::{Refusal, RequestCheck};
 use crate::replication::Replication;
 use crate::report_hand_over::ReportHandOver;
 use crate::state::State;
-use luglink_fleet::{BackendId, StoreName, StoreView, StreamOrigin};
+use crate::stream_records::StreamRecords;
+use luglink_fleet::{BackendId, StoreName, StoreView};
 use luglink_quota::{QuotaOwner, Tolerance};
 use luglink_storage::{Disk, WalConfig};
 use luglink_types::Timestamp;
@@ -30,9 +30,6 @@
 /// Number of journal segments after which the live entries of the oldest are rewritten.
 const MAX_SEGMENTS: u64 = 4;
 
-/// Maximum number of streams whose origins are kept.
-const MAX_ORIGINS: usize = 1 << 16;
-
 /// Identifies one request of one client in its reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestToken {
@@ -116,7 +113,7 @@
     /// The same for leases under an earlier view.
     earlier_leases_until: Timestamp,
     quota: QuotaOwner,
-    origins: OriginTable,
+    streams: StreamRecords,
     crashes: CrashKeeper,
     entries: Vec<Entry>,
     pending: Vec<PendingReply>,
@@ -173,7 +170,7 @@
                 false => now.plus(LEASE_DURATION),
             },
             earlier_leases_until: now,
-            origins: OriginTable::new(MAX_ORIGINS),
+            streams: StreamRecords::new(),
             crashes,
             entries: Vec::new(),
             pending: Vec::new(),
@@ -371,29 +368,27 @@
         }
     }
 
-    /// Keeps or returns the origin of a stream. Origins are not written to disk, so there is no need
-    /// to wait for [`StoreNode::flush`].
+    /// Keeps or returns the origin of a stream and its output. They are not written to disk, so there is
+    /// no need to wait for [`StoreNode::flush`]. A request about the output gets a second response.
     pub fn handle_origin(
         &mut self,
         request: &OriginRequest,
         now: Timestamp,
-    ) -> Option<StreamOrigin> {
+    ) -> (OriginResponse, Option<OutputResponse>) {
         self.now = self.now.max(now);
-        match request {
-            OriginRequest::Record(record) => {
-                let retention = Duration::from_millis(record.retention_ms);
-                self.origins
-                    .record(&record.stream, &record.origin, retention, self.now);
-                None
-            }
-            OriginRequest::Find(stream) => self.origins.find(stream, self.now).cloned(),
-        }
+        self.streams.handle(request, self.now)
     }
 
     /// Number of streams whose origins are kept.
     #[must_use]
     pub fn origin_count(&self) -> usize {
-        self.origins.len()
+        self.streams.origin_count()
+    }
+
+    /// Approximate size of the outputs of streams that are kept, in bytes.
+    #[must_use]
+    pub fn output_bytes(&self) -> usize {
+        self.streams.output_bytes()
     }
 
     /// Handles the acknowledgement of the hand-over request `number` by another store.
@@ -410,7 +405,7 @@
         if self.now >= self.expiry_due {
             self.expiry_due = self.now.plus(EXPIRY_INTERVAL);
             self.state.expire(self.now);
-            self.origins.expire(self.now);
+            self.streams.expire(self.now);
             self.crashes.expire(self.now);
         }
     }
