Soak turns that callers resume, beside processes that end and stand still

Turns are resumed several times, at any gateway, by the first or the latest request or by none, at any turn of chains that branch, with and without a budget. Every prompt that a replica got is compared with what its caller has.

The replicas of the soaks record prompts, and the events of a turn differ.

--- a/app/luglink/tests/stream_soak/main.rs
+++ b/app/luglink/tests/stream_soak/main.rs
@@ -17,6 +17,7 @@
 mod programs;
 mod random;
 mod replicas;
+mod resumed_turns;
 mod runs;
 mod stale_knowledge;
 mod store_chaos;
--- a/app/luglink/tests/stream_soak/replicas.rs
+++ b/app/luglink/tests/stream_soak/replicas.rs
@@ -1,6 +1,7 @@
 //! Stand-in replicas of several software versions, and the platform's list of them.
 
 use crate::crash_plan::{ComeBack, CrashPlan, End, Moment};
+use crate::fleet::KEPT_PATH;
 use crate::random::Random;
 use crate::runs::{Runs, UnderWay};
 use serde_json::json;
@@ -45,6 +46,12 @@
 /// Key of the request target among the headers.
 const TARGET: &str = ":target";
 
+/// Key of the request body among the headers.
+const BODY: &str = ":body";
+
+/// Factor of the version in the data of a turn's events, beside their numbers.
+pub const TURN_VERSION_FACTOR: usize = 100;
+
 /// Time for which a draining replica goes on serving, longer than the fleet's `drain_ms`.
 const DRAIN_DURATION: Duration = Duration::from_millis(3_400);
 
@@ -89,6 +96,8 @@
     faults: Faults,
     /// What all replicas have run.
     pub runs: Runs,
+    /// Prompts of the turns that replicas got, by the identifiers of their requests.
+    pub prompts: Rc<RefCell<BTreeMap<String, Vec<String>>>>,
 }
 
 impl Replicas {
@@ -100,6 +109,7 @@
             seed,
             faults,
             runs: Runs::default(),
+            prompts: Rc::default(),
         };
         for version in [1, 2] {
             for _ in 0..count {
@@ -485,6 +495,12 @@
             return stream.write_all(head.as_bytes()).await.is_ok();
         }
         let target = headers.get(TARGET).map_or("", String::as_str);
+        let is_turn = target == KEPT_PATH;
+        if is_turn {
+            let prompt = headers.get(BODY).cloned().unwrap_or_default();
+            let mut prompts = self.replicas.prompts.borrow_mut();
+            prompts.entry(id.clone()).or_default().push(prompt);
+        }
         let name = name_of(headers);
         let plan = CrashPlan::parse(name);
         let _run = self.replicas.runs.begin(name, &self.under_way);
@@ -521,7 +537,11 @@
             if self.has_fault(STALL_PERCENT) {
                 actix_rt::time::sleep(STALL_DURATION).await;
             }
-            let event = format!("id: {number}\ndata: {}\n\n", self.version);
+            let data = match is_turn {
+                true => self.version * TURN_VERSION_FACTOR + number,
+                false => self.version,
+            };
+            let event = format!("id: {number}\ndata: {data}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).await.is_err() {
                 return false;
@@ -566,7 +586,7 @@
     target.split_once('?').map_or("", |(_, name)| name)
 }
 
-/// Reads the head of a request and discards its body. Returns its headers in lower case.
+/// Reads a request. Returns its headers in lower case, with its target and its body.
 async fn read_head(
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
@@ -586,18 +606,17 @@
     let headers = head.lines().filter_map(|line| line.split_once(": "));
     let headers = headers.map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()));
     let target = (TARGET.to_owned(), target);
-    let headers: BTreeMap<String, String> = headers.chain([target]).collect();
+    let mut headers: BTreeMap<String, String> = headers.chain([target]).collect();
     let length = headers.get("content-length");
-    let mut left = length.map_or(0, |length| length.parse::<usize>().unwrap());
-    while left > buffer.len() {
-        left -= buffer.len();
-        buffer.clear();
+    let length = length.map_or(0, |length| length.parse::<usize>().unwrap());
+    while buffer.len() < length {
         let mut part = [0; 2_048];
         match stream.read(&mut part).await {
             Ok(count) if count > 0 => buffer.extend_from_slice(&part[..count]),
             _ => return None,
         }
     }
-    buffer.drain(..left);
+    let body = buffer.drain(..length).collect();
+    headers.insert(BODY.to_owned(), String::from_utf8(body).unwrap());
     Some(headers)
 }
