Count the ends under a request in the test once no replica runs it

Seen in 2 of 16 runs of the suite at a load of 13 to 17: two ends instead of one, in the test of a gateway that is cut off and knows an end.

Cause, by reading: the first request is given up after 300 ms and may be at a second replica by then, which ends 60 ms later. The test took the number of ends as soon as there was one.

Change: the test waits until every replica that got the request has ended. What is asserted afterwards is unchanged.

--- a/crates/gateway-server/tests/gateway/cut_off.rs
+++ b/crates/gateway-server/tests/gateway/cut_off.rs
@@ -4,6 +4,7 @@
 use crate::metrics::{metrics, value};
 use crate::support::caller::{TestRequest, TestResponse};
 use crate::support::proxy::Proxy;
+use crate::support::received::ReceivedRequest;
 use crate::support::replica::{Replica, Script};
 use crate::support::{Fleet, configuration, wait_until};
 use luglink_gateway_server::GatewayServer;
@@ -93,6 +94,15 @@
         replicas.filter(|replica| replica.has_crashed()).count()
     }
 
+    /// Returns the number of replicas that have got the request.
+    fn reached(&self) -> usize {
+        let is_bad = |seen: &ReceivedRequest| seen.target.contains(CRASHING);
+        let replicas = self.replicas.iter();
+        replicas
+            .filter(|replica| replica.seen.borrow().iter().any(is_bad))
+            .count()
+    }
+
     async fn insist(&self, gateway: SocketAddr) -> TestResponse {
         let mut last = TestResponse::default();
         for number in 0..ATTEMPTS {
@@ -162,7 +172,11 @@
     let setup = Setup::start().await;
     let once = call("first").with("luglink-deadline-ms", 300);
     once.send(setup.fleet.gateway_address).await;
-    wait_until("a replica has ended", || async { setup.crashed() > 0 }).await;
+    // A replica may still run the attempt that its caller has given up.
+    wait_until("all runs of the request have ended", || async {
+        setup.crashed() > 0 && setup.crashed() == setup.reached()
+    })
+    .await;
     let known = setup.crashed();
     setup.cut_off_second();
     // Without a lease, the gateway cannot tell whether more replicas have ended since.
