Let the callers of a test leave together, so that all runs are in doubt at once

Seen in 2 of 16 runs of the suite at a load of 13 to 17: the gauge of runs in doubt did not reach three.

Cause, traced before: the first of three runs counts as over a second after its caller left, and the third caller left half a second later than the first, so that slow polls could see two at most.

Change: the three callers leave at the same time. That the gauge reaches three and falls to none within the same time is asserted as before.

--- a/crates/gateway-server/tests/gateway/given_up_runs.rs
+++ b/crates/gateway-server/tests/gateway/given_up_runs.rs
@@ -4,6 +4,7 @@
 use crate::support::caller::{TestRequest, TestResponse};
 use crate::support::replica::{Replica, Script};
 use crate::support::{Fleet, configuration, wait_until};
+use futures_util::future::join_all;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
@@ -155,10 +156,14 @@
     let answered = request("answered").send(fleet.gateway_address).await;
     assert_eq!(answered.status, 200, "{answered:?}");
     set_scripts(&replicas, &Script::Mute);
-    for number in 0..MAX_ENDS {
+    // The callers leave together, so that no run is settled before the last one is in doubt.
+    let leaving = (0..MAX_ENDS).map(|number| {
         let id = format!("left-{number}");
         let sending = request(&id).send(fleet.gateway_address);
-        let _ = actix_rt::time::timeout(PATIENCE, sending).await;
+        actix_rt::spawn(actix_rt::time::timeout(PATIENCE, sending))
+    });
+    for left in join_all(leaving).await {
+        left.unwrap().expect_err("no replica answers");
     }
     let doubtful = async || {
         let metrics = metrics(fleet.gateway.metrics_address).await;
