Bound what the copies of outputs hold, and copy events of turns once

Identifiers of events and streams in the copies had no bound, so that a store held more than it counted; each event of a turn was copied once more than before; and a run whose replica ended properly without the caller's last event was dropped as if it were under way.

Change: events with identifiers of more than 128 bytes are kept without them, streams with such identifiers not at all, as origins are. The output of a turn without copies is moved to its record. Such a run counts as answered.

Tests: `overlong_identifiers_are_not_kept`; the suite of the gateway passes (175 passed, none passed over).

--- a/crates/gateway-server/src/stream.rs
+++ b/crates/gateway-server/src/stream.rs
@@ -305,9 +305,6 @@
                         Err(reason) => break self.log_end(reason),
                     }
                 }
-                Step::End if self.repeats_until.is_some() => {
-                    break self.log_end(EVENT_NOT_REPEATED);
-                }
                 Step::End => {
                     let Source {
                         headers,
@@ -529,14 +526,10 @@
         if !self.inbound.is_turn() {
             return;
         }
-        let mut text = event.data.clone().unwrap_or_default();
-        if event.data.is_some() {
-            text.push(b'\n');
-        }
         // Only callers that may resume the stream name its events.
         let id = event.id.as_deref().filter(|_| self.inbound.route.resumable);
-        if id.is_some() || !text.is_empty() {
-            self.output.push(id, &text);
+        if id.is_some() || event.data.is_some() {
+            self.output.push(id, event.data.as_deref());
         }
     }
 
@@ -556,6 +549,9 @@
 
     /// Stores the turn, then ends the response as complete. Returns the end reason.
     async fn complete(&mut self, backend: &Backend, sender: BodySender) -> &'static str {
+        if self.repeats_until.is_some() {
+            return EVENT_NOT_REPEATED;
+        }
         self.inbound.held.set_abortable(false);
         if self.inbound.route.keeps_history && !self.store_turn(backend).await {
             return "not_kept";
@@ -584,7 +580,7 @@
                 .map(|turn| turn.id.clone())
                 .collect(),
             input: self.inbound.body.to_vec(),
-            output: self.output.text(),
+            output: self.output.take_text(),
             served_by: Some(backend.id.clone()),
             retention_ms: self.inbound.record_retention_ms(),
         });
--- a/crates/gateway-server/src/turn_output.rs
+++ b/crates/gateway-server/src/turn_output.rs
@@ -44,10 +44,10 @@
         }
     }
 
-    /// Adds an event with its text, as later prompts contain it.
-    pub(crate) fn push(&self, id: Option<&str>, text: &[u8]) {
+    /// Adds an event.
+    pub(crate) fn push(&self, id: Option<&str>, data: Option<&[u8]>) {
         let mut events = self.events.borrow_mut();
-        events.push(id, text);
+        events.push(id, data);
         if let Some(recorded) = &self.recorded {
             recorded.send_replace(events.len());
         }
@@ -58,9 +58,13 @@
         self.events.borrow().size()
     }
 
-    /// Returns the text of all events.
-    pub(crate) fn text(&self) -> Vec<u8> {
-        self.events.borrow().text().to_vec()
+    /// Returns the text of all events, as later prompts contain it.
+    pub(crate) fn take_text(&mut self) -> Vec<u8> {
+        match Rc::get_mut(&mut self.events) {
+            Some(events) => std::mem::take(events.get_mut()).into_text(),
+            // Some store does not have all of it yet.
+            None => self.events.borrow().text().to_vec(),
+        }
     }
 
     /// Copies the output to the stores that own the records, from now on as it grows. Nothing waits for
--- a/crates/turns/src/origins.rs
+++ b/crates/turns/src/origins.rs
@@ -9,11 +9,11 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-/// Maximum length of the identifier of a stream whose origin is kept, in bytes.
-const MAX_STREAM_ID_BYTES: usize = 128;
+/// Maximum length of the identifier of a stream whose records are kept, in bytes.
+pub(crate) const MAX_STREAM_ID_BYTES: usize = 128;
 
-/// Maximum time for which an origin is kept.
-const MAX_RETENTION: Duration = Duration::from_secs(120);
+/// Maximum time for which the records of a stream are kept.
+pub(crate) const MAX_RETENTION: Duration = Duration::from_secs(120);
 
 /// Origins of streams by the identifier of the request that began the stream.
 #[derive(Clone, Debug)]
--- a/crates/turns/src/output_table.rs
+++ b/crates/turns/src/output_table.rs
@@ -3,6 +3,7 @@
 //! Like origins, they are kept in memory only.
 
 use crate::fingerprint::RequestFingerprint;
+use crate::origins::{MAX_RETENTION, MAX_STREAM_ID_BYTES};
 use crate::record::TurnId;
 use crate::stream_output::StreamOutput;
 use luglink_types::Timestamp;
@@ -16,9 +17,6 @@
 /// Maximum number of runs of a stream whose outputs are kept.
 const MAX_RUNS: usize = 8;
 
-/// Maximum time for which an output is kept.
-const MAX_RETENTION: Duration = Duration::from_secs(120);
-
 /// Size of an entry without its events, in bytes.
 const ENTRY_BYTES: usize = 256;
 
@@ -118,7 +116,7 @@
         now: Timestamp,
     ) -> u64 {
         self.expire(now);
-        if !update.events.is_valid() {
+        if !update.events.is_valid() || stream.0.len() > MAX_STREAM_ID_BYTES {
             return 0;
         }
         let expires_at = now.plus(retention.min(MAX_RETENTION));
--- a/crates/turns/src/stream_output.rs
+++ b/crates/turns/src/stream_output.rs
@@ -5,6 +5,9 @@
 /// Size of an event without its text, in bytes.
 const EVENT_BYTES: usize = 64;
 
+/// Maximum length of an event's identifier, in bytes.
+const MAX_EVENT_ID_BYTES: usize = 128;
+
 /// Event of a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct OutputEvent {
@@ -21,9 +24,13 @@
 }
 
 impl StreamOutput {
-    /// Adds an event.
-    pub fn push(&mut self, id: Option<&str>, text: &[u8]) {
-        self.text.extend_from_slice(text);
+    /// Adds an event. Its data is followed by a line feed. An identifier that is too long is left out.
+    pub fn push(&mut self, id: Option<&str>, data: Option<&[u8]>) {
+        if let Some(data) = data {
+            self.text.extend_from_slice(data);
+            self.text.push(b'\n');
+        }
+        let id = id.filter(|id| id.len() <= MAX_EVENT_ID_BYTES);
         self.events.push(OutputEvent {
             id: id.map(str::to_owned),
             end: self.text.len(),
@@ -59,6 +66,12 @@
         &self.text
     }
 
+    /// Text of all events.
+    #[must_use]
+    pub fn into_text(self) -> Vec<u8> {
+        self.text
+    }
+
     /// Approximate size in bytes.
     #[must_use]
     pub fn size(&self) -> usize {
@@ -110,10 +123,14 @@
         }
     }
 
-    /// Returns true if the positions of all events lie within the text, in order.
+    /// Returns true if the positions of all events lie within the text, in order, and no identifier is too
+    /// long.
     pub(crate) fn is_valid(&self) -> bool {
         let ends = self.events.iter().map(|event| event.end);
-        ends.is_sorted() && self.start(self.len()) == self.text.len()
+        let mut ids = self.events.iter().filter_map(|event| event.id.as_ref());
+        ends.is_sorted()
+            && self.start(self.len()) == self.text.len()
+            && ids.all(|id| id.len() <= MAX_EVENT_ID_BYTES)
     }
 }
 
--- a/crates/turns/tests/stream_outputs.rs
+++ b/crates/turns/tests/stream_outputs.rs
@@ -26,7 +26,10 @@
 fn output(numbers: std::ops::Range<usize>) -> StreamOutput {
     let mut output = StreamOutput::default();
     for number in numbers {
-        output.push(Some(&number.to_string()), format!("w{number}\n").as_bytes());
+        output.push(
+            Some(&number.to_string()),
+            Some(format!("w{number}").as_bytes()),
+        );
     }
     output
 }
@@ -95,7 +98,7 @@
     let mut table = Table::new();
     table.add(&update(1, 0..4));
     let mut resumed = update(2, 0..2);
-    resumed.events.push(Some("2"), b"other\n");
+    resumed.events.push(Some("2"), Some(b"other"));
     table.add(&resumed);
     assert_eq!(table.find(2).unwrap().events, resumed.events);
     assert_eq!(table.find(3), known(0..4, true));
@@ -124,7 +127,7 @@
         position: 0,
         events: long,
     };
-    long.events.push(Some("0"), &[b'w'; 1_500]);
+    long.events.push(Some("0"), Some(&[b'w'; 1_500]));
     for number in 0..3 {
         let retention = RETENTION + Duration::from_secs(number as u64);
         assert_eq!(table.add(&stream(number), &long, retention, at(0)), 1);
@@ -149,7 +152,7 @@
     let mut kept = 0;
     for number in 0..40 {
         let mut events = StreamOutput::default();
-        events.push(Some(&number.to_string()), &[b'w'; 64 << 10]);
+        events.push(Some(&number.to_string()), Some(&[b'w'; 64 << 10]));
         let update = OutputUpdate {
             run: 1,
             request: REQUEST,
@@ -177,6 +180,20 @@
     assert_eq!(table.find(1), None);
 }
 
+#[test]
+fn overlong_identifiers_are_not_kept() {
+    let long = "1".repeat(129);
+    let mut events = StreamOutput::default();
+    events.push(Some("0"), Some(b"w0"));
+    events.push(Some(&long), Some(b"w1"));
+    assert_eq!((events.len(), events.last_id()), (2, Some("0")));
+    assert_eq!(events.up_to(&long), None);
+    let mut table = OutputTable::new(1 << 20);
+    let stream = TurnId(long);
+    assert_eq!(table.add(&stream, &update(1, 0..2), RETENTION, at(0)), 0);
+    assert_eq!(table.bytes(), 0);
+}
+
 #[test]
 fn events_are_compared_as_numbers_only() {
     assert!(is_later_event("10", "9"));
@@ -266,7 +283,7 @@
         let mut whole = StreamOutput::default();
         for (number, length) in lengths.iter().enumerate() {
             let id = number.to_string();
-            whole.push((number % 3 > 0).then_some(id.as_str()), &vec![b'w'; *length]);
+            whole.push((number % 3 > 0).then_some(id.as_str()), Some(&vec![b'w'; *length]));
         }
         let mut joined = StreamOutput::default();
         while joined.len() < whole.len() {
