--- a/app/luglink/tests/stream_soak/fleet.rs
+++ b/app/luglink/tests/stream_soak/fleet.rs
@@ -4,7 +4,7 @@
 use crate::replicas::{Faults, Replicas};
 use awc::Client;
 use luglink_edge::{Configuration, Engine, Limits, Route, RouteKind, Service, Target};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, kill_process, setrlimit};
 use std::cell::{Cell, RefCell};
 use std::fs::File;
 use std::net::SocketAddr;
@@ -20,7 +20,8 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-const MEMBERS: usize = 3;
+/// Control members, each on a machine with a store.
+pub const MEMBERS: usize = 3;
 
 /// Replicas of each version at the start.
 const REPLICAS_PER_VERSION: usize = 5;
@@ -43,14 +44,68 @@
 /// Path of the route of requests that are not streams.
 pub const CALL_PATH: &str = "/calls/x";
 
+/// Port of the gateways' readiness checks.
+pub const READY_PORT: u16 = 7_401;
+
+/// Port of the gateways' metrics.
+pub const GATEWAY_METRICS_PORT: u16 = 7_402;
+
+/// Port of the stores' metrics.
+pub const STORE_METRICS_PORT: u16 = 7_403;
+
+/// Port of the members' metrics.
+pub const MEMBER_METRICS_PORT: u16 = 7_202;
+
+/// Internal port of the members.
+pub const MEMBER_PORT: u16 = 7_100;
+
+/// Internal port of the stores.
+pub const STORE_PORT: u16 = 7_101;
+
+/// Port at which the members resolve gateways.
+pub const RESOLUTION_PORT: u16 = 7_201;
+
+const OPERATOR_PORT: u16 = 7_200;
+
 static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
 
+/// Size of a fleet and limits of its machines and callers.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetPlan {
+    pub gateways: usize,
+    /// Stores that do not run at the start.
+    pub spares: usize,
+    /// Memory of a process on a gateway's machine, in mebibytes.
+    pub gateway_memory_mb: u64,
+    /// Memory of a process on a machine with a disk, in mebibytes.
+    pub storage_memory_mb: u64,
+    /// Maximum number of open files of a process; `None` for that of the test.
+    pub open_files: Option<u64>,
+    /// Maximum size of a caller's body, in bytes.
+    pub max_body_bytes: usize,
+}
+
+impl Default for FleetPlan {
+    fn default() -> Self {
+        Self {
+            gateways: 2,
+            spares: 0,
+            gateway_memory_mb: 256,
+            storage_memory_mb: 256,
+            open_files: None,
+            max_body_bytes: 1 << 20,
+        }
+    }
+}
+
 /// Process that can be signalled and started again.
 pub struct Process {
     role: &'static str,
     settings: PathBuf,
     log: PathBuf,
     child: RefCell<Option<Child>>,
+    /// Maximum number of its open files; `None` for that of the test.
+    open_files: Option<u64>,
     /// Identifier of the process while it runs, also while its end is awaited.
     pid: Cell<Option<Pid>>,
     /// Time of the latest signal to the process, or of its latest start.
@@ -58,16 +113,17 @@
 }
 
 impl Process {
-    fn start(role: &'static str, settings: PathBuf) -> Self {
-        let process = Self::prepare(role, settings);
+    fn start(role: &'static str, settings: PathBuf, open_files: Option<u64>) -> Self {
+        let process = Self::prepare(role, settings, open_files);
         process.start_again();
         process
     }
 
     /// Creates a process that does not run yet.
-    fn prepare(role: &'static str, settings: PathBuf) -> Self {
+    fn prepare(role: &'static str, settings: PathBuf, open_files: Option<u64>) -> Self {
         Self {
             role,
+            open_files,
             log: settings.with_extension("log"),
             settings,
             child: RefCell::default(),
@@ -115,14 +171,15 @@
         let binary = builds::binary(self.role, !self.log.exists());
         let mut log = File::options();
         let log = log.create(true).append(true).open(&self.log).unwrap();
-        let child = Command::new(binary)
+        let mut command = Command::new(binary);
+        command
             .arg(self.role)
             .arg("--config")
             .arg(&self.settings)
             .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .expect("the binary starts");
+            .stderr(log);
+        let child = with_open_files(self.open_files, || command.spawn());
+        let child = child.expect("the binary starts");
         self.pid.set(Some(Pid::from_child(&child)));
         *self.child.borrow_mut() = Some(child);
         self.disturbed_at.set(Instant::now());
@@ -136,6 +193,23 @@
         }
     }
 
+    /// Returns the role of the process and the name of its machine.
+    pub fn label(&self) -> String {
+        format!("{} of {}", self.role, self.name())
+    }
+
+    /// Returns the identifier of the process while it runs.
+    pub fn id(&self) -> Option<i32> {
+        self.pid.get().map(|pid| pid.as_raw_nonzero().get())
+    }
+
+    /// Returns true if the process has ended without being waited for.
+    pub fn has_ended(&self) -> bool {
+        let mut child = self.child.borrow_mut();
+        let ended = child.as_mut().map(|child| child.try_wait().unwrap());
+        ended.is_some_and(|status| status.is_some())
+    }
+
     /// Returns true if the process runs or its end is awaited.
     pub fn is_running(&self) -> bool {
         self.pid.get().is_some()
@@ -166,9 +240,27 @@
     }
 }
 
+/// Spawns a process that may open at most this many files.
+fn with_open_files<Spawned>(limit: Option<u64>, spawn: impl FnOnce() -> Spawned) -> Spawned {
+    let Some(limit) = limit else {
+        return spawn();
+    };
+    // A process inherits the limit of the test, which is lowered until it has started.
+    let usual = getrlimit(Resource::Nofile);
+    let lowered = Rlimit {
+        current: Some(limit),
+        maximum: usual.maximum,
+    };
+    setrlimit(Resource::Nofile, lowered).expect("the limit can be lowered");
+    let spawned = spawn();
+    setrlimit(Resource::Nofile, usual).expect("the limit can be restored");
+    spawned
+}
+
 /// Running fleet with its replicas.
 #[derive(Clone)]
 pub struct Fleet {
+    plan: FleetPlan,
     pub members: Rc<Vec<Process>>,
     pub stores: Rc<Vec<Process>>,
     /// Stores that do not run at the start.
@@ -210,14 +302,27 @@
         faults: Faults,
         spares: usize,
     ) -> Self {
+        let plan = FleetPlan {
+            gateways,
+            spares,
+            ..FleetPlan::default()
+        };
+        Self::start_as(seed, plan, faults).await
+    }
+
+    /// Starts all processes of a plan but its spare stores, and waits until all gateways serve.
+    pub async fn start_as(seed: u64, plan: FleetPlan, faults: Faults) -> Self {
+        let FleetPlan {
+            gateways, spares, ..
+        } = plan;
         let folder = tempfile::tempdir().unwrap();
         let replicas = Replicas::start(seed, REPLICAS_PER_VERSION, faults).await;
         let list = replicas.serve_list().await;
         let block = NEXT_FLEET.fetch_add(1, Ordering::Relaxed) % 60;
         let process = std::process::id() % 250;
         let ip = |host: usize| format!("127.{}.{process}.{}", 100 + block, host + 1);
-        let settings = |host: usize| write_settings(folder.path(), host, &ip, list);
-        let start = |role, host| Process::start(role, settings(host));
+        let settings = |host: usize| write_settings(folder.path(), host, &ip, list, plan);
+        let start = |role, host| Process::start(role, settings(host), plan.open_files);
         let members = (0..MEMBERS).map(|host| start("member", host));
         let members: Vec<Process> = members.collect();
         let stores = (0..MEMBERS).map(|host| start("store", host));
@@ -226,20 +331,21 @@
         let started = hosts.clone().map(|host| start("gateway", host));
         let gateways: Vec<Process> = started.collect();
         let spare_hosts = (hosts.end..hosts.end + spares).map(|host| {
-            let spare = Process::prepare("store", settings(host));
+            let spare = Process::prepare("store", settings(host), plan.open_files);
             spare.end_first_start();
             spare
         });
         let spare_stores: Vec<Process> = spare_hosts.collect();
         let address = |host, port| format!("{}:{port}", ip(host)).parse().unwrap();
         let fleet = Self {
+            plan,
             members: Rc::new(members),
             stores: Rc::new(stores),
             spare_stores: Rc::new(spare_stores),
             gateways: Rc::new(gateways),
             addresses: Rc::new(hosts.map(|host| address(host, 7400)).collect()),
             replicas,
-            operator: address(0, 7200),
+            operator: address(0, OPERATOR_PORT),
             version: Rc::default(),
             folder: Rc::new(Folder {
                 folder,
@@ -255,6 +361,32 @@
         fleet
     }
 
+    /// Returns the maximum size of a caller's body, in bytes.
+    pub fn max_body_bytes(&self) -> usize {
+        self.plan.max_body_bytes
+    }
+
+    /// Returns all processes that were started.
+    pub fn processes(&self) -> impl Iterator<Item = &Process> {
+        let storage = self.members.iter().chain(&*self.stores);
+        storage.chain(&*self.gateways)
+    }
+
+    /// Returns the address of a port at the first gateway.
+    pub fn at_gateway(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.addresses[0].ip(), port)
+    }
+
+    /// Returns the address of a port at the first machine with a disk.
+    pub fn at_storage(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.operator.ip(), port)
+    }
+
+    /// Returns the address for operators at the first member.
+    pub fn operator(&self) -> SocketAddr {
+        self.operator
+    }
+
     /// Keeps settings, data and logs, because the run has failed.
     pub fn keep_logs(&self) {
         self.folder.is_kept.set(true);
@@ -263,7 +395,7 @@
     /// Sends the next version of the configuration. Returns true if it is acknowledged.
     pub async fn configure(&self) -> bool {
         self.version.set(self.version.get() + 1);
-        let body = configuration(self.version.get());
+        let body = configuration(self.version.get(), self.plan.max_body_bytes);
         let body = serde_json::to_value(&body).unwrap();
         self.order("/v1/configuration", body).await
     }
@@ -334,20 +466,31 @@
     host: usize,
     ip: &impl Fn(usize) -> String,
     list: SocketAddr,
+    plan: FleetPlan,
 ) -> PathBuf {
     let seeds: Vec<String> = (0..MEMBERS)
-        .map(|member| format!("\"{}:7200\"", ip(member)))
+        .map(|member| format!("\"{}:{OPERATOR_PORT}\"", ip(member)))
         .collect();
     let (seeds, ip) = (seeds.join(", "), ip(host));
     let data = folder.join(format!("machine-{host}"));
     let data = data.display();
+    let gateways = MEMBERS..MEMBERS + plan.gateways;
+    let memory_mb = match gateways.contains(&host) {
+        true => plan.gateway_memory_mb,
+        false => plan.storage_memory_mb,
+    };
     let text = format!(
         "[log]\nfilter = \"info\"\n\
-         [fleet]\nname = \"machine-{host}\"\nzone = \"here\"\nip = \"{ip}\"\nports = [7100, 7115]\n\
+         [fleet]\nname = \"machine-{host}\"\nzone = \"here\"\nip = \"{ip}\"\nports = [{MEMBER_PORT}, 7115]\n\
          seeds = [{seeds}]\nfirst_start = true\nlist_address = \"{list}\"\nstop_s = 4.0\n\
-         [gateway]\nlisten = \"{ip}:7400\"\nready_listen = \"{ip}:7401\"\n\
+         memory_mb = {memory_mb}\n\
+         [gateway]\nlisten = \"{ip}:7400\"\nready_listen = \"{ip}:{READY_PORT}\"\n\
+         metrics_listen = \"{ip}:{GATEWAY_METRICS_PORT}\"\n\
          [store]\ndata_folder = \"{data}-store\"\n\
-         [member]\noperator_listen = \"{ip}:7200\"\nresolution_listen = \"{ip}:7201\"\n\
+         metrics_listen = \"{ip}:{STORE_METRICS_PORT}\"\n\
+         [member]\noperator_listen = \"{ip}:{OPERATOR_PORT}\"\n\
+         resolution_listen = \"{ip}:{RESOLUTION_PORT}\"\n\
+         metrics_listen = \"{ip}:{MEMBER_METRICS_PORT}\"\n\
          data_folder = \"{data}-member\"\nlist_interval_ms = 200\n"
     );
     let path = folder.join(format!("machine-{host}.toml"));
@@ -355,7 +498,7 @@
     path
 }
 
-fn configuration(version: u64) -> Configuration {
+fn configuration(version: u64, max_body_bytes: usize) -> Configuration {
     let route = |path: &str, kind, gap_aim_ms| Route {
         name: path.trim_matches('/').replace('/', "-"),
         host: HOST.to_owned(),
@@ -402,7 +545,7 @@
             }),
         }],
         limits: Limits {
-            max_body_bytes: 1 << 20,
+            max_body_bytes,
             ..Limits::default()
         },
         tenants: Vec::new(),
--- a/app/luglink/tests/stream_soak/main.rs
+++ b/app/luglink/tests/stream_soak/main.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod crash_plan;
 mod crashing;
+#[allow(dead_code)] // The hostile clients use other parts.
 mod fleet;
 mod frozen_gateways;
 mod given_up_runs;
@@ -18,6 +19,7 @@
 mod random;
 mod replicas;
 mod resumed_turns;
+#[allow(dead_code)] // The hostile clients use other parts.
 mod runs;
 mod stale_knowledge;
 mod store_chaos;
--- a/app/luglink/tests/stream_soak/runs.rs
+++ b/app/luglink/tests/stream_soak/runs.rs
@@ -91,6 +91,13 @@
             .collect()
     }
 
+    /// Returns the number of requests whose names begin with `prefix`.
+    pub fn count_with_prefix(&self, prefix: &str) -> usize {
+        let requests = self.0.borrow();
+        let names = requests.keys().filter(|name| name.starts_with(prefix));
+        names.count()
+    }
+
     pub fn of(&self, name: &str) -> RequestRuns {
         let requests = self.0.borrow();
         requests.get(name).cloned().unwrap_or_default()
