Refuse a caller's body at once whose length exceeds the limit

Callers saw: 408 at the deadline, or 413 after 4 MiB.

Cause: `admit_body` reserved nothing for a length above the limit, and `collect` counted only what lay beyond the announced length. So a length above the limit was never counted, and each connection held up to the limit.

Change: such a length is refused with 413 before any byte of the body is read, so no interim response is sent either, and the response closes the connection. Why it works: what remains is announced within the limit and reserved in full before it is read, or has no length and is counted as it arrives.

--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -261,8 +261,8 @@
     ))
 }
 
-/// Reserves memory for a body before it is read. A body without a declared length, or with one
-/// above `limit`, is counted as it arrives.
+/// Reserves memory for a body before it is read. A body without a declared length is counted as it
+/// arrives; one with a length above `limit` is refused.
 fn admit_body(
     gateway: &Gateway,
     caller: &Caller,
@@ -271,11 +271,15 @@
     limit: usize,
 ) -> Result<HeldBytesGuard, Refusal> {
     let announced = incoming.size_hint().exact().unwrap_or(0);
-    let announced = if announced > limit as u64 {
-        0
-    } else {
-        announced
-    };
+    if announced > limit as u64 {
+        tracing::debug!(
+            id,
+            announced,
+            limit,
+            "body refused: its length exceeds the limit"
+        );
+        return Err(Refusal::too_long());
+    }
     let tenant = tenant_name(caller).cloned();
     let held = gateway.held.admit(id, tenant, announced);
     let held = held.map_err(|_| Refusal::memory_exhausted())?;
@@ -307,9 +311,7 @@
             let stopping = gateway.is_stopping();
             tracing::debug!(stopping, "reading a request body failed");
             Err(match failure {
-                BodyFailure::TooLong => {
-                    Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
-                }
+                BodyFailure::TooLong => Refusal::too_long(),
                 BodyFailure::Broken => {
                     Refusal::new(StatusCode::BAD_REQUEST, "the body is incomplete")
                 }
--- a/crates/gateway-server/src/refusal.rs
+++ b/crates/gateway-server/src/refusal.rs
@@ -57,6 +57,12 @@
         }
     }
 
+    /// Creates a refusal of a request whose body exceeds the limit. Its connection ends with the
+    /// response, because the rest of the body is not read.
+    pub(crate) fn too_long() -> Self {
+        Self::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
+    }
+
     /// Creates a refusal of a request that does not fit into the memory left for requests. It has
     /// not run and will not run.
     pub(crate) fn memory_exhausted() -> Self {
@@ -89,6 +95,9 @@
         let headers = response.headers_mut();
         let json = HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
+        if self.status == StatusCode::PAYLOAD_TOO_LARGE {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Some(pause) = self.retry_after
             && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", pause.as_secs_f64()))
         {
