Move the account of held bytes to where every listener can use it

Cause: only the gateway counts what its peers make it hold. The account lived in the gateway and its logic in the scheduling crate, so members and stores could not use it.

Change: `HeldBytes` moves to a pure crate of its own, `limits`; `ByteAccount` in `net` tells the holders, and the gateway's ledger keeps its log lines, their target and its metrics around it. No decision changes: the tests of the account moved along unchanged and pass.

--- a/crates/gateway-server/src/gateway.rs
+++ b/crates/gateway-server/src/gateway.rs
@@ -72,7 +72,7 @@
     /// True if the reports of all stores were known at the last check.
     pub(crate) is_informed: Cell<bool>,
     /// Accounting of the bytes buffered for callers and replicas.
-    pub(crate) held: Rc<HeldBytesLedger>,
+    pub(crate) held: HeldBytesLedger,
     /// Time by which responses must be complete, once the gateway is stopping.
     pub(crate) stops_at: Rc<Cell<Option<Instant>>>,
     /// Statistics of the time that requests take on each route.
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -283,7 +283,6 @@
     let tenant = tenant_name(caller).cloned();
     let held = gateway.held.admit(id, tenant, announced);
     let held = held.map_err(|_| Refusal::memory_exhausted())?;
-    held.set_abortable(true);
     Ok(held)
 }
 
--- a/crates/scheduling/src/held_bytes.rs
+++ b/crates/limits/src/held_bytes.rs
@@ -157,6 +157,11 @@
         Ok(id)
     }
 
+    /// Marks a holder whose bytes are arriving from its peer. It can be cut, since nothing has run.
+    pub fn set_receiving(&mut self, id: HolderId) {
+        self.set_abortable(id, true);
+    }
+
     /// Sets whether a holder can be cut. It cannot while a replica may run its request unobserved.
     pub fn set_abortable(&mut self, id: HolderId, can_be_cut: bool) {
         if let Some(holder) = self.holders.get_mut(&id) {
--- a/crates/scheduling/tests/held_bytes.rs
+++ b/crates/limits/tests/held_bytes.rs
@@ -1,6 +1,6 @@
 //! Replay of callers that stop reading: the bytes held by a process stay within its limit.
 
-use luglink_scheduling::{Growth, HeldBytes, HeldBytesLimit, HolderId};
+use luglink_limits::{Growth, HeldBytes, HeldBytesLimit, HolderId};
 use luglink_types::TenantName;
 use proptest::prelude::*;
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod account;
 mod connection;
 mod errors;
 mod link;
@@ -12,6 +13,7 @@
 mod request_client;
 mod socket;
 
+pub use account::{AccountEvent, ByteAccount, ByteGuard};
 pub use connection::{FrameSender, frame_channel};
 pub use errors::NetError;
 pub use link::{Link, LinkEvent};
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -10,7 +10,6 @@
 mod answer_lengths;
 mod features;
 mod finish;
-mod held_bytes;
 mod load_shedding;
 mod load_view;
 mod moves;
@@ -33,7 +32,6 @@
 pub use answer_lengths::AnswerLengths;
 pub use features::Features;
 pub use finish::{Expected, ReplicaState, SharedPart, Work, batch_factor, expect};
-pub use held_bytes::{Growth, HeldAbort, HeldBytes, HeldBytesLimit, HolderId};
 pub use load_shedding::{LoadShedder, ShedDecision};
 pub use load_view::{AgedStats, LoadView, VIEW_STALE_AFTER};
 pub use moves::{
--- a/xtask/src/purity.rs
+++ b/xtask/src/purity.rs
@@ -20,6 +20,7 @@
     "edge",
     "quota",
     "scheduling",
+    "limits",
 ];
 
 /// Prefixes of dependencies that a pure crate must not have.
