Let unfinished long bodies give way to a shorter one

Callers saw: 503 for every ordinary request with a body while some callers did not finish theirs. Three bodies of 4 MiB fill the account of a machine of 48 MB, and their callers choose how long they take.

Cause: `HeldBytes::admit` cut no holder for a request that has not started, also where the holders had not started either.

Change: a request cuts longer holders whose bytes are still arriving, the newest of the large ones first, and none if that does not suffice. They have not run and get 503. What a replica may run, and what is sent to a caller, gives way to no newcomer, as before.

--- a/crates/gateway-server/tests/gateway/held_bytes.rs
+++ b/crates/gateway-server/tests/gateway/held_bytes.rs
@@ -7,7 +7,7 @@
 use crate::support::{Fleet, HELD_BYTES_LIMIT, HOST, configuration, wait_until};
 use futures_util::future::join_all;
 use std::net::SocketAddr;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 const STALLED_CALLERS: usize = 3;
@@ -128,3 +128,34 @@
     })
     .await;
 }
+
+/// Announces a long body and sends a part of it.
+async fn begin_long_body(to: SocketAddr, id: usize) -> TcpStream {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    let head = format!(
+        "POST /safe/x HTTP/1.1\r\nHost: {HOST}\r\nLuglink-Request-Id: unfinished-{id}\r\n\
+         Luglink-Deadline-Ms: 4000\r\nContent-Length: {LONG_BODY_BYTES}\r\n\r\nhalf"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+}
+
+#[actix_rt::test]
+async fn a_short_body_is_taken_in_place_of_an_unfinished_long_one() {
+    let (fleet, replica) = fleet(Script::Answer).await;
+    let mut unfinished = Vec::new();
+    for id in 0..HELD_BYTES_LIMIT as usize / LONG_BODY_BYTES {
+        unfinished.push(begin_long_body(fleet.gateway_address, id).await);
+    }
+    wait_until("the bodies fill the limit", || async {
+        held(&fleet).await == HELD_BYTES_LIMIT as f64
+    })
+    .await;
+    let short = TestRequest::post("/safe/x", "short", "body").send(fleet.gateway_address);
+    assert_eq!(short.await.status, 200);
+    let mut newest = unfinished.pop().unwrap();
+    let mut status = [0; 12];
+    newest.read_exact(&mut status).await.unwrap();
+    assert_eq!(&status, b"HTTP/1.1 503");
+    assert_eq!(replica.requests(), 1);
+}
--- a/crates/limits/src/held_bytes.rs
+++ b/crates/limits/src/held_bytes.rs
@@ -4,8 +4,10 @@
 //! the memory of this process; a few hundred of them exceed the memory of a small machine. Below
 //! the limits nothing is refused or cut, since callers that read cause no such growth. At a limit,
 //! one holder is refused or cut so that all others are served. A request that has not started is
-//! refused while it is certain that it did not run. Of the running ones, the newest of the large
-//! holders is cut first, which frees the most memory for the least lost work.
+//! refused while it is certain that it did not run, unless longer bodies that are still arriving can
+//! give way to it: otherwise a few peers that never finish their bodies would keep all others out. Of the
+//! running ones, the newest of the large holders is cut first, which frees the most memory for the
+//! least lost work.
 //!
 //! A tenant may hold at most half of the limit of the process, so that a tenant whose callers all
 //! stop reading leaves room for others.
@@ -69,6 +71,8 @@
     bytes: u64,
     /// False while a replica may run the request unobserved.
     can_be_cut: bool,
+    /// True while the peer has not sent all yet.
+    is_receiving: bool,
 }
 
 /// Account of the bytes that a process holds.
@@ -124,8 +128,7 @@
         self.limit / TENANT_LIMIT_DIVISOR
     }
 
-    /// Adds a request that has announced its size in bytes. No holder is cut for a request that has
-    /// not started.
+    /// Adds a request that has announced its size in bytes. Cuts no holder; see [`Self::make_room`].
     ///
     /// # Errors
     ///
@@ -151,21 +154,44 @@
             tenant,
             bytes: 0,
             can_be_cut: false,
+            is_receiving: false,
         };
         self.holders.insert(id, holder);
         self.set(id, announced);
         Ok(id)
     }
 
+    /// Cuts longer holders of the tenant, and of all, whose bytes are still arriving, so that a request
+    /// of `announced` bytes can be admitted. Cuts none if that does not suffice.
+    pub fn make_room(&mut self, tenant: Option<&TenantName>, announced: u64) -> Vec<HeldAbort> {
+        let request = GrowthRequest {
+            id: HolderId(self.next),
+            bytes: announced,
+            added: announced,
+        };
+        let gives_way = |holder: &Holder| holder.is_receiving && holder.bytes > announced;
+        let cuts = self.plan_cuts(&request, tenant, gives_way);
+        let cuts = cuts.unwrap_or_default();
+        for cut in &cuts {
+            self.release(cut.holder);
+        }
+        cuts
+    }
+
     /// Marks a holder whose bytes are arriving from its peer. It can be cut, since nothing has run.
     pub fn set_receiving(&mut self, id: HolderId) {
         self.set_abortable(id, true);
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.is_receiving = true;
+        }
     }
 
-    /// Sets whether a holder can be cut. It cannot while a replica may run its request unobserved.
+    /// Sets whether a holder that has received all can be cut. It cannot while a replica may run its
+    /// request unobserved.
     pub fn set_abortable(&mut self, id: HolderId, can_be_cut: bool) {
         if let Some(holder) = self.holders.get_mut(&id) {
             holder.can_be_cut = can_be_cut;
+            holder.is_receiving = false;
         }
     }
 
@@ -177,7 +203,8 @@
         };
         let added = bytes.saturating_sub(holder.bytes);
         let request = GrowthRequest { id, bytes, added };
-        let planned = self.plan_cuts(&request, holder.tenant.as_ref());
+        let can_be_cut = |holder: &Holder| holder.can_be_cut;
+        let planned = self.plan_cuts(&request, holder.tenant.as_ref(), can_be_cut);
         match planned {
             Ok(cuts) => {
                 for cut in &cuts {
@@ -201,6 +228,7 @@
         &self,
         request: &GrowthRequest,
         tenant: Option<&TenantName>,
+        gives_way: impl Fn(&Holder) -> bool,
     ) -> Result<Vec<HeldAbort>, HeldBytesLimit> {
         if request.added == 0 {
             return Ok(Vec::new());
@@ -212,7 +240,7 @@
         if let Some(name) = tenant {
             let after = self.of_tenant(name).saturating_add(request.added);
             let excess = after.saturating_sub(self.tenant_limit());
-            let of_tenant = |holder: &Holder| holder.tenant.as_ref() == tenant;
+            let of_tenant = |holder: &Holder| holder.tenant.as_ref() == tenant && gives_way(holder);
             self.choose_cuts(
                 request,
                 excess,
@@ -228,7 +256,7 @@
             request,
             excess,
             HeldBytesLimit::Process,
-            |_| true,
+            &gives_way,
             &mut cuts,
         )?;
         Ok(cuts)
@@ -252,7 +280,7 @@
         let mut candidates: Vec<HeldAbort> = self
             .holders
             .iter()
-            .filter(|(id, holder)| holder.can_be_cut && is_candidate(holder) && is_uncut(id))
+            .filter(|(id, holder)| is_candidate(holder) && is_uncut(id))
             .map(|(id, holder)| HeldAbort {
                 holder: *id,
                 bytes: if *id == request.id {
--- a/crates/limits/tests/held_bytes.rs
+++ b/crates/limits/tests/held_bytes.rs
@@ -144,6 +144,55 @@
     assert_eq!(held.of_holder(growing), Some(400));
 }
 
+#[test]
+fn unfinished_long_bodies_give_way_to_a_shorter_one() {
+    let mut held = HeldBytes::new(1_000);
+    let started = held.admit(None, 200).unwrap();
+    let older = held.admit(None, 400).unwrap();
+    let newer = held.admit(None, 400).unwrap();
+    held.set_receiving(older);
+    held.set_receiving(newer);
+    let cuts = held.make_room(None, 50);
+    let cut: Vec<HolderId> = cuts.iter().map(|cut| cut.holder).collect();
+    assert_eq!(cut, [newer]);
+    assert!(held.admit(None, 50).is_ok());
+    assert_eq!(held.total(), 200 + 400 + 50);
+    assert_eq!(held.of_holder(started), Some(200));
+}
+
+#[test]
+fn bodies_do_not_give_way_to_longer_ones_nor_where_that_does_not_suffice() {
+    let mut held = HeldBytes::new(1_000);
+    let started = held.admit(None, 450).unwrap();
+    let short = held.admit(None, 100).unwrap();
+    let long = held.admit(None, 450).unwrap();
+    held.set_receiving(short);
+    held.set_receiving(long);
+    assert!(held.make_room(None, 450).is_empty());
+    assert_eq!(held.admit(None, 450), Err(HeldBytesLimit::Process));
+    held.set_abortable(long, false);
+    for received in [started, short] {
+        held.set_abortable(received, true);
+    }
+    assert!(
+        held.make_room(None, 50).is_empty(),
+        "only bodies that arrive give way"
+    );
+}
+
+#[test]
+fn bodies_of_a_tenant_give_way_within_its_limit() {
+    let mut held = HeldBytes::new(1_000);
+    let other = held.admit(tenant(2), 400).unwrap();
+    let own = held.admit(tenant(1), 450).unwrap();
+    held.set_receiving(other);
+    held.set_receiving(own);
+    let cuts = held.make_room(tenant(1).as_ref(), 100);
+    let cut: Vec<HolderId> = cuts.iter().map(|cut| cut.holder).collect();
+    assert_eq!(cut, [own]);
+    assert!(held.admit(tenant(1), 100).is_ok());
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Admit(u64, u64),
--- a/crates/net/src/account.rs
+++ b/crates/net/src/account.rs
@@ -74,8 +74,9 @@
         })
     }
 
-    /// Admits a holder that is about to receive `announced` bytes from its peer. Until
-    /// [`ByteGuard::set_abortable`] is called, it gives way to others.
+    /// Admits a holder that is about to receive `announced` bytes from its peer. Longer ones that have not
+    /// received all yet give way to it, and it gives way to others until
+    /// [`ByteGuard::set_abortable`] is called.
     ///
     /// # Errors
     /// Returns the limit that leaves no room. Nothing was received.
@@ -85,6 +86,11 @@
         tenant: Option<TenantName>,
         announced: u64,
     ) -> Result<ByteGuard, HeldBytesLimit> {
+        let cuts = self
+            .bytes
+            .borrow_mut()
+            .make_room(tenant.as_ref(), announced);
+        cuts.iter().for_each(|cut| self.abort(cut));
         let mut bytes = self.bytes.borrow_mut();
         let admitted = bytes.admit(tenant, announced);
         let held = bytes.total();
