Count the buffer of a body before it grows

Cause: a body without a length was counted after it had been copied into its buffer, and by its length; the buffer doubles, so that up to twice the counted bytes were held, and a declared body grew by the same steps.

Change: `luglink_http::read_body` counts the size of the buffer before it grows, reserves a declared body once, and never more than the limit.

--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -5,12 +5,12 @@
 use crate::gateway::{ActiveConfiguration, Gateway};
 use crate::held::HeldBytesGuard;
 use crate::refusal::Refusal;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, Request, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use luglink_edge::{Caller, KeyError, Route, RouteKind};
+use luglink_http::{BodyFailure, BodyLimits, declared_length, read_body};
 use luglink_scheduling::PromptParts;
 use luglink_turns::{ProgramName, RequestFingerprint, TurnId};
 use luglink_types::TenantName;
@@ -173,10 +173,7 @@
     let deadline = arrived + time_limit;
     let limit = in_force.configuration.limits.max_body_bytes;
     let held = admit_body(gateway, &caller, &id, &incoming, limit)?;
-    let body = tokio::select! {
-        body = read_body(gateway, incoming, limit, deadline, &held) => body?,
-        _ = held.wait_for_abort() => return Err(Refusal::memory_exhausted()),
-    };
+    let body = receive(gateway, incoming, limit, deadline, &held).await?;
     held.set_abortable(false);
     let program = program_fields(gateway, &caller, &head);
     let prompt = PromptParts::read(
@@ -270,7 +267,7 @@
     incoming: &Incoming,
     limit: usize,
 ) -> Result<HeldBytesGuard, Refusal> {
-    let announced = incoming.size_hint().exact().unwrap_or(0);
+    let announced = declared_length(incoming);
     if announced > limit as u64 {
         tracing::debug!(
             id,
@@ -286,68 +283,35 @@
     Ok(held)
 }
 
-/// Reason why a request body could not be read.
-enum BodyFailure {
-    TooLong,
-    Broken,
-    /// The body exceeds the memory limit.
-    MemoryLimit,
-}
-
-async fn read_body(
+async fn receive(
     gateway: &Gateway,
     incoming: Incoming,
-    limit: usize,
+    max_bytes: usize,
     deadline: Instant,
     held: &HeldBytesGuard,
 ) -> Result<Bytes, Refusal> {
-    let left = deadline.saturating_duration_since(Instant::now());
-    let announced = incoming.size_hint().exact().unwrap_or(0);
-    let reading = collect(Limited::new(incoming, limit), announced, held);
-    match actix_rt::time::timeout(left, reading).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(failure)) => {
-            let stopping = gateway.is_stopping();
-            tracing::debug!(stopping, "reading a request body failed");
-            Err(match failure {
-                BodyFailure::TooLong => Refusal::too_long(),
-                BodyFailure::Broken => {
-                    Refusal::new(StatusCode::BAD_REQUEST, "the body is incomplete")
-                }
-                BodyFailure::MemoryLimit => Refusal::memory_exhausted(),
-            })
-        }
-        Err(_) => Err(Refusal::new(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body did not arrive before the deadline",
-        )),
-    }
-}
-
-/// Reads a body to its end. Bytes beyond the declared length are counted as they arrive.
-async fn collect(
-    mut body: Limited<Incoming>,
-    announced: u64,
-    held: &HeldBytesGuard,
-) -> Result<Bytes, BodyFailure> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            tracing::debug!(%error, "request body ended early or exceeds the length limit");
-            if error.is::<http_body_util::LengthLimitError>() {
-                BodyFailure::TooLong
-            } else {
-                BodyFailure::Broken
-            }
-        })?;
-        bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
-        let length = bytes.len() as u64;
-        if length > announced {
-            held.set_request(length)
-                .map_err(|_| BodyFailure::MemoryLimit)?;
+    let limits = BodyLimits {
+        max_bytes,
+        timeout: deadline.saturating_duration_since(Instant::now()),
+    };
+    let reading = read_body(incoming, limits, |bytes| held.set_request(bytes));
+    let body = tokio::select! {
+        body = reading => body,
+        _ = held.wait_for_abort() => Err(BodyFailure::NoMemory),
+    };
+    body.map_err(|failure| {
+        let stopping = gateway.is_stopping();
+        tracing::debug!(stopping, %failure, "reading a request body failed");
+        match failure {
+            BodyFailure::TooLong => Refusal::too_long(),
+            BodyFailure::Broken => Refusal::new(StatusCode::BAD_REQUEST, "the body is incomplete"),
+            BodyFailure::NoMemory => Refusal::memory_exhausted(),
+            BodyFailure::TimedOut => Refusal::new(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body did not arrive before the deadline",
+            ),
         }
-    }
-    Ok(bytes.freeze())
+    })
 }
 
 fn program_fields(gateway: &Gateway, caller: &Caller, head: &Parts) -> Option<ProgramFields> {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,6 +11,7 @@
 mod client;
 mod fetch;
 mod head_limit;
+mod request_body;
 mod server;
 mod write_stall;
 
@@ -19,4 +20,5 @@
     ClientConnection, ConnectError, ConnectionEnd, ConnectionState, SendError, connect, is_reset,
 };
 pub use fetch::{FetchError, FetchLimits, fetch};
+pub use request_body::{BodyFailure, BodyLimits, declared_length, read_body};
 pub use server::{Abort, ServeOptions, StopHandle, StopSignal, serve, stop_channel};
