Count operators' bodies before they are read, and end them in time

Operators saw: 400 for a body over the limit, and no answer at all for one that was not finished. A member held 1,021 MB on a machine of 58 MB beside 60 such connections.

Cause: `OperatorApi::put` read up to 16 MiB a call, with no account over all calls and no end in time.

Change: a member has an account of a quarter of its memory, of which one body may take half (at most 16 MiB). A length above that is refused with 413 before the body is read, a body that finds no memory with 503 and Retry-After, and one that is not complete within 10 s with 408; a body that the peer breaks off keeps its 400. Longer unfinished bodies give way to shorter ones. The document is no longer copied on its way to the log.

--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -21,6 +21,7 @@
 use luglink_edge::Dialect;
 use luglink_fleet::ListReadLimits;
 use luglink_http::{ServeOptions, serve, stop_channel};
+use luglink_net::ByteAccount;
 use luglink_settings::{FleetSettings, ManagedMemberSettings};
 use luglink_storage::FileDisk;
 use luglink_turns::ReportHolder;
@@ -91,7 +92,8 @@
         let actor = actor.clone();
         move |event| actor.do_send(SocketEvent(event))
     }));
-    serve_operators(config, &actor, &dialect, &metrics, operators);
+    let held = metrics.peers.account(fleet.machine().held_bytes());
+    serve_operators(config, &actor, &dialect, &metrics, held, operators);
     serve_resolutions(config, &actor, &dialect, &metrics, resolutions);
     let poll = PollConfig {
         address: fleet.list_address,
@@ -205,9 +207,11 @@
     actor: &Addr<ControlActor>,
     dialect: &Rc<dyn Dialect>,
     metrics: &MemberMetrics,
+    held: Rc<ByteAccount>,
     listener: TcpListener,
 ) {
     let service = OperatorService {
+        held,
         control: actor.clone(),
         dialect: Rc::clone(dialect),
         port: config.member.operator_listen.port(),
--- a/crates/control-server/src/metrics.rs
+++ b/crates/control-server/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a control member in a managed fleet.
 
 use crate::errors::ControlServerError;
+use luglink_net::PeerMetrics;
 use luglink_telemetry::Metrics;
 use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec};
 
@@ -12,6 +13,8 @@
     pub(crate) operator_calls: IntCounterVec,
     /// Response time of operator calls, in seconds.
     pub(crate) operator_seconds: Histogram,
+    /// Bytes that peers make this member hold.
+    pub(crate) peers: PeerMetrics,
     /// Resolutions by status.
     pub(crate) resolutions: IntCounterVec,
     /// Reads of the platform's list by outcome.
@@ -39,6 +42,7 @@
             operator_calls: labelled("operator_calls_total", "Operators' calls", "status")?,
             operator_seconds: registry
                 .seconds_histogram("operator_seconds", "Time to answer operators")?,
+            peers: PeerMetrics::register(&registry)?,
             resolutions: labelled("resolutions_total", "Answers where to go", "status")?,
             list_reads: labelled("member_list_reads_total", "Looks at the list", "end")?,
             skipped_entries: registry.counter(
--- a/crates/control-server/src/operator.rs
+++ b/crates/control-server/src/operator.rs
@@ -5,13 +5,14 @@
 use crate::queries::GetFleetStatus;
 use crate::resolution::json;
 use actix::Addr;
+use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use luglink_control::{Request as ControlRequest, Response as ControlResponse};
 use luglink_edge::{Dialect, OperatorCall};
 use luglink_fleet::{RetireResponse, RetireState, StoreName, VersionedDocument};
-use luglink_http::{Abort, Body};
+use luglink_http::{Abort, Body, BodyFailure, BodyLimits, declared_length, read_body};
+use luglink_net::{ByteAccount, ByteGuard};
 use luglink_types::MemberId;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -21,6 +22,12 @@
 /// Maximum size of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// Time within which a body must be complete.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Delay after which an operator whose body found no memory should call again.
+const MEMORY_RETRY_AFTER_SECONDS: &str = "1";
+
 /// Time after which a call without a decision by consensus fails with an unknown outcome.
 const DECISION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -29,6 +36,8 @@
 pub(crate) struct OperatorService {
     pub(crate) control: Addr<ControlActor>,
     pub(crate) dialect: Rc<dyn Dialect>,
+    /// Bytes that all peers make this member hold.
+    pub(crate) held: Rc<ByteAccount>,
     /// Port of the operator API at every member, for redirects.
     pub(crate) port: u16,
     pub(crate) metrics: MemberMetrics,
@@ -84,10 +93,10 @@
     }
 
     async fn put(&self, incoming: Incoming) -> Result<Response<Body>, CallFailure> {
-        let Ok(body) = Limited::new(incoming, MAX_BODY_BYTES).collect().await else {
-            return Ok(self.problem(StatusCode::BAD_REQUEST, "the body is not whole"));
+        let (content, _held) = match self.receive(incoming).await {
+            Ok(received) => received,
+            Err(failure) => return Ok(self.body_problem(failure)),
         };
-        let content = body.to_bytes();
         let configuration = match self.dialect.configuration(&content) {
             Ok(configuration) => configuration,
             Err(error) => return Ok(self.invalid(&error.to_string())),
@@ -106,7 +115,7 @@
         if !is_superseded {
             let document = VersionedDocument {
                 version,
-                content: content.to_vec(),
+                content: content.into(),
             };
             match self.ask(ControlRequest::PutDocument(document)).await? {
                 ControlResponse::DocumentHeld { version: held } => {
@@ -122,6 +131,33 @@
         Ok(json(StatusCode::OK, b"{}".to_vec()))
     }
 
+    /// Reads a body. Its bytes are counted until the guard is dropped.
+    async fn receive(&self, incoming: Incoming) -> Result<(Bytes, ByteGuard), BodyFailure> {
+        let max_holder_bytes = self.held.max_holder_bytes();
+        let max_bytes = MAX_BODY_BYTES.min(usize::try_from(max_holder_bytes).unwrap_or(usize::MAX));
+        let declared = declared_length(&incoming);
+        if declared > max_bytes as u64 {
+            tracing::info!(
+                declared,
+                max_bytes,
+                "body refused: its length exceeds the limit"
+            );
+            return Err(BodyFailure::TooLong);
+        }
+        let held = self.held.admit("operator", None, declared);
+        let held = held.map_err(|_| BodyFailure::NoMemory)?;
+        let limits = BodyLimits {
+            max_bytes,
+            timeout: BODY_TIMEOUT,
+        };
+        let content = tokio::select! {
+            content = read_body(incoming, limits, |bytes| held.resize(bytes)) => content?,
+            _ = held.wait_for_abort() => return Err(BodyFailure::NoMemory),
+        };
+        held.set_abortable(false);
+        Ok((content, held))
+    }
+
     async fn get(&self) -> Result<Response<Body>, CallFailure> {
         match self.ask(ControlRequest::ReadDocument).await? {
             ControlResponse::Document(Some(document)) => Ok(json(StatusCode::OK, document.content)),
@@ -190,6 +226,25 @@
         json(StatusCode::BAD_REQUEST, self.dialect.problem(detail))
     }
 
+    fn body_problem(&self, failure: BodyFailure) -> Response<Body> {
+        let status = match failure {
+            BodyFailure::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyFailure::Broken => StatusCode::BAD_REQUEST,
+            BodyFailure::TimedOut => StatusCode::REQUEST_TIMEOUT,
+            BodyFailure::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let mut response = self.problem(status, &failure.to_string());
+        let headers = response.headers_mut();
+        if failure == BodyFailure::TooLong {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        if failure == BodyFailure::NoMemory {
+            let delay = HeaderValue::from_static(MEMORY_RETRY_AFTER_SECONDS);
+            headers.insert(header::RETRY_AFTER, delay);
+        }
+        response
+    }
+
     fn problem(&self, status: StatusCode, detail: &str) -> Response<Body> {
         json(status, self.dialect.problem(detail))
     }
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -90,6 +90,7 @@
         stop_s: 8.0,
         resolution_s: 5.0,
         memory_mb: 256,
+        open_files: 4_096,
         quota_window_s: 5.0,
         quota_overage: 0.1,
         quota_slack: 20.0,
--- a/crates/net/src/account.rs
+++ b/crates/net/src/account.rs
@@ -122,6 +122,12 @@
         })
     }
 
+    /// Returns the maximum number of bytes that one holder may have.
+    #[must_use]
+    pub fn max_holder_bytes(&self) -> u64 {
+        self.bytes.borrow().tenant_limit()
+    }
+
     fn tell_total(&self) {
         let held = self.bytes.borrow().total();
         (self.on_event)(AccountEvent::Changed { held });
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 mod errors;
 mod link;
 mod listener;
+mod metrics;
 mod request_client;
 mod socket;
 
@@ -18,5 +19,6 @@
 pub use errors::NetError;
 pub use link::{Link, LinkEvent};
 pub use listener::{ListenerEvent, serve};
+pub use metrics::{ConnectionMetrics, PeerMetrics};
 pub use request_client::RequestClient;
 pub use socket::{set_reset_on_close, set_send_buffer, set_tcp_options};
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -2,7 +2,9 @@
 
 use crate::daemon::unspecified;
 use crate::reader::Reader;
+use luglink_limits::Machine;
 use luglink_types::{FeatureMode, FeatureModes};
+use rustix::process::{Resource, getrlimit};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -27,6 +29,12 @@
 /// Condition of a deployment whose callers at times compete for insufficient capacity.
 const PRESSURE_CONDITION: &str = "pressure";
 
+/// Returns the number of files that the operating system lets this process open.
+fn open_file_limit() -> u64 {
+    let limit = getrlimit(Resource::Nofile);
+    limit.current.unwrap_or(u64::MAX)
+}
+
 /// Settings that all processes of a managed fleet share.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetSettings {
@@ -58,6 +66,8 @@
     pub resolution_s: f64,
     /// Memory limit of the process, in mebibytes.
     pub memory_mb: u64,
+    /// Maximum number of open files and sockets of the process.
+    pub open_files: u64,
     /// Length of the window in which requests count against a tenant's limit, in seconds.
     pub quota_window_s: f64,
     /// Fraction by which a tenant may exceed its limit in a window.
@@ -103,6 +113,7 @@
             stop_s: reader.optional("fleet.stop_s", 8.0),
             resolution_s: reader.optional("fleet.resolution_s", 5.0),
             memory_mb: reader.optional("fleet.memory_mb", 256),
+            open_files: reader.optional("fleet.open_files", open_file_limit()),
             quota_window_s: reader.optional("fleet.quota_window_s", 5.0),
             quota_overage: reader.optional("fleet.quota_overage", DEFAULT_QUOTA_OVERAGE_RATIO),
             quota_slack: reader.optional("fleet.quota_slack", DEFAULT_QUOTA_SLACK_REQUESTS),
@@ -131,6 +142,7 @@
             ("fleet.resolution_s", self.resolution_s > 0.0),
             ("fleet.list_calls_per_s", self.list_calls_per_s > 0.0),
             ("fleet.memory_mb", self.memory_mb > 0),
+            ("fleet.open_files", self.open_files > 0),
             ("fleet.revoke_ms", self.revoke_ms > 0),
             ("fleet.quota_window_s", self.quota_window_s > 0.0),
         ];
@@ -147,6 +159,15 @@
         }
     }
 
+    /// Returns the memory and the open files of the process.
+    #[must_use]
+    pub fn machine(&self) -> Machine {
+        Machine {
+            memory_bytes: self.memory_mb << 20,
+            open_files: self.open_files,
+        }
+    }
+
     /// Returns the age at which the list of replicas is stale and a gateway reads it itself: half of
     /// the time after which a leaving replica must not receive work. The other half remains for
     /// reading.
