Count frames that have arrived in part, and end them in time

A member held 3,858 MB and a store 3,855 MB, on machines of 58 MB, beside 60 connections that sent one unfinished frame each, before or after a hello.

Cause: `FrameReader` took a frame of up to 64 MiB from anybody before the hello, and nothing bounded the frames of all connections or the time that one may take.

Change: the first frame may have 64 bytes. After the hello, what has arrived of a frame is counted in the account of the process (a quarter of its memory, half of that for one frame, 64 MiB at most), which a member shares with operators' bodies; it has 10 s to be complete. Where the account is full, longer unfinished frames give way. Connections read into one buffer, and one that is idle keeps none. Links to other processes read as before.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -209,6 +209,7 @@
             },
             observer: observer_config(fleet),
             metrics_listen: store.metrics_listen,
+            machine: fleet.machine(),
         };
         let server = luglink_store_server::start(config)
             .await
--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -21,7 +21,7 @@
 use luglink_edge::Dialect;
 use luglink_fleet::ListReadLimits;
 use luglink_http::{ServeOptions, serve, stop_channel};
-use luglink_net::ByteAccount;
+use luglink_net::{ByteAccount, ListenerLimits};
 use luglink_settings::{FleetSettings, ManagedMemberSettings};
 use luglink_storage::FileDisk;
 use luglink_turns::ReportHolder;
@@ -88,11 +88,13 @@
     let peers = Peers::by_address(member, fleet.member_port());
     let reports = ReportService::new(open_reports(config));
     let actor = ControlActor::with_reopen(peers, reopen(config.clone(), member), reports).start();
-    actix_rt::spawn(luglink_net::serve(listener, {
+    let machine = fleet.machine();
+    let held = metrics.peers.account(machine.held_bytes());
+    let limits = ListenerLimits::internal(Rc::clone(&held), &metrics.peers);
+    actix_rt::spawn(luglink_net::serve(listener, limits, {
         let actor = actor.clone();
         move |event| actor.do_send(SocketEvent(event))
     }));
-    let held = metrics.peers.account(fleet.machine().held_bytes());
     serve_operators(config, &actor, &dialect, &metrics, held, operators);
     serve_resolutions(config, &actor, &dialect, &metrics, resolutions);
     let poll = PollConfig {
--- a/crates/control-server/src/server.rs
+++ b/crates/control-server/src/server.rs
@@ -7,9 +7,12 @@
 use actix::{Actor, Addr};
 use luglink_admin_api::v1::admin_server::AdminServer;
 use luglink_control::{ControlConfig, ControlError, ControlNode, Request, Response};
+use luglink_limits::Machine;
+use luglink_net::ListenerLimits;
 use luglink_program::RefundRule;
 use luglink_settings::ControlSettings;
 use luglink_storage::FileDisk;
+use luglink_telemetry::Metrics;
 use luglink_types::MemberId;
 use rand::RngCore;
 use snafu::{OptionExt, ResultExt};
@@ -19,6 +22,12 @@
 use tokio::sync::oneshot;
 use tokio_stream::wrappers::TcpListenerStream;
 
+/// Memory and open files that the limits of the internal listener allow for.
+const MACHINE: Machine = Machine {
+    memory_bytes: 1 << 30,
+    open_files: 8_192,
+};
+
 /// A running control member.
 #[derive(Debug)]
 pub struct ControlServer {
@@ -71,7 +80,8 @@
     let peers = Peers::open(MemberId(settings.id), &settings.members);
     let (failed_sender, failed) = oneshot::channel();
     let actor = ControlActor::new(node, peers, failed_sender).start();
-    let accepting = actix_rt::spawn(luglink_net::serve(listener, {
+    let limits = ListenerLimits::for_machine(MACHINE, &Metrics::new())?;
+    let accepting = actix_rt::spawn(luglink_net::serve(listener, limits, {
         let actor = actor.clone();
         move |event| actor.do_send(SocketEvent(event))
     }));
--- a/crates/fleet-client/tests/observer.rs
+++ b/crates/fleet-client/tests/observer.rs
@@ -6,7 +6,9 @@
     ObserverUpdate, Presence, Role, StorePresence,
 };
 use luglink_fleet_client::{ListSource, Observer, ObserverConfig, ObserverDelegate};
-use luglink_net::{FrameSender, ListenerEvent, serve};
+use luglink_limits::Machine;
+use luglink_net::{FrameSender, ListenerEvent, ListenerLimits, serve};
+use luglink_telemetry::Metrics;
 use luglink_wire::{Frame, decode_body, encode_body};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -161,7 +163,10 @@
                 clients: RefCell::default(),
             });
             members.push(Rc::clone(&member));
-            actix_rt::spawn(serve(listener, move |event| member.on_socket(event)));
+            let limits = ListenerLimits::for_machine(Machine::default(), &Metrics::new());
+            actix_rt::spawn(serve(listener, limits.unwrap(), move |event| {
+                member.on_socket(event)
+            }));
         }
         Self { members, port }
     }
--- a/crates/gateway-server/tests/gateway/mixed_builds.rs
+++ b/crates/gateway-server/tests/gateway/mixed_builds.rs
@@ -3,6 +3,7 @@
 use crate::support::{Fleet, wait_until};
 use luglink_control::{Request, Response};
 use luglink_fleet_client::ObserverConfig;
+use luglink_limits::Machine;
 use luglink_net::RequestClient;
 use luglink_quota::Tolerance;
 use luglink_store_server::StoreServerConfig;
@@ -129,5 +130,6 @@
             member_port: 1,
         },
         metrics_listen: None,
+        machine: Machine::default(),
     }
 }
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -298,6 +298,7 @@
         },
         observer: observer(fleet),
         metrics_listen: Some((fleet.ip, 0).into()),
+        machine: fleet.machine(),
     }
 }
 
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -1,11 +1,18 @@
 //! Reading and writing the frames of one connection.
 
-use crate::errors::{ClosedSnafu, IoSnafu, NetError};
+use crate::account::{ByteAccount, ByteGuard};
+use crate::errors::{ClosedSnafu, IoSnafu, NetError, NoMemorySnafu, UnfinishedSnafu};
+use luglink_limits::HeldBytesLimit;
 use luglink_wire::{Frame, FrameDecoder, encode_frame};
 use snafu::{ResultExt, ensure};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use std::cell::RefCell;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Maximum number of frames queued for one connection.
 const MAX_QUEUED_FRAMES: usize = 8_192;
@@ -16,6 +23,14 @@
 /// Size at which a batch of queued frames is written.
 const WRITE_BATCH_BYTES: usize = 256 << 10;
 
+/// Time within which a frame must be complete once it has begun to arrive.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+
+thread_local! {
+    /// Buffer that all connections of a thread read into, so that idle connections have none.
+    static READ_BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BUFFER_BYTES]);
+}
+
 /// Sender half of a connection's frame queue.
 #[derive(Clone, Debug)]
 pub struct FrameSender(mpsc::Sender<Frame>);
@@ -29,41 +44,120 @@
 }
 
 /// Creates a bounded frame queue.
-#[must_use]
-pub fn frame_channel() -> (FrameSender, mpsc::Receiver<Frame>) {
+pub(crate) fn frame_channel() -> (FrameSender, mpsc::Receiver<Frame>) {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_FRAMES);
     (FrameSender(sender), receiver)
 }
 
+/// Account in which a connection counts frames that have arrived in part.
+#[derive(Clone, Debug)]
+pub(crate) struct ReadAccount {
+    pub(crate) bytes: Rc<ByteAccount>,
+    /// Name of the peer.
+    pub(crate) peer: String,
+}
+
+/// Frame that has arrived in part.
+struct PartialFrame {
+    held: ByteGuard,
+    deadline: Instant,
+}
+
 /// Reads frames from a connection.
 pub(crate) struct FrameReader {
     half: OwnedReadHalf,
     decoder: FrameDecoder,
-    buffer: Vec<u8>,
+    account: Option<ReadAccount>,
+    partial: Option<PartialFrame>,
 }
 
 impl FrameReader {
-    pub(crate) fn new(half: OwnedReadHalf) -> Self {
+    /// Creates a reader. With an account, frames are counted in it and must be complete in time.
+    pub(crate) fn new(half: OwnedReadHalf, account: Option<ReadAccount>) -> Self {
         Self {
             half,
             decoder: FrameDecoder::default(),
-            buffer: vec![0; READ_BUFFER_BYTES],
+            account,
+            partial: None,
         }
     }
 
+    /// Sets the maximum length of a frame, in bytes.
+    pub(crate) fn set_max_frame_bytes(&mut self, bytes: usize) {
+        self.decoder.set_max_frame_bytes(bytes);
+    }
+
     /// Waits for the next frame.
     pub(crate) async fn next(&mut self) -> Result<Frame, NetError> {
         loop {
             if let Some(frame) = self.decoder.next_frame()? {
+                self.partial = None;
                 return Ok(frame);
             }
-            let count = self
-                .half
-                .read(&mut self.buffer)
-                .await
-                .context(IoSnafu { action: "read" })?;
-            ensure!(count > 0, ClosedSnafu);
-            self.decoder.push(&self.buffer[..count]);
+            self.count_partial_frame()?;
+            self.receive().await?;
+        }
+    }
+
+    /// Counts what has arrived of a frame.
+    fn count_partial_frame(&mut self) -> Result<(), NetError> {
+        let buffered = self.decoder.buffered_bytes() as u64;
+        let Some(account) = self.account.as_ref().filter(|_| buffered > 0) else {
+            return Ok(());
+        };
+        if let Some(partial) = &self.partial {
+            return partial.held.resize(buffered).map_err(no_memory);
+        }
+        let held = account.bytes.admit(&account.peer, None, buffered);
+        self.partial = Some(PartialFrame {
+            held: held.map_err(no_memory)?,
+            deadline: Instant::now() + FRAME_TIMEOUT,
+        });
+        Ok(())
+    }
+
+    /// Waits for more bytes.
+    async fn receive(&mut self) -> Result<(), NetError> {
+        let reading = read_some(&self.half, &mut self.decoder);
+        let Some(partial) = &self.partial else {
+            return reading.await;
+        };
+        let in_time = tokio::time::timeout_at(partial.deadline, reading);
+        let timed_out = UnfinishedSnafu {
+            limit: FRAME_TIMEOUT,
+        };
+        tokio::select! {
+            read = in_time => read.unwrap_or_else(|_| timed_out.fail()),
+            limit = partial.held.wait_for_abort() => Err(no_memory(limit)),
+        }
+    }
+}
+
+fn no_memory(limit: HeldBytesLimit) -> NetError {
+    let reason = limit.as_str();
+    NoMemorySnafu { reason }.build()
+}
+
+/// Waits until the connection has bytes and passes them to the decoder.
+async fn read_some(half: &OwnedReadHalf, decoder: &mut FrameDecoder) -> Result<(), NetError> {
+    loop {
+        half.readable().await.context(IoSnafu { action: "read" })?;
+        let read = READ_BUFFER.with_borrow_mut(|buffer| {
+            let count = half.try_read(buffer)?;
+            decoder.push(&buffer[..count]);
+            Ok(count)
+        });
+        match read {
+            Err(error) if std::io::Error::kind(&error) == ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error).context(IoSnafu { action: "read" }),
+            Ok(count) => {
+                ensure!(count > 0, ClosedSnafu);
+                if count == READ_BUFFER_BYTES {
+                    // Lets the receiver of the frames take them before more are read.
+                    tokio::task::yield_now().await;
+                }
+                return Ok(());
+            }
         }
     }
 }
--- a/crates/net/src/errors.rs
+++ b/crates/net/src/errors.rs
@@ -33,6 +33,18 @@
         /// Timeout of the request.
         limit: std::time::Duration,
     },
+    /// A frame was not complete in time.
+    #[snafu(display("frame is not complete after {limit:?}"))]
+    Unfinished {
+        /// Time limit of a frame.
+        limit: std::time::Duration,
+    },
+    /// A frame was given up because peers make the process hold too many bytes.
+    #[snafu(display("no memory left for a frame: {reason}"))]
+    NoMemory {
+        /// Limit that was reached.
+        reason: &'static str,
+    },
     /// The connection is closed.
     #[snafu(display("the connection is closed"))]
     Closed,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,7 +1,8 @@
 //! Framed TCP connections between luglink processes, on the actix runtime.
 //!
 //! A [`Link`] is a client connection that reconnects automatically; [`serve`] accepts connections.
-//! Queues are bounded: frames that do not fit are dropped, and the protocols above retry.
+//! Queues are bounded: frames that do not fit are dropped, and the protocols above retry. What peers
+//! make a process hold is counted before it is held.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
@@ -15,10 +16,10 @@
 mod socket;
 
 pub use account::{AccountEvent, ByteAccount, ByteGuard};
-pub use connection::{FrameSender, frame_channel};
+pub use connection::FrameSender;
 pub use errors::NetError;
 pub use link::{Link, LinkEvent};
-pub use listener::{ListenerEvent, serve};
-pub use metrics::{ConnectionMetrics, PeerMetrics};
+pub use listener::{ListenerEvent, ListenerLimits, serve};
+pub use metrics::PeerMetrics;
 pub use request_client::RequestClient;
 pub use socket::{set_reset_on_close, set_send_buffer, set_tcp_options};
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -118,7 +118,7 @@
         action: "configure",
     })?;
     let (read_half, write_half) = stream.into_split();
-    let mut reader = FrameReader::new(read_half);
+    let mut reader = FrameReader::new(read_half, None);
     let reading = async {
         loop {
             on_event(LinkEvent::Frame(reader.next().await?));
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -1,9 +1,14 @@
 //! Server side of framed connections.
 
-use crate::connection::{FrameReader, FrameSender, frame_channel, write_frames};
+use crate::account::ByteAccount;
+use crate::connection::{FrameReader, FrameSender, ReadAccount, frame_channel, write_frames};
 use crate::errors::{NetError, NoHelloSnafu};
+use crate::metrics::PeerMetrics;
 use crate::socket::set_tcp_options;
-use luglink_wire::{Frame, Hello, PROTOCOL_VERSION};
+use luglink_limits::Machine;
+use luglink_telemetry::{Metrics, TelemetryError};
+use luglink_wire::{Frame, Hello, MAX_FRAME_BYTES, PROTOCOL_VERSION};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -11,6 +16,9 @@
 /// Time within which a new connection must send its hello.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum length of a frame before the hello, in bytes.
+const MAX_HELLO_BYTES: usize = 64;
+
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -40,9 +48,47 @@
     },
 }
 
+/// Limits on what the peers of a listener can make it hold.
+#[derive(Clone, Debug)]
+pub struct ListenerLimits {
+    held: Rc<ByteAccount>,
+    max_frame_bytes: usize,
+    metrics: PeerMetrics,
+}
+
+impl ListenerLimits {
+    /// Returns the limits of the internal listener of a process that has no other peers, and registers
+    /// their metrics.
+    ///
+    /// # Errors
+    /// A metric cannot be registered.
+    pub fn for_machine(machine: Machine, registry: &Metrics) -> Result<Self, TelemetryError> {
+        let metrics = PeerMetrics::register(registry)?;
+        let held = metrics.account(machine.held_bytes());
+        Ok(Self::internal(held, &metrics))
+    }
+
+    /// Returns the limits of an internal listener. Frames that have arrived in part are
+    /// counted in `held`.
+    #[must_use]
+    pub fn internal(held: Rc<ByteAccount>, metrics: &PeerMetrics) -> Self {
+        let max_holder_bytes = usize::try_from(held.max_holder_bytes()).unwrap_or(usize::MAX);
+        Self {
+            max_frame_bytes: MAX_FRAME_BYTES.min(max_holder_bytes),
+            held,
+            metrics: metrics.clone(),
+        }
+    }
+}
+
 /// Accepts connections indefinitely. `on_event` is called on the current actix thread.
-pub async fn serve(listener: TcpListener, on_event: impl Fn(ListenerEvent) + 'static) {
+pub async fn serve(
+    listener: TcpListener,
+    limits: ListenerLimits,
+    on_event: impl Fn(ListenerEvent) + 'static,
+) {
     let on_event = Rc::new(on_event);
+    let limits = Rc::new(limits);
     let mut next_connection = 1;
     loop {
         match listener.accept().await {
@@ -50,10 +96,16 @@
                 let connection = next_connection;
                 next_connection += 1;
                 let on_event = Rc::clone(&on_event);
+                let limits = Rc::clone(&limits);
                 actix_rt::spawn(async move {
-                    let result = run(stream, connection, &*on_event).await;
+                    let peer = Peer {
+                        address,
+                        connection,
+                        limits: &limits,
+                    };
+                    let result = peer.run(stream, &*on_event).await;
                     if let Err(error) = result {
-                        tracing::debug!(%address, %error, "connection closed");
+                        note_end(&limits, address, &error);
                     }
                     on_event(ListenerEvent::Closed { connection });
                 });
@@ -66,33 +118,63 @@
     }
 }
 
-/// Serves one connection until it fails.
-async fn run(
-    stream: TcpStream,
-    connection: u64,
-    on_event: &impl Fn(ListenerEvent),
-) -> Result<(), NetError> {
-    // With these options, small responses do not wait until a slow peer has acknowledged earlier
-    // ones. The connection also works without them.
-    let _ = set_tcp_options(&stream);
-    let (read_half, write_half) = stream.into_split();
-    let mut reader = FrameReader::new(read_half);
-    let hello = read_hello(&mut reader).await?;
-    let (sender, frames) = frame_channel();
-    on_event(ListenerEvent::Opened {
-        connection,
-        hello,
-        sender,
-    });
-    let reading = async {
-        loop {
-            let frame = reader.next().await?;
-            on_event(ListenerEvent::Frame { connection, frame });
+/// Logs the end of a connection, and counts it if it has reached a limit.
+fn note_end(limits: &ListenerLimits, address: SocketAddr, error: &NetError) {
+    let reason = match error {
+        NetError::Wire { .. } => "malformed_frame",
+        NetError::Unfinished { .. } => "unfinished_frame",
+        _ => {
+            tracing::debug!(%address, %error, "connection closed");
+            return;
         }
     };
-    tokio::select! {
-        result = reading => result,
-        result = write_frames(write_half, frames) => result,
+    limits.metrics.count_refusal(reason);
+    tracing::warn!(%address, %error, reason, "connection of a peer closed");
+}
+
+/// Accepted connection.
+struct Peer<'listener> {
+    address: SocketAddr,
+    connection: u64,
+    limits: &'listener ListenerLimits,
+}
+
+impl Peer<'_> {
+    /// Serves the connection until it fails.
+    async fn run(
+        &self,
+        stream: TcpStream,
+        on_event: &impl Fn(ListenerEvent),
+    ) -> Result<(), NetError> {
+        let connection = self.connection;
+        // With these options, small responses do not wait until a slow peer has acknowledged earlier
+        // ones. The connection also works without them.
+        let _ = set_tcp_options(&stream);
+        let (read_half, write_half) = stream.into_split();
+        let account = ReadAccount {
+            bytes: Rc::clone(&self.limits.held),
+            peer: self.address.to_string(),
+        };
+        let mut reader = FrameReader::new(read_half, Some(account));
+        reader.set_max_frame_bytes(MAX_HELLO_BYTES);
+        let hello = read_hello(&mut reader).await?;
+        reader.set_max_frame_bytes(self.limits.max_frame_bytes);
+        let (sender, frames) = frame_channel();
+        on_event(ListenerEvent::Opened {
+            connection,
+            hello,
+            sender,
+        });
+        let reading = async {
+            loop {
+                let frame = reader.next().await?;
+                on_event(ListenerEvent::Frame { connection, frame });
+            }
+        };
+        tokio::select! {
+            result = reading => result,
+            result = write_frames(write_half, frames) => result,
+        }
     }
 }
 
--- a/crates/net/tests/link.rs
+++ b/crates/net/tests/link.rs
@@ -1,6 +1,8 @@
 //! Tests of requests over a link.
 
-use luglink_net::{ListenerEvent, RequestClient, serve};
+use luglink_limits::Machine;
+use luglink_net::{ListenerEvent, ListenerLimits, RequestClient, serve};
+use luglink_telemetry::Metrics;
 use luglink_wire::{ClientRole, Frame, Hello, PROTOCOL_VERSION};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -20,7 +22,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let senders = Rc::new(RefCell::new(std::collections::BTreeMap::new()));
-    actix_rt::spawn(serve(listener, move |event| match event {
+    let limits = ListenerLimits::for_machine(Machine::default(), &Metrics::new()).unwrap();
+    actix_rt::spawn(serve(listener, limits, move |event| match event {
         ListenerEvent::Opened {
             connection, sender, ..
         } => {
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -8,7 +8,8 @@
 use crate::reports::{UnsyncedReply, answer_followers_in_rounds};
 use luglink_fleet::{KnownVersions, ObserverUpdate, Presence, Role, StoreName, StorePresence};
 use luglink_fleet_client::{ListSource, Observer, ObserverConfig, ObserverDelegate};
-use luglink_net::{FrameSender, ListenerEvent};
+use luglink_limits::Machine;
+use luglink_net::{FrameSender, ListenerEvent, ListenerLimits};
 use luglink_quota::Tolerance;
 use luglink_storage::{FileDisk, WalConfig};
 use luglink_turns::{
@@ -62,6 +63,8 @@
     pub observer: ObserverConfig,
     /// Address at which metrics are served, if any.
     pub metrics_listen: Option<SocketAddr>,
+    /// Memory and open files of the process.
+    pub machine: Machine,
 }
 
 /// State that the tasks of the server share.
@@ -115,6 +118,7 @@
         address: config.listen,
     })?;
     let metrics = StoreMetrics::new()?;
+    let limits = ListenerLimits::for_machine(config.machine, &metrics.registry)?;
     let metrics_address =
         luglink_metrics_server::start(config.metrics_listen, &metrics.registry).await;
     let node = open_node(&config).await;
@@ -144,7 +148,7 @@
         metrics,
         config,
     });
-    actix_rt::spawn(luglink_net::serve(listener, {
+    actix_rt::spawn(luglink_net::serve(listener, limits, {
         let shared = Rc::clone(&shared);
         move |event| shared.on_socket(event)
     }));
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -134,7 +134,7 @@
 /// The frame is too long or cannot be encoded.
 pub fn encode_frame(frame: &Frame) -> Result<Vec<u8>, WireError> {
     let message = frame.to_bytes().context(MalformedSnafu)?;
-    check_length(message.len())?;
+    check_length(message.len(), MAX_FRAME_BYTES)?;
     let length = u32::try_from(message.len()).unwrap_or(u32::MAX);
     let mut bytes = Vec::with_capacity(LENGTH_BYTES + message.len());
     bytes.extend_from_slice(&length.to_be_bytes());
@@ -143,12 +143,33 @@
 }
 
 /// Decoder that turns received bytes into frames.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FrameDecoder {
     buffer: BytesMut,
+    max_frame_bytes: usize,
+}
+
+impl Default for FrameDecoder {
+    fn default() -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            max_frame_bytes: MAX_FRAME_BYTES,
+        }
+    }
 }
 
 impl FrameDecoder {
+    /// Sets the maximum length of a frame in bytes, at most [`MAX_FRAME_BYTES`].
+    pub fn set_max_frame_bytes(&mut self, bytes: usize) {
+        self.max_frame_bytes = bytes.min(MAX_FRAME_BYTES);
+    }
+
+    /// Returns the number of received bytes that belong to no complete frame yet.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Adds received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
@@ -165,7 +186,7 @@
         let mut prefix = [0; LENGTH_BYTES];
         prefix.copy_from_slice(&self.buffer[..LENGTH_BYTES]);
         let length = u32::from_be_bytes(prefix) as usize;
-        check_length(length)?;
+        check_length(length, self.max_frame_bytes)?;
         if self.buffer.len() < LENGTH_BYTES + length {
             return Ok(None);
         }
@@ -173,18 +194,16 @@
         let message = self.buffer.split_to(length);
         let ((rest, _), frame) = Frame::from_bytes((&message, 0)).context(MalformedSnafu)?;
         ensure!(rest.is_empty(), TrailingSnafu { count: rest.len() });
+        if self.buffer.is_empty() {
+            // An idle connection keeps no memory for the longest frame that it has had.
+            self.buffer = BytesMut::new();
+        }
         Ok(Some(frame))
     }
 }
 
-fn check_length(length: usize) -> Result<(), WireError> {
-    ensure!(
-        length <= MAX_FRAME_BYTES,
-        TooLongSnafu {
-            length,
-            limit: MAX_FRAME_BYTES
-        }
-    );
+fn check_length(length: usize, limit: usize) -> Result<(), WireError> {
+    ensure!(length <= limit, TooLongSnafu { length, limit });
     Ok(())
 }
 
