Close internal connections whose peers do not read their responses

A member held 245 MB on a machine of 58 MB beside 60 connections that sent requests and read nothing.

Cause: a connection queued up to 8,192 frames of any size. The time limit for unacknowledged data frees them, but only after 1.5 s, and others come meanwhile. A reader that always has input also filled the mailbox of its member before that could respond.

Change: what waits on all connections of a listener is counted, up to an eighth of the memory. Beyond that a connection with nothing queued may still queue a frame, up to twice as much, so that peers that read are served; one with more is closed.

--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -90,7 +90,7 @@
     let actor = ControlActor::with_reopen(peers, reopen(config.clone(), member), reports).start();
     let machine = fleet.machine();
     let held = metrics.peers.account(machine.held_bytes());
-    let limits = ListenerLimits::internal(Rc::clone(&held), &metrics.peers);
+    let limits = ListenerLimits::internal(machine, Rc::clone(&held), &metrics.peers);
     actix_rt::spawn(luglink_net::serve(listener, limits, {
         let actor = actor.clone();
         move |event| actor.do_send(SocketEvent(event))
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -2,12 +2,15 @@
 
 use crate::account::{ByteAccount, ByteGuard};
 use crate::errors::{ClosedSnafu, IoSnafu, NetError, NoMemorySnafu, UnfinishedSnafu};
+use crate::send_queue::{QueueBudget, QueuedBytes};
 use luglink_limits::HeldBytesLimit;
 use luglink_wire::{Frame, FrameDecoder, encode_frame};
 use snafu::{ResultExt, ensure};
 use std::cell::RefCell;
+use std::future::Future;
 use std::io::ErrorKind;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -33,20 +36,52 @@
 
 /// Sender half of a connection's frame queue.
 #[derive(Clone, Debug)]
-pub struct FrameSender(mpsc::Sender<Frame>);
+pub struct FrameSender {
+    frames: mpsc::Sender<Frame>,
+    queued: Arc<QueuedBytes>,
+}
 
 impl FrameSender {
-    /// Queues a frame. If the queue is full or the connection is closed, drops the frame and
-    /// returns false.
+    /// Queues a frame. If the queue is full, or the connection is closed or closes because its peer does
+    /// not read, drops the frame and returns false.
     pub fn send(&self, frame: Frame) -> bool {
-        self.0.try_send(frame).is_ok()
+        let bytes = frame.body_bytes();
+        if !self.queued.add(bytes) {
+            return false;
+        }
+        let is_queued = self.frames.try_send(frame).is_ok();
+        if !is_queued {
+            self.queued.remove(bytes, 1);
+        }
+        is_queued
     }
 }
 
-/// Creates a bounded frame queue.
-pub(crate) fn frame_channel() -> (FrameSender, mpsc::Receiver<Frame>) {
-    let (sender, receiver) = mpsc::channel(MAX_QUEUED_FRAMES);
-    (FrameSender(sender), receiver)
+/// Receiver half of a connection's frame queue.
+#[derive(Debug)]
+pub(crate) struct FrameQueue {
+    frames: mpsc::Receiver<Frame>,
+    queued: Arc<QueuedBytes>,
+}
+
+impl FrameQueue {
+    /// Waits until a frame has found no room while others were queued.
+    pub(crate) fn overrun(&self) -> impl Future<Output = ()> + use<> {
+        let queued = Arc::clone(&self.queued);
+        async move { queued.overrun().await }
+    }
+}
+
+/// Creates a bounded frame queue whose bytes are counted in `budget`.
+pub(crate) fn frame_channel(budget: &Arc<QueueBudget>) -> (FrameSender, FrameQueue) {
+    let (sender, frames) = mpsc::channel(MAX_QUEUED_FRAMES);
+    let queued = Arc::new(QueuedBytes::new(budget));
+    let queue = FrameQueue {
+        frames,
+        queued: Arc::clone(&queued),
+    };
+    let frames = sender;
+    (FrameSender { frames, queued }, queue)
 }
 
 /// Account in which a connection counts frames that have arrived in part.
@@ -166,19 +201,28 @@
 /// connection stays open for reading.
 pub(crate) async fn write_frames(
     mut half: OwnedWriteHalf,
-    mut frames: mpsc::Receiver<Frame>,
+    queue: FrameQueue,
 ) -> Result<(), NetError> {
+    let FrameQueue { mut frames, queued } = queue;
     while let Some(frame) = frames.recv().await {
+        let mut written = frame.body_bytes();
+        let mut count = 1;
         let mut bytes = encode_frame(&frame)?;
+        drop(frame);
         while bytes.len() < WRITE_BATCH_BYTES {
             match frames.try_recv() {
-                Ok(frame) => bytes.extend(encode_frame(&frame)?),
+                Ok(frame) => {
+                    written += frame.body_bytes();
+                    count += 1;
+                    bytes.extend(encode_frame(&frame)?);
+                }
                 Err(_) => break,
             }
         }
         half.write_all(&bytes)
             .await
             .context(IoSnafu { action: "write" })?;
+        queued.remove(written, count);
     }
     std::future::pending().await
 }
--- a/crates/net/src/errors.rs
+++ b/crates/net/src/errors.rs
@@ -45,6 +45,12 @@
         /// Limit that was reached.
         reason: &'static str,
     },
+    /// The peer does not read what is sent to it.
+    #[snafu(display("the peer does not read: {queued} bytes wait on all connections"))]
+    Unread {
+        /// Bytes that wait on all connections of the listener.
+        queued: u64,
+    },
     /// The connection is closed.
     #[snafu(display("the connection is closed"))]
     Closed,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,6 +13,7 @@
 mod listener;
 mod metrics;
 mod request_client;
+mod send_queue;
 mod socket;
 
 pub use account::{AccountEvent, ByteAccount, ByteGuard};
@@ -22,4 +23,5 @@
 pub use listener::{ListenerEvent, ListenerLimits, serve};
 pub use metrics::PeerMetrics;
 pub use request_client::RequestClient;
+pub use send_queue::QueueBudget;
 pub use socket::{set_reset_on_close, set_send_buffer, set_tcp_options};
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -1,7 +1,8 @@
 //! Client side of a framed connection.
 
-use crate::connection::{FrameReader, FrameSender, frame_channel, write_frames};
+use crate::connection::{FrameQueue, FrameReader, FrameSender, frame_channel, write_frames};
 use crate::errors::{IoSnafu, NetError};
+use crate::send_queue::QueueBudget;
 use crate::socket::set_tcp_options;
 use luglink_wire::{Frame, Hello};
 use snafu::ResultExt;
@@ -10,7 +11,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 
 /// Delay before a failed connection is opened again.
 const RECONNECT_DELAY: Duration = Duration::from_millis(50);
@@ -74,8 +74,9 @@
 }
 
 /// Creates the queue of one connection, with the hello as its first frame.
-fn queue_with_hello(hello: Hello) -> (FrameSender, mpsc::Receiver<Frame>) {
-    let (sender, frames) = frame_channel();
+fn queue_with_hello(hello: Hello) -> (FrameSender, FrameQueue) {
+    // What is sent on a link answers no peer, so it is bounded by the number of frames alone.
+    let (sender, frames) = frame_channel(&QueueBudget::new(u64::MAX));
     sender.send(Frame::Hello(hello));
     (sender, frames)
 }
@@ -85,7 +86,7 @@
     address: SocketAddr,
     hello: Hello,
     current_sender: Rc<RefCell<Option<FrameSender>>>,
-    mut frames: mpsc::Receiver<Frame>,
+    mut frames: FrameQueue,
     on_event: impl Fn(LinkEvent),
 ) {
     loop {
@@ -105,7 +106,7 @@
 /// Connects and transfers frames until the connection fails.
 async fn connect_once(
     address: SocketAddr,
-    frames: mpsc::Receiver<Frame>,
+    frames: FrameQueue,
     on_event: &impl Fn(LinkEvent),
 ) -> Result<(), NetError> {
     let connecting = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -2,14 +2,16 @@
 
 use crate::account::ByteAccount;
 use crate::connection::{FrameReader, FrameSender, ReadAccount, frame_channel, write_frames};
-use crate::errors::{NetError, NoHelloSnafu};
+use crate::errors::{NetError, NoHelloSnafu, UnreadSnafu};
 use crate::metrics::PeerMetrics;
+use crate::send_queue::QueueBudget;
 use crate::socket::set_tcp_options;
 use luglink_limits::Machine;
 use luglink_telemetry::{Metrics, TelemetryError};
 use luglink_wire::{Frame, Hello, MAX_FRAME_BYTES, PROTOCOL_VERSION};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -53,6 +55,7 @@
 pub struct ListenerLimits {
     held: Rc<ByteAccount>,
     max_frame_bytes: usize,
+    queue: Arc<QueueBudget>,
     metrics: PeerMetrics,
 }
 
@@ -65,17 +68,18 @@
     pub fn for_machine(machine: Machine, registry: &Metrics) -> Result<Self, TelemetryError> {
         let metrics = PeerMetrics::register(registry)?;
         let held = metrics.account(machine.held_bytes());
-        Ok(Self::internal(held, &metrics))
+        Ok(Self::internal(machine, held, &metrics))
     }
 
-    /// Returns the limits of an internal listener. Frames that have arrived in part are
+    /// Returns the limits of the internal listener of a machine. Frames that have arrived in part are
     /// counted in `held`.
     #[must_use]
-    pub fn internal(held: Rc<ByteAccount>, metrics: &PeerMetrics) -> Self {
+    pub fn internal(machine: Machine, held: Rc<ByteAccount>, metrics: &PeerMetrics) -> Self {
         let max_holder_bytes = usize::try_from(held.max_holder_bytes()).unwrap_or(usize::MAX);
         Self {
             max_frame_bytes: MAX_FRAME_BYTES.min(max_holder_bytes),
             held,
+            queue: QueueBudget::new(machine.queued_bytes()),
             metrics: metrics.clone(),
         }
     }
@@ -123,6 +127,7 @@
     let reason = match error {
         NetError::Wire { .. } => "malformed_frame",
         NetError::Unfinished { .. } => "unfinished_frame",
+        NetError::Unread { .. } => "unread_responses",
         _ => {
             tracing::debug!(%address, %error, "connection closed");
             return;
@@ -159,7 +164,8 @@
         reader.set_max_frame_bytes(MAX_HELLO_BYTES);
         let hello = read_hello(&mut reader).await?;
         reader.set_max_frame_bytes(self.limits.max_frame_bytes);
-        let (sender, frames) = frame_channel();
+        let (sender, queue) = frame_channel(&self.limits.queue);
+        let overrun = queue.overrun();
         on_event(ListenerEvent::Opened {
             connection,
             hello,
@@ -173,7 +179,11 @@
         };
         tokio::select! {
             result = reading => result,
-            result = write_frames(write_half, frames) => result,
+            result = write_frames(write_half, queue) => result,
+            () = overrun => UnreadSnafu {
+                queued: self.limits.queue.queued(),
+            }
+            .fail(),
         }
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -93,6 +93,17 @@
 }
 
 impl Frame {
+    /// Returns the length of the body, in bytes.
+    #[must_use]
+    pub fn body_bytes(&self) -> u64 {
+        match self {
+            Self::Hello(_) => 0,
+            Self::Peer { body, .. } | Self::Request { body, .. } | Self::Response { body, .. } => {
+                body.len() as u64
+            }
+        }
+    }
+
     /// Creates a consensus message.
     #[must_use]
     pub fn peer(group: u32, body: Vec<u8>) -> Self {
