Limit the connections of each listener

Everybody saw: a process with 256 open files had none left beside 400 idle connections, at any of its listeners: neither callers nor its own links, replicas or files got one, and each accept that failed waited 50 ms.

Cause: no listener had a limit; each accepted until the system refused.

Change: each listener has a share of the open files (`fleet.open_files`, else the limit of the system) and of the memory: callers and internal peers half of the files, the directory and readiness an eighth, operators and metrics a sixteenth. At the limit a new connection takes the place of the one that has waited longest for its peer: idle, or with a request that has not arrived completely. A request that runs is never cut; if all run, the new connection is closed. Operators, readiness, the directory and metrics also end a connection that reads nothing for 10 s, as callers' connections did after 4 s.

--- a/app/luglink/src/fleet.rs
+++ b/app/luglink/src/fleet.rs
@@ -23,10 +23,6 @@
 /// A gateway's turn cache uses at most the memory limit divided by this number.
 const TURN_CACHE_DIVISOR: u64 = 8;
 
-/// A gateway buffers at most the memory limit divided by this number for callers and replicas that
-/// read slowly. The process, its connections and the turn cache need the rest.
-const HELD_BYTES_DIVISOR: u64 = 4;
-
 /// Part of the stop timeout that is reserved for the process to exit after the requests in flight
 /// have ended.
 const STOP_RESERVE: Duration = Duration::from_millis(500);
@@ -168,7 +164,8 @@
                 .fail_closed
                 .then(|| Duration::from_millis(fleet.revoke_ms)),
             stop_timeout: stop_timeout.saturating_sub(STOP_RESERVE),
-            held_bytes_limit: (fleet.memory_mb << 20) / HELD_BYTES_DIVISOR,
+            machine: fleet.machine(),
+            held_bytes_limit: fleet.machine().held_bytes(),
             turn_cache_bytes: usize::try_from((fleet.memory_mb << 20) / TURN_CACHE_DIVISOR)
                 .unwrap_or(usize::MAX),
         };
--- a/crates/control-server/src/managed.rs
+++ b/crates/control-server/src/managed.rs
@@ -16,12 +16,13 @@
 use crate::resolution::ResolutionService;
 use actix::{Actor, Addr};
 use http::Request;
-use hyper::body::Incoming;
 use luglink_control::{ControlConfig, ControlNode, ManagedConfig, Request as ControlRequest};
 use luglink_edge::Dialect;
 use luglink_fleet::ListReadLimits;
-use luglink_http::{ServeOptions, serve, stop_channel};
-use luglink_net::{ByteAccount, ListenerLimits};
+use luglink_http::{RequestBody, ServeOptions, serve, stop_channel};
+use luglink_limits::ListenerKind;
+use luglink_metrics_server::MetricsLimits;
+use luglink_net::{ByteAccount, Connections, ListenerLimits};
 use luglink_settings::{FleetSettings, ManagedMemberSettings};
 use luglink_storage::FileDisk;
 use luglink_turns::ReportHolder;
@@ -38,6 +39,9 @@
 /// Idle timeout of connections to the operator and resolution APIs.
 const CONNECTION_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time after which a connection is aborted whose peer reads nothing of the pending data.
+const UNREAD_CONNECTION_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Time for a transfer of leadership: a round trip and an election.
 const LEADERSHIP_TRANSFER_TIME: Duration = Duration::from_millis(400);
 
@@ -82,15 +86,25 @@
     let resolutions = bind(config.member.resolution_listen).await?;
     let member = MemberId(u32::from(fleet.ip));
     let metrics = MemberMetrics::new()?;
+    let collectors = MetricsLimits {
+        max_connections: fleet.machine().connections(ListenerKind::Metrics),
+        connections: metrics.connections.clone(),
+    };
     let metrics_address =
-        luglink_metrics_server::start(config.member.metrics_listen, &metrics.registry).await;
+        luglink_metrics_server::start(config.member.metrics_listen, &metrics.registry, collectors)
+            .await;
     tracing::info!(name = fleet.name, %address, "control member started");
     let peers = Peers::by_address(member, fleet.member_port());
     let reports = ReportService::new(open_reports(config));
     let actor = ControlActor::with_reopen(peers, reopen(config.clone(), member), reports).start();
     let machine = fleet.machine();
     let held = metrics.peers.account(machine.held_bytes());
-    let limits = ListenerLimits::internal(machine, Rc::clone(&held), &metrics.peers);
+    let limits = ListenerLimits::internal(
+        machine,
+        Rc::clone(&held),
+        &metrics.peers,
+        &metrics.connections,
+    );
     actix_rt::spawn(luglink_net::serve(listener, limits, {
         let actor = actor.clone();
         move |event| actor.do_send(SocketEvent(event))
@@ -196,11 +210,12 @@
     control
 }
 
-fn serve_options() -> ServeOptions {
+fn serve_options(max_connections: usize) -> ServeOptions {
     ServeOptions {
+        max_connections,
         max_header_bytes: 16 << 10,
         idle_timeout: CONNECTION_IDLE_TIMEOUT,
-        write_stall_timeout: None,
+        write_stall_timeout: Some(UNREAD_CONNECTION_TIMEOUT),
     }
 }
 
@@ -219,9 +234,12 @@
         port: config.member.operator_listen.port(),
         metrics: metrics.clone(),
     };
-    let handler = Rc::new(move |request: Request<Incoming>| service.clone().handle(request));
+    let handler = Rc::new(move |request: Request<RequestBody>| service.clone().handle(request));
     let (_, signal) = stop_channel();
-    actix_rt::spawn(serve(listener, serve_options, signal, handler));
+    let connections = Connections::new(ListenerKind::Operators, &metrics.connections);
+    let max_connections = config.fleet.machine().connections(ListenerKind::Operators);
+    let options = move || serve_options(max_connections);
+    actix_rt::spawn(serve(listener, connections, options, signal, handler));
 }
 
 fn serve_resolutions(
@@ -239,9 +257,12 @@
         salt: u64::from(u32::from(config.fleet.ip)),
         metrics: metrics.clone(),
     };
-    let handler = Rc::new(move |request: Request<Incoming>| service.clone().handle(request));
+    let handler = Rc::new(move |request: Request<RequestBody>| service.clone().handle(request));
     let (_, signal) = stop_channel();
-    actix_rt::spawn(serve(listener, serve_options, signal, handler));
+    let connections = Connections::new(ListenerKind::Resolution, &metrics.connections);
+    let max_connections = config.fleet.machine().connections(ListenerKind::Resolution);
+    let options = move || serve_options(max_connections);
+    actix_rt::spawn(serve(listener, connections, options, signal, handler));
 }
 
 impl ManagedServer {
--- a/crates/control-server/src/metrics.rs
+++ b/crates/control-server/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of a control member in a managed fleet.
 
 use crate::errors::ControlServerError;
-use luglink_net::PeerMetrics;
+use luglink_net::{ConnectionMetrics, PeerMetrics};
 use luglink_telemetry::Metrics;
 use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec};
 
@@ -15,6 +15,8 @@
     pub(crate) operator_seconds: Histogram,
     /// Bytes that peers make this member hold.
     pub(crate) peers: PeerMetrics,
+    /// Connections closed at the limits of the listeners.
+    pub(crate) connections: ConnectionMetrics,
     /// Resolutions by status.
     pub(crate) resolutions: IntCounterVec,
     /// Reads of the platform's list by outcome.
@@ -43,6 +45,7 @@
             operator_seconds: registry
                 .seconds_histogram("operator_seconds", "Time to answer operators")?,
             peers: PeerMetrics::register(&registry)?,
+            connections: ConnectionMetrics::register(&registry)?,
             resolutions: labelled("resolutions_total", "Answers where to go", "status")?,
             list_reads: labelled("member_list_reads_total", "Looks at the list", "end")?,
             skipped_entries: registry.counter(
--- a/crates/control-server/src/operator.rs
+++ b/crates/control-server/src/operator.rs
@@ -7,11 +7,10 @@
 use actix::Addr;
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use luglink_control::{Request as ControlRequest, Response as ControlResponse};
 use luglink_edge::{Dialect, OperatorCall};
 use luglink_fleet::{RetireResponse, RetireState, StoreName, VersionedDocument};
-use luglink_http::{Abort, Body, BodyFailure, BodyLimits, declared_length, read_body};
+use luglink_http::{Abort, Body, BodyFailure, BodyLimits, RequestBody, declared_length, read_body};
 use luglink_net::{ByteAccount, ByteGuard};
 use luglink_types::MemberId;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -53,7 +52,10 @@
 
 impl OperatorService {
     /// Handles, counts and logs a call.
-    pub(crate) async fn handle(self, request: Request<Incoming>) -> Result<Response<Body>, Abort> {
+    pub(crate) async fn handle(
+        self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Body>, Abort> {
         let began = Instant::now();
         let (head, incoming) = request.into_parts();
         let path = head.uri.path().to_owned();
@@ -76,7 +78,12 @@
         Ok(response)
     }
 
-    async fn answer(&self, call: OperatorCall, incoming: Incoming, path: &str) -> Response<Body> {
+    async fn answer(
+        &self,
+        call: OperatorCall,
+        incoming: RequestBody,
+        path: &str,
+    ) -> Response<Body> {
         let result = match call {
             OperatorCall::PutConfiguration => self.put(incoming).await,
             OperatorCall::GetConfiguration => self.get().await,
@@ -92,7 +99,7 @@
         }
     }
 
-    async fn put(&self, incoming: Incoming) -> Result<Response<Body>, CallFailure> {
+    async fn put(&self, incoming: RequestBody) -> Result<Response<Body>, CallFailure> {
         let (content, _held) = match self.receive(incoming).await {
             Ok(received) => received,
             Err(failure) => return Ok(self.body_problem(failure)),
@@ -132,7 +139,7 @@
     }
 
     /// Reads a body. Its bytes are counted until the guard is dropped.
-    async fn receive(&self, incoming: Incoming) -> Result<(Bytes, ByteGuard), BodyFailure> {
+    async fn receive(&self, incoming: RequestBody) -> Result<(Bytes, ByteGuard), BodyFailure> {
         let max_holder_bytes = self.held.max_holder_bytes();
         let max_bytes = MAX_BODY_BYTES.min(usize::try_from(max_holder_bytes).unwrap_or(usize::MAX));
         let declared = declared_length(&incoming);
--- a/crates/control-server/src/resolution.rs
+++ b/crates/control-server/src/resolution.rs
@@ -5,10 +5,9 @@
 use crate::queries::{Directory, GetGatewayDirectory};
 use actix::Addr;
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
-use hyper::body::Incoming;
 use luglink_edge::Dialect;
 use luglink_fleet::advertised_gateways;
-use luglink_http::{Abort, Body, full_body};
+use luglink_http::{Abort, Body, RequestBody, full_body};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,7 +26,10 @@
 
 impl ResolutionService {
     /// Handles and counts a resolution.
-    pub(crate) async fn handle(self, request: Request<Incoming>) -> Result<Response<Body>, Abort> {
+    pub(crate) async fn handle(
+        self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Body>, Abort> {
         let response = self.answer(request.uri()).await;
         let status = response.status();
         let resolutions = &self.metrics.resolutions;
--- a/crates/gateway-server/src/config.rs
+++ b/crates/gateway-server/src/config.rs
@@ -1,6 +1,7 @@
 //! Configuration of a gateway process.
 
 use luglink_fleet_client::ObserverConfig;
+use luglink_limits::Machine;
 use luglink_scheduling::Features;
 use luglink_turns::Replication;
 use std::net::SocketAddr;
@@ -42,6 +43,8 @@
     /// Maximum time without an answer from a control member in contact with its leader. After it,
     /// callers with keys are refused; `None` to keep accepting the known keys.
     pub keys_expire_after: Option<Duration>,
+    /// Memory and open files of the process.
+    pub machine: Machine,
     /// Maximum number of bytes buffered for callers and replicas that read slowly.
     pub held_bytes_limit: u64,
     /// Maximum size of the cache of turns, which saves reads from the turn stores.
--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -8,9 +8,8 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, Request, StatusCode, header};
-use hyper::body::Incoming;
 use luglink_edge::{Caller, KeyError, Route, RouteKind};
-use luglink_http::{BodyFailure, BodyLimits, declared_length, read_body};
+use luglink_http::{BodyFailure, BodyLimits, RequestBody, declared_length, read_body};
 use luglink_scheduling::PromptParts;
 use luglink_turns::{ProgramName, RequestFingerprint, TurnId};
 use luglink_types::TenantName;
@@ -141,7 +140,7 @@
 pub(crate) async fn read(
     gateway: &Gateway,
     in_force: &ActiveConfiguration,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<InboundRequest, Refusal> {
     let arrived = Instant::now();
     let (mut head, incoming) = request.into_parts();
@@ -264,7 +263,7 @@
     gateway: &Gateway,
     caller: &Caller,
     id: &str,
-    incoming: &Incoming,
+    incoming: &RequestBody,
     limit: usize,
 ) -> Result<HeldBytesGuard, Refusal> {
     let announced = declared_length(incoming);
@@ -285,7 +284,7 @@
 
 async fn receive(
     gateway: &Gateway,
-    incoming: Incoming,
+    incoming: RequestBody,
     max_bytes: usize,
     deadline: Instant,
     held: &HeldBytesGuard,
--- a/crates/gateway-server/src/metrics.rs
+++ b/crates/gateway-server/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a gateway.
 
 use crate::errors::GatewayError;
+use luglink_net::ConnectionMetrics;
 use luglink_telemetry::Metrics;
 use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec};
 
@@ -8,6 +9,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct GatewayMetrics {
     pub(crate) registry: Metrics,
+    /// Connections closed at the limits of the listeners.
+    pub(crate) connections: ConnectionMetrics,
     /// Answers to callers by status.
     pub(crate) answers: IntCounterVec,
     /// Requests sent to replicas by outcome.
@@ -102,6 +105,7 @@
     pub(crate) fn new() -> Result<Self, GatewayError> {
         let registry = Metrics::new();
         Ok(Self {
+            connections: ConnectionMetrics::register(&registry)?,
             answers: registry.labelled_counter("answers_total", "Answers by status", "status")?,
             sends: registry.labelled_counter("sends_total", "Sends to replicas", "end")?,
             streams: registry.labelled_counter("streams_total", "Streams by end", "end")?,
--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -5,9 +5,8 @@
 use crate::refusal::Refusal;
 use crate::{crash_refusal, planned_stop, quota, stream, unary};
 use http::{HeaderValue, Request, Response, header};
-use hyper::body::Incoming;
 use luglink_edge::RouteKind;
-use luglink_http::{Abort, Body};
+use luglink_http::{Abort, Body, RequestBody};
 use luglink_quota::Purpose;
 use luglink_scheduling::max_startup_wait;
 use luglink_telemetry::milliseconds;
@@ -20,7 +19,7 @@
 /// Handles a request of a caller.
 pub(crate) async fn handle(
     gateway: Rc<Gateway>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<Body>, Abort> {
     let arrived = Instant::now();
     let in_flight = gateway.track_request();
@@ -70,7 +69,7 @@
 /// a quorum, or `None` if the current one is still not known.
 async fn wait_for_configuration(
     gateway: &Gateway,
-    request: &Request<Incoming>,
+    request: &Request<RequestBody>,
 ) -> Option<Rc<ActiveConfiguration>> {
     let deadline = Instant::now() + max_startup_wait(caller_timeout(gateway, request));
     loop {
@@ -85,14 +84,14 @@
 }
 
 /// Returns the timeout that the caller states, if any.
-fn caller_timeout(gateway: &Gateway, request: &Request<Incoming>) -> Option<Duration> {
+fn caller_timeout(gateway: &Gateway, request: &Request<RequestBody>) -> Option<Duration> {
     let name = &gateway.dialect.headers().deadline_ms;
     inbound::header_number(request.headers(), name).map(Duration::from_millis)
 }
 
 async fn dispatch(
     gateway: &Rc<Gateway>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     in_flight: crate::gateway::InFlight,
 ) -> Result<Response<Body>, Refusal> {
     let in_force = wait_for_configuration(gateway, &request)
--- a/crates/gateway-server/src/server.rs
+++ b/crates/gateway-server/src/server.rs
@@ -7,12 +7,14 @@
 use crate::refusal::Refusal;
 use crate::{crash_reports, list, load_view, proxy};
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use luglink_edge::{Dialect, Limits};
 use luglink_fleet_client::Observer;
 use luglink_http::{
-    Abort, Body, ServeOptions, StopHandle, StopSignal, empty_body, serve, stop_channel,
+    Abort, Body, RequestBody, ServeOptions, StopHandle, StopSignal, empty_body, serve, stop_channel,
 };
+use luglink_limits::ListenerKind;
+use luglink_metrics_server::MetricsLimits;
+use luglink_net::Connections;
 use luglink_telemetry::milliseconds;
 use rand::RngCore;
 use snafu::ResultExt;
@@ -70,8 +72,12 @@
         address: config.listen,
     })?;
     let metrics = GatewayMetrics::new()?;
+    let collectors = MetricsLimits {
+        max_connections: config.machine.connections(ListenerKind::Metrics),
+        connections: metrics.connections.clone(),
+    };
     let metrics_address =
-        luglink_metrics_server::start(config.metrics_listen, &metrics.registry).await;
+        luglink_metrics_server::start(config.metrics_listen, &metrics.registry, collectors).await;
     let seed = rand::rng().next_u64();
     tracing::info!(name = config.name, zone = config.zone, %address, "gateway started");
     let gateway = Rc::new(Gateway::new(config, dialect, metrics, seed));
@@ -102,11 +108,13 @@
     let options = {
         let gateway = Rc::clone(gateway);
         let features = gateway.config.features;
+        let max_connections = gateway.config.machine.connections(ListenerKind::Callers);
         move || {
             let limits = gateway
                 .in_force()
                 .map_or(Limits::default(), |in_force| in_force.configuration.limits);
             ServeOptions {
+                max_connections,
                 max_header_bytes: limits.max_header_bytes,
                 // The HTTP library counts the idle time and the time to receive a head together.
                 idle_timeout: Duration::from_millis(
@@ -120,28 +128,33 @@
         let gateway = Rc::clone(gateway);
         Rc::new(move |request| proxy::handle(Rc::clone(&gateway), request))
     };
-    actix_rt::spawn(serve(listener, options, signal, handler));
+    let connections = Connections::new(ListenerKind::Callers, &gateway.metrics.connections);
+    actix_rt::spawn(serve(listener, connections, options, signal, handler));
 }
 
-fn readiness_options() -> ServeOptions {
+fn readiness_options(max_connections: usize) -> ServeOptions {
     ServeOptions {
+        max_connections,
         max_header_bytes: 16 << 10,
         idle_timeout: READINESS_IDLE_TIMEOUT,
-        write_stall_timeout: None,
+        write_stall_timeout: Some(UNREAD_CONNECTION_TIMEOUT),
     }
 }
 
 fn serve_readiness(gateway: &Rc<Gateway>, listener: TcpListener) {
     let gateway = Rc::clone(gateway);
-    let handler = Rc::new(move |request: Request<Incoming>| {
+    let connections = Connections::new(ListenerKind::Readiness, &gateway.metrics.connections);
+    let max_connections = gateway.config.machine.connections(ListenerKind::Readiness);
+    let options = move || readiness_options(max_connections);
+    let handler = Rc::new(move |request: Request<RequestBody>| {
         let gateway = Rc::clone(&gateway);
         async move { Ok::<_, Abort>(readiness_response(&gateway, &request)) }
     });
     let (_, signal) = stop_channel();
-    actix_rt::spawn(serve(listener, readiness_options, signal, handler));
+    actix_rt::spawn(serve(listener, connections, options, signal, handler));
 }
 
-fn readiness_response(gateway: &Gateway, request: &Request<Incoming>) -> Response<Body> {
+fn readiness_response(gateway: &Gateway, request: &Request<RequestBody>) -> Response<Body> {
     if !gateway.dialect.is_readiness(request.uri().path()) {
         let refusal = Refusal::new(StatusCode::NOT_FOUND, "no such readiness check");
         return refusal.into_response(&*gateway.dialect);
--- a/crates/gateway-server/tests/gateway/metrics.rs
+++ b/crates/gateway-server/tests/gateway/metrics.rs
@@ -3,6 +3,8 @@
 use crate::support::caller::{TestRequest, TestResponse, get};
 use crate::support::replica::{Replica, Script};
 use crate::support::{Fleet, configuration, wait_until};
+use luglink_metrics_server::MetricsLimits;
+use luglink_net::ConnectionMetrics;
 use std::net::SocketAddr;
 
 /// Returns the value of a metric, or 0 if it is missing. `series` is its name with its labels.
@@ -73,13 +75,20 @@
     .await;
 }
 
+fn limits(registry: &luglink_telemetry::Metrics) -> MetricsLimits {
+    MetricsLimits {
+        max_connections: 10,
+        connections: ConnectionMetrics::register(registry).unwrap(),
+    }
+}
+
 #[actix_rt::test]
 async fn a_metrics_port_in_use_is_not_an_error() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = taken.local_addr().unwrap();
     let registry = luglink_telemetry::Metrics::new();
     assert_eq!(
-        luglink_metrics_server::start(Some(address), &registry).await,
+        luglink_metrics_server::start(Some(address), &registry, limits(&registry)).await,
         None
     );
 }
@@ -88,7 +97,7 @@
 async fn metrics_are_served_on_one_path_only() {
     let registry = luglink_telemetry::Metrics::new();
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let address = luglink_metrics_server::start(Some(any), &registry).await;
+    let address = luglink_metrics_server::start(Some(any), &registry, limits(&registry)).await;
     assert_eq!(metrics(address).await.status, 200);
     assert_eq!(get(address.unwrap(), "/").await.status, 404);
 }
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -323,6 +323,7 @@
         features: Features::default(),
         keys_expire_after: Some(KEYS_EXPIRE_AFTER),
         stop_timeout: Duration::from_secs(5),
+        machine: fleet.machine(),
         held_bytes_limit: HELD_BYTES_LIMIT,
         turn_cache_bytes: 1 << 20,
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,7 @@
 mod head_limit;
 mod request_body;
 mod server;
+mod tracked_body;
 mod write_stall;
 
 pub use body::{Body, BodyError, BodySender, empty_body, full_body, stream_body};
@@ -22,3 +23,4 @@
 pub use fetch::{FetchError, FetchLimits, fetch};
 pub use request_body::{BodyFailure, BodyLimits, declared_length, read_body};
 pub use server::{Abort, ServeOptions, StopHandle, StopSignal, serve, stop_channel};
+pub use tracked_body::RequestBody;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,12 +1,13 @@
 //! HTTP server.
 
 use crate::body::Body;
+use crate::tracked_body::{ConnectionActivity, RequestBody, ResponseBody};
 use crate::write_stall::WriteStallStream;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use luglink_net::set_send_buffer;
+use luglink_net::{ConnectionGuard, Connections, set_send_buffer};
 use snafu::Snafu;
 use std::cell::Cell;
 use std::future::Future;
@@ -29,6 +30,9 @@
 /// Limits of a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ServeOptions {
+    /// Maximum number of open connections. At the limit, a new connection takes the place of the one that
+    /// has waited longest for its peer, or is closed if none waits.
+    pub max_connections: usize,
     /// Maximum size of a request head, in bytes.
     pub max_header_bytes: usize,
     /// Maximum time until a complete request head is received, including the idle time between
@@ -120,15 +124,16 @@
     }
 }
 
-/// Accepts connections until [`StopHandle::close`] and answers their requests with `handler`. If a caller
+/// Accepts connections until [`StopHandle::close`], counts them in `connections`, and answers their requests with `handler`. If a caller
 /// disconnects, the handler's future is dropped.
 pub async fn serve<Handler, ResponseFuture>(
     listener: TcpListener,
+    connections: Rc<Connections>,
     options: impl Fn() -> ServeOptions,
     signal: StopSignal,
     handler: Rc<Handler>,
 ) where
-    Handler: Fn(Request<Incoming>) -> ResponseFuture + 'static,
+    Handler: Fn(Request<RequestBody>) -> ResponseFuture + 'static,
     ResponseFuture: Future<Output = Result<Response<Body>, Abort>> + 'static,
 {
     let mut closing = signal.clone();
@@ -139,8 +144,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection =
-                    serve_connection(stream, options(), signal.clone(), Rc::clone(&handler));
+                let options = options();
+                let Some(guard) = connections.open(options.max_connections) else {
+                    continue;
+                };
+                let handler = Rc::clone(&handler);
+                let connection = serve_connection(stream, guard, options, signal.clone(), handler);
                 actix_rt::spawn(connection);
             }
             Err(error) => {
@@ -153,11 +162,12 @@
 
 async fn serve_connection<Handler, ResponseFuture>(
     stream: TcpStream,
+    guard: ConnectionGuard,
     options: ServeOptions,
     mut signal: StopSignal,
     handler: Rc<Handler>,
 ) where
-    Handler: Fn(Request<Incoming>) -> ResponseFuture + 'static,
+    Handler: Fn(Request<RequestBody>) -> ResponseFuture + 'static,
     ResponseFuture: Future<Output = Result<Response<Body>, Abort>> + 'static,
 {
     // The connection also works without this option.
@@ -172,11 +182,18 @@
     let resets = Rc::new(Cell::new(false));
     let stream = WriteStallStream::new(stream, options.write_stall_timeout, Rc::clone(&resets));
     let ends_with_connection = Rc::new(Cell::new(false));
+    let activity = ConnectionActivity::new(guard);
     let service = service_fn({
         let ends_with_connection = Rc::clone(&ends_with_connection);
+        let activity = Rc::clone(&activity);
         move |request: Request<Incoming>| {
             ends_with_connection.set(request.version() == Version::HTTP_10);
-            handler(request)
+            let activity = Rc::clone(&activity);
+            let response = handler(request.map(|body| RequestBody::new(body, &activity)));
+            async move {
+                let response = response.await?;
+                Ok::<_, Abort>(response.map(|body| ResponseBody::new(body, activity)))
+            }
         }
     });
     let connection = hyper::server::conn::http1::Builder::new()
@@ -189,8 +206,12 @@
         result = connection.as_mut() => result,
         () = signal.wait_for_next_phase() => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                result = connection => result,
+                () = activity.guard.closed() => Ok(()),
+            }
         }
+        () = activity.guard.closed() => Ok(()),
     };
     if let Err(error) = result {
         tracing::debug!(%error, "connection failed");
--- a/crates/http/tests/unread.rs
+++ b/crates/http/tests/unread.rs
@@ -2,8 +2,12 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use hyper::body::Incoming;
-use luglink_http::{Abort, ServeOptions, StopSignal, serve, stop_channel, stream_body};
+use luglink_http::{
+    Abort, RequestBody, ServeOptions, StopSignal, serve, stop_channel, stream_body,
+};
+use luglink_limits::ListenerKind;
+use luglink_net::{ConnectionMetrics, Connections};
+use luglink_telemetry::Metrics;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,13 +30,14 @@
     let address = listener.local_addr().unwrap();
     let (_, signal) = stop_channel();
     let options = move || ServeOptions {
+        max_connections: 10,
         max_header_bytes: 16 << 10,
         idle_timeout: Duration::from_secs(30),
         write_stall_timeout: limit,
     };
     let has_ended = Rc::new(Cell::new(false));
     let ended = Rc::clone(&has_ended);
-    let handler = Rc::new(move |_: Request<Incoming>| {
+    let handler = Rc::new(move |_: Request<RequestBody>| {
         let ended = Rc::clone(&ended);
         async move {
             let (sender, body) = stream_body();
@@ -45,7 +50,10 @@
             Ok::<_, Abort>(Response::new(body))
         }
     });
-    actix_rt::spawn(serve(listener, options, signal.clone(), handler));
+    let metrics = ConnectionMetrics::register(&Metrics::new()).unwrap();
+    let connections = Connections::new(ListenerKind::Callers, &metrics);
+    let serving = serve(listener, connections, options, signal.clone(), handler);
+    actix_rt::spawn(serving);
     let mut caller = TcpStream::connect(address).await.unwrap();
     caller
         .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
--- a/crates/net/src/errors.rs
+++ b/crates/net/src/errors.rs
@@ -51,6 +51,12 @@
         /// Bytes that wait on all connections of the listener.
         queued: u64,
     },
+    /// The connection gave way to others, since its listener has too many.
+    #[snafu(display("the listener has too many connections: {limit}"))]
+    TooManyConnections {
+        /// Maximum number of connections.
+        limit: usize,
+    },
     /// The connection is closed.
     #[snafu(display("the connection is closed"))]
     Closed,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod account;
 mod connection;
+mod connections;
 mod errors;
 mod link;
 mod listener;
@@ -18,10 +19,11 @@
 
 pub use account::{AccountEvent, ByteAccount, ByteGuard};
 pub use connection::FrameSender;
+pub use connections::{ConnectionGuard, Connections};
 pub use errors::NetError;
 pub use link::{Link, LinkEvent};
 pub use listener::{ListenerEvent, ListenerLimits, serve};
-pub use metrics::PeerMetrics;
+pub use metrics::{ConnectionMetrics, PeerMetrics};
 pub use request_client::RequestClient;
 pub use send_queue::QueueBudget;
 pub use socket::{set_reset_on_close, set_send_buffer, set_tcp_options};
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -2,11 +2,12 @@
 
 use crate::account::ByteAccount;
 use crate::connection::{FrameReader, FrameSender, ReadAccount, frame_channel, write_frames};
-use crate::errors::{NetError, NoHelloSnafu, UnreadSnafu};
-use crate::metrics::PeerMetrics;
+use crate::connections::{ConnectionGuard, Connections};
+use crate::errors::{NetError, NoHelloSnafu, TooManyConnectionsSnafu, UnreadSnafu};
+use crate::metrics::{ConnectionMetrics, PeerMetrics};
 use crate::send_queue::QueueBudget;
 use crate::socket::set_tcp_options;
-use luglink_limits::Machine;
+use luglink_limits::{ListenerKind, Machine};
 use luglink_telemetry::{Metrics, TelemetryError};
 use luglink_wire::{Frame, Hello, MAX_FRAME_BYTES, PROTOCOL_VERSION};
 use std::net::SocketAddr;
@@ -56,6 +57,8 @@
     held: Rc<ByteAccount>,
     max_frame_bytes: usize,
     queue: Arc<QueueBudget>,
+    connections: Rc<Connections>,
+    max_connections: usize,
     metrics: PeerMetrics,
 }
 
@@ -67,19 +70,27 @@
     /// A metric cannot be registered.
     pub fn for_machine(machine: Machine, registry: &Metrics) -> Result<Self, TelemetryError> {
         let metrics = PeerMetrics::register(registry)?;
+        let connections = ConnectionMetrics::register(registry)?;
         let held = metrics.account(machine.held_bytes());
-        Ok(Self::internal(machine, held, &metrics))
+        Ok(Self::internal(machine, held, &metrics, &connections))
     }
 
     /// Returns the limits of the internal listener of a machine. Frames that have arrived in part are
     /// counted in `held`.
     #[must_use]
-    pub fn internal(machine: Machine, held: Rc<ByteAccount>, metrics: &PeerMetrics) -> Self {
+    pub fn internal(
+        machine: Machine,
+        held: Rc<ByteAccount>,
+        metrics: &PeerMetrics,
+        connections: &ConnectionMetrics,
+    ) -> Self {
         let max_holder_bytes = usize::try_from(held.max_holder_bytes()).unwrap_or(usize::MAX);
         Self {
             max_frame_bytes: MAX_FRAME_BYTES.min(max_holder_bytes),
             held,
             queue: QueueBudget::new(machine.queued_bytes()),
+            connections: Connections::new(ListenerKind::Internal, connections),
+            max_connections: machine.connections(ListenerKind::Internal),
             metrics: metrics.clone(),
         }
     }
@@ -97,6 +108,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, address)) => {
+                let Some(guard) = limits.connections.open(limits.max_connections) else {
+                    continue;
+                };
                 let connection = next_connection;
                 next_connection += 1;
                 let on_event = Rc::clone(&on_event);
@@ -105,6 +119,7 @@
                     let peer = Peer {
                         address,
                         connection,
+                        guard,
                         limits: &limits,
                     };
                     let result = peer.run(stream, &*on_event).await;
@@ -141,15 +156,30 @@
 struct Peer<'listener> {
     address: SocketAddr,
     connection: u64,
+    guard: ConnectionGuard,
     limits: &'listener ListenerLimits,
 }
 
 impl Peer<'_> {
-    /// Serves the connection until it fails.
+    /// Serves the connection until it fails or gives way to another one.
     async fn run(
         &self,
         stream: TcpStream,
         on_event: &impl Fn(ListenerEvent),
+    ) -> Result<(), NetError> {
+        tokio::select! {
+            result = self.transfer(stream, on_event) => result,
+            () = self.guard.closed() => TooManyConnectionsSnafu {
+                limit: self.limits.max_connections,
+            }
+            .fail(),
+        }
+    }
+
+    async fn transfer(
+        &self,
+        stream: TcpStream,
+        on_event: &impl Fn(ListenerEvent),
     ) -> Result<(), NetError> {
         let connection = self.connection;
         // With these options, small responses do not wait until a slow peer has acknowledged earlier
@@ -174,6 +204,7 @@
         let reading = async {
             loop {
                 let frame = reader.next().await?;
+                self.guard.set_waiting();
                 on_event(ListenerEvent::Frame { connection, frame });
             }
         };
--- a/crates/net/src/metrics.rs
+++ b/crates/net/src/metrics.rs
@@ -1,11 +1,38 @@
 //! Metrics of the limits on peers.
 
 use crate::account::{AccountEvent, ByteAccount};
-use luglink_limits::HeldBytes;
+use luglink_limits::{HeldBytes, ListenerKind};
 use luglink_telemetry::{Metrics, TelemetryError};
-use prometheus::{Gauge, IntCounterVec};
+use prometheus::{Gauge, IntCounter, IntCounterVec};
 use std::rc::Rc;
 
+/// Connections that were closed at the limit of their listener.
+#[derive(Clone, Debug)]
+pub struct ConnectionMetrics {
+    closed: IntCounterVec,
+}
+
+impl ConnectionMetrics {
+    /// Registers the metrics of a process.
+    ///
+    /// # Errors
+    /// A metric cannot be registered.
+    pub fn register(registry: &Metrics) -> Result<Self, TelemetryError> {
+        let closed = registry.labelled_counter(
+            "connections_closed_total",
+            "Connections closed because their listener has too many",
+            "listener",
+        )?;
+        Ok(Self { closed })
+    }
+
+    /// Returns the counter of a listener.
+    #[must_use]
+    pub fn closed(&self, listener: ListenerKind) -> IntCounter {
+        self.closed.with_label_values(&[listener.as_str()])
+    }
+}
+
 /// Bytes that peers make a process hold.
 #[derive(Clone, Debug)]
 pub struct PeerMetrics {
--- a/crates/store-server/src/metrics.rs
+++ b/crates/store-server/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a turn store.
 
 use crate::errors::StoreServerError;
+use luglink_net::{ConnectionMetrics, PeerMetrics};
 use luglink_telemetry::Metrics;
 use luglink_turns::{CrashRequest, OriginRequest, StoreRequest};
 use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec};
@@ -9,6 +10,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct StoreMetrics {
     pub(crate) registry: Metrics,
+    /// Bytes that peers make this store hold.
+    pub(crate) peers: PeerMetrics,
+    /// Connections closed at the limits of the listeners.
+    pub(crate) connections: ConnectionMetrics,
     /// Requests by kind.
     pub(crate) requests: IntCounterVec,
     /// Requests that failed because of a disk error or because they were malformed.
@@ -50,6 +55,8 @@
             "reason",
         )?;
         Ok(Self {
+            peers: PeerMetrics::register(&registry)?,
+            connections: ConnectionMetrics::register(&registry)?,
             requests,
             failures,
             refusals,
--- a/crates/store-server/src/server.rs
+++ b/crates/store-server/src/server.rs
@@ -8,7 +8,8 @@
 use crate::reports::{UnsyncedReply, answer_followers_in_rounds};
 use luglink_fleet::{KnownVersions, ObserverUpdate, Presence, Role, StoreName, StorePresence};
 use luglink_fleet_client::{ListSource, Observer, ObserverConfig, ObserverDelegate};
-use luglink_limits::Machine;
+use luglink_limits::{ListenerKind, Machine};
+use luglink_metrics_server::MetricsLimits;
 use luglink_net::{FrameSender, ListenerEvent, ListenerLimits};
 use luglink_quota::Tolerance;
 use luglink_storage::{FileDisk, WalConfig};
@@ -118,9 +119,15 @@
         address: config.listen,
     })?;
     let metrics = StoreMetrics::new()?;
-    let limits = ListenerLimits::for_machine(config.machine, &metrics.registry)?;
+    let machine = config.machine;
+    let held = metrics.peers.account(machine.held_bytes());
+    let limits = ListenerLimits::internal(machine, held, &metrics.peers, &metrics.connections);
+    let collectors = MetricsLimits {
+        max_connections: machine.connections(ListenerKind::Metrics),
+        connections: metrics.connections.clone(),
+    };
     let metrics_address =
-        luglink_metrics_server::start(config.metrics_listen, &metrics.registry).await;
+        luglink_metrics_server::start(config.metrics_listen, &metrics.registry, collectors).await;
     let node = open_node(&config).await;
     let (turns, accounts) = node.counts();
     tracing::info!(
