Let clients read the refusal of a body that they still send

Clients saw: a broken connection in place of 413 (or of any refusal that comes before the body is read), since the operating system resets a connection that is closed with unread bytes. A client then may try again.

Cause: the HTTP library closes the connection once the response is written.

Change: where the body of the latest request was not read, what the peer still sends is read and discarded before the connection is closed, up to 8 MiB and 2 s a connection, on 32 connections of a server at a time.

Evidence: a_client_that_sends_its_body_first_reads_the_refusal failed without the change (broken pipe, for a length and for chunks) and passes with it; a client that does not stop is cut in both.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,6 +11,7 @@
 mod client;
 mod fetch;
 mod head_limit;
+mod lingering_close;
 mod request_body;
 mod server;
 mod tracked_body;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,6 +1,7 @@
 //! HTTP server.
 
 use crate::body::Body;
+use crate::lingering_close::{LingeringCount, LingeringStream};
 use crate::tracked_body::{ConnectionActivity, RequestBody, ResponseBody};
 use crate::write_stall::WriteStallStream;
 use hyper::body::Incoming;
@@ -136,6 +137,7 @@
     Handler: Fn(Request<RequestBody>) -> ResponseFuture + 'static,
     ResponseFuture: Future<Output = Result<Response<Body>, Abort>> + 'static,
 {
+    let lingering = LingeringCount::default();
     let mut closing = signal.clone();
     loop {
         let accepted = tokio::select! {
@@ -149,7 +151,12 @@
                     continue;
                 };
                 let handler = Rc::clone(&handler);
-                let connection = serve_connection(stream, guard, options, signal.clone(), handler);
+                let accepted = AcceptedConnection {
+                    stream,
+                    guard,
+                    lingering: lingering.clone(),
+                };
+                let connection = serve_connection(accepted, options, signal.clone(), handler);
                 actix_rt::spawn(connection);
             }
             Err(error) => {
@@ -160,9 +167,15 @@
     }
 }
 
-async fn serve_connection<Handler, ResponseFuture>(
+/// Accepted connection with its place among the connections of the server.
+struct AcceptedConnection {
     stream: TcpStream,
     guard: ConnectionGuard,
+    lingering: LingeringCount,
+}
+
+async fn serve_connection<Handler, ResponseFuture>(
+    accepted: AcceptedConnection,
     options: ServeOptions,
     mut signal: StopSignal,
     handler: Rc<Handler>,
@@ -170,6 +183,11 @@
     Handler: Fn(Request<RequestBody>) -> ResponseFuture + 'static,
     ResponseFuture: Future<Output = Result<Response<Body>, Abort>> + 'static,
 {
+    let AcceptedConnection {
+        stream,
+        guard,
+        lingering,
+    } = accepted;
     // The connection also works without this option.
     let _ = stream.set_nodelay(true);
     let open_connections = Rc::clone(&signal.open_connections);
@@ -183,6 +201,7 @@
     let stream = WriteStallStream::new(stream, options.write_stall_timeout, Rc::clone(&resets));
     let ends_with_connection = Rc::new(Cell::new(false));
     let activity = ConnectionActivity::new(guard);
+    let stream = LingeringStream::new(stream, Rc::clone(&activity), lingering);
     let service = service_fn({
         let ends_with_connection = Rc::clone(&ends_with_connection);
         let activity = Rc::clone(&activity);
--- a/crates/http/src/tracked_body.rs
+++ b/crates/http/src/tracked_body.rs
@@ -25,6 +25,11 @@
         })
     }
 
+    /// Returns true if the body of the latest request was not read to its end.
+    pub(crate) fn is_unread(&self) -> bool {
+        self.is_unread.get()
+    }
+
     fn note_received(&self) {
         self.is_unread.set(false);
         self.guard.set_running();
