Refuse identifiers that are too long to keep

Cause, by reading: a caller chooses its identifiers, each as long as a head (16 KiB), and gateways and stores keep those of requests, programs, turns and streams beyond the request: in origins, crash reports, turns and log lines, whose numbers are bounded but not their sizes. A log line held the whole path as well.

Change: identifiers of more than 256 bytes are refused with 400, and the line about a refusal has the first 256 bytes of the identifier and of the path.

Evidence: identifiers_that_are_too_long_to_keep_are_refused got 200 before and passes now. No process was seen to exceed its memory by it.

--- a/crates/gateway-server/src/inbound.rs
+++ b/crates/gateway-server/src/inbound.rs
@@ -28,6 +28,9 @@
     header::PROXY_AUTHORIZATION,
 ];
 
+/// Maximum length of the identifiers that are kept beyond a request, in bytes.
+const MAX_IDENTIFIER_BYTES: usize = 256;
+
 /// Headers of a request that describe its program.
 #[derive(Clone, Debug)]
 pub(crate) struct ProgramFields {
@@ -136,6 +139,25 @@
     header_text(headers, name)?.trim().parse().ok()
 }
 
+/// Refuses identifiers that processes would keep beyond the request and that are too long for it.
+fn check_identifiers(gateway: &Gateway, headers: &HeaderMap) -> Result<(), Refusal> {
+    let names = gateway.dialect.headers();
+    let kept = [
+        &names.request_id,
+        &names.program,
+        &names.previous_turn,
+        &names.resumes,
+    ];
+    let mut values = kept.into_iter().filter_map(|name| headers.get(name));
+    if values.any(|value| value.len() > MAX_IDENTIFIER_BYTES) {
+        return Err(Refusal::new(
+            StatusCode::BAD_REQUEST,
+            "an identifier is longer than 256 bytes",
+        ));
+    }
+    Ok(())
+}
+
 /// Reads a request, authenticates its caller and finds its route.
 pub(crate) async fn read(
     gateway: &Gateway,
@@ -151,6 +173,7 @@
             "the request has no identifier",
         ))?
         .to_owned();
+    check_identifiers(gateway, &head.headers)?;
     let host = header_text(&head.headers, &header::HOST)
         .or_else(|| head.uri.host())
         .unwrap_or_default();
--- a/crates/gateway-server/src/proxy.rs
+++ b/crates/gateway-server/src/proxy.rs
@@ -16,6 +16,14 @@
 /// Interval at which a starting gateway checks whether its configuration has arrived.
 const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Maximum length of what a caller chose in a log line, in bytes.
+const MAX_LOGGED_BYTES: usize = 256;
+
+/// Returns the beginning of a text that a caller chose.
+fn loggable(text: &str) -> String {
+    text[..text.floor_char_boundary(MAX_LOGGED_BYTES)].to_owned()
+}
+
 /// Handles a request of a caller.
 pub(crate) async fn handle(
     gateway: Rc<Gateway>,
@@ -23,10 +31,9 @@
 ) -> Result<Response<Body>, Abort> {
     let arrived = Instant::now();
     let in_flight = gateway.track_request();
-    let id = inbound::header_text(request.headers(), &gateway.dialect.headers().request_id)
-        .unwrap_or_default()
-        .to_owned();
-    let path = request.uri().path().to_owned();
+    let id = inbound::header_text(request.headers(), &gateway.dialect.headers().request_id);
+    let id = loggable(id.unwrap_or_default());
+    let path = loggable(request.uri().path());
     let result = dispatch(&gateway, request, in_flight).await;
     let list_age_ms = gateway.list_age().map(milliseconds);
     let mut response = match result {
--- a/crates/gateway-server/tests/gateway/held_bytes.rs
+++ b/crates/gateway-server/tests/gateway/held_bytes.rs
@@ -159,3 +159,24 @@
     assert_eq!(&status, b"HTTP/1.1 503");
     assert_eq!(replica.requests(), 1);
 }
+
+#[actix_rt::test]
+async fn identifiers_that_are_too_long_to_keep_are_refused() {
+    let (fleet, replica) = fleet(Script::Answer).await;
+    let (longest, too_long) = ("x".repeat(256), "x".repeat(257));
+    let turn = || TestRequest::post("/kept/x", "t1", "input").with("luglink-program", "program");
+    let refused = [
+        TestRequest::get("/safe/x", &too_long),
+        turn().with("luglink-program", &too_long),
+        turn().with("luglink-previous-turn", &too_long),
+        turn().with("luglink-resumes", &too_long),
+    ];
+    for request in refused {
+        let headers = request.headers.clone();
+        let response = request.send(fleet.gateway_address).await;
+        assert_eq!(response.status, 400, "{headers:?}: {response:?}");
+    }
+    assert_eq!(replica.requests(), 0);
+    let allowed = TestRequest::get("/safe/x", &longest).send(fleet.gateway_address);
+    assert_eq!(allowed.await.status, 200);
+}
