Run members and stores of the gateway's tests on a thread of their own

Cause, traced in a_chunk_size without end: bystanders got 503, since one thread ran the whole fleet of a test, and what kept it busy kept stores and members from answering in time too.

Change: `support::storage` starts members and stores on one thread for each fleet; gateways and replicas stay on the test's thread. Tests reach them by their addresses as before, and stop members by a command. No bound changes.

--- a/crates/gateway-server/tests/gateway/metrics.rs
+++ b/crates/gateway-server/tests/gateway/metrics.rs
@@ -56,7 +56,13 @@
     assert_eq!(of_gateway("luglink_keep_seconds_count"), 1.0);
     assert_eq!(of_gateway("luglink_configuration_version"), 7.0);
 
-    let stores = || fleet.stores.iter().map(|store| store.metrics_address);
+    let stores = || {
+        fleet
+            .storage
+            .stores
+            .iter()
+            .map(|store| store.metrics_address)
+    };
     let spends = sum(stores(), "luglink_store_requests_total{kind=\"spend\"}").await;
     assert!(spends >= 2.0, "{spends}");
     wait_until("the stores report the stored turn", || async {
@@ -64,7 +70,13 @@
     })
     .await;
 
-    let members = || fleet.members.iter().map(|member| member.metrics_address);
+    let members = || {
+        fleet
+            .storage
+            .members
+            .iter()
+            .map(|member| member.metrics_address)
+    };
     let taken = "luglink_operator_calls_total{status=\"200\"}";
     assert!(sum(members(), taken).await >= 1.0);
     let answered = "luglink_resolutions_total{status=\"200\"}";
--- a/crates/gateway-server/tests/gateway/mixed_builds.rs
+++ b/crates/gateway-server/tests/gateway/mixed_builds.rs
@@ -59,7 +59,7 @@
 #[actix_rt::test]
 async fn a_store_rejects_an_unknown_request_and_keeps_the_connection() {
     let fleet = Fleet::start(Vec::new()).await;
-    let store = client(fleet.stores[0].address, ClientRole::StoreClient);
+    let store = client(fleet.storage.stores[0].address, ClientRole::StoreClient);
     let account = StoreRequest::Account(ProgramName("p".to_owned()));
     let account = encode_body(&account).unwrap();
     // A store without a view of the stores refuses clients that send none.
--- a/crates/gateway-server/tests/gateway/resumed_turns.rs
+++ b/crates/gateway-server/tests/gateway/resumed_turns.rs
@@ -214,7 +214,7 @@
     let receiving = turn("began", "first ").send_and_disconnect_after(fleet.gateway_address, 3);
     let sending = async {
         replica.steps.add_permits(1);
-        for store in &fleet.stores {
+        for store in &fleet.storage.stores {
             let metrics = store.metrics_address.unwrap();
             wait_until("the first event is recorded", || async {
                 recorded_outputs(metrics).await > 0
--- a/crates/gateway-server/tests/gateway/support/mod.rs
+++ b/crates/gateway-server/tests/gateway/support/mod.rs
@@ -7,8 +7,9 @@
 pub mod proxy;
 pub mod received;
 pub mod replica;
+pub mod storage;
 
-use luglink_control_server::{ManagedServer, ManagedServerConfig, start_managed};
+use luglink_control_server::ManagedServerConfig;
 use luglink_edge::{
     Configuration, Dialect, Engine, Limits, LuglinkDialect, Route, RouteKind, Service, Target,
 };
@@ -17,7 +18,7 @@
 use luglink_quota::Tolerance;
 use luglink_scheduling::Features;
 use luglink_settings::{FleetSettings, ManagedMemberSettings};
-use luglink_store_server::{StoreServer, StoreServerConfig};
+use luglink_store_server::StoreServerConfig;
 use luglink_turns::Replication;
 use proxy::Proxy;
 use replica::Replica;
@@ -27,6 +28,7 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
+use storage::Storage;
 use tempfile::TempDir;
 
 pub const HOST: &str = "desk.example";
@@ -62,9 +64,9 @@
     second: FleetSettings,
     /// Internal addresses of the members.
     pub member_addresses: Vec<SocketAddr>,
+    /// Members and stores. They end before their data folder is removed.
+    pub storage: Storage,
     _data_folder: TempDir,
-    pub members: Vec<ManagedServer>,
-    pub stores: Vec<StoreServer>,
     /// Proxies through which the stores are reached, if any.
     pub store_proxies: Vec<Proxy>,
 }
@@ -166,15 +168,16 @@
                 },
                 fleet: fleet.clone(),
             };
-            members.push(start_managed(&config, Rc::clone(&dialect)).await.unwrap());
+            members.push(config);
             let mut store = store_config(&fleet, folder.path().join(format!("store-{host}")));
             if has_store_proxies {
                 let proxy = Proxy::start(fleet.ip.into(), store.listen).await;
                 store.advertised = Some(proxy.address);
                 store_proxies.push(proxy);
             }
-            stores.push(luglink_store_server::start(store).await.unwrap());
+            stores.push(store);
         }
+        let storage = Storage::start(members, stores).await;
         let mut fleet = fleet_settings(block, 9, &ports, list);
         let second = fleet_settings(block, 10, &ports, list);
         let member_addresses = fleet.member_seeds();
@@ -197,9 +200,8 @@
             operator_address: (ip(block, 1), operator_port).into(),
             resolution_address: (ip(block, 1), resolution_port).into(),
             member_addresses,
+            storage,
             _data_folder: folder,
-            members,
-            stores,
             store_proxies,
         }
     }
--- a/crates/gateway-server/tests/gateway/tenants.rs
+++ b/crates/gateway-server/tests/gateway/tenants.rs
@@ -178,13 +178,11 @@
 
 #[actix_rt::test]
 async fn keys_expire_without_contact_to_the_members() {
-    let (mut fleet, replica) = fleet(vec![tenant("one", "k1")]).await;
+    let (fleet, replica) = fleet(vec![tenant("one", "k1")]).await;
     replica.set_script(Script::Answer);
     let keyed_request = || keyed(TestRequest::get("/safe/x", "a1"), "k1");
     assert_eq!(send(&fleet, keyed_request()).await.status, 200);
-    for member in std::mem::take(&mut fleet.members) {
-        member.stop().await;
-    }
+    fleet.storage.stop_members().await;
     wait_until("the key is no longer accepted", || async {
         send(&fleet, keyed_request()).await.status == 503
     })
