--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -125,8 +125,8 @@
     }
 }
 
-/// Accepts connections until [`StopHandle::close`], counts them in `connections`, and answers their requests with `handler`. If a caller
-/// disconnects, the handler's future is dropped.
+/// Accepts connections until [`StopHandle::close`], counts them in `connections`, and answers their
+/// requests with `handler`. If a caller disconnects, the handler's future is dropped.
 pub async fn serve<Handler, ResponseFuture>(
     listener: TcpListener,
     connections: Rc<Connections>,
